--- /dev/null
+++ b/internal/batch/batch.go
@@ -0,0 +1,94 @@
+// Package batch joins calls that come at the same time into one.
+//
+// # Usage
+//
+//	b := batch.New(100, func(ctx context.Context, items []Item) error { ... })
+//	err := b.Do(ctx, item)
+//
+// While one send is under way, later items wait and go together with the next.
+// An idle batcher sends at once, so batching costs no latency when there is no
+// load.
+package batch
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// sendTimeout bounds one send.
+const sendTimeout = 3 * time.Second
+
+// Batcher joins items of one kind.
+type Batcher[T any] struct {
+	limit int
+	send  func(context.Context, []T) error
+
+	mu    sync.Mutex // guards all below
+	queue []call[T]
+	busy  bool
+}
+
+// call is an item with the channel that takes its result.
+type call[T any] struct {
+	item T
+	done chan error
+}
+
+// New returns a batcher that sends up to limit items at once.
+func New[T any](limit int, send func(context.Context, []T) error) *Batcher[T] {
+	return &Batcher[T]{limit: limit, send: send}
+}
+
+// Do sends an item, perhaps with others, and returns the send's error. When ctx
+// ends first the item may still be sent.
+func (b *Batcher[T]) Do(ctx context.Context, item T) error {
+	c := call[T]{item: item, done: make(chan error, 1)}
+	b.mu.Lock()
+	b.queue = append(b.queue, c)
+	if !b.busy {
+		b.busy = true
+		go b.drain()
+	}
+	b.mu.Unlock()
+	select {
+	case err := <-c.done:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// drain sends until the queue is empty.
+func (b *Batcher[T]) drain() {
+	for {
+		calls := b.take()
+		if len(calls) == 0 {
+			return
+		}
+		items := make([]T, len(calls))
+		for i, c := range calls {
+			items[i] = c.item
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
+		err := b.send(ctx, items)
+		cancel()
+		for _, c := range calls {
+			c.done <- err
+		}
+	}
+}
+
+// take removes the next calls; none makes the batcher idle.
+func (b *Batcher[T]) take() []call[T] {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	count := min(len(b.queue), b.limit)
+	calls := b.queue[:count:count]
+	b.queue = b.queue[count:]
+	if count == 0 {
+		b.busy = false
+		b.queue = nil
+	}
+	return calls
+}
--- /dev/null
+++ b/internal/billing/entry.go
@@ -0,0 +1,114 @@
+package billing
+
+import (
+	"sync"
+	"time"
+)
+
+// Entry is an open bill of this host.
+type Entry struct {
+	ledger *Ledger
+
+	mu      sync.Mutex // guards all below
+	bill    Bill
+	dirty   bool     // holders have an older state
+	holders []string // hosts that hold a copy
+	intent  bool     // the table has, or may have, an intent row
+	ended   bool
+}
+
+// mark changes an entry under its lock.
+func (e *Entry) mark(change func()) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	change()
+}
+
+// Bill returns the bill as it stands.
+func (e *Entry) Bill() Bill {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.bill
+}
+
+// Progress notes what was used so far, for whoever may have to settle.
+func (e *Entry) Progress(u Usage) {
+	e.mark(func() {
+		e.bill = e.bill.WithUsage(u)
+		e.dirty = true
+	})
+}
+
+// Retarget notes the version that the request runs on now.
+func (e *Entry) Retarget(subject string) {
+	e.mark(func() {
+		e.bill = e.bill.WithSubject(subject)
+		e.dirty = true
+	})
+}
+
+// Settle ends the bill with its usage and returns the final bill. The ledger
+// writes it before long; calls after the first change nothing.
+func (e *Entry) Settle(u Usage) Bill {
+	e.mu.Lock()
+	if e.ended {
+		defer e.mu.Unlock()
+		return e.bill
+	}
+	e.ended = true
+	e.bill = e.bill.WithUsage(u).WithState(StateFinal, time.Now().UTC())
+	e.dirty = true
+	bill := e.bill
+	e.mu.Unlock()
+	l := e.ledger
+	l.mu.Lock()
+	l.pending[bill.Copy] = bill
+	l.mu.Unlock()
+	l.nudge()
+	return bill
+}
+
+// Void ends the bill of a request that certainly did not run.
+func (e *Entry) Void() {
+	e.mu.Lock()
+	ended, intent, id := e.ended, e.intent, e.bill.Copy
+	e.ended = true
+	e.mu.Unlock()
+	if ended {
+		return
+	}
+	l := e.ledger
+	l.mu.Lock()
+	if intent {
+		l.strays = append(l.strays, id)
+	}
+	l.mu.Unlock()
+	l.closed(id)
+	l.nudge()
+}
+
+// closed forgets a bill that needs nothing more, and has its holders told.
+func (l *Ledger) closed(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e := l.open[id]
+	delete(l.open, id)
+	delete(l.pending, id)
+	for key, h := range l.held {
+		delete(h.bills, id)
+		if len(h.bills) == 0 && h.gone {
+			delete(l.held, key)
+		}
+	}
+	if e == nil {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, name := range e.holders {
+		if h := l.holders[name]; h != nil {
+			h.closed = append(h.closed, id)
+			h.known--
+		}
+	}
+}
--- /dev/null
+++ b/internal/billing/flush.go
@@ -0,0 +1,238 @@
+package billing
+
+import (
+	"context"
+	"math/rand/v2"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"quaybarrow/internal/codec"
+	"quaybarrow/internal/platform"
+)
+
+// Limits of writing to the table.
+const (
+	flushTimeout = 3 * time.Second
+	minBackoff   = 500 * time.Millisecond
+	maxBackoff   = 8 * time.Second
+	maxIntents   = 1000 // rows of one sweep
+)
+
+// intentRange selects the intents of one sweep.
+var intentRange = platform.Range{Table: TableIntents, Limit: maxIntents}
+
+// Run writes bills, keeps holders told and settles the bills of lost hosts,
+// until the context ends.
+func (l *Ledger) Run(ctx context.Context) {
+	var wait sync.WaitGroup
+	wait.Go(func() { l.flushLoop(ctx) })
+	wait.Go(func() {
+		for sleep(ctx, l.options.Keepalive) {
+			l.keepalive(ctx)
+			l.sweepHeld(ctx)
+		}
+	})
+	wait.Wait()
+}
+
+// flushLoop writes pending bills, several at once, and backs off with jitter
+// while the table is away, so that a recovering one is not stormed.
+func (l *Ledger) flushLoop(ctx context.Context) {
+	backoff := time.Duration(0)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-l.wake:
+		}
+		if !sleep(ctx, jitter(max(l.options.Settle, backoff))) {
+			return
+		}
+		if err := l.Flush(ctx); err != nil {
+			backoff = min(max(backoff*2, minBackoff), maxBackoff)
+			l.nudge()
+			continue
+		}
+		backoff = 0
+	}
+}
+
+// jitter spreads a wait over its second half.
+func jitter(d time.Duration) time.Duration {
+	return d/2 + time.Duration(rand.Int64N(int64(d)/2+1))
+}
+
+// Flush writes everything that is pending now, in batches.
+func (l *Ledger) Flush(ctx context.Context) error {
+	for {
+		bills, strays := l.take()
+		if len(bills) == 0 && len(strays) == 0 {
+			return nil
+		}
+		if err := l.flushBatch(ctx, bills, strays); err != nil {
+			return err
+		}
+	}
+}
+
+// take returns some pending bills and stray intents; they stay in the ledger
+// until they are written.
+func (l *Ledger) take() ([]Bill, []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	bills := make([]Bill, 0, min(len(l.pending), maxBatch))
+	for _, b := range l.pending {
+		if len(bills) == maxBatch {
+			break
+		}
+		bills = append(bills, b)
+	}
+	sort.Slice(bills, func(i, j int) bool { return bills[i].Copy < bills[j].Copy })
+	strays := l.strays[:min(len(l.strays), maxBatch)]
+	return bills, append([]string(nil), strays...)
+}
+
+// flushBatch writes bills in one transaction; when some were billed before, one
+// by one.
+func (l *Ledger) flushBatch(ctx context.Context, bills []Bill, strays []string) error {
+	ctx, cancel := context.WithTimeout(ctx, flushTimeout)
+	defer cancel()
+	txn, err := transactionOf(bills, strays)
+	if err != nil {
+		return err
+	}
+	err = l.options.Tables.Commit(ctx, txn)
+	switch {
+	case err == nil:
+	case errors.Is(err, platform.ErrConflict):
+		for _, b := range bills {
+			if err := l.writeOne(ctx, b); err != nil {
+				return err
+			}
+		}
+		return nil
+	default:
+		return err
+	}
+	l.dropStrays(strays)
+	for _, b := range bills {
+		l.closed(b.Copy)
+	}
+	return nil
+}
+
+// transactionOf writes bills only if absent and removes their intents.
+func transactionOf(bills []Bill, strays []string) (platform.Transaction, error) {
+	var txn platform.Transaction
+	seen := map[string]bool{}
+	for _, b := range bills {
+		txn.Writes = append(txn.Writes, platform.Delete(TableIntents, b.Copy))
+		if seen[b.RequestID] {
+			continue // a repeat of the same request: billed once
+		}
+		seen[b.RequestID] = true
+		data, err := codec.Encode(b)
+		if err != nil {
+			return platform.Transaction{}, err
+		}
+		txn.Conditions = append(txn.Conditions, platform.Absent(TableBills, b.RequestID))
+		txn.Writes = append(txn.Writes, platform.Put(TableBills, b.RequestID, data))
+	}
+	for _, id := range strays {
+		txn.Writes = append(txn.Writes, platform.Delete(TableIntents, id))
+	}
+	return txn, nil
+}
+
+// writeOne writes one bill, or finds that the request is billed already.
+func (l *Ledger) writeOne(ctx context.Context, b Bill) error {
+	txn, err := transactionOf([]Bill{b}, nil)
+	if err != nil {
+		return err
+	}
+	err = l.options.Tables.Commit(ctx, txn)
+	if errors.Is(err, platform.ErrConflict) {
+		err = l.amend(ctx, b, txn)
+	}
+	if err != nil {
+		return err
+	}
+	l.closed(b.Copy)
+	return nil
+}
+
+// amend replaces an interrupted bill of the same opening by its final word; any
+// other bill in the table stands, and only the intent goes.
+func (l *Ledger) amend(ctx context.Context, b Bill, txn platform.Transaction) error {
+	row, err := l.options.Tables.Get(ctx, TableBills, b.RequestID)
+	if err != nil {
+		return err
+	}
+	existing, err := codec.Decode[Bill](row.Value)
+	if err != nil {
+		return err
+	}
+	txn.Conditions = []platform.Condition{platform.AtVersion(TableBills, row)}
+	if !b.Replaces(existing) {
+		txn.Writes = []platform.Write{platform.Delete(TableIntents, b.Copy)}
+	}
+	return l.options.Tables.Commit(ctx, txn)
+}
+
+func (l *Ledger) dropStrays(done []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.strays = l.strays[len(done):]
+}
+
+// Drain writes all bills before a stop. While the table is away it makes sure
+// that the holders have the final words, so that they settle them instead; the
+// error says how many have no second place.
+func (l *Ledger) Drain(ctx context.Context) error {
+	for {
+		if err := l.Flush(ctx); err == nil {
+			return nil
+		}
+		l.keepalive(ctx)
+		if left := l.unheld(); left == 0 {
+			return nil
+		}
+		if !sleep(ctx, minBackoff) {
+			return errors.Errorf("%d bills have no second place", l.unheld())
+		}
+	}
+}
+
+// unheld counts pending bills that nobody else has in their final state.
+func (l *Ledger) unheld() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	count := 0
+	for id := range l.pending {
+		e := l.open[id]
+		if e == nil {
+			continue // adopted: its other holder has it too
+		}
+		e.mu.Lock()
+		if len(e.holders) == 0 || e.dirty {
+			count++
+		}
+		e.mu.Unlock()
+	}
+	return count
+}
+
+// sleep waits; false if the context ends first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/billing/held.go
@@ -0,0 +1,175 @@
+package billing
+
+import (
+	"context"
+	"time"
+
+	"quaybarrow/internal/codec"
+	"quaybarrow/internal/membership"
+	"quaybarrow/internal/peer"
+)
+
+// silence is how long an owner may say nothing before its holder looks whether
+// it is still there.
+const silence = 10 * time.Second
+
+// ownerKey names one start of an owner's process.
+type ownerKey struct{ host, incarnation string }
+
+// heldBills are the copies kept for one owner; guarded by Ledger.mu.
+type heldBills struct {
+	address string
+	last    time.Time // when it was last heard
+	bills   map[string]Bill
+	gone    bool // its bills are being settled here
+}
+
+// Hold takes in another host's message about its open bills. ErrRefused says
+// that copies the owner counts on are not here.
+func (l *Ledger) Hold(_ context.Context, message peer.Hold) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	key := ownerKey{message.Owner, message.Incarnation}
+	h, ok := l.held[key]
+	if !ok {
+		if message.Known > 0 {
+			return peer.ErrRefused
+		}
+		h = &heldBills{bills: map[string]Bill{}}
+	}
+	if l.sizeLocked()+len(message.Open) > l.options.Limit {
+		return peer.ErrRefused
+	}
+	h.address, h.last, h.gone = message.Address, time.Now(), false
+	for _, id := range message.Closed {
+		delete(h.bills, id)
+	}
+	for _, data := range message.Open {
+		bill, err := codec.Decode[Bill](data)
+		if err != nil {
+			return err
+		}
+		h.bills[bill.Copy] = bill
+	}
+	l.held[key] = h
+	if len(h.bills) == 0 {
+		delete(l.held, key)
+	}
+	return nil
+}
+
+// silentOwner is an owner that has not been heard for long.
+type silentOwner struct {
+	key     ownerKey
+	address string
+}
+
+// sweepHeld settles the bills of owners that are gone.
+func (l *Ledger) sweepHeld(ctx context.Context) {
+	for _, o := range l.silentOwners() {
+		if l.alive(ctx, o.key, o.address) {
+			l.heard(o.key)
+			continue
+		}
+		l.adopt(o.key)
+	}
+}
+
+func (l *Ledger) silentOwners() []silentOwner {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var silent []silentOwner
+	for key, h := range l.held {
+		if time.Since(h.last) >= silence {
+			silent = append(silent, silentOwner{key, h.address})
+		}
+	}
+	return silent
+}
+
+// alive asks a host whether the given start of it still runs.
+func (l *Ledger) alive(ctx context.Context, key ownerKey, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, holdTimeout)
+	defer cancel()
+	self := peer.Status{Host: l.options.Host, Incarnation: l.options.Incarnation, Address: l.options.Address}
+	if me, ok := l.options.View().Member(l.options.Host); ok {
+		self = me.Status
+	}
+	status, err := l.options.Link.Ping(ctx, address, self)
+	return err == nil && status.Host == key.host && status.Incarnation == key.incarnation
+}
+
+func (l *Ledger) heard(key ownerKey) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if h := l.held[key]; h != nil {
+		h.last = time.Now()
+	}
+}
+
+// adopt makes the bills of a lost owner pending here. An open one is settled
+// with the usage known last.
+func (l *Ledger) adopt(key ownerKey) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	h := l.held[key]
+	if h == nil {
+		return
+	}
+	h.gone = true
+	for id, b := range h.bills {
+		if b.State == StateOpen {
+			b = b.WithState(StateInterrupted, time.Now().UTC())
+		}
+		l.pending[id] = b
+	}
+	l.nudge()
+}
+
+// SweepIntents settles intents whose hosts are gone; it is run by one host at a
+// time, though two would do no harm.
+func (l *Ledger) SweepIntents(ctx context.Context) error {
+	rows, err := l.options.Tables.Scan(ctx, intentRange)
+	if err != nil {
+		return err
+	}
+	asked := map[ownerKey]bool{}
+	for _, row := range rows {
+		b, err := codec.Decode[Bill](row.Value)
+		if err != nil || time.Since(b.Opened) < silence {
+			continue
+		}
+		key := ownerKey{b.Host, b.Incarnation}
+		alive, known := asked[key]
+		if !known {
+			alive = l.Lives(ctx, key.host, key.incarnation)
+			asked[key] = alive
+		}
+		if !alive {
+			l.adoptIntent(b)
+		}
+	}
+	return nil
+}
+
+// Lives reports whether a start of a host still runs, as far as can be told. A
+// listed host that can't be asked counts as living.
+func (l *Ledger) Lives(ctx context.Context, host, incarnation string) bool {
+	if host == l.options.Host {
+		return incarnation == l.options.Incarnation
+	}
+	m, ok := l.options.View().Member(host)
+	if !ok {
+		return false
+	}
+	return m.State == membership.StateSuspect || l.alive(ctx, ownerKey{host, incarnation}, m.Address)
+}
+
+func (l *Ledger) adoptIntent(b Bill) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, ok := l.pending[b.Copy]; !ok {
+		l.pending[b.Copy] = b.WithState(StateInterrupted, time.Now().UTC())
+	}
+	l.nudge()
+}
--- /dev/null
+++ b/internal/billing/ledger.go
@@ -0,0 +1,154 @@
+package billing
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"quaybarrow/internal/batch"
+	"quaybarrow/internal/codec"
+	"quaybarrow/internal/membership"
+	"quaybarrow/internal/peer"
+	"quaybarrow/internal/platform"
+)
+
+// copies is how many other hosts hold an open bill.
+const copies = 2
+
+// Options set up a Ledger.
+type Options struct {
+	Tables      platform.Tables
+	Link        peer.Link
+	View        func() membership.View
+	Host        string
+	Incarnation string
+	Address     string        // this host's, for peers
+	Limit       int           // most bills kept here, own and held
+	Settle      time.Duration // longest wait of a finished bill
+	Keepalive   time.Duration // period of messages to holders
+}
+
+// Ledger is a host's bills that the table does not have yet.
+type Ledger struct {
+	options Options
+	intents *batch.Batcher[Bill]
+
+	mu      sync.Mutex // guards all below
+	open    map[string]*Entry
+	pending map[string]Bill // settled, not yet in the table; by Copy
+	strays  []string        // intents to delete: their request did not run
+	holders map[string]*holder
+	held    map[ownerKey]*heldBills
+	wake    chan struct{} // tells Run that a bill is pending
+}
+
+// New returns an empty ledger.
+func New(options Options) *Ledger {
+	l := &Ledger{
+		options: options,
+		open:    map[string]*Entry{},
+		pending: map[string]Bill{},
+		holders: map[string]*holder{},
+		held:    map[ownerKey]*heldBills{},
+		wake:    make(chan struct{}, 1),
+	}
+	l.intents = batch.New(maxBatch, l.writeIntents)
+	return l
+}
+
+// Open keeps a bill in a second place before its request runs.
+func (l *Ledger) Open(ctx context.Context, bill Bill) (*Entry, error) {
+	bill.Copy = uuid.NewString()
+	bill.Host, bill.Incarnation = l.options.Host, l.options.Incarnation
+	bill.State, bill.Opened = StateOpen, time.Now().UTC()
+	e := &Entry{ledger: l, bill: bill}
+	if !l.admit(e) {
+		return nil, ErrFull
+	}
+	if err := l.secure(ctx, e); err != nil {
+		e.Void()
+		return nil, err
+	}
+	return e, nil
+}
+
+// admit adds an entry unless the ledger is at its bound.
+func (l *Ledger) admit(e *Entry) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.sizeLocked() >= l.options.Limit {
+		return false
+	}
+	l.open[e.bill.Copy] = e
+	return true
+}
+
+// secure copies the open bill to two hosts, or writes its intent, or, with the
+// table away, makes do with one copy.
+func (l *Ledger) secure(ctx context.Context, e *Entry) error {
+	kept := l.copyOut(ctx, e)
+	if kept >= copies {
+		return nil
+	}
+	e.mark(func() { e.intent = true }) // set first: a lost reply may hide a row
+	err := l.intents.Do(ctx, e.Bill())
+	if err == nil || kept > 0 {
+		return nil
+	}
+	return fmt.Errorf("%w: %w", ErrUnsafe, err)
+}
+
+// writeIntents puts open bills into the table, all in one transaction.
+func (l *Ledger) writeIntents(ctx context.Context, bills []Bill) error {
+	var txn platform.Transaction
+	for _, b := range bills {
+		data, err := codec.Encode(b)
+		if err != nil {
+			return err
+		}
+		txn.Writes = append(txn.Writes, platform.Put(TableIntents, b.Copy, data))
+	}
+	if err := l.options.Tables.Commit(ctx, txn); err != nil {
+		return fmt.Errorf("write intents: %w", err)
+	}
+	return nil
+}
+
+// Size counts the bills kept here: own open, settled, held for others.
+func (l *Ledger) Size() (open, pending, held int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.open) - l.ownPendingLocked(), len(l.pending), l.heldLocked()
+}
+
+// ownPendingLocked counts entries that are settled; the caller holds mu.
+func (l *Ledger) ownPendingLocked() int {
+	count := 0
+	for id := range l.pending {
+		if _, ok := l.open[id]; ok {
+			count++
+		}
+	}
+	return count
+}
+
+func (l *Ledger) heldLocked() int {
+	count := 0
+	for _, h := range l.held {
+		count += len(h.bills)
+	}
+	return count
+}
+
+// sizeLocked counts everything kept; the caller holds mu.
+func (l *Ledger) sizeLocked() int { return len(l.open) + len(l.pending) + l.heldLocked() }
+
+func (l *Ledger) nudge() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/check/check.go
@@ -0,0 +1,332 @@
+// Package check judges a recorded history by the promises that must always
+// hold. It knows nothing of the router's insides: its input is what callers saw,
+// what the endpoints' own records say and what the bill table holds.
+//
+// # Usage
+//
+//	report := check.Judge(history)
+//	if violations := report.Violations(); len(violations) > 0 { ... }
+package check
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+	"time"
+
+	"quaybarrow/internal/billing"
+	"quaybarrow/internal/declare"
+	"quaybarrow/internal/problem"
+)
+
+// Kind is the kind of a request.
+type Kind string
+
+// Kinds of requests.
+const (
+	KindPlain   Kind = "plain"
+	KindStream  Kind = "stream"
+	KindSession Kind = "session"
+	KindCascade Kind = "cascade"
+	KindService Kind = "service"
+	KindJob     Kind = "job"
+)
+
+// Observation is one request as its caller saw it. Prompts are unique, so they
+// tie a request to the endpoints' records.
+type Observation struct {
+	Kind          Kind
+	Workspace     string
+	Prompt        string
+	Session       string // of the caller's naming; empty if none
+	Key           string // Idempotency-Key; empty if none
+	Nonrepeatable bool
+	Sent          time.Time
+	First         time.Time // first token; zero if none
+	Done          time.Time
+	Answered      bool
+	Run           problem.Run // as told, when not answered
+	Answer        string      // text that came
+	Ended         bool        // the answer's end came
+	Version       string      // as told
+}
+
+// EngineRun is one dispatch as an engine recorded it.
+type EngineRun struct {
+	RequestID string
+	AttemptID string
+	Version   declare.Ref
+	Prompt    string
+	Started   time.Time
+	First     time.Time
+	Finished  bool
+	Engine    string
+}
+
+// ServiceRun is one call as a plain service recorded it.
+type ServiceRun struct {
+	RequestID string
+	Prompt    string // the call's body
+}
+
+// Withdrawal is when a version was reported withdrawn everywhere.
+type Withdrawal struct {
+	Version declare.Ref
+	At      time.Time
+}
+
+// Leaving is when an engine was told to leave, with the time to notice added.
+type Leaving struct {
+	Engine string
+	At     time.Time
+}
+
+// Applied is a revision that a host put in force.
+type Applied struct {
+	Host        string
+	Incarnation string
+	Revision    int64
+}
+
+// History is everything recorded.
+type History struct {
+	Observations []Observation
+	EngineRuns   []EngineRun
+	ServiceRuns  []ServiceRun
+	Bills        []billing.Bill
+	Withdrawals  []Withdrawal
+	Leavings     []Leaving
+	Applied      []Applied // in order, per host
+	// Allowed reports whether a workspace may use a version.
+	Allowed func(workspace string, version declare.Ref) bool
+	// Planned is set when all stops were planned: no answer may be cut then.
+	Planned bool
+}
+
+// Report counts what was found, by promise.
+type Report struct {
+	Requests              int `json:"requests"`
+	Answered              int `json:"answered"`
+	NotRun                int `json:"not_run"`
+	Unknown               int `json:"unknown"`
+	BilledOnce            int `json:"billed_once"`
+	BilledMore            int `json:"billed_more"`
+	BilledNever           int `json:"billed_never"`
+	ForeignAnswers        int `json:"foreign_answers"`
+	CutAnswers            int `json:"cut_answers"`
+	NonrepeatableRunTwice int `json:"nonrepeatable_run_twice"`
+	NotRunButRan          int `json:"not_run_but_ran"`
+	WithdrawnRuns         int `json:"withdrawn_runs"`
+	DisallowedRuns        int `json:"disallowed_runs"`
+	SessionMoves          int `json:"session_moves"`
+	LeavingRuns           int `json:"leaving_runs"`
+	Reverts               int `json:"reverts"`
+
+	planned bool
+	details []string
+}
+
+// note keeps an example of a violation.
+func (r *Report) note(format string, args ...any) {
+	const most = 20
+	if len(r.details) < most {
+		r.details = append(r.details, fmt.Sprintf(format, args...))
+	}
+}
+
+// Violations lists the promises that were broken, with examples.
+func (r Report) Violations() []string {
+	var broken []string
+	add := func(count int, promise string) {
+		if count > 0 {
+			broken = append(broken, fmt.Sprintf("%s: %d", promise, count))
+		}
+	}
+	add(r.DisallowedRuns, "runs on a version its workspace does not allow")
+	add(r.WithdrawnRuns, "runs on a withdrawn version")
+	add(r.SessionMoves, "sessions that changed version")
+	add(r.BilledMore, "requests billed more than once")
+	add(r.BilledNever, "requests that ran and were not billed")
+	add(r.ForeignAnswers, "answers of another request")
+	add(r.NotRunButRan, "requests told not run that ran")
+	add(r.NonrepeatableRunTwice, "calls that may not be repeated and ran twice")
+	add(r.LeavingRuns, "new work at a leaving endpoint")
+	add(r.Reverts, "configurations that reverted")
+	if r.planned {
+		add(r.CutAnswers, "answers cut off by planned stops")
+	}
+	if len(broken) == 0 {
+		return nil
+	}
+	return append(broken, r.details...)
+}
+
+// Judge checks a history.
+func Judge(h History) Report {
+	r := Report{planned: h.Planned}
+	byPrompt := map[string][]EngineRun{}
+	for _, run := range h.EngineRuns {
+		byPrompt[run.Prompt] = append(byPrompt[run.Prompt], run)
+	}
+	servicePrompts := map[string]int{}
+	for _, run := range h.ServiceRuns {
+		servicePrompts[run.Prompt]++
+	}
+	r.judgeAnswers(h, byPrompt, servicePrompts)
+	r.judgeSessions(h)
+	r.judgeRuns(h)
+	r.judgeBills(h)
+	r.judgeRevisions(h)
+	return r
+}
+
+// judgeAnswers checks what callers were given and told.
+func (r *Report) judgeAnswers(h History, engines map[string][]EngineRun, services map[string]int) {
+	calls := map[string]int{}
+	for _, o := range h.Observations {
+		r.Requests++
+		ran := len(engines[o.Prompt]) + services[o.Prompt]
+		switch {
+		case o.Answered:
+			r.Answered++
+			r.judgeAnswer(o)
+		case o.Run == problem.NotRun:
+			r.NotRun++
+			if ran > 0 && o.Key == "" {
+				r.NotRunButRan++
+				r.note("told not run, but ran: %s", o.Prompt)
+			}
+		default:
+			r.Unknown++
+		}
+		if o.Nonrepeatable {
+			calls[o.Prompt] = services[o.Prompt]
+		}
+	}
+	r.judgeRepeated(h)
+	for prompt, count := range calls {
+		if count > 1 {
+			r.NonrepeatableRunTwice++
+			r.note("ran %d times: %s", count, prompt)
+		}
+	}
+}
+
+// judgeRepeated checks requests that were sent several times with one key: if
+// all were told not run, none may have run.
+func (r *Report) judgeRepeated(h History) {
+	allNotRun := map[string]bool{}
+	for _, o := range h.Observations {
+		if o.Key == "" {
+			continue
+		}
+		before, seen := allNotRun[o.Prompt]
+		allNotRun[o.Prompt] = (before || !seen) && !o.Answered && o.Run == problem.NotRun
+	}
+	for _, run := range h.ServiceRuns {
+		if allNotRun[run.Prompt] {
+			r.NotRunButRan++
+			r.note("told not run each time, but ran: %s", run.Prompt)
+		}
+	}
+}
+
+// judgeAnswer checks that an answer is the caller's own, and whole.
+func (r *Report) judgeAnswer(o Observation) {
+	if !strings.Contains(o.Answer, o.Prompt) && o.Answer != "" {
+		r.ForeignAnswers++
+		r.note("answer to %q was %q", o.Prompt, o.Answer)
+	}
+	if !o.Ended {
+		r.CutAnswers++
+		r.note("answer to %q was cut: %q", o.Prompt, o.Answer)
+	}
+}
+
+// judgeSessions checks that each session had one version.
+func (r *Report) judgeSessions(h History) {
+	versions := map[string]string{}
+	for _, o := range h.Observations {
+		if o.Session == "" || o.Version == "" {
+			continue
+		}
+		if first, ok := versions[o.Session]; ok && first != o.Version {
+			r.SessionMoves++
+			r.note("session %s moved from %s to %s", o.Session, first, o.Version)
+			continue
+		}
+		versions[o.Session] = o.Version
+	}
+}
+
+// judgeRuns checks what engines were given.
+func (r *Report) judgeRuns(h History) {
+	workspaces := map[string]string{}
+	for _, o := range h.Observations {
+		workspaces[o.Prompt] = o.Workspace
+	}
+	for _, run := range h.EngineRuns {
+		workspace, known := workspaces[run.Prompt]
+		if known && h.Allowed != nil && !h.Allowed(workspace, run.Version) {
+			r.DisallowedRuns++
+			r.note("%s ran for %s", run.Version, workspace)
+		}
+		for _, w := range h.Withdrawals {
+			if w.Version == run.Version && run.Started.After(w.At) {
+				r.WithdrawnRuns++
+				r.note("%s ran %s after its withdrawal was in force", run.Version, run.Started.Sub(w.At))
+			}
+		}
+		for _, l := range h.Leavings {
+			if l.Engine == run.Engine && run.Started.After(l.At) {
+				r.LeavingRuns++
+				r.note("%s got work %s after it should have been noticed to leave", run.Engine, run.Started.Sub(l.At))
+			}
+		}
+	}
+}
+
+// judgeBills checks that what ran is billed exactly once.
+func (r *Report) judgeBills(h History) {
+	bills := map[string]int{}
+	for _, b := range h.Bills {
+		bills[b.RequestID]++
+	}
+	ran := map[string]bool{}
+	for _, run := range h.EngineRuns {
+		ran[run.RequestID] = true
+	}
+	for _, run := range h.ServiceRuns {
+		ran[run.RequestID] = true
+	}
+	ids := make([]string, 0, len(ran))
+	for id := range ran {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	for _, id := range ids {
+		switch bills[id] {
+		case 0:
+			r.BilledNever++
+			r.note("ran and was not billed: %s", id)
+		case 1:
+			r.BilledOnce++
+		default:
+			r.BilledMore++
+			r.note("billed %d times: %s", bills[id], id)
+		}
+	}
+}
+
+// judgeRevisions checks that no host went back to an older configuration.
+func (r *Report) judgeRevisions(h History) {
+	last := map[string]int64{}
+	for _, a := range h.Applied {
+		key := a.Host + "/" + a.Incarnation
+		if a.Revision < last[key] {
+			r.Reverts++
+			r.note("%s went back from revision %d to %d", a.Host, last[key], a.Revision)
+		}
+		last[key] = max(last[key], a.Revision)
+	}
+}
--- /dev/null
+++ b/internal/config/log.go
@@ -0,0 +1,225 @@
+package config
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"quaybarrow/internal/codec"
+	"quaybarrow/internal/platform"
+)
+
+// Table names and keys of the log.
+const (
+	tableConfig = "config"
+	keyHead     = "head"
+)
+
+// Limits of settling an uncertain accept.
+const (
+	settleAttempts = 5
+	settlePause    = 200 * time.Millisecond
+)
+
+// Errors of Accept.
+var (
+	// ErrConflict means that another change was accepted first.
+	ErrConflict = errors.New("conflict with another change")
+	// ErrUnsettled means that it could not be learnt whether the change was
+	// accepted. Asking again with the same command id settles it.
+	ErrUnsettled = errors.New("not known whether the change was accepted")
+	// ErrEmpty means that nothing was ever accepted.
+	ErrEmpty = errors.New("no configuration was accepted yet")
+)
+
+// ConflictError tells who was faster with what.
+type ConflictError struct {
+	Base   int64    // the revision the refused change was made on
+	Winner Revision // the newest revision
+}
+
+// Error formats the conflict.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("conflict: decided on revision %d, but %s accepted revision %d (%s)",
+		e.Base, e.Winner.Operator, e.Winner.Number, e.Winner.Command)
+}
+
+// Unwrap makes a ConflictError match ErrConflict.
+func (e *ConflictError) Unwrap() error { return ErrConflict }
+
+// head is the row that names the newest revision.
+type head struct {
+	Number    int64  `json:"number"`
+	CommandID string `json:"command_id"`
+}
+
+// Log is the log of revisions in the table service.
+type Log struct{ tables platform.Tables }
+
+// NewLog returns the log kept in the given tables.
+func NewLog(tables platform.Tables) *Log { return &Log{tables: tables} }
+
+// revisionKey sorts in order of numbers.
+func revisionKey(number int64) string { return fmt.Sprintf("revision/%012d", number) }
+
+// HeadNumber reads the number of the newest revision; 0 if there is none.
+func (l *Log) HeadNumber(ctx context.Context) (int64, error) {
+	h, _, err := l.head(ctx)
+	return h.Number, err
+}
+
+func (l *Log) head(ctx context.Context) (head, platform.Row, error) {
+	row, err := l.tables.Get(ctx, tableConfig, keyHead)
+	if errors.Is(err, platform.ErrNotFound) {
+		return head{}, platform.Row{Key: keyHead}, nil
+	}
+	if err != nil {
+		return head{}, platform.Row{}, fmt.Errorf("read configuration head: %w", err)
+	}
+	h, err := codec.Decode[head](row.Value)
+	if err != nil {
+		return head{}, platform.Row{}, fmt.Errorf("read configuration head: %w", err)
+	}
+	return h, row, nil
+}
+
+// Read returns one revision.
+func (l *Log) Read(ctx context.Context, number int64) (Revision, error) {
+	row, err := l.tables.Get(ctx, tableConfig, revisionKey(number))
+	if err != nil {
+		return Revision{}, fmt.Errorf("read revision %d: %w", number, err)
+	}
+	return codec.Decode[Revision](row.Value)
+}
+
+// Newest returns the newest revision, or ErrEmpty.
+func (l *Log) Newest(ctx context.Context) (Revision, error) {
+	h, _, err := l.head(ctx)
+	if err != nil {
+		return Revision{}, err
+	}
+	if h.Number == 0 {
+		return Revision{}, ErrEmpty
+	}
+	return l.Read(ctx, h.Number)
+}
+
+// History returns the revisions past a number, oldest first.
+func (l *Log) History(ctx context.Context, after int64, limit int) ([]Revision, error) {
+	rows, err := l.tables.Scan(ctx, platform.Range{
+		Table: tableConfig, Prefix: "revision/", After: revisionKey(after), Limit: limit,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("read revisions: %w", err)
+	}
+	revisions := make([]Revision, len(rows))
+	for i, row := range rows {
+		if revisions[i], err = codec.Decode[Revision](row.Value); err != nil {
+			return nil, fmt.Errorf("read revisions: %w", err)
+		}
+	}
+	return revisions, nil
+}
+
+// Accept makes a change the newest revision if base still is. The errors are a
+// *ConflictError, ErrUnsettled, or that nothing was accepted.
+func (l *Log) Accept(ctx context.Context, base int64, c Change) (Revision, error) {
+	tried := false // a write was sent and its reply is missing
+	for attempt := range settleAttempts {
+		if attempt > 0 && !pause(ctx, settlePause<<attempt) {
+			break
+		}
+		revision, done, err := l.try(ctx, base, c)
+		if done {
+			return revision, err
+		}
+		tried = tried || errors.Is(err, errSent)
+	}
+	if tried {
+		return Revision{}, ErrUnsettled
+	}
+	return Revision{}, fmt.Errorf("accept configuration: %w", platform.ErrUnavailable)
+}
+
+// errSent marks an error that came after the write was sent.
+var errSent = errors.New("write was sent")
+
+// try makes one attempt. It is done when the outcome is certain.
+func (l *Log) try(ctx context.Context, base int64, c Change) (Revision, bool, error) {
+	h, row, err := l.head(ctx)
+	if err != nil {
+		return Revision{}, false, err
+	}
+	if h.Number != base {
+		return l.settle(ctx, base, h.Number, c.CommandID)
+	}
+	previous := Revision{}
+	if h.Number > 0 {
+		if previous, err = l.Read(ctx, h.Number); err != nil {
+			return Revision{}, false, err
+		}
+	}
+	if h.Number > 0 && h.CommandID == c.CommandID {
+		return previous, true, nil
+	}
+	revision := previous.next(c, time.Now().UTC())
+	err = l.commit(ctx, row, revision)
+	if err == nil {
+		return revision, true, nil
+	}
+	if platform.Uncertain(err) {
+		return Revision{}, false, fmt.Errorf("%w: %w", errSent, err)
+	}
+	return Revision{}, false, err // the next attempt reads the head again
+}
+
+func (l *Log) commit(ctx context.Context, headRow platform.Row, r Revision) error {
+	data, err := codec.Encode(r)
+	if err != nil {
+		return err
+	}
+	headData, err := codec.Encode(head{Number: r.Number, CommandID: r.CommandID})
+	if err != nil {
+		return err
+	}
+	return l.tables.Commit(ctx, platform.Transaction{
+		Conditions: []platform.Condition{
+			platform.AtVersion(tableConfig, headRow),
+			platform.Absent(tableConfig, revisionKey(r.Number)),
+		},
+		Writes: []platform.Write{
+			platform.Put(tableConfig, keyHead, headData),
+			platform.Put(tableConfig, revisionKey(r.Number), data),
+		},
+	})
+}
+
+// settle decides an accept whose base is no longer the head: the revision
+// right after the base is either this very change or the one that beat it.
+func (l *Log) settle(ctx context.Context, base, newest int64, commandID string) (Revision, bool, error) {
+	if newest < base {
+		return Revision{}, true, &ConflictError{Base: base, Winner: Revision{Number: newest}}
+	}
+	after, err := l.Read(ctx, base+1)
+	if err != nil {
+		return Revision{}, false, err
+	}
+	if after.CommandID == commandID {
+		return after, true, nil
+	}
+	return Revision{}, true, &ConflictError{Base: base, Winner: after}
+}
+
+// pause sleeps; false if the context ends first.
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/config/spread.go
@@ -0,0 +1,286 @@
+package config
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"quaybarrow/internal/codec"
+	"quaybarrow/internal/membership"
+	"quaybarrow/internal/peer"
+)
+
+// Times and bounds of spreading.
+const (
+	pollersPerRegion = 2
+	storeTimeout     = 2 * time.Second
+	pushTimeout      = 3 * time.Second
+	fetchTimeout     = 2 * time.Second
+	confirmEvery     = 300 * time.Millisecond
+)
+
+// SpreadOptions set up a Spreader.
+type SpreadOptions struct {
+	Log      *Log
+	Holder   *Holder
+	Link     peer.Link
+	View     func() membership.View
+	Poll     time.Duration // of a designated poller
+	Backstop time.Duration // of everyone else
+}
+
+// Spreader brings revisions to this host and on to others. A few hosts per
+// region poll the store; a new revision is pushed to one host in each data hall
+// and from there to the hall's others; and every ping tells which revision a
+// host has, so that whoever lags fetches from whoever leads.
+type Spreader struct {
+	options SpreadOptions
+	fetch   sync.Mutex // one fetch at a time
+}
+
+// NewSpreader returns a spreader.
+func NewSpreader(options SpreadOptions) *Spreader { return &Spreader{options: options} }
+
+// Run polls the store until the context ends.
+func (s *Spreader) Run(ctx context.Context) {
+	for {
+		s.PollOnce(ctx)
+		period := s.options.Backstop
+		if s.polls() || s.options.Holder.Current() == nil {
+			period = s.options.Poll
+		}
+		if !pause(ctx, period-period/10+time.Duration(rand.Int64N(int64(period)/5+1))) {
+			return
+		}
+	}
+}
+
+// polls reports whether this host is one of its region's pollers.
+func (s *Spreader) polls() bool {
+	view := s.options.View()
+	self, ok := view.Member(view.Self)
+	if !ok {
+		return true
+	}
+	var region []membership.Member
+	for _, m := range view.Live() {
+		if m.Region == self.Region {
+			region = append(region, m)
+		}
+	}
+	ranked := membership.Rank(region, "config-poller/"+self.Region)
+	for i, m := range ranked {
+		if m.Host == view.Self {
+			return i < pollersPerRegion
+		}
+	}
+	return len(ranked) < pollersPerRegion
+}
+
+// PollOnce reads the head and, if it is higher, the newest revision.
+func (s *Spreader) PollOnce(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	asked := time.Now()
+	number, err := s.options.Log.HeadNumber(ctx)
+	if err != nil || number == 0 {
+		return
+	}
+	if number > s.options.Holder.Number() {
+		revision, err := s.options.Log.Read(ctx, number)
+		if err != nil {
+			return
+		}
+		if s.options.Holder.Apply(revision) {
+			s.options.Holder.Confirm(number, asked)
+			go s.PushOn(context.WithoutCancel(ctx), revision)
+			return
+		}
+	}
+	s.options.Holder.Confirm(number, asked)
+}
+
+// Observe takes in what another host says of itself: the age of its knowledge,
+// if it has our revision, or that it has a higher one, which is then fetched.
+func (s *Spreader) Observe(status peer.Status, at time.Time) {
+	mine := s.options.Holder.Number()
+	switch {
+	case status.Revision == mine && status.Confirmed:
+		s.options.Holder.Confirm(mine, at.Add(-status.Age))
+	case status.Revision > mine:
+		go s.fetchFrom(status, at)
+	}
+}
+
+// fetchFrom gets the newest revision from a host that leads.
+func (s *Spreader) fetchFrom(status peer.Status, at time.Time) {
+	if !s.fetch.TryLock() {
+		return
+	}
+	defer s.fetch.Unlock()
+	if status.Revision <= s.options.Holder.Number() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
+	defer cancel()
+	message, err := s.options.Link.Fetch(ctx, status.Address, s.options.Holder.Number())
+	if err != nil {
+		return
+	}
+	if s.applyMessage(message) == nil && status.Confirmed {
+		s.options.Holder.Confirm(status.Revision, at.Add(-status.Age))
+	}
+}
+
+// errEmptyMessage means that a peer had nothing newer.
+var errEmptyMessage = errors.New("no newer revision")
+
+func (s *Spreader) applyMessage(message peer.RevisionMessage) error {
+	if message.Number == 0 {
+		return errEmptyMessage
+	}
+	revision, err := codec.Decode[Revision](message.Data)
+	if err != nil {
+		return fmt.Errorf("read pushed revision: %w", err)
+	}
+	if revision.Number != message.Number {
+		return errors.Errorf("read pushed revision: numbered %d, said to be %d", revision.Number, message.Number)
+	}
+	s.options.Holder.Apply(revision)
+	return nil
+}
+
+// Fetch answers a host that lags.
+func (s *Spreader) Fetch(above int64) (peer.RevisionMessage, error) {
+	current := s.options.Holder.Current()
+	if current == nil || current.Number() <= above {
+		return peer.RevisionMessage{}, nil
+	}
+	return messageOf(current.Revision())
+}
+
+func messageOf(r Revision) (peer.RevisionMessage, error) {
+	data, err := codec.Encode(r)
+	if err != nil {
+		return peer.RevisionMessage{}, err
+	}
+	return peer.RevisionMessage{Number: r.Number, Data: data}, nil
+}
+
+// Push takes in a pushed revision, passes it on and says who has what in force.
+func (s *Spreader) Push(ctx context.Context, push peer.Push) ([]peer.Confirmation, error) {
+	if err := s.applyMessage(push.Revision); err != nil {
+		return nil, err
+	}
+	confirmations := []peer.Confirmation{{Host: s.options.View().Self, Revision: s.options.Holder.Number()}}
+	return append(confirmations, s.relay(ctx, push.Revision, push.Relay)...), nil
+}
+
+// relay pushes a revision to hosts, all at once, and gathers what they confirm.
+func (s *Spreader) relay(ctx context.Context, message peer.RevisionMessage, targets []peer.Target) []peer.Confirmation {
+	return s.pushAll(ctx, message, targets, nil)
+}
+
+// pushAll pushes to targets; rest gives each the hosts that it relays to.
+func (s *Spreader) pushAll(ctx context.Context, message peer.RevisionMessage, targets []peer.Target, rest map[string][]peer.Target) []peer.Confirmation {
+	ctx, cancel := context.WithTimeout(ctx, pushTimeout)
+	defer cancel()
+	var mu sync.Mutex // guards all
+	var all []peer.Confirmation
+	var wait sync.WaitGroup
+	for _, t := range targets {
+		wait.Go(func() {
+			got, err := s.options.Link.Push(ctx, t.Address, peer.Push{Revision: message, Relay: rest[t.Host]})
+			if err != nil {
+				// The relay is gone: its hosts are told directly.
+				got = s.pushAll(ctx, message, rest[t.Host], nil)
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			all = append(all, got...)
+		})
+	}
+	wait.Wait()
+	return all
+}
+
+// PushOn pushes a revision to all other hosts: to one in each other data hall,
+// which passes it on there, and directly to those of this host's own.
+func (s *Spreader) PushOn(ctx context.Context, r Revision) []peer.Confirmation {
+	message, err := messageOf(r)
+	if err != nil {
+		return nil
+	}
+	view := s.options.View()
+	targets, rest := pushTree(view)
+	confirmations := []peer.Confirmation{{Host: view.Self, Revision: s.options.Holder.Number()}}
+	return append(confirmations, s.pushAll(ctx, message, targets, rest)...)
+}
+
+// pushTree says whom to push to, and whom each of those relays to.
+func pushTree(view membership.View) ([]peer.Target, map[string][]peer.Target) {
+	self, _ := view.Member(view.Self)
+	var targets []peer.Target
+	rest := map[string][]peer.Target{}
+	for hall, members := range membership.ByHall(view.Others()) {
+		if hall == self.DataHall {
+			for _, m := range members {
+				targets = append(targets, targetOf(m))
+			}
+			continue
+		}
+		ranked := membership.Rank(members, "relay/"+view.Self)
+		targets = append(targets, targetOf(ranked[0]))
+		for _, m := range ranked[1:] {
+			rest[ranked[0].Host] = append(rest[ranked[0].Host], targetOf(m))
+		}
+	}
+	return targets, rest
+}
+
+func targetOf(m membership.Member) peer.Target { return peer.Target{Host: m.Host, Address: m.Address} }
+
+// InForce tells how far a revision has come.
+type InForce struct {
+	Revision  int64    `json:"revision"`
+	Confirmed []string `json:"confirmed"`         // hosts that have it, or a higher one
+	Lagging   []string `json:"lagging,omitempty"` // live hosts that did not say so
+}
+
+// Everywhere reports whether every live host has the revision.
+func (f InForce) Everywhere() bool { return len(f.Lagging) == 0 }
+
+// AwaitInForce pushes a revision until every live host has confirmed it or the
+// context ends, and tells who has.
+func (s *Spreader) AwaitInForce(ctx context.Context, r Revision) InForce {
+	confirmed := map[string]bool{}
+	for {
+		for _, c := range s.PushOn(ctx, r) {
+			if c.Revision >= r.Number {
+				confirmed[c.Host] = true
+			}
+		}
+		state := inForce(r.Number, s.options.View(), confirmed)
+		if state.Everywhere() || !pause(ctx, confirmEvery) {
+			return state
+		}
+	}
+}
+
+// inForce compares what was confirmed with who is there. A suspected host is
+// there until the platform's list says otherwise: it may still serve callers.
+func inForce(number int64, view membership.View, confirmed map[string]bool) InForce {
+	state := InForce{Revision: number}
+	for _, m := range view.Members {
+		if confirmed[m.Host] {
+			state.Confirmed = append(state.Confirmed, m.Host)
+		} else {
+			state.Lagging = append(state.Lagging, m.Host)
+		}
+	}
+	return state
+}
--- /dev/null
+++ b/internal/daemon/host.go
@@ -0,0 +1,240 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"go.uber.org/fx"
+	"google.golang.org/grpc"
+
+	"quaybarrow/internal/admission"
+	"quaybarrow/internal/billing"
+	"quaybarrow/internal/config"
+	"quaybarrow/internal/endpoint"
+	"quaybarrow/internal/entry"
+	"quaybarrow/internal/estimate"
+	"quaybarrow/internal/job"
+	"quaybarrow/internal/lease"
+	"quaybarrow/internal/membership"
+	"quaybarrow/internal/once"
+	"quaybarrow/internal/operator"
+	"quaybarrow/internal/order"
+	"quaybarrow/internal/peer"
+	"quaybarrow/internal/peer/rpc"
+	"quaybarrow/internal/pipeline"
+	"quaybarrow/internal/rollout"
+	"quaybarrow/internal/settings"
+	"quaybarrow/internal/telemetry"
+	"quaybarrow/internal/tlsfiles"
+)
+
+// Limits of the HTTP servers.
+const (
+	headerTimeout  = 10 * time.Second
+	idleTimeout    = 2 * time.Minute
+	maxHeaderBytes = 64 << 10
+	stopTimeout    = 5 * time.Second
+)
+
+// parts are the components of a host.
+type parts struct {
+	fx.In
+	Settings   settings.Settings
+	Ports      Ports
+	Logger     *log.Logger
+	State      *State
+	Config     *config.Holder
+	Spreader   *config.Spreader
+	Membership *membership.Membership
+	Leases     *lease.Manager
+	Pool       *endpoint.Pool
+	Admission  *admission.Controller
+	Ledger     *billing.Ledger
+	Guard      *once.Guard
+	Keyrings   *keyrings
+	Credits    *rollout.Credits
+	Rollout    *rollout.Controller
+	Estimates  *estimate.Keeper
+	Orders     *order.Reconciler
+	Jobs       *job.Queue
+	Worker     *job.Worker
+	Pipeline   *pipeline.Pipeline
+	Commands   *operator.Commands
+	Queries    *operator.Queries
+	Telemetry  *telemetry.Telemetry
+	Link       peer.Link
+	TLS        *tlsfiles.Files
+}
+
+// Host is a running host of the router.
+type Host struct {
+	*parts
+
+	callers   *http.Server
+	operators *http.Server
+	peers     *grpc.Server
+
+	cancel  context.CancelFunc // ends the background work
+	working sync.WaitGroup     // background work
+	jobs    sync.WaitGroup     // job workers
+	serving sync.WaitGroup     // servers
+}
+
+func newHost(p parts) *Host {
+	h := &Host{parts: &p}
+	if p.Ports.Listen == nil {
+		h.Ports.Listen = func(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+	}
+	api := entry.New(entry.Options{
+		Pipeline: p.Pipeline, Config: p.Config, Jobs: p.Jobs, Telemetry: p.Telemetry, BodyBytes: p.Settings.Limits.BodyBytes,
+	})
+	h.callers = newServer(api.Handler())
+	console := operator.New(operator.Options{
+		Commands: p.Commands, Queries: p.Queries, Config: p.Config, Telemetry: p.Telemetry,
+		Bootstrap: p.Settings.Bootstrap.OperatorHash, Ready: h.notReady, Status: h.statusPage(),
+	})
+	h.operators = newServer(console.Handler())
+	return h
+}
+
+func newServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
+}
+
+// notReady tells why the host takes no work.
+func (h *Host) notReady() string {
+	switch {
+	case h.State.draining.Load():
+		return "draining"
+	case h.Config.Current() == nil:
+		return "no configuration yet"
+	default:
+		return ""
+	}
+}
+
+// Start opens the servers and starts the background work.
+func (h *Host) Start(context.Context) error {
+	if err := h.servePeers(); err != nil {
+		return err
+	}
+	if err := h.serve(h.operators, h.Settings.Operators); err != nil {
+		return err
+	}
+	if err := h.serve(h.callers, h.Settings.Callers); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	h.cancel = cancel
+	for _, work := range h.work() {
+		h.working.Go(func() { work(ctx) })
+	}
+	h.jobs.Go(func() { h.Worker.Run(ctx) })
+	h.Logger.Info("started", "callers", h.Settings.Callers, "operators", h.Settings.Operators, "peers", h.Settings.Peers)
+	return nil
+}
+
+// work lists what runs in the background.
+func (h *Host) work() []func(context.Context) {
+	return []func(context.Context){
+		h.Membership.Run, h.Spreader.Run, h.Pool.Run, h.Ledger.Run, h.Guard.Run, h.Estimates.Run, h.Rollout.Run,
+		func(ctx context.Context) { h.Leases.Run(ctx, estimate.Duty, h.Estimates.Sum) },
+		func(ctx context.Context) { h.Leases.Run(ctx, dutySweep, h.sweep) },
+		h.ordersOfHalls, h.housekeeping,
+	}
+}
+
+func (h *Host) serve(server *http.Server, address string) error {
+	listener, err := h.Ports.Listen(address)
+	if err != nil {
+		return fmt.Errorf("listen on %s: %w", address, err)
+	}
+	h.serving.Go(func() { _ = server.Serve(listener) })
+	return nil
+}
+
+func (h *Host) servePeers() error {
+	handler := &peerHandler{host: h}
+	if h.Ports.ServePeer != nil {
+		h.Ports.ServePeer(h.Settings.Peers, handler)
+		return nil
+	}
+	listener, err := h.Ports.Listen(h.Settings.Peers)
+	if err != nil {
+		return fmt.Errorf("listen on %s: %w", h.Settings.Peers, err)
+	}
+	h.peers = rpc.NewServer(handler, h.TLS.ServerCredentials())
+	h.serving.Go(func() { _ = h.peers.Serve(listener) })
+	return nil
+}
+
+// Stop drains the host: out of the balancer, no new work, requests in flight
+// finish, bills settle, leases are given up, then the servers close.
+func (h *Host) Stop(ctx context.Context) error {
+	h.Logger.Info("draining")
+	h.State.draining.Store(true)
+	h.Worker.Drain()
+	h.Membership.PingAll(ctx)
+	sleep(ctx, h.Settings.Times.Leave)
+	drained := h.Admission.Drain()
+	limit := time.NewTimer(h.Settings.Times.Drain)
+	defer limit.Stop()
+	select {
+	case <-drained:
+	case <-limit.C:
+		h.Logger.Warn("requests are still in flight at the drain limit")
+	case <-ctx.Done():
+	}
+	stopping, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
+	defer cancel()
+	_ = h.callers.Shutdown(stopping)
+	h.jobs.Wait()
+	if err := h.Ledger.Drain(stopping); err != nil {
+		h.Logger.Error("bills were left behind", "error", err)
+	}
+	if err := h.Guard.Flush(stopping); err != nil {
+		h.Logger.Error("outcomes of calls were left behind", "error", err)
+	}
+	h.Kill()
+	h.Logger.Info("stopped")
+	return h.Telemetry.Shutdown(stopping)
+}
+
+// Kill ends everything at once, as the death of the process would, but for
+// leases, which are released.
+func (h *Host) Kill() {
+	h.cancel()
+	h.working.Wait()
+	h.jobs.Wait()
+	_ = h.callers.Close()
+	_ = h.operators.Close()
+	if h.peers != nil {
+		h.peers.Stop()
+	}
+	if h.Ports.ServePeer != nil {
+		h.Ports.ServePeer(h.Settings.Peers, nil)
+	}
+	if link, ok := h.Link.(*rpc.Link); ok {
+		_ = link.Close()
+	}
+	h.serving.Wait()
+}
+
+// sleep waits; false if the context ends first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/daemon/module.go
@@ -0,0 +1,246 @@
+// Package daemon wires a host of the router together and runs its life.
+//
+// # Usage
+//
+//	app := fx.New(daemon.Module(settings, daemon.Ports{}))
+//	app.Run()
+//
+// Module provides one constructor for each component; Ports replaces the ways
+// to the outside, which is how tests and the demonstration run several hosts in
+// one process. Host holds what is running and stops it in an order that cuts
+// off no request.
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/google/uuid"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"quaybarrow/internal/admission"
+	"quaybarrow/internal/billing"
+	"quaybarrow/internal/config"
+	"quaybarrow/internal/dispatch"
+	"quaybarrow/internal/endpoint"
+	"quaybarrow/internal/estimate"
+	"quaybarrow/internal/job"
+	"quaybarrow/internal/lease"
+	"quaybarrow/internal/membership"
+	"quaybarrow/internal/once"
+	"quaybarrow/internal/operator"
+	"quaybarrow/internal/order"
+	"quaybarrow/internal/peer"
+	"quaybarrow/internal/peer/rpc"
+	"quaybarrow/internal/pipeline"
+	"quaybarrow/internal/platform"
+	"quaybarrow/internal/platform/httpapi"
+	"quaybarrow/internal/rollout"
+	"quaybarrow/internal/session"
+	"quaybarrow/internal/settings"
+	"quaybarrow/internal/telemetry"
+	"quaybarrow/internal/tlsfiles"
+	"quaybarrow/internal/traffic"
+)
+
+// Sizes of what a host remembers or keeps open.
+const (
+	trafficRecords  = 10_000
+	idlePerEndpoint = 512
+	outcomesWaiting = 10_000
+)
+
+// Ports are the ways to the outside. What is nil is made from the settings.
+type Ports struct {
+	Tables    platform.Tables
+	Hosts     platform.Hosts
+	Ratings   platform.Ratings
+	Link      peer.Link
+	ServePeer func(address string, h peer.Handler) // in place of a gRPC server
+	Transport http.RoundTripper                    // kept connections
+	Fresh     http.RoundTripper                    // a new connection each time
+	Listen    func(address string) (net.Listener, error)
+	Logger    *log.Logger
+}
+
+// identity names this start of the process.
+type identity struct {
+	host        string
+	incarnation string
+}
+
+// Module wires a host.
+func Module(s settings.Settings, ports Ports) fx.Option {
+	return fx.Options(
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		fx.Supply(s, ports, identity{host: s.Host, incarnation: uuid.NewString()}),
+		fx.Provide(
+			newLogger, newPlatform, newTelemetry, newTLS, newLink, newTransports,
+			config.NewHolder, config.NewLog, newKeyrings, newState, newMembership, newSpreader,
+			newPool, newDispatcher, newAdmission, newLeases, newLedger, newGuard,
+			session.NewNames, job.NewQueue, rollout.NewCredits, newTraffic, estimate.NewKeeper,
+			newPipeline, newWorker, operator.NewCommands, newQueries, newRollout, newOrders, newHost,
+		),
+		fx.Invoke(func(lc fx.Lifecycle, h *Host) {
+			lc.Append(fx.Hook{OnStart: h.Start, OnStop: h.Stop})
+		}),
+	)
+}
+
+func newLogger(s settings.Settings, p Ports) *log.Logger {
+	if p.Logger != nil {
+		return p.Logger.With("host", s.Host)
+	}
+	logger := log.NewWithOptions(os.Stderr, log.Options{ReportTimestamp: true, Formatter: log.JSONFormatter, TimeFormat: time.RFC3339Nano})
+	if level, err := log.ParseLevel(s.Telemetry.LogLevel); err == nil {
+		logger.SetLevel(level)
+	}
+	return logger.With("host", s.Host)
+}
+
+// platformPorts are the ports to the platform.
+type platformPorts struct {
+	fx.Out
+	Tables  platform.Tables
+	Hosts   platform.Hosts
+	Ratings platform.Ratings
+}
+
+func newPlatform(s settings.Settings, p Ports) platformPorts {
+	if p.Tables != nil {
+		return platformPorts{Tables: p.Tables, Hosts: p.Hosts, Ratings: p.Ratings}
+	}
+	client := httpapi.NewClient(s.Platform, &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute})
+	return platformPorts{Tables: client, Hosts: client, Ratings: client}
+}
+
+func newTelemetry(s settings.Settings) (*telemetry.Telemetry, error) {
+	return telemetry.New(context.Background(), telemetry.Options{
+		Host: s.Host, OTLP: s.Telemetry.OTLP, Traces: s.Telemetry.Traces,
+	})
+}
+
+func newTLS(s settings.Settings) (*tlsfiles.Files, error) { return tlsfiles.Open(s.TLS) }
+
+func newLink(p Ports, files *tlsfiles.Files) peer.Link {
+	if p.Link != nil {
+		return p.Link
+	}
+	return rpc.NewLink(files.ClientCredentials())
+}
+
+// transports are the ways to endpoints.
+type transports struct{ kept, fresh http.RoundTripper }
+
+func newTransports(p Ports) transports {
+	t := transports{kept: p.Transport, fresh: p.Fresh}
+	if t.kept == nil {
+		t.kept = &http.Transport{
+			MaxIdleConnsPerHost: idlePerEndpoint, IdleConnTimeout: time.Minute, DisableCompression: true,
+			DialContext: (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
+		}
+	}
+	if t.fresh == nil {
+		t.fresh = &http.Transport{
+			DisableKeepAlives: true, DisableCompression: true,
+			DialContext: (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
+		}
+	}
+	return t
+}
+
+func newTraffic() *traffic.Log { return traffic.NewLog(trafficRecords) }
+
+func newMembership(s settings.Settings, hosts platform.Hosts, link peer.Link, state *State) *membership.Membership {
+	return membership.New(membership.Options{
+		Hosts: hosts, Link: link, Self: state.Status, Observe: state.observe,
+		Ping: s.Times.Ping, List: s.Times.HostList,
+	})
+}
+
+func newSpreader(s settings.Settings, l *config.Log, h *config.Holder, link peer.Link, m *membership.Membership, state *State) *config.Spreader {
+	spreader := config.NewSpreader(config.SpreadOptions{
+		Log: l, Holder: h, Link: link, View: m.View, Poll: s.Times.Poll, Backstop: s.Times.Backstop,
+	})
+	state.spreader.Store(spreader)
+	return spreader
+}
+
+func newPool(s settings.Settings, m *membership.Membership, t transports) *endpoint.Pool {
+	return endpoint.NewPool(endpoint.Options{
+		Host: s.Host, Hall: s.DataHall, Period: s.Times.Load, List: m.Listed, Fetch: endpoint.HTTPFetcher(t.kept),
+	})
+}
+
+func newDispatcher(s settings.Settings, pool *endpoint.Pool, t transports, tel *telemetry.Telemetry) *dispatch.Dispatcher {
+	return dispatch.New(dispatch.Options{
+		Pool: pool, Transport: t.kept, Fresh: t.fresh, FirstToken: s.Times.FirstToken, Telemetry: tel,
+	})
+}
+
+func newAdmission(s settings.Settings) *admission.Controller {
+	return admission.NewController(admission.Options{Limit: s.Limits.Requests, Queue: s.Limits.Queue})
+}
+
+func newLeases(s settings.Settings, id identity, tables platform.Tables, m *membership.Membership) *lease.Manager {
+	return lease.NewManager(lease.Options{
+		Tables: tables, Host: id.host, Incarnation: id.incarnation, Length: s.Times.Lease,
+		Owner: func(duty string) string { return m.View().Owner(duty) },
+	})
+}
+
+func newLedger(s settings.Settings, id identity, tables platform.Tables, link peer.Link, m *membership.Membership) *billing.Ledger {
+	return billing.New(billing.Options{
+		Tables: tables, Link: link, View: m.View, Host: id.host, Incarnation: id.incarnation, Address: s.Peers,
+		Limit: s.Limits.OpenBills, Settle: s.Times.Settle, Keepalive: s.Times.Ping,
+	})
+}
+
+func newGuard(id identity, tables platform.Tables, ledger *billing.Ledger) *once.Guard {
+	return once.NewGuard(once.Options{
+		Tables: tables, Host: id.host, Incarnation: id.incarnation, Lives: ledger.Lives, Limit: outcomesWaiting,
+	})
+}
+
+func newPipeline(s settings.Settings, h *config.Holder, a *admission.Controller, k *keyrings, n *session.Names, pool *endpoint.Pool,
+	d *dispatch.Dispatcher, l *billing.Ledger, g *once.Guard, c *rollout.Credits, e *estimate.Keeper,
+	tel *telemetry.Telemetry, tr *traffic.Log,
+) *pipeline.Pipeline {
+	return pipeline.New(pipeline.Options{
+		Host: s.Host, Config: h, Admission: a, Keyring: k.current, Names: n, Pool: pool, Dispatcher: d, Ledger: l,
+		Guard: g, Credits: c, Estimates: e.Current, Telemetry: tel, Traffic: tr,
+		Stale: s.Times.Stale, Proven: s.Times.Proven, Longest: s.Times.Request,
+	})
+}
+
+func newWorker(s settings.Settings, q *job.Queue, p *pipeline.Pipeline) *job.Worker {
+	return job.NewWorker(q, s.Host, s.Limits.Jobs, jobRunner(p))
+}
+
+func newQueries(h *config.Holder, l *config.Log, tables platform.Tables, m *membership.Membership, link peer.Link,
+	pool *endpoint.Pool, tr *traffic.Log, tel *telemetry.Telemetry, c *rollout.Credits,
+) *operator.Queries {
+	return operator.NewQueries(operator.QueryOptions{
+		Config: h, Log: l, Tables: tables, View: m.View, Link: link, Pool: pool, Traffic: tr, Telemetry: tel, Credits: c,
+	})
+}
+
+func newRollout(tables platform.Tables, ratings platform.Ratings, h *config.Holder, leases *lease.Manager, link peer.Link,
+	m *membership.Membership, commands *operator.Commands, credits *rollout.Credits, pool *endpoint.Pool,
+) *rollout.Controller {
+	return rollout.NewController(rollout.Options{
+		Tables: tables, Ratings: ratings, Config: h, Leases: leases, Link: link, View: m.View,
+		Move: commands.MoveFor, GrantSelf: credits.Grant, Ready: pool.Has,
+	})
+}
+
+func newOrders(s settings.Settings, h *config.Holder, m *membership.Membership, t transports) *order.Reconciler {
+	return order.New(order.Options{
+		Config: h, List: m.Listed, Fetch: endpoint.HTTPFetcher(t.kept), Transport: t.kept, Length: s.Times.Lease,
+	})
+}
--- /dev/null
+++ b/internal/daemon/peers.go
@@ -0,0 +1,41 @@
+package daemon
+
+import (
+	"context"
+
+	"quaybarrow/internal/peer"
+)
+
+// peerHandler answers other hosts; it implements peer.Handler.
+type peerHandler struct{ host *Host }
+
+// Ping implements peer.Handler.
+func (p *peerHandler) Ping(_ context.Context, s peer.Status) (peer.Status, error) {
+	return p.host.Membership.Answer(s), nil
+}
+
+// Fetch implements peer.Handler.
+func (p *peerHandler) Fetch(_ context.Context, above int64) (peer.RevisionMessage, error) {
+	return p.host.Spreader.Fetch(above)
+}
+
+// Push implements peer.Handler.
+func (p *peerHandler) Push(ctx context.Context, push peer.Push) ([]peer.Confirmation, error) {
+	return p.host.Spreader.Push(ctx, push)
+}
+
+// Hold implements peer.Handler.
+func (p *peerHandler) Hold(ctx context.Context, hold peer.Hold) error {
+	return p.host.Ledger.Hold(ctx, hold)
+}
+
+// Grant implements peer.Handler.
+func (p *peerHandler) Grant(_ context.Context, grant peer.Grant) error {
+	p.host.Credits.Grant(grant)
+	return nil
+}
+
+// Show implements peer.Handler.
+func (p *peerHandler) Show(_ context.Context, query peer.Query) (peer.Reply, error) {
+	return p.host.Queries.Answer(query)
+}
--- /dev/null
+++ b/internal/daemon/run.go
@@ -0,0 +1,70 @@
+package daemon
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"time"
+
+	"go.uber.org/fx"
+
+	"quaybarrow/internal/settings"
+)
+
+// Exit codes of Run.
+const (
+	exitOK     = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// startTimeout bounds a host's start.
+const startTimeout = 15 * time.Second
+
+// stopMargin is what a stop may take beyond the drain limit.
+const stopMargin = 30 * time.Second
+
+// Run is the daemon: it reads its settings, serves until the context ends and
+// drains. It returns the exit code.
+func Run(ctx context.Context, args []string, stderr io.Writer) int {
+	flags := flag.NewFlagSet("quaybarrowd", flag.ContinueOnError)
+	flags.SetOutput(stderr)
+	file := flags.String("settings", "quaybarrow.yaml", "settings `file`")
+	check := flags.Bool("check-settings", false, "check the settings and exit")
+	if err := flags.Parse(args); err != nil {
+		return exitUsage
+	}
+	loaded, err := settings.Load(*file)
+	if err != nil {
+		_, _ = fmt.Fprintln(stderr, "quaybarrowd:", err)
+		return exitFailed
+	}
+	if *check {
+		_, _ = fmt.Fprintln(stderr, "settings are in order")
+		return exitOK
+	}
+	app := fx.New(Module(loaded, Ports{}), fx.StartTimeout(startTimeout),
+		fx.StopTimeout(loaded.Times.Leave+loaded.Times.Drain+stopMargin))
+	if err := serve(ctx, app); err != nil {
+		_, _ = fmt.Fprintln(stderr, "quaybarrowd:", err)
+		return exitFailed
+	}
+	return exitOK
+}
+
+// serve runs an app until the context ends.
+func serve(ctx context.Context, app *fx.App) error {
+	starting, cancel := context.WithTimeout(ctx, app.StartTimeout())
+	defer cancel()
+	if err := app.Start(starting); err != nil {
+		return fmt.Errorf("start: %w", err)
+	}
+	<-ctx.Done()
+	stopping, done := context.WithTimeout(context.Background(), app.StopTimeout())
+	defer done()
+	if err := app.Stop(stopping); err != nil {
+		return fmt.Errorf("stop: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/declare/diff.go
@@ -0,0 +1,102 @@
+package declare
+
+import (
+	"encoding/json"
+	"fmt"
+	"sort"
+)
+
+// Difference is one field that differs between two sets of declarations.
+type Difference struct {
+	Path   string `json:"path"` // such as workspaces.clerks.concurrency
+	Before string `json:"before,omitempty"`
+	After  string `json:"after,omitempty"`
+}
+
+// String formats the difference for people.
+func (d Difference) String() string {
+	switch {
+	case d.Before == "":
+		return fmt.Sprintf("+ %s: %s", d.Path, d.After)
+	case d.After == "":
+		return fmt.Sprintf("- %s: %s", d.Path, d.Before)
+	default:
+		return fmt.Sprintf("~ %s: %s -> %s", d.Path, d.Before, d.After)
+	}
+}
+
+// Diff lists what changes from one set of declarations to another, by path.
+// Entries of lists are matched by their names, so their order does not matter.
+func Diff(before, after Declarations) ([]Difference, error) {
+	old, err := flatten(before)
+	if err != nil {
+		return nil, err
+	}
+	now, err := flatten(after)
+	if err != nil {
+		return nil, err
+	}
+	var differences []Difference
+	for path, value := range old {
+		if now[path] != value {
+			differences = append(differences, Difference{Path: path, Before: value, After: now[path]})
+		}
+	}
+	for path, value := range now {
+		if _, ok := old[path]; !ok {
+			differences = append(differences, Difference{Path: path, After: value})
+		}
+	}
+	sort.Slice(differences, func(i, j int) bool { return differences[i].Path < differences[j].Path })
+	return differences, nil
+}
+
+// flatten lists every leaf of the declarations by its path.
+func flatten(d Declarations) (map[string]string, error) {
+	data, err := json.Marshal(d)
+	if err != nil {
+		return nil, fmt.Errorf("compare declarations: %w", err)
+	}
+	var tree any
+	if err := json.Unmarshal(data, &tree); err != nil {
+		return nil, fmt.Errorf("compare declarations: %w", err)
+	}
+	leaves := map[string]string{}
+	walk("", tree, leaves)
+	return leaves, nil
+}
+
+func walk(path string, node any, leaves map[string]string) {
+	switch n := node.(type) {
+	case map[string]any:
+		for k, v := range n {
+			walk(join(path, k), v, leaves)
+		}
+	case []any:
+		for i, v := range n {
+			walk(join(path, entryName(i, v)), v, leaves)
+		}
+	default:
+		leaves[path] = fmt.Sprint(n)
+	}
+}
+
+// entryName is the name of a list's entry, or its place if it has none.
+func entryName(index int, entry any) string {
+	switch e := entry.(type) {
+	case map[string]any:
+		if name, ok := e["name"].(string); ok {
+			return name
+		}
+	case string:
+		return e
+	}
+	return fmt.Sprint(index)
+}
+
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
--- /dev/null
+++ b/internal/declare/succeed.go
@@ -0,0 +1,63 @@
+package declare
+
+import "fmt"
+
+// order ranks the states; a version only ever moves up.
+func (s State) order() int {
+	switch s {
+	case StateStaged:
+		return 0
+	case StateCanary:
+		return 1
+	case StateServing:
+		return 2
+	case StateRetired:
+		return 3
+	case StateWithdrawn:
+		return 4
+	default:
+		return -1
+	}
+}
+
+// Before reports whether the state comes earlier in a version's life.
+func (s State) Before(other State) bool { return s.order() < other.order() }
+
+// Succeed returns next as the successor of previous. Files say in which state
+// a version starts; commands and plans move it on from there. So a version
+// never goes back to an earlier state by applying an old file, and a withdrawn
+// one stays known as withdrawn even when the files no longer name it. The
+// notes say, in words for the operator, what was kept.
+func Succeed(previous, next Declarations) (Declarations, []string) {
+	var notes []string
+	for _, m := range previous.Models {
+		for _, v := range m.Versions {
+			ref := Ref{Model: m.Name, Version: v.Name}
+			now, ok := next.Version(ref)
+			if ok && now.State.Before(v.State) {
+				notes = append(notes, fmt.Sprintf("%s stays %s (the file says %s)", ref, v.State, now.State))
+				next = next.WithState(ref, v.State)
+			}
+			if !ok && v.State == StateWithdrawn {
+				notes = append(notes, fmt.Sprintf("%s stays known as withdrawn", ref))
+				next = next.withVersion(ref, v)
+			}
+		}
+	}
+	return next, notes
+}
+
+// withVersion returns the declarations with one more version.
+func (d Declarations) withVersion(ref Ref, v Version) Declarations {
+	models := make([]Model, len(d.Models), len(d.Models)+1)
+	copy(models, d.Models)
+	for i, m := range models {
+		if m.Name == ref.Model {
+			models[i].Versions = append(m.Versions[:len(m.Versions):len(m.Versions)], v)
+			d.Models = models
+			return d
+		}
+	}
+	d.Models = append(models, Model{Name: ref.Model, Versions: []Version{v}})
+	return d
+}
--- /dev/null
+++ b/internal/dispatch/stream.go
@@ -0,0 +1,225 @@
+package dispatch
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/pkg/errors"
+
+	"quaybarrow/internal/chat"
+	"quaybarrow/internal/endpoint"
+	"quaybarrow/internal/problem"
+)
+
+// Limits of streams.
+const (
+	readBuffer = 16 << 10
+	maxEvent   = 4 << 20
+	maxResumes = 3
+)
+
+// Stream is the answer of one attempt.
+type Stream struct {
+	dispatcher *Dispatcher
+	lease      *endpoint.Lease
+	cancel     context.CancelFunc
+	context    context.Context
+	request    Request
+	attemptID  string
+
+	response *http.Response
+	reader   *bufio.Reader
+	event    []byte // the last event; reused
+	events   int    // data events read so far
+	resumes  int
+	usage    *chat.Usage
+	ended    bool // the end mark was read
+	failed   bool
+}
+
+// take starts to read a response.
+func (s *Stream) take(response *http.Response) {
+	s.response = response
+	s.reader = bufio.NewReaderSize(response.Body, readBuffer)
+}
+
+// Status returns the endpoint's HTTP status, which is below 500.
+func (s *Stream) Status() int { return s.response.StatusCode }
+
+// ContentType returns the answer's content type.
+func (s *Stream) ContentType() string { return s.response.Header.Get("Content-Type") }
+
+// Confidence returns the engine's confidence in its answer; 1 if it says none.
+func (s *Stream) Confidence() float64 {
+	text := s.response.Header.Get(chat.HeaderConfidence)
+	value, err := strconv.ParseFloat(text, 64)
+	if err != nil {
+		return 1
+	}
+	return value
+}
+
+// Usage returns what the engine reported, or nil.
+func (s *Stream) Usage() *chat.Usage { return s.usage }
+
+// Events counts the data events read so far.
+func (s *Stream) Events() int { return s.events }
+
+// Endpoint names the endpoint that answers.
+func (s *Stream) Endpoint() string { return s.lease.ID }
+
+// Event is one event of a stream, as it goes to the caller.
+type Event struct {
+	Data  []byte // the block with its blank line; valid until the next call
+	Usage bool   // carries only the usage, for those who asked for it
+	Done  bool   // the mark that ends the stream
+}
+
+// Markers in the data of events.
+var (
+	dataPrefix  = []byte("data:")
+	usageMarker = []byte(`"usage":{`)
+	noChoices   = []byte(`"choices":[]`)
+	doneMarker  = []byte(chat.Done)
+)
+
+// Next returns the next event. A broken stream is resumed at the same endpoint
+// and attempt, so on the same version; if that fails, the error is a problem.
+// io.EOF follows the end mark.
+func (s *Stream) Next() (Event, error) {
+	if s.ended {
+		return Event{}, io.EOF
+	}
+	for {
+		event, err := s.read()
+		if err == nil {
+			return event, nil
+		}
+		if resumeErr := s.resume(err); resumeErr != nil {
+			s.failed = true
+			return Event{}, problem.New(http.StatusBadGateway, problem.CodeCut, problem.Ran,
+				"the answer broke off and could not be resumed").WithCause(resumeErr)
+		}
+	}
+}
+
+// errCut means that a stream ended without its end mark.
+var errCut = errors.New("stream ended early")
+
+// read returns the next whole event of the present response.
+func (s *Stream) read() (Event, error) {
+	s.event = s.event[:0]
+	var data []byte
+	for {
+		line, err := s.reader.ReadSlice('\n')
+		for errors.Is(err, bufio.ErrBufferFull) && len(s.event)+len(line) < maxEvent {
+			s.event = append(s.event, line...)
+			line, err = s.reader.ReadSlice('\n')
+		}
+		if err != nil {
+			return Event{}, fmt.Errorf("%w: %w", errCut, err)
+		}
+		blank := len(bytes.TrimRight(line, "\r\n")) == 0
+		if !blank && !bytes.HasPrefix(line, []byte("id:")) || blank && len(s.event) > 0 {
+			s.event = append(s.event, line...)
+		}
+		if blank && len(s.event) > 0 {
+			data = s.event
+			break
+		}
+	}
+	return s.eventOf(data), nil
+}
+
+// eventOf looks for the few things in an event that the router reads.
+func (s *Stream) eventOf(block []byte) Event {
+	event := Event{Data: block}
+	payload := bytes.TrimSpace(bytes.TrimPrefix(block, dataPrefix))
+	if bytes.Equal(payload, doneMarker) {
+		s.ended, event.Done = true, true
+		return event
+	}
+	s.events++
+	if bytes.Contains(payload, usageMarker) {
+		var chunk chat.Completion
+		if err := json.Unmarshal(payload, &chunk); err == nil {
+			s.usage = chunk.Usage
+		}
+		event.Usage = bytes.Contains(payload, noChoices)
+	}
+	return event
+}
+
+// resume goes on with the stream after the events read so far.
+func (s *Stream) resume(cause error) error {
+	if s.context.Err() != nil || s.resumes >= maxResumes {
+		return cause
+	}
+	s.resumes++
+	_ = s.response.Body.Close()
+	url := fmt.Sprintf("http://%s/v1/streams/%s?from=%d", s.lease.Address, s.attemptID, s.events)
+	response, err := s.dispatcher.send(s.context, s.dispatcher.options.Transport, exchange{
+		method: http.MethodGet, url: url, header: http.Header{},
+		requestID: s.request.ID, attemptID: s.attemptID,
+	})
+	if err != nil {
+		return err
+	}
+	if response.StatusCode != http.StatusOK {
+		drain(response)
+		return cause
+	}
+	s.take(response)
+	return nil
+}
+
+// Whole reads an answer that is not streamed.
+func (s *Stream) Whole() ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(s.reader, maxAnswerBytes))
+	if err != nil {
+		s.failed = true
+		return nil, problem.New(http.StatusBadGateway, problem.CodeCut, problem.Ran, "the answer broke off").WithCause(err)
+	}
+	s.ended = true
+	var answer chat.Completion
+	if err := json.Unmarshal(body, &answer); err == nil {
+		s.usage = answer.Usage
+	}
+	return body, nil
+}
+
+// fail ends a stream that never began.
+func (s *Stream) fail(outcome endpoint.Outcome) {
+	s.end(outcome)
+	if outcome != endpoint.OutcomeRefused {
+		go s.dispatcher.cancelAt(s.lease.Address, s.attemptID)
+	}
+}
+
+// Close ends the attempt. One that was not read to its end is cancelled at the
+// engine too, so that it does not go on for nobody.
+func (s *Stream) Close() {
+	switch {
+	case s.failed:
+		s.fail(endpoint.OutcomeFailed)
+	case s.ended:
+		s.end(endpoint.OutcomeGood)
+	default:
+		s.fail(endpoint.OutcomeNeutral)
+	}
+}
+
+// end gives everything back; calls after the first do nothing.
+func (s *Stream) end(outcome endpoint.Outcome) {
+	s.cancel()
+	if s.response != nil {
+		_ = s.response.Body.Close()
+	}
+	s.lease.Done(outcome)
+}
--- /dev/null
+++ b/internal/endpoint/pool.go
@@ -0,0 +1,279 @@
+// Package endpoint knows the engines and plain services that a host may send
+// work to: which there are, what they serve, how loaded and how well they are.
+//
+// # Usage
+//
+//	pool := endpoint.NewPool(options)
+//	go pool.Run(ctx)
+//	...
+//	lease, ok := pool.Pick(kind, service, ask)
+//	defer lease.Done(outcome)
+//
+// The platform's list says which endpoints there are and which are leaving; an
+// endpoint's own report says so sooner. A host watches only a bounded subset of
+// the engines, so that its reports do not grow with the fleet.
+package endpoint
+
+import (
+	"math/rand/v2"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"quaybarrow/internal/declare"
+	"quaybarrow/internal/place"
+	"quaybarrow/internal/platform"
+)
+
+// Outcome is how an attempt at an endpoint went, for judging the endpoint.
+type Outcome int
+
+// Outcomes of an attempt.
+const (
+	OutcomeGood    Outcome = iota
+	OutcomeFailed          // the endpoint broke off or answered with an error
+	OutcomeRefused         // it refused before any work
+	OutcomeNeutral         // the caller left, or the fault was ours
+)
+
+// Parameters of judging endpoints.
+const (
+	ejectAfter = 3                // failures in a row
+	ejectFor   = 5 * time.Second  // at first; doubles with each ejection
+	ejectMost  = 60 * time.Second // longest ejection
+	slowStart  = 10 * time.Second // from ejection's end to full traffic
+)
+
+// DefaultSubset is how many engines a host watches at most.
+const DefaultSubset = 32
+
+// Options set up a Pool.
+type Options struct {
+	Host   string
+	Hall   string
+	Subset int // 0 means DefaultSubset
+	Period time.Duration
+	// List returns the platform's list as last read.
+	List func() []platform.Host
+	// Fetch reads an engine's load report.
+	Fetch Fetcher
+}
+
+// state is what the pool knows of one endpoint.
+type state struct {
+	host     platform.Host
+	report   Report
+	reported time.Time // when the report was asked for; zero if never
+	mine     int       // in flight when the report was asked for
+	flying   int
+	failures int
+	ejected  time.Time // until when
+	ejection time.Duration
+	served   bool // an attempt succeeded since the last ejection
+}
+
+// Pool is a host's endpoints.
+type Pool struct {
+	options Options
+
+	mu     sync.Mutex // guards all below
+	states map[string]*state
+	hints  map[uint64]hint
+}
+
+// hint says which endpoint was last sent a prefix.
+type hint struct {
+	endpoint string
+	at       time.Time
+}
+
+// NewPool returns a pool without endpoints.
+func NewPool(options Options) *Pool {
+	if options.Subset == 0 {
+		options.Subset = DefaultSubset
+	}
+	return &Pool{options: options, states: map[string]*state{}, hints: map[uint64]hint{}}
+}
+
+// Sync takes in the platform's list.
+func (p *Pool) Sync() {
+	hosts := Subset(p.options.List(), p.options.Host, p.options.Hall, p.options.Subset)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	listed := make(map[string]bool, len(hosts))
+	for _, h := range hosts {
+		listed[h.ID] = true
+		s, ok := p.states[h.ID]
+		if !ok || s.host.Address != h.Address {
+			s = &state{}
+			p.states[h.ID] = s
+		}
+		s.host = h
+	}
+	for id, s := range p.states {
+		if !listed[id] {
+			s.host.State = platform.HostLeaving
+			if s.flying == 0 {
+				delete(p.states, id)
+			}
+		}
+	}
+}
+
+// Subset picks the endpoints that a host watches: every plain service, and of
+// the engines at most limit, half of them in the host's own data hall where
+// there are so many, by rendezvous weight so that hosts spread evenly.
+func Subset(hosts []platform.Host, self, hall string, limit int) []platform.Host {
+	var kept, near, far []platform.Host
+	for _, h := range hosts {
+		switch {
+		case h.Kind == platform.HostService:
+			kept = append(kept, h)
+		case h.Kind != platform.HostEngine:
+		case h.DataHall == hall:
+			near = append(near, h)
+		default:
+			far = append(far, h)
+		}
+	}
+	if len(near)+len(far) <= limit {
+		return append(append(kept, near...), far...)
+	}
+	byWeight(near, self)
+	byWeight(far, self)
+	nearby := min(len(near), max(limit/2, limit-len(far)))
+	kept = append(kept, near[:nearby]...)
+	return append(kept, far[:limit-nearby]...)
+}
+
+func byWeight(hosts []platform.Host, self string) {
+	sort.Slice(hosts, func(i, j int) bool {
+		return xxhash.Sum64String(self+"\x00"+hosts[i].ID) > xxhash.Sum64String(self+"\x00"+hosts[j].ID)
+	})
+}
+
+// Lease is an endpoint chosen for one attempt; Done must be called.
+type Lease struct {
+	ID      string
+	Address string
+
+	pool *Pool
+	once sync.Once
+}
+
+// Ask is what an attempt needs of the pool.
+type Ask struct {
+	Service string // plain service; empty for engines
+	Version declare.Ref
+	Prefix  uint64 // hash of the prompt's prefix; 0 if none
+	Avoid   []string
+}
+
+// Pick chooses an endpoint and counts the attempt as in flight.
+func (p *Pool) Pick(ask Ask) (*Lease, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	endpoints := p.viewLocked(ask.Service, time.Now())
+	want := place.Ask{Version: ask.Version, Hall: p.options.Hall, Avoid: ask.Avoid, Hinted: p.hintLocked(ask.Prefix)}
+	i := place.Pick(endpoints, want, rand.Float64(), rand.Float64())
+	if i < 0 {
+		return nil, false
+	}
+	chosen := endpoints[i]
+	p.states[chosen.ID].flying++
+	p.noteLocked(ask.Prefix, chosen.ID)
+	return &Lease{ID: chosen.ID, Address: chosen.Address, pool: p}, true
+}
+
+// Has reports whether some endpoint serves a version and takes new work.
+func (p *Pool) Has(ref declare.Ref) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	for _, s := range p.states {
+		if s.host.Kind != platform.HostEngine {
+			continue
+		}
+		if e := s.endpoint(now); e.Ready && e.Serves(ref) {
+			return true
+		}
+	}
+	return false
+}
+
+// viewLocked lists the endpoints of a service, or the engines, in a fixed
+// order; the caller holds mu.
+func (p *Pool) viewLocked(service string, now time.Time) []place.Endpoint {
+	endpoints := make([]place.Endpoint, 0, len(p.states))
+	for _, s := range p.states {
+		if s.host.Service == service && (service != "" || s.host.Kind == platform.HostEngine) {
+			endpoints = append(endpoints, s.endpoint(now))
+		}
+	}
+	sort.Slice(endpoints, func(i, j int) bool { return endpoints[i].ID < endpoints[j].ID })
+	return endpoints
+}
+
+// View lists all endpoints, for operators.
+func (p *Pool) View() []place.Endpoint {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	endpoints := make([]place.Endpoint, 0, len(p.states))
+	for _, s := range p.states {
+		endpoints = append(endpoints, s.endpoint(now))
+	}
+	sort.Slice(endpoints, func(i, j int) bool { return endpoints[i].ID < endpoints[j].ID })
+	return endpoints
+}
+
+// endpoint is the state as a decision reads it.
+func (s *state) endpoint(now time.Time) place.Endpoint {
+	e := place.Endpoint{
+		ID: s.host.ID, Address: s.host.Address, Hall: s.host.DataHall,
+		Slots: s.report.Slots, InFlight: s.flying, Reported: s.report.Running + s.report.Queued,
+		Mine: s.mine, Versions: s.report.refs, Slow: 1,
+		Ready: s.host.State == platform.HostLive && !s.report.Draining && !now.Before(s.ejected),
+	}
+	if !s.reported.IsZero() {
+		e.Age = now.Sub(s.reported)
+	}
+	if back := now.Sub(s.ejected); !s.ejected.IsZero() && back < slowStart {
+		e.Slow = max(float64(back)/float64(slowStart), 0)
+	}
+	return e
+}
+
+// Done ends an attempt and tells how it went.
+func (l *Lease) Done(outcome Outcome) {
+	l.once.Do(func() { l.pool.done(l.ID, outcome) })
+}
+
+func (p *Pool) done(id string, outcome Outcome) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s, ok := p.states[id]
+	if !ok {
+		return
+	}
+	s.flying--
+	switch outcome {
+	case OutcomeGood:
+		s.failures, s.ejection = 0, 0
+	case OutcomeFailed:
+		s.failures++
+		if s.failures >= ejectAfter {
+			s.eject(time.Now())
+		}
+	case OutcomeRefused, OutcomeNeutral:
+	}
+}
+
+// eject keeps traffic away for a while, longer each time.
+func (s *state) eject(now time.Time) {
+	s.failures = 0
+	s.ejection = min(max(s.ejection*2, ejectFor), ejectMost)
+	s.ejected = now.Add(s.ejection)
+}
--- /dev/null
+++ b/internal/entry/sink.go
@@ -0,0 +1,117 @@
+package entry
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"quaybarrow/internal/pipeline"
+	"quaybarrow/internal/problem"
+)
+
+// writeTimeout is how long a caller may take to read what was sent to it.
+const writeTimeout = 60 * time.Second
+
+// deadlineEvery is how often the timeout of a stream's writes is set anew.
+const deadlineEvery = 10 * time.Second
+
+// sink answers over HTTP; it implements pipeline.Sink.
+type sink struct {
+	writer     http.ResponseWriter
+	controller *http.ResponseController
+	began      bool
+	extended   time.Time
+}
+
+func newSink(w http.ResponseWriter) *sink {
+	return &sink{writer: w, controller: http.NewResponseController(w)}
+}
+
+// head writes the headers that describe an answer.
+func (s *sink) head(h pipeline.Head) {
+	header := s.writer.Header()
+	header.Set(HeaderRequestID, h.RequestID)
+	header.Set("X-Run", string(problem.Ran))
+	if h.TraceID != "" {
+		header.Set(HeaderTraceID, h.TraceID)
+	}
+	if h.Version != "" {
+		header.Set(HeaderVersion, h.Version)
+	}
+	if h.SessionToken != "" {
+		header.Set(HeaderSessionToken, h.SessionToken)
+	}
+	if h.Replayed {
+		header.Set(HeaderReplayed, "true")
+	}
+}
+
+// extend gives the caller time to read; not on every write, as that costs.
+func (s *sink) extend() {
+	now := time.Now()
+	if now.Sub(s.extended) < deadlineEvery {
+		return
+	}
+	s.extended = now
+	// A writer without deadlines, as in tests, goes without.
+	_ = s.controller.SetWriteDeadline(now.Add(writeTimeout))
+}
+
+// Whole implements pipeline.Sink.
+func (s *sink) Whole(h pipeline.Head, status int, contentType string, body []byte) error {
+	s.began = true
+	s.head(h)
+	if contentType != "" {
+		s.writer.Header().Set("Content-Type", contentType)
+	}
+	s.extend()
+	s.writer.WriteHeader(status)
+	if _, err := s.writer.Write(body); err != nil {
+		return fmt.Errorf("write answer: %w", err)
+	}
+	return nil
+}
+
+// Begin implements pipeline.Sink.
+func (s *sink) Begin(h pipeline.Head) error {
+	s.began = true
+	s.head(h)
+	s.writer.Header().Set("Content-Type", "text/event-stream")
+	s.writer.Header().Set("Cache-Control", "no-cache")
+	s.extend()
+	s.writer.WriteHeader(http.StatusOK)
+	return nil
+}
+
+// Event implements pipeline.Sink.
+func (s *sink) Event(data []byte) error {
+	s.extend()
+	if _, err := s.writer.Write(data); err != nil {
+		return fmt.Errorf("write event: %w", err)
+	}
+	if err := s.controller.Flush(); err != nil {
+		return fmt.Errorf("flush event: %w", err)
+	}
+	return nil
+}
+
+// end tells the caller of an error: as the answer, or, when one has begun, as
+// the last event of its stream, which then has no end mark.
+func (s *sink) end(err error) {
+	if err == nil {
+		return
+	}
+	failed := problem.Of(err)
+	if !s.began {
+		failed.Write(s.writer)
+		return
+	}
+	_ = s.Event(fmt.Appendf(nil, "data: %s\n\n", failed.JSON()))
+}
+
+func writeJSON(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(value)
+}
--- /dev/null
+++ b/internal/estimate/estimate.go
@@ -0,0 +1,130 @@
+// Package estimate holds what ratings say of versions: a mean with its
+// uncertainty for each workspace, task class and version.
+//
+// # Usage
+//
+//	table := table.With(key, score)
+//	low := table.Lower(key, prior)
+//
+// A Table is immutable; ratings are partial and late, so every use of a mean
+// goes through a bound.
+package estimate
+
+import (
+	"math"
+	"sort"
+
+	"quaybarrow/internal/declare"
+)
+
+// Key names what an estimate is of.
+type Key struct {
+	Workspace string
+	Class     string
+	Version   declare.Ref
+}
+
+// Score sums up the ratings of a key.
+type Score struct {
+	Count float64 `json:"count"`
+	Mean  float64 `json:"mean"`
+	// Spread is the sum of squared differences from the mean.
+	Spread float64 `json:"spread"`
+}
+
+// With returns the score with one more rating, 0 to 1.
+func (s Score) With(rating float64) Score {
+	s.Count++
+	delta := rating - s.Mean
+	s.Mean += delta / s.Count
+	s.Spread += delta * (rating - s.Mean)
+	return s
+}
+
+// Parameters of the bounds.
+const (
+	priorWeight = 8    // ratings that an operator's prior counts for
+	width       = 1.64 // standard errors: one-sided 95%
+	leastSpread = 0.05 // floor of the standard deviation
+)
+
+// bounds returns the mean and the half width of its interval. The prior counts
+// as ratings with the widest spread possible.
+func (s Score) bounds(prior float64) (mean, half float64) {
+	if prior == 0 {
+		prior = 0.5
+	}
+	count := s.Count + priorWeight
+	mean = (s.Mean*s.Count + prior*priorWeight) / count
+	variance := (s.Spread + priorWeight*prior*(1-prior)) / count
+	deviation := math.Max(math.Sqrt(variance), leastSpread)
+	return mean, width * deviation / math.Sqrt(count)
+}
+
+// Lower is a bound that the true mean is above with some certainty.
+func (s Score) Lower(prior float64) float64 {
+	mean, half := s.bounds(prior)
+	return math.Max(mean-half, 0)
+}
+
+// Upper is a bound that the true mean is below with some certainty.
+func (s Score) Upper(prior float64) float64 {
+	mean, half := s.bounds(prior)
+	return math.Min(mean+half, 1)
+}
+
+// Table is an immutable set of scores.
+type Table struct{ scores map[Key]Score }
+
+// Entry is one score of a table, for storing.
+type Entry struct {
+	Workspace string      `json:"workspace"`
+	Class     string      `json:"class"`
+	Version   declare.Ref `json:"version"`
+	Score     Score       `json:"score"`
+}
+
+// NewTable returns a table with entries.
+func NewTable(entries []Entry) Table {
+	t := Table{scores: make(map[Key]Score, len(entries))}
+	for _, e := range entries {
+		t.scores[Key{e.Workspace, e.Class, e.Version}] = e.Score
+	}
+	return t
+}
+
+// Score returns the score of a key; a zero one if nothing is known.
+func (t Table) Score(k Key) Score { return t.scores[k] }
+
+// WithRatings returns the table with more ratings.
+func (t Table) WithRatings(ratings map[Key][]float64) Table {
+	scores := make(map[Key]Score, len(t.scores)+len(ratings))
+	for k, s := range t.scores {
+		scores[k] = s
+	}
+	for k, values := range ratings {
+		for _, v := range values {
+			scores[k] = scores[k].With(v)
+		}
+	}
+	return Table{scores: scores}
+}
+
+// Entries lists the table in a fixed order.
+func (t Table) Entries() []Entry {
+	entries := make([]Entry, 0, len(t.scores))
+	for k, s := range t.scores {
+		entries = append(entries, Entry{k.Workspace, k.Class, k.Version, s})
+	}
+	sort.Slice(entries, func(i, j int) bool {
+		a, b := entries[i], entries[j]
+		if a.Workspace != b.Workspace {
+			return a.Workspace < b.Workspace
+		}
+		if a.Class != b.Class {
+			return a.Class < b.Class
+		}
+		return a.Version.String() < b.Version.String()
+	})
+	return entries
+}
--- /dev/null
+++ b/internal/estimate/keeper.go
@@ -0,0 +1,141 @@
+package estimate
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"quaybarrow/internal/codec"
+	"quaybarrow/internal/declare"
+	"quaybarrow/internal/lease"
+	"quaybarrow/internal/platform"
+)
+
+// Where the sum of all ratings is kept.
+const (
+	tableEstimates = "estimate"
+	keySum         = "sum"
+)
+
+// Duty is the name of the lease under which ratings are summed up.
+const Duty = "estimates"
+
+// Times and bounds of keeping estimates.
+const (
+	sumEvery     = 2 * time.Second
+	readEvery    = 5 * time.Second
+	ratingsAtOne = 1000
+)
+
+// stored is the row.
+type stored struct {
+	Cursor  int64   `json:"cursor"`
+	Entries []Entry `json:"entries"`
+}
+
+// Keeper sums up ratings on one host at a time and reads the sum on all.
+type Keeper struct {
+	tables  platform.Tables
+	ratings platform.Ratings
+	current atomic.Pointer[Table]
+}
+
+// NewKeeper returns a keeper that knows nothing yet.
+func NewKeeper(tables platform.Tables, ratings platform.Ratings) *Keeper {
+	k := &Keeper{tables: tables, ratings: ratings}
+	k.current.Store(&Table{})
+	return k
+}
+
+// Current returns the estimates as last read.
+func (k *Keeper) Current() Table { return *k.current.Load() }
+
+// Run reads the sum until the context ends.
+func (k *Keeper) Run(ctx context.Context) {
+	for {
+		if s, _, err := k.read(ctx); err == nil {
+			t := NewTable(s.Entries)
+			k.current.Store(&t)
+		}
+		if !sleep(ctx, readEvery/2+time.Duration(rand.Int64N(int64(readEvery)))) {
+			return
+		}
+	}
+}
+
+// Sum takes in new ratings while the lease is held.
+func (k *Keeper) Sum(ctx context.Context, l *lease.Lease) {
+	for l.Valid() && ctx.Err() == nil {
+		if err := k.SumOnce(ctx, l); errors.Is(err, platform.ErrConflict) {
+			return
+		}
+		sleep(ctx, sumEvery)
+	}
+}
+
+// SumOnce takes in one batch of ratings.
+func (k *Keeper) SumOnce(ctx context.Context, l *lease.Lease) error {
+	s, row, err := k.read(ctx)
+	if err != nil {
+		return err
+	}
+	ratings, err := k.ratings.After(ctx, s.Cursor, ratingsAtOne)
+	if err != nil {
+		return fmt.Errorf("read ratings: %w", err)
+	}
+	if len(ratings) == 0 {
+		return nil
+	}
+	added := map[Key][]float64{}
+	for _, r := range ratings {
+		key := Key{Workspace: r.Workspace, Class: r.Class, Version: declare.ParseRef(r.Version)}
+		added[key] = append(added[key], r.Score)
+		s.Cursor = r.Sequence
+	}
+	table := NewTable(s.Entries).WithRatings(added)
+	s.Entries = table.Entries()
+	data, err := codec.Encode(s)
+	if err != nil {
+		return err
+	}
+	err = k.tables.Commit(ctx, l.Fenced(platform.Transaction{
+		Conditions: []platform.Condition{platform.AtVersion(tableEstimates, row)},
+		Writes:     []platform.Write{platform.Put(tableEstimates, keySum, data)},
+	}))
+	if err != nil {
+		return fmt.Errorf("write estimates: %w", err)
+	}
+	k.current.Store(&table)
+	return nil
+}
+
+func (k *Keeper) read(ctx context.Context) (stored, platform.Row, error) {
+	row, err := k.tables.Get(ctx, tableEstimates, keySum)
+	if errors.Is(err, platform.ErrNotFound) {
+		return stored{}, platform.Row{Key: keySum}, nil
+	}
+	if err != nil {
+		return stored{}, platform.Row{}, fmt.Errorf("read estimates: %w", err)
+	}
+	s, err := codec.Decode[stored](row.Value)
+	if err != nil {
+		return stored{}, platform.Row{}, fmt.Errorf("read estimates: %w", err)
+	}
+	return s, row, nil
+}
+
+// sleep waits; false if the context ends first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/job/job.go
@@ -0,0 +1,214 @@
+// Package job keeps deferred work that may wait but must not vanish.
+//
+// # Usage
+//
+//	id, err := queue.Submit(ctx, job.Job{Workspace: "examiners", Request: body})
+//	...
+//	job, err := queue.Find(ctx, "examiners", id)
+//
+// A job is a row of the table service from before it is accepted until its
+// result expires. Waiting jobs stand in shards; an idle host probes a few
+// random shards and claims what it finds by compare-and-set. A claim lasts as
+// long as its row keeps changing: a host that dies stops renewing, and another
+// claims the job. Its bill is named by the job, so it is billed once all the
+// same.
+package job
+
+import (
+	"context"
+	"fmt"
+	"hash/fnv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"quaybarrow/internal/codec"
+	"quaybarrow/internal/declare"
+	"quaybarrow/internal/platform"
+	"quaybarrow/internal/problem"
+)
+
+// Tables of the package. A waiting job's row in TableWaiting sorts by priority
+// and age within its shard; a claimed job's stands in TableRunning instead, so
+// that it does not hide those behind it. The job itself is in TableJobs.
+const (
+	TableJobs    = "job"
+	TableWaiting = "job-waiting"
+	TableRunning = "job-running"
+)
+
+// Shards of the waiting jobs.
+const Shards = 16
+
+// State is how far a job has come.
+type State string
+
+// States of a job.
+const (
+	StateWaiting State = "waiting"
+	StateRunning State = "running"
+	StateDone    State = "done"
+	StateFailed  State = "failed" // will not be tried again; Result says why
+)
+
+// Limits of jobs.
+const (
+	keepResult  = 24 * time.Hour
+	maxAttempts = 5
+)
+
+// ErrNotFound means that there is no such job for the workspace.
+var ErrNotFound = errors.New("no such job")
+
+// Result is a job's outcome.
+type Result struct {
+	Status      int         `json:"status"`
+	ContentType string      `json:"content_type,omitempty"`
+	Body        []byte      `json:"body,omitempty"`
+	Run         problem.Run `json:"run"`
+}
+
+// Job is a piece of deferred work.
+type Job struct {
+	ID        string           `json:"id"`
+	Workspace string           `json:"workspace"`
+	Priority  declare.Priority `json:"priority"`
+	Service   string           `json:"service,omitempty"` // a completion if empty
+	Call      string           `json:"call,omitempty"`
+	Request   []byte           `json:"request"`
+	State     State            `json:"state"`
+	Submitted time.Time        `json:"submitted"`
+	Deadline  time.Time        `json:"deadline,omitzero"`
+	Finished  time.Time        `json:"finished,omitzero"`
+	Attempts  int              `json:"attempts"`
+	Host      string           `json:"host,omitempty"` // that runs it
+	Beat      int64            `json:"beat,omitempty"` // counts renewals of its claim
+	Result    *Result          `json:"result,omitempty"`
+}
+
+// WithClaim returns the job as claimed by a host.
+func (j Job) WithClaim(host string) Job {
+	j.State, j.Host = StateRunning, host
+	j.Attempts++
+	j.Beat = 0
+	return j
+}
+
+// WithBeat returns the job with its claim renewed.
+func (j Job) WithBeat() Job {
+	j.Beat++
+	return j
+}
+
+// WithResult returns the job as ended.
+func (j Job) WithResult(state State, r Result, at time.Time) Job {
+	j.State, j.Result, j.Finished = state, &r, at
+	return j
+}
+
+// WithWaiting returns the job as waiting again.
+func (j Job) WithWaiting() Job {
+	j.State, j.Host = StateWaiting, ""
+	return j
+}
+
+// shard is where the job waits.
+func (j Job) shard() int {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(j.ID))
+	return int(h.Sum32() % Shards)
+}
+
+func shardPrefix(shard int) string { return fmt.Sprintf("%02d/", shard) }
+
+// waitingKey sorts a shard's jobs: interactive first, then by age.
+func (j Job) waitingKey() string {
+	rank := "0"
+	if j.Priority == declare.PriorityBatch {
+		rank = "1"
+	}
+	return fmt.Sprintf("%s%s/%020d/%s", shardPrefix(j.shard()), rank, j.Submitted.UnixNano(), j.ID)
+}
+
+// runningKey is where a claimed job stands.
+func (j Job) runningKey() string { return shardPrefix(j.shard()) + j.ID }
+
+// idOfKey is the job that a waiting or running row names.
+func idOfKey(key string) string { return key[strings.LastIndexByte(key, '/')+1:] }
+
+// Queue is the jobs in the table service.
+type Queue struct{ tables platform.Tables }
+
+// NewQueue returns the queue kept in the given tables.
+func NewQueue(tables platform.Tables) *Queue { return &Queue{tables: tables} }
+
+// submitAttempts bounds how often an uncertain submit is settled.
+const submitAttempts = 3
+
+// Submit makes a job durable and returns it. An error means that it was not
+// accepted; the caller may submit it again. With a key of the caller's, a
+// repeat finds the same job.
+func (q *Queue) Submit(ctx context.Context, j Job, key string) (Job, error) {
+	j.ID = jobID(j.Workspace, key)
+	j.State, j.Submitted = StateWaiting, time.Now().UTC()
+	data, err := codec.Encode(j)
+	if err != nil {
+		return Job{}, err
+	}
+	for range submitAttempts {
+		err = q.tables.Commit(ctx, platform.Transaction{
+			Conditions: []platform.Condition{platform.Absent(TableJobs, j.ID)},
+			Writes: []platform.Write{
+				platform.Put(TableJobs, j.ID, data),
+				platform.Put(TableWaiting, j.waitingKey(), []byte(j.Workspace)),
+			},
+		})
+		if err == nil {
+			return j, nil
+		}
+		if errors.Is(err, platform.ErrThrottled) {
+			break
+		}
+		// A conflict, or a lost reply: the row tells.
+		if found, _, findErr := q.read(ctx, j.ID); findErr == nil {
+			return found, nil
+		}
+	}
+	return Job{}, fmt.Errorf("submit job: %w", err)
+}
+
+func jobID(workspace, key string) string {
+	if key == "" {
+		return "j-" + uuid.NewString()
+	}
+	return "j-" + uuid.NewSHA1(uuid.NameSpaceOID, []byte(workspace+"\x00"+key)).String()
+}
+
+func (q *Queue) read(ctx context.Context, id string) (Job, platform.Row, error) {
+	row, err := q.tables.Get(ctx, TableJobs, id)
+	if errors.Is(err, platform.ErrNotFound) {
+		return Job{}, platform.Row{}, ErrNotFound
+	}
+	if err != nil {
+		return Job{}, platform.Row{}, fmt.Errorf("read job: %w", err)
+	}
+	j, err := codec.Decode[Job](row.Value)
+	if err != nil {
+		return Job{}, platform.Row{}, fmt.Errorf("read job: %w", err)
+	}
+	return j, row, nil
+}
+
+// Find returns a workspace's job.
+func (q *Queue) Find(ctx context.Context, workspace, id string) (Job, error) {
+	j, _, err := q.read(ctx, id)
+	if err != nil {
+		return Job{}, err
+	}
+	if j.Workspace != workspace {
+		return Job{}, ErrNotFound
+	}
+	return j, nil
+}
--- /dev/null
+++ b/internal/job/work.go
@@ -0,0 +1,332 @@
+package job
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"quaybarrow/internal/codec"
+	"quaybarrow/internal/platform"
+	"quaybarrow/internal/problem"
+)
+
+// Times and bounds of working on jobs.
+const (
+	probes       = 3 // shards that an idle host looks into at a time
+	probeRows    = 4 // jobs looked at in a shard
+	lostOdds     = 4 // one probe in so many also looks for jobs of lost hosts
+	minIdle      = 200 * time.Millisecond
+	maxIdle      = 5 * time.Second
+	claimLength  = 15 * time.Second // a claim unchanged for this long is lost
+	renewEvery   = claimLength / 3
+	writeTimeout = 2 * time.Second
+)
+
+// Runner executes a job's request and returns its result.
+type Runner func(ctx context.Context, j Job) (Result, error)
+
+// Worker finds and runs jobs on one host.
+type Worker struct {
+	queue  *Queue
+	host   string
+	run    Runner
+	atOnce int
+	stop   chan struct{} // closed by Drain
+	once   sync.Once
+
+	mu   sync.Mutex // guards seen
+	seen map[string]sighting
+}
+
+// sighting is a running job's row and how long it has been seen unchanged.
+type sighting struct {
+	version int64
+	since   time.Time
+}
+
+// NewWorker returns a worker that runs up to atOnce jobs at a time.
+func NewWorker(queue *Queue, host string, atOnce int, run Runner) *Worker {
+	return &Worker{queue: queue, host: host, run: run, atOnce: atOnce, stop: make(chan struct{}), seen: map[string]sighting{}}
+}
+
+// Drain makes Run take no more jobs and return when those under way are done.
+func (w *Worker) Drain() { w.once.Do(func() { close(w.stop) }) }
+
+// draining reports whether Drain was called.
+func (w *Worker) draining() bool {
+	select {
+	case <-w.stop:
+		return true
+	default:
+		return false
+	}
+}
+
+// Run works until it is drained, or the context ends: then jobs under way are
+// handed back.
+func (w *Worker) Run(ctx context.Context) {
+	var wait sync.WaitGroup
+	for range w.atOnce {
+		wait.Go(func() { w.loop(ctx) })
+	}
+	wait.Wait()
+}
+
+func (w *Worker) loop(ctx context.Context) {
+	idle := minIdle
+	for ctx.Err() == nil && !w.draining() {
+		if w.Once(ctx) {
+			idle = minIdle
+			continue
+		}
+		t := time.NewTimer(idle/2 + time.Duration(rand.Int64N(int64(idle))))
+		select {
+		case <-ctx.Done():
+		case <-w.stop:
+		case <-t.C:
+		}
+		t.Stop()
+		idle = min(idle*2, maxIdle)
+	}
+}
+
+// Once looks for a job in a few random shards and runs the first that it can
+// claim; false if there was none.
+func (w *Worker) Once(ctx context.Context) bool {
+	for _, shard := range rand.Perm(Shards)[:probes] {
+		j, row, ok := w.claimFrom(ctx, shard)
+		if ok {
+			w.work(ctx, j, row)
+			return true
+		}
+	}
+	return false
+}
+
+// claimFrom claims a job of one shard: a waiting one, or else, now and then, one
+// whose host was lost.
+func (w *Worker) claimFrom(ctx context.Context, shard int) (Job, platform.Row, bool) {
+	if j, row, ok := w.claimIn(ctx, TableWaiting, shard); ok {
+		return j, row, true
+	}
+	if rand.IntN(lostOdds) > 0 {
+		return Job{}, platform.Row{}, false
+	}
+	return w.claimIn(ctx, TableRunning, shard)
+}
+
+func (w *Worker) claimIn(ctx context.Context, table string, shard int) (Job, platform.Row, bool) {
+	rows, err := w.queue.tables.Scan(ctx, platform.Range{Table: table, Prefix: shardPrefix(shard), Limit: probeRows})
+	if err != nil {
+		return Job{}, platform.Row{}, false
+	}
+	for _, found := range rows {
+		if j, row, ok := w.claim(ctx, idOfKey(found.Key)); ok {
+			return j, row, true
+		}
+	}
+	return Job{}, platform.Row{}, false
+}
+
+// claim takes a job that waits, or whose claim was lost.
+func (w *Worker) claim(ctx context.Context, id string) (Job, platform.Row, bool) {
+	j, row, err := w.queue.read(ctx, id)
+	if err != nil || !w.free(j, row) {
+		return Job{}, platform.Row{}, false
+	}
+	if !j.Deadline.IsZero() && time.Now().After(j.Deadline) {
+		w.end(ctx, j, row, StateFailed, Result{Status: 504, Run: problem.NotRun, Body: []byte("the deadline passed before the job could run")})
+		return Job{}, platform.Row{}, false
+	}
+	claimed := j.WithClaim(w.host)
+	row, err = w.queue.replace(ctx, row, claimed,
+		platform.Delete(TableWaiting, j.waitingKey()), platform.Put(TableRunning, j.runningKey(), []byte(w.host)))
+	return claimed, row, err == nil
+}
+
+// free reports whether a job may be claimed.
+func (w *Worker) free(j Job, row platform.Row) bool {
+	switch j.State {
+	case StateWaiting:
+		return true
+	case StateRunning:
+		return w.abandoned(j.ID, row)
+	default:
+		return false
+	}
+}
+
+// abandoned reports whether a running job's row was unchanged for the length of
+// a claim, by this host's own clock.
+func (w *Worker) abandoned(id string, row platform.Row) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	s, ok := w.seen[id]
+	if !ok || s.version != row.Version {
+		w.seen[id] = sighting{version: row.Version, since: time.Now()}
+		return false
+	}
+	if time.Since(s.since) < claimLength {
+		return false
+	}
+	delete(w.seen, id)
+	return true
+}
+
+// replace writes a job over the row it was read from, and settles a lost reply.
+func (q *Queue) replace(ctx context.Context, row platform.Row, next Job, more ...platform.Write) (platform.Row, error) {
+	data, err := codec.Encode(next)
+	if err != nil {
+		return platform.Row{}, err
+	}
+	err = q.tables.Commit(ctx, platform.Transaction{
+		Conditions: []platform.Condition{platform.AtVersion(TableJobs, row)},
+		Writes:     append([]platform.Write{platform.Put(TableJobs, next.ID, data)}, more...),
+	})
+	if err != nil && !platform.Uncertain(err) {
+		return platform.Row{}, err
+	}
+	now, readErr := q.tables.Get(ctx, TableJobs, next.ID)
+	if readErr != nil {
+		return platform.Row{}, errors.Wrap(readErr, "read job back")
+	}
+	if string(now.Value) != string(data) {
+		return platform.Row{}, platform.ErrConflict
+	}
+	return now, nil
+}
+
+// work runs a claimed job and records its end. A job whose claim is lost
+// meanwhile is left to whoever has it.
+func (w *Worker) work(ctx context.Context, j Job, row platform.Row) {
+	runContext, cancel := context.WithCancel(ctx)
+	defer cancel()
+	keeper := &claimKeeper{worker: w, job: j, row: row, lost: cancel}
+	var wait sync.WaitGroup
+	wait.Go(func() { keeper.renew(runContext) })
+	result, err := w.run(runContext, j)
+	cancel()
+	wait.Wait()
+	last, stop := context.WithTimeout(context.WithoutCancel(ctx), writeTimeout)
+	defer stop()
+	j, row = keeper.job, keeper.row
+	switch {
+	case err == nil:
+		w.end(last, j, row, StateDone, result)
+	case j.Attempts >= maxAttempts || final(err):
+		failed := problem.Of(err)
+		w.end(last, j, row, StateFailed, Result{
+			Status: failed.Status, ContentType: "application/json", Body: failed.JSON(), Run: failed.Run,
+		})
+	default:
+		// A hand-back that fails costs a wait: the claim lapses.
+		_, _ = w.queue.replace(last, row, j.WithWaiting(),
+			platform.Put(TableWaiting, j.waitingKey(), []byte(j.Workspace)), platform.Delete(TableRunning, j.runningKey()))
+	}
+}
+
+// final reports whether trying a job again is of no use, or not allowed.
+func final(err error) bool {
+	failed := problem.Of(err)
+	if failed.Run == problem.NotRun {
+		return failed.Status >= 400 && failed.Status < 500 && failed.Status != 429
+	}
+	return failed.Code == problem.CodeOutcomeUnknown
+}
+
+// endAttempts bounds how often the end of a job is written.
+const endAttempts = 5
+
+// end records a job's end and takes it out of its shard. If that fails, the
+// claim lapses and the job runs again; its bill is still one.
+func (w *Worker) end(ctx context.Context, j Job, row platform.Row, state State, r Result) {
+	ended := j.WithResult(state, r, time.Now().UTC())
+	for attempt := range endAttempts {
+		_, err := w.queue.replace(ctx, row, ended,
+			platform.Delete(TableWaiting, j.waitingKey()), platform.Delete(TableRunning, j.runningKey()))
+		if err == nil || errors.Is(err, platform.ErrConflict) {
+			return
+		}
+		if !sleep(ctx, minIdle<<attempt) {
+			return
+		}
+	}
+}
+
+// claimKeeper renews the claim of a running job.
+type claimKeeper struct {
+	worker *Worker
+	job    Job
+	row    platform.Row
+	lost   context.CancelFunc
+}
+
+// renew keeps the job's row changing, and stops the job when it can't for so
+// long that another host may claim it.
+func (k *claimKeeper) renew(ctx context.Context) {
+	renewed := time.Now()
+	for sleep(ctx, renewEvery) {
+		sent := time.Now()
+		limited, cancel := context.WithTimeout(ctx, writeTimeout)
+		next := k.job.WithBeat()
+		row, err := k.worker.queue.replace(limited, k.row, next)
+		cancel()
+		switch {
+		case err == nil:
+			k.job, k.row, renewed = next, row, sent
+		case errors.Is(err, platform.ErrConflict):
+			k.lost()
+			return
+		case time.Since(renewed) > claimLength-renewEvery:
+			k.lost()
+			return
+		}
+	}
+}
+
+// Backlog counts the jobs that wait.
+func (q *Queue) Backlog(ctx context.Context) (int, error) {
+	rows, err := q.tables.Scan(ctx, platform.Range{Table: TableWaiting})
+	if err != nil {
+		return 0, errors.Wrap(err, "count jobs")
+	}
+	return len(rows), nil
+}
+
+// Expire removes the results that nobody fetched in time; limit bounds one
+// sweep.
+func (q *Queue) Expire(ctx context.Context, limit int) error {
+	rows, err := q.tables.Scan(ctx, platform.Range{Table: TableJobs, Limit: limit})
+	if err != nil {
+		return errors.Wrap(err, "expire jobs")
+	}
+	for _, row := range rows {
+		j, err := codec.Decode[Job](row.Value)
+		if err != nil || j.Finished.IsZero() || time.Since(j.Finished) < keepResult {
+			continue
+		}
+		err = q.tables.Commit(ctx, platform.Transaction{
+			Conditions: []platform.Condition{platform.AtVersion(TableJobs, row)},
+			Writes:     []platform.Write{platform.Delete(TableJobs, row.Key)},
+		})
+		if err != nil && !errors.Is(err, platform.ErrConflict) {
+			return errors.Wrap(err, "expire jobs")
+		}
+	}
+	return nil
+}
+
+// sleep waits; false if the context ends first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/lease/run.go
@@ -0,0 +1,87 @@
+package lease
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// releaseTimeout bounds the last write of a duty.
+const releaseTimeout = 2 * time.Second
+
+// Duty is work that needs one owner. It returns when its context ends, which
+// happens before the lease can be taken by another.
+type Duty func(ctx context.Context, l *Lease)
+
+// Run competes for a duty until the context ends: it acquires the lease while
+// this host is the owner, runs the duty while it holds it, and releases it.
+func (m *Manager) Run(ctx context.Context, name string, duty Duty) {
+	period := m.options.Length / renewDivisor
+	for ctx.Err() == nil {
+		if m.mine(name) {
+			if l, err := m.Acquire(ctx, name); err == nil {
+				m.hold(ctx, l, duty)
+			}
+		}
+		if !sleep(ctx, period) {
+			return
+		}
+	}
+}
+
+// mine reports whether this host is meant to own the duty.
+func (m *Manager) mine(name string) bool {
+	return m.options.Owner == nil || m.options.Owner(name) == m.options.Host
+}
+
+// hold runs the duty and renews until the lease is lost or handed on.
+func (m *Manager) hold(ctx context.Context, l *Lease, duty Duty) {
+	dutyContext, cancel := context.WithCancel(ctx)
+	var wait sync.WaitGroup
+	wait.Go(func() { duty(dutyContext, l) })
+	m.renewUntilLost(dutyContext, l)
+	cancel()
+	wait.Wait()
+	if !l.Valid() {
+		return
+	}
+	last, stop := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
+	defer stop()
+	// A release that fails costs the next holder a wait, nothing else.
+	_ = m.Release(last, l)
+}
+
+// renewUntilLost returns when the lease is no longer valid, no longer meant for
+// this host, or the context ends.
+func (m *Manager) renewUntilLost(ctx context.Context, l *Lease) {
+	period := m.options.Length / renewDivisor
+	for {
+		wait := min(period, l.Left())
+		if !sleep(ctx, wait) || !m.mine(l.name) {
+			return
+		}
+		if !l.Valid() {
+			return
+		}
+		renewContext, cancel := context.WithTimeout(ctx, l.Left())
+		err := m.Renew(renewContext, l)
+		cancel()
+		if errors.Is(err, ErrHeld) || !l.Valid() {
+			return
+		}
+	}
+}
+
+// sleep waits; false if the context ends first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/membership/membership.go
@@ -0,0 +1,219 @@
+package membership
+
+import (
+	"context"
+	"math/rand/v2"
+	"sort"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"quaybarrow/internal/peer"
+	"quaybarrow/internal/platform"
+)
+
+// Factors of the ping period.
+const (
+	suspectAfter = 3 // periods without a reply make a watched host suspect
+	forgetAfter  = 5 // periods after which an unlisted host is dropped
+)
+
+// Options set up a Membership.
+type Options struct {
+	Hosts platform.Hosts
+	Link  peer.Link
+	// Self describes this host at the moment.
+	Self func() peer.Status
+	// Observe is told of every status heard, with the time its host could
+	// have sent it at the latest; nil if nobody listens.
+	Observe func(status peer.Status, at time.Time)
+	Ping    time.Duration
+	List    time.Duration
+}
+
+// heard is what is known of a host from pings.
+type heard struct {
+	status  peer.Status
+	at      time.Time // of the last status
+	failing time.Time // start of the present run of failed pings; zero if none
+}
+
+// Membership keeps the view up to date.
+type Membership struct {
+	options Options
+	view    atomic.Pointer[View]
+
+	mu     sync.Mutex // guards all below
+	listed []platform.Host
+	all    []platform.Host // whole list, endpoints too
+	heard  map[string]heard
+}
+
+// New returns a membership that knows only this host.
+func New(options Options) *Membership {
+	m := &Membership{options: options, heard: map[string]heard{}}
+	m.rebuild()
+	return m
+}
+
+// View returns the present picture.
+func (m *Membership) View() View { return *m.view.Load() }
+
+// Listed returns the platform's list as last read, endpoints included.
+func (m *Membership) Listed() []platform.Host {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.all
+}
+
+// Run reads the list and pings until the context ends.
+func (m *Membership) Run(ctx context.Context) {
+	var wait sync.WaitGroup
+	wait.Go(func() { every(ctx, m.options.List, m.ReadList) })
+	wait.Go(func() { every(ctx, m.options.Ping, m.PingAll) })
+	wait.Wait()
+}
+
+// every calls f at once and then once a period, with jitter.
+func every(ctx context.Context, period time.Duration, f func(context.Context)) {
+	for {
+		f(ctx)
+		jitter := time.Duration(rand.Int64N(int64(period)/5 + 1))
+		t := time.NewTimer(period - period/10 + jitter)
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return
+		case <-t.C:
+		}
+	}
+}
+
+// ReadList reads the platform's list; when it can't, the old one stays.
+func (m *Membership) ReadList(ctx context.Context) {
+	hosts, err := m.options.Hosts.List(ctx)
+	if err != nil {
+		return
+	}
+	entries := make([]platform.Host, 0, len(hosts))
+	for _, h := range hosts {
+		if h.Kind == platform.HostEntry {
+			entries = append(entries, h)
+		}
+	}
+	m.mu.Lock()
+	m.listed, m.all = entries, hosts
+	m.mu.Unlock()
+	m.rebuild()
+}
+
+// PingAll pings every watched host, all at once.
+func (m *Membership) PingAll(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, m.options.Ping)
+	defer cancel()
+	var wait sync.WaitGroup
+	for _, w := range m.View().Watched() {
+		wait.Go(func() { m.ping(ctx, w) })
+	}
+	wait.Wait()
+	m.rebuild()
+}
+
+func (m *Membership) ping(ctx context.Context, w Member) {
+	sent := time.Now()
+	status, err := m.options.Link.Ping(ctx, w.Address, m.options.Self())
+	if err != nil || status.Host != w.Host {
+		m.failed(w.Host)
+		return
+	}
+	m.hear(status, sent)
+}
+
+func (m *Membership) failed(host string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	h := m.heard[host]
+	if h.failing.IsZero() {
+		h.failing = time.Now()
+	}
+	m.heard[host] = h
+}
+
+// Answer takes in another host's ping and returns this host's status.
+func (m *Membership) Answer(status peer.Status) peer.Status {
+	m.hear(status, time.Now())
+	return m.options.Self()
+}
+
+// hear notes a status that is at least as old as the given time.
+func (m *Membership) hear(status peer.Status, at time.Time) {
+	m.mu.Lock()
+	known, ok := m.heard[status.Host]
+	m.heard[status.Host] = heard{status: status, at: time.Now()}
+	m.mu.Unlock()
+	if !ok || known.status.Incarnation != status.Incarnation || known.status.Draining != status.Draining {
+		m.rebuild()
+	}
+	if m.options.Observe != nil {
+		m.options.Observe(status, at)
+	}
+}
+
+// rebuild makes a new view from the list and what was heard.
+func (m *Membership) rebuild() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	self := m.options.Self()
+	members := map[string]Member{self.Host: memberOf(self, StateLive)}
+	for _, h := range m.listed {
+		if h.ID == self.Host {
+			continue
+		}
+		members[h.ID] = m.judge(h)
+	}
+	for host, h := range m.heard {
+		if _, ok := members[host]; ok {
+			continue
+		}
+		if time.Since(h.at) > forgetAfter*m.options.Ping {
+			if h.failing.IsZero() || time.Since(h.failing) > forgetAfter*m.options.Ping {
+				delete(m.heard, host)
+			}
+			continue
+		}
+		members[host] = memberOf(h.status, StateLive)
+	}
+	view := View{Self: self.Host, Members: make([]Member, 0, len(members))}
+	for _, member := range members {
+		view.Members = append(view.Members, member)
+	}
+	sort.Slice(view.Members, func(i, j int) bool { return view.Members[i].Host < view.Members[j].Host })
+	m.view.Store(&view)
+}
+
+// memberOf makes a member of a host's own words.
+func memberOf(s peer.Status, state State) Member {
+	if s.Draining {
+		state = StateDraining
+	}
+	return Member{
+		Host: s.Host, DataHall: s.DataHall, Region: s.Region, Address: s.Address,
+		State: state, Status: s,
+	}
+}
+
+// judge decides on a listed host; the caller holds mu.
+func (m *Membership) judge(listed platform.Host) Member {
+	h := m.heard[listed.ID]
+	member := Member{
+		Host: listed.ID, DataHall: listed.DataHall, Region: listed.Region,
+		Address: listed.Address, State: StateLive, Status: h.status,
+	}
+	switch {
+	case !h.failing.IsZero() && time.Since(h.failing) >= (suspectAfter-1)*m.options.Ping:
+		member.State = StateSuspect
+	case listed.State == platform.HostLeaving || h.status.Draining:
+		member.State = StateDraining
+	}
+	return member
+}
--- /dev/null
+++ b/internal/membership/view.go
@@ -0,0 +1,151 @@
+// Package membership knows which hosts of the router are live, draining or
+// suspected, from the platform's lagging list and from pings of its own.
+//
+// # Usage
+//
+//	m := membership.New(options)
+//	go m.Run(ctx)
+//	...
+//	owner := m.View().Owner("sweep-bills")
+//
+// A host watches all hosts of its own data hall and one of every other data
+// hall, so that the pings per host do not grow with the number of halls' hosts.
+// Nothing here is agreed: two hosts may differ for a while. What needs one
+// owner is guarded by a lease besides.
+package membership
+
+import (
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+
+	"quaybarrow/internal/peer"
+)
+
+// State is what this host believes of another.
+type State string
+
+// States of a member.
+const (
+	StateLive     State = "live"
+	StateDraining State = "draining"
+	StateSuspect  State = "suspect" // watched, and its pings fail
+)
+
+// Member is a host as this host sees it.
+type Member struct {
+	Host     string
+	DataHall string
+	Region   string
+	Address  string // for peers
+	State    State
+	Status   peer.Status // the last one heard; zero if none
+}
+
+// View is an immutable picture of all members, sorted by host.
+type View struct {
+	Self    string
+	Members []Member
+}
+
+// Member finds a host.
+func (v View) Member(host string) (Member, bool) {
+	for _, m := range v.Members {
+		if m.Host == host {
+			return m, true
+		}
+	}
+	return Member{}, false
+}
+
+// Live returns the members that may be given duties, self included.
+func (v View) Live() []Member {
+	live := make([]Member, 0, len(v.Members))
+	for _, m := range v.Members {
+		if m.State == StateLive {
+			live = append(live, m)
+		}
+	}
+	return live
+}
+
+// Others returns the members that are not suspected, without self. A draining
+// host still answers, so it is among them.
+func (v View) Others() []Member {
+	others := make([]Member, 0, len(v.Members))
+	for _, m := range v.Members {
+		if m.Host != v.Self && m.State != StateSuspect {
+			others = append(others, m)
+		}
+	}
+	return others
+}
+
+// Owner picks the host for a duty by rendezvous hashing over the live members.
+func (v View) Owner(duty string) string {
+	ranked := Rank(v.Live(), duty)
+	if len(ranked) == 0 {
+		return ""
+	}
+	return ranked[0].Host
+}
+
+// Rank orders members by their rendezvous weight for a key, highest first.
+func Rank(members []Member, key string) []Member {
+	ranked := append([]Member(nil), members...)
+	weights := make(map[string]uint64, len(ranked))
+	for _, m := range ranked {
+		weights[m.Host] = weight(m.Host, key)
+	}
+	sort.Slice(ranked, func(i, j int) bool {
+		a, b := weights[ranked[i].Host], weights[ranked[j].Host]
+		if a != b {
+			return a > b
+		}
+		return ranked[i].Host < ranked[j].Host
+	})
+	return ranked
+}
+
+// weight mixes a host and a key.
+func weight(host, key string) uint64 {
+	var d xxhash.Digest
+	_, _ = d.WriteString(host)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(key)
+	return d.Sum64()
+}
+
+// ByHall groups members by data hall.
+func ByHall(members []Member) map[string][]Member {
+	halls := map[string][]Member{}
+	for _, m := range members {
+		halls[m.DataHall] = append(halls[m.DataHall], m)
+	}
+	return halls
+}
+
+// Watched returns the members that self pings: its own data hall whole, and of
+// every other data hall the one that ranks highest for self.
+func (v View) Watched() []Member {
+	self, ok := v.Member(v.Self)
+	if !ok {
+		return v.Others()
+	}
+	var watched []Member
+	others := make([]Member, 0, len(v.Members))
+	for _, m := range v.Members {
+		switch {
+		case m.Host == v.Self:
+		case m.DataHall == self.DataHall:
+			watched = append(watched, m)
+		default:
+			others = append(others, m)
+		}
+	}
+	for _, hall := range ByHall(others) {
+		watched = append(watched, Rank(hall, v.Self)[0])
+	}
+	sort.Slice(watched, func(i, j int) bool { return watched[i].Host < watched[j].Host })
+	return watched
+}
--- /dev/null
+++ b/internal/order/order.go
@@ -0,0 +1,211 @@
+// Package order has engines load and unload versions, with orders that are
+// fenced by the epoch of the lease under which they are given.
+//
+// # Usage
+//
+//	reconciler := order.New(options)
+//	leases.Run(ctx, order.Duty(hall), reconciler.Run(hall))
+//
+// Orders follow from the configuration and the engines' reports, so nothing has
+// to be remembered: a withdrawn version that an engine still has is unloaded,
+// as a second line behind the hosts' own refusal, and a version in roll-out that
+// too few engines have is loaded, one engine at a time.
+package order
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sort"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"quaybarrow/internal/config"
+	"quaybarrow/internal/declare"
+	"quaybarrow/internal/endpoint"
+	"quaybarrow/internal/lease"
+	"quaybarrow/internal/platform"
+)
+
+// Bounds of the reconciliation.
+const (
+	period       = 2 * time.Second
+	orderTimeout = 30 * time.Second
+	fewest       = 2 // engines in a data hall that should have a canary version
+)
+
+// Action is what an order asks for.
+type Action string
+
+// Actions.
+const (
+	ActionLoad   Action = "load"
+	ActionUnload Action = "unload"
+)
+
+// Order is an order to one engine.
+type Order struct {
+	Epoch   int64  `json:"epoch"`
+	Action  Action `json:"action"`
+	Version string `json:"version"`
+	engine  platform.Host
+}
+
+// Duty names the lease of a data hall's orders.
+func Duty(hall string) string { return "engine-orders/" + hall }
+
+// Options set up a Reconciler.
+type Options struct {
+	Config    *config.Holder
+	List      func() []platform.Host
+	Fetch     endpoint.Fetcher
+	Transport http.RoundTripper
+	// Length is the lease's; an engine that does not check epochs gets its
+	// first order only when the holder before must have stopped for that long.
+	Length time.Duration
+}
+
+// Reconciler gives the orders of the data halls that this host owns.
+type Reconciler struct{ options Options }
+
+// New returns a reconciler.
+func New(options Options) *Reconciler { return &Reconciler{options: options} }
+
+// Run gives the orders of a data hall while the lease is held. It first waits
+// for as long as an order of the holder before may still take.
+func (r *Reconciler) Run(hall string) lease.Duty {
+	return func(ctx context.Context, l *lease.Lease) {
+		for l.Valid() && ctx.Err() == nil {
+			r.Once(ctx, l, hall)
+			sleep(ctx, period)
+		}
+	}
+}
+
+// reported is an engine with its report.
+type reported struct {
+	host   platform.Host
+	report endpoint.Report
+}
+
+// Once compares what engines have with what they should have, and gives the
+// orders that follow.
+func (r *Reconciler) Once(ctx context.Context, l *lease.Lease, hall string) {
+	snapshot := r.options.Config.Current()
+	if snapshot == nil {
+		return
+	}
+	var engines []reported
+	for _, h := range r.options.List() {
+		if h.Kind != platform.HostEngine || h.DataHall != hall || h.State != platform.HostLive {
+			continue
+		}
+		report, err := r.options.Fetch(ctx, h.Address)
+		if err == nil {
+			engines = append(engines, reported{h, report})
+		}
+	}
+	for _, o := range orders(snapshot, engines) {
+		if !l.Valid() || ctx.Err() != nil {
+			return
+		}
+		o.Epoch = l.Epoch()
+		// A refused or lost order is given again at the next comparison.
+		_ = r.send(ctx, o)
+	}
+}
+
+// orders decides which orders follow from the configuration and the reports.
+func orders(snapshot *config.Snapshot, engines []reported) []Order {
+	var list []Order
+	have := map[string]int{}
+	for _, e := range engines {
+		for _, v := range e.report.Versions {
+			have[v]++
+			if snapshot.State(declare.ParseRef(v)) == declare.StateWithdrawn {
+				list = append(list, Order{Action: ActionUnload, Version: v, engine: e.host})
+			}
+		}
+	}
+	for _, m := range snapshot.Revision().Declarations.Models {
+		for _, v := range m.Versions {
+			name := declare.Ref{Model: m.Name, Version: v.Name}.String()
+			if v.State != declare.StateCanary || have[name] >= min(fewest, len(engines)) {
+				continue
+			}
+			if e, ok := leastLoaded(engines, name); ok {
+				list = append(list, Order{Action: ActionLoad, Version: name, engine: e.host})
+			}
+		}
+	}
+	return list
+}
+
+// leastLoaded finds the engine with the least work that lacks a version.
+func leastLoaded(engines []reported, version string) (reported, bool) {
+	candidates := engines[:0:0]
+	for _, e := range engines {
+		if !has(e.report.Versions, version) && !e.report.Draining {
+			candidates = append(candidates, e)
+		}
+	}
+	if len(candidates) == 0 {
+		return reported{}, false
+	}
+	sort.Slice(candidates, func(i, j int) bool {
+		a, b := candidates[i], candidates[j]
+		if a.report.Running != b.report.Running {
+			return a.report.Running < b.report.Running
+		}
+		return a.host.ID < b.host.ID
+	})
+	return candidates[0], true
+}
+
+func has(versions []string, version string) bool {
+	for _, v := range versions {
+		if v == version {
+			return true
+		}
+	}
+	return false
+}
+
+// send gives one order.
+func (r *Reconciler) send(ctx context.Context, o Order) error {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	body, err := json.Marshal(o)
+	if err != nil {
+		return fmt.Errorf("encode order: %w", err)
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+o.engine.Address+"/v1/orders", bytes.NewReader(body))
+	if err != nil {
+		return fmt.Errorf("build order: %w", err)
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := r.options.Transport.RoundTrip(request)
+	if err != nil {
+		return fmt.Errorf("order %s to %s: %w", o.Action, o.engine.ID, err)
+	}
+	_ = response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return errors.Errorf("order %s to %s: status %d", o.Action, o.engine.ID, response.StatusCode)
+	}
+	return nil
+}
+
+// sleep waits; false if the context ends first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/peer/local.go
@@ -0,0 +1,127 @@
+package peer
+
+import (
+	"context"
+	"sync"
+)
+
+// Local joins hosts of one process without a network: for tests and for
+// measurements of many hosts. Links can be cut per pair of hosts.
+type Local struct {
+	mu       sync.Mutex // guards all below
+	handlers map[string]Handler
+	cuts     map[cutPair]bool
+	messages int64
+}
+
+// cutPair is a direction between two addresses.
+type cutPair struct{ from, to string }
+
+// NewLocal returns a network without hosts.
+func NewLocal() *Local {
+	return &Local{handlers: map[string]Handler{}, cuts: map[cutPair]bool{}}
+}
+
+// Serve answers at an address; a nil handler closes it.
+func (l *Local) Serve(address string, h Handler) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if h == nil {
+		delete(l.handlers, address)
+		return
+	}
+	l.handlers[address] = h
+}
+
+// Cut breaks or mends both directions between two addresses.
+func (l *Local) Cut(a, b string, on bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cuts[cutPair{a, b}] = on
+	l.cuts[cutPair{b, a}] = on
+}
+
+// Messages counts the calls that got through.
+func (l *Local) Messages() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.messages
+}
+
+// Link returns the link of the host at an address.
+func (l *Local) Link(from string) Link { return localLink{network: l, from: from} }
+
+// localLink implements Link by direct calls.
+type localLink struct {
+	network *Local
+	from    string
+}
+
+// to finds the handler of an address that can be reached.
+func (k localLink) to(ctx context.Context, address string) (Handler, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
+	k.network.mu.Lock()
+	defer k.network.mu.Unlock()
+	h, ok := k.network.handlers[address]
+	if !ok || k.network.cuts[cutPair{k.from, address}] {
+		return nil, ErrUnreachable
+	}
+	k.network.messages++
+	return h, nil
+}
+
+// Ping implements Link.
+func (k localLink) Ping(ctx context.Context, address string, status Status) (Status, error) {
+	h, err := k.to(ctx, address)
+	if err != nil {
+		return Status{}, err
+	}
+	return h.Ping(ctx, status)
+}
+
+// Fetch implements Link.
+func (k localLink) Fetch(ctx context.Context, address string, above int64) (RevisionMessage, error) {
+	h, err := k.to(ctx, address)
+	if err != nil {
+		return RevisionMessage{}, err
+	}
+	return h.Fetch(ctx, above)
+}
+
+// Push implements Link.
+func (k localLink) Push(ctx context.Context, address string, push Push) ([]Confirmation, error) {
+	h, err := k.to(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return h.Push(ctx, push)
+}
+
+// Hold implements Link.
+func (k localLink) Hold(ctx context.Context, address string, hold Hold) error {
+	h, err := k.to(ctx, address)
+	if err != nil {
+		return err
+	}
+	return h.Hold(ctx, hold)
+}
+
+// Grant implements Link.
+func (k localLink) Grant(ctx context.Context, address string, grant Grant) error {
+	h, err := k.to(ctx, address)
+	if err != nil {
+		return err
+	}
+	return h.Grant(ctx, grant)
+}
+
+// Show implements Link.
+func (k localLink) Show(ctx context.Context, address string, query Query) (Reply, error) {
+	h, err := k.to(ctx, address)
+	if err != nil {
+		return Reply{}, err
+	}
+	return h.Show(ctx, query)
+}
--- /dev/null
+++ b/internal/peer/rpc/link.go
@@ -0,0 +1,145 @@
+package rpc
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/encoding/gzip"
+	"google.golang.org/grpc/status"
+
+	"quaybarrow/internal/peer"
+	"quaybarrow/internal/peer/peerpb"
+)
+
+// Reconnection of a link.
+const (
+	firstBackoff   = 200 * time.Millisecond
+	longestBackoff = 3 * time.Second
+	connectTimeout = 2 * time.Second
+)
+
+// Link sends messages to other hosts over gRPC; it implements peer.Link.
+type Link struct {
+	credentials credentials.TransportCredentials
+
+	mu    sync.Mutex // guards conns
+	conns map[string]*grpc.ClientConn
+}
+
+// NewLink returns a link without connections; they are made when needed.
+func NewLink(c credentials.TransportCredentials) *Link {
+	return &Link{credentials: c, conns: map[string]*grpc.ClientConn{}}
+}
+
+// Close ends all connections.
+func (l *Link) Close() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for address, c := range l.conns {
+		_ = c.Close()
+		delete(l.conns, address)
+	}
+	return nil
+}
+
+// client returns the client of an address.
+func (l *Link) client(address string) (peerpb.PeerClient, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c, ok := l.conns[address]; ok {
+		return peerpb.NewPeerClient(c), nil
+	}
+	c, err := grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(l.credentials),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff:           backoff.Config{BaseDelay: firstBackoff, Multiplier: 1.6, Jitter: 0.2, MaxDelay: longestBackoff},
+			MinConnectTimeout: connectTimeout,
+		}))
+	if err != nil {
+		return nil, fmt.Errorf("connect to %s: %w", address, err)
+	}
+	l.conns[address] = c
+	return peerpb.NewPeerClient(c), nil
+}
+
+// Forget closes the connections to hosts that are no longer there.
+func (l *Link) Forget(keep func(address string) bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for address, c := range l.conns {
+		if !keep(address) {
+			_ = c.Close()
+			delete(l.conns, address)
+		}
+	}
+}
+
+// errorOf makes a peer error of a gRPC one.
+func errorOf(address string, err error) error {
+	if status.Code(err) == codes.FailedPrecondition {
+		return fmt.Errorf("ask %s: %w", address, peer.ErrRefused)
+	}
+	return fmt.Errorf("ask %s: %w: %w", address, peer.ErrUnreachable, err)
+}
+
+// ask makes one call and converts its reply.
+func ask[Request, WireReply, Reply any](
+	ctx context.Context, l *Link, address string, request Request,
+	call func(peerpb.PeerClient, context.Context, Request, ...grpc.CallOption) (WireReply, error),
+	convert func(WireReply) Reply, options ...grpc.CallOption,
+) (Reply, error) {
+	var none Reply
+	client, err := l.client(address)
+	if err != nil {
+		return none, err
+	}
+	reply, err := call(client, ctx, request, options...)
+	if err != nil {
+		return none, errorOf(address, err)
+	}
+	return convert(reply), nil
+}
+
+// Ping implements peer.Link.
+func (l *Link) Ping(ctx context.Context, address string, s peer.Status) (peer.Status, error) {
+	return ask(ctx, l, address, statusToWire(s), peerpb.PeerClient.Ping, statusFromWire)
+}
+
+// Fetch implements peer.Link.
+func (l *Link) Fetch(ctx context.Context, address string, above int64) (peer.RevisionMessage, error) {
+	request := &peerpb.FetchRequest{Above: above}
+	return ask(ctx, l, address, request, peerpb.PeerClient.Fetch, revisionFromWire, grpc.UseCompressor(gzip.Name))
+}
+
+// Push implements peer.Link.
+func (l *Link) Push(ctx context.Context, address string, push peer.Push) ([]peer.Confirmation, error) {
+	return ask(ctx, l, address, pushToWire(push), peerpb.PeerClient.Push, confirmationsFromWire, grpc.UseCompressor(gzip.Name))
+}
+
+// nothing converts a reply without content.
+func nothing(*peerpb.Empty) struct{} { return struct{}{} }
+
+// Hold implements peer.Link.
+func (l *Link) Hold(ctx context.Context, address string, hold peer.Hold) error {
+	_, err := ask(ctx, l, address, holdToWire(hold), peerpb.PeerClient.Hold, nothing)
+	return err
+}
+
+// Grant implements peer.Link.
+func (l *Link) Grant(ctx context.Context, address string, grant peer.Grant) error {
+	_, err := ask(ctx, l, address, grantToWire(grant), peerpb.PeerClient.Grant, nothing)
+	return err
+}
+
+// Show implements peer.Link.
+func (l *Link) Show(ctx context.Context, address string, query peer.Query) (peer.Reply, error) {
+	convert := func(r *peerpb.ShowReply) peer.Reply { return peer.Reply{Data: r.GetData()} }
+	return ask(ctx, l, address, queryToWire(query), peerpb.PeerClient.Show, convert, grpc.UseCompressor(gzip.Name))
+}
--- /dev/null
+++ b/internal/peer/rpc/server.go
@@ -0,0 +1,97 @@
+// Package rpc is the gRPC adapter of the messages between hosts.
+//
+// # Usage
+//
+//	server := rpc.NewServer(handler, credentials)
+//	go server.Serve(listener)
+//	link := rpc.NewLink(credentials)
+//	defer link.Close()
+package rpc
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials"
+	_ "google.golang.org/grpc/encoding/gzip" // large revisions travel compressed
+	"google.golang.org/grpc/status"
+
+	"quaybarrow/internal/peer"
+	"quaybarrow/internal/peer/peerpb"
+)
+
+// maxMessageBytes bounds a message.
+const maxMessageBytes = 16 << 20
+
+// NewServer returns a gRPC server that hands messages to a handler.
+func NewServer(h peer.Handler, c credentials.TransportCredentials) *grpc.Server {
+	server := grpc.NewServer(grpc.Creds(c), grpc.MaxRecvMsgSize(maxMessageBytes))
+	peerpb.RegisterPeerServer(server, &handler{to: h})
+	return server
+}
+
+// handler implements peerpb.PeerServer.
+type handler struct {
+	peerpb.UnimplementedPeerServer
+	to peer.Handler
+}
+
+// answer converts what a handler returned.
+func answer[T, Wire any](value T, err error, convert func(T) Wire) (Wire, error) {
+	if err != nil {
+		var none Wire
+		return none, statusOf(err)
+	}
+	return convert(value), nil
+}
+
+// statusOf makes a gRPC status of an error.
+func statusOf(err error) error {
+	if errors.Is(err, peer.ErrRefused) {
+		return status.Error(codes.FailedPrecondition, err.Error())
+	}
+	return status.Error(codes.Unavailable, err.Error())
+}
+
+// Ping implements peerpb.PeerServer.
+func (h *handler) Ping(ctx context.Context, r *peerpb.Status) (*peerpb.Status, error) {
+	s, err := h.to.Ping(ctx, statusFromWire(r))
+	return answer(s, err, statusToWire)
+}
+
+// Fetch implements peerpb.PeerServer.
+func (h *handler) Fetch(ctx context.Context, r *peerpb.FetchRequest) (*peerpb.RevisionMessage, error) {
+	m, err := h.to.Fetch(ctx, r.GetAbove())
+	return answer(m, err, revisionToWire)
+}
+
+// Push implements peerpb.PeerServer.
+func (h *handler) Push(ctx context.Context, r *peerpb.PushRequest) (*peerpb.PushReply, error) {
+	c, err := h.to.Push(ctx, pushFromWire(r))
+	return answer(c, err, confirmationsToWire)
+}
+
+// Hold implements peerpb.PeerServer.
+func (h *handler) Hold(ctx context.Context, r *peerpb.HoldRequest) (*peerpb.Empty, error) {
+	return empty(h.to.Hold(ctx, holdFromWire(r)))
+}
+
+// Grant implements peerpb.PeerServer.
+func (h *handler) Grant(ctx context.Context, r *peerpb.GrantRequest) (*peerpb.Empty, error) {
+	return empty(h.to.Grant(ctx, grantFromWire(r)))
+}
+
+// Show implements peerpb.PeerServer.
+func (h *handler) Show(ctx context.Context, r *peerpb.ShowRequest) (*peerpb.ShowReply, error) {
+	reply, err := h.to.Show(ctx, queryFromWire(r))
+	return answer(reply, err, func(r peer.Reply) *peerpb.ShowReply { return &peerpb.ShowReply{Data: r.Data} })
+}
+
+func empty(err error) (*peerpb.Empty, error) {
+	if err != nil {
+		return nil, statusOf(err)
+	}
+	return &peerpb.Empty{}, nil
+}
--- /dev/null
+++ b/internal/pipeline/call.go
@@ -0,0 +1,87 @@
+package pipeline
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"quaybarrow/internal/billing"
+	"quaybarrow/internal/dispatch"
+	"quaybarrow/internal/once"
+	"quaybarrow/internal/problem"
+)
+
+// call sends a service call, under a claim if it may not be repeated.
+func (p *Pipeline) call(ctx context.Context, in openedCall) (once.Result, error) {
+	if in.call.Repeatable || in.in.IdempotencyKey == "" && in.in.RequestID == "" {
+		outcome, err := p.send(ctx, in)
+		return once.Result{Run: problem.Ran, Outcome: outcome}, err
+	}
+	var failure error
+	result, err := p.options.Guard.Do(ctx, in.claim(), func(ctx context.Context) once.Attempt {
+		// The caller may leave; the outcome is still wanted for its repeat.
+		detached, cancel := context.WithTimeout(context.WithoutCancel(ctx), p.options.Longest)
+		defer cancel()
+		outcome, err := p.send(detached, in)
+		failure = err
+		if err != nil {
+			return once.Attempt{Run: problem.Of(err).Run}
+		}
+		return once.Attempt{Run: problem.Ran, Outcome: outcome}
+	})
+	if err != nil {
+		return once.Result{}, claimProblem(err)
+	}
+	if failure != nil {
+		return once.Result{}, failure
+	}
+	return result, nil
+}
+
+// claim names the call for its claim.
+func (c openedCall) claim() once.Call {
+	key := c.in.IdempotencyKey
+	if key == "" {
+		key = c.in.RequestID
+	}
+	return once.Call{
+		Workspace: c.workspace.Name, Service: c.service.Name, Name: c.ask.call.Name,
+		Key: key, Body: c.in.Body, RequestID: c.requestID,
+	}
+}
+
+// send makes the dispatch and charges it.
+func (p *Pipeline) send(ctx context.Context, in openedCall) (once.Outcome, error) {
+	answer, err := p.options.Dispatcher.Call(ctx, dispatch.Call{
+		ID: in.requestID, Service: in.service.Name, Name: in.ask.call.Name, Method: in.in.Method,
+		ContentType: in.in.ContentType, Body: in.in.Body, Repeatable: in.ask.call.Repeatable,
+		Attempted: in.attempted,
+	})
+	if err != nil {
+		return once.Outcome{}, err
+	}
+	in.charge(billing.Usage{Attempts: 1})
+	return once.Outcome{Status: answer.Status, ContentType: answer.ContentType, Body: answer.Body}, nil
+}
+
+// underWayRetry is when a repeat of a call under way should come back.
+const underWayRetry = 2 * time.Second
+
+// claimProblem tells a caller why its call was not dispatched.
+func claimProblem(err error) error {
+	switch {
+	case errors.Is(err, once.ErrNotClaimed):
+		return storeAway(err, "the call can't be claimed, so it was not sent")
+	case errors.Is(err, once.ErrUnderWay):
+		return problem.New(http.StatusConflict, problem.CodeUnderWay, problem.Unknown,
+			"an earlier call with this key is under way").WithRetryAfter(underWayRetry)
+	case errors.Is(err, once.ErrOtherBody):
+		return problem.New(http.StatusUnprocessableEntity, problem.CodeKeyReused, problem.NotRun,
+			"the Idempotency-Key was used for another body; this body was not sent")
+	default:
+		return problem.New(http.StatusConflict, problem.CodeOutcomeUnknown, problem.Unknown,
+			"an earlier call with this key may have run; look it up in the service before a new key").WithCause(err)
+	}
+}
--- /dev/null
+++ b/internal/platform/httpapi/httpapi.go
@@ -0,0 +1,176 @@
+// Package httpapi is the adapter of the platform ports to JSON over HTTP, the
+// protocol that the project's own platform stand-in serves.
+//
+// # Usage
+//
+//	client := httpapi.NewClient("http://10.0.0.5:7070", http.DefaultTransport)
+//	row, err := client.Get(ctx, "config", "head")
+//
+// A platform with another protocol needs another adapter and nothing else.
+package httpapi
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"quaybarrow/internal/platform"
+)
+
+// Paths of the protocol.
+const (
+	PathGet     = "/v1/tables/get"
+	PathScan    = "/v1/tables/scan"
+	PathCommit  = "/v1/tables/commit"
+	PathHosts   = "/v1/hosts"
+	PathRatings = "/v1/ratings"
+)
+
+// Limits of one exchange.
+const (
+	maxReplyBytes  = 16 << 20
+	requestTimeout = 3 * time.Second
+)
+
+// GetRequest asks for one row.
+type GetRequest struct {
+	Table string `json:"table"`
+	Key   string `json:"key"`
+}
+
+// ScanRequest asks for a range of rows.
+type ScanRequest struct {
+	Table  string `json:"table"`
+	Prefix string `json:"prefix"`
+	After  string `json:"after"`
+	Limit  int    `json:"limit"`
+}
+
+// WireRow is a row on the wire.
+type WireRow struct {
+	Key     string `json:"key"`
+	Value   []byte `json:"value"`
+	Version int64  `json:"version"`
+}
+
+// RowsReply answers a get or a scan.
+type RowsReply struct {
+	Rows []WireRow `json:"rows"`
+}
+
+// HostsReply answers a request for the host list.
+type HostsReply struct {
+	Hosts []platform.Host `json:"hosts"`
+}
+
+// RatingsRequest asks for ratings past a sequence.
+type RatingsRequest struct {
+	After int64 `json:"after"`
+	Limit int   `json:"limit"`
+}
+
+// RatingsReply answers with ratings in order.
+type RatingsReply struct {
+	Ratings []platform.Rating `json:"ratings"`
+}
+
+// Empty is a request or reply without content.
+type Empty struct{}
+
+// Client implements the platform ports.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// NewClient returns a client of the platform at a base URL.
+func NewClient(base string, transport http.RoundTripper) *Client {
+	return &Client{base: base, http: &http.Client{Transport: transport, Timeout: requestTimeout}}
+}
+
+// call posts a request and decodes the reply; its errors are the ports'.
+func call[Req, Reply any](ctx context.Context, c *Client, path string, request Req) (Reply, error) {
+	var reply Reply
+	body, err := json.Marshal(request)
+	if err != nil {
+		return reply, fmt.Errorf("encode %s: %w", path, err)
+	}
+	httpRequest, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return reply, fmt.Errorf("build %s: %w", path, err)
+	}
+	response, err := c.http.Do(httpRequest)
+	if err != nil {
+		return reply, fmt.Errorf("call %s: %w: %w", path, platform.ErrUnavailable, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if err := errorOf(response.StatusCode); err != nil {
+		return reply, fmt.Errorf("call %s: %w", path, err)
+	}
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxReplyBytes)).Decode(&reply); err != nil {
+		return reply, fmt.Errorf("read %s: %w: %w", path, platform.ErrUnavailable, err)
+	}
+	return reply, nil
+}
+
+func errorOf(status int) error {
+	switch status {
+	case http.StatusOK:
+		return nil
+	case http.StatusNotFound:
+		return platform.ErrNotFound
+	case http.StatusConflict:
+		return platform.ErrConflict
+	case http.StatusTooManyRequests:
+		return platform.ErrThrottled
+	default:
+		return platform.ErrUnavailable
+	}
+}
+
+// Get implements platform.Tables.
+func (c *Client) Get(ctx context.Context, table, key string) (platform.Row, error) {
+	reply, err := call[GetRequest, RowsReply](ctx, c, PathGet, GetRequest{Table: table, Key: key})
+	if err != nil {
+		return platform.Row{}, err
+	}
+	if len(reply.Rows) != 1 {
+		return platform.Row{}, fmt.Errorf("get %s/%s: %w: %d rows in the reply", table, key, platform.ErrUnavailable, len(reply.Rows))
+	}
+	return platform.Row(reply.Rows[0]), nil
+}
+
+// Scan implements platform.Tables.
+func (c *Client) Scan(ctx context.Context, r platform.Range) ([]platform.Row, error) {
+	reply, err := call[ScanRequest, RowsReply](ctx, c, PathScan, ScanRequest(r))
+	if err != nil {
+		return nil, err
+	}
+	rows := make([]platform.Row, len(reply.Rows))
+	for i, row := range reply.Rows {
+		rows[i] = platform.Row(row)
+	}
+	return rows, nil
+}
+
+// Commit implements platform.Tables.
+func (c *Client) Commit(ctx context.Context, txn platform.Transaction) error {
+	_, err := call[platform.Transaction, Empty](ctx, c, PathCommit, txn)
+	return err
+}
+
+// List implements platform.Hosts.
+func (c *Client) List(ctx context.Context) ([]platform.Host, error) {
+	reply, err := call[Empty, HostsReply](ctx, c, PathHosts, Empty{})
+	return reply.Hosts, err
+}
+
+// After implements platform.Ratings.
+func (c *Client) After(ctx context.Context, sequence int64, limit int) ([]platform.Rating, error) {
+	reply, err := call[RatingsRequest, RatingsReply](ctx, c, PathRatings, RatingsRequest{After: sequence, Limit: limit})
+	return reply.Ratings, err
+}
--- /dev/null
+++ b/internal/rollout/controller.go
@@ -0,0 +1,279 @@
+package rollout
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"quaybarrow/internal/codec"
+	"quaybarrow/internal/config"
+	"quaybarrow/internal/declare"
+	"quaybarrow/internal/lease"
+	"quaybarrow/internal/membership"
+	"quaybarrow/internal/peer"
+	"quaybarrow/internal/platform"
+)
+
+// TablePlans holds the states of plans.
+const TablePlans = "plan"
+
+// Bounds of a controller's work.
+const (
+	stepEvery    = time.Second
+	ratingsAtOne = 500
+	grantTimeout = time.Second
+)
+
+// Mover changes a version's state in the configuration, for a reason. Moving a
+// version to where it is already is no error.
+type Mover func(ctx context.Context, ref declare.Ref, to declare.State, commandID, reason string) error
+
+// Options set up a Controller.
+type Options struct {
+	Tables  platform.Tables
+	Ratings platform.Ratings
+	Config  *config.Holder
+	Leases  *lease.Manager
+	Link    peer.Link
+	View    func() membership.View
+	Move    Mover
+	// GrantSelf takes the credits meant for this host.
+	GrantSelf func(peer.Grant)
+	// Ready reports whether some endpoint serves a version.
+	Ready func(declare.Ref) bool
+}
+
+// Controller runs the plans that this host owns.
+type Controller struct{ options Options }
+
+// NewController returns a controller.
+func NewController(options Options) *Controller { return &Controller{options: options} }
+
+// Run competes for every declared plan until the context ends.
+func (c *Controller) Run(ctx context.Context) {
+	var wait sync.WaitGroup
+	running := map[string]context.CancelFunc{}
+	for ctx.Err() == nil {
+		wanted := c.plans()
+		for name := range wanted {
+			if _, ok := running[name]; ok {
+				continue
+			}
+			planContext, cancel := context.WithCancel(ctx)
+			running[name] = cancel
+			wait.Go(func() {
+				c.options.Leases.Run(planContext, "rollout/"+name, func(ctx context.Context, l *lease.Lease) {
+					c.control(ctx, l, name)
+				})
+			})
+		}
+		for name, cancel := range running {
+			if !wanted[name] {
+				cancel()
+				delete(running, name)
+			}
+		}
+		sleep(ctx, stepEvery)
+	}
+	for _, cancel := range running {
+		cancel()
+	}
+	wait.Wait()
+}
+
+// plans names the plans whose version is in roll-out or in service.
+func (c *Controller) plans() map[string]bool {
+	snapshot := c.options.Config.Current()
+	names := map[string]bool{}
+	if snapshot == nil {
+		return names
+	}
+	for _, p := range snapshot.Revision().Declarations.Plans {
+		state := snapshot.State(declare.ParseRef(p.Version))
+		if state == declare.StateCanary || state == declare.StateServing {
+			names[p.Name] = true
+		}
+	}
+	return names
+}
+
+// control steps a plan while the lease is held.
+func (c *Controller) control(ctx context.Context, l *lease.Lease, name string) {
+	for l.Valid() && ctx.Err() == nil {
+		if err := c.Step(ctx, l, name); errors.Is(err, platform.ErrConflict) {
+			return // the fence or the row says that another controls the plan
+		}
+		sleep(ctx, stepEvery)
+	}
+}
+
+// Step takes one step of a plan: ratings in, verdict, credits out.
+func (c *Controller) Step(ctx context.Context, l *lease.Lease, name string) error {
+	snapshot := c.options.Config.Current()
+	plan, ok := snapshot.Revision().Declarations.Plan(name)
+	if !ok {
+		return nil
+	}
+	state, row, err := c.load(ctx, plan)
+	if err != nil {
+		return err
+	}
+	ref := declare.ParseRef(plan.Version)
+	state = follow(state, snapshot.State(ref))
+	if state.Phase == PhaseWithdrawn {
+		return nil
+	}
+	ratings, cursor, err := c.ratings(ctx, state)
+	if err != nil {
+		return err
+	}
+	next, action := Step(state, plan, ratings, time.Now().UTC())
+	next.Cursor, next.Epoch = cursor, l.Epoch()
+	if err := c.act(ctx, ref, next, action); err != nil {
+		return err
+	}
+	room := int64(0)
+	if !plan.Held && c.options.Ready(ref) {
+		room = next.Room()
+	}
+	if room > 0 {
+		next = next.WithGrant(room, time.Now().UTC())
+	}
+	if err := c.save(ctx, l, row, next); err != nil {
+		return err
+	}
+	if room > 0 {
+		c.grant(ctx, l, next, int(room))
+	}
+	return nil
+}
+
+// follow takes over what an operator did to the version meanwhile.
+func follow(s State, now declare.State) State {
+	switch {
+	case now == declare.StateServing && s.Phase == PhaseRunning:
+		return s.WithPhase(PhaseAccepted, "an operator put the version into service")
+	case now == declare.StateWithdrawn || now == declare.StateRetired:
+		return s.WithPhase(PhaseWithdrawn, "an operator took the version out")
+	default:
+		return s
+	}
+}
+
+// load reads a plan's state, or starts it.
+func (c *Controller) load(ctx context.Context, plan declare.Plan) (State, platform.Row, error) {
+	row, err := c.options.Tables.Get(ctx, TablePlans, plan.Name)
+	if errors.Is(err, platform.ErrNotFound) {
+		return NewState(plan, time.Now().UTC()), platform.Row{Key: plan.Name}, nil
+	}
+	if err != nil {
+		return State{}, platform.Row{}, fmt.Errorf("load plan %s: %w", plan.Name, err)
+	}
+	s, err := codec.Decode[State](row.Value)
+	if err != nil {
+		return State{}, platform.Row{}, fmt.Errorf("load plan %s: %w", plan.Name, err)
+	}
+	if s.Version != plan.Version {
+		s = NewState(plan, time.Now().UTC()) // the plan was declared anew
+	}
+	return s, row, nil
+}
+
+// save writes a plan's state under the lease's fence.
+func (c *Controller) save(ctx context.Context, l *lease.Lease, row platform.Row, s State) error {
+	data, err := codec.Encode(s)
+	if err != nil {
+		return err
+	}
+	err = c.options.Tables.Commit(ctx, l.Fenced(platform.Transaction{
+		Conditions: []platform.Condition{platform.AtVersion(TablePlans, row)},
+		Writes:     []platform.Write{platform.Put(TablePlans, s.Plan, data)},
+	}))
+	if err != nil {
+		return fmt.Errorf("save plan %s: %w", s.Plan, err)
+	}
+	return nil
+}
+
+// ratings reads the ratings of the plan's version past its cursor.
+func (c *Controller) ratings(ctx context.Context, s State) ([]float64, int64, error) {
+	all, err := c.options.Ratings.After(ctx, s.Cursor, ratingsAtOne)
+	if err != nil {
+		return nil, 0, fmt.Errorf("read ratings: %w", err)
+	}
+	cursor := s.Cursor
+	var scores []float64
+	for _, r := range all {
+		cursor = r.Sequence
+		if r.Version == s.Version {
+			scores = append(scores, r.Score)
+		}
+	}
+	return scores, cursor, nil
+}
+
+// act carries a verdict out before the state is saved: if this host dies in
+// between, the next one comes to the same verdict and finds it carried out.
+func (c *Controller) act(ctx context.Context, ref declare.Ref, s State, a Action) error {
+	id := fmt.Sprintf("plan/%s/%s/%s", s.Plan, s.Version, a)
+	switch a {
+	case ActionAccept:
+		return c.options.Move(ctx, ref, declare.StateServing, id, s.Reason)
+	case ActionWithdraw:
+		return c.options.Move(ctx, ref, declare.StateWithdrawn, id, s.Reason)
+	default:
+		return nil
+	}
+}
+
+// Split divides credits over hosts as evenly as they go; the serial decides who
+// gets one more, so that the rest wanders.
+func Split(credits, hosts int, serial int64) []int {
+	shares := make([]int, hosts)
+	for i := range shares {
+		shares[i] = credits / hosts
+	}
+	for i := range credits % hosts {
+		shares[(int(serial)+i)%hosts]++
+	}
+	return shares
+}
+
+// grant sends credits to the live hosts. What does not arrive is not granted
+// again: it expires like an answer that is never rated.
+func (c *Controller) grant(ctx context.Context, l *lease.Lease, s State, credits int) {
+	hosts := c.options.View().Live()
+	if len(hosts) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, grantTimeout)
+	defer cancel()
+	var wait sync.WaitGroup
+	for i, share := range Split(credits, len(hosts), s.Serial) {
+		if share == 0 {
+			continue
+		}
+		g := peer.Grant{Plan: grantName(s.Plan, s.Version), Epoch: l.Epoch(), Serial: s.Serial, Credits: share}
+		if hosts[i].Host == c.options.View().Self {
+			c.options.GrantSelf(g)
+			continue
+		}
+		wait.Go(func() { _ = c.options.Link.Grant(ctx, hosts[i].Address, g) })
+	}
+	wait.Wait()
+}
+
+// sleep waits; false if the context ends first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/rollout/step.go
@@ -0,0 +1,199 @@
+package rollout
+
+import (
+	"math"
+	"time"
+
+	"quaybarrow/internal/declare"
+)
+
+// Phase is how far a plan has come.
+type Phase string
+
+// Phases of a plan.
+const (
+	PhaseRunning   Phase = "running"
+	PhaseHeld      Phase = "held" // by an operator
+	PhaseAccepted  Phase = "accepted"
+	PhaseWithdrawn Phase = "withdrawn"
+)
+
+// Action is what a step asks for.
+type Action string
+
+// Actions of a step.
+const (
+	ActionNone     Action = ""
+	ActionAccept   Action = "accept"   // the version goes into service
+	ActionWithdraw Action = "withdraw" // it is bad
+)
+
+// Error rates of the decisions.
+const (
+	falseStop    = 0.01  // of a version whose mean is at the floor or above
+	falseAccept  = 0.05  // of a version whose mean is below the floor
+	falseAlarm   = 0.001 // per rating, of a version in service
+	suspicion    = 3     // wealth at which the window closes to its first size
+	growth       = 2.0   // window added per rating in the version's favour
+	shrink       = 0.5   // of the window, per rating against it
+	maxWindow    = 100_000
+	ratingExpiry = 30 * time.Minute // an answer unrated for so long is not waited for
+)
+
+// State is a plan as stored; Step returns new ones.
+type State struct {
+	Plan    string    `json:"plan"`
+	Version string    `json:"version"`
+	Phase   Phase     `json:"phase"`
+	Epoch   int64     `json:"epoch"` // of the controller that wrote it
+	Window  float64   `json:"window"`
+	Granted int64     `json:"granted"`           // credits ever given to hosts
+	Rated   int64     `json:"rated"`             // ratings that came back
+	Expired int64     `json:"expired"`           // credits no longer waited for
+	Batches []Batch   `json:"batches,omitempty"` // grants not settled, oldest first
+	Dropped int64     `json:"dropped"`           // credits of batches that are settled
+	Good    Wealth    `json:"good"`
+	Bad     Wealth    `json:"bad"`
+	Watch   Detector  `json:"watch"`
+	Sum     float64   `json:"sum"`
+	Cursor  int64     `json:"cursor"` // of the ratings taken in
+	Serial  int64     `json:"serial"` // of the last grant
+	Started time.Time `json:"started"`
+	Reason  string    `json:"reason,omitempty"`
+}
+
+// Batch is some credits granted at one moment.
+type Batch struct {
+	At    time.Time `json:"at"`
+	Count int64     `json:"count"`
+}
+
+// NewState starts a plan.
+func NewState(plan declare.Plan, now time.Time) State {
+	return State{
+		Plan: plan.Name, Version: plan.Version, Phase: PhaseRunning,
+		Window: float64(plan.Window), Good: newWealth(), Bad: newWealth(), Started: now,
+	}
+}
+
+// Mean returns the mean of all ratings.
+func (s State) Mean() float64 {
+	if s.Rated == 0 {
+		return 0
+	}
+	return s.Sum / float64(s.Rated)
+}
+
+// Outstanding is how many answers may be out without a rating.
+func (s State) Outstanding() int64 { return max(s.Granted-s.Rated-s.Expired, 0) }
+
+// Room is how many credits may be granted now.
+func (s State) Room() int64 {
+	if s.Phase != PhaseRunning {
+		return 0
+	}
+	return max(int64(s.Window)-s.Outstanding(), 0)
+}
+
+// WithGrant returns the state after credits were granted.
+func (s State) WithGrant(count int64, now time.Time) State {
+	s.Granted += count
+	s.Serial++
+	s.Batches = append(s.Batches[:len(s.Batches):len(s.Batches)], Batch{At: now, Count: count})
+	return s
+}
+
+// WithPhase returns the state in another phase.
+func (s State) WithPhase(p Phase, reason string) State {
+	s.Phase, s.Reason = p, reason
+	return s
+}
+
+// Step takes in ratings of the plan's version, in order, and says what to do.
+func Step(s State, plan declare.Plan, ratings []float64, now time.Time) (State, Action) {
+	s = s.expire(now)
+	for _, r := range ratings {
+		s = s.rated(r, plan)
+		if action := s.verdict(plan); action != ActionNone {
+			return s.concluded(action), action
+		}
+	}
+	return s, ActionNone
+}
+
+// rated plays one rating.
+func (s State) rated(r float64, plan declare.Plan) State {
+	s.Rated++
+	s.Sum += r
+	s.Watch = s.Watch.next(r, plan.Floor)
+	if s.Phase == PhaseAccepted {
+		return s
+	}
+	s.Good = s.Good.bet(r, plan.Floor, 1)
+	s.Bad = s.Bad.bet(r, plan.Floor, -1)
+	first := float64(plan.Window)
+	switch {
+	case s.Bad.mean() > suspicion:
+		s.Window = first
+	case r >= plan.Floor:
+		s.Window = math.Min(s.Window+growth, maxWindow)
+	default:
+		s.Window = math.Max(s.Window-s.Window*shrink/math.Max(first, 2), first)
+	}
+	return s
+}
+
+// verdict decides on the evidence so far.
+func (s State) verdict(plan declare.Plan) Action {
+	if s.Phase == PhaseAccepted {
+		if s.Watch.mean() > 1/falseAlarm {
+			return ActionWithdraw
+		}
+		return ActionNone
+	}
+	switch {
+	case s.Bad.mean() > 1/falseStop:
+		return ActionWithdraw
+	case s.Good.mean() > 1/falseAccept && s.Rated >= int64(plan.Ratings):
+		return ActionAccept
+	default:
+		return ActionNone
+	}
+}
+
+// concluded notes a verdict.
+func (s State) concluded(a Action) State {
+	switch a {
+	case ActionAccept:
+		s.Watch = Detector{}
+		return s.WithPhase(PhaseAccepted, "ratings accept the version")
+	case ActionWithdraw:
+		if s.Phase == PhaseAccepted {
+			return s.WithPhase(PhaseWithdrawn, "the version turned bad in service")
+		}
+		return s.WithPhase(PhaseWithdrawn, "ratings are below the floor")
+	default:
+		return s
+	}
+}
+
+// expire gives up on credits whose ratings will not come, as ratings are partial.
+// Ratings settle the oldest credits first.
+func (s State) expire(now time.Time) State {
+	settled := s.Rated + s.Expired
+	batches := s.Batches
+	for len(batches) > 0 {
+		end := s.Dropped + batches[0].Count
+		if end > settled {
+			if now.Sub(batches[0].At) < ratingExpiry {
+				break
+			}
+			s.Expired += end - max(settled, s.Dropped)
+			settled = end
+		}
+		s.Dropped = end
+		batches = batches[1:]
+	}
+	s.Batches = append([]Batch(nil), batches...)
+	return s
+}
--- /dev/null
+++ b/internal/standin/cluster/host.go
@@ -0,0 +1,128 @@
+package cluster
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+
+	"go.uber.org/fx"
+
+	"quaybarrow/internal/config"
+	"quaybarrow/internal/daemon"
+	"quaybarrow/internal/platform"
+	"quaybarrow/internal/settings"
+	"quaybarrow/internal/standin/table"
+)
+
+// AddHost starts one more host and lists it.
+func (c *Cluster) AddHost(ctx context.Context) (*Host, error) {
+	i := len(c.Hosts)
+	h := &Host{Name: fmt.Sprintf("entry-%d", i+1), Hall: Halls[i%len(Halls)]}
+	c.Hosts = append(c.Hosts, h)
+	return h, c.Start(ctx, h)
+}
+
+// Start starts a host that is not running, as a new process would: with nothing
+// remembered, at new addresses.
+func (c *Cluster) Start(ctx context.Context, h *Host) error {
+	for _, address := range []*string{&h.Callers, &h.Operators, &h.Peers} {
+		l, text, err := c.listen()
+		if err != nil {
+			return err
+		}
+		*address = text
+		c.mu.Lock()
+		c.listeners[text] = l
+		c.mu.Unlock()
+	}
+	h.Door = table.NewDoor(c.Store)
+	ports := daemon.Ports{
+		Tables: h.Door, Hosts: h.Door, Ratings: h.Door, Logger: c.logger, Listen: c.opened,
+	}
+	if c.options.Memory {
+		fresh := c.Net.Transport()
+		fresh.DisableKeepAlives = true
+		ports.Link, ports.ServePeer = c.Peers.Link(h.Peers), c.Peers.Serve
+		ports.Transport, ports.Fresh = c.Transport(), fresh
+	}
+	h.app = fx.New(daemon.Module(c.settingsOf(h), ports), fx.Populate(&h.Daemon))
+	if err := h.app.Start(ctx); err != nil {
+		return fmt.Errorf("start %s: %w", h.Name, err)
+	}
+	c.list(h, platform.HostLive)
+	return nil
+}
+
+// list tells the platform of a host.
+func (c *Cluster) list(h *Host, state platform.HostState) {
+	c.Store.SetHost(platform.Host{
+		ID: h.Name, Kind: platform.HostEntry, DataHall: h.Hall, Region: region, Address: h.Peers, State: state,
+	})
+}
+
+// opened hands out a listener that was opened before.
+func (c *Cluster) opened(address string) (net.Listener, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l := c.listeners[address]
+	delete(c.listeners, address)
+	return l, nil
+}
+
+func (c *Cluster) settingsOf(h *Host) settings.Settings {
+	s := settings.Default()
+	s.Host, s.DataHall, s.Region = h.Name, h.Hall, region
+	s.Callers, s.Operators, s.Peers = h.Callers, h.Operators, h.Peers
+	s.Platform = "http://127.0.0.1:1" // replaced by the ports
+	s.SessionKeys = []settings.SessionKey{{ID: "k1", Secret: sessionSecret}}
+	s.Bootstrap.OperatorHash = config.HashKey(OperatorKey)
+	s.Times = FastTimes()
+	if c.options.Times != nil {
+		s.Times = *c.options.Times
+	}
+	if c.options.Limits != nil {
+		s.Limits = *c.options.Limits
+	}
+	return s
+}
+
+// Stop drains a host and takes it off the list.
+func (c *Cluster) Stop(ctx context.Context, h *Host) error {
+	c.list(h, platform.HostLeaving)
+	err := h.app.Stop(ctx)
+	h.Daemon = nil
+	c.Store.RemoveHost(h.Name)
+	if err != nil {
+		return fmt.Errorf("stop %s: %w", h.Name, err)
+	}
+	return nil
+}
+
+// Crash ends a host at once. From this moment nothing of it reaches anyone. It
+// stays on the platform's list until Unlist.
+func (c *Cluster) Crash(h *Host) {
+	c.Isolate(h, true)
+	h.Daemon.Kill()
+	h.Daemon = nil
+}
+
+// Unlist takes a host off the platform's list.
+func (c *Cluster) Unlist(h *Host) { c.Store.RemoveHost(h.Name) }
+
+// Isolate cuts a host off from the store and from all other hosts, or joins it
+// again. Its callers and the endpoints stay reachable.
+func (c *Cluster) Isolate(h *Host, on bool) {
+	h.Door.Cut(on)
+	if c.Peers == nil {
+		return
+	}
+	for _, other := range c.Hosts {
+		if other != h {
+			c.Peers.Cut(h.Peers, other.Peers, on)
+		}
+	}
+}
+
+// Client returns an HTTP client of the cluster's network.
+func (c *Cluster) Client() *http.Client { return &http.Client{Transport: c.Transport()} }
--- /dev/null
+++ b/internal/tlsfiles/tlsfiles.go
@@ -0,0 +1,169 @@
+// Package tlsfiles gives hosts mutual TLS from files that are read again when
+// they change, so that certificates rotate without a restart.
+//
+// # Usage
+//
+//	files, err := tlsfiles.Open(settings.TLS)
+//	server := rpc.NewServer(handler, files.ServerCredentials())
+package tlsfiles
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"fmt"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"quaybarrow/internal/settings"
+)
+
+// ErrCertificate means that the files can't be used.
+var ErrCertificate = errors.New("bad certificate files")
+
+// checkEvery bounds how often the files are looked at.
+const checkEvery = 10 * time.Second
+
+// Files are a host's certificate, key and authorities.
+type Files struct {
+	names settings.TLS
+
+	mu        sync.Mutex // guards all below
+	loaded    material
+	checked   time.Time
+	lastError error
+}
+
+// material is what was read from the files.
+type material struct {
+	certificate tls.Certificate
+	leaf        *x509.Certificate
+	authorities *x509.CertPool
+	modified    time.Time
+}
+
+// Open reads the files; it returns nil where TLS is not set.
+func Open(names settings.TLS) (*Files, error) {
+	if !names.Enabled() {
+		return nil, nil
+	}
+	loaded, err := read(names)
+	if err != nil {
+		return nil, err
+	}
+	return &Files{names: names, loaded: loaded, checked: time.Now()}, nil
+}
+
+func read(names settings.TLS) (material, error) {
+	certificate, err := tls.LoadX509KeyPair(names.Certificate, names.Key)
+	if err != nil {
+		return material{}, fmt.Errorf("%w: %s with %s: %w", ErrCertificate, names.Certificate, names.Key, err)
+	}
+	pem, err := os.ReadFile(names.Authority)
+	if err != nil {
+		return material{}, fmt.Errorf("%w: %w", ErrCertificate, err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return material{}, fmt.Errorf("%w: %s holds no certificate", ErrCertificate, names.Authority)
+	}
+	return material{
+		certificate: certificate, leaf: certificate.Leaf, authorities: pool, modified: modified(names),
+	}, nil
+}
+
+// modified is the latest change of the files.
+func modified(names settings.TLS) time.Time {
+	var latest time.Time
+	for _, name := range []string{names.Certificate, names.Key, names.Authority} {
+		if info, err := os.Stat(name); err == nil && info.ModTime().After(latest) {
+			latest = info.ModTime()
+		}
+	}
+	return latest
+}
+
+// current returns the material, read again if the files changed. Files that
+// can't be read leave the old material in use.
+func (f *Files) current() material {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if time.Since(f.checked) < checkEvery {
+		return f.loaded
+	}
+	f.checked = time.Now()
+	if !modified(f.names).After(f.loaded.modified) {
+		return f.loaded
+	}
+	loaded, err := read(f.names)
+	f.lastError = err
+	if err == nil {
+		f.loaded = loaded
+	}
+	return f.loaded
+}
+
+// Expiry returns when the certificate ends, and the error of the last reading.
+func (f *Files) Expiry() (time.Time, error) {
+	loaded := f.current()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return loaded.leaf.NotAfter, f.lastError
+}
+
+// verify checks the other side's certificate against the present authorities.
+func (f *Files) verify(state tls.ConnectionState) error {
+	if len(state.PeerCertificates) == 0 {
+		return errors.WithMessage(ErrCertificate, "the peer showed none")
+	}
+	intermediates := x509.NewCertPool()
+	for _, c := range state.PeerCertificates[1:] {
+		intermediates.AddCert(c)
+	}
+	_, err := state.PeerCertificates[0].Verify(x509.VerifyOptions{
+		Roots: f.current().authorities, Intermediates: intermediates,
+		KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageAny},
+	})
+	if err != nil {
+		return fmt.Errorf("%w: of the peer: %w", ErrCertificate, err)
+	}
+	return nil
+}
+
+// ServerCredentials are for answering other hosts.
+func (f *Files) ServerCredentials() credentials.TransportCredentials {
+	if f == nil {
+		return insecure.NewCredentials()
+	}
+	return credentials.NewTLS(&tls.Config{
+		MinVersion: tls.VersionTLS13,
+		ClientAuth: tls.RequireAnyClientCert, // verified below, with authorities that rotate
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+			c := f.current().certificate
+			return &c, nil
+		},
+		VerifyConnection: f.verify,
+	})
+}
+
+// ClientCredentials are for asking other hosts. Hosts are known by IP numbers
+// that change hands, so a certificate is checked for its authority, not for a
+// name.
+func (f *Files) ClientCredentials() credentials.TransportCredentials {
+	if f == nil {
+		return insecure.NewCredentials()
+	}
+	return credentials.NewTLS(&tls.Config{
+		MinVersion:         tls.VersionTLS13,
+		InsecureSkipVerify: true, // the name only; VerifyConnection checks the chain
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+			c := f.current().certificate
+			return &c, nil
+		},
+		VerifyConnection: f.verify,
+	})
+}
