--- a/internal/billing/flush.go
+++ b/internal/billing/flush.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sort"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"quaybarrow/internal/clock"
 	"quaybarrow/internal/codec"
 	"quaybarrow/internal/platform"
 )
@@ -30,7 +30,7 @@
 	var wait sync.WaitGroup
 	wait.Go(func() { l.flushLoop(ctx) })
 	wait.Go(func() {
-		for sleep(ctx, l.options.Keepalive) {
+		for clock.Sleep(ctx, l.options.Keepalive) {
 			l.keepalive(ctx)
 			l.sweepHeld(ctx)
 		}
@@ -48,7 +48,7 @@
 			return
 		case <-l.wake:
 		}
-		if !sleep(ctx, jitter(max(l.options.Settle, backoff))) {
+		if !clock.Sleep(ctx, clock.Jitter(max(l.options.Settle, backoff))) {
 			return
 		}
 		if err := l.Flush(ctx); err != nil {
@@ -60,11 +60,6 @@
 	}
 }
 
-// jitter spreads a wait over its second half.
-func jitter(d time.Duration) time.Duration {
-	return d/2 + time.Duration(rand.Int64N(int64(d)/2+1))
-}
-
 // Flush writes everything that is pending now, in batches.
 func (l *Ledger) Flush(ctx context.Context) error {
 	for {
@@ -200,7 +195,7 @@
 		if left := l.unheld(); left == 0 {
 			return nil
 		}
-		if !sleep(ctx, minBackoff) {
+		if !clock.Sleep(ctx, minBackoff) {
 			return errors.Errorf("%d bills have no second place", l.unheld())
 		}
 	}
@@ -224,15 +219,3 @@
 	}
 	return count
 }
-
-// sleep waits; false if the context ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- /dev/null
+++ b/internal/clock/clock.go
@@ -0,0 +1,44 @@
+// Package clock waits: for a time or for the end of a context, with jitter where
+// many hosts would otherwise wait in step. It reads the runtime's clock, which
+// tests pause and advance with testing/synctest.
+//
+// # Usage
+//
+//	for clock.Sleep(ctx, clock.Jitter(period)) {
+//		...
+//	}
+package clock
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+)
+
+// Sleep waits; false if the context ends first.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// Jitter returns a time between half of d and d.
+func Jitter(d time.Duration) time.Duration {
+	if d <= 0 {
+		return 0
+	}
+	return d/2 + time.Duration(rand.Int64N(int64(d)/2+1))
+}
+
+// Around returns a time within a tenth of d, to either side.
+func Around(d time.Duration) time.Duration {
+	if d <= 0 {
+		return 0
+	}
+	return d - d/10 + time.Duration(rand.Int64N(int64(d)/5+1))
+}
--- a/internal/config/log.go
+++ b/internal/config/log.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"quaybarrow/internal/clock"
 	"quaybarrow/internal/codec"
 	"quaybarrow/internal/platform"
 )
@@ -128,7 +129,7 @@
 func (l *Log) Accept(ctx context.Context, base int64, c Change) (Revision, error) {
 	tried := false // a write was sent and its reply is missing
 	for attempt := range settleAttempts {
-		if attempt > 0 && !pause(ctx, settlePause<<attempt) {
+		if attempt > 0 && !clock.Sleep(ctx, settlePause<<attempt) {
 			break
 		}
 		revision, done, err := l.try(ctx, base, c)
@@ -211,15 +212,3 @@
 	}
 	return Revision{}, true, &ConflictError{Base: base, Winner: after}
 }
-
-// pause sleeps; false if the context ends first.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/config/spread.go
+++ b/internal/config/spread.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"quaybarrow/internal/clock"
 	"quaybarrow/internal/codec"
 	"quaybarrow/internal/membership"
 	"quaybarrow/internal/peer"
@@ -53,7 +53,7 @@
 		if s.polls() || s.options.Holder.Current() == nil {
 			period = s.options.Poll
 		}
-		if !pause(ctx, period-period/10+time.Duration(rand.Int64N(int64(period)/5+1))) {
+		if !clock.Sleep(ctx, clock.Around(period)) {
 			return
 		}
 	}
@@ -265,7 +265,7 @@
 			}
 		}
 		state := inForce(r.Number, s.options.View(), confirmed)
-		if state.Everywhere() || !pause(ctx, confirmEvery) {
+		if state.Everywhere() || !clock.Sleep(ctx, confirmEvery) {
 			return state
 		}
 	}
--- a/internal/daemon/duties.go
+++ b/internal/daemon/duties.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"quaybarrow/internal/clock"
 	"quaybarrow/internal/lease"
 	"quaybarrow/internal/order"
 	"quaybarrow/internal/peer/rpc"
@@ -33,7 +34,7 @@
 				h.Logger.Debug("expiry of jobs failed", "error", err)
 			}
 		}
-		sleep(ctx, sweepEvery)
+		clock.Sleep(ctx, sweepEvery)
 	}
 }
 
@@ -49,14 +50,14 @@
 			hall := listed.DataHall
 			h.working.Go(func() { h.Leases.Run(ctx, order.Duty(hall), h.Orders.Run(hall)) })
 		}
-		sleep(ctx, housekeepEvery)
+		clock.Sleep(ctx, housekeepEvery)
 	}
 }
 
 // housekeeping updates gauges, reads changed keys and closes links to hosts that
 // are gone.
 func (h *Host) housekeeping(ctx context.Context) {
-	for sleep(ctx, housekeepEvery) {
+	for clock.Sleep(ctx, housekeepEvery) {
 		h.gauges()
 		if err := h.Keyrings.reload(); err != nil {
 			h.Logger.Error("session keys can't be read; the old ones stay in use", "error", err)
--- a/internal/daemon/host.go
+++ b/internal/daemon/host.go
@@ -14,6 +14,7 @@
 
 	"quaybarrow/internal/admission"
 	"quaybarrow/internal/billing"
+	"quaybarrow/internal/clock"
 	"quaybarrow/internal/config"
 	"quaybarrow/internal/endpoint"
 	"quaybarrow/internal/entry"
@@ -182,7 +183,7 @@
 	h.State.draining.Store(true)
 	h.Worker.Drain()
 	h.Membership.PingAll(ctx)
-	sleep(ctx, h.Settings.Times.Leave)
+	clock.Sleep(ctx, h.Settings.Times.Leave)
 	drained := h.Admission.Drain()
 	limit := time.NewTimer(h.Settings.Times.Drain)
 	defer limit.Stop()
@@ -226,15 +227,3 @@
 	}
 	h.serving.Wait()
 }
-
-// sleep waits; false if the context ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/daemon/module.go
+++ b/internal/daemon/module.go
@@ -83,7 +83,7 @@
 			newLogger, newPlatform, newTelemetry, newTLS, newLink, newTransports,
 			config.NewHolder, config.NewLog, newKeyrings, newState, newMembership, newSpreader,
 			newPool, newDispatcher, newAdmission, newLeases, newLedger, newGuard,
-			session.NewNames, job.NewQueue, rollout.NewCredits, newTraffic, estimate.NewKeeper,
+			session.NewNames, job.NewQueue, newCredits, newTraffic, estimate.NewKeeper,
 			newPipeline, newWorker, operator.NewCommands, newQueries, newRollout, newOrders, newHost,
 		),
 		fx.Invoke(func(lc fx.Lifecycle, h *Host) {
@@ -154,6 +154,10 @@
 	return t
 }
 
+func newCredits(s settings.Settings, h *config.Holder, tables platform.Tables) *rollout.Credits {
+	return rollout.NewCredits(h, tables, s.Host)
+}
+
 func newTraffic() *traffic.Log { return traffic.NewLog(trafficRecords) }
 
 func newMembership(s settings.Settings, hosts platform.Hosts, link peer.Link, state *State) *membership.Membership {
@@ -239,8 +243,8 @@
 	})
 }
 
-func newOrders(s settings.Settings, h *config.Holder, m *membership.Membership, t transports) *order.Reconciler {
+func newOrders(h *config.Holder, m *membership.Membership, t transports) *order.Reconciler {
 	return order.New(order.Options{
-		Config: h, List: m.Listed, Fetch: endpoint.HTTPFetcher(t.kept), Transport: t.kept, Length: s.Times.Lease,
+		Config: h, List: m.Listed, Fetch: endpoint.HTTPFetcher(t.kept), Transport: t.kept,
 	})
 }
--- a/internal/declare/declare.go
+++ b/internal/declare/declare.go
@@ -13,6 +13,7 @@
 
 import (
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -174,10 +175,24 @@
 	Floor float64 `json:"floor" yaml:"floor"`
 	// Ratings is how many ratings in its favour accept the version.
 	Ratings int `json:"ratings" yaml:"ratings"`
+	// RatingTimeout is how many seconds an answer's rating is waited for; an
+	// answer not rated by then no longer fills the window. 0 means 600.
+	RatingTimeout int `json:"rating_timeout,omitempty" yaml:"rating_timeout,omitempty"`
 	// Held stops new credits until it is resumed.
 	Held bool `json:"held,omitempty" yaml:"held,omitempty"`
 }
 
+// defaultRatingTimeout holds where a plan sets none.
+const defaultRatingTimeout = 10 * time.Minute
+
+// Timeout is how long an answer's rating is waited for.
+func (p Plan) Timeout() time.Duration {
+	if p.RatingTimeout == 0 {
+		return defaultRatingTimeout
+	}
+	return time.Duration(p.RatingTimeout) * time.Second
+}
+
 // Operator is a person or program that runs commands.
 type Operator struct {
 	Name       string   `json:"name" yaml:"name"`
--- a/internal/declare/succeed.go
+++ b/internal/declare/succeed.go
@@ -1,6 +1,9 @@
 package declare
 
-import "fmt"
+import (
+	"fmt"
+	"slices"
+)
 
 // order ranks the states; a version only ever moves up.
 func (s State) order() int {
@@ -49,15 +52,15 @@
 
 // withVersion returns the declarations with one more version.
 func (d Declarations) withVersion(ref Ref, v Version) Declarations {
-	models := make([]Model, len(d.Models), len(d.Models)+1)
-	copy(models, d.Models)
+	models := slices.Clone(d.Models)
 	for i, m := range models {
 		if m.Name == ref.Model {
-			models[i].Versions = append(m.Versions[:len(m.Versions):len(m.Versions)], v)
+			models[i].Versions = append(slices.Clone(m.Versions), v)
 			d.Models = models
 			return d
 		}
 	}
-	d.Models = append(models, Model{Name: ref.Model, Versions: []Version{v}})
+	models = append(models, Model{Name: ref.Model, Versions: []Version{v}})
+	d.Models = models
 	return d
 }
--- a/internal/declare/validate.go
+++ b/internal/declare/validate.go
@@ -179,6 +179,9 @@
 			c.add(path+".ratings", "must be 1 or more, not %d", p.Ratings)
 		}
 		c.share(path+".floor", p.Floor)
+		if p.RatingTimeout < 0 {
+			c.add(path+".rating_timeout", "must not be negative")
+		}
 	}
 }
 
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -14,6 +14,7 @@
 	"io"
 	"time"
 
+	"quaybarrow/internal/clock"
 	"quaybarrow/internal/standin/cluster"
 )
 
@@ -83,14 +84,10 @@
 
 // pause lets the traffic go on for a while.
 func pause(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
+	if !clock.Sleep(ctx, d) {
 		return ctx.Err()
-	case <-t.C:
-		return nil
 	}
+	return nil
 }
 
 // until waits for a condition, but no longer than a bound.
--- a/internal/demo/report.go
+++ b/internal/demo/report.go
@@ -6,10 +6,8 @@
 	"sort"
 	"time"
 
-	"quaybarrow/internal/billing"
 	"quaybarrow/internal/check"
 	"quaybarrow/internal/codec"
-	"quaybarrow/internal/declare"
 	"quaybarrow/internal/job"
 )
 
@@ -49,30 +47,10 @@
 
 // history gathers the records of callers and stand-ins.
 func (s *scene) history() check.History {
+	h := s.cluster.History(s.caller.Observations())
 	s.mu.Lock()
-	h := check.History{Observations: s.caller.Observations(), Withdrawals: s.withdrawals, Planned: true}
-	s.mu.Unlock()
-	for _, e := range s.cluster.Engines {
-		for _, r := range e.Runs() {
-			h.EngineRuns = append(h.EngineRuns, check.EngineRun{
-				RequestID: r.RequestID, AttemptID: r.AttemptID, Version: r.Version, Prompt: r.Prompt,
-				Started: r.Started, First: r.First, Finished: r.Finished,
-			})
-		}
-	}
-	for _, r := range s.cluster.Services["payouts"].Runs() {
-		h.ServiceRuns = append(h.ServiceRuns, check.ServiceRun{RequestID: r.RequestID, Prompt: r.Body})
-	}
-	for _, row := range s.cluster.Store.Rows(billing.TableBills) {
-		if b, err := codec.Decode[billing.Bill](row.Value); err == nil {
-			h.Bills = append(h.Bills, b)
-		}
-	}
-	declared := declarations()
-	h.Allowed = func(workspace string, ref declare.Ref) bool {
-		w, ok := declared.Workspace(workspace)
-		return ok && w.Allows(ref)
-	}
+	defer s.mu.Unlock()
+	h.Withdrawals, h.Planned = s.withdrawals, true
 	return h
 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -74,6 +74,9 @@
 	Allowed func() error
 	// Attempted is told of each attempt that may have run.
 	Attempted func()
+	// Judged is told whether the version itself failed an attempt, as opposed
+	// to its endpoint; nil if nobody asks.
+	Judged func(failed bool)
 }
 
 // Open sends a completion and returns its answer once it has begun. Errors are
@@ -96,10 +99,14 @@
 		}
 		stream, err := d.attempt(ctx, request, lease)
 		if err == nil {
+			request.judge(false)
 			return stream, nil
 		}
 		last = err
 		avoid = append(avoid, lease.ID)
+		if errors.Is(err, errVersionFailed) {
+			request.judge(true)
+		}
 		if runOf(err) != problem.NotRun {
 			run = problem.Unknown
 			request.Attempted()
@@ -111,6 +118,12 @@
 	return nil, d.failed(ctx, run, last)
 }
 
+func (r Request) judge(failed bool) {
+	if r.Judged != nil {
+		r.Judged(failed)
+	}
+}
+
 // failed is the problem of a request that got no answer.
 func (d *Dispatcher) failed(ctx context.Context, run problem.Run, last error) error {
 	switch {
@@ -161,6 +174,9 @@
 	}
 }
 
+// errVersionFailed means that an engine ran the request and failed.
+var errVersionFailed = errors.New("the version failed")
+
 // errForeign means that an endpoint answered another request than ours.
 var errForeign = errors.New("endpoint answered for another request")
 
@@ -178,7 +194,7 @@
 	header.Set(chat.HeaderPriority, string(request.Priority))
 	header.Set(chat.HeaderResumable, "1")
 	url := "http://" + lease.Address + "/v1/chat/completions"
-	response, err := d.send(ctx, d.options.Transport, exchange{
+	response, err := d.send(ctx, d.options.Transport, exchange{ //nolint:bodyclose // the stream closes it
 		method: http.MethodPost, url: url, header: header, body: request.Body,
 		requestID: request.ID, attemptID: s.attemptID,
 	})
@@ -246,7 +262,7 @@
 	case refused && response.StatusCode >= http.StatusBadRequest:
 		return &attemptError{run: problem.NotRun, refused: true, cause: errors.Errorf("refused with status %d", response.StatusCode)}
 	case response.StatusCode >= http.StatusInternalServerError:
-		return &attemptError{run: problem.Unknown, cause: errors.Errorf("failed with status %d", response.StatusCode)}
+		return &attemptError{run: problem.Unknown, cause: errors.WithMessagef(errVersionFailed, "status %d", response.StatusCode)}
 	case !echoes(response.Header, chat.HeaderRequestID, x.requestID), !echoes(response.Header, chat.HeaderAttempt, x.attemptID):
 		return &attemptError{run: problem.Unknown, cause: errForeign}
 	default:
--- a/internal/endpoint/pool.go
+++ b/internal/endpoint/pool.go
@@ -71,7 +71,6 @@
 	failures int
 	ejected  time.Time // until when
 	ejection time.Duration
-	served   bool // an attempt succeeded since the last ejection
 }
 
 // Pool is a host's endpoints.
--- a/internal/endpoint/report.go
+++ b/internal/endpoint/report.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"quaybarrow/internal/clock"
 	"quaybarrow/internal/declare"
 	"quaybarrow/internal/platform"
 )
@@ -64,12 +65,8 @@
 	for {
 		p.Sync()
 		p.Refresh(ctx)
-		t := time.NewTimer(p.options.Period)
-		select {
-		case <-ctx.Done():
-			t.Stop()
+		if !clock.Sleep(ctx, clock.Around(p.options.Period)) {
 			return
-		case <-t.C:
 		}
 	}
 }
--- a/internal/estimate/keeper.go
+++ b/internal/estimate/keeper.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"quaybarrow/internal/clock"
 	"quaybarrow/internal/codec"
 	"quaybarrow/internal/declare"
 	"quaybarrow/internal/lease"
@@ -61,7 +61,7 @@
 			t := NewTable(s.Entries)
 			k.current.Store(&t)
 		}
-		if !sleep(ctx, readEvery/2+time.Duration(rand.Int64N(int64(readEvery)))) {
+		if !clock.Sleep(ctx, clock.Around(readEvery)) {
 			return
 		}
 	}
@@ -73,7 +73,7 @@
 		if err := k.SumOnce(ctx, l); errors.Is(err, platform.ErrConflict) {
 			return
 		}
-		sleep(ctx, sumEvery)
+		clock.Sleep(ctx, sumEvery)
 	}
 }
 
@@ -127,15 +127,3 @@
 	}
 	return s, row, nil
 }
-
-// sleep waits; false if the context ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -55,8 +55,13 @@
 
 // Limits of jobs.
 const (
-	keepResult  = 24 * time.Hour
-	maxAttempts = 5
+	keepResult = 24 * time.Hour
+	// maxRuns is how often a job may have run without an answer before it is
+	// given up: it must not vanish, but not run for ever either.
+	maxRuns = 50
+	// Waits between two attempts.
+	minRetry = time.Second
+	maxRetry = 5 * time.Minute
 )
 
 // ErrNotFound means that there is no such job for the workspace.
@@ -82,7 +87,9 @@
 	Submitted time.Time        `json:"submitted"`
 	Deadline  time.Time        `json:"deadline,omitzero"`
 	Finished  time.Time        `json:"finished,omitzero"`
-	Attempts  int              `json:"attempts"`
+	Due       time.Time        `json:"due"`            // not to be tried before
+	Attempts  int              `json:"attempts"`       // claims
+	Runs      int              `json:"runs"`           // attempts that may have run
 	Host      string           `json:"host,omitempty"` // that runs it
 	Beat      int64            `json:"beat,omitempty"` // counts renewals of its claim
 	Result    *Result          `json:"result,omitempty"`
@@ -108,9 +115,17 @@
 	return j
 }
 
-// WithWaiting returns the job as waiting again.
-func (j Job) WithWaiting() Job {
+// WithWaiting returns the job as waiting again, for longer after each attempt.
+func (j Job) WithWaiting(now time.Time) Job {
 	j.State, j.Host = StateWaiting, ""
+	wait := minRetry << min(j.Attempts, 10)
+	j.Due = now.Add(min(wait, maxRetry))
+	return j
+}
+
+// WithRun returns the job with one more attempt that may have run.
+func (j Job) WithRun() Job {
+	j.Runs++
 	return j
 }
 
@@ -123,13 +138,14 @@
 
 func shardPrefix(shard int) string { return fmt.Sprintf("%02d/", shard) }
 
-// waitingKey sorts a shard's jobs: interactive first, then by age.
+// waitingKey sorts a shard's jobs: interactive first, then by when they are due,
+// which at first is when they were submitted.
 func (j Job) waitingKey() string {
 	rank := "0"
 	if j.Priority == declare.PriorityBatch {
 		rank = "1"
 	}
-	return fmt.Sprintf("%s%s/%020d/%s", shardPrefix(j.shard()), rank, j.Submitted.UnixNano(), j.ID)
+	return fmt.Sprintf("%s%s/%020d/%s", shardPrefix(j.shard()), rank, j.Due.UnixNano(), j.ID)
 }
 
 // runningKey is where a claimed job stands.
@@ -153,6 +169,7 @@
 func (q *Queue) Submit(ctx context.Context, j Job, key string) (Job, error) {
 	j.ID = jobID(j.Workspace, key)
 	j.State, j.Submitted = StateWaiting, time.Now().UTC()
+	j.Due = j.Submitted
 	data, err := codec.Encode(j)
 	if err != nil {
 		return Job{}, err
--- a/internal/job/work.go
+++ b/internal/job/work.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"quaybarrow/internal/clock"
 	"quaybarrow/internal/codec"
 	"quaybarrow/internal/platform"
 	"quaybarrow/internal/problem"
@@ -151,7 +152,7 @@
 func (w *Worker) free(j Job, row platform.Row) bool {
 	switch j.State {
 	case StateWaiting:
-		return true
+		return !time.Now().Before(j.Due)
 	case StateRunning:
 		return w.abandoned(j.ID, row)
 	default:
@@ -210,21 +211,25 @@
 	result, err := w.run(runContext, j)
 	cancel()
 	wait.Wait()
-	last, stop := context.WithTimeout(context.WithoutCancel(ctx), writeTimeout)
+	last, stop := context.WithTimeout(context.WithoutCancel(ctx), claimLength)
 	defer stop()
 	j, row = keeper.job, keeper.row
+	if err != nil && problem.Of(err).Run != problem.NotRun {
+		j = j.WithRun()
+	}
 	switch {
 	case err == nil:
 		w.end(last, j, row, StateDone, result)
-	case j.Attempts >= maxAttempts || final(err):
+	case j.Runs >= maxRuns || final(err):
 		failed := problem.Of(err)
 		w.end(last, j, row, StateFailed, Result{
 			Status: failed.Status, ContentType: "application/json", Body: failed.JSON(), Run: failed.Run,
 		})
 	default:
 		// A hand-back that fails costs a wait: the claim lapses.
-		_, _ = w.queue.replace(last, row, j.WithWaiting(),
-			platform.Put(TableWaiting, j.waitingKey(), []byte(j.Workspace)), platform.Delete(TableRunning, j.runningKey()))
+		waiting := j.WithWaiting(time.Now().UTC())
+		_, _ = w.queue.replace(last, row, waiting,
+			platform.Put(TableWaiting, waiting.waitingKey(), []byte(j.Workspace)), platform.Delete(TableRunning, j.runningKey()))
 	}
 }
 
@@ -238,7 +243,7 @@
 }
 
 // endAttempts bounds how often the end of a job is written.
-const endAttempts = 5
+const endAttempts = 7
 
 // end records a job's end and takes it out of its shard. If that fails, the
 // claim lapses and the job runs again; its bill is still one.
@@ -250,7 +255,7 @@
 		if err == nil || errors.Is(err, platform.ErrConflict) {
 			return
 		}
-		if !sleep(ctx, minIdle<<attempt) {
+		if !clock.Sleep(ctx, minIdle<<attempt) {
 			return
 		}
 	}
@@ -268,7 +273,7 @@
 // long that another host may claim it.
 func (k *claimKeeper) renew(ctx context.Context) {
 	renewed := time.Now()
-	for sleep(ctx, renewEvery) {
+	for clock.Sleep(ctx, renewEvery) {
 		sent := time.Now()
 		limited, cancel := context.WithTimeout(ctx, writeTimeout)
 		next := k.job.WithBeat()
@@ -318,15 +323,3 @@
 	}
 	return nil
 }
-
-// sleep waits; false if the context ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -19,6 +19,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -83,8 +84,9 @@
 
 // Fenced adds the condition that nobody took the lease since.
 func (l *Lease) Fenced(txn platform.Transaction) platform.Transaction {
-	conditions := append([]platform.Condition(nil), txn.Conditions...)
-	txn.Conditions = append(conditions, platform.AtVersion(tableFence, l.fence))
+	conditions := slices.Clone(txn.Conditions)
+	conditions = append(conditions, platform.AtVersion(tableFence, l.fence))
+	txn.Conditions = conditions
 	return txn
 }
 
--- a/internal/lease/run.go
+++ b/internal/lease/run.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"quaybarrow/internal/clock"
 )
 
 // releaseTimeout bounds the last write of a duty.
@@ -25,7 +27,7 @@
 				m.hold(ctx, l, duty)
 			}
 		}
-		if !sleep(ctx, period) {
+		if !clock.Sleep(ctx, period) {
 			return
 		}
 	}
@@ -36,11 +38,15 @@
 	return m.options.Owner == nil || m.options.Owner(name) == m.options.Host
 }
 
-// hold runs the duty and renews until the lease is lost or handed on.
+// hold runs the duty and renews until the lease is lost, handed on, or the duty
+// returns: a lease held without its duty would keep the duty from everyone.
 func (m *Manager) hold(ctx context.Context, l *Lease, duty Duty) {
 	dutyContext, cancel := context.WithCancel(ctx)
 	var wait sync.WaitGroup
-	wait.Go(func() { duty(dutyContext, l) })
+	wait.Go(func() {
+		defer cancel()
+		duty(dutyContext, l)
+	})
 	m.renewUntilLost(dutyContext, l)
 	cancel()
 	wait.Wait()
@@ -59,7 +65,7 @@
 	period := m.options.Length / renewDivisor
 	for {
 		wait := min(period, l.Left())
-		if !sleep(ctx, wait) || !m.mine(l.name) {
+		if !clock.Sleep(ctx, wait) || !m.mine(l.name) {
 			return
 		}
 		if !l.Valid() {
@@ -73,15 +79,3 @@
 		}
 	}
 }
-
-// sleep waits; false if the context ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sort"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"quaybarrow/internal/clock"
 	"quaybarrow/internal/peer"
 	"quaybarrow/internal/platform"
 )
@@ -78,13 +78,8 @@
 func every(ctx context.Context, period time.Duration, f func(context.Context)) {
 	for {
 		f(ctx)
-		jitter := time.Duration(rand.Int64N(int64(period)/5 + 1))
-		t := time.NewTimer(period - period/10 + jitter)
-		select {
-		case <-ctx.Done():
-			t.Stop()
+		if !clock.Sleep(ctx, clock.Around(period)) {
 			return
-		case <-t.C:
 		}
 	}
 }
--- a/internal/once/record.go
+++ b/internal/once/record.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"quaybarrow/internal/clock"
 	"quaybarrow/internal/codec"
 	"quaybarrow/internal/platform"
 )
@@ -37,12 +37,8 @@
 func (g *Guard) Run(ctx context.Context) {
 	wait := minRetry
 	for {
-		t := time.NewTimer(wait/2 + time.Duration(rand.Int64N(int64(wait))))
-		select {
-		case <-ctx.Done():
-			t.Stop()
+		if !clock.Sleep(ctx, clock.Jitter(wait)) {
 			return
-		case <-t.C:
 		}
 		if err := g.Flush(ctx); err != nil {
 			wait = min(wait*2, maxRetry)
--- a/internal/order/order.go
+++ b/internal/order/order.go
@@ -23,6 +23,7 @@
 
 	"github.com/pkg/errors"
 
+	"quaybarrow/internal/clock"
 	"quaybarrow/internal/config"
 	"quaybarrow/internal/declare"
 	"quaybarrow/internal/endpoint"
@@ -63,9 +64,6 @@
 	List      func() []platform.Host
 	Fetch     endpoint.Fetcher
 	Transport http.RoundTripper
-	// Length is the lease's; an engine that does not check epochs gets its
-	// first order only when the holder before must have stopped for that long.
-	Length time.Duration
 }
 
 // Reconciler gives the orders of the data halls that this host owns.
@@ -74,13 +72,12 @@
 // New returns a reconciler.
 func New(options Options) *Reconciler { return &Reconciler{options: options} }
 
-// Run gives the orders of a data hall while the lease is held. It first waits
-// for as long as an order of the holder before may still take.
+// Run gives the orders of a data hall while the lease is held.
 func (r *Reconciler) Run(hall string) lease.Duty {
 	return func(ctx context.Context, l *lease.Lease) {
 		for l.Valid() && ctx.Err() == nil {
 			r.Once(ctx, l, hall)
-			sleep(ctx, period)
+			clock.Sleep(ctx, period)
 		}
 	}
 }
@@ -197,15 +194,3 @@
 	}
 	return nil
 }
-
-// sleep waits; false if the context ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -75,6 +75,7 @@
 	Epoch   int64
 	Serial  int64 // grants with a serial that was seen are ignored
 	Credits int
+	Timeout time.Duration // after which the controller counts them as lost
 }
 
 // Query asks a host for rows of what it alone knows, such as recent requests.
--- a/internal/peer/rpc/convert.go
+++ b/internal/peer/rpc/convert.go
@@ -79,11 +79,11 @@
 }
 
 func grantToWire(g peer.Grant) *peerpb.GrantRequest {
-	return &peerpb.GrantRequest{Plan: g.Plan, Epoch: g.Epoch, Serial: g.Serial, Credits: int64(g.Credits)}
+	return &peerpb.GrantRequest{Plan: g.Plan, Epoch: g.Epoch, Serial: g.Serial, Credits: int64(g.Credits), TimeoutMicros: g.Timeout.Microseconds()}
 }
 
 func grantFromWire(r *peerpb.GrantRequest) peer.Grant {
-	return peer.Grant{Plan: r.GetPlan(), Epoch: r.GetEpoch(), Serial: r.GetSerial(), Credits: int(r.GetCredits())}
+	return peer.Grant{Plan: r.GetPlan(), Epoch: r.GetEpoch(), Serial: r.GetSerial(), Credits: int(r.GetCredits()), Timeout: time.Duration(r.GetTimeoutMicros()) * time.Microsecond}
 }
 
 func queryToWire(q peer.Query) *peerpb.ShowRequest {
--- a/internal/pipeline/answer.go
+++ b/internal/pipeline/answer.go
@@ -78,10 +78,15 @@
 		p.options.Credits.Spend(decision.Candidate.Ref)
 	}
 	hasSession := in.pin.ID != ""
+	judged := func(failed bool) {
+		if decision.Canary {
+			p.options.Credits.Report(ctx, decision.Candidate.Ref, failed)
+		}
+	}
 	return p.options.Dispatcher.Open(ctx, dispatch.Request{
 		ID: in.requestID, Version: decision.Candidate.Ref, Body: body, Priority: in.priority, Prefix: in.prefix,
 		Allowed:   func() error { return p.allowed(in.workspace.Name, decision.Candidate, hasSession) },
-		Attempted: in.attempted,
+		Attempted: in.attempted, Judged: judged,
 	})
 }
 
--- a/internal/pipeline/ask.go
+++ b/internal/pipeline/ask.go
@@ -60,12 +60,12 @@
 	prefix   uint64
 	promptly int // estimated tokens of the prompt
 
-	service declare.Service // of calls to plain services
-	call    declare.Call
+	service   declare.Service // of calls to plain services
+	operation declare.Call
 }
 
 // subject is what the bill of a service call names.
-func (a ask) subject() string { return a.service.Name + "/" + a.call.Name }
+func (a ask) subject() string { return a.service.Name + "/" + a.operation.Name }
 
 // bytesPerToken estimates the tokens of a prompt that no engine counted.
 const bytesPerToken = 4
@@ -143,7 +143,7 @@
 			"this call may not be repeated and needs an Idempotency-Key header")
 	}
 	a := p.newAsk(c, "service/"+service.Name+"/"+call.Name)
-	a.service, a.call = service, call
+	a.service, a.operation = service, call
 	return a, nil
 }
 
--- a/internal/pipeline/call.go
+++ b/internal/pipeline/call.go
@@ -15,7 +15,7 @@
 
 // call sends a service call, under a claim if it may not be repeated.
 func (p *Pipeline) call(ctx context.Context, in openedCall) (once.Result, error) {
-	if in.call.Repeatable || in.in.IdempotencyKey == "" && in.in.RequestID == "" {
+	if in.operation.Repeatable || in.in.IdempotencyKey == "" && in.in.RequestID == "" {
 		outcome, err := p.send(ctx, in)
 		return once.Result{Run: problem.Ran, Outcome: outcome}, err
 	}
@@ -47,7 +47,7 @@
 		key = c.in.RequestID
 	}
 	return once.Call{
-		Workspace: c.workspace.Name, Service: c.service.Name, Name: c.ask.call.Name,
+		Workspace: c.workspace.Name, Service: c.service.Name, Name: c.operation.Name,
 		Key: key, Body: c.in.Body, RequestID: c.requestID,
 	}
 }
@@ -55,8 +55,8 @@
 // send makes the dispatch and charges it.
 func (p *Pipeline) send(ctx context.Context, in openedCall) (once.Outcome, error) {
 	answer, err := p.options.Dispatcher.Call(ctx, dispatch.Call{
-		ID: in.requestID, Service: in.service.Name, Name: in.ask.call.Name, Method: in.in.Method,
-		ContentType: in.in.ContentType, Body: in.in.Body, Repeatable: in.ask.call.Repeatable,
+		ID: in.requestID, Service: in.service.Name, Name: in.operation.Name, Method: in.in.Method,
+		ContentType: in.in.ContentType, Body: in.in.Body, Repeatable: in.operation.Repeatable,
 		Attempted: in.attempted,
 	})
 	if err != nil {
--- a/internal/pipeline/choose.go
+++ b/internal/pipeline/choose.go
@@ -135,7 +135,7 @@
 	if !ok {
 		return chosen{}, unknownModel(ref.String())
 	}
-	input, err := p.input(pinned{ask: in.ask.withModel(ref.Model)})
+	input, err := p.input(pinned{ask: in.withModel(ref.Model)})
 	if err != nil {
 		return chosen{}, err
 	}
--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -44,6 +44,8 @@
 	Available(ref declare.Ref) bool
 	// Spend takes one; a pinned session's request takes it even if none is left.
 	Spend(ref declare.Ref)
+	// Report tells how an attempt went.
+	Report(ctx context.Context, ref declare.Ref, failed bool)
 }
 
 // Options are what the stages work with.
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -149,7 +149,7 @@
 	After(ctx context.Context, sequence int64, limit int) ([]Rating, error)
 }
 
-// Applied reports whether an error of Commit leaves open that the transaction
+// Uncertain reports whether an error of Commit leaves open that the transaction
 // took effect.
 func Uncertain(err error) bool {
 	return err != nil && !errors.Is(err, ErrConflict) && !errors.Is(err, ErrThrottled)
--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"quaybarrow/internal/clock"
 	"quaybarrow/internal/codec"
 	"quaybarrow/internal/config"
 	"quaybarrow/internal/declare"
@@ -76,7 +77,7 @@
 				delete(running, name)
 			}
 		}
-		sleep(ctx, stepEvery)
+		clock.Sleep(ctx, stepEvery)
 	}
 	for _, cancel := range running {
 		cancel()
@@ -106,7 +107,7 @@
 		if err := c.Step(ctx, l, name); errors.Is(err, platform.ErrConflict) {
 			return // the fence or the row says that another controls the plan
 		}
-		sleep(ctx, stepEvery)
+		clock.Sleep(ctx, stepEvery)
 	}
 }
 
@@ -130,7 +131,14 @@
 	if err != nil {
 		return err
 	}
+	failed, err := c.troubles(ctx, plan.Version)
+	if err != nil {
+		return err
+	}
 	next, action := Step(state, plan, ratings, time.Now().UTC())
+	if action == ActionNone {
+		next, action = next.Failing(failed, len(c.options.View().Live()))
+	}
 	next.Cursor, next.Epoch = cursor, l.Epoch()
 	if err := c.act(ctx, ref, next, action); err != nil {
 		return err
@@ -146,7 +154,7 @@
 		return err
 	}
 	if room > 0 {
-		c.grant(ctx, l, next, int(room))
+		c.grant(ctx, l, next, int(room), plan.Timeout())
 	}
 	return nil
 }
@@ -215,6 +223,15 @@
 	return scores, cursor, nil
 }
 
+// troubles counts the hosts on which a version fails.
+func (c *Controller) troubles(ctx context.Context, version string) (int, error) {
+	rows, err := c.options.Tables.Scan(ctx, platform.Range{Table: TableTroubles, Prefix: troublePrefix(version), Limit: failingHosts})
+	if err != nil {
+		return 0, fmt.Errorf("read troubles: %w", err)
+	}
+	return len(rows), nil
+}
+
 // act carries a verdict out before the state is saved: if this host dies in
 // between, the next one comes to the same verdict and finds it carried out.
 func (c *Controller) act(ctx context.Context, ref declare.Ref, s State, a Action) error {
@@ -244,7 +261,7 @@
 
 // grant sends credits to the live hosts. What does not arrive is not granted
 // again: it expires like an answer that is never rated.
-func (c *Controller) grant(ctx context.Context, l *lease.Lease, s State, credits int) {
+func (c *Controller) grant(ctx context.Context, l *lease.Lease, s State, credits int, timeout time.Duration) {
 	hosts := c.options.View().Live()
 	if len(hosts) == 0 {
 		return
@@ -256,7 +273,7 @@
 		if share == 0 {
 			continue
 		}
-		g := peer.Grant{Plan: grantName(s.Plan, s.Version), Epoch: l.Epoch(), Serial: s.Serial, Credits: share}
+		g := peer.Grant{Plan: grantName(s.Plan, s.Version), Epoch: l.Epoch(), Serial: s.Serial, Credits: share, Timeout: timeout}
 		if hosts[i].Host == c.options.View().Self {
 			c.options.GrantSelf(g)
 			continue
@@ -265,15 +282,3 @@
 	}
 	wait.Wait()
 }
-
-// sleep waits; false if the context ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/rollout/credits.go
+++ b/internal/rollout/credits.go
@@ -1,16 +1,37 @@
 package rollout
 
 import (
+	"context"
+	"fmt"
 	"sync"
+	"time"
 
+	"quaybarrow/internal/codec"
 	"quaybarrow/internal/config"
 	"quaybarrow/internal/declare"
 	"quaybarrow/internal/peer"
+	"quaybarrow/internal/platform"
 )
 
+// TableTroubles holds a row for each host on which a version fails.
+const TableTroubles = "trouble"
+
+// failuresToStop is how many failures in a row make a host stop using a version
+// in roll-out, on its own evidence.
+const failuresToStop = 3
+
+// troubleTimeout bounds writing a trouble row.
+const troubleTimeout = 2 * time.Second
+
+// validShare is the part of a rating timeout for which a host may use a credit;
+// the controller waits for the whole of it.
+const validShare = 0.8
+
 // Credits are what this host may still answer with versions in roll-out.
 type Credits struct {
 	config *config.Holder
+	tables platform.Tables
+	host   string
 
 	mu    sync.Mutex // guards plans
 	plans map[string]planCredits
@@ -18,14 +39,56 @@
 
 // planCredits are the credits of one plan.
 type planCredits struct {
-	epoch  int64
-	serial int64 // of the last grant taken in
-	left   int   // below 0 when pinned sessions took more
+	epoch    int64
+	serial   int64 // of the last grant taken in
+	batches  []creditBatch
+	failures int  // in a row
+	stopped  bool // by failures in a row
+}
+
+// creditBatch is a grant, until it is spent or expires.
+type creditBatch struct {
+	left    int
+	expires time.Time
+}
+
+// left counts the credits that can be spent at a moment.
+func (p planCredits) left(now time.Time) int {
+	if p.stopped {
+		return 0
+	}
+	count := 0
+	for _, b := range p.batches {
+		if now.Before(b.expires) {
+			count += b.left
+		}
+	}
+	return count
+}
+
+// spend takes a credit, the oldest first, and drops what is used up.
+func (p planCredits) spend(now time.Time) planCredits {
+	spent := false
+	var kept []creditBatch
+	for _, b := range p.batches {
+		if !now.Before(b.expires) {
+			continue
+		}
+		if !spent {
+			b.left--
+			spent = true
+		}
+		if b.left > 0 {
+			kept = append(kept, b)
+		}
+	}
+	p.batches = kept
+	return p
 }
 
 // NewCredits returns no credits.
-func NewCredits(holder *config.Holder) *Credits {
-	return &Credits{config: holder, plans: map[string]planCredits{}}
+func NewCredits(holder *config.Holder, tables platform.Tables, host string) *Credits {
+	return &Credits{config: holder, tables: tables, host: host, plans: map[string]planCredits{}}
 }
 
 // Grant takes in credits, each grant once, and none of an older controller.
@@ -37,7 +100,8 @@
 		return
 	}
 	p.epoch, p.serial = g.Epoch, g.Serial
-	p.left += g.Credits
+	valid := time.Duration(float64(g.Timeout) * validShare)
+	p.batches = append(p.batches, creditBatch{left: g.Credits, expires: time.Now().Add(valid)})
 	c.plans[g.Plan] = p
 }
 
@@ -56,14 +120,17 @@
 func grantName(plan, version string) string { return plan + "=" + version }
 
 // Available reports whether a credit for the version is left.
-func (c *Credits) Available(ref declare.Ref) bool {
+func (c *Credits) Available(ref declare.Ref) bool { return c.Left(ref) > 0 }
+
+// Left returns the credits left for a version.
+func (c *Credits) Left(ref declare.Ref) int {
 	name, ok := c.plan(ref)
 	if !ok {
-		return false
+		return 0
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.plans[name].left > 0
+	return c.plans[name].left(time.Now())
 }
 
 // Spend takes a credit. A pinned session goes on even if none is left.
@@ -74,18 +141,57 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	p := c.plans[name]
-	p.left--
-	c.plans[name] = p
+	c.plans[name] = c.plans[name].spend(time.Now())
 }
 
-// Left returns the credits left for a version.
-func (c *Credits) Left(ref declare.Ref) int {
+// Report tells how an attempt on a version in roll-out went. After a few failures
+// in a row this host uses it no more, and tells the plan's controller why.
+func (c *Credits) Report(ctx context.Context, ref declare.Ref, failed bool) {
 	name, ok := c.plan(ref)
 	if !ok {
-		return 0
+		return
 	}
+	if c.note(name, failed) {
+		_ = c.writeTrouble(ctx, ref) // at worst the window's credits expire unused
+	}
+}
+
+// note counts failures in a row; true when they have just become too many.
+func (c *Credits) note(name string, failed bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.plans[name].left
+	p := c.plans[name]
+	p.failures++
+	if !failed {
+		p.failures = 0
+	}
+	stops := p.failures >= failuresToStop && !p.stopped
+	p.stopped = p.stopped || stops
+	c.plans[name] = p
+	return stops
+}
+
+// troublePrefix is where a version's troubles stand.
+func troublePrefix(version string) string { return version + "/" }
+
+// trouble is a row of TableTroubles.
+type trouble struct {
+	Host string    `json:"host"`
+	At   time.Time `json:"at"`
+}
+
+func (c *Credits) writeTrouble(ctx context.Context, ref declare.Ref) error {
+	data, err := codec.Encode(trouble{Host: c.host, At: time.Now().UTC()})
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), troubleTimeout)
+	defer cancel()
+	err = c.tables.Commit(ctx, platform.Transaction{
+		Writes: []platform.Write{platform.Put(TableTroubles, troublePrefix(ref.String())+c.host, data)},
+	})
+	if err != nil {
+		return fmt.Errorf("write trouble: %w", err)
+	}
+	return nil
 }
--- a/internal/rollout/step.go
+++ b/internal/rollout/step.go
@@ -30,14 +30,13 @@
 
 // Error rates of the decisions.
 const (
-	falseStop    = 0.01  // of a version whose mean is at the floor or above
-	falseAccept  = 0.05  // of a version whose mean is below the floor
-	falseAlarm   = 0.001 // per rating, of a version in service
-	suspicion    = 3     // wealth at which the window closes to its first size
-	growth       = 2.0   // window added per rating in the version's favour
-	shrink       = 0.5   // of the window, per rating against it
-	maxWindow    = 100_000
-	ratingExpiry = 30 * time.Minute // an answer unrated for so long is not waited for
+	falseStop   = 0.01  // of a version whose mean is at the floor or above
+	falseAccept = 0.05  // of a version whose mean is below the floor
+	falseAlarm  = 0.001 // per rating, of a version in service
+	suspicion   = 3     // wealth at which the window closes to its first size
+	growth      = 2.0   // window added per rating in the version's favour
+	shrink      = 0.5   // of the window, per rating against it
+	maxWindow   = 100_000
 )
 
 // State is a plan as stored; Step returns new ones.
@@ -49,6 +48,7 @@
 	Window  float64   `json:"window"`
 	Granted int64     `json:"granted"`           // credits ever given to hosts
 	Rated   int64     `json:"rated"`             // ratings that came back
+	Failed  int       `json:"failed"`            // hosts on which the version fails
 	Expired int64     `json:"expired"`           // credits no longer waited for
 	Batches []Batch   `json:"batches,omitempty"` // grants not settled, oldest first
 	Dropped int64     `json:"dropped"`           // credits of batches that are settled
@@ -109,9 +109,22 @@
 	return s
 }
 
+// failingHosts is how many hosts must see a version fail before it is withdrawn
+// without ratings; one may have a fault of its own.
+const failingHosts = 2
+
+// Failing returns the verdict on a version that fails on some of the live hosts.
+func (s State) Failing(failed, live int) (State, Action) {
+	s.Failed = failed
+	if s.Phase == PhaseWithdrawn || failed == 0 || failed < min(failingHosts, live) {
+		return s, ActionNone
+	}
+	return s.WithPhase(PhaseWithdrawn, "the version fails"), ActionWithdraw
+}
+
 // Step takes in ratings of the plan's version, in order, and says what to do.
 func Step(s State, plan declare.Plan, ratings []float64, now time.Time) (State, Action) {
-	s = s.expire(now)
+	s = s.expire(now, plan.Timeout())
 	for _, r := range ratings {
 		s = s.rated(r, plan)
 		if action := s.verdict(plan); action != ActionNone {
@@ -179,13 +192,13 @@
 
 // expire gives up on credits whose ratings will not come, as ratings are partial.
 // Ratings settle the oldest credits first.
-func (s State) expire(now time.Time) State {
+func (s State) expire(now time.Time, timeout time.Duration) State {
 	settled := s.Rated + s.Expired
 	batches := s.Batches
 	for len(batches) > 0 {
 		end := s.Dropped + batches[0].Count
 		if end > settled {
-			if now.Sub(batches[0].At) < ratingExpiry {
+			if now.Sub(batches[0].At) < timeout {
 				break
 			}
 			s.Expired += end - max(settled, s.Dropped)
--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -91,9 +91,12 @@
 	logger  *log.Logger
 	servers []*http.Server
 	serving sync.WaitGroup
+	dying   sync.WaitGroup // hosts that CrashSoon ends
 	kept    []*http.Transport
 
-	mu        sync.Mutex // guards listeners
+	addresses []string // of the engines
+
+	mu        sync.Mutex // guards listeners, next and kept
 	listeners map[string]net.Listener
 	next      int
 }
@@ -207,9 +210,12 @@
 	return address, nil
 }
 
+// engineName names an engine by its place.
+func engineName(i int) string { return fmt.Sprintf("engine-%d", i+1) }
+
 func (c *Cluster) startEngine(i int) error {
 	o := c.options.Engine
-	o.ID, o.Versions = fmt.Sprintf("engine-%d", i+1), c.options.Profiles
+	o.ID, o.Versions = engineName(i), c.options.Profiles
 	if c.options.Rate != nil {
 		o.OnFinish = func(r engine.Run) { c.options.Rate(c, r) }
 	}
@@ -219,6 +225,7 @@
 		return err
 	}
 	c.Engines = append(c.Engines, e)
+	c.addresses = append(c.addresses, address)
 	c.Store.SetHost(platform.Host{
 		ID: o.ID, Kind: platform.HostEngine, DataHall: Halls[i%len(Halls)], Region: region,
 		Address: address, State: platform.HostLive,
@@ -240,6 +247,18 @@
 	return nil
 }
 
+// CutEngine breaks an engine's connections and refuses new ones, as its death
+// does, or lets them through again. In memory only.
+func (c *Cluster) CutEngine(i int, on bool) { c.Net.Cut(c.addresses[i], on) }
+
+// Leave lists an engine as leaving.
+func (c *Cluster) Leave(i int) {
+	c.Store.SetHost(platform.Host{
+		ID: engineName(i), Kind: platform.HostEngine, DataHall: Halls[i%len(Halls)], Region: region,
+		Address: c.addresses[i], State: platform.HostLeaving,
+	})
+}
+
 // Transport returns an HTTP transport of the cluster's network.
 func (c *Cluster) Transport() *http.Transport {
 	t := &http.Transport{MaxIdleConnsPerHost: 2048}
@@ -261,10 +280,9 @@
 // Close stops everything at once.
 func (c *Cluster) Close() {
 	for _, h := range c.Hosts {
-		if h.Daemon != nil {
-			c.Crash(h)
-		}
+		c.Crash(h)
 	}
+	c.dying.Wait()
 	for _, s := range c.servers {
 		_ = s.Close()
 	}
--- a/internal/standin/cluster/host.go
+++ b/internal/standin/cluster/host.go
@@ -99,12 +99,36 @@
 	return nil
 }
 
-// Crash ends a host at once. From this moment nothing of it reaches anyone. It
-// stays on the platform's list until Unlist.
+// Crash ends a host at once. From this moment nothing of it reaches the store
+// or another host. It stays on the platform's list until Unlist.
 func (c *Cluster) Crash(h *Host) {
+	if h.Daemon == nil {
+		return
+	}
+	dying := c.sever(h)
+	dying.Kill()
+}
+
+// CrashSoon is Crash for callers that are part of the host themselves: what it
+// was doing goes on, but reaches nobody.
+func (c *Cluster) CrashSoon(h *Host) {
+	if h.Daemon == nil {
+		return
+	}
+	dying := c.sever(h)
+	c.dying.Go(dying.Kill)
+}
+
+// sever cuts a host off from everyone.
+func (c *Cluster) sever(h *Host) *daemon.Host {
 	c.Isolate(h, true)
-	h.Daemon.Kill()
+	h.Door.Freeze(false)
+	if c.Net != nil {
+		c.Net.Cut(h.Callers, true)
+	}
+	dying := h.Daemon
 	h.Daemon = nil
+	return dying
 }
 
 // Unlist takes a host off the platform's list.
--- a/internal/standin/engine/report.go
+++ b/internal/standin/engine/report.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"quaybarrow/internal/chat"
+	"quaybarrow/internal/clock"
 	"quaybarrow/internal/declare"
 )
 
@@ -77,7 +78,7 @@
 	ref := declare.ParseRef(order.Version)
 	switch order.Action {
 	case ActionLoad:
-		if !pause(r.Context(), e.options.LoadTime) || !e.fence(order.Epoch) {
+		if !clock.Sleep(r.Context(), e.options.LoadTime) || !e.fence(order.Epoch) {
 			http.Error(w, "overtaken while loading", http.StatusConflict)
 			return
 		}
--- a/internal/standin/engine/stream.go
+++ b/internal/standin/engine/stream.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"quaybarrow/internal/chat"
+	"quaybarrow/internal/clock"
 )
 
 // keepStream is how long a finished stream can still be resumed.
@@ -105,12 +106,12 @@
 	defer e.release()
 	attempt := s.work.run.AttemptID
 	cached := e.touchPrefix(s.work.request)
-	if !pause(ctx, time.Duration(max(s.prompt-cached, 0))*e.options.Prefill) {
+	if !clock.Sleep(ctx, time.Duration(max(s.prompt-cached, 0))*e.options.Prefill) {
 		e.stop(s, attempt)
 		return
 	}
 	for i := range s.total {
-		if !pause(ctx, e.tokenTime()) {
+		if !clock.Sleep(ctx, e.tokenTime()) {
 			e.stop(s, attempt)
 			return
 		}
@@ -141,18 +142,3 @@
 	defer e.mu.Unlock()
 	delete(e.streams, attempt)
 }
-
-// pause sleeps; false if the context ends first.
-func pause(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/standin/table/door.go
+++ b/internal/standin/table/door.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 
 	"quaybarrow/internal/platform"
@@ -12,15 +13,40 @@
 type Door struct {
 	store *Store
 	cut   atomic.Bool
+
+	mu     sync.Mutex    // guards frozen
+	frozen chan struct{} // calls wait until it is closed; nil when not frozen
 }
 
 // NewDoor returns a door to a store.
 func NewDoor(store *Store) *Door { return &Door{store: store} }
 
+// Freeze makes every call wait, as those of a paused host do, or lets them go
+// on.
+func (d *Door) Freeze(on bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch {
+	case on && d.frozen == nil:
+		d.frozen = make(chan struct{})
+	case !on && d.frozen != nil:
+		close(d.frozen)
+		d.frozen = nil
+	}
+}
+
 // Cut closes the door to every call, or opens it again.
 func (d *Door) Cut(on bool) { d.cut.Store(on) }
 
+// check waits while the door is frozen. What was called before a pause still
+// goes through after it, however late.
 func (d *Door) check() error {
+	d.mu.Lock()
+	frozen := d.frozen
+	d.mu.Unlock()
+	if frozen != nil {
+		<-frozen
+	}
 	if d.cut.Load() {
 		return platform.ErrUnavailable
 	}
--- a/internal/standin/table/table.go
+++ b/internal/standin/table/table.go
@@ -36,6 +36,9 @@
 	FaultSlow FaultKind = "slow"
 	// FaultStale answers reads from the state before the last commit.
 	FaultStale FaultKind = "stale"
+	// FaultCall calls Fault.Do once the call has had its effect, and then loses
+	// the reply: for killing a host at a step.
+	FaultCall FaultKind = "call"
 )
 
 // Fault is a fault in force for the next Count calls; 0 means until cleared.
@@ -44,7 +47,9 @@
 	Count  int           `json:"count,omitempty"`
 	Delay  time.Duration `json:"delay,omitempty"`
 	Writes bool          `json:"writes,omitempty"` // only commits are struck
-	Prefix string        `json:"prefix,omitempty"` // only tables with this prefix
+	Table  string        `json:"table,omitempty"`  // only calls that touch this table
+	Skip   int           `json:"skip,omitempty"`   // calls that fit and pass first
+	Do     func()        `json:"-"`                // of FaultCall
 }
 
 // Options set a store's limits.
@@ -124,15 +129,35 @@
 	return s.counts
 }
 
+// tablesOf names the tables that a transaction writes, each once.
+func tablesOf(txn platform.Transaction) string {
+	names := ""
+	for _, w := range txn.Writes {
+		if !strings.Contains(names, w.Table+" ") {
+			names += w.Table + " "
+		}
+	}
+	return names
+}
+
+// fits reports whether a fault strikes calls to the tables named.
+func (f Fault) fits(isWrite bool, tables string) bool {
+	if f.Writes && !isWrite || f.Kind == FaultLoseReply && !isWrite || f.Kind == FaultCall && !isWrite {
+		return false
+	}
+	return f.Table == "" || strings.Contains(tables+" ", f.Table+" ")
+}
+
 // take consumes the first fault that fits a call.
 func (s *Store) take(isWrite bool, table string) Fault {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for i, f := range s.faults {
-		if f.Writes && !isWrite || !strings.HasPrefix(table, f.Prefix) {
+		if !f.fits(isWrite, table) {
 			continue
 		}
-		if f.Kind == FaultLoseReply && !isWrite {
+		if f.Skip > 0 {
+			s.faults[i].Skip--
 			continue
 		}
 		if f.Count > 0 {
@@ -220,21 +245,22 @@
 
 // Commit implements platform.Tables.
 func (s *Store) Commit(ctx context.Context, txn platform.Transaction) error {
-	table := ""
-	if len(txn.Writes) > 0 {
-		table = txn.Writes[0].Table
-	}
-	f, err := s.enter(ctx, true, table)
+	f, err := s.enter(ctx, true, tablesOf(txn))
 	if err != nil {
 		return err
 	}
 	if err := s.apply(txn); err != nil {
 		return err
 	}
-	if f.Kind == FaultLoseReply {
+	switch f.Kind {
+	case FaultCall:
+		f.Do()
+		return errors.WithMessage(platform.ErrUnavailable, "reply lost")
+	case FaultLoseReply:
 		return errors.WithMessage(platform.ErrUnavailable, "reply lost")
+	default:
+		return nil
 	}
-	return nil
 }
 
 // apply checks the conditions and makes the writes, all or none.
--- a/internal/telemetry/memory.go
+++ b/internal/telemetry/memory.go
@@ -98,7 +98,7 @@
 		span.ParentID = s.Parent().SpanID().String()
 	}
 	for _, a := range s.Attributes() {
-		span.Attributes = append(span.Attributes, Attribute{Key: string(a.Key), Value: a.Value.Emit()})
+		span.Attributes = append(span.Attributes, Attribute{Key: string(a.Key), Value: a.Value.String()})
 	}
 	for _, a := range s.Resource().Attributes() {
 		if a.Key == "host.name" {
