--- a/internal/billing/copies.go
+++ b/internal/billing/copies.go
@@ -81,14 +81,22 @@
 	return false
 }
 
+// holderRounds bounds how often other holders are looked for when some fail.
+const holderRounds = 3
+
 // copyOut sends an open bill to hosts until two hold it; it returns how many do.
 func (l *Ledger) copyOut(ctx context.Context, e *Entry) int {
-	holders := l.chooseHolders(e)
-	var wait sync.WaitGroup
-	for _, h := range holders {
-		wait.Go(func() { _ = h.send.Do(ctx, e) })
+	for range holderRounds {
+		holders := l.chooseHolders(e)
+		if len(holders) == 0 {
+			break
+		}
+		var wait sync.WaitGroup
+		for _, h := range holders {
+			wait.Go(func() { _ = h.send.Do(ctx, e) })
+		}
+		wait.Wait()
 	}
-	wait.Wait()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return len(e.holders)
--- a/internal/faults/world_test.go
+++ b/internal/faults/world_test.go
@@ -25,8 +25,12 @@
 	supportOne = declare.Ref{Model: "support", Version: "1"}
 	supportTwo = declare.Ref{Model: "support", Version: "2"}
 	supportNew = declare.Ref{Model: "support", Version: "3"}
+	foreign    = declare.Ref{Model: "foreign", Version: "1"} // nobody may use it
 )
 
+// good is what is true of a good version.
+var good = engine.Profile{Quality: 1}
+
 const key = "key-of-clerks"
 
 // settled is long enough for everything that a fault left behind to be put
@@ -46,6 +50,10 @@
 	applied   []check.Applied
 	withdrawn []check.Withdrawal
 	leavings  []check.Leaving
+	out       int               // host that the balancer leaves out, counted from 1
+	planned   bool              // all stops were planned
+	doubled   bool              // the history shows each bill twice
+	swapped   map[string]string // answers that the history gives to others
 }
 
 func declarations() declare.Declarations {
@@ -171,10 +179,25 @@
 	h := w.c.History(w.who.Observations())
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	h.Applied, h.Withdrawals, h.Leavings = w.applied, w.withdrawn, w.leavings
+	h.Applied, h.Withdrawals, h.Leavings, h.Planned = w.applied, w.withdrawn, w.leavings, w.planned
+	if w.doubled {
+		h.Bills = append(h.Bills, h.Bills...)
+	}
+	for i, o := range h.Observations {
+		if other, ok := w.swapped[o.Prompt]; ok {
+			h.Observations[i].Prompt = other
+		}
+	}
 	return h
 }
 
+// swap makes the history give one prompt's answer to another's caller.
+func (w *world) swap(from, to string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.swapped = map[string]string{from: to}
+}
+
 // expectPromises judges the history.
 func (w *world) expectPromises() {
 	ginkgo.GinkgoHelper()
--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -251,6 +251,9 @@
 // does, or lets them through again. In memory only.
 func (c *Cluster) CutEngine(i int, on bool) { c.Net.Cut(c.addresses[i], on) }
 
+// EngineAddress returns where an engine listens.
+func (c *Cluster) EngineAddress(i int) string { return c.addresses[i] }
+
 // Leave lists an engine as leaving.
 func (c *Cluster) Leave(i int) {
 	c.Store.SetHost(platform.Host{
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -97,6 +97,7 @@
 	cache    prefixCache
 	breakAt  int  // cut the next answers after this many tokens; 0 is off
 	hung     bool // accept requests and never answer
+	mixes    bool // echo another request's id
 }
 
 // New returns an engine.
@@ -163,6 +164,23 @@
 	e.hung = on
 }
 
+// SetMixing makes the engine answer as if for another request.
+func (e *Engine) SetMixing(on bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.mixes = on
+}
+
+// echo is the request id that the engine says it answers.
+func (e *Engine) echo(r Run) string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.mixes {
+		return "another-" + r.RequestID
+	}
+	return r.RequestID
+}
+
 // begin records a dispatch before any work is done on it.
 func (e *Engine) begin(run Run) {
 	e.mu.Lock()
--- a/internal/standin/engine/serve.go
+++ b/internal/standin/engine/serve.go
@@ -43,7 +43,7 @@
 		return
 	}
 	e.begin(item.run)
-	w.Header().Set(chat.HeaderRequestID, item.run.RequestID)
+	w.Header().Set(chat.HeaderRequestID, e.echo(item.run))
 	w.Header().Set(chat.HeaderAttempt, item.run.AttemptID)
 	if e.profile(item.ref).Fails {
 		e.release()
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -45,9 +45,10 @@
 	name  string
 	delay time.Duration
 
-	mu   sync.Mutex // guards runs and cut
+	mu   sync.Mutex // guards runs, cut and lies
 	runs []Run
 	cut  int // break this many next calls after running them
+	lies int // refuse this many next calls as not run, after running them
 }
 
 // New returns a service that answers after a delay.
@@ -76,6 +77,25 @@
 	s.cut = count
 }
 
+// Lie makes the service run the next calls and say that it did not: a broken
+// endpoint, with which the promise checker is itself checked.
+func (s *Service) Lie(count int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lies = count
+}
+
+// lying reports whether to lie about a call, once for each asked for.
+func (s *Service) lying() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lies == 0 {
+		return false
+	}
+	s.lies--
+	return true
+}
+
 func (s *Service) serveCall(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
 	if err != nil {
@@ -95,6 +115,11 @@
 	if cut {
 		panic(http.ErrAbortHandler)
 	}
+	if s.lying() {
+		w.Header().Set(chat.HeaderRun, chat.NotRun)
+		http.Error(w, "not run", http.StatusServiceUnavailable)
+		return
+	}
 	w.Header().Set(chat.HeaderRequestID, run.RequestID)
 	w.Header().Set(chat.HeaderAttempt, run.AttemptID)
 	w.Header().Set("Content-Type", "application/json")
--- a/internal/standin/table/table.go
+++ b/internal/standin/table/table.go
@@ -39,6 +39,9 @@
 	// FaultCall calls Fault.Do once the call has had its effect, and then loses
 	// the reply: for killing a host at a step.
 	FaultCall FaultKind = "call"
+	// FaultForget says yes to commits and does nothing: a broken platform, with
+	// which the promise checker is itself checked.
+	FaultForget FaultKind = "forget"
 )
 
 // Fault is a fault in force for the next Count calls; 0 means until cleared.
@@ -142,7 +145,13 @@
 
 // fits reports whether a fault strikes calls to the tables named.
 func (f Fault) fits(isWrite bool, tables string) bool {
-	if f.Writes && !isWrite || f.Kind == FaultLoseReply && !isWrite || f.Kind == FaultCall && !isWrite {
+	switch f.Kind {
+	case FaultLoseReply, FaultCall, FaultForget:
+		if !isWrite {
+			return false
+		}
+	}
+	if f.Writes && !isWrite {
 		return false
 	}
 	return f.Table == "" || strings.Contains(tables+" ", f.Table+" ")
@@ -249,6 +258,9 @@
 	if err != nil {
 		return err
 	}
+	if f.Kind == FaultForget {
+		return nil
+	}
 	if err := s.apply(txn); err != nil {
 		return err
 	}
