--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -15,7 +15,6 @@
 
 import (
 	"context"
-	"math"
 	"sync"
 	"time"
 
@@ -50,36 +49,18 @@
 	Queue int // most requests waiting
 }
 
-// Controller hands out places.
+// Controller hands out places to requests at once.
 type Controller struct {
-	options Options
-
 	mu       sync.Mutex // guards all below
-	limit    limiter
-	flying   int
-	shares   map[string]int // in flight, by workspace
-	waiting  []*waiter
+	line     *Line
+	waiters  map[int64]chan struct{} // closed when their turn comes
 	draining bool
-	idle     chan struct{} // closed when draining and nothing is in flight
-	mean     float64       // smoothed seconds that a request holds its place
-}
-
-// waiter is a request in the queue.
-type waiter struct {
-	ask   Ask
-	since time.Time
-	grant chan struct{}
-	taken bool
+	idle     chan struct{} // closed when draining and nobody is left
 }
 
 // NewController returns a controller with nothing in flight.
 func NewController(options Options) *Controller {
-	return &Controller{
-		options: options,
-		limit:   newLimiter(options.Limit),
-		shares:  map[string]int{},
-		idle:    make(chan struct{}),
-	}
+	return &Controller{line: NewLine(options), waiters: map[int64]chan struct{}{}, idle: make(chan struct{})}
 }
 
 // Place is a request's place; it must be released.
@@ -92,73 +73,48 @@
 
 // Admit returns a place, waits for one, or refuses.
 func (c *Controller) Admit(ctx context.Context, ask Ask) (*Place, error) {
-	c.mu.Lock()
-	if err := c.refusalLocked(ask); err != nil {
-		c.mu.Unlock()
+	id, turn, err := c.offer(ask)
+	if err != nil {
 		return nil, err
 	}
-	if c.flying < c.limit.now() && c.shares[ask.Workspace] < ask.Share {
-		place := c.startLocked(ask)
-		c.mu.Unlock()
-		return place, nil
+	if turn == nil {
+		return c.place(ask), nil
 	}
-	w := &waiter{ask: ask, since: time.Now(), grant: make(chan struct{})}
-	c.waiting = append(c.waiting, w)
-	c.mu.Unlock()
-	return c.wait(ctx, w)
+	return c.wait(ctx, ask, id, turn)
 }
 
-// refusalLocked tells why a request can't even wait; the caller holds mu.
-func (c *Controller) refusalLocked(ask Ask) error {
-	if c.draining {
-		return ErrDraining
-	}
-	mine := 0
-	for _, w := range c.waiting {
-		if w.ask.Workspace == ask.Workspace {
-			mine++
-		}
-	}
-	if len(c.waiting) >= c.options.Queue {
-		return ErrQueue
-	}
-	if c.shares[ask.Workspace] >= ask.Share && mine >= ask.Share {
-		return ErrShare
-	}
-	if !ask.Deadline.IsZero() && time.Now().Add(c.expectedWaitLocked()).After(ask.Deadline) {
-		return ErrDeadline
-	}
-	return nil
+func (c *Controller) place(ask Ask) *Place {
+	return &Place{controller: c, ask: ask, started: time.Now()}
 }
 
-// expectedWaitLocked estimates a newcomer's wait; the caller holds mu.
-func (c *Controller) expectedWaitLocked() time.Duration {
-	if c.flying < c.limit.now() {
-		return 0
+// offer puts a request into the line; a nil channel means that it may start.
+func (c *Controller) offer(ask Ask) (int64, chan struct{}, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.draining {
+		return 0, nil, ErrDraining
 	}
-	turns := float64(len(c.waiting)+1) / float64(max(c.limit.now(), 1))
-	return time.Duration(turns * c.mean * float64(time.Second))
-}
-
-// startLocked takes a place; the caller holds mu.
-func (c *Controller) startLocked(ask Ask) *Place {
-	c.flying++
-	c.shares[ask.Workspace]++
-	return &Place{controller: c, ask: ask, started: time.Now()}
+	verdict, id, err := c.line.Offer(ask, time.Now())
+	if err != nil || verdict == VerdictStart {
+		return 0, nil, err
+	}
+	turn := make(chan struct{})
+	c.waiters[id] = turn
+	return id, turn, nil
 }
 
-// wait blocks a waiter until its turn, its deadline or its caller's end.
-func (c *Controller) wait(ctx context.Context, w *waiter) (*Place, error) {
+// wait blocks a request until its turn, its deadline or its caller's end.
+func (c *Controller) wait(ctx context.Context, ask Ask, id int64, turn chan struct{}) (*Place, error) {
 	var late <-chan time.Time
-	if !w.ask.Deadline.IsZero() {
-		t := time.NewTimer(time.Until(w.ask.Deadline))
+	if !ask.Deadline.IsZero() {
+		t := time.NewTimer(time.Until(ask.Deadline))
 		defer t.Stop()
 		late = t.C
 	}
 	var cause error
 	select {
-	case <-w.grant:
-		return &Place{controller: c, ask: w.ask, started: time.Now()}, nil
+	case <-turn:
+		return c.place(ask), nil
 	case <-late:
 		cause = ErrDeadline
 	case <-ctx.Done():
@@ -166,20 +122,20 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if w.taken {
-		c.finishLocked(w.ask)
-		return nil, cause
+	if c.line.Leave(id) {
+		delete(c.waiters, id)
+	} else {
+		c.wake(c.line.Finish(ask, 0)) // its turn came at the same time
 	}
-	c.removeLocked(w)
+	c.closeWhenIdle()
 	return nil, cause
 }
 
-func (c *Controller) removeLocked(w *waiter) {
-	for i, other := range c.waiting {
-		if other == w {
-			c.waiting = append(c.waiting[:i:i], c.waiting[i+1:]...)
-			return
-		}
+// wake tells requests that their turn has come; the caller holds mu.
+func (c *Controller) wake(ids []int64) {
+	for _, id := range ids {
+		close(c.waiters[id])
+		delete(c.waiters, id)
 	}
 }
 
@@ -189,100 +145,31 @@
 		c := p.controller
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		held := time.Since(p.started).Seconds()
-		if c.mean == 0 {
-			c.mean = held
-		}
-		c.mean += (held - c.mean) * smoothing
-		c.finishLocked(p.ask)
+		c.wake(c.line.Finish(p.ask, time.Since(p.started)))
+		c.closeWhenIdle()
 	})
 }
 
-// smoothing of the mean time that requests hold places.
-const smoothing = 0.05
-
-// finishLocked ends a request and starts those whose turn it is; the caller
-// holds mu.
-func (c *Controller) finishLocked(ask Ask) {
-	c.flying--
-	c.shares[ask.Workspace]--
-	if c.shares[ask.Workspace] == 0 {
-		delete(c.shares, ask.Workspace)
-	}
-	c.startWaitingLocked()
-	if c.draining && c.flying == 0 {
-		c.closeIdleLocked()
-	}
-}
-
-func (c *Controller) startWaitingLocked() {
-	for c.flying < c.limit.now() {
-		i := Next(c.queueLocked())
-		if i < 0 {
-			return
-		}
-		w := c.waiting[i]
-		c.waiting = append(c.waiting[:i:i], c.waiting[i+1:]...)
-		w.taken = true
-		c.flying++
-		c.shares[w.ask.Workspace]++
-		close(w.grant)
-	}
-}
-
-// Queued is a waiting request as the decision sees it.
-type Queued struct {
-	Priority declare.Priority
-	Used     int // its workspace's requests in flight
-	Share    int
-}
-
-func (c *Controller) queueLocked() []Queued {
-	queue := make([]Queued, len(c.waiting))
-	for i, w := range c.waiting {
-		queue[i] = Queued{Priority: w.ask.Priority, Used: c.shares[w.ask.Workspace], Share: w.ask.Share}
-	}
-	return queue
-}
-
-// Next picks the request to start from a queue in order of arrival, or -1 if
-// none may: higher priority first, then the workspace that uses the smallest
-// part of its share, then the first come.
-func Next(queue []Queued) int {
-	best, bestRank := -1, math.Inf(1)
-	for i, q := range queue {
-		if q.Used >= q.Share {
-			continue
-		}
-		rank := float64(q.Used) / float64(q.Share)
-		if q.Priority == declare.PriorityBatch {
-			rank += batchPenalty
-		}
-		if rank < bestRank {
-			best, bestRank = i, rank
-		}
-	}
-	return best
-}
-
-// batchPenalty puts every batch request behind every interactive one; a part of
-// a share is less than 1.
-const batchPenalty = 2
-
 // Observe tells how long the first token of an answer took, so that the limit
 // can follow.
 func (c *Controller) Observe(firstToken time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.limit.observe(firstToken, c.flying)
-	c.startWaitingLocked()
+	c.wake(c.line.Observe(firstToken))
 }
 
 // InFlight counts requests with a place and requests that wait.
 func (c *Controller) InFlight() (flying, waiting int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.flying, len(c.waiting)
+	return c.line.InFlight()
+}
+
+// Limit is how many requests may be in flight just now.
+func (c *Controller) Limit() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.line.limit.now()
 }
 
 // Drain refuses new requests from now on; the channel closes when the last one
@@ -291,13 +178,16 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.draining = true
-	if c.flying == 0 && len(c.waiting) == 0 {
-		c.closeIdleLocked()
-	}
+	c.closeWhenIdle()
 	return c.idle
 }
 
-func (c *Controller) closeIdleLocked() {
+// closeWhenIdle tells Drain that nobody is left; the caller holds mu.
+func (c *Controller) closeWhenIdle() {
+	flying, waiting := c.line.InFlight()
+	if !c.draining || flying+waiting > 0 {
+		return
+	}
 	select {
 	case <-c.idle:
 	default:
--- /dev/null
+++ b/internal/admission/admission_test.go
@@ -0,0 +1,106 @@
+package admission_test
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"quaybarrow/internal/admission"
+	"quaybarrow/internal/declare"
+)
+
+var _ = Describe("admission", func() {
+	ctx := context.Background()
+
+	next := map[string]struct {
+		queue []admission.Queued
+		want  int
+	}{
+		"interactive before batch": {[]admission.Queued{
+			{Priority: declare.PriorityBatch, Share: 10}, {Priority: declare.PriorityInteractive, Used: 9, Share: 10},
+		}, 1},
+		"the workspace that uses the least of its share": {[]admission.Queued{{Used: 5, Share: 10}, {Used: 1, Share: 4}}, 1},
+		"the first come among equals":                    {[]admission.Queued{{Share: 5}, {Share: 5}}, 0},
+		"none that is at its share":                      {[]admission.Queued{{Used: 5, Share: 5}}, -1},
+	}
+	for name, n := range next {
+		It("starts "+name, func() { Expect(admission.Next(n.queue)).To(Equal(n.want)) })
+	}
+
+	It("does not let a large workspace starve a small one", func() {
+		paused(func() {
+			c := admission.NewController(admission.Options{Limit: 10, Queue: 1000})
+			var mu sync.Mutex
+			started := map[string]time.Duration{}
+			begin := time.Now()
+			var wait sync.WaitGroup
+			request := func(workspace string) {
+				place, err := c.Admit(ctx, admission.Ask{Workspace: workspace, Share: 100})
+				Expect(err).NotTo(HaveOccurred())
+				mu.Lock()
+				started[workspace] = time.Since(begin)
+				mu.Unlock()
+				time.Sleep(time.Second)
+				place.Release()
+			}
+			for range 200 {
+				wait.Go(func() { request("large") })
+			}
+			time.Sleep(100 * time.Millisecond)
+			wait.Go(func() { request("small") })
+			wait.Wait()
+			Expect(started["small"]).To(Equal(time.Second))
+			Expect(started["large"]).To(BeNumerically(">", 19*time.Second))
+		})
+	})
+
+	It("refuses at once what could not start before its deadline", func() {
+		paused(func() {
+			c := admission.NewController(admission.Options{Limit: 1, Queue: 100})
+			run := func() {
+				place, err := c.Admit(ctx, admission.Ask{Workspace: "w", Share: 100})
+				Expect(err).NotTo(HaveOccurred())
+				time.Sleep(10 * time.Second)
+				place.Release()
+			}
+			run()
+			go run()
+			time.Sleep(time.Second)
+			asked := time.Now()
+			_, err := c.Admit(ctx, admission.Ask{Workspace: "w", Share: 100, Deadline: asked.Add(3 * time.Second)})
+			Expect(err).To(MatchError(admission.ErrDeadline))
+			Expect(time.Since(asked)).To(BeZero())
+			time.Sleep(10 * time.Second)
+		})
+	})
+
+	It("drains: nothing new, and done when the last is", func() {
+		paused(func() {
+			c := admission.NewController(admission.Options{Limit: 5, Queue: 5})
+			place, err := c.Admit(ctx, admission.Ask{Workspace: "w", Share: 5})
+			Expect(err).NotTo(HaveOccurred())
+			idle := c.Drain()
+			_, err = c.Admit(ctx, admission.Ask{Workspace: "w", Share: 5})
+			Expect(err).To(MatchError(admission.ErrDraining))
+			Consistently(idle).WithTimeout(time.Second).ShouldNot(BeClosed())
+			place.Release()
+			Eventually(idle).Should(BeClosed())
+		})
+	})
+
+	It("lowers its limit while first tokens come late, and raises it again", func() {
+		c := admission.NewController(admission.Options{Limit: 100, Queue: 5})
+		for range 200 {
+			c.Observe(100 * time.Millisecond)
+		}
+		Expect(c.Limit()).To(Equal(100))
+		for range 400 {
+			c.Observe(2 * time.Second)
+		}
+		lowered := c.Limit()
+		Expect(lowered).To(BeNumerically("<", 60))
+	})
+})
--- /dev/null
+++ b/internal/admission/line.go
@@ -0,0 +1,183 @@
+package admission
+
+import (
+	"math"
+	"time"
+
+	"quaybarrow/internal/declare"
+)
+
+// Verdict is what becomes of a request that asks for a place.
+type Verdict int
+
+// Verdicts.
+const (
+	VerdictStart Verdict = iota
+	VerdictWait
+	VerdictRefuse
+)
+
+// waiting is a request in the line.
+type waiting struct {
+	id  int64
+	ask Ask
+}
+
+// Line is the state of admission: who is in flight and who waits. It reads no
+// clock and takes no locks; Controller makes it safe for use at once.
+type Line struct {
+	options Options
+	limit   limiter
+	flying  int
+	shares  map[string]int // in flight, by workspace
+	queue   []waiting
+	serial  int64
+	mean    float64 // smoothed seconds that a request holds its place
+}
+
+// NewLine returns a line with nobody in it.
+func NewLine(options Options) *Line {
+	return &Line{options: options, limit: newLimiter(options.Limit), shares: map[string]int{}}
+}
+
+// Offer decides on a request. One that has to wait is named by the id.
+func (l *Line) Offer(ask Ask, now time.Time) (Verdict, int64, error) {
+	if err := l.refusal(ask, now); err != nil {
+		return VerdictRefuse, 0, err
+	}
+	if l.flying < l.limit.now() && l.shares[ask.Workspace] < ask.Share {
+		l.start(ask)
+		return VerdictStart, 0, nil
+	}
+	l.serial++
+	l.queue = append(l.queue, waiting{id: l.serial, ask: ask})
+	return VerdictWait, l.serial, nil
+}
+
+// refusal tells why a request can't even wait.
+func (l *Line) refusal(ask Ask, now time.Time) error {
+	mine := 0
+	for _, w := range l.queue {
+		if w.ask.Workspace == ask.Workspace {
+			mine++
+		}
+	}
+	switch {
+	case len(l.queue) >= l.options.Queue:
+		return ErrQueue
+	case l.shares[ask.Workspace] >= ask.Share && mine >= ask.Share:
+		return ErrShare
+	case !ask.Deadline.IsZero() && now.Add(l.expectedWait()).After(ask.Deadline):
+		return ErrDeadline
+	default:
+		return nil
+	}
+}
+
+// expectedWait estimates a newcomer's wait.
+func (l *Line) expectedWait() time.Duration {
+	if l.flying < l.limit.now() {
+		return 0
+	}
+	turns := float64(len(l.queue)+1) / float64(max(l.limit.now(), 1))
+	return time.Duration(turns * l.mean * float64(time.Second))
+}
+
+func (l *Line) start(ask Ask) {
+	l.flying++
+	l.shares[ask.Workspace]++
+}
+
+// smoothing of the mean time that requests hold places.
+const smoothing = 0.05
+
+// Finish ends a request that held its place for a time, and returns the ids of
+// those whose turn it is.
+func (l *Line) Finish(ask Ask, held time.Duration) []int64 {
+	if l.mean == 0 {
+		l.mean = held.Seconds()
+	}
+	l.mean += (held.Seconds() - l.mean) * smoothing
+	l.flying--
+	l.shares[ask.Workspace]--
+	if l.shares[ask.Workspace] == 0 {
+		delete(l.shares, ask.Workspace)
+	}
+	return l.advance()
+}
+
+// Leave takes a request out that waits no longer; false if it does not wait.
+func (l *Line) Leave(id int64) bool {
+	for i, w := range l.queue {
+		if w.id == id {
+			l.queue = append(l.queue[:i:i], l.queue[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+// Observe tells how long a first token took; the limit follows. It returns the
+// ids of those whose turn it is.
+func (l *Line) Observe(firstToken time.Duration) []int64 {
+	l.limit.observe(firstToken, l.flying)
+	return l.advance()
+}
+
+// advance starts waiting requests while there is room.
+func (l *Line) advance() []int64 {
+	var started []int64
+	for l.flying < l.limit.now() {
+		i := Next(l.queued())
+		if i < 0 {
+			break
+		}
+		w := l.queue[i]
+		l.queue = append(l.queue[:i:i], l.queue[i+1:]...)
+		l.start(w.ask)
+		started = append(started, w.id)
+	}
+	return started
+}
+
+// InFlight counts requests with a place and requests that wait.
+func (l *Line) InFlight() (flying, waiting int) { return l.flying, len(l.queue) }
+
+// Queued is a waiting request as the decision sees it.
+type Queued struct {
+	Priority declare.Priority
+	Used     int // its workspace's requests in flight
+	Share    int
+}
+
+func (l *Line) queued() []Queued {
+	queue := make([]Queued, len(l.queue))
+	for i, w := range l.queue {
+		queue[i] = Queued{Priority: w.ask.Priority, Used: l.shares[w.ask.Workspace], Share: w.ask.Share}
+	}
+	return queue
+}
+
+// batchPenalty puts every batch request behind every interactive one; a part of
+// a share is less than 1.
+const batchPenalty = 2
+
+// Next picks the request to start from a queue in order of arrival, or -1 if
+// none may: higher priority first, then the workspace that uses the smallest
+// part of its share, then the first come.
+func Next(queue []Queued) int {
+	best, bestRank := -1, math.Inf(1)
+	for i, q := range queue {
+		if q.Used >= q.Share {
+			continue
+		}
+		rank := float64(q.Used) / float64(q.Share)
+		if q.Priority == declare.PriorityBatch {
+			rank += batchPenalty
+		}
+		if rank < bestRank {
+			best, bestRank = i, rank
+		}
+	}
+	return best
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -63,6 +63,7 @@
 	c.Register(c.HelpCommand(), groupHelp)
 	c.Register(c.FlagsCommand(), groupHelp)
 	c.Register(&completionCommand{env: env, commander: c}, groupHelp)
+	c.Register(&referenceCommand{env: env}, groupHelp)
 	c.Register(&applyCommand{env: env}, groupConfigure)
 	c.Register(&applyCommand{env: env, dry: true}, groupConfigure)
 	c.Register(&doCommand{env: env}, groupConfigure)
--- a/internal/config/log.go
+++ b/internal/config/log.go
@@ -128,6 +128,7 @@
 // *ConflictError, ErrUnsettled, or that nothing was accepted.
 func (l *Log) Accept(ctx context.Context, base int64, c Change) (Revision, error) {
 	tried := false // a write was sent and its reply is missing
+	var last error
 	for attempt := range settleAttempts {
 		if attempt > 0 && !clock.Sleep(ctx, settlePause<<attempt) {
 			break
@@ -137,13 +138,17 @@
 			return revision, err
 		}
 		tried = tried || errors.Is(err, errSent)
+		last = err
 	}
 	if tried {
 		return Revision{}, ErrUnsettled
 	}
-	return Revision{}, fmt.Errorf("accept configuration: %w", platform.ErrUnavailable)
+	return Revision{}, fmt.Errorf("accept configuration: %w: %w", platform.ErrUnavailable, last)
 }
 
+// errStale means that the store answered with an older head than was seen.
+var errStale = errors.New("the store's head is older than the revision decided on")
+
 // errSent marks an error that came after the write was sent.
 var errSent = errors.New("write was sent")
 
@@ -201,7 +206,7 @@
 // right after the base is either this very change or the one that beat it.
 func (l *Log) settle(ctx context.Context, base, newest int64, commandID string) (Revision, bool, error) {
 	if newest < base {
-		return Revision{}, true, &ConflictError{Base: base, Winner: Revision{Number: newest}}
+		return Revision{}, false, errStale // the base was seen, so this head is old
 	}
 	after, err := l.Read(ctx, base+1)
 	if err != nil {
--- a/internal/dispatch/budget.go
+++ b/internal/dispatch/budget.go
@@ -8,29 +8,41 @@
 	retryReserve = 10.0 // retries that an idle host may make at once
 )
 
-// budget limits retries to a part of the first attempts, so that they can't
-// multiply the load on endpoints that fail.
-type budget struct {
-	mu     sync.Mutex // guards tokens
-	tokens float64
+// Budget limits retries to a part of the first attempts, so that they can't
+// multiply the load on endpoints that fail; an immutable value.
+type Budget struct{ tokens float64 }
+
+// NewBudget returns a full budget.
+func NewBudget() Budget { return Budget{tokens: retryReserve} }
+
+// WithFirst returns the budget after a first attempt.
+func (b Budget) WithFirst() Budget { return Budget{tokens: min(b.tokens+retryShare, retryReserve)} }
+
+// WithRetry returns the budget after a retry; false if there is none left.
+func (b Budget) WithRetry() (Budget, bool) {
+	if b.tokens < 1 {
+		return b, false
+	}
+	return Budget{tokens: b.tokens - 1}, true
 }
 
-func newBudget() *budget { return &budget{tokens: retryReserve} }
+// sharedBudget is a host's budget.
+type sharedBudget struct {
+	mu  sync.Mutex // guards now
+	now Budget
+}
 
-// first notes a first attempt.
-func (b *budget) first() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.tokens = min(b.tokens+retryShare, retryReserve)
+func (s *sharedBudget) first() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.now = s.now.WithFirst()
 }
 
 // retry takes a retry from the budget, if there is one.
-func (b *budget) retry() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.tokens < 1 {
-		return false
-	}
-	b.tokens--
-	return true
+func (s *sharedBudget) retry() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	next, ok := s.now.WithRetry()
+	s.now = next
+	return ok
 }
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -59,7 +59,7 @@
 	run := problem.NotRun
 	var avoid []string
 	var last error
-	for attempt := range maxAttempts {
+	for attempt := range MaxAttempts {
 		if attempt > 0 && !d.budget.retry() {
 			break
 		}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -34,7 +34,7 @@
 
 // Limits of attempts.
 const (
-	maxAttempts    = 3
+	MaxAttempts    = 3 // of one request
 	maxAnswerBytes = 32 << 20
 	retryAfter     = time.Second // told to callers that find no endpoint
 )
@@ -54,12 +54,12 @@
 // Dispatcher sends requests to endpoints.
 type Dispatcher struct {
 	options Options
-	budget  *budget
+	budget  *sharedBudget
 }
 
 // New returns a dispatcher.
 func New(options Options) *Dispatcher {
-	return &Dispatcher{options: options, budget: newBudget()}
+	return &Dispatcher{options: options, budget: &sharedBudget{now: NewBudget()}}
 }
 
 // Request is a completion for an engine.
@@ -86,7 +86,7 @@
 	run := problem.NotRun
 	var avoid []string
 	var last error
-	for attempt := range maxAttempts {
+	for attempt := range MaxAttempts {
 		if err := request.Allowed(); err != nil {
 			return nil, problem.Of(err).WithRun(run)
 		}
--- /dev/null
+++ b/internal/dispatch/dispatch_test.go
@@ -0,0 +1,226 @@
+package dispatch_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"quaybarrow/internal/dispatch"
+	"quaybarrow/internal/endpoint"
+	"quaybarrow/internal/platform"
+	"quaybarrow/internal/problem"
+	"quaybarrow/internal/standin/memnet"
+	"quaybarrow/internal/standin/service"
+	"quaybarrow/internal/telemetry"
+)
+
+const address = "10.0.0.9:80"
+
+// breaker breaks a connection after a count of bytes in one direction.
+type breaker struct {
+	net.Conn
+	mu      sync.Mutex // guards all below
+	armed   bool
+	written int // bytes that may still be written; -1 means any
+	read    int // bytes that may still be read; -1 means any
+}
+
+var errBroken = errors.New("connection broken")
+
+// Write implements net.Conn.
+func (b *breaker) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.armed || b.written < 0 {
+		return b.Conn.Write(p)
+	}
+	n := min(len(p), b.written)
+	b.written -= n
+	if n > 0 {
+		if _, err := b.Conn.Write(p[:n]); err != nil {
+			return 0, err
+		}
+	}
+	if n < len(p) {
+		_ = b.Close()
+		return n, errBroken
+	}
+	return n, nil
+}
+
+// Read implements net.Conn.
+func (b *breaker) Read(p []byte) (int, error) {
+	b.mu.Lock()
+	limit := b.read
+	armed := b.armed
+	b.mu.Unlock()
+	if !armed || limit < 0 {
+		return b.Conn.Read(p)
+	}
+	if limit == 0 {
+		_ = b.Close()
+		return 0, errBroken
+	}
+	n, err := b.Conn.Read(p[:min(len(p), limit)])
+	b.mu.Lock()
+	b.read -= n
+	b.mu.Unlock()
+	return n, err
+}
+
+// rig is a dispatcher before one plain service.
+type rig struct {
+	service    *service.Service
+	server     *http.Server
+	transport  *http.Transport
+	fresh      *http.Transport
+	dispatcher *dispatch.Dispatcher
+
+	mu    sync.Mutex // guards conns and plan
+	conns []*breaker
+	plan  breaker
+}
+
+func newRig() *rig {
+	r := &rig{service: service.New("payouts", 0)}
+	n := memnet.New()
+	r.server = &http.Server{Handler: r.service.Handler()}
+	listener := n.Listen(address)
+	go func() { _ = r.server.Serve(listener) }()
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := n.Dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		b := &breaker{Conn: c, armed: r.plan.armed, written: r.plan.written, read: r.plan.read}
+		r.conns = append(r.conns, b)
+		return b, nil
+	}
+	r.transport = &http.Transport{DialContext: dial}
+	r.fresh = &http.Transport{DialContext: dial, DisableKeepAlives: true}
+	hosts := []platform.Host{
+		{ID: "p1", Kind: platform.HostService, Service: "payouts", Address: address, State: platform.HostLive},
+		{ID: "p2", Kind: platform.HostService, Service: "payouts", Address: address, State: platform.HostLive},
+	}
+	pool := endpoint.NewPool(endpoint.Options{List: func() []platform.Host { return hosts }, Period: time.Second})
+	pool.Sync()
+	t, err := telemetry.New(context.Background(), telemetry.Options{Traces: 1})
+	Expect(err).NotTo(HaveOccurred())
+	r.dispatcher = dispatch.New(dispatch.Options{
+		Pool: pool, Transport: r.transport, Fresh: r.fresh, FirstToken: time.Second, Telemetry: t,
+	})
+	return r
+}
+
+func (r *rig) close() {
+	r.transport.CloseIdleConnections()
+	r.fresh.CloseIdleConnections()
+	_ = r.server.Close()
+}
+
+// breakAfter breaks all connections, those that are kept and new ones, after
+// some bytes; -1 never does.
+func (r *rig) breakAfter(written, read int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.plan = breaker{armed: true, written: written, read: read}
+	for _, c := range r.conns {
+		c.mu.Lock()
+		c.armed, c.written, c.read = true, written, read
+		c.mu.Unlock()
+	}
+}
+
+func (r *rig) call(repeatable bool, body string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	_, err := r.dispatcher.Call(ctx, dispatch.Call{
+		ID: "r1", Service: "payouts", Name: "pay", Method: http.MethodPost, Body: []byte(body),
+		Repeatable: repeatable, Attempted: func() {},
+	})
+	return err
+}
+
+// runs counts the calls with a body that the service ran.
+func (r *rig) runs(body string) int {
+	count := 0
+	for _, run := range r.service.Runs() {
+		if run.Body == body {
+			count++
+		}
+	}
+	return count
+}
+
+var _ = Describe("a call that may not be repeated", func() {
+	// The request is about 250 bytes long, the answer about 250.
+	const longest = 400
+
+	It("is sent at most once when its connection breaks at any byte of the request or the answer", func() {
+		paused(func() {
+			for after := range longest {
+				for direction, limits := range map[string][2]int{"request": {after, -1}, "answer": {-1, after}} {
+					r := newRig()
+					err := r.call(true, "warm") // leaves a kept connection behind
+					Expect(err).NotTo(HaveOccurred())
+					r.breakAfter(limits[0], limits[1])
+					err = r.call(false, "payout")
+					count := r.runs("payout")
+					Expect(count).To(BeNumerically("<=", 1), "%s broken after %d bytes", direction, after)
+					if err != nil && problem.Of(err).Run == problem.NotRun {
+						Expect(count).To(BeZero(), "%s broken after %d bytes", direction, after)
+					}
+					r.close()
+				}
+			}
+		})
+	})
+
+	It("is tried elsewhere only while it certainly did not run", func() {
+		paused(func() {
+			r := newRig()
+			defer r.close()
+			r.service.CutReplies(1)
+			err := r.call(false, "payout")
+			Expect(problem.Of(err).Run).To(Equal(problem.Unknown))
+			Expect(r.runs("payout")).To(Equal(1))
+			Expect(r.service.Runs()).To(HaveLen(1))
+		})
+	})
+})
+
+// The trap that the dispatcher avoids: with an Idempotency-Key header, or with
+// GetBody set, the library itself sends a request again on a kept connection.
+var _ = Describe("net/http by itself", func() {
+	It("would send a call again, which is why the dispatcher takes precautions", func() {
+		paused(func() {
+			r := newRig()
+			defer r.close()
+			send := func() error {
+				request, err := http.NewRequest(http.MethodPost, "http://"+address+"/pay", http.NoBody)
+				Expect(err).NotTo(HaveOccurred())
+				request.Header.Set("Idempotency-Key", "k")
+				response, err := r.transport.RoundTrip(request)
+				if err != nil {
+					return fmt.Errorf("send: %w", err)
+				}
+				_, _ = io.Copy(io.Discard, response.Body)
+				return response.Body.Close()
+			}
+			Expect(send()).To(Succeed())
+			r.service.CutReplies(1)
+			Expect(send()).To(Succeed())
+			Expect(r.service.Runs()).To(HaveLen(3), "the library sent the second call twice")
+		})
+	})
+})
--- a/internal/endpoint/pool.go
+++ b/internal/endpoint/pool.go
@@ -27,25 +27,6 @@
 	"quaybarrow/internal/platform"
 )
 
-// Outcome is how an attempt at an endpoint went, for judging the endpoint.
-type Outcome int
-
-// Outcomes of an attempt.
-const (
-	OutcomeGood    Outcome = iota
-	OutcomeFailed          // the endpoint broke off or answered with an error
-	OutcomeRefused         // it refused before any work
-	OutcomeNeutral         // the caller left, or the fault was ours
-)
-
-// Parameters of judging endpoints.
-const (
-	ejectAfter = 3                // failures in a row
-	ejectFor   = 5 * time.Second  // at first; doubles with each ejection
-	ejectMost  = 60 * time.Second // longest ejection
-	slowStart  = 10 * time.Second // from ejection's end to full traffic
-)
-
 // DefaultSubset is how many engines a host watches at most.
 const DefaultSubset = 32
 
@@ -68,9 +49,7 @@
 	reported time.Time // when the report was asked for; zero if never
 	mine     int       // in flight when the report was asked for
 	flying   int
-	failures int
-	ejected  time.Time // until when
-	ejection time.Duration
+	health   Health
 }
 
 // Pool is a host's endpoints.
@@ -233,15 +212,12 @@
 	e := place.Endpoint{
 		ID: s.host.ID, Address: s.host.Address, Hall: s.host.DataHall,
 		Slots: s.report.Slots, InFlight: s.flying, Reported: s.report.Running + s.report.Queued,
-		Mine: s.mine, Versions: s.report.refs, Slow: 1,
-		Ready: s.host.State == platform.HostLive && !s.report.Draining && !now.Before(s.ejected),
+		Mine: s.mine, Versions: s.report.refs, Slow: s.health.Slow(now),
+		Ready: s.host.State == platform.HostLive && !s.report.Draining && s.health.Ready(now),
 	}
 	if !s.reported.IsZero() {
 		e.Age = now.Sub(s.reported)
 	}
-	if back := now.Sub(s.ejected); !s.ejected.IsZero() && back < slowStart {
-		e.Slow = max(float64(back)/float64(slowStart), 0)
-	}
 	return e
 }
 
@@ -258,21 +234,5 @@
 		return
 	}
 	s.flying--
-	switch outcome {
-	case OutcomeGood:
-		s.failures, s.ejection = 0, 0
-	case OutcomeFailed:
-		s.failures++
-		if s.failures >= ejectAfter {
-			s.eject(time.Now())
-		}
-	case OutcomeRefused, OutcomeNeutral:
-	}
-}
-
-// eject keeps traffic away for a while, longer each time.
-func (s *state) eject(now time.Time) {
-	s.failures = 0
-	s.ejection = min(max(s.ejection*2, ejectFor), ejectMost)
-	s.ejected = now.Add(s.ejection)
+	s.health = s.health.WithOutcome(outcome, time.Now())
 }
--- a/internal/estimate/estimate.go
+++ b/internal/estimate/estimate.go
@@ -46,6 +46,7 @@
 	priorWeight = 8    // ratings that an operator's prior counts for
 	width       = 1.64 // standard errors: one-sided 95%
 	leastSpread = 0.05 // floor of the standard deviation
+	fewRatings  = 20
 )
 
 // bounds returns the mean and the half width of its interval. The prior counts
@@ -67,8 +68,13 @@
 	return math.Max(mean-half, 0)
 }
 
-// Upper is a bound that the true mean is below with some certainty.
+// Upper is a bound that the true mean is below with some certainty. Of a version
+// with few ratings nothing is certain, whatever its prior says: a bound from the
+// prior alone would keep a version from ever being tried.
 func (s Score) Upper(prior float64) float64 {
+	if s.Count < fewRatings {
+		return 1
+	}
 	mean, half := s.bounds(prior)
 	return math.Min(mean+half, 1)
 }
--- /dev/null
+++ b/internal/lease/lease_test.go
@@ -0,0 +1,187 @@
+package lease_test
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"quaybarrow/internal/lease"
+	"quaybarrow/internal/platform"
+	"quaybarrow/internal/standin/table"
+)
+
+const length = 10 * time.Second
+
+func manager(tables platform.Tables, host string) *lease.Manager {
+	return lease.NewManager(lease.Options{Tables: tables, Host: host, Incarnation: host + "-1", Length: length})
+}
+
+// span is a time for which a host believed that it held the lease.
+type span struct {
+	host       string
+	epoch      int64
+	start, end time.Time
+}
+
+// holding is a model of a lock: a holder may enter only when nobody is in.
+type holding struct{ epoch int64 }
+
+var lockModel = porcupine.Model{
+	Init: func() any { return holding{} },
+	Step: func(state, input, _ any) (bool, any) {
+		held, epoch := state.(holding), input.(int64)
+		return epoch > held.epoch, holding{epoch}
+	},
+}
+
+var _ = Describe("a lease", func() {
+	ctx := context.Background()
+	fenced := platform.Transaction{Writes: []platform.Write{platform.Put("work", "row", []byte("x"))}}
+
+	It("is taken only after it was seen unchanged for its whole length", func() {
+		paused(func() {
+			store := table.New(table.Options{})
+			first, second := manager(store, "a"), manager(store, "b")
+			_, err := first.Acquire(ctx, "duty")
+			Expect(err).NotTo(HaveOccurred())
+			_, err = second.Acquire(ctx, "duty")
+			Expect(err).To(MatchError(lease.ErrHeld))
+			time.Sleep(length - time.Millisecond)
+			_, err = second.Acquire(ctx, "duty")
+			Expect(err).To(MatchError(lease.ErrHeld))
+			time.Sleep(time.Millisecond)
+			l, err := second.Acquire(ctx, "duty")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(l.Epoch()).To(Equal(int64(2)))
+		})
+	})
+
+	It("has its holder stop before another may start, and refuses its late writes", func() {
+		paused(func() {
+			store := table.New(table.Options{})
+			first, second := manager(store, "a"), manager(store, "b")
+			old, err := first.Acquire(ctx, "duty")
+			Expect(err).NotTo(HaveOccurred())
+			_, _ = second.Acquire(ctx, "duty")
+			// The holder checks, and is paused between the check and the write.
+			Expect(old.Valid()).To(BeTrue())
+			time.Sleep(length)
+			Expect(old.Valid()).To(BeFalse())
+			fresh, err := second.Acquire(ctx, "duty")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(store.Commit(ctx, old.Fenced(fenced))).To(MatchError(platform.ErrConflict))
+			Expect(store.Commit(ctx, fresh.Fenced(fenced))).To(Succeed())
+			Expect(first.Renew(ctx, old)).To(MatchError(lease.ErrHeld))
+		})
+	})
+
+	It("counts a renewal from before it was sent", func() {
+		paused(func() {
+			store := table.New(table.Options{})
+			m := manager(store, "a")
+			l, err := m.Acquire(ctx, "duty")
+			Expect(err).NotTo(HaveOccurred())
+			store.Inject(table.Fault{Kind: table.FaultSlow, Delay: 3 * time.Second, Writes: true, Count: 1})
+			sent := time.Now()
+			Expect(m.Renew(ctx, l)).To(Succeed())
+			Expect(time.Since(sent)).To(Equal(3 * time.Second))
+			Expect(l.Left()).To(BeNumerically("<=", length-3*time.Second))
+		})
+	})
+
+	It("goes on when the reply of a renewal is lost", func() {
+		paused(func() {
+			store := table.New(table.Options{})
+			m := manager(store, "a")
+			l, err := m.Acquire(ctx, "duty")
+			Expect(err).NotTo(HaveOccurred())
+			for range 5 {
+				time.Sleep(length / 2)
+				store.Inject(table.Fault{Kind: table.FaultLoseReply, Count: 1})
+				Expect(m.Renew(ctx, l)).To(Succeed())
+				Expect(l.Valid()).To(BeTrue())
+			}
+		})
+	})
+
+	It("is released when its duty returns, so that another need not wait", func() {
+		paused(func() {
+			store := table.New(table.Options{})
+			running, cancel := context.WithCancel(ctx)
+			runs := 0
+			var wait sync.WaitGroup
+			wait.Go(func() {
+				manager(store, "a").Run(running, "duty", func(context.Context, *lease.Lease) { runs++ })
+			})
+			time.Sleep(3 * length)
+			cancel()
+			wait.Wait()
+			Expect(runs).To(BeNumerically(">", 5))
+		})
+	})
+
+	It("has one holder at a time under faults, by the history of its holders", func() {
+		paused(func() {
+			store := table.New(table.Options{})
+			running, cancel := context.WithCancel(ctx)
+			var mu sync.Mutex
+			var spans []span
+			var wait sync.WaitGroup
+			doors := map[string]*table.Door{}
+			for _, host := range []string{"a", "b", "c"} {
+				door := table.NewDoor(store)
+				doors[host] = door
+				wait.Go(func() {
+					manager(door, host).Run(running, "duty", func(ctx context.Context, l *lease.Lease) {
+						start, last := time.Now(), time.Now()
+						for l.Valid() && ctx.Err() == nil {
+							last = time.Now()
+							time.Sleep(50 * time.Millisecond)
+						}
+						mu.Lock()
+						defer mu.Unlock()
+						spans = append(spans, span{host, l.Epoch(), start, last})
+					})
+				})
+			}
+			for i := range 60 {
+				victim := doors[[]string{"a", "b", "c"}[i%3]]
+				switch i % 4 {
+				case 0:
+					victim.Freeze(true)
+					time.AfterFunc(2*length, func() { victim.Freeze(false) })
+				case 1:
+					victim.Cut(true)
+					time.AfterFunc(length, func() { victim.Cut(false) })
+				case 2:
+					store.Inject(table.Fault{Kind: table.FaultLoseReply, Count: 2})
+				case 3:
+					store.Inject(table.Fault{Kind: table.FaultSlow, Delay: length / 2, Count: 3})
+				}
+				time.Sleep(length)
+			}
+			store.Heal()
+			time.Sleep(5 * length)
+			cancel()
+			for _, d := range doors {
+				d.Freeze(false)
+			}
+			wait.Wait()
+			Expect(len(spans)).To(BeNumerically(">", 10))
+			var history []porcupine.Operation
+			for i, s := range spans {
+				history = append(history, porcupine.Operation{
+					ClientId: i, Input: s.epoch, Call: s.start.UnixNano(), Output: nil, Return: s.end.UnixNano(),
+				})
+				for _, other := range spans[i+1:] {
+					Expect(s.end.Before(other.start) || other.end.Before(s.start)).To(BeTrue(), "%v and %v overlap", s, other)
+				}
+			}
+			Expect(porcupine.CheckOperations(lockModel, history)).To(BeTrue())
+		})
+	})
+})
--- /dev/null
+++ b/internal/reference/reference.go
@@ -0,0 +1,182 @@
+// Package reference makes the reference pages of settings and declarations from
+// the structs that declare them.
+//
+// # Usage
+//
+//	page, err := reference.Page(reference.Settings())
+package reference
+
+import (
+	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"reflect"
+	"strings"
+
+	"github.com/goccy/go-yaml"
+	"github.com/pkg/errors"
+
+	"quaybarrow/internal/declare"
+	"quaybarrow/internal/settings"
+)
+
+// Subject is what a page is about.
+type Subject struct {
+	Title    string
+	Intro    string
+	Source   []byte // Go text that declares the struct
+	Root     string // the struct's name
+	Defaults any    // a value whose fields are the defaults; nil for none
+}
+
+// Settings is the page of a host's settings.
+func Settings() Subject {
+	return Subject{
+		Title: "Settings",
+		Intro: "A host reads these from the YAML file that `quaybarrowd -settings FILE` names;\n`quaybarrowd -check-settings -settings FILE` checks it and exits.",
+
+		Source: settings.SourceText, Root: "Settings", Defaults: settings.Default(),
+	}
+}
+
+// Declarations is the page of what operators declare.
+func Declarations() Subject {
+	return Subject{
+		Title: "Declarations",
+		Intro: "Operators keep these as YAML files in version control. `quaybarrow apply -f DIR`\nreads every `.yaml` file of a directory; each may hold any of the top fields.",
+
+		Source: declare.SourceText, Root: "Declarations",
+	}
+}
+
+// structs finds the struct types of a source.
+func structs(source []byte) (map[string]*ast.StructType, map[string]string, error) {
+	file, err := parser.ParseFile(token.NewFileSet(), "source.go", source, parser.ParseComments)
+	if err != nil {
+		return nil, nil, fmt.Errorf("read declarations of fields: %w", err)
+	}
+	types, docs := map[string]*ast.StructType{}, map[string]string{}
+	for _, d := range file.Decls {
+		general, ok := d.(*ast.GenDecl)
+		if !ok {
+			continue
+		}
+		for _, s := range general.Specs {
+			spec, ok := s.(*ast.TypeSpec)
+			if !ok {
+				continue
+			}
+			if t, ok := spec.Type.(*ast.StructType); ok {
+				types[spec.Name.Name] = t
+				docs[spec.Name.Name] = general.Doc.Text()
+			}
+		}
+	}
+	return types, docs, nil
+}
+
+// Page makes a page in Markdown.
+func Page(s Subject) (string, error) {
+	types, _, err := structs(s.Source)
+	if err != nil {
+		return "", err
+	}
+	if types[s.Root] == nil {
+		return "", errors.Errorf("no struct %s", s.Root)
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "# %s\n\nMade by `quaybarrow reference` from the struct `%s`; don't edit it by hand.\n\n%s\n\n", s.Title, s.Root, s.Intro)
+	header := "| field | type | what it is |\n|---|---|---|\n"
+	if s.Defaults != nil {
+		header = "| field | type | default | what it is |\n|---|---|---|---|\n"
+	}
+	b.WriteString(header)
+	w := writer{types: types, out: &b, defaults: s.Defaults != nil}
+	w.fields(s.Root, "", reflect.ValueOf(s.Defaults))
+	return b.String(), nil
+}
+
+// writer writes the fields of structs, depth first.
+type writer struct {
+	types    map[string]*ast.StructType
+	out      *strings.Builder
+	defaults bool
+}
+
+func (w writer) fields(name, prefix string, value reflect.Value) {
+	for _, f := range w.types[name].Fields.List {
+		if f.Tag == nil {
+			continue
+		}
+		tag := reflect.StructTag(strings.Trim(f.Tag.Value, "`")).Get("yaml")
+		field, _, _ := strings.Cut(tag, ",")
+		kind, list := typeName(f.Type)
+		path := prefix + field
+		var inner reflect.Value
+		if value.IsValid() && value.Kind() == reflect.Struct {
+			inner = value.FieldByName(f.Names[0].Name)
+		}
+		if w.types[kind] != nil {
+			w.line(path+suffix(list), "", "", comment(f))
+			w.fields(kind, path+suffix(list)+".", inner)
+			continue
+		}
+		w.line(path+suffix(list), kind, defaultOf(inner), comment(f))
+	}
+}
+
+// suffix marks a list.
+func suffix(list bool) string {
+	if list {
+		return "[]"
+	}
+	return ""
+}
+
+func (w writer) line(path, kind, value, text string) {
+	if w.defaults {
+		fmt.Fprintf(w.out, "| `%s` | %s | %s | %s |\n", path, kind, value, text)
+		return
+	}
+	fmt.Fprintf(w.out, "| `%s` | %s | %s |\n", path, kind, text)
+}
+
+// typeName names a field's type, and whether it is a list of them.
+func typeName(e ast.Expr) (string, bool) {
+	switch t := e.(type) {
+	case *ast.ArrayType:
+		name, _ := typeName(t.Elt)
+		return name, true
+	case *ast.SelectorExpr:
+		return strings.ToLower(t.Sel.Name), false
+	case *ast.Ident:
+		switch t.Name {
+		case "State", "Priority", "Role":
+			return strings.ToLower(t.Name), false
+		}
+		return t.Name, false
+	default:
+		return "value", false
+	}
+}
+
+func comment(f *ast.Field) string {
+	text := f.Doc.Text()
+	if text == "" {
+		text = f.Comment.Text()
+	}
+	return strings.ReplaceAll(strings.Join(strings.Fields(text), " "), "|", "\\|")
+}
+
+// defaultOf formats a default; nothing for an empty one.
+func defaultOf(v reflect.Value) string {
+	if !v.IsValid() || v.IsZero() {
+		return ""
+	}
+	data, err := yaml.Marshal(v.Interface())
+	if err != nil {
+		return ""
+	}
+	return "`" + strings.TrimSpace(string(data)) + "`"
+}
--- /dev/null
+++ b/internal/rollout/rollout_test.go
@@ -0,0 +1,126 @@
+package rollout_test
+
+import (
+	"math/rand/v2"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"quaybarrow/internal/declare"
+	"quaybarrow/internal/rollout"
+)
+
+var plan = declare.Plan{Name: "p", Version: "m@2", Window: 10, Floor: 0.7, Ratings: 20}
+
+// rate plays ratings of a version with a mean until a verdict or a bound.
+func rate(s rollout.State, mean float64, random *rand.Rand, most int) (rollout.State, rollout.Action, int) {
+	now := time.Unix(0, 0)
+	for i := range most {
+		score := 0.0
+		if random.Float64() < mean {
+			score = 1
+		}
+		var action rollout.Action
+		if s, action = rollout.Step(s, plan, []float64{score}, now); action != rollout.ActionNone {
+			return s, action, i + 1
+		}
+	}
+	return s, rollout.ActionNone, most
+}
+
+var _ = Describe("a plan", func() {
+	seeds := 2000
+
+	It("stops a version at the floor in fewer than one case in a hundred, however often it looks", func() {
+		stops := 0
+		for seed := range seeds {
+			_, action, _ := rate(rollout.NewState(plan, time.Unix(0, 0)), plan.Floor, rand.New(rand.NewPCG(uint64(seed), 1)), 2000)
+			if action == rollout.ActionWithdraw {
+				stops++
+			}
+		}
+		Expect(float64(stops) / float64(seeds)).To(BeNumerically("<", 0.01))
+	})
+
+	verdicts := map[string]struct {
+		mean   float64
+		action rollout.Action
+		within int // ratings, for 95 in 100 seeds
+	}{
+		"a good version is accepted":   {0.95, rollout.ActionAccept, 60},
+		"a bad version is withdrawn":   {0.3, rollout.ActionWithdraw, 40},
+		"an awful version is at once":  {0.0, rollout.ActionWithdraw, 15},
+		"a weak version is, in a time": {0.5, rollout.ActionWithdraw, 150},
+	}
+	for name, v := range verdicts {
+		It(name, func() {
+			inTime := 0
+			for seed := range 200 {
+				_, action, count := rate(rollout.NewState(plan, time.Unix(0, 0)), v.mean, rand.New(rand.NewPCG(uint64(seed), 2)), 4000)
+				if action == v.action && count <= v.within {
+					inTime++
+				}
+			}
+			Expect(inTime).To(BeNumerically(">=", 190))
+		})
+	}
+
+	It("catches a version that turns bad in service, and leaves a good one alone", func() {
+		for seed := range 100 {
+			random := rand.New(rand.NewPCG(uint64(seed), 3))
+			s := rollout.NewState(plan, time.Unix(0, 0)).WithPhase(rollout.PhaseAccepted, "")
+			s, action, _ := rate(s, 0.95, random, 2000)
+			Expect(action).To(Equal(rollout.ActionNone))
+			_, action, _ = rate(s, 0.2, random, 60)
+			Expect(action).To(Equal(rollout.ActionWithdraw))
+		}
+	})
+
+	It("withdraws a version that fails on two hosts, or on the only one", func() {
+		s := rollout.NewState(plan, time.Unix(0, 0))
+		_, action := s.Failing(1, 3)
+		Expect(action).To(Equal(rollout.ActionNone))
+		_, action = s.Failing(2, 3)
+		Expect(action).To(Equal(rollout.ActionWithdraw))
+		_, action = s.Failing(1, 1)
+		Expect(action).To(Equal(rollout.ActionWithdraw))
+	})
+
+	It("never has more answers out than its window, and never counts below zero", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			now := time.Unix(0, 0)
+			s := rollout.NewState(plan, now)
+			for range rapid.IntRange(1, 60).Draw(t, "steps") {
+				now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "seconds")) * time.Second)
+				out := int(s.Outstanding())
+				ratings := rapid.SliceOfN(rapid.Float64Range(0, 1), 0, min(out, 5)).Draw(t, "ratings")
+				var action rollout.Action
+				s, action = rollout.Step(s, plan, ratings, now)
+				if action != rollout.ActionNone {
+					return
+				}
+				if room := s.Room(); room > 0 {
+					s = s.WithGrant(room, now)
+				}
+				if s.Outstanding() < 0 || float64(s.Outstanding()) > s.Window+1 && len(ratings) == 0 && s.Room() > 0 {
+					t.Fatalf("%d answers out in a window of %v", s.Outstanding(), s.Window)
+				}
+				held := int64(0)
+				for _, b := range s.Batches {
+					held += b.Count
+				}
+				if held+s.Dropped != s.Granted {
+					t.Fatalf("batches hold %d, dropped %d, granted %d", held, s.Dropped, s.Granted)
+				}
+			}
+		})
+	})
+
+	It("gives its credits to hosts as evenly as they go", func() {
+		Expect(rollout.Split(7, 3, 0)).To(Equal([]int{3, 2, 2}))
+		Expect(rollout.Split(7, 3, 1)).To(Equal([]int{2, 3, 2}))
+		Expect(rollout.Split(1, 3, 2)).To(Equal([]int{0, 0, 1}))
+	})
+})
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,55 @@
+package settings_test
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"quaybarrow/internal/settings"
+)
+
+const good = `host: entry-1
+data_hall: ikeja
+region: lagos
+platform: http://10.0.0.1:7000
+session_keys: [{id: k1, secret: 0123456789abcdef0123456789abcdef}]
+`
+
+// bad are lines added to good settings, and what the error has to say.
+var bad = map[string]struct {
+	line string
+	want []string
+}{
+	"an unknown field":        {"hots: x", []string{"hots"}},
+	"an address without port": {"callers: 10.0.0.1", []string{"host.yaml:6", "$.callers", "ip:port"}},
+	"a name for an address":   {"peers: localhost:7300", []string{"host.yaml:6", "$.peers", "ip:port"}},
+	"a negative time":         {"times: {lease: -3s}", []string{"host.yaml:6", "$.times.lease", "more than 0"}},
+	"a certificate alone":     {"tls: {certificate: c.pem}", []string{"host.yaml:6", "$.tls", "together"}},
+	"a log level":             {"telemetry: {log_level: loud}", []string{"$.telemetry.log_level", "debug"}},
+	"a field given twice":     {"host: again", []string{"host"}},
+}
+
+var _ = Describe("settings", func() {
+	It("are read, with defaults for the rest", func() {
+		s, err := settings.Parse("host.yaml", []byte(good))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.Host).To(Equal("entry-1"))
+		Expect(s.Times.Lease).To(Equal(settings.Default().Times.Lease))
+	})
+
+	for name, b := range bad {
+		It("with "+name+" are refused with line and field", func() {
+			_, err := settings.Parse("host.yaml", []byte(good+b.line+"\n"))
+			Expect(err).To(HaveOccurred())
+			for _, want := range b.want {
+				Expect(err.Error()).To(ContainSubstring(want))
+			}
+		})
+	}
+
+	It("name every bad field at once", func() {
+		_, err := settings.Parse("host.yaml", []byte("host: \"\"\nplatform: nowhere\n"))
+		for _, field := range []string{"$.host", "$.data_hall", "$.platform", "$.session_keys"} {
+			Expect(err).To(MatchError(ContainSubstring(field)))
+		}
+	})
+})
--- /dev/null
+++ b/internal/settings/suite_test.go
@@ -0,0 +1,13 @@
+package settings_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestSuite(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "settings")
+}
