Experiments: decisions against baselines in virtual time; what they showed is mended

Cause: choice, roll-out, placement, overload, retries and the search for jobs were unmeasured. Change: 'quaybarrow experiment' with a scenario file for each, tables, goals and plots.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -103,11 +103,19 @@
 	return id, turn, nil
 }
 
+// latest is how long a request may wait and still have a first token in time.
+func (c *Controller) latest(deadline time.Time) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	left := time.Until(deadline)
+	return left - c.line.Margin(left)
+}
+
 // wait blocks a request until its turn, its deadline or its caller's end.
 func (c *Controller) wait(ctx context.Context, ask Ask, id int64, turn chan struct{}) (*Place, error) {
 	var late <-chan time.Time
 	if !ask.Deadline.IsZero() {
-		t := time.NewTimer(time.Until(ask.Deadline))
+		t := time.NewTimer(c.latest(ask.Deadline))
 		defer t.Stop()
 		late = t.C
 	}
--- a/internal/admission/line.go
+++ b/internal/admission/line.go
@@ -67,19 +67,36 @@
 		return ErrQueue
 	case l.shares[ask.Workspace] >= ask.Share && mine >= ask.Share:
 		return ErrShare
-	case !ask.Deadline.IsZero() && now.Add(l.expectedWait()).After(ask.Deadline):
+	case !ask.Deadline.IsZero() && now.Add(l.expectedWait(ask)).After(ask.Deadline):
 		return ErrDeadline
 	default:
 		return nil
 	}
 }
 
-// expectedWait estimates a newcomer's wait.
-func (l *Line) expectedWait() time.Duration {
+// expectedWait estimates a newcomer's wait: its workspace gets one turn in as
+// many as there are active workspaces, and those of its own that are ahead of it
+// go first. A batch request goes behind all that are not.
+func (l *Line) expectedWait(ask Ask) time.Duration {
 	if l.flying < l.limit.now() {
 		return 0
 	}
-	turns := float64(len(l.queue)+1) / float64(max(l.limit.now(), 1))
+	active := map[string]bool{ask.Workspace: true}
+	for w := range l.shares {
+		active[w] = true
+	}
+	mine, before := 1, 0
+	for _, w := range l.queue {
+		active[w.ask.Workspace] = true
+		urgent := w.ask.Priority != declare.PriorityBatch
+		switch {
+		case w.ask.Workspace == ask.Workspace && (urgent || ask.Priority == declare.PriorityBatch):
+			mine++
+		case urgent && ask.Priority == declare.PriorityBatch:
+			before++
+		}
+	}
+	turns := float64(mine*len(active)+before) / float64(max(l.limit.now(), 1))
 	return time.Duration(turns * l.mean * float64(time.Second))
 }
 
@@ -106,6 +123,12 @@
 	return l.advance()
 }
 
+// Margin is how long before its deadline a request has to start: as long as first
+// tokens take now, but no more than half of the time it has.
+func (l *Line) Margin(left time.Duration) time.Duration {
+	return min(time.Duration(l.limit.recent*float64(time.Second)), left/2)
+}
+
 // Leave takes a request out that waits no longer; false if it does not wait.
 func (l *Line) Leave(id int64) bool {
 	for i, w := range l.queue {
--- a/internal/choose/choose.go
+++ b/internal/choose/choose.go
@@ -77,6 +77,7 @@
 	cost  float64
 	low   float64
 	high  float64
+	known estimate.Interval
 }
 
 // Usable reports whether a version may take new work that is not pinned to it.
@@ -133,6 +134,7 @@
 		options[count] = option{
 			index: i, cost: Cost(c.Version),
 			low: score.Lower(c.Version.Quality), high: score.Upper(c.Version.Quality),
+			known: score.Interval(c.Version.Quality),
 		}
 		count++
 	}
@@ -213,8 +215,13 @@
 			if b.low <= target {
 				continue
 			}
-			part := (b.low - target) / (b.low - a.low)
-			if cost := part*a.cost + (1-part)*b.cost; cost < least {
+			// No mix is cheaper than the one that the means alone would allow.
+			most := min((b.known.Mean-target)/(b.known.Mean-a.known.Mean), 1)
+			if most > 0 && most*a.cost+(1-most)*b.cost >= least {
+				continue
+			}
+			part := largestShare(a.known, b.known, target)
+			if cost := part*a.cost + (1-part)*b.cost; part > 0 && cost < least {
 				least, cheap, dear, share = cost, i, j, part
 			}
 		}
@@ -222,6 +229,24 @@
 	return cheap, dear, share
 }
 
+// halvings is how finely a mix's share is found.
+const halvings = 10
+
+// largestShare finds the largest share of the first version with which the mix's
+// lower bound meets the target. Without any of the first it does.
+func largestShare(first, second estimate.Interval, target float64) float64 {
+	low, high := 0.0, 1.0
+	for range halvings {
+		middle := (low + high) / 2
+		if estimate.MixLower(first, second, middle) >= target {
+			low = middle
+		} else {
+			high = middle
+		}
+	}
+	return low
+}
+
 // Cascade returns the usable versions of a class to ask one after the other:
 // the cheapest first, then the cheapest that meets the target by itself.
 func Cascade(in Input) (first, second Decision, err error) {
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -72,6 +72,7 @@
 	c.Register(&traceCommand{env: env}, groupInspect)
 	c.Register(&consoleCommand{env: env}, groupInspect)
 	c.Register(&demoCommand{env: env}, groupTry)
+	c.Register(&experimentCommand{env: env}, groupTry)
 }
 
 // Environment variables.
--- a/internal/daemon/module.go
+++ b/internal/daemon/module.go
@@ -178,6 +178,7 @@
 func newPool(s settings.Settings, m *membership.Membership, t transports) *endpoint.Pool {
 	return endpoint.NewPool(endpoint.Options{
 		Host: s.Host, Hall: s.DataHall, Period: s.Times.Load, List: m.Listed, Fetch: endpoint.HTTPFetcher(t.kept),
+		Hosts: func() int { return len(m.View().Members) },
 	})
 }
 
--- a/internal/endpoint/pool.go
+++ b/internal/endpoint/pool.go
@@ -15,6 +15,7 @@
 package endpoint
 
 import (
+	"math"
 	"math/rand/v2"
 	"sort"
 	"sync"
@@ -38,6 +39,8 @@
 	Period time.Duration
 	// List returns the platform's list as last read.
 	List func() []platform.Host
+	// Hosts counts the live hosts of the router; nil means one.
+	Hosts func() int
 	// Fetch reads an engine's load report.
 	Fetch Fetcher
 }
@@ -58,13 +61,7 @@
 
 	mu     sync.Mutex // guards all below
 	states map[string]*state
-	hints  map[uint64]hint
-}
-
-// hint says which endpoint was last sent a prefix.
-type hint struct {
-	endpoint string
-	at       time.Time
+	share  float64 // part of all engines that a host watches
 }
 
 // NewPool returns a pool without endpoints.
@@ -72,14 +69,16 @@
 	if options.Subset == 0 {
 		options.Subset = DefaultSubset
 	}
-	return &Pool{options: options, states: map[string]*state{}, hints: map[uint64]hint{}}
+	return &Pool{options: options, states: map[string]*state{}}
 }
 
 // Sync takes in the platform's list.
 func (p *Pool) Sync() {
-	hosts := Subset(p.options.List(), p.options.Host, p.options.Hall, p.options.Subset)
+	all := p.options.List()
+	hosts := Subset(all, p.options.Host, p.options.Hall, p.options.Subset)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.share = float64(engineCount(hosts)) / float64(max(engineCount(all), 1))
 	listed := make(map[string]bool, len(hosts))
 	for _, h := range hosts {
 		listed[h.ID] = true
@@ -100,6 +99,28 @@
 	}
 }
 
+func engineCount(hosts []platform.Host) int {
+	count := 0
+	for _, h := range hosts {
+		if h.Kind == platform.HostEngine {
+			count++
+		}
+	}
+	return count
+}
+
+// sharersLocked is how many hosts send to a watched endpoint, this one included;
+// the caller holds mu.
+func (p *Pool) sharersLocked(service string) int {
+	if p.options.Hosts == nil {
+		return 1
+	}
+	if service != "" {
+		return p.options.Hosts()
+	}
+	return max(int(math.Round(float64(p.options.Hosts())*p.share)), 1)
+}
+
 // Subset picks the endpoints that a host watches: every plain service, and of
 // the engines at most limit, half of them in the host's own data hall where
 // there are so many, by rendezvous weight so that hosts spread evenly.
@@ -154,14 +175,13 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	endpoints := p.viewLocked(ask.Service, time.Now())
-	want := place.Ask{Version: ask.Version, Hall: p.options.Hall, Avoid: ask.Avoid, Hinted: p.hintLocked(ask.Prefix)}
-	i := place.Pick(endpoints, want, rand.Float64(), rand.Float64())
+	want := place.Ask{Version: ask.Version, Hall: p.options.Hall, Prefix: ask.Prefix, Avoid: ask.Avoid, Sharers: p.sharersLocked(ask.Service)}
+	i := place.Pick(endpoints, want, rand.Float64())
 	if i < 0 {
 		return nil, false
 	}
 	chosen := endpoints[i]
 	p.states[chosen.ID].flying++
-	p.noteLocked(ask.Prefix, chosen.ID)
 	return &Lease{ID: chosen.ID, Address: chosen.Address, pool: p}, true
 }
 
@@ -210,7 +230,7 @@
 // endpoint is the state as a decision reads it.
 func (s *state) endpoint(now time.Time) place.Endpoint {
 	e := place.Endpoint{
-		ID: s.host.ID, Address: s.host.Address, Hall: s.host.DataHall,
+		ID: s.host.ID, Hash: xxhash.Sum64String(s.host.ID), Address: s.host.Address, Hall: s.host.DataHall,
 		Slots: s.report.Slots, InFlight: s.flying, Reported: s.report.Running + s.report.Queued,
 		Mine: s.mine, Versions: s.report.refs, Slow: s.health.Slow(now),
 		Ready: s.host.State == platform.HostLive && !s.report.Draining && s.health.Ready(now),
--- a/internal/estimate/estimate.go
+++ b/internal/estimate/estimate.go
@@ -44,7 +44,7 @@
 // Parameters of the bounds.
 const (
 	priorWeight = 8    // ratings that an operator's prior counts for
-	width       = 1.64 // standard errors: one-sided 95%
+	width       = 2.5  // standard errors; wide, because the bound is looked at all the time
 	leastSpread = 0.05 // floor of the standard deviation
 	fewRatings  = 20
 )
@@ -62,6 +62,22 @@
 	return mean, width * deviation / math.Sqrt(count)
 }
 
+// Interval is a mean with the half width of its interval.
+type Interval struct{ Mean, Half float64 }
+
+// Interval returns the score's mean and uncertainty.
+func (s Score) Interval(prior float64) Interval {
+	mean, half := s.bounds(prior)
+	return Interval{Mean: mean, Half: half}
+}
+
+// MixLower is the lower bound of a mix of two, with a share of the first. The
+// errors of the two are independent, so the mix is surer than its worse part.
+func MixLower(first, second Interval, share float64) float64 {
+	a, b := share*first.Half, (1-share)*second.Half
+	return share*first.Mean + (1-share)*second.Mean - math.Sqrt(a*a+b*b)
+}
+
 // Lower is a bound that the true mean is above with some certainty.
 func (s Score) Lower(prior float64) float64 {
 	mean, half := s.bounds(prior)
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -7,8 +7,8 @@
 //	job, err := queue.Find(ctx, "examiners", id)
 //
 // A job is a row of the table service from before it is accepted until its
-// result expires. Waiting jobs stand in shards; an idle host probes a few
-// random shards and claims what it finds by compare-and-set. A claim lasts as
+// result expires. Waiting jobs stand in shards; an idle host probes a
+// random shard and claims what it finds by compare-and-set. A claim lasts as
 // long as its row keeps changing: a host that dies stops renewing, and another
 // claims the job. Its bill is named by the job, so it is billed once all the
 // same.
@@ -39,8 +39,10 @@
 	TableRunning = "job-running"
 )
 
-// Shards of the waiting jobs.
-const Shards = 16
+// Shards of the waiting jobs: enough that a few hundred hosts do not claim the
+// same rows, and few enough that a handful of hosts look into each often
+// (docs/measurements/jobs.md).
+const Shards = 4
 
 // State is how far a job has come.
 type State string
--- a/internal/job/work.go
+++ b/internal/job/work.go
@@ -16,7 +16,7 @@
 
 // Times and bounds of working on jobs.
 const (
-	probes       = 3 // shards that an idle host looks into at a time
+	probes       = 1 // shards that an idle worker looks into at a time
 	probeRows    = 4 // jobs looked at in a shard
 	lostOdds     = 4 // one probe in so many also looks for jobs of lost hosts
 	minIdle      = 200 * time.Millisecond
@@ -94,7 +94,7 @@
 	}
 }
 
-// Once looks for a job in a few random shards and runs the first that it can
+// Once looks for a job in a random shard and runs the first that it can
 // claim; false if there was none.
 func (w *Worker) Once(ctx context.Context) bool {
 	for _, shard := range rand.Perm(Shards)[:probes] {
--- a/internal/rollout/step.go
+++ b/internal/rollout/step.go
@@ -30,10 +30,11 @@
 
 // Error rates of the decisions.
 const (
-	falseStop   = 0.01  // of a version whose mean is at the floor or above
+	falseStop   = 0.1
 	falseAccept = 0.05  // of a version whose mean is below the floor
 	falseAlarm  = 0.001 // per rating, of a version in service
-	suspicion   = 3     // wealth at which the window closes to its first size
+	suspicion   = 3     // wealth of the bet against it at which a version gets the least window
+	suspected   = 4     // part of the first window that it gets then
 	growth      = 2.0   // window added per rating in the version's favour
 	shrink      = 0.5   // of the window, per rating against it
 	maxWindow   = 100_000
@@ -144,16 +145,24 @@
 	}
 	s.Good = s.Good.bet(r, plan.Floor, 1)
 	s.Bad = s.Bad.bet(r, plan.Floor, -1)
+	s.Window = s.windowAfter(r, plan)
+	return s
+}
+
+// windowAfter opens the window with each good rating while the evidence is not
+// against the version, and closes it on bad ones.
+func (s State) windowAfter(r float64, plan declare.Plan) float64 {
 	first := float64(plan.Window)
 	switch {
 	case s.Bad.mean() > suspicion:
-		s.Window = first
+		return math.Max(first/suspected, 1)
+	case s.Bad.mean() > s.Good.mean():
+		return first
 	case r >= plan.Floor:
-		s.Window = math.Min(s.Window+growth, maxWindow)
+		return math.Min(s.Window+growth, maxWindow)
 	default:
-		s.Window = math.Max(s.Window-s.Window*shrink/math.Max(first, 2), first)
+		return math.Max(s.Window*(1-shrink/math.Max(first, 2)), first)
 	}
-	return s
 }
 
 // verdict decides on the evidence so far.
