Measure the router's own cost; admission no longer takes its own line for slowness

Cause: at 64 streams in flight the first token took 391 ms through the router and 1.6 ms directly. The limit that follows latency was fed the time since the request came in, its wait in line included, so waiting lowered the limit, which made more wait. Ruled out: the copies of bills (0.7 ms of the whole). Change: the time counts from when a request gets its place; 50 ms over the usual are not minded; events that are here already are flushed together.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -158,8 +158,12 @@
 	})
 }
 
-// Observe tells how long the first token of an answer took, so that the limit
-// can follow.
+// FirstToken tells that the request's answer has begun, so that the limit can
+// follow how long that takes. It counts from when the request got its place: its
+// own wait in line must not make the line longer.
+func (p *Place) FirstToken() { p.controller.Observe(time.Since(p.started)) }
+
+// Observe tells how long a first token took from when its request got a place.
 func (c *Controller) Observe(firstToken time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -91,6 +91,26 @@
 		})
 	})
 
+	It("does not take its own line for slowness", func() {
+		paused(func() {
+			c := admission.NewController(admission.Options{Limit: 8, Queue: 1000})
+			var wait sync.WaitGroup
+			for range 400 {
+				wait.Go(func() {
+					place, err := c.Admit(ctx, admission.Ask{Workspace: "w", Share: 1000})
+					Expect(err).NotTo(HaveOccurred())
+					time.Sleep(20 * time.Millisecond)
+					place.FirstToken()
+					time.Sleep(20 * time.Millisecond)
+					place.Release()
+				})
+				time.Sleep(time.Millisecond)
+			}
+			wait.Wait()
+			Expect(c.Limit()).To(Equal(8))
+		})
+	})
+
 	It("lowers its limit while first tokens come late, and raises it again", func() {
 		c := admission.NewController(admission.Options{Limit: 100, Queue: 5})
 		for range 200 {
--- a/internal/admission/limiter.go
+++ b/internal/admission/limiter.go
@@ -9,6 +9,7 @@
 const (
 	minLimit    = 4
 	tolerated   = 2.0    // recent latency over the usual one that is still well
+	unnoticed   = 0.05    // seconds over the usual latency that nobody minds
 	recent      = 0.2    // weight of a new latency in the recent one
 	drift       = 0.0005 // weight with which the usual one follows upwards
 	fall        = 0.05   // and downwards
@@ -56,7 +57,7 @@
 // adjust changes the limit.
 func (l *limiter) adjust(flying int) {
 	least := float64(min(minLimit, l.most))
-	gradient := tolerated * l.usual / math.Max(l.recent, 1e-9)
+	gradient := (tolerated*l.usual + unnoticed) / math.Max(l.recent, 1e-9)
 	switch {
 	case gradient < 1:
 		// Requests in flight are what causes the latency; a limit far above them
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -73,6 +73,8 @@
 	c.Register(&consoleCommand{env: env}, groupInspect)
 	c.Register(&demoCommand{env: env}, groupTry)
 	c.Register(&experimentCommand{env: env}, groupTry)
+	c.Register(&measureCommand{env: env}, groupTry)
+	c.Register(&loadCommand{env: env}, groupTry)
 }
 
 // Environment variables.
--- a/internal/daemon/host.go
+++ b/internal/daemon/host.go
@@ -32,6 +32,7 @@
 	"quaybarrow/internal/settings"
 	"quaybarrow/internal/telemetry"
 	"quaybarrow/internal/tlsfiles"
+	"quaybarrow/internal/traffic"
 )
 
 // Limits of the HTTP servers.
@@ -67,6 +68,7 @@
 	Pipeline   *pipeline.Pipeline
 	Commands   *operator.Commands
 	Queries    *operator.Queries
+	Traffic    *traffic.Log
 	Telemetry  *telemetry.Telemetry
 	Link       peer.Link
 	TLS        *tlsfiles.Files
--- a/internal/daemon/jobs.go
+++ b/internal/daemon/jobs.go
@@ -29,7 +29,7 @@
 }
 
 // Event implements pipeline.Sink.
-func (b *buffer) Event(data []byte) error {
+func (b *buffer) Event(data []byte, _ bool) error {
 	b.body = append(b.body, data...)
 	return nil
 }
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -79,6 +79,7 @@
 	Data  []byte // the block with its blank line; valid until the next call
 	Usage bool   // carries only the usage, for those who asked for it
 	Done  bool   // the mark that ends the stream
+	More  bool   // the next event is here already, so this one need not be flushed
 }
 
 // Markers in the data of events.
@@ -87,6 +88,7 @@
 	usageMarker = []byte(`"usage":{`)
 	noChoices   = []byte(`"choices":[]`)
 	doneMarker  = []byte(chat.Done)
+	blankLine   = []byte("\n\n")
 )
 
 // Next returns the next event. A broken stream is resumed at the same endpoint
@@ -134,7 +136,15 @@
 			break
 		}
 	}
-	return s.eventOf(data), nil
+	event := s.eventOf(data)
+	event.More = s.hasWhole()
+	return event, nil
+}
+
+// hasWhole reports whether another whole event was read from the connection.
+func (s *Stream) hasWhole() bool {
+	buffered, err := s.reader.Peek(s.reader.Buffered())
+	return err == nil && bytes.Contains(buffered, blankLine)
 }
 
 // eventOf looks for the few things in an event that the router reads.
--- a/internal/entry/sink.go
+++ b/internal/entry/sink.go
@@ -85,11 +85,14 @@
 }
 
 // Event implements pipeline.Sink.
-func (s *sink) Event(data []byte) error {
+func (s *sink) Event(data []byte, more bool) error {
 	s.extend()
 	if _, err := s.writer.Write(data); err != nil {
 		return fmt.Errorf("write event: %w", err)
 	}
+	if more {
+		return nil
+	}
 	if err := s.controller.Flush(); err != nil {
 		return fmt.Errorf("flush event: %w", err)
 	}
@@ -107,7 +110,7 @@
 		failed.Write(s.writer)
 		return
 	}
-	_ = s.Event(fmt.Appendf(nil, "data: %s\n\n", failed.JSON()))
+	_ = s.Event(fmt.Appendf(nil, "data: %s\n\n", failed.JSON()), false)
 }
 
 func writeJSON(w http.ResponseWriter, status int, value any) {
--- a/internal/experiment/rollout.go
+++ b/internal/experiment/rollout.go
@@ -151,8 +151,8 @@
 
 // turned counts the answers of a version in full service between its turning bad
 // and its withdrawal, by the router's detector or by a sliding mean.
-func (s RolloutScenario) turned(seed int, delay float64, detector bool) (exposed int, caught bool) {
-	clock := &clockwork{}
+func (s RolloutScenario) turned(seed int, delay float64, detector bool) int {
+	clock, exposed := &clockwork{}, 0
 	ratings := s.rater(seed, delay, s.Good, clock)
 	plan := s.plan(delay)
 	state := rollout.NewState(plan, clock.wall()).WithPhase(rollout.PhaseAccepted, "")
@@ -179,10 +179,10 @@
 		}
 		sliding := len(recent) == s.Later && sample(recent).mean() < s.Floor
 		if detector && action == rollout.ActionWithdraw || !detector && sliding {
-			return exposed, clock.now >= turn
+			return exposed
 		}
 	}
-	return exposed, false
+	return exposed
 }
 
 // runRollout compares roll-outs for each rating delay.
@@ -214,10 +214,8 @@
 			}
 			exposed = append(exposed, float64(s.windowed(seed, delay, s.Bad).exposed))
 			fixedExposed = append(fixedExposed, float64(s.exposedFixed(seed, delay, length)))
-			d, _ := s.turned(seed, delay, true)
-			later = append(later, float64(d))
-			m, _ := s.turned(seed, delay, false)
-			sliding = append(sliding, float64(m))
+			later = append(later, float64(s.turned(seed, delay, true)))
+			sliding = append(sliding, float64(s.turned(seed, delay, false)))
 		}
 		worst = max(worst, ratio(exposed.mean(), fixedExposed.mean()))
 		worstLater = max(worstLater, ratio(later.mean(), sliding.mean()))
--- /dev/null
+++ b/internal/load/load.go
@@ -0,0 +1,370 @@
+// Package load sends a described load to any address that speaks the API, with
+// arrivals that do not wait for answers, and measures latencies.
+//
+// # Usage
+//
+//	d, err := load.Read("load.yaml")
+//	report, err := load.Run(ctx, d, http.DefaultTransport)
+package load
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/pkg/errors"
+
+	"quaybarrow/internal/chat"
+	"quaybarrow/internal/clock"
+	"quaybarrow/internal/entry"
+	"quaybarrow/internal/yamlfile"
+)
+
+// Description is a load, as read from YAML.
+type Description struct {
+	// URL is the API's base, such as http://10.0.0.1:7100/v1.
+	URL string `yaml:"url"`
+	// Rate is requests per second, over all callers.
+	Rate float64 `yaml:"rate"`
+	// Seconds is how long to send.
+	Seconds float64 `yaml:"seconds"`
+	// Burst multiplies the rate for the middle third; 0 means no burst.
+	Burst float64 `yaml:"burst"`
+	// Callers are who sends; each request is one of them by share.
+	Callers []Caller `yaml:"callers"`
+}
+
+// Caller is one kind of caller.
+type Caller struct {
+	// Key is the workspace's API key.
+	Key string `yaml:"key"`
+	// Model is a model, a version or a task class.
+	Model string `yaml:"model"`
+	// Share is the part of the requests; shares need not add up to 1.
+	Share float64 `yaml:"share"`
+	// Stream asks for streamed answers.
+	Stream bool `yaml:"stream"`
+	// Prompt is the mean length of a prompt in words.
+	Prompt int `yaml:"prompt"`
+	// Answer is the largest length of an answer in tokens.
+	Answer int `yaml:"answer"`
+	// Turns is how many requests a session has; 0 means no sessions.
+	Turns int `yaml:"turns"`
+}
+
+// Read reads and checks a description.
+func Read(name string) (Description, error) {
+	data, err := os.ReadFile(name)
+	if err != nil {
+		return Description{}, fmt.Errorf("read load: %w", err)
+	}
+	var d Description
+	doc, err := yamlfile.Decode(name, data, &d)
+	if err != nil {
+		return Description{}, fmt.Errorf("read load: %w", err)
+	}
+	switch {
+	case d.URL == "":
+		return d, doc.Errorf("$.url", "must be the API's base, such as http://10.0.0.1:7100/v1")
+	case d.Rate <= 0:
+		return d, doc.Errorf("$.rate", "must be more than 0 requests per second")
+	case d.Seconds <= 0:
+		return d, doc.Errorf("$.seconds", "must be more than 0")
+	case len(d.Callers) == 0:
+		return d, doc.Errorf("$.callers", "must list at least one caller")
+	}
+	for i, c := range d.Callers {
+		if c.Model == "" {
+			return d, doc.Errorf(fmt.Sprintf("$.callers[%d].model", i), "must name a model")
+		}
+		if c.Share <= 0 {
+			return d, doc.Errorf(fmt.Sprintf("$.callers[%d].share", i), "must be more than 0")
+		}
+	}
+	return d, nil
+}
+
+// Bounds of the histograms, in microseconds.
+const (
+	leastMicros = 1
+	mostMicros  = int64(10 * time.Minute / time.Microsecond)
+	digits      = 3
+)
+
+// Report is what a load met.
+type Report struct {
+	Sent     int         `json:"sent"`
+	Answered int         `json:"answered"`
+	Refused  int         `json:"refused"` // told not run
+	Failed   int         `json:"failed"`
+	Seconds  float64     `json:"seconds"`
+	First    []Quantile  `json:"first_ms"`   // to the first token
+	Between  []Quantile  `json:"between_ms"` // between two tokens
+	Total    []Quantile  `json:"total_ms"`
+	Errors   []ErrorLine `json:"errors,omitempty"`
+}
+
+// Quantile is one quantile of a latency, in milliseconds.
+type Quantile struct {
+	Quantile float64 `json:"quantile"`
+	Value    float64 `json:"value"`
+}
+
+// ErrorLine counts one kind of error.
+type ErrorLine struct {
+	Text  string `json:"text"`
+	Count int    `json:"count"`
+}
+
+// quantiles shown.
+var quantiles = []float64{50, 90, 95, 99, 99.9}
+
+// runner is a load under way.
+type runner struct {
+	description Description
+	client      *http.Client
+
+	mu                    sync.Mutex // guards all below
+	report                Report
+	first, between, total *hdrhistogram.Histogram
+	errors                map[string]int
+	tokens                map[int][]string // session tokens at hand, by caller
+}
+
+func newHistogram() *hdrhistogram.Histogram { return hdrhistogram.New(leastMicros, mostMicros, digits) }
+
+// Run sends the load and returns the report when every answer has come.
+func Run(ctx context.Context, d Description, transport http.RoundTripper) (Report, error) {
+	r := &runner{
+		description: d, client: &http.Client{Transport: transport},
+		first: newHistogram(), between: newHistogram(), total: newHistogram(),
+		errors: map[string]int{}, tokens: map[int][]string{},
+	}
+	started := time.Now()
+	var wait sync.WaitGroup
+	for next := started; next.Sub(started) < r.length(); next = next.Add(r.gap(next.Sub(started))) {
+		if !clock.Sleep(ctx, time.Until(next)) {
+			break
+		}
+		wait.Go(func() { r.request(ctx) })
+	}
+	wait.Wait()
+	return r.finish(time.Since(started)), ctx.Err()
+}
+
+func (r *runner) length() time.Duration {
+	return time.Duration(r.description.Seconds * float64(time.Second))
+}
+
+// gap draws the time to the next arrival.
+func (r *runner) gap(at time.Duration) time.Duration {
+	rate := r.description.Rate
+	third := r.length() / 3
+	if r.description.Burst > 0 && at > third && at < 2*third {
+		rate *= r.description.Burst
+	}
+	return time.Duration(-math.Log(1-rand.Float64()) / rate * float64(time.Second))
+}
+
+// pick draws a caller by share.
+func (r *runner) pick() int {
+	sum := 0.0
+	for _, c := range r.description.Callers {
+		sum += c.Share
+	}
+	at := rand.Float64() * sum
+	for i, c := range r.description.Callers {
+		if at < c.Share {
+			return i
+		}
+		at -= c.Share
+	}
+	return len(r.description.Callers) - 1
+}
+
+// request sends one request and takes in its answer.
+func (r *runner) request(ctx context.Context) {
+	index := r.pick()
+	c := r.description.Callers[index]
+	body, err := json.Marshal(chat.Request{
+		Model: c.Model, Stream: c.Stream, MaxTokens: c.Answer,
+		Messages: []chat.Message{{Role: "user", Content: chat.Text(prompt(c.Prompt))}},
+	})
+	if err != nil {
+		r.failed(err.Error(), false)
+		return
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, r.description.URL+"/chat/completions", bytes.NewReader(body))
+	if err != nil {
+		r.failed(err.Error(), false)
+		return
+	}
+	request.Header.Set("Authorization", "Bearer "+c.Key)
+	request.Header.Set("Content-Type", "application/json")
+	r.session(request.Header, index, c)
+	sent := time.Now()
+	response, err := r.client.Do(request)
+	if err != nil {
+		r.failed("no answer", false)
+		return
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		r.refused(response)
+		return
+	}
+	if err := r.answer(response.Body, sent, c.Stream); err != nil {
+		r.failed(err.Error(), false)
+		return
+	}
+	r.keep(index, c, response.Header.Get(entry.HeaderSessionToken))
+}
+
+// prompt makes a text of about so many words.
+func prompt(words int) string {
+	count := max(1, int(float64(words)*(0.5+rand.Float64())))
+	return strings.TrimSpace(strings.Repeat("word ", count))
+}
+
+// session goes on with a session, or opens one.
+func (r *runner) session(h http.Header, index int, c Caller) {
+	if c.Turns == 0 {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	tokens := r.tokens[index]
+	if len(tokens) == 0 {
+		h.Set(entry.HeaderSession, "new")
+		return
+	}
+	h.Set(entry.HeaderSessionToken, tokens[0])
+	r.tokens[index] = tokens[1:]
+}
+
+// keep gives a session's token to a later request, until its turns are over.
+func (r *runner) keep(index int, c Caller, token string) {
+	if c.Turns == 0 || token == "" || rand.IntN(c.Turns) == 0 {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tokens[index] = append(r.tokens[index], token)
+}
+
+// errCut means that a stream ended without its end mark.
+var errCut = errors.New("answer was cut")
+
+// answer takes in an answer.
+func (r *runner) answer(body io.Reader, sent time.Time, stream bool) error {
+	var first, last time.Time
+	var gaps []time.Duration
+	if !stream {
+		if _, err := io.Copy(io.Discard, body); err != nil {
+			return errCut
+		}
+		first, last = time.Now(), time.Now()
+	} else {
+		ended := false
+		lines := bufio.NewScanner(body)
+		lines.Buffer(nil, 1<<20)
+		for lines.Scan() {
+			data, ok := strings.CutPrefix(lines.Text(), "data: ")
+			switch {
+			case !ok:
+			case data == chat.Done:
+				ended = true
+			default:
+				now := time.Now()
+				if first.IsZero() {
+					first = now
+				} else {
+					gaps = append(gaps, now.Sub(last))
+				}
+				last = now
+			}
+		}
+		if !ended {
+			return errCut
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.report.Sent++
+	r.report.Answered++
+	_ = r.first.RecordValue(first.Sub(sent).Microseconds())
+	_ = r.total.RecordValue(last.Sub(sent).Microseconds())
+	for _, g := range gaps {
+		_ = r.between.RecordValue(max(g.Microseconds(), leastMicros))
+	}
+	return nil
+}
+
+func (r *runner) refused(response *http.Response) {
+	notRun := response.Header.Get("X-Run") == "not_run"
+	r.failed(fmt.Sprintf("status %d", response.StatusCode), notRun)
+}
+
+func (r *runner) failed(text string, notRun bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.report.Sent++
+	r.errors[text]++
+	if notRun {
+		r.report.Refused++
+		return
+	}
+	r.report.Failed++
+}
+
+func (r *runner) finish(took time.Duration) Report {
+	r.report.Seconds = took.Seconds()
+	r.report.First, r.report.Between, r.report.Total = quantilesOf(r.first), quantilesOf(r.between), quantilesOf(r.total)
+	for text, count := range r.errors {
+		r.report.Errors = append(r.report.Errors, ErrorLine{text, count})
+	}
+	return r.report
+}
+
+func quantilesOf(h *hdrhistogram.Histogram) []Quantile {
+	values := make([]Quantile, len(quantiles))
+	for i, q := range quantiles {
+		values[i] = Quantile{Quantile: q, Value: float64(h.ValueAtQuantile(q)) / 1000}
+	}
+	return values
+}
+
+// Text lays the report out for people.
+func (r Report) Text() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%d requests in %.1f s: %d answered, %d refused as not run, %d failed\n\n", r.Sent, r.Seconds, r.Answered, r.Refused, r.Failed)
+	b.WriteString("latency, ms      ")
+	for _, q := range quantiles {
+		fmt.Fprintf(&b, "%10.1f%%", q)
+	}
+	for _, line := range []struct {
+		name   string
+		values []Quantile
+	}{{"first token", r.First}, {"between tokens", r.Between}, {"whole answer", r.Total}} {
+		fmt.Fprintf(&b, "\n%-17s", line.name)
+		for _, v := range line.values {
+			fmt.Fprintf(&b, "%11.2f", v.Value)
+		}
+	}
+	b.WriteString("\n")
+	for _, e := range r.Errors {
+		fmt.Fprintf(&b, "%d times: %s\n", e.Count, e.Text)
+	}
+	return b.String()
+}
--- a/internal/pipeline/answer.go
+++ b/internal/pipeline/answer.go
@@ -151,7 +151,7 @@
 		if event.Usage && !in.chat.WantsUsage() {
 			continue
 		}
-		if err := sink.Event(event.Data); err != nil {
+		if err := sink.Event(event.Data, event.More); err != nil {
 			return told(err)
 		}
 		if now := time.Now(); now.Sub(reported) >= progressEvery {
@@ -175,11 +175,11 @@
 		if err != nil {
 			return problem.New(http.StatusInternalServerError, problem.CodeInternal, problem.Ran, "the answer can't be sent").WithCause(err)
 		}
-		if err := sink.Event(fmt.Appendf(nil, "data: %s\n\n", data)); err != nil {
+		if err := sink.Event(fmt.Appendf(nil, "data: %s\n\n", data), true); err != nil {
 			return told(err)
 		}
 	}
-	return told(sink.Event([]byte("data: " + chat.Done + "\n\n")))
+	return told(sink.Event([]byte("data: "+chat.Done+"\n\n"), false))
 }
 
 // chunksOf makes the chunks of a whole answer.
--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -113,8 +113,8 @@
 	Whole(head Head, status int, contentType string, body []byte) error
 	// Begin starts a streamed answer.
 	Begin(head Head) error
-	// Event takes one event of it.
-	Event(data []byte) error
+	// Event takes one event of it; more says that the next follows at once.
+	Event(data []byte, more bool) error
 }
 
 // stage runs one stage under a span.
@@ -171,7 +171,7 @@
 	defer answer.stream.Close()
 	record.first(time.Now())
 	record.Version = answer.decision.Candidate.Name
-	p.options.Admission.Observe(time.Since(record.At))
+	place.FirstToken()
 	_, err = stage(ctx, p, "relay", func(ctx context.Context, a answered) (struct{}, error) {
 		return struct{}{}, p.relay(ctx, a, sink)
 	}, answer)
