--- a/internal/admission/limiter.go
+++ b/internal/admission/limiter.go
@@ -9,7 +9,7 @@
 const (
 	minLimit    = 4
 	tolerated   = 2.0    // recent latency over the usual one that is still well
-	unnoticed   = 0.05    // seconds over the usual latency that nobody minds
+	unnoticed   = 0.05   // seconds over the usual latency that nobody minds
 	recent      = 0.2    // weight of a new latency in the recent one
 	drift       = 0.0005 // weight with which the usual one follows upwards
 	fall        = 0.05   // and downwards
