Control traffic that does not grow with the hosts

Cause: measured at 340 hosts, pings took 17 KB/s a host one way against a budget of 8 KB/s in all; the row of estimates was 202 KB, read every 5 s; the list of hosts 200 KB, read every second by everyone; a poller that found a change pushed it to all 340 hosts. Change: a host watches 13 others at most and spends a fixed 4 pings, and 4 engine reports, a second; estimates are packed and read as often as 500 bytes/s allow; two hosts a region read the list and answer the others with nothing when it is the same; a poller pushes within its region.

--- a/internal/codec/codec.go
+++ b/internal/codec/codec.go
@@ -8,6 +8,8 @@
 package codec
 
 import (
+	"bytes"
+	"compress/gzip"
 	"encoding/json"
 	"fmt"
 )
@@ -29,3 +31,33 @@
 	}
 	return value, nil
 }
+
+// Pack returns the value as compressed JSON, for large rows that are read often.
+func Pack[T any](value T) ([]byte, error) {
+	data, err := Encode(value)
+	if err != nil {
+		return nil, err
+	}
+	var packed bytes.Buffer
+	w := gzip.NewWriter(&packed)
+	if _, err := w.Write(data); err != nil {
+		return nil, fmt.Errorf("pack %T: %w", value, err)
+	}
+	if err := w.Close(); err != nil {
+		return nil, fmt.Errorf("pack %T: %w", value, err)
+	}
+	return packed.Bytes(), nil
+}
+
+// Unpack reads a value that Pack wrote.
+func Unpack[T any](data []byte) (T, error) {
+	var value T
+	r, err := gzip.NewReader(bytes.NewReader(data))
+	if err != nil {
+		return value, fmt.Errorf("unpack %T: %w", value, err)
+	}
+	if err := json.NewDecoder(r).Decode(&value); err != nil {
+		return value, fmt.Errorf("unpack %T: %w", value, err)
+	}
+	return value, nil
+}
--- a/internal/config/spread.go
+++ b/internal/config/spread.go
@@ -97,7 +97,7 @@
 		}
 		if s.options.Holder.Apply(revision) {
 			s.options.Holder.Confirm(number, asked)
-			go s.PushOn(context.WithoutCancel(ctx), revision)
+			go s.pushTo(context.WithoutCancel(ctx), revision, s.regionView())
 			return
 		}
 	}
@@ -208,14 +208,31 @@
 	return all
 }
 
+// regionView is the view of this host's own region: what a poller finds is every
+// region's own pollers' to find, so it need not be pushed further.
+func (s *Spreader) regionView() membership.View {
+	view := s.options.View()
+	self, _ := view.Member(view.Self)
+	kept := membership.View{Self: view.Self}
+	for _, m := range view.Members {
+		if m.Region == self.Region {
+			kept.Members = append(kept.Members, m)
+		}
+	}
+	return kept
+}
+
 // PushOn pushes a revision to all other hosts: to one in each other data hall,
 // which passes it on there, and directly to those of this host's own.
 func (s *Spreader) PushOn(ctx context.Context, r Revision) []peer.Confirmation {
+	return s.pushTo(ctx, r, s.options.View())
+}
+
+func (s *Spreader) pushTo(ctx context.Context, r Revision, view membership.View) []peer.Confirmation {
 	message, err := messageOf(r)
 	if err != nil {
 		return nil
 	}
-	view := s.options.View()
 	targets, rest := pushTree(view)
 	confirmations := []peer.Confirmation{{Host: view.Self, Revision: s.options.Holder.Number()}}
 	return append(confirmations, s.pushAll(ctx, message, targets, rest)...)
--- a/internal/endpoint/report.go
+++ b/internal/endpoint/report.go
@@ -65,12 +65,21 @@
 	for {
 		p.Sync()
 		p.Refresh(ctx)
-		if !clock.Sleep(ctx, clock.Around(p.options.Period)) {
+		if !clock.Sleep(ctx, clock.Around(p.period())) {
 			return
 		}
 	}
 }
 
+// reportsPerPeriod is how many reports are read in Options.Period; with more
+// engines to watch, the time between two reports of one grows instead.
+const reportsPerPeriod = 4
+
+// period is the time between two reports of an engine.
+func (p *Pool) period() time.Duration {
+	return p.options.Period * time.Duration(max(len(p.engines()), reportsPerPeriod)) / reportsPerPeriod
+}
+
 // Refresh reads the report of every watched engine, a few at once.
 func (p *Pool) Refresh(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, max(p.options.Period, time.Second))
--- a/internal/estimate/keeper.go
+++ b/internal/estimate/keeper.go
@@ -27,7 +27,8 @@
 // Times and bounds of keeping estimates.
 const (
 	sumEvery     = 2 * time.Second
-	readEvery    = 5 * time.Second
+	readEvery    = 5 * time.Second // at the least
+	readBudget   = 500             // bytes a second that a host spends on reading
 	ratingsAtOne = 1000
 )
 
@@ -57,11 +58,13 @@
 // Run reads the sum until the context ends.
 func (k *Keeper) Run(ctx context.Context) {
 	for {
-		if s, _, err := k.read(ctx); err == nil {
+		wait := readEvery
+		if s, row, err := k.read(ctx); err == nil {
 			t := NewTable(s.Entries)
 			k.current.Store(&t)
+			wait = max(wait, time.Duration(len(row.Value))*time.Second/readBudget)
 		}
-		if !clock.Sleep(ctx, clock.Around(readEvery)) {
+		if !clock.Sleep(ctx, clock.Around(wait)) {
 			return
 		}
 	}
@@ -98,7 +101,7 @@
 	}
 	table := NewTable(s.Entries).WithRatings(added)
 	s.Entries = table.Entries()
-	data, err := codec.Encode(s)
+	data, err := codec.Pack(s)
 	if err != nil {
 		return err
 	}
@@ -121,7 +124,7 @@
 	if err != nil {
 		return stored{}, platform.Row{}, fmt.Errorf("read estimates: %w", err)
 	}
-	s, err := codec.Decode[stored](row.Value)
+	s, err := codec.Unpack[stored](row.Value)
 	if err != nil {
 		return stored{}, platform.Row{}, fmt.Errorf("read estimates: %w", err)
 	}
--- /dev/null
+++ b/internal/membership/list.go
@@ -0,0 +1,101 @@
+package membership
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"quaybarrow/internal/codec"
+	"quaybarrow/internal/peer"
+	"quaybarrow/internal/platform"
+)
+
+// QueryHosts is the subject of a query for the list of hosts. Its id is the hash
+// of the list that the asker has; a reply without data says that it is the same.
+const QueryHosts = "hosts"
+
+// readersPerRegion is how many hosts of a region read the platform's list.
+const readersPerRegion = 2
+
+// fewHosts is a count of hosts up to which each reads the list itself.
+const fewHosts = 12
+
+// askTimeout bounds asking another host for the list.
+const askTimeout = time.Second
+
+// readers are the hosts of this host's region that read the platform's list;
+// none when this host is one, or when there are few hosts.
+func (m *Membership) readers() []Member {
+	view := m.View()
+	if len(view.Members) <= fewHosts {
+		return nil
+	}
+	self, _ := view.Member(view.Self)
+	var region []Member
+	for _, o := range view.Live() {
+		if o.Region == self.Region {
+			region = append(region, o)
+		}
+	}
+	ranked := Rank(region, "list-reader/"+self.Region)
+	readers := ranked[:min(readersPerRegion, len(ranked))]
+	for _, r := range readers {
+		if r.Host == view.Self {
+			return nil
+		}
+	}
+	return readers
+}
+
+// readFromPeer gets the list from one of the region's readers; false if this
+// host has to read it itself.
+func (m *Membership) readFromPeer(ctx context.Context) ([]platform.Host, bool) {
+	m.mu.Lock()
+	known := m.all
+	m.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	for _, r := range m.readers() {
+		reply, err := m.options.Link.Show(ctx, r.Address, peer.Query{Subject: QueryHosts, ID: hashOf(known)})
+		if err != nil {
+			continue
+		}
+		if len(reply.Data) == 0 {
+			return known, true
+		}
+		hosts, err := codec.Decode[[]platform.Host](reply.Data)
+		if err == nil {
+			return hosts, true
+		}
+	}
+	return nil, false
+}
+
+// hashOf names a list by its content.
+func hashOf(hosts []platform.Host) string {
+	var d xxhash.Digest
+	for _, h := range hosts {
+		for _, part := range []string{h.ID, h.Address, string(h.State), h.DataHall, h.Service} {
+			_, _ = d.WriteString(part)
+			_, _ = d.Write([]byte{0})
+		}
+	}
+	return strconv.FormatUint(d.Sum64(), 16)
+}
+
+// AnswerList answers another host that asks for the list.
+func (m *Membership) AnswerList(known string) (peer.Reply, error) {
+	m.mu.Lock()
+	hosts := m.all
+	m.mu.Unlock()
+	if len(hosts) == 0 {
+		return peer.Reply{}, peer.ErrRefused
+	}
+	if hashOf(hosts) == known {
+		return peer.Reply{}, nil
+	}
+	data, err := codec.Encode(hosts)
+	return peer.Reply{Data: data}, err
+}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -69,26 +69,41 @@
 // Run reads the list and pings until the context ends.
 func (m *Membership) Run(ctx context.Context) {
 	var wait sync.WaitGroup
-	wait.Go(func() { every(ctx, m.options.List, m.ReadList) })
-	wait.Go(func() { every(ctx, m.options.Ping, m.PingAll) })
+	wait.Go(func() { every(ctx, func() time.Duration { return m.options.List }, m.ReadList) })
+	wait.Go(func() { every(ctx, m.period, m.PingAll) })
 	wait.Wait()
 }
 
 // every calls f at once and then once a period, with jitter.
-func every(ctx context.Context, period time.Duration, f func(context.Context)) {
+func every(ctx context.Context, period func() time.Duration, f func(context.Context)) {
 	for {
 		f(ctx)
-		if !clock.Sleep(ctx, clock.Around(period)) {
+		if !clock.Sleep(ctx, clock.Around(period())) {
 			return
 		}
 	}
 }
 
-// ReadList reads the platform's list; when it can't, the old one stays.
+// pingsPerPeriod is how many hosts are pinged in Options.Ping; with more to
+// watch, the time between two pings of one grows instead.
+const pingsPerPeriod = 4
+
+// period is the time between two pings of a watched host.
+func (m *Membership) period() time.Duration {
+	watched := len(m.View().Watched())
+	return m.options.Ping * time.Duration(max(watched, pingsPerPeriod)) / pingsPerPeriod
+}
+
+// ReadList reads the list of hosts: from the platform if this host is one of its
+// region's readers, else from one of them. When neither answers, the old list
+// stays.
 func (m *Membership) ReadList(ctx context.Context) {
-	hosts, err := m.options.Hosts.List(ctx)
-	if err != nil {
-		return
+	hosts, ok := m.readFromPeer(ctx)
+	if !ok {
+		var err error
+		if hosts, err = m.options.Hosts.List(ctx); err != nil {
+			return
+		}
 	}
 	entries := make([]platform.Host, 0, len(hosts))
 	for _, h := range hosts {
@@ -156,6 +171,10 @@
 
 // rebuild makes a new view from the list and what was heard.
 func (m *Membership) rebuild() {
+	period := m.options.Ping
+	if m.view.Load() != nil {
+		period = m.period()
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	self := m.options.Self()
@@ -164,14 +183,14 @@
 		if h.ID == self.Host {
 			continue
 		}
-		members[h.ID] = m.judge(h)
+		members[h.ID] = m.judge(h, period)
 	}
 	for host, h := range m.heard {
 		if _, ok := members[host]; ok {
 			continue
 		}
-		if time.Since(h.at) > forgetAfter*m.options.Ping {
-			if h.failing.IsZero() || time.Since(h.failing) > forgetAfter*m.options.Ping {
+		if time.Since(h.at) > forgetAfter*period {
+			if h.failing.IsZero() || time.Since(h.failing) > forgetAfter*period {
 				delete(m.heard, host)
 			}
 			continue
@@ -198,14 +217,14 @@
 }
 
 // judge decides on a listed host; the caller holds mu.
-func (m *Membership) judge(listed platform.Host) Member {
+func (m *Membership) judge(listed platform.Host, period time.Duration) Member {
 	h := m.heard[listed.ID]
 	member := Member{
 		Host: listed.ID, DataHall: listed.DataHall, Region: listed.Region,
 		Address: listed.Address, State: StateLive, Status: h.status,
 	}
 	switch {
-	case !h.failing.IsZero() && time.Since(h.failing) >= (suspectAfter-1)*m.options.Ping:
+	case !h.failing.IsZero() && time.Since(h.failing) >= (suspectAfter-1)*period:
 		member.State = StateSuspect
 	case listed.State == platform.HostLeaving || h.status.Draining:
 		member.State = StateDraining
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -8,8 +8,8 @@
 //	...
 //	owner := m.View().Owner("sweep-bills")
 //
-// A host watches all hosts of its own data hall and one of every other data
-// hall, so that the pings per host do not grow with the number of halls' hosts.
+// A host watches a few others, and spends a fixed number of pings a second on
+// them, so that neither grows with the number of hosts.
 // Nothing here is agreed: two hosts may differ for a while. What needs one
 // owner is guarded by a lease besides.
 package membership
@@ -125,27 +125,51 @@
 	return halls
 }
 
-// Watched returns the members that self pings: its own data hall whole, and of
-// every other data hall the one that ranks highest for self.
+// hallWatched is how many hosts of its own data hall a host watches.
+const hallWatched = 6
+
+// Watched returns the members that self pings: the next few of its own data
+// hall, one of every other data hall of its region, and one of every other
+// region. So the count does not grow with the hosts, and a change of
+// configuration still reaches every host by pings alone.
 func (v View) Watched() []Member {
 	self, ok := v.Member(v.Self)
 	if !ok {
 		return v.Others()
 	}
-	var watched []Member
-	others := make([]Member, 0, len(v.Members))
+	var hall []Member
+	halls, regions := map[string][]Member{}, map[string][]Member{}
 	for _, m := range v.Members {
 		switch {
-		case m.Host == v.Self:
 		case m.DataHall == self.DataHall:
-			watched = append(watched, m)
+			hall = append(hall, m)
+		case m.Region == self.Region:
+			halls[m.DataHall] = append(halls[m.DataHall], m)
 		default:
-			others = append(others, m)
+			regions[m.Region] = append(regions[m.Region], m)
 		}
 	}
-	for _, hall := range ByHall(others) {
-		watched = append(watched, Rank(hall, v.Self)[0])
+	watched := successors(hall, v.Self, hallWatched)
+	for _, group := range []map[string][]Member{halls, regions} {
+		for _, members := range group {
+			watched = append(watched, Rank(members, v.Self)[0])
+		}
 	}
 	sort.Slice(watched, func(i, j int) bool { return watched[i].Host < watched[j].Host })
 	return watched
 }
+
+// successors returns the members after self, in a ring by host.
+func successors(members []Member, self string, count int) []Member {
+	at := 0
+	for i, m := range members {
+		if m.Host == self {
+			at = i
+		}
+	}
+	var next []Member
+	for n := 1; n < len(members) && len(next) < count; n++ {
+		next = append(next, members[(at+n)%len(members)])
+	}
+	return next
+}
--- a/internal/operator/queries.go
+++ b/internal/operator/queries.go
@@ -109,7 +109,7 @@
 	case string(console.SubjectRequests):
 		data, err = codec.Encode(q.options.Traffic.Since(time.Now().Add(-query.Since)))
 	case subjectTrace:
-		data, err = codec.Encode(q.options.Telemetry.Traces.Trace(query.TraceID))
+		data, err = codec.Encode(q.options.Telemetry.Traces.Trace(query.ID))
 	default:
 		err = fmt.Errorf("query about %s: %w", query.Subject, peer.ErrRefused)
 	}
@@ -177,7 +177,7 @@
 
 // Trace gathers a trace's spans from all hosts, in order of their start.
 func (q *Queries) Trace(ctx context.Context, id string) []telemetry.Span {
-	spans, _ := gather[telemetry.Span](ctx, q, peer.Query{Subject: subjectTrace, TraceID: id})
+	spans, _ := gather[telemetry.Span](ctx, q, peer.Query{Subject: subjectTrace, ID: id})
 	spans = append(spans, q.options.Telemetry.Traces.Trace(id)...)
 	sort.Slice(spans, func(i, j int) bool { return spans[i].Start.Before(spans[j].Start) })
 	return spans
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -82,7 +82,7 @@
 type Query struct {
 	Subject string // which rows, as the console names them
 	Since   time.Duration
-	TraceID string // for the subject trace
+	ID      string // of what is asked for, such as a trace
 }
 
 // Reply carries the rows that a query asked for, encoded.
--- a/internal/peer/rpc/convert.go
+++ b/internal/peer/rpc/convert.go
@@ -87,11 +87,11 @@
 }
 
 func queryToWire(q peer.Query) *peerpb.ShowRequest {
-	return &peerpb.ShowRequest{Subject: q.Subject, SinceMicros: q.Since.Microseconds(), TraceId: q.TraceID}
+	return &peerpb.ShowRequest{Subject: q.Subject, SinceMicros: q.Since.Microseconds(), Id: q.ID}
 }
 
 func queryFromWire(r *peerpb.ShowRequest) peer.Query {
 	return peer.Query{
-		Subject: r.GetSubject(), Since: time.Duration(r.GetSinceMicros()) * time.Microsecond, TraceID: r.GetTraceId(),
+		Subject: r.GetSubject(), Since: time.Duration(r.GetSinceMicros()) * time.Microsecond, ID: r.GetId(),
 	}
 }
