--- a/internal/measure/capacity.go
+++ b/internal/measure/capacity.go
@@ -65,9 +65,6 @@
 	return d
 }
 
-// sink keeps measured values from being optimized away.
-var sink any
-
 // configurationSize measures a revision by number of workspaces.
 func configurationSize() (Table, error) {
 	t := Table{
@@ -102,7 +99,7 @@
 		}
 		took := time.Since(started) / copies
 		memory := (heap() - before) / copies
-		sink = snapshots
+		runtime.KeepAlive(snapshots)
 		t.Rows = append(t.Rows, []string{
 			fmt.Sprint(n), fmt.Sprint(len(data)), fmt.Sprint(zipped.Len()), kilobytes(memory), micros(took),
 		})
@@ -230,7 +227,7 @@
 			if err != nil {
 				return Table{}, err
 			}
-			sink = estimate.NewTable(decoded)
+			runtime.KeepAlive(estimate.NewTable(decoded))
 		}
 		t.Rows = append(t.Rows, []string{fmt.Sprint(n), fmt.Sprint(len(entries)), fmt.Sprint(len(data)), fmt.Sprint(len(packed)), fmt.Sprintf("%d s", max(5, len(packed)/500)), micros(time.Since(started) / rounds)})
 		x, y = append(x, float64(len(entries))), append(y, float64(len(data)))
