--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -10,6 +10,7 @@
 
 	"quaybarrow/internal/admission"
 	"quaybarrow/internal/declare"
+	"quaybarrow/internal/standin/suite"
 )
 
 var _ = Describe("admission", func() {
@@ -32,7 +33,7 @@
 	}
 
 	It("does not let a large workspace starve a small one", func() {
-		paused(func() {
+		suite.Paused(func() {
 			c := admission.NewController(admission.Options{Limit: 10, Queue: 1000})
 			var mu sync.Mutex
 			started := map[string]time.Duration{}
@@ -59,7 +60,7 @@
 	})
 
 	It("refuses at once what could not start before its deadline", func() {
-		paused(func() {
+		suite.Paused(func() {
 			c := admission.NewController(admission.Options{Limit: 1, Queue: 100})
 			run := func() {
 				place, err := c.Admit(ctx, admission.Ask{Workspace: "w", Share: 100})
@@ -79,7 +80,7 @@
 	})
 
 	It("drains: nothing new, and done when the last is", func() {
-		paused(func() {
+		suite.Paused(func() {
 			c := admission.NewController(admission.Options{Limit: 5, Queue: 5})
 			place, err := c.Admit(ctx, admission.Ask{Workspace: "w", Share: 5})
 			Expect(err).NotTo(HaveOccurred())
@@ -93,7 +94,7 @@
 	})
 
 	It("does not take its own line for slowness", func() {
-		paused(func() {
+		suite.Paused(func() {
 			c := admission.NewController(admission.Options{Limit: 8, Queue: 1000})
 			var wait sync.WaitGroup
 			for range 400 {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -14,6 +14,7 @@
 
 	"quaybarrow/internal/config"
 	"quaybarrow/internal/declare"
+	"quaybarrow/internal/standin/suite"
 	"quaybarrow/internal/standin/table"
 )
 
@@ -38,7 +39,7 @@
 	ctx := context.Background()
 
 	It("accepts one of two commands decided on the same revision and names the winner", func() {
-		paused(func() {
+		suite.Paused(func() {
 			log := config.NewLog(table.New(table.Options{}))
 			_, err := log.Accept(ctx, 0, change("one"))
 			Expect(err).NotTo(HaveOccurred())
@@ -59,7 +60,7 @@
 	}
 	for name, faults := range losses {
 		It("settles "+name+" by the command's id", func() {
-			paused(func() {
+			suite.Paused(func() {
 				store := table.New(table.Options{})
 				log := config.NewLog(store)
 				_, err := log.Accept(ctx, 0, change("first"))
@@ -78,7 +79,7 @@
 	}
 
 	It("says that it does not know when it does not, and settles on asking again", func() {
-		paused(func() {
+		suite.Paused(func() {
 			store := table.New(table.Options{})
 			log := config.NewLog(store)
 			store.Inject(table.Fault{Kind: table.FaultLoseReply, Count: 1})
@@ -96,7 +97,7 @@
 	})
 
 	It("is linearizable for racing operators under faults", func() {
-		paused(func() {
+		suite.Paused(func() {
 			store := table.New(table.Options{})
 			var mu sync.Mutex
 			var history []porcupine.Operation
@@ -163,7 +164,7 @@
 	})
 
 	It("counts a confirmation only for the revision in force", func() {
-		paused(func() {
+		suite.Paused(func() {
 			h := config.NewHolder()
 			h.Apply(config.Revision{Number: 2})
 			h.Confirm(1, time.Now())
--- a/internal/declare/suite_test.go
+++ b/internal/declare/suite_test.go
@@ -3,11 +3,7 @@
 import (
 	"testing"
 
-	. "github.com/onsi/ginkgo/v2"
-	. "github.com/onsi/gomega"
+	"quaybarrow/internal/standin/suite"
 )
 
-func TestSuite(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "declare")
-}
+func TestSuite(t *testing.T) { suite.Run(t, "declare") }
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -19,6 +19,7 @@
 	"quaybarrow/internal/problem"
 	"quaybarrow/internal/standin/memnet"
 	"quaybarrow/internal/standin/service"
+	"quaybarrow/internal/standin/suite"
 	"quaybarrow/internal/telemetry"
 )
 
@@ -167,7 +168,7 @@
 	const longest = 400
 
 	It("is sent at most once when its connection breaks at any byte of the request or the answer", func() {
-		paused(func() {
+		suite.Paused(func() {
 			for after := range longest {
 				for direction, limits := range map[string][2]int{"request": {after, -1}, "answer": {-1, after}} {
 					r := newRig()
@@ -187,7 +188,7 @@
 	})
 
 	It("is tried elsewhere only while it certainly did not run", func() {
-		paused(func() {
+		suite.Paused(func() {
 			r := newRig()
 			defer r.close()
 			r.service.CutReplies(1)
@@ -203,7 +204,7 @@
 // GetBody set, the library itself sends a request again on a kept connection.
 var _ = Describe("net/http by itself", func() {
 	It("would send a call again, which is why the dispatcher takes precautions", func() {
-		paused(func() {
+		suite.Paused(func() {
 			r := newRig()
 			defer r.close()
 			send := func() error {
--- a/internal/entry/openai_test.go
+++ b/internal/entry/openai_test.go
@@ -12,11 +12,13 @@
 	. "github.com/onsi/gomega"
 	"github.com/openai/openai-go/v3"
 	"github.com/openai/openai-go/v3/option"
+	"github.com/pkg/errors"
 
 	"quaybarrow/internal/config"
 	"quaybarrow/internal/declare"
 	"quaybarrow/internal/standin/cluster"
 	"quaybarrow/internal/standin/engine"
+	"quaybarrow/internal/standin/suite"
 )
 
 const key = "key-of-buyers"
@@ -49,15 +51,15 @@
 	)
 }
 
-func ask(text string) openai.ChatCompletionNewParams {
+func hello() openai.ChatCompletionNewParams {
 	return openai.ChatCompletionNewParams{
-		Model: "support", Messages: []openai.ChatCompletionMessageParamUnion{openai.UserMessage(text)},
+		Model: "support", Messages: []openai.ChatCompletionMessageParamUnion{openai.UserMessage("hello")},
 	}
 }
 
 // withCluster runs a body with a cluster under the paused clock.
 func withCluster(body func(ctx context.Context, c *cluster.Cluster)) {
-	paused(func() {
+	suite.Paused(func() {
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
 		c := newCluster(ctx)
@@ -71,7 +73,7 @@
 	It("gets a completion", func() {
 		withCluster(func(ctx context.Context, c *cluster.Cluster) {
 			api := client(c, key)
-			answer, err := api.Chat.Completions.New(ctx, ask("hello"))
+			answer, err := api.Chat.Completions.New(ctx, hello())
 			Expect(err).NotTo(HaveOccurred())
 			Expect(answer.Choices[0].Message.Content).To(HavePrefix("re: hello t1"))
 			Expect(answer.Usage.CompletionTokens).To(Equal(int64(50)))
@@ -81,7 +83,7 @@
 	It("gets a stream, with usage when it asks for it", func() {
 		withCluster(func(ctx context.Context, c *cluster.Cluster) {
 			api := client(c, key)
-			params := ask("hello")
+			params := hello()
 			params.StreamOptions = openai.ChatCompletionStreamOptionsParam{IncludeUsage: openai.Bool(true)}
 			stream := api.Chat.Completions.NewStreaming(ctx, params)
 			gathered := openai.ChatCompletionAccumulator{}
@@ -99,7 +101,7 @@
 			api := client(c, key)
 			leaving, leave := context.WithTimeout(ctx, 200*time.Millisecond)
 			defer leave()
-			stream := api.Chat.Completions.NewStreaming(leaving, ask("hello"))
+			stream := api.Chat.Completions.NewStreaming(leaving, hello())
 			for stream.Next() {
 			}
 			Expect(stream.Err()).To(HaveOccurred())
@@ -130,10 +132,14 @@
 	It("understands the errors", func() {
 		withCluster(func(ctx context.Context, c *cluster.Cluster) {
 			stranger := client(c, "no-key")
-			_, err := stranger.Chat.Completions.New(ctx, ask("hello"))
+			_, err := stranger.Chat.Completions.New(ctx, hello())
 			var failed *openai.Error
 			Expect(err).To(BeAssignableToTypeOf(failed))
-			failed = err.(*openai.Error)
+			failed = func() *openai.Error {
+				target := &openai.Error{}
+				_ = errors.As(err, &target)
+				return target
+			}()
 			Expect(failed.StatusCode).To(Equal(http.StatusUnauthorized))
 			Expect(failed.Code).To(Equal("unauthorized"))
 			Expect(failed.RawJSON()).To(ContainSubstring(`"run":"not_run"`))
--- a/internal/faults/matrix_test.go
+++ b/internal/faults/matrix_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"quaybarrow/internal/standin/suite"
 	"quaybarrow/internal/standin/table"
 )
 
@@ -197,7 +198,7 @@
 				}
 				page.planned(rowName, columnName, times)
 				It(name, func() {
-					paused(func() { runCell(s, f, times) })
+					suite.Paused(func() { runCell(s, f, times) })
 					page.passed(rowName, columnName, times)
 				})
 			}
--- a/internal/faults/mutations_test.go
+++ b/internal/faults/mutations_test.go
@@ -15,6 +15,7 @@
 	"quaybarrow/internal/check"
 	"quaybarrow/internal/once"
 	"quaybarrow/internal/standin/caller"
+	"quaybarrow/internal/standin/suite"
 	"quaybarrow/internal/standin/table"
 )
 
@@ -134,7 +135,7 @@
 var _ = Describe("the promise checker", func() {
 	for name, b := range breaks {
 		It("sees that "+name, func() {
-			paused(func() {
+			suite.Paused(func() {
 				w := newWorld(3)
 				defer w.close()
 				b.make(w)
@@ -146,7 +147,7 @@
 	}
 
 	It("finds nothing wrong with a run that breaks nothing", func() {
-		paused(func() {
+		suite.Paused(func() {
 			w := newWorld(3)
 			defer w.close()
 			w.chat(0, nil)
--- a/internal/faults/scenarios_test.go
+++ b/internal/faults/scenarios_test.go
@@ -12,6 +12,7 @@
 	"quaybarrow/internal/problem"
 	"quaybarrow/internal/standin/caller"
 	"quaybarrow/internal/standin/engine"
+	"quaybarrow/internal/standin/suite"
 	"quaybarrow/internal/standin/table"
 )
 
@@ -250,7 +251,7 @@
 var _ = Describe("scenarios", func() {
 	for name, play := range scenarios {
 		It(name, func() {
-			paused(func() {
+			suite.Paused(func() {
 				w := newWorld(3)
 				defer w.close()
 				time.Sleep(5 * time.Second) // the first versions have proven themselves
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -11,6 +11,7 @@
 
 	"quaybarrow/internal/lease"
 	"quaybarrow/internal/platform"
+	"quaybarrow/internal/standin/suite"
 	"quaybarrow/internal/standin/table"
 )
 
@@ -43,7 +44,7 @@
 	fenced := platform.Transaction{Writes: []platform.Write{platform.Put("work", "row", []byte("x"))}}
 
 	It("is taken only after it was seen unchanged for its whole length", func() {
-		paused(func() {
+		suite.Paused(func() {
 			store := table.New(table.Options{})
 			first, second := manager(store, "a"), manager(store, "b")
 			_, err := first.Acquire(ctx, "duty")
@@ -61,7 +62,7 @@
 	})
 
 	It("has its holder stop before another may start, and refuses its late writes", func() {
-		paused(func() {
+		suite.Paused(func() {
 			store := table.New(table.Options{})
 			first, second := manager(store, "a"), manager(store, "b")
 			old, err := first.Acquire(ctx, "duty")
@@ -80,7 +81,7 @@
 	})
 
 	It("counts a renewal from before it was sent", func() {
-		paused(func() {
+		suite.Paused(func() {
 			store := table.New(table.Options{})
 			m := manager(store, "a")
 			l, err := m.Acquire(ctx, "duty")
@@ -94,7 +95,7 @@
 	})
 
 	It("goes on when the reply of a renewal is lost", func() {
-		paused(func() {
+		suite.Paused(func() {
 			store := table.New(table.Options{})
 			m := manager(store, "a")
 			l, err := m.Acquire(ctx, "duty")
@@ -109,7 +110,7 @@
 	})
 
 	It("is released when its duty returns, so that another need not wait", func() {
-		paused(func() {
+		suite.Paused(func() {
 			store := table.New(table.Options{})
 			running, cancel := context.WithCancel(ctx)
 			runs := 0
@@ -125,7 +126,7 @@
 	})
 
 	It("has one holder at a time under faults, by the history of its holders", func() {
-		paused(func() {
+		suite.Paused(func() {
 			store := table.New(table.Options{})
 			running, cancel := context.WithCancel(ctx)
 			var mu sync.Mutex
--- a/internal/once/once_test.go
+++ b/internal/once/once_test.go
@@ -10,6 +10,7 @@
 
 	"quaybarrow/internal/once"
 	"quaybarrow/internal/problem"
+	"quaybarrow/internal/standin/suite"
 	"quaybarrow/internal/standin/table"
 )
 
@@ -38,7 +39,7 @@
 
 var _ = Describe("a call that may not be repeated", func() {
 	It("is dispatched once and replayed to a repeat through another host", func() {
-		paused(func() {
+		suite.Paused(func() {
 			store, dispatched := table.New(table.Options{}), 0
 			first, second := newCaller(store, "a", &dispatched), newCaller(store, "b", &dispatched)
 			r, err := first.do(ran)
@@ -53,7 +54,7 @@
 	})
 
 	It("may run again after it certainly did not", func() {
-		paused(func() {
+		suite.Paused(func() {
 			store, dispatched := table.New(table.Options{}), 0
 			c := newCaller(store, "a", &dispatched)
 			r, err := c.do(once.Attempt{Run: problem.NotRun})
@@ -67,7 +68,7 @@
 	})
 
 	It("never runs again once its outcome is unknown", func() {
-		paused(func() {
+		suite.Paused(func() {
 			store, dispatched := table.New(table.Options{}), 0
 			c := newCaller(store, "a", &dispatched)
 			_, err := c.do(once.Attempt{Run: problem.Unknown})
@@ -79,7 +80,7 @@
 	})
 
 	It("is refused for another body under the same key", func() {
-		paused(func() {
+		suite.Paused(func() {
 			store, dispatched := table.New(table.Options{}), 0
 			c := newCaller(store, "a", &dispatched)
 			_, err := c.do(ran)
@@ -91,7 +92,7 @@
 	})
 
 	It("is not dispatched when the claim's reply is lost and can't be read back, and may run later", func() {
-		paused(func() {
+		suite.Paused(func() {
 			store, dispatched := table.New(table.Options{}), 0
 			c := newCaller(store, "a", &dispatched)
 			store.Inject(table.Fault{Kind: table.FaultLoseReply, Count: 1})
@@ -112,7 +113,7 @@
 	hosts := map[string]error{"a": once.ErrUnderWay, "dead": once.ErrUnknown}
 	for host, want := range hosts {
 		It(fmt.Sprintf("is %v while its claimer is host %s", want, host), func() {
-			paused(func() {
+			suite.Paused(func() {
 				store, dispatched := table.New(table.Options{}), 0
 				first, second := newCaller(store, host, &dispatched), newCaller(store, "b", &dispatched)
 				call := once.Call{Workspace: "w", Service: "payouts", Name: "pay", Key: "k", Body: []byte("100")}
@@ -129,7 +130,7 @@
 	}
 
 	It("keeps its outcome through an outage and replays it afterwards", func() {
-		paused(func() {
+		suite.Paused(func() {
 			store, dispatched := table.New(table.Options{}), 0
 			c := newCaller(store, "a", &dispatched)
 			call := once.Call{Workspace: "w", Service: "payouts", Name: "pay", Key: "k", Body: []byte("100")}
--- a/internal/once/suite_test.go
+++ b/internal/once/suite_test.go
@@ -2,25 +2,8 @@
 
 import (
 	"testing"
-	"testing/synctest"
 
-	. "github.com/onsi/ginkgo/v2"
-	. "github.com/onsi/gomega"
+	"quaybarrow/internal/standin/suite"
 )
 
-// suiteT is the suite's own testing.T, which synctest needs.
-var suiteT *testing.T
-
-func TestSuite(t *testing.T) {
-	suiteT = t
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "once")
-}
-
-// paused runs a body under the paused clock.
-func paused(body func()) {
-	synctest.Test(suiteT, func(*testing.T) {
-		defer GinkgoRecover()
-		body()
-	})
-}
+func TestSuite(t *testing.T) { suite.Run(t, "once") }
--- a/internal/peer/rpc/suite_test.go
+++ b/internal/peer/rpc/suite_test.go
@@ -3,11 +3,7 @@
 import (
 	"testing"
 
-	. "github.com/onsi/ginkgo/v2"
-	. "github.com/onsi/gomega"
+	"quaybarrow/internal/standin/suite"
 )
 
-func TestSuite(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "rpc")
-}
+func TestSuite(t *testing.T) { suite.Run(t, "rpc") }
--- a/internal/session/suite_test.go
+++ b/internal/session/suite_test.go
@@ -3,11 +3,7 @@
 import (
 	"testing"
 
-	. "github.com/onsi/ginkgo/v2"
-	. "github.com/onsi/gomega"
+	"quaybarrow/internal/standin/suite"
 )
 
-func TestSuite(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "session")
-}
+func TestSuite(t *testing.T) { suite.Run(t, "session") }
