Malformed YAML is an error, not a panic

Cause: fuzzing the declarations for 4 s found a text on which the YAML library panics (a tag without a value in a list).

--- a/internal/yamlfile/yamlfile.go
+++ b/internal/yamlfile/yamlfile.go
@@ -48,7 +48,14 @@
 
 // Decode parses data strictly into target. Errors match ErrInvalid and name
 // the line.
-func Decode(name string, data []byte, target any) (*Document, error) {
+func Decode(name string, data []byte, target any) (doc *Document, err error) {
+	// The library panics on some malformed texts, which fuzzing found; to whoever
+	// wrote the file that is a mistake in it like others.
+	defer func() {
+		if r := recover(); r != nil {
+			doc, err = nil, fmt.Errorf("decode %s: %w: the text is malformed: %v", name, ErrInvalid, r)
+		}
+	}()
 	tree, err := parser.ParseBytes(data, 0)
 	if err != nil {
 		return nil, fmt.Errorf("parse %s: %w: %s", name, ErrInvalid, yaml.FormatError(err, false, true))
