Capacity at the size of two years, from slopes that were measured

Change: job workers wait longer the more hosts there are; bills without an intent delete none; three pings and three reports a second; streams tell their bill's holders every ten seconds.

--- a/internal/billing/bill.go
+++ b/internal/billing/bill.go
@@ -62,6 +62,8 @@
 	Opened      time.Time `json:"opened"`
 	Settled     time.Time `json:"settled,omitzero"`
 	Usage       Usage     `json:"usage"`
+	// Intent is set when the table has, or may have, an intent of this opening.
+	Intent bool `json:"intent,omitempty"`
 }
 
 // Usage is what a bill charges for.
--- a/internal/billing/copies.go
+++ b/internal/billing/copies.go
@@ -266,7 +266,7 @@
 			}
 			e.dirty = false
 		}
-		if len(e.holders) < copies && !e.intent {
+		if len(e.holders) < copies && !e.bill.Intent {
 			bare = append(bare, e)
 		}
 		e.mu.Unlock()
--- a/internal/billing/entry.go
+++ b/internal/billing/entry.go
@@ -13,7 +13,6 @@
 	bill    Bill
 	dirty   bool     // holders have an older state
 	holders []string // hosts that hold a copy
-	intent  bool     // the table has, or may have, an intent row
 	ended   bool
 }
 
@@ -71,7 +70,7 @@
 // Void ends the bill of a request that certainly did not run.
 func (e *Entry) Void() {
 	e.mu.Lock()
-	ended, intent, id := e.ended, e.intent, e.bill.Copy
+	ended, intent, id := e.ended, e.bill.Intent, e.bill.Copy
 	e.ended = true
 	e.mu.Unlock()
 	if ended {
--- a/internal/billing/flush.go
+++ b/internal/billing/flush.go
@@ -124,7 +124,9 @@
 	var txn platform.Transaction
 	seen := map[string]bool{}
 	for _, b := range bills {
-		txn.Writes = append(txn.Writes, platform.Delete(TableIntents, b.Copy))
+		if b.Intent {
+			txn.Writes = append(txn.Writes, platform.Delete(TableIntents, b.Copy))
+		}
 		if seen[b.RequestID] {
 			continue // a repeat of the same request: billed once
 		}
@@ -172,6 +174,9 @@
 	}
 	txn.Conditions = []platform.Condition{platform.AtVersion(TableBills, row)}
 	if !b.Replaces(existing) {
+		if !b.Intent {
+			return nil
+		}
 		txn.Writes = []platform.Write{platform.Delete(TableIntents, b.Copy)}
 	}
 	return l.options.Tables.Commit(ctx, txn)
--- a/internal/billing/ledger.go
+++ b/internal/billing/ledger.go
@@ -93,7 +93,9 @@
 	if kept >= copies {
 		return nil
 	}
-	e.mark(func() { e.intent = true }) // set first: a lost reply may hide a row
+	e.mark(func() { // before the write: a lost reply may hide a row
+		e.bill.Intent, e.dirty = true, true
+	})
 	err := l.intents.Do(ctx, e.Bill())
 	if err == nil || kept > 0 {
 		return nil
--- a/internal/daemon/module.go
+++ b/internal/daemon/module.go
@@ -223,8 +223,9 @@
 	})
 }
 
-func newWorker(s settings.Settings, q *job.Queue, p *pipeline.Pipeline) *job.Worker {
-	return job.NewWorker(q, s.Host, s.Limits.Jobs, jobRunner(p))
+func newWorker(s settings.Settings, q *job.Queue, m *membership.Membership, p *pipeline.Pipeline) *job.Worker {
+	hosts := func() int { return len(m.View().Members) }
+	return job.NewWorker(q, s.Host, s.Limits.Jobs, hosts, jobRunner(p))
 }
 
 func newQueries(h *config.Holder, l *config.Log, tables platform.Tables, m *membership.Membership, link peer.Link,
--- a/internal/endpoint/report.go
+++ b/internal/endpoint/report.go
@@ -73,7 +73,7 @@
 
 // reportsPerPeriod is how many reports are read in Options.Period; with more
 // engines to watch, the time between two reports of one grows instead.
-const reportsPerPeriod = 4
+const reportsPerPeriod = 3
 
 // period is the time between two reports of an engine.
 func (p *Pool) period() time.Duration {
--- a/internal/experiment/jobs.go
+++ b/internal/experiment/jobs.go
@@ -75,7 +75,7 @@
 func (q *jobQueue) lookIn(shards []int, idle time.Duration) {
 	if len(shards) == 0 {
 		wait := idle/2 + time.Duration(q.random.Int64N(int64(idle)))
-		q.clock.after(wait, func() { q.look(min(2*idle, maxIdle)) })
+		q.clock.after(wait, func() { q.look(min(2*idle, q.longestIdle())) })
 		return
 	}
 	q.run.calls++ // the scan
@@ -83,6 +83,12 @@
 	q.clock.after(seconds(q.Call), func() { q.claim(seen, shards, idle) })
 }
 
+// longestIdle is the longest wait between two looks, as in package job.
+func (q *jobQueue) longestIdle() time.Duration {
+	const fewHosts = 12
+	return maxIdle * time.Duration(max(q.Hosts, fewHosts)) / fewHosts
+}
+
 // claim tries the jobs seen, in order; each costs a read and a write.
 func (q *jobQueue) claim(seen []*waitingJob, shards []int, idle time.Duration) {
 	if len(seen) == 0 {
--- a/internal/job/work.go
+++ b/internal/job/work.go
@@ -35,6 +35,7 @@
 	host   string
 	run    Runner
 	atOnce int
+	hosts  func() int
 	stop   chan struct{} // closed by Drain
 	once   sync.Once
 
@@ -48,9 +49,11 @@
 	since   time.Time
 }
 
-// NewWorker returns a worker that runs up to atOnce jobs at a time.
-func NewWorker(queue *Queue, host string, atOnce int, run Runner) *Worker {
-	return &Worker{queue: queue, host: host, run: run, atOnce: atOnce, stop: make(chan struct{}), seen: map[string]sighting{}}
+// NewWorker returns a worker that runs up to atOnce jobs at a time. The more hosts
+// there are, the longer it waits between two looks, so that what all of them ask
+// of the table does not grow.
+func NewWorker(queue *Queue, host string, atOnce int, hosts func() int, run Runner) *Worker {
+	return &Worker{queue: queue, host: host, run: run, atOnce: atOnce, hosts: hosts, stop: make(chan struct{}), seen: map[string]sighting{}}
 }
 
 // Drain makes Run take no more jobs and return when those under way are done.
@@ -90,10 +93,18 @@
 		case <-t.C:
 		}
 		t.Stop()
-		idle = min(idle*2, maxIdle)
+		idle = min(idle*2, w.longestIdle())
 	}
 }
 
+// fewHosts is a count of hosts up to which each waits maxIdle at the most.
+const fewHosts = 12
+
+// longestIdle is the longest wait between two looks.
+func (w *Worker) longestIdle() time.Duration {
+	return maxIdle * time.Duration(max(w.hosts(), fewHosts)) / fewHosts
+}
+
 // Once looks for a job in a random shard and runs the first that it can
 // claim; false if there was none.
 func (w *Worker) Once(ctx context.Context) bool {
--- a/internal/measure/capacity.go
+++ b/internal/measure/capacity.go
@@ -188,7 +188,7 @@
 		pick := time.Since(started) / picks
 		watched := len(pool.View())
 		t.Rows = append(t.Rows, []string{
-			fmt.Sprint(n), fmt.Sprint(watched), "4", kilobytes(memory), micros(syncTime), fmt.Sprintf("%.1f µs", pick.Seconds()*1e6),
+			fmt.Sprint(n), fmt.Sprint(watched), "3", kilobytes(memory), micros(syncTime), fmt.Sprintf("%.1f µs", pick.Seconds()*1e6),
 		})
 		runtime.KeepAlive(pool)
 	}
@@ -275,7 +275,7 @@
 		Columns: []string{"hosts", "load", "calls/s, all hosts", "calls/s per host", "rows written/s", "throttled", "table calls per request", "bytes per request"},
 	}
 	times := settings.Default().Times
-	for _, n := range []int{3, 7} {
+	for _, n := range []int{hostsOfToday} {
 		c, err := cluster.New(ctx, cluster.Options{
 			Hosts: n, Engines: 3, Engine: engine.Options{Slots: 512, Token: time.Millisecond}, Times: &times,
 			Profiles: map[declare.Ref]engine.Profile{version: {Quality: 1}}, Declarations: declarations(),
@@ -283,8 +283,8 @@
 		if err != nil {
 			return Table{}, fmt.Errorf("start: %w", err)
 		}
-		time.Sleep(2 * time.Second)
-		idle := row(c, n, "none", 2*each, 0)
+		time.Sleep(6 * time.Second) // idle workers have come to their longest wait
+		idle := row(c, n, "none", 5*each, 0)
 		t.Rows = append(t.Rows, idle.cells)
 		loaded := row(c, n, "requests", 2*each, idle.rate)
 		t.Rows = append(t.Rows, loaded.cells)
--- a/internal/measure/hosts.go
+++ b/internal/measure/hosts.go
@@ -153,7 +153,7 @@
 }
 
 // twoPeriods covers two pings of every watched host of the largest fleet.
-const twoPeriods = 7 * time.Second
+const twoPeriods = 5 * time.Second
 
 // controlTraffic measures what membership and configuration cost a host as the
 // number of hosts grows.
@@ -169,7 +169,7 @@
 			return Table{}, err
 		}
 		f := newFleet(n, store, nil)
-		time.Sleep(3 * time.Second) // lists are read and connections would be made
+		time.Sleep(2 * time.Second) // lists are read and connections would be made
 		messages, bytes, calls := f.network.Messages(), f.bytes.Load(), store.Counts()
 		cpu, started := cpuTime(), time.Now()
 		time.Sleep(max(each, twoPeriods))
--- a/internal/measure/inforce.go
+++ b/internal/measure/inforce.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"quaybarrow/internal/config"
 	"quaybarrow/internal/declare"
 	"quaybarrow/internal/operator"
 	"quaybarrow/internal/settings"
@@ -42,11 +43,7 @@
 		return Table{}, err
 	}
 	t.Rows = append(t.Rows, peace.row("peace"))
-	down, err := commands(ctx, c, 10, func() func() {
-		// The first commit of the command goes through; after it the store is down.
-		c.Store.Inject(table.Fault{Kind: table.FaultDown, Table: "config", Skip: 4})
-		return c.Store.Heal
-	})
+	down, err := storeDown(ctx, c, 10)
 	if err != nil {
 		return Table{}, err
 	}
@@ -73,6 +70,33 @@
 	return t, nil
 }
 
+// storeDown accepts changes and takes the store away before any is spread.
+func storeDown(ctx context.Context, c *cluster.Cluster, count int) (inForceRun, error) {
+	var r inForceRun
+	h := c.Hosts[0].Daemon()
+	for i := range count {
+		now := h.Config.Current().Revision()
+		started := time.Now()
+		next, err := config.NewLog(c.Store).Accept(ctx, now.Number, config.Change{
+			CommandID: fmt.Sprintf("down-%d", i), Declarations: now.Declarations.WithHeld("p", i%2 == 0),
+		})
+		if err != nil {
+			return r, fmt.Errorf("accept: %w", err)
+		}
+		c.Store.Inject(table.Fault{Kind: table.FaultDown})
+		h.Config.Apply(next)
+		waiting, cancel := context.WithTimeout(ctx, 20*time.Second)
+		state := h.Spreader.AwaitInForce(waiting, next)
+		cancel()
+		c.Store.Heal()
+		r.took = append(r.took, time.Since(started))
+		if state.Everywhere() {
+			r.everywhere++
+		}
+	}
+	return r, nil
+}
+
 // inForceRun is the outcome of several commands.
 type inForceRun struct {
 	took       []time.Duration
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -86,7 +86,7 @@
 
 // pingsPerPeriod is how many hosts are pinged in Options.Ping; with more to
 // watch, the time between two pings of one grows instead.
-const pingsPerPeriod = 4
+const pingsPerPeriod = 3
 
 // period is the time between two pings of a watched host.
 func (m *Membership) period() time.Duration {
--- a/internal/pipeline/answer.go
+++ b/internal/pipeline/answer.go
@@ -127,7 +127,7 @@
 }
 
 // progressEvery is how often the holders of a stream's bill hear of it.
-const progressEvery = time.Second
+const progressEvery = 10 * time.Second
 
 // relayStream passes events on as they come.
 func (p *Pipeline) relayStream(ctx context.Context, in answered, sink Sink, head Head) (err error) {
