--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -18,6 +18,7 @@
 	"io"
 	"net/http"
 	"os"
+	"strings"
 
 	"github.com/google/subcommands"
 	"github.com/pkg/errors"
@@ -45,12 +46,43 @@
 	commander := subcommands.NewCommander(flags, "quaybarrow")
 	commander.Output, commander.Error = env.Stdout, env.Stderr
 	register(commander, env)
-	if err := flags.Parse(args); err != nil {
+	if err := flags.Parse(flagsFirst(args)); err != nil {
 		return int(subcommands.ExitUsageError)
 	}
 	return int(commander.Execute(ctx))
 }
 
+// flagsFirst moves a command's flags before its words, so that they may be written
+// after them as well: "show hosts -output json". A word of the console's language
+// never starts with a dash.
+func flagsFirst(args []string) []string {
+	if len(args) < 2 || strings.HasPrefix(args[0], "-") {
+		return args
+	}
+	ordered, words := []string{args[0]}, []string(nil)
+	for i := 1; i < len(args); i++ {
+		if !strings.HasPrefix(args[i], "-") || args[i] == "-" {
+			words = append(words, args[i])
+			continue
+		}
+		ordered = append(ordered, args[i])
+		if takesValue(args[i]) && i+1 < len(args) {
+			i++
+			ordered = append(ordered, args[i])
+		}
+	}
+	return append(ordered, words...)
+}
+
+// switches are the flags that take no value.
+var switches = map[string]bool{"serve": true, "full": true, "new": true, "h": true, "help": true}
+
+// takesValue reports whether the argument after a flag is its value.
+func takesValue(flag string) bool {
+	name := strings.TrimLeft(flag, "-")
+	return !strings.Contains(name, "=") && !switches[name]
+}
+
 // Groups of commands in the help.
 const (
 	groupConfigure = "configure"
