A broken stream's resumption has its own scenario; an endpoint's choice is a reservation

Cause: no test broke a stream to see it resumed, and a type called Lease was no lease. Change: the scenario; the stand-in resumes after the last token too; the name. Conclusion: resumption works at the first, third and eighth token.

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -63,16 +63,16 @@
 		if attempt > 0 && !d.budget.retry() {
 			break
 		}
-		lease, ok := d.options.Pool.Pick(endpoint.Ask{Service: call.Service, Avoid: avoid})
+		reserved, ok := d.options.Pool.Pick(endpoint.Ask{Service: call.Service, Avoid: avoid})
 		if !ok {
 			break
 		}
-		answer, err := d.callOnce(ctx, call, lease)
+		answer, err := d.callOnce(ctx, call, reserved)
 		if err == nil {
 			return answer, nil
 		}
 		last = err
-		avoid = append(avoid, lease.ID)
+		avoid = append(avoid, reserved.ID)
 		if runOf(err) != problem.NotRun {
 			run = problem.Unknown
 			call.Attempted()
@@ -85,20 +85,20 @@
 }
 
 // callOnce makes one attempt at one endpoint.
-func (d *Dispatcher) callOnce(ctx context.Context, call Call, lease *endpoint.Lease) (Answer, error) {
-	ctx, span := d.options.Telemetry.Start(ctx, "attempt "+lease.ID)
+func (d *Dispatcher) callOnce(ctx context.Context, call Call, reserved *endpoint.Reservation) (Answer, error) {
+	ctx, span := d.options.Telemetry.Start(ctx, "attempt "+reserved.ID)
 	defer span.End()
-	answer, err := d.exchangeCall(ctx, call, lease)
+	answer, err := d.exchangeCall(ctx, call, reserved)
 	telemetry.Fail(span, err)
 	if err != nil {
-		lease.Done(outcomeOf(ctx, err))
+		reserved.Done(outcomeOf(ctx, err))
 		return Answer{}, err
 	}
-	lease.Done(endpoint.OutcomeGood)
+	reserved.Done(endpoint.OutcomeGood)
 	return answer, nil
 }
 
-func (d *Dispatcher) exchangeCall(ctx context.Context, call Call, lease *endpoint.Lease) (Answer, error) {
+func (d *Dispatcher) exchangeCall(ctx context.Context, call Call, reserved *endpoint.Reservation) (Answer, error) {
 	transport := d.options.Transport
 	if !call.Repeatable {
 		transport = d.options.Fresh
@@ -108,7 +108,7 @@
 		header.Set("Content-Type", call.ContentType)
 	}
 	response, err := d.send(ctx, transport, exchange{
-		method: call.Method, url: "http://" + lease.Address + "/" + call.Name, header: header,
+		method: call.Method, url: "http://" + reserved.Address + "/" + call.Name, header: header,
 		body: call.Body, requestID: call.ID, attemptID: uuid.NewString(),
 	})
 	if err != nil {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -93,17 +93,17 @@
 		if attempt > 0 && !d.budget.retry() {
 			break
 		}
-		lease, ok := d.options.Pool.Pick(endpoint.Ask{Version: request.Version, Prefix: request.Prefix, Avoid: avoid})
+		reserved, ok := d.options.Pool.Pick(endpoint.Ask{Version: request.Version, Prefix: request.Prefix, Avoid: avoid})
 		if !ok {
 			break
 		}
-		stream, err := d.attempt(ctx, request, lease)
+		stream, err := d.attempt(ctx, request, reserved)
 		if err == nil {
 			request.judge(false)
 			return stream, nil
 		}
 		last = err
-		avoid = append(avoid, lease.ID)
+		avoid = append(avoid, reserved.ID)
 		if errors.Is(err, errVersionFailed) {
 			request.judge(true)
 		}
@@ -181,19 +181,19 @@
 var errForeign = errors.New("endpoint answered for another request")
 
 // attempt sends a completion to one endpoint and waits for its first byte.
-func (d *Dispatcher) attempt(ctx context.Context, request Request, lease *endpoint.Lease) (*Stream, error) {
+func (d *Dispatcher) attempt(ctx context.Context, request Request, reserved *endpoint.Reservation) (*Stream, error) {
 	caller := ctx
-	ctx, span := d.options.Telemetry.Start(ctx, "attempt "+lease.ID)
+	ctx, span := d.options.Telemetry.Start(ctx, "attempt "+reserved.ID)
 	defer span.End()
 	ctx, cancel := context.WithCancel(ctx)
 	timer := time.AfterFunc(d.options.FirstToken, cancel)
 	defer timer.Stop()
-	s := &Stream{dispatcher: d, lease: lease, cancel: cancel, context: ctx, request: request, attemptID: uuid.NewString()}
+	s := &Stream{dispatcher: d, reserved: reserved, cancel: cancel, context: ctx, request: request, attemptID: uuid.NewString()}
 	header := http.Header{}
 	header.Set("Content-Type", "application/json")
 	header.Set(chat.HeaderPriority, string(request.Priority))
 	header.Set(chat.HeaderResumable, "1")
-	url := "http://" + lease.Address + "/v1/chat/completions"
+	url := "http://" + reserved.Address + "/v1/chat/completions"
 	response, err := d.send(ctx, d.options.Transport, exchange{ //nolint:bodyclose // the stream closes it
 		method: http.MethodPost, url: url, header: header, body: request.Body,
 		requestID: request.ID, attemptID: s.attemptID,
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -27,7 +27,7 @@
 // Stream is the answer of one attempt.
 type Stream struct {
 	dispatcher *Dispatcher
-	lease      *endpoint.Lease
+	reserved   *endpoint.Reservation
 	cancel     context.CancelFunc
 	context    context.Context
 	request    Request
@@ -72,7 +72,7 @@
 func (s *Stream) Events() int { return s.events }
 
 // Endpoint names the endpoint that answers.
-func (s *Stream) Endpoint() string { return s.lease.ID }
+func (s *Stream) Endpoint() string { return s.reserved.ID }
 
 // Event is one event of a stream, as it goes to the caller.
 type Event struct {
@@ -173,7 +173,7 @@
 	}
 	s.resumes++
 	_ = s.response.Body.Close()
-	url := fmt.Sprintf("http://%s/v1/streams/%s?from=%d", s.lease.Address, s.attemptID, s.events)
+	url := fmt.Sprintf("http://%s/v1/streams/%s?from=%d", s.reserved.Address, s.attemptID, s.events)
 	response, err := s.dispatcher.send(s.context, s.dispatcher.options.Transport, exchange{
 		method: http.MethodGet, url: url, header: http.Header{},
 		requestID: s.request.ID, attemptID: s.attemptID,
@@ -208,7 +208,7 @@
 func (s *Stream) fail(outcome endpoint.Outcome) {
 	s.end(outcome)
 	if outcome != endpoint.OutcomeRefused {
-		go s.dispatcher.cancelAt(s.lease.Address, s.attemptID)
+		go s.dispatcher.cancelAt(s.reserved.Address, s.attemptID)
 	}
 }
 
@@ -231,5 +231,5 @@
 	if s.response != nil {
 		_ = s.response.Body.Close()
 	}
-	s.lease.Done(outcome)
+	s.reserved.Done(outcome)
 }
--- a/internal/endpoint/pool.go
+++ b/internal/endpoint/pool.go
@@ -6,8 +6,8 @@
 //	pool := endpoint.NewPool(options)
 //	go pool.Run(ctx)
 //	...
-//	lease, ok := pool.Pick(kind, service, ask)
-//	defer lease.Done(outcome)
+//	reserved, ok := pool.Pick(endpoint.Ask{Version: ref})
+//	defer reserved.Done(outcome)
 //
 // The platform's list says which endpoints there are and which are leaving; an
 // endpoint's own report says so sooner. A host watches only a bounded subset of
@@ -153,8 +153,8 @@
 	})
 }
 
-// Lease is an endpoint chosen for one attempt; Done must be called.
-type Lease struct {
+// Reservation is an endpoint chosen for one attempt; Done must be called.
+type Reservation struct {
 	ID      string
 	Address string
 
@@ -171,7 +171,7 @@
 }
 
 // Pick chooses an endpoint and counts the attempt as in flight.
-func (p *Pool) Pick(ask Ask) (*Lease, bool) {
+func (p *Pool) Pick(ask Ask) (*Reservation, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	endpoints := p.viewLocked(ask.Service, time.Now())
@@ -182,7 +182,7 @@
 	}
 	chosen := endpoints[i]
 	p.states[chosen.ID].flying++
-	return &Lease{ID: chosen.ID, Address: chosen.Address, pool: p}, true
+	return &Reservation{ID: chosen.ID, Address: chosen.Address, pool: p}, true
 }
 
 // Has reports whether some endpoint serves a version and takes new work.
@@ -242,8 +242,8 @@
 }
 
 // Done ends an attempt and tells how it went.
-func (l *Lease) Done(outcome Outcome) {
-	l.once.Do(func() { l.pool.done(l.ID, outcome) })
+func (r *Reservation) Done(outcome Outcome) {
+	r.once.Do(func() { r.pool.done(r.ID, outcome) })
 }
 
 func (p *Pool) done(id string, outcome Outcome) {
--- a/internal/faults/scenarios_test.go
+++ b/internal/faults/scenarios_test.go
@@ -144,6 +144,16 @@
 		Expect(w.c.Hosts[2].Daemon().Config.Current().State(supportTwo)).To(Equal(declare.StateWithdrawn))
 		Expect(w.chat(2, func(a *caller.Ask) { a.Model = supportTwo.String() }).Run).To(Equal(problem.NotRun))
 	},
+	"a stream that breaks is resumed where it broke, and is whole": func(w *world) {
+		for _, after := range []int{1, 3, 8} {
+			for _, e := range w.c.Engines {
+				e.BreakAfter(after)
+			}
+			r := w.chat(0, func(a *caller.Ask) { a.Stream = true })
+			Expect(r.Answered && r.Ended).To(BeTrue(), "%+v", r)
+			Expect(r.Answer).To(Equal("re: " + r.Prompt + " t1 t2 t3 t4 t5 t6 t7 t8 t9 t10 t11"))
+		}
+	},
 	"a hung engine delays a request and does not lose it": func(w *world) {
 		w.c.Engines[0].SetHung(true)
 		for range 6 {
--- a/internal/standin/engine/serve.go
+++ b/internal/standin/engine/serve.go
@@ -200,8 +200,10 @@
 		writeEvent(w, i, s.chunk(i))
 		flusher.Flush()
 	}
-	writeEvent(w, s.total, s.last())
-	if s.work.request.WantsUsage() {
+	if from <= s.total {
+		writeEvent(w, s.total, s.last())
+	}
+	if s.work.request.WantsUsage() && from <= s.total+1 {
 		writeEvent(w, s.total+1, s.usageChunk())
 	}
 	_, _ = fmt.Fprintf(w, "data: %s\n\n", chat.Done)
@@ -216,6 +218,9 @@
 	_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", id, data)
 }
 
+// closingEvents follow the tokens of a stream: its finish and its usage.
+const closingEvents = 2
+
 func (e *Engine) serveResume(w http.ResponseWriter, r *http.Request) {
 	s := e.streamOf(mux.Vars(r)["attempt"])
 	if s == nil {
@@ -223,8 +228,8 @@
 		return
 	}
 	from, err := strconv.Atoi(r.URL.Query().Get("from"))
-	if err != nil || from < 0 || from > s.total {
-		refuse(w, http.StatusBadRequest, "from must be a token number")
+	if err != nil || from < 0 || from > s.total+closingEvents {
+		refuse(w, http.StatusBadRequest, "from must be an event's number")
 		return
 	}
 	w.Header().Set(chat.HeaderRequestID, s.work.run.RequestID)
