Measure the failing over of a duty; show sessions

Cause: the time to fail over was not known, and sessions could not be shown. Change: 'quaybarrow measure failover', 'show sessions'.

--- a/internal/cli/do.go
+++ b/internal/cli/do.go
@@ -114,7 +114,7 @@
 // Usage implements subcommands.Command.
 func (*showCommand) Usage() string {
 	return `show [flags] SUBJECT [where FIELD OP VALUE] [since DURATION] [by FIELD] [limit N]
-  Subjects: requests, versions, hosts, endpoints, bills, jobs, rollouts, commands.
+  Subjects: requests, versions, sessions, hosts, endpoints, bills, jobs, rollouts, commands.
   Example: quaybarrow show requests where workspace = clerks since 5m by version
 `
 }
--- a/internal/cli/measure.go
+++ b/internal/cli/measure.go
@@ -30,10 +30,11 @@
 
 // Usage implements subcommands.Command.
 func (*measureCommand) Usage() string {
-	return `measure [flags] overhead|capacity|inforce
+	return `measure [flags] overhead|capacity|inforce|failover
   overhead: what a request costs through a host, against the engine directly.
   capacity: how state, messages, CPU and memory grow, for docs/CAPACITY.md.
   inforce:  time from acceptance to in force at seven hosts.
+  failover: time until another host takes over a duty.
 `
 }
 
@@ -62,8 +63,12 @@
 		var t measure.Table
 		t, err = measure.InForce(ctx)
 		tables = append(tables, t)
+	case "failover":
+		var t measure.Table
+		t, err = measure.Failover(ctx)
+		tables = append(tables, t)
 	default:
-		return errors.WithMessage(errUsage, "name overhead, capacity or inforce")
+		return errors.WithMessage(errUsage, "name overhead, capacity, inforce or failover")
 	}
 	if err != nil {
 		return err
--- a/internal/console/language.go
+++ b/internal/console/language.go
@@ -14,7 +14,7 @@
 //	hold|resume PLAN
 //	show SUBJECT [where FIELD OP VALUE [and ...]] [since DURATION] [by FIELD] [limit N]
 //
-// Subjects are requests, versions, hosts, endpoints, bills, jobs, rollouts and
+// Subjects are requests, versions, sessions, hosts, endpoints, bills, jobs, rollouts and
 // commands. Errors point at the column.
 package console
 
@@ -66,6 +66,7 @@
 const (
 	SubjectRequests  Subject = "requests"
 	SubjectVersions  Subject = "versions"
+	SubjectSessions  Subject = "sessions"
 	SubjectHosts     Subject = "hosts"
 	SubjectEndpoints Subject = "endpoints"
 	SubjectBills     Subject = "bills"
@@ -76,7 +77,7 @@
 
 // Subjects lists all subjects in the order of the help.
 var Subjects = []Subject{
-	SubjectRequests, SubjectVersions, SubjectHosts, SubjectEndpoints,
+	SubjectRequests, SubjectVersions, SubjectSessions, SubjectHosts, SubjectEndpoints,
 	SubjectBills, SubjectJobs, SubjectRollouts, SubjectCommands,
 }
 
--- a/internal/operator/queries.go
+++ b/internal/operator/queries.go
@@ -83,6 +83,8 @@
 	switch show.Subject {
 	case console.SubjectRequests:
 		return q.requests(ctx, show.Since)
+	case console.SubjectSessions:
+		return q.sessions(ctx, show.Since)
 	case console.SubjectVersions:
 		rows = q.versions()
 	case console.SubjectHosts:
@@ -149,6 +151,43 @@
 }
 
 func (q *Queries) requests(ctx context.Context, since time.Duration) ([]console.Row, []string, error) {
+	records, partial := q.records(ctx, since)
+	rows := make([]console.Row, len(records))
+	for i, r := range records {
+		rows[i] = requestRow(r)
+	}
+	return rows, partial, nil
+}
+
+// sessions sums up the requests of each session that all hosts remember.
+func (q *Queries) sessions(ctx context.Context, since time.Duration) ([]console.Row, []string, error) {
+	records, partial := q.records(ctx, since)
+	counts := map[string]int{}
+	last := map[string]traffic.Record{}
+	var order []string
+	for _, r := range records {
+		if r.Session == "" {
+			continue
+		}
+		if counts[r.Session] == 0 {
+			order = append(order, r.Session)
+		}
+		counts[r.Session]++
+		last[r.Session] = r
+	}
+	rows := make([]console.Row, len(order))
+	for i, id := range order {
+		r := last[id]
+		rows[i] = console.Row{
+			{Name: "session", Value: id}, {Name: "workspace", Value: r.Workspace}, {Name: "version", Value: r.Version},
+			{Name: "requests", Value: counts[id]}, {Name: "last", Value: r.At.Format(time.RFC3339)}, {Name: "outcome", Value: r.Outcome},
+		}
+	}
+	return rows, partial, nil
+}
+
+// records gathers the requests that all hosts remember, oldest first.
+func (q *Queries) records(ctx context.Context, since time.Duration) ([]traffic.Record, []string) {
 	if since == 0 {
 		since = defaultSince
 	}
@@ -156,11 +195,7 @@
 	records, partial := gather[traffic.Record](ctx, q, query)
 	records = append(records, q.options.Traffic.Since(time.Now().Add(-since))...)
 	sort.Slice(records, func(i, j int) bool { return records[i].At.Before(records[j].At) })
-	rows := make([]console.Row, len(records))
-	for i, r := range records {
-		rows[i] = requestRow(r)
-	}
-	return rows, partial, nil
+	return records, partial
 }
 
 func requestRow(r traffic.Record) console.Row {
