No timer that is due at its making

Cause: the whole check in a fresh clone crashed once in the Go runtime (a fault in timer.maybeRunChan, from select, in a synctest bubble under the race detector): a lease that had lapsed made its holder sleep for a negative time. Ruled out: a race of ours (the detector names none in 323 specs). Change: a time that is over makes no timer; in admission it is a microsecond at the least.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -115,7 +115,8 @@
 func (c *Controller) wait(ctx context.Context, ask Ask, id int64, turn chan struct{}) (*Place, error) {
 	var late <-chan time.Time
 	if !ask.Deadline.IsZero() {
-		t := time.NewTimer(c.latest(ask.Deadline))
+		left := max(c.latest(ask.Deadline), time.Microsecond) // no timer is due at its making: see clock.Sleep
+		t := time.NewTimer(left)
 		defer t.Stop()
 		late = t.C
 	}
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -15,8 +15,13 @@
 	"time"
 )
 
-// Sleep waits; false if the context ends first.
+// Sleep waits; false if the context ends first. A time that is over already makes
+// no timer: the runtime crashes now and then when a timer that was due at its
+// making is waited for in a paused clock's bubble under the race detector.
 func Sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
