--- a/internal/billing/flush.go
+++ b/internal/billing/flush.go
@@ -10,7 +10,7 @@
 
 	"quaybarrow/internal/clock"
 	"quaybarrow/internal/codec"
-	"quaybarrow/internal/platform"
+	"quaybarrow/internal/store"
 )
 
 // Limits of writing to the table.
@@ -22,7 +22,7 @@
 )
 
 // intentRange selects the intents of one sweep.
-var intentRange = platform.Range{Table: TableIntents, Limit: maxIntents}
+var intentRange = store.Range{Table: TableIntents, Limit: maxIntents}
 
 // Run writes bills, keeps holders told and settles the bills of lost hosts,
 // until the context ends.
@@ -102,7 +102,7 @@
 	err = l.options.Tables.Commit(ctx, txn)
 	switch {
 	case err == nil:
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, store.ErrConflict):
 		for _, b := range bills {
 			if err := l.writeOne(ctx, b); err != nil {
 				return err
@@ -120,12 +120,12 @@
 }
 
 // transactionOf writes bills only if absent and removes their intents.
-func transactionOf(bills []Bill, strays []string) (platform.Transaction, error) {
-	var txn platform.Transaction
+func transactionOf(bills []Bill, strays []string) (store.Transaction, error) {
+	var txn store.Transaction
 	seen := map[string]bool{}
 	for _, b := range bills {
 		if b.Intent {
-			txn.Writes = append(txn.Writes, platform.Delete(TableIntents, b.Copy))
+			txn.Writes = append(txn.Writes, store.Delete(TableIntents, b.Copy))
 		}
 		if seen[b.RequestID] {
 			continue // a repeat of the same request: billed once
@@ -133,13 +133,13 @@
 		seen[b.RequestID] = true
 		data, err := codec.Encode(b)
 		if err != nil {
-			return platform.Transaction{}, err
+			return store.Transaction{}, err
 		}
-		txn.Conditions = append(txn.Conditions, platform.Absent(TableBills, b.RequestID))
-		txn.Writes = append(txn.Writes, platform.Put(TableBills, b.RequestID, data))
+		txn.Conditions = append(txn.Conditions, store.Absent(TableBills, b.RequestID))
+		txn.Writes = append(txn.Writes, store.Put(TableBills, b.RequestID, data))
 	}
 	for _, id := range strays {
-		txn.Writes = append(txn.Writes, platform.Delete(TableIntents, id))
+		txn.Writes = append(txn.Writes, store.Delete(TableIntents, id))
 	}
 	return txn, nil
 }
@@ -151,7 +151,7 @@
 		return err
 	}
 	err = l.options.Tables.Commit(ctx, txn)
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, store.ErrConflict) {
 		err = l.amend(ctx, b, txn)
 	}
 	if err != nil {
@@ -163,7 +163,7 @@
 
 // amend replaces an interrupted bill of the same opening by its final word; any
 // other bill in the table stands, and only the intent goes.
-func (l *Ledger) amend(ctx context.Context, b Bill, txn platform.Transaction) error {
+func (l *Ledger) amend(ctx context.Context, b Bill, txn store.Transaction) error {
 	row, err := l.options.Tables.Get(ctx, TableBills, b.RequestID)
 	if err != nil {
 		return err
@@ -172,12 +172,12 @@
 	if err != nil {
 		return err
 	}
-	txn.Conditions = []platform.Condition{platform.AtVersion(TableBills, row)}
+	txn.Conditions = []store.Condition{store.AtVersion(TableBills, row)}
 	if !b.Replaces(existing) {
 		if !b.Intent {
 			return nil
 		}
-		txn.Writes = []platform.Write{platform.Delete(TableIntents, b.Copy)}
+		txn.Writes = []store.Write{store.Delete(TableIntents, b.Copy)}
 	}
 	return l.options.Tables.Commit(ctx, txn)
 }
--- a/internal/billing/ledger.go
+++ b/internal/billing/ledger.go
@@ -12,7 +12,7 @@
 	"quaybarrow/internal/codec"
 	"quaybarrow/internal/membership"
 	"quaybarrow/internal/peer"
-	"quaybarrow/internal/platform"
+	"quaybarrow/internal/store"
 )
 
 // copies is how many other hosts hold an open bill.
@@ -20,7 +20,7 @@
 
 // Options set up a Ledger.
 type Options struct {
-	Tables      platform.Tables
+	Tables      store.Tables
 	Link        peer.Link
 	View        func() membership.View
 	Host        string
@@ -105,13 +105,13 @@
 
 // writeIntents puts open bills into the table, all in one transaction.
 func (l *Ledger) writeIntents(ctx context.Context, bills []Bill) error {
-	var txn platform.Transaction
+	var txn store.Transaction
 	for _, b := range bills {
 		data, err := codec.Encode(b)
 		if err != nil {
 			return err
 		}
-		txn.Writes = append(txn.Writes, platform.Put(TableIntents, b.Copy, data))
+		txn.Writes = append(txn.Writes, store.Put(TableIntents, b.Copy, data))
 	}
 	if err := l.options.Tables.Commit(ctx, txn); err != nil {
 		return fmt.Errorf("write intents: %w", err)
--- a/internal/cli/standin.go
+++ b/internal/cli/standin.go
@@ -14,10 +14,10 @@
 	"github.com/pkg/errors"
 
 	"quaybarrow/internal/declare"
-	"quaybarrow/internal/platform"
 	"quaybarrow/internal/standin/engine"
 	"quaybarrow/internal/standin/service"
 	"quaybarrow/internal/standin/table"
+	"quaybarrow/internal/store"
 )
 
 // standinCommand serves what stands around the router, for trying it out with
@@ -76,16 +76,16 @@
 }
 
 func (c *standinCommand) run(ctx context.Context) error {
-	store := table.New(table.Options{Rate: c.rate, Burst: int(c.rate), ListLag: time.Second})
-	s := &standins{store: store}
+	rows := table.New(table.Options{Rate: c.rate, Burst: int(c.rate), ListLag: time.Second})
+	s := &standins{store: rows}
 	defer s.stop()
 	for _, text := range fields(c.entries) {
 		parts := strings.Split(text, "@")
 		if len(parts) != entryParts {
 			return errors.WithMessagef(errUsage, "flag -entries: %q is not NAME@DATA_HALL@IP:PORT", text)
 		}
-		store.SetHost(platform.Host{
-			ID: parts[0], Kind: platform.HostEntry, DataHall: parts[1], Region: standinRegion, Address: parts[2], State: platform.HostLive,
+		rows.SetHost(store.Host{
+			ID: parts[0], Kind: store.HostEntry, DataHall: parts[1], Region: standinRegion, Address: parts[2], State: store.HostLive,
 		})
 	}
 	profiles := map[declare.Ref]engine.Profile{}
@@ -98,17 +98,17 @@
 			OnFinish: s.rate(i),
 		})
 		s.engines = append(s.engines, e)
-		if err := s.add(e.Handler(), platform.Host{ID: fmt.Sprintf("engine-%d", i+1), Kind: platform.HostEngine}, i); err != nil {
+		if err := s.add(e.Handler(), store.Host{ID: fmt.Sprintf("engine-%d", i+1), Kind: store.HostEngine}, i); err != nil {
 			return err
 		}
 	}
 	for i, name := range fields(c.services) {
-		host := platform.Host{ID: name + "-1", Kind: platform.HostService, Service: name}
+		host := store.Host{ID: name + "-1", Kind: store.HostService, Service: name}
 		if err := s.add(service.New(name, 0).Handler(), host, i); err != nil {
 			return err
 		}
 	}
-	if _, err := s.serve(c.listen, store.Handler()); err != nil {
+	if _, err := s.serve(c.listen, rows.Handler()); err != nil {
 		return err
 	}
 	_, _ = fmt.Fprintf(c.env.Stdout, "platform on http://%s, %d engines, services: %s\n", c.listen, c.engines, c.services)
@@ -139,18 +139,18 @@
 			score = 1
 		}
 		time.AfterFunc(ratingDelay, func() {
-			s.store.Rate(platform.Rating{RequestID: run.RequestID, Version: run.Version.String(), Score: score, At: time.Now().UTC()})
+			s.store.Rate(store.Rating{RequestID: run.RequestID, Version: run.Version.String(), Score: score, At: time.Now().UTC()})
 		})
 	}
 }
 
 // add serves a handler at a free port and lists it.
-func (s *standins) add(h http.Handler, host platform.Host, index int) error {
+func (s *standins) add(h http.Handler, host store.Host, index int) error {
 	address, err := s.serve("127.0.0.1:0", h)
 	if err != nil {
 		return err
 	}
-	host.Address, host.State, host.Region = address, platform.HostLive, standinRegion
+	host.Address, host.State, host.Region = address, store.HostLive, standinRegion
 	host.DataHall = standinHalls[index%len(standinHalls)]
 	s.store.SetHost(host)
 	return nil
--- a/internal/config/log.go
+++ b/internal/config/log.go
@@ -9,7 +9,7 @@
 
 	"quaybarrow/internal/clock"
 	"quaybarrow/internal/codec"
-	"quaybarrow/internal/platform"
+	"quaybarrow/internal/store"
 )
 
 // Table names and keys of the log.
@@ -57,10 +57,10 @@
 }
 
 // Log is the log of revisions in the table service.
-type Log struct{ tables platform.Tables }
+type Log struct{ tables store.Tables }
 
 // NewLog returns the log kept in the given tables.
-func NewLog(tables platform.Tables) *Log { return &Log{tables: tables} }
+func NewLog(tables store.Tables) *Log { return &Log{tables: tables} }
 
 // revisionKey sorts in order of numbers.
 func revisionKey(number int64) string { return fmt.Sprintf("revision/%012d", number) }
@@ -71,17 +71,17 @@
 	return h.Number, err
 }
 
-func (l *Log) head(ctx context.Context) (head, platform.Row, error) {
+func (l *Log) head(ctx context.Context) (head, store.Row, error) {
 	row, err := l.tables.Get(ctx, tableConfig, keyHead)
-	if errors.Is(err, platform.ErrNotFound) {
-		return head{}, platform.Row{Key: keyHead}, nil
+	if errors.Is(err, store.ErrNotFound) {
+		return head{}, store.Row{Key: keyHead}, nil
 	}
 	if err != nil {
-		return head{}, platform.Row{}, fmt.Errorf("read configuration head: %w", err)
+		return head{}, store.Row{}, fmt.Errorf("read configuration head: %w", err)
 	}
 	h, err := codec.Decode[head](row.Value)
 	if err != nil {
-		return head{}, platform.Row{}, fmt.Errorf("read configuration head: %w", err)
+		return head{}, store.Row{}, fmt.Errorf("read configuration head: %w", err)
 	}
 	return h, row, nil
 }
@@ -109,7 +109,7 @@
 
 // History returns the revisions past a number, oldest first.
 func (l *Log) History(ctx context.Context, after int64, limit int) ([]Revision, error) {
-	rows, err := l.tables.Scan(ctx, platform.Range{
+	rows, err := l.tables.Scan(ctx, store.Range{
 		Table: tableConfig, Prefix: "revision/", After: revisionKey(after), Limit: limit,
 	})
 	if err != nil {
@@ -143,7 +143,7 @@
 	if tried {
 		return Revision{}, ErrUnsettled
 	}
-	return Revision{}, fmt.Errorf("accept configuration: %w: %w", platform.ErrUnavailable, last)
+	return Revision{}, fmt.Errorf("accept configuration: %w: %w", store.ErrUnavailable, last)
 }
 
 // errStale means that the store answered with an older head than was seen.
@@ -175,13 +175,13 @@
 	if err == nil {
 		return revision, true, nil
 	}
-	if platform.Uncertain(err) {
+	if store.Uncertain(err) {
 		return Revision{}, false, fmt.Errorf("%w: %w", errSent, err)
 	}
 	return Revision{}, false, err // the next attempt reads the head again
 }
 
-func (l *Log) commit(ctx context.Context, headRow platform.Row, r Revision) error {
+func (l *Log) commit(ctx context.Context, headRow store.Row, r Revision) error {
 	data, err := codec.Encode(r)
 	if err != nil {
 		return err
@@ -190,14 +190,14 @@
 	if err != nil {
 		return err
 	}
-	return l.tables.Commit(ctx, platform.Transaction{
-		Conditions: []platform.Condition{
-			platform.AtVersion(tableConfig, headRow),
-			platform.Absent(tableConfig, revisionKey(r.Number)),
+	return l.tables.Commit(ctx, store.Transaction{
+		Conditions: []store.Condition{
+			store.AtVersion(tableConfig, headRow),
+			store.Absent(tableConfig, revisionKey(r.Number)),
 		},
-		Writes: []platform.Write{
-			platform.Put(tableConfig, keyHead, headData),
-			platform.Put(tableConfig, revisionKey(r.Number), data),
+		Writes: []store.Write{
+			store.Put(tableConfig, keyHead, headData),
+			store.Put(tableConfig, revisionKey(r.Number), data),
 		},
 	})
 }
--- a/internal/daemon/module.go
+++ b/internal/daemon/module.go
@@ -38,11 +38,11 @@
 	"quaybarrow/internal/peer"
 	"quaybarrow/internal/peer/rpc"
 	"quaybarrow/internal/pipeline"
-	"quaybarrow/internal/platform"
-	"quaybarrow/internal/platform/httpapi"
 	"quaybarrow/internal/rollout"
 	"quaybarrow/internal/session"
 	"quaybarrow/internal/settings"
+	"quaybarrow/internal/store"
+	"quaybarrow/internal/store/httpapi"
 	"quaybarrow/internal/telemetry"
 	"quaybarrow/internal/tlsfiles"
 	"quaybarrow/internal/traffic"
@@ -57,9 +57,9 @@
 
 // Ports are the ways to the outside. What is nil is made from the settings.
 type Ports struct {
-	Tables    platform.Tables
-	Hosts     platform.Hosts
-	Ratings   platform.Ratings
+	Tables    store.Tables
+	Hosts     store.Hosts
+	Ratings   store.Ratings
 	Link      peer.Link
 	ServePeer func(address string, h peer.Handler) // in place of a gRPC server
 	Transport http.RoundTripper                    // kept connections
@@ -106,9 +106,9 @@
 // platformPorts are the ports to the platform.
 type platformPorts struct {
 	fx.Out
-	Tables  platform.Tables
-	Hosts   platform.Hosts
-	Ratings platform.Ratings
+	Tables  store.Tables
+	Hosts   store.Hosts
+	Ratings store.Ratings
 }
 
 func newPlatform(s settings.Settings, p Ports) platformPorts {
@@ -154,13 +154,13 @@
 	return t
 }
 
-func newCredits(s settings.Settings, h *config.Holder, tables platform.Tables) *rollout.Credits {
+func newCredits(s settings.Settings, h *config.Holder, tables store.Tables) *rollout.Credits {
 	return rollout.NewCredits(h, tables, s.Host)
 }
 
 func newTraffic() *traffic.Log { return traffic.NewLog(trafficRecords) }
 
-func newMembership(s settings.Settings, hosts platform.Hosts, link peer.Link, state *State) *membership.Membership {
+func newMembership(s settings.Settings, hosts store.Hosts, link peer.Link, state *State) *membership.Membership {
 	return membership.New(membership.Options{
 		Hosts: hosts, Link: link, Self: state.Status, Observe: state.observe,
 		Ping: s.Times.Ping, List: s.Times.HostList,
@@ -192,21 +192,21 @@
 	return admission.NewController(admission.Options{Limit: s.Limits.Requests, Queue: s.Limits.Queue})
 }
 
-func newLeases(s settings.Settings, id identity, tables platform.Tables, m *membership.Membership) *lease.Manager {
+func newLeases(s settings.Settings, id identity, tables store.Tables, m *membership.Membership) *lease.Manager {
 	return lease.NewManager(lease.Options{
 		Tables: tables, Host: id.host, Incarnation: id.incarnation, Length: s.Times.Lease,
 		Owner: func(duty string) string { return m.View().Owner(duty) },
 	})
 }
 
-func newLedger(s settings.Settings, id identity, tables platform.Tables, link peer.Link, m *membership.Membership) *billing.Ledger {
+func newLedger(s settings.Settings, id identity, tables store.Tables, link peer.Link, m *membership.Membership) *billing.Ledger {
 	return billing.New(billing.Options{
 		Tables: tables, Link: link, View: m.View, Host: id.host, Incarnation: id.incarnation, Address: s.Peers,
 		Limit: s.Limits.OpenBills, Settle: s.Times.Settle, Keepalive: s.Times.Ping,
 	})
 }
 
-func newGuard(id identity, tables platform.Tables, ledger *billing.Ledger) *once.Guard {
+func newGuard(id identity, tables store.Tables, ledger *billing.Ledger) *once.Guard {
 	return once.NewGuard(once.Options{
 		Tables: tables, Host: id.host, Incarnation: id.incarnation, Lives: ledger.Lives, Limit: outcomesWaiting,
 	})
@@ -228,7 +228,7 @@
 	return job.NewWorker(q, s.Host, s.Limits.Jobs, hosts, jobRunner(p))
 }
 
-func newQueries(h *config.Holder, l *config.Log, tables platform.Tables, m *membership.Membership, link peer.Link,
+func newQueries(h *config.Holder, l *config.Log, tables store.Tables, m *membership.Membership, link peer.Link,
 	pool *endpoint.Pool, tr *traffic.Log, tel *telemetry.Telemetry, c *rollout.Credits,
 ) *operator.Queries {
 	return operator.NewQueries(operator.QueryOptions{
@@ -236,7 +236,7 @@
 	})
 }
 
-func newRollout(tables platform.Tables, ratings platform.Ratings, h *config.Holder, leases *lease.Manager, link peer.Link,
+func newRollout(tables store.Tables, ratings store.Ratings, h *config.Holder, leases *lease.Manager, link peer.Link,
 	m *membership.Membership, commands *operator.Commands, credits *rollout.Credits, pool *endpoint.Pool,
 ) *rollout.Controller {
 	return rollout.NewController(rollout.Options{
--- a/internal/demo/scene.go
+++ b/internal/demo/scene.go
@@ -11,12 +11,12 @@
 	"quaybarrow/internal/config"
 	"quaybarrow/internal/declare"
 	"quaybarrow/internal/operator"
-	"quaybarrow/internal/platform"
 	"quaybarrow/internal/rollout"
 	"quaybarrow/internal/standin/caller"
 	"quaybarrow/internal/standin/cluster"
 	"quaybarrow/internal/standin/engine"
 	"quaybarrow/internal/standin/table"
+	"quaybarrow/internal/store"
 )
 
 // Versions of the demonstration.
@@ -131,7 +131,7 @@
 		score = 1
 	}
 	time.AfterFunc(ratingDelay, func() {
-		c.Store.Rate(platform.Rating{
+		c.Store.Rate(store.Rating{
 			RequestID: run.RequestID, Workspace: workspace, Class: class, Version: run.Version.String(),
 			Score: score, At: time.Now().UTC(),
 		})
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -15,11 +15,11 @@
 
 	"quaybarrow/internal/dispatch"
 	"quaybarrow/internal/endpoint"
-	"quaybarrow/internal/platform"
 	"quaybarrow/internal/problem"
 	"quaybarrow/internal/standin/memnet"
 	"quaybarrow/internal/standin/service"
 	"quaybarrow/internal/standin/suite"
+	"quaybarrow/internal/store"
 	"quaybarrow/internal/telemetry"
 )
 
@@ -109,11 +109,11 @@
 	}
 	r.transport = &http.Transport{DialContext: dial}
 	r.fresh = &http.Transport{DialContext: dial, DisableKeepAlives: true}
-	hosts := []platform.Host{
-		{ID: "p1", Kind: platform.HostService, Service: "payouts", Address: address, State: platform.HostLive},
-		{ID: "p2", Kind: platform.HostService, Service: "payouts", Address: address, State: platform.HostLive},
+	hosts := []store.Host{
+		{ID: "p1", Kind: store.HostService, Service: "payouts", Address: address, State: store.HostLive},
+		{ID: "p2", Kind: store.HostService, Service: "payouts", Address: address, State: store.HostLive},
 	}
-	pool := endpoint.NewPool(endpoint.Options{List: func() []platform.Host { return hosts }, Period: time.Second})
+	pool := endpoint.NewPool(endpoint.Options{List: func() []store.Host { return hosts }, Period: time.Second})
 	pool.Sync()
 	t, err := telemetry.New(context.Background(), telemetry.Options{Traces: 1})
 	Expect(err).NotTo(HaveOccurred())
--- a/internal/endpoint/pool.go
+++ b/internal/endpoint/pool.go
@@ -25,7 +25,7 @@
 
 	"quaybarrow/internal/declare"
 	"quaybarrow/internal/place"
-	"quaybarrow/internal/platform"
+	"quaybarrow/internal/store"
 )
 
 // DefaultSubset is how many engines a host watches at most.
@@ -38,7 +38,7 @@
 	Subset int // 0 means DefaultSubset
 	Period time.Duration
 	// List returns the platform's list as last read.
-	List func() []platform.Host
+	List func() []store.Host
 	// Hosts counts the live hosts of the router; nil means one.
 	Hosts func() int
 	// Fetch reads an engine's load report.
@@ -47,7 +47,7 @@
 
 // state is what the pool knows of one endpoint.
 type state struct {
-	host     platform.Host
+	host     store.Host
 	report   Report
 	reported time.Time // when the report was asked for; zero if never
 	mine     int       // in flight when the report was asked for
@@ -91,7 +91,7 @@
 	}
 	for id, s := range p.states {
 		if !listed[id] {
-			s.host.State = platform.HostLeaving
+			s.host.State = store.HostLeaving
 			if s.flying == 0 {
 				delete(p.states, id)
 			}
@@ -99,10 +99,10 @@
 	}
 }
 
-func engineCount(hosts []platform.Host) int {
+func engineCount(hosts []store.Host) int {
 	count := 0
 	for _, h := range hosts {
-		if h.Kind == platform.HostEngine {
+		if h.Kind == store.HostEngine {
 			count++
 		}
 	}
@@ -124,13 +124,13 @@
 // Subset picks the endpoints that a host watches: every plain service, and of
 // the engines at most limit, half of them in the host's own data hall where
 // there are so many, by rendezvous weight so that hosts spread evenly.
-func Subset(hosts []platform.Host, self, hall string, limit int) []platform.Host {
-	var kept, near, far []platform.Host
+func Subset(hosts []store.Host, self, hall string, limit int) []store.Host {
+	var kept, near, far []store.Host
 	for _, h := range hosts {
 		switch {
-		case h.Kind == platform.HostService:
+		case h.Kind == store.HostService:
 			kept = append(kept, h)
-		case h.Kind != platform.HostEngine:
+		case h.Kind != store.HostEngine:
 		case h.DataHall == hall:
 			near = append(near, h)
 		default:
@@ -147,7 +147,7 @@
 	return append(kept, far[:limit-nearby]...)
 }
 
-func byWeight(hosts []platform.Host, self string) {
+func byWeight(hosts []store.Host, self string) {
 	sort.Slice(hosts, func(i, j int) bool {
 		return xxhash.Sum64String(self+"\x00"+hosts[i].ID) > xxhash.Sum64String(self+"\x00"+hosts[j].ID)
 	})
@@ -191,7 +191,7 @@
 	defer p.mu.Unlock()
 	now := time.Now()
 	for _, s := range p.states {
-		if s.host.Kind != platform.HostEngine {
+		if s.host.Kind != store.HostEngine {
 			continue
 		}
 		if e := s.endpoint(now); e.Ready && e.Serves(ref) {
@@ -206,7 +206,7 @@
 func (p *Pool) viewLocked(service string, now time.Time) []place.Endpoint {
 	endpoints := make([]place.Endpoint, 0, len(p.states))
 	for _, s := range p.states {
-		if s.host.Service == service && (service != "" || s.host.Kind == platform.HostEngine) {
+		if s.host.Service == service && (service != "" || s.host.Kind == store.HostEngine) {
 			endpoints = append(endpoints, s.endpoint(now))
 		}
 	}
@@ -233,7 +233,7 @@
 		ID: s.host.ID, Hash: xxhash.Sum64String(s.host.ID), Address: s.host.Address, Hall: s.host.DataHall,
 		Slots: s.report.Slots, InFlight: s.flying, Reported: s.report.Running + s.report.Queued,
 		Mine: s.mine, Versions: s.report.refs, Slow: s.health.Slow(now),
-		Ready: s.host.State == platform.HostLive && !s.report.Draining && s.health.Ready(now),
+		Ready: s.host.State == store.HostLive && !s.report.Draining && s.health.Ready(now),
 	}
 	if !s.reported.IsZero() {
 		e.Age = now.Sub(s.reported)
--- a/internal/endpoint/report.go
+++ b/internal/endpoint/report.go
@@ -13,7 +13,7 @@
 
 	"quaybarrow/internal/clock"
 	"quaybarrow/internal/declare"
-	"quaybarrow/internal/platform"
+	"quaybarrow/internal/store"
 )
 
 // Limits of reading reports.
@@ -96,12 +96,12 @@
 	wait.Wait()
 }
 
-func (p *Pool) engines() []platform.Host {
+func (p *Pool) engines() []store.Host {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var engines []platform.Host
+	var engines []store.Host
 	for _, s := range p.states {
-		if s.host.Kind == platform.HostEngine {
+		if s.host.Kind == store.HostEngine {
 			engines = append(engines, s.host)
 		}
 	}
@@ -110,7 +110,7 @@
 
 // refresh reads one report. An engine that can't be reached is not ejected for
 // it: attempts decide that.
-func (p *Pool) refresh(ctx context.Context, h platform.Host) {
+func (p *Pool) refresh(ctx context.Context, h store.Host) {
 	asked := time.Now()
 	p.mu.Lock()
 	mine := 0
--- a/internal/estimate/keeper.go
+++ b/internal/estimate/keeper.go
@@ -12,7 +12,7 @@
 	"quaybarrow/internal/codec"
 	"quaybarrow/internal/declare"
 	"quaybarrow/internal/lease"
-	"quaybarrow/internal/platform"
+	"quaybarrow/internal/store"
 )
 
 // Where the sum of all ratings is kept.
@@ -40,13 +40,13 @@
 
 // Keeper sums up ratings on one host at a time and reads the sum on all.
 type Keeper struct {
-	tables  platform.Tables
-	ratings platform.Ratings
+	tables  store.Tables
+	ratings store.Ratings
 	current atomic.Pointer[Table]
 }
 
 // NewKeeper returns a keeper that knows nothing yet.
-func NewKeeper(tables platform.Tables, ratings platform.Ratings) *Keeper {
+func NewKeeper(tables store.Tables, ratings store.Ratings) *Keeper {
 	k := &Keeper{tables: tables, ratings: ratings}
 	k.current.Store(&Table{})
 	return k
@@ -73,7 +73,7 @@
 // Sum takes in new ratings while the lease is held.
 func (k *Keeper) Sum(ctx context.Context, l *lease.Lease) {
 	for l.Valid() && ctx.Err() == nil {
-		if err := k.SumOnce(ctx, l); errors.Is(err, platform.ErrConflict) {
+		if err := k.SumOnce(ctx, l); errors.Is(err, store.ErrConflict) {
 			return
 		}
 		clock.Sleep(ctx, sumEvery)
@@ -105,9 +105,9 @@
 	if err != nil {
 		return err
 	}
-	err = k.tables.Commit(ctx, l.Fenced(platform.Transaction{
-		Conditions: []platform.Condition{platform.AtVersion(tableEstimates, row)},
-		Writes:     []platform.Write{platform.Put(tableEstimates, keySum, data)},
+	err = k.tables.Commit(ctx, l.Fenced(store.Transaction{
+		Conditions: []store.Condition{store.AtVersion(tableEstimates, row)},
+		Writes:     []store.Write{store.Put(tableEstimates, keySum, data)},
 	}))
 	if err != nil {
 		return fmt.Errorf("write estimates: %w", err)
@@ -116,17 +116,17 @@
 	return nil
 }
 
-func (k *Keeper) read(ctx context.Context) (stored, platform.Row, error) {
+func (k *Keeper) read(ctx context.Context) (stored, store.Row, error) {
 	row, err := k.tables.Get(ctx, tableEstimates, keySum)
-	if errors.Is(err, platform.ErrNotFound) {
-		return stored{}, platform.Row{Key: keySum}, nil
+	if errors.Is(err, store.ErrNotFound) {
+		return stored{}, store.Row{Key: keySum}, nil
 	}
 	if err != nil {
-		return stored{}, platform.Row{}, fmt.Errorf("read estimates: %w", err)
+		return stored{}, store.Row{}, fmt.Errorf("read estimates: %w", err)
 	}
 	s, err := codec.Unpack[stored](row.Value)
 	if err != nil {
-		return stored{}, platform.Row{}, fmt.Errorf("read estimates: %w", err)
+		return stored{}, store.Row{}, fmt.Errorf("read estimates: %w", err)
 	}
 	return s, row, nil
 }
--- a/internal/faults/world_test.go
+++ b/internal/faults/world_test.go
@@ -13,11 +13,11 @@
 	"quaybarrow/internal/config"
 	"quaybarrow/internal/declare"
 	"quaybarrow/internal/operator"
-	"quaybarrow/internal/platform"
 	"quaybarrow/internal/standin/caller"
 	"quaybarrow/internal/standin/cluster"
 	"quaybarrow/internal/standin/engine"
 	"quaybarrow/internal/standin/table"
+	"quaybarrow/internal/store"
 )
 
 // Versions of the world.
@@ -102,7 +102,7 @@
 		score = 1
 	}
 	time.AfterFunc(time.Second, func() {
-		c.Store.Rate(platform.Rating{RequestID: run.RequestID, Version: run.Version.String(), Score: score})
+		c.Store.Rate(store.Rating{RequestID: run.RequestID, Version: run.Version.String(), Score: score})
 	})
 }
 
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -26,8 +26,8 @@
 
 	"quaybarrow/internal/codec"
 	"quaybarrow/internal/declare"
-	"quaybarrow/internal/platform"
 	"quaybarrow/internal/problem"
+	"quaybarrow/internal/store"
 )
 
 // Tables of the package. A waiting job's row in TableWaiting sorts by priority
@@ -157,10 +157,10 @@
 func idOfKey(key string) string { return key[strings.LastIndexByte(key, '/')+1:] }
 
 // Queue is the jobs in the table service.
-type Queue struct{ tables platform.Tables }
+type Queue struct{ tables store.Tables }
 
 // NewQueue returns the queue kept in the given tables.
-func NewQueue(tables platform.Tables) *Queue { return &Queue{tables: tables} }
+func NewQueue(tables store.Tables) *Queue { return &Queue{tables: tables} }
 
 // submitAttempts bounds how often an uncertain submit is settled.
 const submitAttempts = 3
@@ -177,17 +177,17 @@
 		return Job{}, err
 	}
 	for range submitAttempts {
-		err = q.tables.Commit(ctx, platform.Transaction{
-			Conditions: []platform.Condition{platform.Absent(TableJobs, j.ID)},
-			Writes: []platform.Write{
-				platform.Put(TableJobs, j.ID, data),
-				platform.Put(TableWaiting, j.waitingKey(), []byte(j.Workspace)),
+		err = q.tables.Commit(ctx, store.Transaction{
+			Conditions: []store.Condition{store.Absent(TableJobs, j.ID)},
+			Writes: []store.Write{
+				store.Put(TableJobs, j.ID, data),
+				store.Put(TableWaiting, j.waitingKey(), []byte(j.Workspace)),
 			},
 		})
 		if err == nil {
 			return j, nil
 		}
-		if errors.Is(err, platform.ErrThrottled) {
+		if errors.Is(err, store.ErrThrottled) {
 			break
 		}
 		// A conflict, or a lost reply: the row tells.
@@ -205,17 +205,17 @@
 	return "j-" + uuid.NewSHA1(uuid.NameSpaceOID, []byte(workspace+"\x00"+key)).String()
 }
 
-func (q *Queue) read(ctx context.Context, id string) (Job, platform.Row, error) {
+func (q *Queue) read(ctx context.Context, id string) (Job, store.Row, error) {
 	row, err := q.tables.Get(ctx, TableJobs, id)
-	if errors.Is(err, platform.ErrNotFound) {
-		return Job{}, platform.Row{}, ErrNotFound
+	if errors.Is(err, store.ErrNotFound) {
+		return Job{}, store.Row{}, ErrNotFound
 	}
 	if err != nil {
-		return Job{}, platform.Row{}, fmt.Errorf("read job: %w", err)
+		return Job{}, store.Row{}, fmt.Errorf("read job: %w", err)
 	}
 	j, err := codec.Decode[Job](row.Value)
 	if err != nil {
-		return Job{}, platform.Row{}, fmt.Errorf("read job: %w", err)
+		return Job{}, store.Row{}, fmt.Errorf("read job: %w", err)
 	}
 	return j, row, nil
 }
--- a/internal/job/work.go
+++ b/internal/job/work.go
@@ -10,8 +10,8 @@
 
 	"quaybarrow/internal/clock"
 	"quaybarrow/internal/codec"
-	"quaybarrow/internal/platform"
 	"quaybarrow/internal/problem"
+	"quaybarrow/internal/store"
 )
 
 // Times and bounds of working on jobs.
@@ -120,47 +120,47 @@
 
 // claimFrom claims a job of one shard: a waiting one, or else, now and then, one
 // whose host was lost.
-func (w *Worker) claimFrom(ctx context.Context, shard int) (Job, platform.Row, bool) {
+func (w *Worker) claimFrom(ctx context.Context, shard int) (Job, store.Row, bool) {
 	if j, row, ok := w.claimIn(ctx, TableWaiting, shard); ok {
 		return j, row, true
 	}
 	if rand.IntN(lostOdds) > 0 {
-		return Job{}, platform.Row{}, false
+		return Job{}, store.Row{}, false
 	}
 	return w.claimIn(ctx, TableRunning, shard)
 }
 
-func (w *Worker) claimIn(ctx context.Context, table string, shard int) (Job, platform.Row, bool) {
-	rows, err := w.queue.tables.Scan(ctx, platform.Range{Table: table, Prefix: shardPrefix(shard), Limit: probeRows})
+func (w *Worker) claimIn(ctx context.Context, table string, shard int) (Job, store.Row, bool) {
+	rows, err := w.queue.tables.Scan(ctx, store.Range{Table: table, Prefix: shardPrefix(shard), Limit: probeRows})
 	if err != nil {
-		return Job{}, platform.Row{}, false
+		return Job{}, store.Row{}, false
 	}
 	for _, found := range rows {
 		if j, row, ok := w.claim(ctx, idOfKey(found.Key)); ok {
 			return j, row, true
 		}
 	}
-	return Job{}, platform.Row{}, false
+	return Job{}, store.Row{}, false
 }
 
 // claim takes a job that waits, or whose claim was lost.
-func (w *Worker) claim(ctx context.Context, id string) (Job, platform.Row, bool) {
+func (w *Worker) claim(ctx context.Context, id string) (Job, store.Row, bool) {
 	j, row, err := w.queue.read(ctx, id)
 	if err != nil || !w.free(j, row) {
-		return Job{}, platform.Row{}, false
+		return Job{}, store.Row{}, false
 	}
 	if !j.Deadline.IsZero() && time.Now().After(j.Deadline) {
 		w.end(ctx, j, row, StateFailed, Result{Status: 504, Run: problem.NotRun, Body: []byte("the deadline passed before the job could run")})
-		return Job{}, platform.Row{}, false
+		return Job{}, store.Row{}, false
 	}
 	claimed := j.WithClaim(w.host)
 	row, err = w.queue.replace(ctx, row, claimed,
-		platform.Delete(TableWaiting, j.waitingKey()), platform.Put(TableRunning, j.runningKey(), []byte(w.host)))
+		store.Delete(TableWaiting, j.waitingKey()), store.Put(TableRunning, j.runningKey(), []byte(w.host)))
 	return claimed, row, err == nil
 }
 
 // free reports whether a job may be claimed.
-func (w *Worker) free(j Job, row platform.Row) bool {
+func (w *Worker) free(j Job, row store.Row) bool {
 	switch j.State {
 	case StateWaiting:
 		return !time.Now().Before(j.Due)
@@ -173,7 +173,7 @@
 
 // abandoned reports whether a running job's row was unchanged for the length of
 // a claim, by this host's own clock.
-func (w *Worker) abandoned(id string, row platform.Row) bool {
+func (w *Worker) abandoned(id string, row store.Row) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	s, ok := w.seen[id]
@@ -189,31 +189,31 @@
 }
 
 // replace writes a job over the row it was read from, and settles a lost reply.
-func (q *Queue) replace(ctx context.Context, row platform.Row, next Job, more ...platform.Write) (platform.Row, error) {
+func (q *Queue) replace(ctx context.Context, row store.Row, next Job, more ...store.Write) (store.Row, error) {
 	data, err := codec.Encode(next)
 	if err != nil {
-		return platform.Row{}, err
+		return store.Row{}, err
 	}
-	err = q.tables.Commit(ctx, platform.Transaction{
-		Conditions: []platform.Condition{platform.AtVersion(TableJobs, row)},
-		Writes:     append([]platform.Write{platform.Put(TableJobs, next.ID, data)}, more...),
+	err = q.tables.Commit(ctx, store.Transaction{
+		Conditions: []store.Condition{store.AtVersion(TableJobs, row)},
+		Writes:     append([]store.Write{store.Put(TableJobs, next.ID, data)}, more...),
 	})
-	if err != nil && !platform.Uncertain(err) {
-		return platform.Row{}, err
+	if err != nil && !store.Uncertain(err) {
+		return store.Row{}, err
 	}
 	now, readErr := q.tables.Get(ctx, TableJobs, next.ID)
 	if readErr != nil {
-		return platform.Row{}, errors.Wrap(readErr, "read job back")
+		return store.Row{}, errors.Wrap(readErr, "read job back")
 	}
 	if string(now.Value) != string(data) {
-		return platform.Row{}, platform.ErrConflict
+		return store.Row{}, store.ErrConflict
 	}
 	return now, nil
 }
 
 // work runs a claimed job and records its end. A job whose claim is lost
 // meanwhile is left to whoever has it.
-func (w *Worker) work(ctx context.Context, j Job, row platform.Row) {
+func (w *Worker) work(ctx context.Context, j Job, row store.Row) {
 	runContext, cancel := context.WithCancel(ctx)
 	defer cancel()
 	keeper := &claimKeeper{worker: w, job: j, row: row, lost: cancel}
@@ -240,7 +240,7 @@
 		// A hand-back that fails costs a wait: the claim lapses.
 		waiting := j.WithWaiting(time.Now().UTC())
 		_, _ = w.queue.replace(last, row, waiting,
-			platform.Put(TableWaiting, waiting.waitingKey(), []byte(j.Workspace)), platform.Delete(TableRunning, j.runningKey()))
+			store.Put(TableWaiting, waiting.waitingKey(), []byte(j.Workspace)), store.Delete(TableRunning, j.runningKey()))
 	}
 }
 
@@ -258,12 +258,12 @@
 
 // end records a job's end and takes it out of its shard. If that fails, the
 // claim lapses and the job runs again; its bill is still one.
-func (w *Worker) end(ctx context.Context, j Job, row platform.Row, state State, r Result) {
+func (w *Worker) end(ctx context.Context, j Job, row store.Row, state State, r Result) {
 	ended := j.WithResult(state, r, time.Now().UTC())
 	for attempt := range endAttempts {
 		_, err := w.queue.replace(ctx, row, ended,
-			platform.Delete(TableWaiting, j.waitingKey()), platform.Delete(TableRunning, j.runningKey()))
-		if err == nil || errors.Is(err, platform.ErrConflict) {
+			store.Delete(TableWaiting, j.waitingKey()), store.Delete(TableRunning, j.runningKey()))
+		if err == nil || errors.Is(err, store.ErrConflict) {
 			return
 		}
 		if !clock.Sleep(ctx, minIdle<<attempt) {
@@ -276,7 +276,7 @@
 type claimKeeper struct {
 	worker *Worker
 	job    Job
-	row    platform.Row
+	row    store.Row
 	lost   context.CancelFunc
 }
 
@@ -293,7 +293,7 @@
 		switch {
 		case err == nil:
 			k.job, k.row, renewed = next, row, sent
-		case errors.Is(err, platform.ErrConflict):
+		case errors.Is(err, store.ErrConflict):
 			k.lost()
 			return
 		case time.Since(renewed) > claimLength-renewEvery:
@@ -305,7 +305,7 @@
 
 // Backlog counts the jobs that wait.
 func (q *Queue) Backlog(ctx context.Context) (int, error) {
-	rows, err := q.tables.Scan(ctx, platform.Range{Table: TableWaiting})
+	rows, err := q.tables.Scan(ctx, store.Range{Table: TableWaiting})
 	if err != nil {
 		return 0, errors.Wrap(err, "count jobs")
 	}
@@ -315,7 +315,7 @@
 // Expire removes the results that nobody fetched in time; limit bounds one
 // sweep.
 func (q *Queue) Expire(ctx context.Context, limit int) error {
-	rows, err := q.tables.Scan(ctx, platform.Range{Table: TableJobs, Limit: limit})
+	rows, err := q.tables.Scan(ctx, store.Range{Table: TableJobs, Limit: limit})
 	if err != nil {
 		return errors.Wrap(err, "expire jobs")
 	}
@@ -324,11 +324,11 @@
 		if err != nil || j.Finished.IsZero() || time.Since(j.Finished) < keepResult {
 			continue
 		}
-		err = q.tables.Commit(ctx, platform.Transaction{
-			Conditions: []platform.Condition{platform.AtVersion(TableJobs, row)},
-			Writes:     []platform.Write{platform.Delete(TableJobs, row.Key)},
+		err = q.tables.Commit(ctx, store.Transaction{
+			Conditions: []store.Condition{store.AtVersion(TableJobs, row)},
+			Writes:     []store.Write{store.Delete(TableJobs, row.Key)},
 		})
-		if err != nil && !errors.Is(err, platform.ErrConflict) {
+		if err != nil && !errors.Is(err, store.ErrConflict) {
 			return errors.Wrap(err, "expire jobs")
 		}
 	}
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -26,7 +26,7 @@
 	"github.com/pkg/errors"
 
 	"quaybarrow/internal/codec"
-	"quaybarrow/internal/platform"
+	"quaybarrow/internal/store"
 )
 
 // Tables of the leases.
@@ -57,11 +57,11 @@
 type Lease struct {
 	name  string
 	epoch int64
-	fence platform.Row
+	fence store.Row
 
 	mu    sync.Mutex // guards all below
 	until time.Time  // holder's own clock
-	table platform.Row
+	table store.Row
 	beat  int64
 }
 
@@ -83,16 +83,16 @@
 }
 
 // Fenced adds the condition that nobody took the lease since.
-func (l *Lease) Fenced(txn platform.Transaction) platform.Transaction {
+func (l *Lease) Fenced(txn store.Transaction) store.Transaction {
 	conditions := slices.Clone(txn.Conditions)
-	conditions = append(conditions, platform.AtVersion(tableFence, l.fence))
+	conditions = append(conditions, store.AtVersion(tableFence, l.fence))
 	txn.Conditions = conditions
 	return txn
 }
 
 // Options set up a Manager.
 type Options struct {
-	Tables      platform.Tables
+	Tables      store.Tables
 	Host        string
 	Incarnation string
 	Length      time.Duration
@@ -131,7 +131,7 @@
 	next := row{Holder: m.options.Host, Incarnation: m.options.Incarnation, Epoch: current.Epoch + 1}
 	sent := time.Now()
 	if err := m.write(ctx, name, tableRow, next, true); err != nil {
-		if !platform.Uncertain(err) {
+		if !store.Uncertain(err) {
 			return nil, fmt.Errorf("acquire %s: %w", name, ErrHeld)
 		}
 		if now, _, readErr := m.read(ctx, name); readErr != nil || now != next {
@@ -170,23 +170,23 @@
 }
 
 // read returns the lease's row; a zero one if there is none.
-func (m *Manager) read(ctx context.Context, name string) (row, platform.Row, error) {
+func (m *Manager) read(ctx context.Context, name string) (row, store.Row, error) {
 	tableRow, err := m.options.Tables.Get(ctx, tableLease, name)
-	if errors.Is(err, platform.ErrNotFound) {
-		return row{}, platform.Row{Key: name}, nil
+	if errors.Is(err, store.ErrNotFound) {
+		return row{}, store.Row{Key: name}, nil
 	}
 	if err != nil {
-		return row{}, platform.Row{}, fmt.Errorf("read lease %s: %w", name, err)
+		return row{}, store.Row{}, fmt.Errorf("read lease %s: %w", name, err)
 	}
 	current, err := codec.Decode[row](tableRow.Value)
 	if err != nil {
-		return row{}, platform.Row{}, fmt.Errorf("read lease %s: %w", name, err)
+		return row{}, store.Row{}, fmt.Errorf("read lease %s: %w", name, err)
 	}
 	return current, tableRow, nil
 }
 
 // free reports whether the lease may be taken.
-func (m *Manager) free(name string, current row, tableRow platform.Row) bool {
+func (m *Manager) free(name string, current row, tableRow store.Row) bool {
 	if tableRow.Version == 0 || current.Released {
 		return true
 	}
@@ -201,17 +201,17 @@
 }
 
 // write puts the lease's row, and the fence when the lease changes hands.
-func (m *Manager) write(ctx context.Context, name string, at platform.Row, next row, fence bool) error {
+func (m *Manager) write(ctx context.Context, name string, at store.Row, next row, fence bool) error {
 	data, err := codec.Encode(next)
 	if err != nil {
 		return err
 	}
-	txn := platform.Transaction{
-		Conditions: []platform.Condition{platform.AtVersion(tableLease, at)},
-		Writes:     []platform.Write{platform.Put(tableLease, name, data)},
+	txn := store.Transaction{
+		Conditions: []store.Condition{store.AtVersion(tableLease, at)},
+		Writes:     []store.Write{store.Put(tableLease, name, data)},
 	}
 	if fence {
-		txn.Writes = append(txn.Writes, platform.Put(tableFence, name, data))
+		txn.Writes = append(txn.Writes, store.Put(tableFence, name, data))
 	}
 	return m.options.Tables.Commit(ctx, txn)
 }
@@ -224,8 +224,8 @@
 	l.mu.Unlock()
 	next := row{Holder: m.options.Host, Incarnation: m.options.Incarnation, Epoch: l.epoch, Beat: beat}
 	sent := time.Now()
-	if err := m.write(ctx, l.name, at, next, false); err != nil && !errors.Is(err, platform.ErrConflict) {
-		if !platform.Uncertain(err) {
+	if err := m.write(ctx, l.name, at, next, false); err != nil && !errors.Is(err, store.ErrConflict) {
+		if !store.Uncertain(err) {
 			return fmt.Errorf("renew %s: %w", l.name, err)
 		}
 	}
@@ -242,7 +242,7 @@
 }
 
 // renewed notes what the table says; only this renewal's own beat extends.
-func (l *Lease) renewed(now row, tableRow platform.Row, beat int64, until time.Time) {
+func (l *Lease) renewed(now row, tableRow store.Row, beat int64, until time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.table, l.beat = tableRow, now.Beat
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -10,14 +10,14 @@
 	. "github.com/onsi/gomega"
 
 	"quaybarrow/internal/lease"
-	"quaybarrow/internal/platform"
 	"quaybarrow/internal/standin/suite"
 	"quaybarrow/internal/standin/table"
+	"quaybarrow/internal/store"
 )
 
 const length = 10 * time.Second
 
-func manager(tables platform.Tables, host string) *lease.Manager {
+func manager(tables store.Tables, host string) *lease.Manager {
 	return lease.NewManager(lease.Options{Tables: tables, Host: host, Incarnation: host + "-1", Length: length})
 }
 
@@ -41,12 +41,12 @@
 
 var _ = Describe("a lease", func() {
 	ctx := context.Background()
-	fenced := platform.Transaction{Writes: []platform.Write{platform.Put("work", "row", []byte("x"))}}
+	fenced := store.Transaction{Writes: []store.Write{store.Put("work", "row", []byte("x"))}}
 
 	It("is taken only after it was seen unchanged for its whole length", func() {
 		suite.Paused(func() {
-			store := table.New(table.Options{})
-			first, second := manager(store, "a"), manager(store, "b")
+			rows := table.New(table.Options{})
+			first, second := manager(rows, "a"), manager(rows, "b")
 			_, err := first.Acquire(ctx, "duty")
 			Expect(err).NotTo(HaveOccurred())
 			_, err = second.Acquire(ctx, "duty")
@@ -63,8 +63,8 @@
 
 	It("has its holder stop before another may start, and refuses its late writes", func() {
 		suite.Paused(func() {
-			store := table.New(table.Options{})
-			first, second := manager(store, "a"), manager(store, "b")
+			rows := table.New(table.Options{})
+			first, second := manager(rows, "a"), manager(rows, "b")
 			old, err := first.Acquire(ctx, "duty")
 			Expect(err).NotTo(HaveOccurred())
 			_, _ = second.Acquire(ctx, "duty")
@@ -74,19 +74,19 @@
 			Expect(old.Valid()).To(BeFalse())
 			fresh, err := second.Acquire(ctx, "duty")
 			Expect(err).NotTo(HaveOccurred())
-			Expect(store.Commit(ctx, old.Fenced(fenced))).To(MatchError(platform.ErrConflict))
-			Expect(store.Commit(ctx, fresh.Fenced(fenced))).To(Succeed())
+			Expect(rows.Commit(ctx, old.Fenced(fenced))).To(MatchError(store.ErrConflict))
+			Expect(rows.Commit(ctx, fresh.Fenced(fenced))).To(Succeed())
 			Expect(first.Renew(ctx, old)).To(MatchError(lease.ErrHeld))
 		})
 	})
 
 	It("counts a renewal from before it was sent", func() {
 		suite.Paused(func() {
-			store := table.New(table.Options{})
-			m := manager(store, "a")
+			rows := table.New(table.Options{})
+			m := manager(rows, "a")
 			l, err := m.Acquire(ctx, "duty")
 			Expect(err).NotTo(HaveOccurred())
-			store.Inject(table.Fault{Kind: table.FaultSlow, Delay: 3 * time.Second, Writes: true, Count: 1})
+			rows.Inject(table.Fault{Kind: table.FaultSlow, Delay: 3 * time.Second, Writes: true, Count: 1})
 			sent := time.Now()
 			Expect(m.Renew(ctx, l)).To(Succeed())
 			Expect(time.Since(sent)).To(Equal(3 * time.Second))
@@ -96,13 +96,13 @@
 
 	It("goes on when the reply of a renewal is lost", func() {
 		suite.Paused(func() {
-			store := table.New(table.Options{})
-			m := manager(store, "a")
+			rows := table.New(table.Options{})
+			m := manager(rows, "a")
 			l, err := m.Acquire(ctx, "duty")
 			Expect(err).NotTo(HaveOccurred())
 			for range 5 {
 				time.Sleep(length / 2)
-				store.Inject(table.Fault{Kind: table.FaultLoseReply, Count: 1})
+				rows.Inject(table.Fault{Kind: table.FaultLoseReply, Count: 1})
 				Expect(m.Renew(ctx, l)).To(Succeed())
 				Expect(l.Valid()).To(BeTrue())
 			}
@@ -111,12 +111,12 @@
 
 	It("is released when its duty returns, so that another need not wait", func() {
 		suite.Paused(func() {
-			store := table.New(table.Options{})
+			rows := table.New(table.Options{})
 			running, cancel := context.WithCancel(ctx)
 			runs := 0
 			var wait sync.WaitGroup
 			wait.Go(func() {
-				manager(store, "a").Run(running, "duty", func(context.Context, *lease.Lease) { runs++ })
+				manager(rows, "a").Run(running, "duty", func(context.Context, *lease.Lease) { runs++ })
 			})
 			time.Sleep(3 * length)
 			cancel()
@@ -127,14 +127,14 @@
 
 	It("has one holder at a time under faults, by the history of its holders", func() {
 		suite.Paused(func() {
-			store := table.New(table.Options{})
+			rows := table.New(table.Options{})
 			running, cancel := context.WithCancel(ctx)
 			var mu sync.Mutex
 			var spans []span
 			var wait sync.WaitGroup
 			doors := map[string]*table.Door{}
 			for _, host := range []string{"a", "b", "c"} {
-				door := table.NewDoor(store)
+				door := table.NewDoor(rows)
 				doors[host] = door
 				wait.Go(func() {
 					manager(door, host).Run(running, "duty", func(ctx context.Context, l *lease.Lease) {
@@ -159,13 +159,13 @@
 					victim.Cut(true)
 					time.AfterFunc(length, func() { victim.Cut(false) })
 				case 2:
-					store.Inject(table.Fault{Kind: table.FaultLoseReply, Count: 2})
+					rows.Inject(table.Fault{Kind: table.FaultLoseReply, Count: 2})
 				case 3:
-					store.Inject(table.Fault{Kind: table.FaultSlow, Delay: length / 2, Count: 3})
+					rows.Inject(table.Fault{Kind: table.FaultSlow, Delay: length / 2, Count: 3})
 				}
 				time.Sleep(length)
 			}
-			store.Heal()
+			rows.Heal()
 			time.Sleep(5 * length)
 			cancel()
 			for _, d := range doors {
--- a/internal/measure/capacity.go
+++ b/internal/measure/capacity.go
@@ -20,11 +20,11 @@
 	"quaybarrow/internal/membership"
 	"quaybarrow/internal/peer"
 	"quaybarrow/internal/peer/rpc"
-	"quaybarrow/internal/platform"
 	"quaybarrow/internal/settings"
 	"quaybarrow/internal/standin/cluster"
 	"quaybarrow/internal/standin/engine"
 	"quaybarrow/internal/standin/table"
+	"quaybarrow/internal/store"
 )
 
 // Capacity measures how state, messages, CPU and memory grow.
@@ -161,15 +161,15 @@
 		Columns: []string{"engines", "watched", "reports/s", "memory", "CPU to take in the list", "CPU of a choice"},
 	}
 	for _, n := range []int{20, 100, 300, 1000} {
-		hosts := make([]platform.Host, n)
+		hosts := make([]store.Host, n)
 		for i := range hosts {
-			hosts[i] = platform.Host{
-				ID: fmt.Sprintf("engine-%04d", i), Kind: platform.HostEngine, DataHall: fmt.Sprintf("hall-%02d", i%dataHalls),
-				Region: "region-1", Address: fmt.Sprintf("10.0.%d.%d:8000", i/250, i%250), State: platform.HostLive,
+			hosts[i] = store.Host{
+				ID: fmt.Sprintf("engine-%04d", i), Kind: store.HostEngine, DataHall: fmt.Sprintf("hall-%02d", i%dataHalls),
+				Region: "region-1", Address: fmt.Sprintf("10.0.%d.%d:8000", i/250, i%250), State: store.HostLive,
 			}
 		}
 		before := heap()
-		pool := endpoint.NewPool(endpoint.Options{Host: "entry-001", Hall: "hall-01", Period: time.Second, List: func() []platform.Host { return hosts }})
+		pool := endpoint.NewPool(endpoint.Options{Host: "entry-001", Hall: "hall-01", Period: time.Second, List: func() []store.Host { return hosts }})
 		pool.Sync()
 		memory := heap() - before
 		started := time.Now()
--- a/internal/measure/hosts.go
+++ b/internal/measure/hosts.go
@@ -12,8 +12,8 @@
 	"quaybarrow/internal/membership"
 	"quaybarrow/internal/peer"
 	"quaybarrow/internal/peer/rpc"
-	"quaybarrow/internal/platform"
 	"quaybarrow/internal/standin/table"
+	"quaybarrow/internal/store"
 )
 
 // Shape of the two years' size.
@@ -117,10 +117,10 @@
 }
 
 // newFleet starts hosts spread over data halls and regions.
-func newFleet(count int, store *table.Store, latency func(from, to string) time.Duration) *fleet {
+func newFleet(count int, rows *table.Store, latency func(from, to string) time.Duration) *fleet {
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &fleet{network: peer.NewLocal(), latency: latency, cancel: cancel}
-	log := config.NewLog(store)
+	log := config.NewLog(rows)
 	halls := min(dataHalls, max(3, count/20))
 	for i := range count {
 		hall := i % halls
@@ -130,13 +130,13 @@
 		}
 		link := countingLink{Link: f.network.Link(h.name), fleet: f, from: h.name}
 		h.members = membership.New(membership.Options{
-			Hosts: store, Link: link, Self: h.status, Ping: time.Second, List: time.Second,
+			Hosts: rows, Link: link, Self: h.status, Ping: time.Second, List: time.Second,
 			Observe: func(s peer.Status, at time.Time) { h.spreader.Observe(s, at) },
 		})
 		h.spreader = config.NewSpreader(config.SpreadOptions{
 			Log: log, Holder: h.holder, Link: link, View: h.members.View, Poll: time.Second, Backstop: 30 * time.Second,
 		})
-		store.SetHost(platform.Host{ID: h.name, Kind: platform.HostEntry, DataHall: h.hall, Region: h.region, Address: h.name, State: platform.HostLive})
+		rows.SetHost(store.Host{ID: h.name, Kind: store.HostEntry, DataHall: h.hall, Region: h.region, Address: h.name, State: store.HostLive})
 		f.network.Serve(h.name, h)
 		f.hosts = append(f.hosts, h)
 	}
--- a/internal/membership/list.go
+++ b/internal/membership/list.go
@@ -9,7 +9,7 @@
 
 	"quaybarrow/internal/codec"
 	"quaybarrow/internal/peer"
-	"quaybarrow/internal/platform"
+	"quaybarrow/internal/store"
 )
 
 // QueryHosts is the subject of a query for the list of hosts. Its id is the hash
@@ -51,7 +51,7 @@
 
 // readFromPeer gets the list from one of the region's readers; false if this
 // host has to read it itself.
-func (m *Membership) readFromPeer(ctx context.Context) ([]platform.Host, bool) {
+func (m *Membership) readFromPeer(ctx context.Context) ([]store.Host, bool) {
 	m.mu.Lock()
 	known := m.all
 	m.mu.Unlock()
@@ -65,7 +65,7 @@
 		if len(reply.Data) == 0 {
 			return known, true
 		}
-		hosts, err := codec.Decode[[]platform.Host](reply.Data)
+		hosts, err := codec.Decode[[]store.Host](reply.Data)
 		if err == nil {
 			return hosts, true
 		}
@@ -74,7 +74,7 @@
 }
 
 // hashOf names a list by its content.
-func hashOf(hosts []platform.Host) string {
+func hashOf(hosts []store.Host) string {
 	var d xxhash.Digest
 	for _, h := range hosts {
 		for _, part := range []string{h.ID, h.Address, string(h.State), h.DataHall, h.Service} {
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -9,7 +9,7 @@
 
 	"quaybarrow/internal/clock"
 	"quaybarrow/internal/peer"
-	"quaybarrow/internal/platform"
+	"quaybarrow/internal/store"
 )
 
 // Factors of the ping period.
@@ -20,7 +20,7 @@
 
 // Options set up a Membership.
 type Options struct {
-	Hosts platform.Hosts
+	Hosts store.Hosts
 	Link  peer.Link
 	// Self describes this host at the moment.
 	Self func() peer.Status
@@ -44,8 +44,8 @@
 	view    atomic.Pointer[View]
 
 	mu     sync.Mutex // guards all below
-	listed []platform.Host
-	all    []platform.Host // whole list, endpoints too
+	listed []store.Host
+	all    []store.Host // whole list, endpoints too
 	heard  map[string]heard
 }
 
@@ -60,7 +60,7 @@
 func (m *Membership) View() View { return *m.view.Load() }
 
 // Listed returns the platform's list as last read, endpoints included.
-func (m *Membership) Listed() []platform.Host {
+func (m *Membership) Listed() []store.Host {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.all
@@ -105,9 +105,9 @@
 			return
 		}
 	}
-	entries := make([]platform.Host, 0, len(hosts))
+	entries := make([]store.Host, 0, len(hosts))
 	for _, h := range hosts {
-		if h.Kind == platform.HostEntry {
+		if h.Kind == store.HostEntry {
 			entries = append(entries, h)
 		}
 	}
@@ -217,7 +217,7 @@
 }
 
 // judge decides on a listed host; the caller holds mu.
-func (m *Membership) judge(listed platform.Host, period time.Duration) Member {
+func (m *Membership) judge(listed store.Host, period time.Duration) Member {
 	h := m.heard[listed.ID]
 	member := Member{
 		Host: listed.ID, DataHall: listed.DataHall, Region: listed.Region,
@@ -226,7 +226,7 @@
 	switch {
 	case !h.failing.IsZero() && time.Since(h.failing) >= (suspectAfter-1)*period:
 		member.State = StateSuspect
-	case listed.State == platform.HostLeaving || h.status.Draining:
+	case listed.State == store.HostLeaving || h.status.Draining:
 		member.State = StateDraining
 	}
 	return member
--- a/internal/once/once.go
+++ b/internal/once/once.go
@@ -23,8 +23,8 @@
 	"github.com/pkg/errors"
 
 	"quaybarrow/internal/codec"
-	"quaybarrow/internal/platform"
 	"quaybarrow/internal/problem"
+	"quaybarrow/internal/store"
 )
 
 // TableClaims holds the claims.
@@ -108,7 +108,7 @@
 
 // Options set up a Guard.
 type Options struct {
-	Tables      platform.Tables
+	Tables      store.Tables
 	Host        string
 	Incarnation string
 	// Lives reports whether the given start of a host may still be running.
@@ -167,15 +167,15 @@
 	}
 	sent := false
 	for range claimAttempts {
-		err = g.options.Tables.Commit(ctx, platform.Transaction{
-			Conditions: []platform.Condition{platform.Absent(TableClaims, key)},
-			Writes:     []platform.Write{platform.Put(TableClaims, key, data)},
+		err = g.options.Tables.Commit(ctx, store.Transaction{
+			Conditions: []store.Condition{store.Absent(TableClaims, key)},
+			Writes:     []store.Write{store.Put(TableClaims, key, data)},
 		})
 		if err == nil {
 			return mine, nil
 		}
-		sent = sent || platform.Uncertain(err)
-		if errors.Is(err, platform.ErrThrottled) {
+		sent = sent || store.Uncertain(err)
+		if errors.Is(err, store.ErrThrottled) {
 			break
 		}
 		var existing claim
@@ -189,14 +189,14 @@
 	return claim{}, fmt.Errorf("%w: %w", ErrNotClaimed, err)
 }
 
-func (g *Guard) read(ctx context.Context, key string) (claim, platform.Row, error) {
+func (g *Guard) read(ctx context.Context, key string) (claim, store.Row, error) {
 	row, err := g.options.Tables.Get(ctx, TableClaims, key)
 	if err != nil {
-		return claim{}, platform.Row{}, fmt.Errorf("read claim: %w", err)
+		return claim{}, store.Row{}, fmt.Errorf("read claim: %w", err)
 	}
 	c, err := codec.Decode[claim](row.Value)
 	if err != nil {
-		return claim{}, platform.Row{}, fmt.Errorf("read claim: %w", err)
+		return claim{}, store.Row{}, fmt.Errorf("read claim: %w", err)
 	}
 	return c, row, nil
 }
--- a/internal/once/record.go
+++ b/internal/once/record.go
@@ -8,7 +8,7 @@
 
 	"quaybarrow/internal/clock"
 	"quaybarrow/internal/codec"
-	"quaybarrow/internal/platform"
+	"quaybarrow/internal/store"
 )
 
 // Times of recording ends of claims.
@@ -71,14 +71,14 @@
 // reply and a second try do no harm.
 func (g *Guard) write(ctx context.Context, r record) error {
 	current, row, err := g.read(ctx, r.key)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		if !r.drop {
-			return errors.WithMessage(platform.ErrUnavailable, "claim is not there yet")
+			return errors.WithMessage(store.ErrUnavailable, "claim is not there yet")
 		}
 		// A write of the claim may still be on its way; a tombstone would be
 		// worse, as the caller may repeat a call that did not run.
 		if time.Since(r.claim.At) < dropAfter {
-			return errors.WithMessage(platform.ErrUnavailable, "claim may still come")
+			return errors.WithMessage(store.ErrUnavailable, "claim may still come")
 		}
 		return nil
 	}
@@ -88,16 +88,16 @@
 	if current.Token != r.claim.Token || current.State != StateClaimed {
 		return nil
 	}
-	txn := platform.Transaction{Conditions: []platform.Condition{platform.AtVersion(TableClaims, row)}}
+	txn := store.Transaction{Conditions: []store.Condition{store.AtVersion(TableClaims, row)}}
 	if r.drop {
-		txn.Writes = []platform.Write{platform.Delete(TableClaims, r.key)}
+		txn.Writes = []store.Write{store.Delete(TableClaims, r.key)}
 		return g.options.Tables.Commit(ctx, txn)
 	}
 	data, err := codec.Encode(r.claim)
 	if err != nil {
 		return err
 	}
-	txn.Writes = []platform.Write{platform.Put(TableClaims, r.key, data)}
+	txn.Writes = []store.Write{store.Put(TableClaims, r.key, data)}
 	return g.options.Tables.Commit(ctx, txn)
 }
 
--- a/internal/operator/api.go
+++ b/internal/operator/api.go
@@ -15,7 +15,7 @@
 	"quaybarrow/internal/config"
 	"quaybarrow/internal/console"
 	"quaybarrow/internal/declare"
-	"quaybarrow/internal/platform"
+	"quaybarrow/internal/store"
 	"quaybarrow/internal/telemetry"
 )
 
@@ -202,7 +202,7 @@
 		reply.Code, reply.Problems, status = CodeInvalid, invalid.Problems, http.StatusUnprocessableEntity
 	case errors.Is(err, ErrForbidden):
 		reply.Code, status = CodeForbidden, http.StatusForbidden
-	case errors.Is(err, ErrUnknown), errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, ErrUnknown), errors.Is(err, store.ErrNotFound):
 		reply.Code, status = CodeNotFound, http.StatusNotFound
 	case errors.Is(err, ErrBackward), errors.Is(err, console.ErrSyntax), errors.Is(err, console.ErrField):
 		reply.Code, status = CodeBadRequest, http.StatusBadRequest
--- a/internal/operator/queries.go
+++ b/internal/operator/queries.go
@@ -14,8 +14,8 @@
 	"quaybarrow/internal/endpoint"
 	"quaybarrow/internal/membership"
 	"quaybarrow/internal/peer"
-	"quaybarrow/internal/platform"
 	"quaybarrow/internal/rollout"
+	"quaybarrow/internal/store"
 	"quaybarrow/internal/telemetry"
 	"quaybarrow/internal/traffic"
 )
@@ -34,7 +34,7 @@
 type QueryOptions struct {
 	Config    *config.Holder
 	Log       *config.Log
-	Tables    platform.Tables
+	Tables    store.Tables
 	View      func() membership.View
 	Link      peer.Link
 	Pool      *endpoint.Pool
--- a/internal/operator/tables.go
+++ b/internal/operator/tables.go
@@ -9,13 +9,13 @@
 	"quaybarrow/internal/codec"
 	"quaybarrow/internal/console"
 	"quaybarrow/internal/job"
-	"quaybarrow/internal/platform"
 	"quaybarrow/internal/rollout"
+	"quaybarrow/internal/store"
 )
 
 // scan reads a table's rows as values and makes lines of them.
-func scan[T any](ctx context.Context, tables platform.Tables, table string, line func(T) console.Row) ([]console.Row, error) {
-	found, err := tables.Scan(ctx, platform.Range{Table: table, Limit: tableRows})
+func scan[T any](ctx context.Context, tables store.Tables, table string, line func(T) console.Row) ([]console.Row, error) {
+	found, err := tables.Scan(ctx, store.Range{Table: table, Limit: tableRows})
 	if err != nil {
 		return nil, fmt.Errorf("read table %s: %w", table, err)
 	}
--- a/internal/order/order.go
+++ b/internal/order/order.go
@@ -28,7 +28,7 @@
 	"quaybarrow/internal/declare"
 	"quaybarrow/internal/endpoint"
 	"quaybarrow/internal/lease"
-	"quaybarrow/internal/platform"
+	"quaybarrow/internal/store"
 )
 
 // Bounds of the reconciliation.
@@ -52,7 +52,7 @@
 	Epoch   int64  `json:"epoch"`
 	Action  Action `json:"action"`
 	Version string `json:"version"`
-	engine  platform.Host
+	engine  store.Host
 }
 
 // Duty names the lease of a data hall's orders.
@@ -61,7 +61,7 @@
 // Options set up a Reconciler.
 type Options struct {
 	Config    *config.Holder
-	List      func() []platform.Host
+	List      func() []store.Host
 	Fetch     endpoint.Fetcher
 	Transport http.RoundTripper
 }
@@ -84,7 +84,7 @@
 
 // reported is an engine with its report.
 type reported struct {
-	host   platform.Host
+	host   store.Host
 	report endpoint.Report
 }
 
@@ -97,7 +97,7 @@
 	}
 	var engines []reported
 	for _, h := range r.options.List() {
-		if h.Kind != platform.HostEngine || h.DataHall != hall || h.State != platform.HostLive {
+		if h.Kind != store.HostEngine || h.DataHall != hall || h.State != store.HostLive {
 			continue
 		}
 		report, err := r.options.Fetch(ctx, h.Address)
--- a/internal/pipeline/choose.go
+++ b/internal/pipeline/choose.go
@@ -13,9 +13,9 @@
 	"quaybarrow/internal/choose"
 	"quaybarrow/internal/config"
 	"quaybarrow/internal/declare"
-	"quaybarrow/internal/platform"
 	"quaybarrow/internal/problem"
 	"quaybarrow/internal/session"
+	"quaybarrow/internal/store"
 )
 
 // pinned is a request with its session, if it has one.
@@ -41,7 +41,7 @@
 		if err == nil {
 			return pinned{ask: a, pin: pin}, nil
 		}
-		if !errors.Is(err, platform.ErrNotFound) {
+		if !errors.Is(err, store.ErrNotFound) {
 			return pinned{}, storeAway(err, "the session's version can't be looked up")
 		}
 		return pinned{ask: a, name: a.in.SessionName, opens: true}, nil
--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -15,7 +15,7 @@
 	"quaybarrow/internal/lease"
 	"quaybarrow/internal/membership"
 	"quaybarrow/internal/peer"
-	"quaybarrow/internal/platform"
+	"quaybarrow/internal/store"
 )
 
 // TablePlans holds the states of plans.
@@ -34,8 +34,8 @@
 
 // Options set up a Controller.
 type Options struct {
-	Tables  platform.Tables
-	Ratings platform.Ratings
+	Tables  store.Tables
+	Ratings store.Ratings
 	Config  *config.Holder
 	Leases  *lease.Manager
 	Link    peer.Link
@@ -104,7 +104,7 @@
 // control steps a plan while the lease is held.
 func (c *Controller) control(ctx context.Context, l *lease.Lease, name string) {
 	for l.Valid() && ctx.Err() == nil {
-		if err := c.Step(ctx, l, name); errors.Is(err, platform.ErrConflict) {
+		if err := c.Step(ctx, l, name); errors.Is(err, store.ErrConflict) {
 			return // the fence or the row says that another controls the plan
 		}
 		clock.Sleep(ctx, stepEvery)
@@ -172,17 +172,17 @@
 }
 
 // load reads a plan's state, or starts it.
-func (c *Controller) load(ctx context.Context, plan declare.Plan) (State, platform.Row, error) {
+func (c *Controller) load(ctx context.Context, plan declare.Plan) (State, store.Row, error) {
 	row, err := c.options.Tables.Get(ctx, TablePlans, plan.Name)
-	if errors.Is(err, platform.ErrNotFound) {
-		return NewState(plan, time.Now().UTC()), platform.Row{Key: plan.Name}, nil
+	if errors.Is(err, store.ErrNotFound) {
+		return NewState(plan, time.Now().UTC()), store.Row{Key: plan.Name}, nil
 	}
 	if err != nil {
-		return State{}, platform.Row{}, fmt.Errorf("load plan %s: %w", plan.Name, err)
+		return State{}, store.Row{}, fmt.Errorf("load plan %s: %w", plan.Name, err)
 	}
 	s, err := codec.Decode[State](row.Value)
 	if err != nil {
-		return State{}, platform.Row{}, fmt.Errorf("load plan %s: %w", plan.Name, err)
+		return State{}, store.Row{}, fmt.Errorf("load plan %s: %w", plan.Name, err)
 	}
 	if s.Version != plan.Version {
 		s = NewState(plan, time.Now().UTC()) // the plan was declared anew
@@ -191,14 +191,14 @@
 }
 
 // save writes a plan's state under the lease's fence.
-func (c *Controller) save(ctx context.Context, l *lease.Lease, row platform.Row, s State) error {
+func (c *Controller) save(ctx context.Context, l *lease.Lease, row store.Row, s State) error {
 	data, err := codec.Encode(s)
 	if err != nil {
 		return err
 	}
-	err = c.options.Tables.Commit(ctx, l.Fenced(platform.Transaction{
-		Conditions: []platform.Condition{platform.AtVersion(TablePlans, row)},
-		Writes:     []platform.Write{platform.Put(TablePlans, s.Plan, data)},
+	err = c.options.Tables.Commit(ctx, l.Fenced(store.Transaction{
+		Conditions: []store.Condition{store.AtVersion(TablePlans, row)},
+		Writes:     []store.Write{store.Put(TablePlans, s.Plan, data)},
 	}))
 	if err != nil {
 		return fmt.Errorf("save plan %s: %w", s.Plan, err)
@@ -225,7 +225,7 @@
 
 // troubles counts the hosts on which a version fails.
 func (c *Controller) troubles(ctx context.Context, version string) (int, error) {
-	rows, err := c.options.Tables.Scan(ctx, platform.Range{Table: TableTroubles, Prefix: troublePrefix(version), Limit: failingHosts})
+	rows, err := c.options.Tables.Scan(ctx, store.Range{Table: TableTroubles, Prefix: troublePrefix(version), Limit: failingHosts})
 	if err != nil {
 		return 0, fmt.Errorf("read troubles: %w", err)
 	}
--- a/internal/rollout/credits.go
+++ b/internal/rollout/credits.go
@@ -10,7 +10,7 @@
 	"quaybarrow/internal/config"
 	"quaybarrow/internal/declare"
 	"quaybarrow/internal/peer"
-	"quaybarrow/internal/platform"
+	"quaybarrow/internal/store"
 )
 
 // TableTroubles holds a row for each host on which a version fails.
@@ -30,7 +30,7 @@
 // Credits are what this host may still answer with versions in roll-out.
 type Credits struct {
 	config *config.Holder
-	tables platform.Tables
+	tables store.Tables
 	host   string
 
 	mu    sync.Mutex // guards plans
@@ -87,7 +87,7 @@
 }
 
 // NewCredits returns no credits.
-func NewCredits(holder *config.Holder, tables platform.Tables, host string) *Credits {
+func NewCredits(holder *config.Holder, tables store.Tables, host string) *Credits {
 	return &Credits{config: holder, tables: tables, host: host, plans: map[string]planCredits{}}
 }
 
@@ -187,8 +187,8 @@
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), troubleTimeout)
 	defer cancel()
-	err = c.tables.Commit(ctx, platform.Transaction{
-		Writes: []platform.Write{platform.Put(TableTroubles, troublePrefix(ref.String())+c.host, data)},
+	err = c.tables.Commit(ctx, store.Transaction{
+		Writes: []store.Write{store.Put(TableTroubles, troublePrefix(ref.String())+c.host, data)},
 	})
 	if err != nil {
 		return fmt.Errorf("write trouble: %w", err)
--- a/internal/session/names.go
+++ b/internal/session/names.go
@@ -8,7 +8,7 @@
 	"github.com/pkg/errors"
 
 	"quaybarrow/internal/codec"
-	"quaybarrow/internal/platform"
+	"quaybarrow/internal/store"
 )
 
 // tableSessions holds the pins of sessions that callers name.
@@ -24,7 +24,7 @@
 // never changed once written, so a remembered pin is as good as the row and
 // outlasts an outage of the store.
 type Names struct {
-	tables platform.Tables
+	tables store.Tables
 
 	mu    sync.Mutex // guards known and order
 	known map[string]Pin
@@ -32,11 +32,11 @@
 }
 
 // NewNames returns the names kept in the given tables.
-func NewNames(tables platform.Tables) *Names {
+func NewNames(tables store.Tables) *Names {
 	return &Names{tables: tables, known: map[string]Pin{}}
 }
 
-// Find returns the pin of a name; platform.ErrNotFound if it is free.
+// Find returns the pin of a name; store.ErrNotFound if it is free.
 func (n *Names) Find(ctx context.Context, workspace, name string) (Pin, error) {
 	key := workspace + "/" + name
 	n.mu.Lock()
@@ -65,15 +65,15 @@
 	}
 	key := pin.Workspace + "/" + name
 	for range claimAttempts {
-		err = n.tables.Commit(ctx, platform.Transaction{
-			Conditions: []platform.Condition{platform.Absent(tableSessions, key)},
-			Writes:     []platform.Write{platform.Put(tableSessions, key, data)},
+		err = n.tables.Commit(ctx, store.Transaction{
+			Conditions: []store.Condition{store.Absent(tableSessions, key)},
+			Writes:     []store.Write{store.Put(tableSessions, key, data)},
 		})
 		if err == nil {
 			n.remember(key, pin)
 			return pin, nil
 		}
-		if errors.Is(err, platform.ErrThrottled) {
+		if errors.Is(err, store.ErrThrottled) {
 			break
 		}
 		// Conflict, or a lost reply: the row tells who holds the name.
--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -30,12 +30,12 @@
 	"quaybarrow/internal/declare"
 	"quaybarrow/internal/operator/client"
 	"quaybarrow/internal/peer"
-	"quaybarrow/internal/platform"
 	"quaybarrow/internal/settings"
 	"quaybarrow/internal/standin/engine"
 	"quaybarrow/internal/standin/memnet"
 	"quaybarrow/internal/standin/service"
 	"quaybarrow/internal/standin/table"
+	"quaybarrow/internal/store"
 )
 
 // OperatorKey is the key of the bootstrap operator.
@@ -261,9 +261,9 @@
 	}
 	c.Engines = append(c.Engines, e)
 	c.addresses = append(c.addresses, address)
-	c.Store.SetHost(platform.Host{
-		ID: o.ID, Kind: platform.HostEngine, DataHall: Halls[i%len(Halls)], Region: region,
-		Address: address, State: platform.HostLive,
+	c.Store.SetHost(store.Host{
+		ID: o.ID, Kind: store.HostEngine, DataHall: Halls[i%len(Halls)], Region: region,
+		Address: address, State: store.HostLive,
 	})
 	return nil
 }
@@ -275,9 +275,9 @@
 		return err
 	}
 	c.Services[name] = s
-	c.Store.SetHost(platform.Host{
-		ID: name + "-1", Kind: platform.HostService, Service: name, DataHall: Halls[i%len(Halls)], Region: region,
-		Address: address, State: platform.HostLive,
+	c.Store.SetHost(store.Host{
+		ID: name + "-1", Kind: store.HostService, Service: name, DataHall: Halls[i%len(Halls)], Region: region,
+		Address: address, State: store.HostLive,
 	})
 	return nil
 }
@@ -291,9 +291,9 @@
 
 // Leave lists an engine as leaving.
 func (c *Cluster) Leave(i int) {
-	c.Store.SetHost(platform.Host{
-		ID: engineName(i), Kind: platform.HostEngine, DataHall: Halls[i%len(Halls)], Region: region,
-		Address: c.addresses[i], State: platform.HostLeaving,
+	c.Store.SetHost(store.Host{
+		ID: engineName(i), Kind: store.HostEngine, DataHall: Halls[i%len(Halls)], Region: region,
+		Address: c.addresses[i], State: store.HostLeaving,
 	})
 }
 
--- a/internal/standin/cluster/host.go
+++ b/internal/standin/cluster/host.go
@@ -10,9 +10,9 @@
 
 	"quaybarrow/internal/config"
 	"quaybarrow/internal/daemon"
-	"quaybarrow/internal/platform"
 	"quaybarrow/internal/settings"
 	"quaybarrow/internal/standin/table"
+	"quaybarrow/internal/store"
 )
 
 // AddHost starts one more host and lists it.
@@ -51,14 +51,14 @@
 		return fmt.Errorf("start %s: %w", h.Name, err)
 	}
 	h.set(next)
-	c.list(h, platform.HostLive)
+	c.list(h, store.HostLive)
 	return nil
 }
 
 // list tells the platform of a host.
-func (c *Cluster) list(h *Host, state platform.HostState) {
-	c.Store.SetHost(platform.Host{
-		ID: h.Name, Kind: platform.HostEntry, DataHall: h.Hall, Region: region, Address: h.Peers(), State: state,
+func (c *Cluster) list(h *Host, state store.HostState) {
+	c.Store.SetHost(store.Host{
+		ID: h.Name, Kind: store.HostEntry, DataHall: h.Hall, Region: region, Address: h.Peers(), State: state,
 	})
 }
 
@@ -90,7 +90,7 @@
 
 // Stop drains a host and takes it off the list.
 func (c *Cluster) Stop(ctx context.Context, h *Host) error {
-	c.list(h, platform.HostLeaving)
+	c.list(h, store.HostLeaving)
 	err := h.now().app.Stop(ctx)
 	c.ended(h)
 	c.Store.RemoveHost(h.Name)
--- a/internal/standin/table/door.go
+++ b/internal/standin/table/door.go
@@ -5,7 +5,7 @@
 	"sync"
 	"sync/atomic"
 
-	"quaybarrow/internal/platform"
+	"quaybarrow/internal/store"
 )
 
 // Door is one host's way to the store, which can be cut; it implements the
@@ -48,45 +48,45 @@
 		<-frozen
 	}
 	if d.cut.Load() {
-		return platform.ErrUnavailable
+		return store.ErrUnavailable
 	}
 	return nil
 }
 
-// Get implements platform.Tables.
-func (d *Door) Get(ctx context.Context, table, key string) (platform.Row, error) {
+// Get implements store.Tables.
+func (d *Door) Get(ctx context.Context, table, key string) (store.Row, error) {
 	if err := d.check(); err != nil {
-		return platform.Row{}, err
+		return store.Row{}, err
 	}
 	return d.store.Get(ctx, table, key)
 }
 
-// Scan implements platform.Tables.
-func (d *Door) Scan(ctx context.Context, r platform.Range) ([]platform.Row, error) {
+// Scan implements store.Tables.
+func (d *Door) Scan(ctx context.Context, r store.Range) ([]store.Row, error) {
 	if err := d.check(); err != nil {
 		return nil, err
 	}
 	return d.store.Scan(ctx, r)
 }
 
-// Commit implements platform.Tables.
-func (d *Door) Commit(ctx context.Context, txn platform.Transaction) error {
+// Commit implements store.Tables.
+func (d *Door) Commit(ctx context.Context, txn store.Transaction) error {
 	if err := d.check(); err != nil {
 		return err
 	}
 	return d.store.Commit(ctx, txn)
 }
 
-// List implements platform.Hosts.
-func (d *Door) List(ctx context.Context) ([]platform.Host, error) {
+// List implements store.Hosts.
+func (d *Door) List(ctx context.Context) ([]store.Host, error) {
 	if err := d.check(); err != nil {
 		return nil, err
 	}
 	return d.store.List(ctx)
 }
 
-// After implements platform.Ratings.
-func (d *Door) After(ctx context.Context, sequence int64, limit int) ([]platform.Rating, error) {
+// After implements store.Ratings.
+func (d *Door) After(ctx context.Context, sequence int64, limit int) ([]store.Rating, error) {
 	if err := d.check(); err != nil {
 		return nil, err
 	}
--- a/internal/standin/table/handler.go
+++ b/internal/standin/table/handler.go
@@ -8,8 +8,8 @@
 	"github.com/gorilla/mux"
 	"github.com/pkg/errors"
 
-	"quaybarrow/internal/platform"
-	"quaybarrow/internal/platform/httpapi"
+	"quaybarrow/internal/store"
+	"quaybarrow/internal/store/httpapi"
 )
 
 // PathFaults is where faults are put in force; a DELETE heals.
@@ -51,11 +51,11 @@
 
 func statusOf(err error) int {
 	switch {
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, store.ErrNotFound):
 		return http.StatusNotFound
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, store.ErrConflict):
 		return http.StatusConflict
-	case errors.Is(err, platform.ErrThrottled):
+	case errors.Is(err, store.ErrThrottled):
 		return http.StatusTooManyRequests
 	default:
 		return http.StatusServiceUnavailable
@@ -71,7 +71,7 @@
 }
 
 func (s *Store) serveScan(ctx context.Context, request httpapi.ScanRequest) (httpapi.RowsReply, error) {
-	rows, err := s.Scan(ctx, platform.Range(request))
+	rows, err := s.Scan(ctx, store.Range(request))
 	if err != nil {
 		return httpapi.RowsReply{}, err
 	}
@@ -82,7 +82,7 @@
 	return reply, nil
 }
 
-func (s *Store) serveCommit(ctx context.Context, txn platform.Transaction) (httpapi.Empty, error) {
+func (s *Store) serveCommit(ctx context.Context, txn store.Transaction) (httpapi.Empty, error) {
 	return httpapi.Empty{}, s.Commit(ctx, txn)
 }
 
--- a/internal/standin/table/lists.go
+++ b/internal/standin/table/lists.go
@@ -5,11 +5,11 @@
 	"sort"
 	"time"
 
-	"quaybarrow/internal/platform"
+	"quaybarrow/internal/store"
 )
 
 // SetHost adds or changes a listed host; List tells it after the lag.
-func (s *Store) SetHost(h platform.Host) {
+func (s *Store) SetHost(h store.Host) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	entry, known := s.hosts[h.ID]
@@ -27,14 +27,14 @@
 	s.hosts[id] = listedHost{now: entry.now, was: entry.now, known: true, gone: true, changed: time.Now()}
 }
 
-// List implements platform.Hosts.
-func (s *Store) List(ctx context.Context) ([]platform.Host, error) {
+// List implements store.Hosts.
+func (s *Store) List(ctx context.Context) ([]store.Host, error) {
 	if _, err := s.enter(ctx, false, "hosts"); err != nil {
 		return nil, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	hosts := make([]platform.Host, 0, len(s.hosts))
+	hosts := make([]store.Host, 0, len(s.hosts))
 	for _, entry := range s.hosts {
 		lagging := time.Since(entry.changed) < s.options.ListLag
 		switch {
@@ -50,15 +50,15 @@
 }
 
 // Rate adds a rating; the store numbers it.
-func (s *Store) Rate(r platform.Rating) {
+func (s *Store) Rate(r store.Rating) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r.Sequence = int64(len(s.ratings)) + 1
 	s.ratings = append(s.ratings, r)
 }
 
-// After implements platform.Ratings.
-func (s *Store) After(ctx context.Context, sequence int64, limit int) ([]platform.Rating, error) {
+// After implements store.Ratings.
+func (s *Store) After(ctx context.Context, sequence int64, limit int) ([]store.Rating, error) {
 	if _, err := s.enter(ctx, false, "ratings"); err != nil {
 		return nil, err
 	}
@@ -71,5 +71,5 @@
 	if limit > 0 && len(rest) > limit {
 		rest = rest[:limit]
 	}
-	return append([]platform.Rating(nil), rest...), nil
+	return append([]store.Rating(nil), rest...), nil
 }
--- a/internal/standin/table/table.go
+++ b/internal/standin/table/table.go
@@ -20,7 +20,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/time/rate"
 
-	"quaybarrow/internal/platform"
+	"quaybarrow/internal/store"
 )
 
 // FaultKind says how a call goes wrong.
@@ -79,19 +79,19 @@
 	limiter *rate.Limiter
 
 	mu       sync.Mutex // guards all below
-	tables   map[string]map[string]platform.Row
-	previous map[string]map[string]platform.Row // as before the last commit
+	tables   map[string]map[string]store.Row
+	previous map[string]map[string]store.Row // as before the last commit
 	serial   int64
 	faults   []Fault
 	counts   Counts
 	hosts    map[string]listedHost
-	ratings  []platform.Rating
+	ratings  []store.Rating
 }
 
 // listedHost is a host with the time of its last change.
 type listedHost struct {
-	now     platform.Host
-	was     platform.Host
+	now     store.Host
+	was     store.Host
 	known   bool // was holds an earlier state
 	gone    bool
 	changed time.Time
@@ -101,8 +101,8 @@
 func New(options Options) *Store {
 	s := &Store{
 		options:  options,
-		tables:   map[string]map[string]platform.Row{},
-		previous: map[string]map[string]platform.Row{},
+		tables:   map[string]map[string]store.Row{},
+		previous: map[string]map[string]store.Row{},
 		hosts:    map[string]listedHost{},
 	}
 	if options.Rate > 0 {
@@ -133,7 +133,7 @@
 }
 
 // tablesOf names the tables that a transaction writes, each once.
-func tablesOf(txn platform.Transaction) string {
+func tablesOf(txn store.Transaction) string {
 	names := ""
 	for _, w := range txn.Writes {
 		if !strings.Contains(names, w.Table+" ") {
@@ -186,49 +186,49 @@
 		s.mu.Lock()
 		s.counts.Throttled++
 		s.mu.Unlock()
-		return Fault{}, platform.ErrThrottled
+		return Fault{}, store.ErrThrottled
 	}
 	f := s.take(isWrite, table)
 	switch f.Kind {
 	case FaultDown:
-		return f, platform.ErrUnavailable
+		return f, store.ErrUnavailable
 	case FaultSlow:
 		select {
 		case <-ctx.Done():
-			return f, errors.WithMessage(platform.ErrUnavailable, "slow")
+			return f, errors.WithMessage(store.ErrUnavailable, "slow")
 		case <-time.After(f.Delay):
 		}
 	}
 	return f, nil
 }
 
-// Get implements platform.Tables.
-func (s *Store) Get(ctx context.Context, table, key string) (platform.Row, error) {
+// Get implements store.Tables.
+func (s *Store) Get(ctx context.Context, table, key string) (store.Row, error) {
 	f, err := s.enter(ctx, false, table)
 	if err != nil {
-		return platform.Row{}, err
+		return store.Row{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.counts.Gets++
 	row, ok := s.view(f)[table][key]
 	if !ok {
-		return platform.Row{}, platform.ErrNotFound
+		return store.Row{}, store.ErrNotFound
 	}
 	s.counts.Bytes += int64(len(row.Value) + len(key))
 	return row, nil
 }
 
 // view picks the state that reads see; the caller holds mu.
-func (s *Store) view(f Fault) map[string]map[string]platform.Row {
+func (s *Store) view(f Fault) map[string]map[string]store.Row {
 	if f.Kind == FaultStale {
 		return s.previous
 	}
 	return s.tables
 }
 
-// Scan implements platform.Tables.
-func (s *Store) Scan(ctx context.Context, r platform.Range) ([]platform.Row, error) {
+// Scan implements store.Tables.
+func (s *Store) Scan(ctx context.Context, r store.Range) ([]store.Row, error) {
 	f, err := s.enter(ctx, false, r.Table)
 	if err != nil {
 		return nil, err
@@ -236,7 +236,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.counts.Scans++
-	rows := make([]platform.Row, 0)
+	rows := make([]store.Row, 0)
 	for key, row := range s.view(f)[r.Table] {
 		if strings.HasPrefix(key, r.Prefix) && key > r.After {
 			rows = append(rows, row)
@@ -252,8 +252,8 @@
 	return rows, nil
 }
 
-// Commit implements platform.Tables.
-func (s *Store) Commit(ctx context.Context, txn platform.Transaction) error {
+// Commit implements store.Tables.
+func (s *Store) Commit(ctx context.Context, txn store.Transaction) error {
 	f, err := s.enter(ctx, true, tablesOf(txn))
 	if err != nil {
 		return err
@@ -267,22 +267,22 @@
 	switch f.Kind {
 	case FaultCall:
 		f.Do()
-		return errors.WithMessage(platform.ErrUnavailable, "reply lost")
+		return errors.WithMessage(store.ErrUnavailable, "reply lost")
 	case FaultLoseReply:
-		return errors.WithMessage(platform.ErrUnavailable, "reply lost")
+		return errors.WithMessage(store.ErrUnavailable, "reply lost")
 	default:
 		return nil
 	}
 }
 
 // apply checks the conditions and makes the writes, all or none.
-func (s *Store) apply(txn platform.Transaction) error {
+func (s *Store) apply(txn store.Transaction) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.counts.Commits++
 	for _, c := range txn.Conditions {
 		if s.tables[c.Table][c.Key].Version != c.Version {
-			return platform.ErrConflict
+			return store.ErrConflict
 		}
 	}
 	touched := map[string]bool{}
@@ -300,7 +300,7 @@
 		return
 	}
 	touched[table] = true
-	copied := make(map[string]platform.Row, len(s.tables[table]))
+	copied := make(map[string]store.Row, len(s.tables[table]))
 	for k, v := range s.tables[table] {
 		copied[k] = v
 	}
@@ -316,10 +316,10 @@
 	return false
 }
 
-func (s *Store) write(w platform.Write) {
+func (s *Store) write(w store.Write) {
 	rows := s.tables[w.Table]
 	if rows == nil {
-		rows = map[string]platform.Row{}
+		rows = map[string]store.Row{}
 		s.tables[w.Table] = rows
 	}
 	s.counts.Writes++
@@ -329,14 +329,14 @@
 		return
 	}
 	s.serial++
-	rows[w.Key] = platform.Row{Key: w.Key, Value: append([]byte(nil), w.Value...), Version: s.serial}
+	rows[w.Key] = store.Row{Key: w.Key, Value: append([]byte(nil), w.Value...), Version: s.serial}
 }
 
 // Rows returns all rows of a table, past faults and limits, for reports.
-func (s *Store) Rows(table string) []platform.Row {
+func (s *Store) Rows(table string) []store.Row {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	rows := make([]platform.Row, 0, len(s.tables[table]))
+	rows := make([]store.Row, 0, len(s.tables[table]))
 	for _, row := range s.tables[table] {
 		rows = append(rows, row)
 	}
--- a/internal/platform/httpapi/httpapi.go
+++ b/internal/store/httpapi/httpapi.go
@@ -18,7 +18,7 @@
 	"net/http"
 	"time"
 
-	"quaybarrow/internal/platform"
+	"quaybarrow/internal/store"
 )
 
 // Paths of the protocol.
@@ -64,7 +64,7 @@
 
 // HostsReply answers a request for the host list.
 type HostsReply struct {
-	Hosts []platform.Host `json:"hosts"`
+	Hosts []store.Host `json:"hosts"`
 }
 
 // RatingsRequest asks for ratings past a sequence.
@@ -75,7 +75,7 @@
 
 // RatingsReply answers with ratings in order.
 type RatingsReply struct {
-	Ratings []platform.Rating `json:"ratings"`
+	Ratings []store.Rating `json:"ratings"`
 }
 
 // Empty is a request or reply without content.
@@ -105,14 +105,14 @@
 	}
 	response, err := c.http.Do(httpRequest)
 	if err != nil {
-		return reply, fmt.Errorf("call %s: %w: %w", path, platform.ErrUnavailable, err)
+		return reply, fmt.Errorf("call %s: %w: %w", path, store.ErrUnavailable, err)
 	}
 	defer func() { _ = response.Body.Close() }()
 	if err := errorOf(response.StatusCode); err != nil {
 		return reply, fmt.Errorf("call %s: %w", path, err)
 	}
 	if err := json.NewDecoder(io.LimitReader(response.Body, maxReplyBytes)).Decode(&reply); err != nil {
-		return reply, fmt.Errorf("read %s: %w: %w", path, platform.ErrUnavailable, err)
+		return reply, fmt.Errorf("read %s: %w: %w", path, store.ErrUnavailable, err)
 	}
 	return reply, nil
 }
@@ -122,55 +122,55 @@
 	case http.StatusOK:
 		return nil
 	case http.StatusNotFound:
-		return platform.ErrNotFound
+		return store.ErrNotFound
 	case http.StatusConflict:
-		return platform.ErrConflict
+		return store.ErrConflict
 	case http.StatusTooManyRequests:
-		return platform.ErrThrottled
+		return store.ErrThrottled
 	default:
-		return platform.ErrUnavailable
+		return store.ErrUnavailable
 	}
 }
 
-// Get implements platform.Tables.
-func (c *Client) Get(ctx context.Context, table, key string) (platform.Row, error) {
+// Get implements store.Tables.
+func (c *Client) Get(ctx context.Context, table, key string) (store.Row, error) {
 	reply, err := call[GetRequest, RowsReply](ctx, c, PathGet, GetRequest{Table: table, Key: key})
 	if err != nil {
-		return platform.Row{}, err
+		return store.Row{}, err
 	}
 	if len(reply.Rows) != 1 {
-		return platform.Row{}, fmt.Errorf("get %s/%s: %w: %d rows in the reply", table, key, platform.ErrUnavailable, len(reply.Rows))
+		return store.Row{}, fmt.Errorf("get %s/%s: %w: %d rows in the reply", table, key, store.ErrUnavailable, len(reply.Rows))
 	}
-	return platform.Row(reply.Rows[0]), nil
+	return store.Row(reply.Rows[0]), nil
 }
 
-// Scan implements platform.Tables.
-func (c *Client) Scan(ctx context.Context, r platform.Range) ([]platform.Row, error) {
+// Scan implements store.Tables.
+func (c *Client) Scan(ctx context.Context, r store.Range) ([]store.Row, error) {
 	reply, err := call[ScanRequest, RowsReply](ctx, c, PathScan, ScanRequest(r))
 	if err != nil {
 		return nil, err
 	}
-	rows := make([]platform.Row, len(reply.Rows))
+	rows := make([]store.Row, len(reply.Rows))
 	for i, row := range reply.Rows {
-		rows[i] = platform.Row(row)
+		rows[i] = store.Row(row)
 	}
 	return rows, nil
 }
 
-// Commit implements platform.Tables.
-func (c *Client) Commit(ctx context.Context, txn platform.Transaction) error {
-	_, err := call[platform.Transaction, Empty](ctx, c, PathCommit, txn)
+// Commit implements store.Tables.
+func (c *Client) Commit(ctx context.Context, txn store.Transaction) error {
+	_, err := call[store.Transaction, Empty](ctx, c, PathCommit, txn)
 	return err
 }
 
-// List implements platform.Hosts.
-func (c *Client) List(ctx context.Context) ([]platform.Host, error) {
+// List implements store.Hosts.
+func (c *Client) List(ctx context.Context) ([]store.Host, error) {
 	reply, err := call[Empty, HostsReply](ctx, c, PathHosts, Empty{})
 	return reply.Hosts, err
 }
 
-// After implements platform.Ratings.
-func (c *Client) After(ctx context.Context, sequence int64, limit int) ([]platform.Rating, error) {
+// After implements store.Ratings.
+func (c *Client) After(ctx context.Context, sequence int64, limit int) ([]store.Rating, error) {
 	reply, err := call[RatingsRequest, RatingsReply](ctx, c, PathRatings, RatingsRequest{After: sequence, Limit: limit})
 	return reply.Ratings, err
 }
--- a/internal/platform/platform.go
+++ b/internal/store/store.go
@@ -1,4 +1,4 @@
-// Package platform holds the ports through which the router meets the
+// Package store holds the ports through which the router meets the
 // platform: the table service, the list of hosts and the rating service.
 //
 // # Usage
@@ -7,14 +7,14 @@
 // them into a platform's real protocol:
 //
 //	result, err := tables.Commit(ctx, platform.Transaction{
-//		Conditions: []platform.Condition{platform.Absent("bill", id)},
-//		Writes:     []platform.Write{platform.Put("bill", id, data)},
+//		Conditions: []store.Condition{store.Absent("bill", id)},
+//		Writes:     []store.Write{store.Put("bill", id, data)},
 //	})
 //
 // Errors tell three things apart. ErrConflict and ErrThrottled say that the
 // transaction was certainly not applied. Any other error leaves it open: it
 // may have been applied, and the caller reads back to learn.
-package platform
+package store
 
 import (
 	"context"
