Endpoints are chosen by the expected time to the first event

Ruled out: connections (none waited), processor (1% of a core). Change: a choice weighs the prompts that this host has being read at an engine, how long its last answer waited beyond its prompt's time, the time saved where the shared part is kept, and the price of another data hall, all as seconds; reading times are learned per model as a low quantile of latencies.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -8,13 +8,8 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Bounds of load on an endpoint, as parts of its slots.
+// Parameters of what is known of an endpoint's load.
 const (
-	// stickyBound is the load up to which a request goes where its prompt is
-	// kept; past it the time lost in waiting is more than reading it again.
-	stickyBound = 0.75
-	// hallBound is the load up to which a request stays in its own data hall.
-	hallBound = 0.8
 	// echoLife is how long what an endpoint said of its load counts for
 	// something; requests last a few seconds at most.
 	echoLife = 2 * time.Second
@@ -38,22 +33,26 @@
 	mu        sync.Mutex // guards all below
 	members   map[string]*member
 	byService map[string][]*member
+	readings  map[string]reading // by service and model
 }
 
 // member is an endpoint with what this host knows of it.
 type member struct {
 	Endpoint
-	seed   uint64 // hash of the id
-	flying int    // this host's requests there
-	others int    // others' requests there, when it last said
-	saidAt time.Time
-	health health
-	lapsed time.Time // to be dropped then unless it is listed again; zero if listed
+	seed    uint64 // hash of the id
+	flying  int    // this host's requests there
+	others  int    // others' requests there, when it last said
+	saidAt  time.Time
+	reading time.Duration // prompts of this host that it is reading
+	wait    time.Duration // that the last answer waited beyond its prompt's time
+	waitAt  time.Time
+	health  health
+	lapsed  time.Time // to be dropped then unless it is listed again; zero if listed
 }
 
 // New returns a fleet without endpoints.
 func New(options Options) *Fleet {
-	return &Fleet{options: options, members: map[string]*member{}, byService: map[string][]*member{}}
+	return &Fleet{options: options, members: map[string]*member{}, byService: map[string][]*member{}, readings: map[string]reading{}}
 }
 
 // Put adds an endpoint or brings it up to date.
@@ -192,3 +191,11 @@
 	}
 	return m.Endpoint, true
 }
+
+// readingOf returns the estimate of reading times for a model.
+func (f *Fleet) readingOf(service, model string) reading {
+	if r, ok := f.readings[service+"/"+model]; ok {
+		return r
+	}
+	return newReading()
+}
--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -8,10 +8,14 @@
 
 // Ask is what an attempt needs.
 type Ask struct {
-	Service string
-	Key     uint64            // requests with the same key share a prompt; 0 for none
-	Allowed func(string) bool // versions it may run on; nil for any
-	Avoid   []string          // ids of endpoints that it has been to
+	Service   string
+	Allowed   func(string) bool // versions it may run on; nil for any
+	Avoid     []string          // ids of endpoints that it has been to
+	Key       uint64            // requests with the same key share a prompt; 0 for none
+	Model     string
+	Tokens    int           // of the prompt
+	Shared    int           // of them, those that other requests with the key have too
+	Objective time.Duration // by when the answer should begin
 }
 
 // Hold is a place at an endpoint.
@@ -19,12 +23,42 @@
 	Endpoint Endpoint
 	fleet    *Fleet
 	member   *member
+	ask      Ask
+	sent     time.Time
+	expected time.Duration // until the head of the answer, if the endpoint were idle
+	reading  time.Duration // counted as the endpoint's work until the head is there
+}
+
+// Head notes that the head of the answer is there, and the load that it tells.
+func (h *Hold) Head(l Load) {
+	h.fleet.mu.Lock()
+	defer h.fleet.mu.Unlock()
+	h.read()
+	now := time.Now()
+	if l.Slots > 0 {
+		h.member.others = max(0, l.Running+l.Waiting-h.member.flying)
+		h.member.saidAt = now
+	}
+	if h.ask.Key == 0 {
+		return
+	}
+	took := now.Sub(h.sent)
+	h.member.wait, h.member.waitAt = max(0, took-h.expected), now
+	known := h.fleet.readingOf(h.ask.Service, h.ask.Model)
+	h.fleet.readings[h.ask.Service+"/"+h.ask.Model] = known.with(h.ask.Tokens, took)
+}
+
+// read takes the request's prompt out of the endpoint's work.
+func (h *Hold) read() {
+	h.member.reading -= h.reading
+	h.reading = 0
 }
 
 // Done ends the hold and notes what the attempt told.
 func (h *Hold) Done(r Result) {
 	h.fleet.mu.Lock()
 	defer h.fleet.mu.Unlock()
+	h.read()
 	m := h.member
 	m.flying--
 	now := time.Now()
@@ -36,17 +70,6 @@
 	}
 }
 
-// Hear notes the load that an endpoint tells while an attempt is under way.
-func (h *Hold) Hear(l Load) {
-	if l.Slots <= 0 {
-		return
-	}
-	h.fleet.mu.Lock()
-	defer h.fleet.mu.Unlock()
-	h.member.others = max(0, l.Running+l.Waiting-h.member.flying)
-	h.member.saidAt = time.Now()
-}
-
 // load is the part of an endpoint's slots in use, as far as this host knows.
 func (m *member) load(now time.Time) float64 {
 	slots := m.Slots
@@ -85,51 +108,113 @@
 }
 
 // Pick chooses an endpoint and holds a place there; false if none may be used.
-// Among well ones it takes that which keeps the prompt while it has room, then
-// the least loaded of the own data hall, then of all.
 func (f *Fleet) Pick(ask Ask) (*Hold, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
+	home := f.home(ask, now)
 	best, bestScore := (*member)(nil), math.Inf(1)
 	for _, m := range f.byService[ask.Service] {
 		if !m.usable(ask) {
 			continue
 		}
-		if s := f.score(m, ask, now); s < bestScore {
+		if s := f.score(m, home, ask, now); s < bestScore {
 			best, bestScore = m, s
 		}
 	}
 	if best == nil {
 		return nil, false
 	}
-	best.flying++
-	return &Hold{Endpoint: best.Endpoint, fleet: f, member: best}, true
+	return f.hold(best, best == home, ask, now), true
 }
 
-// Steps between ranks of endpoints; within a rank the score is below one step.
+// hold takes a place at an endpoint.
+func (f *Fleet) hold(m *member, home bool, ask Ask, now time.Time) *Hold {
+	h := &Hold{Endpoint: m.Endpoint, fleet: f, member: m, ask: ask, sent: now}
+	m.flying++
+	if ask.Key == 0 {
+		return h
+	}
+	r := f.readingOf(ask.Service, ask.Model)
+	tokens := ask.Tokens
+	if home {
+		tokens -= ask.Shared
+	}
+	h.expected, h.reading = r.head(tokens), r.tokens(tokens)
+	m.reading += h.reading
+	return h
+}
+
+// home is the endpoint of the own data hall that is most likely to have the
+// shared part of the prompt in memory; nil if there is none.
+func (f *Fleet) home(ask Ask, now time.Time) *member {
+	if ask.Key == 0 {
+		return nil
+	}
+	var home *member
+	least := math.Inf(1)
+	for _, m := range f.byService[ask.Service] {
+		if m.Hall != f.options.Hall || !m.usable(ask) || m.tier(now) > 0 {
+			continue
+		}
+		if w := weight(ask.Key, m.seed); w < least {
+			home, least = m, w
+		}
+	}
+	return home
+}
+
+// Weights of the choice. Scores are seconds until the answer is expected to
+// begin, with what else an endpoint costs put into seconds.
 const (
-	rankStep = 4.0
-	tierStep = 10 * rankStep
-	maxLoad  = 3.9 // loads above it are all the same
-	tieBreak = 1e-3
+	tierSeconds = 1000 // an endpoint that may not answer comes after all others
+	// loadSeconds is what full slots cost: every request there slows all others.
+	loadSeconds = 0.15
+	// hallPart of the objective is what bytes between data halls are worth.
+	hallPart = 0.1
+	// sharedPart of the objective is what reading a shared part again costs
+	// beyond its time.
+	sharedPart = 0.05
+	// plainHall is the load that a request without a prompt passes by to stay in
+	// its data hall.
+	plainHall = 0.5
+	// fullLoad is the load from which an endpoint lets requests wait.
+	fullLoad = 0.9
+	tieBreak = 1e-4
 )
 
 // score ranks an endpoint for an attempt; the lowest is chosen.
-func (f *Fleet) score(m *member, ask Ask, now time.Time) float64 {
+func (f *Fleet) score(m, home *member, ask Ask, now time.Time) float64 {
 	load := m.load(now)
-	local := m.Hall == f.options.Hall
-	score := float64(m.tier(now)) * tierStep
-	switch {
-	case ask.Key != 0 && local && load < stickyBound:
-		return score + weight(ask.Key, m.seed)
-	case ask.Key != 0 && load < stickyBound:
-		return score + rankStep + weight(ask.Key, m.seed)
-	case ask.Key == 0 && local && load < hallBound:
-		return score + load + tieBreak*rand.Float64()
-	default:
-		return score + 2*rankStep + min(load, maxLoad) + tieBreak*rand.Float64()
+	score := float64(m.tier(now))*tierSeconds + tieBreak*rand.Float64()
+	if ask.Key == 0 {
+		score += load
+		if load >= fullLoad {
+			score += load
+		}
+		if m.Hall != f.options.Hall {
+			score += plainHall
+		}
+		return score
+	}
+	score += loadSeconds*load + m.reading.Seconds() + m.waiting(now)
+	if m.Hall != f.options.Hall {
+		score += hallPart * ask.Objective.Seconds()
+	}
+	if m != home {
+		score += sharedPart*ask.Objective.Seconds() + f.readingOf(ask.Service, ask.Model).tokens(ask.Shared).Seconds()
+	}
+	return score
+}
+
+// waiting is how long, in seconds, requests have lately waited at an endpoint
+// beyond what their prompts took; it fades as nothing more is heard.
+func (m *member) waiting(now time.Time) float64 {
+	age := now.Sub(m.waitAt)
+	if age >= echoLife {
+		return 0
 	}
+	return m.wait.Seconds() * (1 - float64(age)/float64(echoLife))
 }
 
 // weight is the rendezvous weight of an endpoint for a key, 0 to 1.
@@ -142,17 +227,3 @@
 	x ^= x >> 33
 	return float64(x>>11) / (1 << 53)
 }
-
-// Busy reports whether every endpoint of a service that the attempt may use is
-// loaded to a part of its slots or more.
-func (f *Fleet) Busy(ask Ask, part float64) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := time.Now()
-	for _, m := range f.byService[ask.Service] {
-		if m.usable(ask) && m.load(now) < part {
-			return false
-		}
-	}
-	return true
-}
--- a/internal/gateway/codec.go
+++ b/internal/gateway/codec.go
@@ -30,6 +30,16 @@
 	Parts     []Part
 }
 
+// shared counts the prompt's tokens that other requests have too: those of all
+// parts but the last.
+func (a Ask) shared() int {
+	n := 0
+	for i := range len(a.Parts) - 1 {
+		n += a.Parts[i].Tokens
+	}
+	return n
+}
+
 // Attempt is what an endpoint is told about a request.
 type Attempt struct {
 	EndpointID string // no other start of an endpoint runs it
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -74,7 +74,8 @@
 // pick chooses an endpoint that the request has not been to.
 func (x *exchange) pick(model string) (*fleet.Hold, bool) {
 	return x.g.Fleet.Pick(fleet.Ask{
-		Service: x.service, Key: x.affinity(model), Allowed: x.g.Upgrades.Allowed(x.service, x.key), Avoid: x.tried,
+		Service: x.service, Allowed: x.g.Upgrades.Allowed(x.service, x.key), Avoid: x.tried,
+		Key: x.affinity(model), Model: model, Tokens: x.ask.TokensIn, Shared: x.ask.shared(), Objective: x.route.Objective,
 	})
 }
 
@@ -118,6 +119,7 @@
 		return nil, err
 	}
 	a.answer, a.said = answer, x.g.Codec.Answer(answer.Header)
+	a.hold.Head(a.said.Load)
 	if a.said.NotRun || answer.StatusCode == http.StatusMisdirectedRequest {
 		x.mayRun = before
 		a.rejected()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -69,7 +69,6 @@
 		a.end(fleet.OutcomeGood, false)
 		return errEscalate
 	}
-	a.hold.Hear(a.said.Load)
 	s.begin(a)
 	return s.relay(a)
 }
