No session changes its version in the first half of a roll-out

Of 105 requests that followed one in their session within 5 s, 17 were on the same host, so a host can't know which sessions are under way. Ruled out: a smaller share, which only makes it rarer and grows with traffic. Change: nothing moves in the first half; in the second the share rises in four steps.

--- a/internal/upgrade/upgrade.go
+++ b/internal/upgrade/upgrade.go
@@ -47,25 +47,28 @@
 	Reason   string  `json:"reason,omitempty"`
 }
 
-// Stages of an upgrade, as parts of its time. Sessions stay where they are in
-// the first half. In the second the share rises in steps that leave a few
-// seconds of evidence each; the rest is for requests to finish on old endpoints,
+// Stages of an upgrade, as parts of its time. A session that is under way keeps
+// its version in the first half, and hosts do not know which sessions are under
+// way elsewhere, so nothing moves before. In the second half the share rises in
+// steps that leave evidence of a bad version each: together they send it far
+// less than it may get. The rest is for requests to finish on old endpoints,
 // which stop at completion.
 const (
-	trialShare   = 0.10 // of the keys; a bad version gets well under the bound of 0.15
-	rampAt       = 0.50
+	trialAt      = 0.50
+	trialShare   = 0.10 // of the keys
+	rampAt       = 0.60
 	rampShare    = 0.30
-	secondAt     = 0.56
+	secondAt     = 0.68
 	secondShare  = 0.60
-	allAt        = 0.62
-	completionAt = 0.88
+	allAt        = 0.74
+	completionAt = 0.92
 )
 
 // Share is the part of the keys that goes to the target version.
 func Share(elapsed, within time.Duration) float64 {
 	part := float64(elapsed) / float64(within)
 	switch {
-	case elapsed < 0 || within <= 0:
+	case within <= 0 || part < trialAt:
 		return 0
 	case part < rampAt:
 		return trialShare
