Tests of the gateway against scripted endpoints and callers in memory

The stand-in of the platform (its store with feeds and faults, endpoints whose answers are scripted) lives beside the adapter, since it speaks its names. 39 specs under a paused clock: certainty about what ran, stray and surplus answers, cut bodies, resumed and cut streams, cascades, forged and smuggled heads, limits, time-outs, callers that leave, drain.

--- /dev/null
+++ b/internal/gateway/admit_test.go
@@ -0,0 +1,129 @@
+package gateway_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"quaybarrow/internal/route"
+	"quaybarrow/internal/standin/suite"
+	"quaybarrow/platform/standin"
+)
+
+// badRequests are refused before anything is sent to an endpoint.
+var badRequests = map[string]struct {
+	text   string
+	status int
+	closed bool
+}{
+	"an unknown path": {request("POST", "/nowhere/", "x"), 404, false},
+	"an unknown host": {strings.Replace(request("POST", "/once/", "x"), "a.example", "b.example", 1), 404, false},
+	"an unknown key":  {strings.Replace(request("POST", "/once/", "x"), "key-1", "key-2", 1), 401, false},
+	"no key":          {strings.Replace(request("POST", "/once/", "x"), "Credential: key-1\r\n", "", 1), 401, false},
+	"two keys":        {request("POST", "/once/", "x", "Credential: key-1"), 401, false},
+	"no id":           {strings.Replace(request("POST", "/once/", "x"), "Attempt-Id: id-1\r\n", "", 1), 400, true},
+	"a body too long": {request("POST", "/once/", strings.Repeat("x", 1001)), 413, true},
+	"a chunked body too long": {request("GET", "/once/", "", "Transfer-Encoding: chunked") +
+		fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", 1001, strings.Repeat("x", 1001)), 413, true},
+	"a head too long": {request("POST", "/once/", "x", "X-Long: "+strings.Repeat("y", 5000)), 431, true},
+	"two lengths": {request("POST", "/once/", "0\r\n\r\nPOST /once/2 HTTP/1.1\r\nHost: a.example\r\n\r\n",
+		"Transfer-Encoding: chunked"), 400, true},
+	"a folded field": {request("POST", "/once/", "x", "X-Folded: a\r\n b"), 400, true},
+}
+
+var _ = Describe("admission of requests", func() {
+	for name, c := range badRequests {
+		It("refuses "+name, func() {
+			suite.Paused(func() {
+				r := newRig(scripts{"plain-1": standin.Always(good)})
+				defer r.stop()
+				caller := r.call()
+				defer func() { _ = caller.Close() }()
+				caller.send(c.text)
+				a := caller.read()
+				Expect(a.Status).To(Equal(c.status))
+				Expect(r.runs()).To(BeZero())
+				if !c.closed {
+					caller.send(request("POST", "/once/", "x"))
+					a = caller.read()
+					Expect(a.Status).To(Equal(200))
+					return
+				}
+				_ = caller.SetReadDeadline(time.Now().Add(time.Second))
+				_, err := caller.reader.Peek(1)
+				Expect(err).To(MatchError(io.EOF))
+			})
+		})
+	}
+
+	It("answers 503 without a configuration", func() {
+		suite.Paused(func() {
+			r := newRig(nil)
+			defer r.stop()
+			*r.holder = *route.NewHolder()
+			a := r.ask(request("POST", "/once/", "x"))
+			Expect(a.Status).To(Equal(http.StatusServiceUnavailable))
+		})
+	})
+
+	It("sends nothing on that only the system may say, and what the platform needs", func() {
+		suite.Paused(func() {
+			r := newRig(scripts{"plain-1": standin.Always(good)})
+			defer r.stop()
+			a := r.ask(request("POST", "/once/a%2Fb?q=1;2", "x", "Tenant: thieves", "Hold: h", "Pin-Ms: 9", "Kv-From: a/b", "Kv-Backup: c",
+				"Expect-Instance: other", "Request-Urgency: 0", "X-Own: kept", "X-Hop: gone", "Connection: keep-alive, X-Hop"))
+			Expect(a.Status).To(Equal(200))
+			seen := r.endpoints["plain-1"].Seen()[0]
+			Expect(seen.Method + " " + seen.Target + " " + seen.Body).To(Equal("POST /once/a%2Fb?q=1;2 x"))
+			Expect(seen.Head.Get("Tenant")).To(Equal("weavers"))
+			Expect(seen.Head.Get("Expect-Instance")).To(Equal("plain-1"))
+			Expect(seen.Head.Get("Attempt-Id")).To(Equal("id-1"))
+			Expect(seen.Head.Get("X-Own")).To(Equal("kept"))
+			for _, name := range []string{"Hold", "Pin-Ms", "Kv-From", "Kv-Backup", "Credential", "X-Hop"} {
+				Expect(seen.Head).NotTo(HaveKey(name))
+			}
+		})
+	})
+
+	It("lets public routes in without a key and without a workspace", func() {
+		suite.Paused(func() {
+			r := newRig(scripts{"plain-1": standin.Always(good)})
+			defer r.stop()
+			text := strings.Replace(request("POST", "/open/", "x", "Tenant: thieves"), "Credential: key-1\r\n", "", 1)
+			Expect(r.ask(text).Status).To(Equal(200))
+			Expect(r.endpoints["plain-1"].Seen()[0].Head).NotTo(HaveKey("Tenant"))
+		})
+	})
+
+	It("tells callers to close connections while it drains", func() {
+		suite.Paused(func() {
+			r := newRig(scripts{"plain-1": standin.Always(good)})
+			defer r.stop()
+			r.gateway.Drain()
+			ready, _ := r.gateway.Ready()
+			Expect(ready).To(BeFalse())
+			a := r.ask(request("POST", "/once/", "x"))
+			Expect(a.Status).To(Equal(200))
+			Expect(a.Close).To(BeTrue())
+		})
+	})
+
+	It("keeps a connection at rest for as long as operators declare", func() {
+		suite.Paused(func() {
+			r := newRig(scripts{"plain-1": standin.Always(good)})
+			defer r.stop()
+			caller := r.call()
+			caller.send(request("POST", "/once/", "x"))
+			Expect(caller.read().Status).To(Equal(200))
+			start := time.Now()
+			_, err := caller.reader.Peek(1)
+			Expect(err).To(HaveOccurred())
+			Expect(time.Since(start)).To(Equal(10 * time.Second))
+		})
+	})
+})
--- /dev/null
+++ b/internal/gateway/rig_test.go
@@ -0,0 +1,185 @@
+package gateway_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/charmbracelet/log"
+	. "github.com/onsi/gomega"
+
+	"quaybarrow/internal/conn"
+	"quaybarrow/internal/fleet"
+	"quaybarrow/internal/gateway"
+	"quaybarrow/internal/route"
+	"quaybarrow/internal/standin/memnet"
+	"quaybarrow/internal/store"
+	"quaybarrow/internal/telemetry"
+	"quaybarrow/internal/upgrade"
+	"quaybarrow/platform"
+	"quaybarrow/platform/standin"
+)
+
+// gatewayAddress is where the gateway of a rig serves.
+const gatewayAddress = "10.0.0.1:80"
+
+// rig is a gateway between a caller and scripted endpoints, in memory.
+type rig struct {
+	net       *memnet.Network
+	gateway   *gateway.Gateway
+	holder    *route.Holder
+	fleet     *fleet.Fleet
+	pool      *conn.Pool
+	server    *http.Server
+	endpoints map[string]*standin.Endpoint
+	listeners []net.Listener
+}
+
+// noClock is a watcher for tests without upgrades.
+type noClock struct{ store.Watcher }
+
+func (noClock) Now() (time.Duration, bool) { return 0, false }
+
+// declaration has a route of each kind.
+func declaration() route.Declaration {
+	one := func(service string) []route.Target { return []route.Target{{Service: service, Weight: 1}} }
+	return route.Declaration{
+		Version: 1,
+		Limits:  route.Limits{HeaderBytes: 4096, BodyBytes: 1000, Idle: 10 * time.Second},
+		Routes: []route.Route{
+			{Name: "once", Host: "a.example", Prefix: "/once/", Kind: route.KindOnce, Timeout: 2 * time.Second,
+				Objective: 300 * time.Millisecond, Attempts: 2, Targets: one("plain")},
+			{Name: "again", Host: "a.example", Prefix: "/again/", Kind: route.KindRepeatable, Timeout: 2 * time.Second,
+				Objective: 300 * time.Millisecond, Attempts: 2, Targets: one("plain")},
+			{Name: "open", Host: "a.example", Prefix: "/open/", Kind: route.KindOnce, Timeout: 2 * time.Second,
+				Objective: 300 * time.Millisecond, Attempts: 1, Targets: one("plain"), Public: true},
+			{Name: "stream", Host: "a.example", Prefix: "/stream/", Kind: route.KindStream, Timeout: 20 * time.Second,
+				Objective: 2 * time.Second, Attempts: 3, Targets: one("model"), Resumable: true, Models: []string{"small", "middle", "large"}},
+			{Name: "fixed", Host: "a.example", Prefix: "/fixed/", Kind: route.KindStream, Timeout: 20 * time.Second,
+				Objective: 2 * time.Second, Attempts: 3, Targets: one("model")},
+		},
+		Services:   []route.Service{{Name: "plain", MaxConns: 96}, {Name: "model", MaxConns: 200}},
+		Workspaces: []route.Workspace{{Name: "weavers", Priority: -1, Keys: []string{"key-1"}}},
+	}
+}
+
+// newRig starts a gateway; endpoints are named after their service and a number.
+func newRig(scripts map[string]func(int, *http.Request) standin.Script) *rig {
+	r := &rig{
+		net: memnet.New(), holder: route.NewHolder(), fleet: fleet.New(fleet.Options{Hall: "ikeja"}),
+		endpoints: map[string]*standin.Endpoint{},
+	}
+	r.holder.Apply(route.NewTable(declaration()))
+	logger := log.New(io.Discard)
+	r.pool = conn.NewPool(conn.Options{Dial: func(ctx context.Context, address string) (net.Conn, error) {
+		return r.net.Dial(ctx, "tcp", address)
+	}})
+	r.gateway = gateway.New(gateway.Options{
+		Holder: r.holder, Fleet: r.fleet, Pool: r.pool, Codec: platform.Heads{}, Telemetry: telemetry.MetricsOnly(), Logger: logger,
+		Upgrades:   upgrade.NewTracker(upgrade.Options{Host: "h", Fleet: r.fleet, Logger: logger, Watch: noClock{}}),
+		RetryRatio: 0.9,
+	})
+	n := 10
+	for id, script := range scripts {
+		n++
+		service, _, _ := cut(id)
+		address := fmt.Sprintf("10.0.1.%d:80", n)
+		e := standin.NewEndpoint(id, script)
+		r.endpoints[id] = e
+		l := r.net.Listen(address)
+		r.listeners = append(r.listeners, l)
+		go e.Serve(l)
+		r.fleet.Put(fleet.Endpoint{ID: id, Service: service, Address: address, Hall: "ikeja", Version: "v1", Slots: 8})
+	}
+	r.server = r.gateway.Server()
+	l := r.net.Listen(gatewayAddress)
+	go func() { _ = r.server.Serve(r.gateway.Wrap(l)) }()
+	return r
+}
+
+func cut(id string) (service, number string, ok bool) {
+	for i := range id {
+		if id[i] == '-' {
+			return id[:i], id[i+1:], true
+		}
+	}
+	return id, "", false
+}
+
+// stop ends everything that the rig started.
+func (r *rig) stop() {
+	_ = r.server.Close()
+	for _, l := range r.listeners {
+		_ = l.Close()
+	}
+	time.Sleep(time.Minute)
+	r.pool.Sweep()
+	time.Sleep(time.Minute)
+}
+
+// runs counts the requests that reached endpoints.
+func (r *rig) runs() int {
+	n := 0
+	for _, e := range r.endpoints {
+		n += len(e.Seen())
+	}
+	return n
+}
+
+// caller is a raw connection to the gateway.
+type caller struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+func (r *rig) call() *caller {
+	c, err := r.net.Dial(context.Background(), "tcp", gatewayAddress)
+	Expect(err).NotTo(HaveOccurred())
+	return &caller{Conn: c, reader: bufio.NewReader(c)}
+}
+
+// answer is what a caller got.
+type answer struct {
+	Status int
+	Head   http.Header
+	Body   string
+	Err    error // of the body
+	Close  bool  // the connection can't be used again
+}
+
+// send writes raw bytes without waiting for them to be read.
+func (c *caller) send(text string) { go func() { _, _ = io.WriteString(c, text) }() }
+
+// read reads an answer.
+func (c *caller) read() answer {
+	response, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return answer{Err: err}
+	}
+	body, err := io.ReadAll(response.Body)
+	return answer{Status: response.StatusCode, Head: response.Header, Body: string(body), Err: err, Close: response.Close}
+}
+
+// request formats a request with a key and an id.
+func request(method, path, body string, heads ...string) string {
+	text := method + " " + path + " HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: id-1\r\nCredential: key-1\r\nDeadline-Ms: 15000\r\n"
+	for _, h := range heads {
+		text += h + "\r\n"
+	}
+	if body != "" || method == http.MethodPost {
+		text += fmt.Sprintf("Content-Length: %d\r\n", len(body))
+	}
+	return text + "\r\n" + body
+}
+
+// ask sends one request on a connection of its own.
+func (r *rig) ask(text string) answer {
+	c := r.call()
+	defer func() { _ = c.Close() }()
+	c.send(text)
+	return c.read()
+}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -45,7 +45,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
-	return &listener{Listener: inner, idle: g.idle}, nil
+	return g.Wrap(inner), nil
+}
+
+// Wrap makes a listener's connections keep the heads of requests for checking.
+func (g *Gateway) Wrap(inner net.Listener) net.Listener {
+	return &listener{Listener: inner, idle: g.idle}
 }
 
 // idle is how long a caller's connection may rest.
--- /dev/null
+++ b/internal/gateway/stream_test.go
@@ -0,0 +1,100 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"quaybarrow/internal/standin/suite"
+	"quaybarrow/platform/standin"
+)
+
+// events formats events as an endpoint makes them.
+func events(from, to int, model string) string {
+	var b strings.Builder
+	for i := from; i <= to; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: of %s\n\n", i, model)
+	}
+	return b.String()
+}
+
+const modelHeads = "Token-Counts: 500,80\r\nPrompt-Prefix: aa:100,bb:300,cc:100\r\nModel: *"
+
+var sure = standin.Stream{Events: 5, Confidence: 90}
+
+var _ = Describe("streams", func() {
+	It("are passed on whole, with the seal of the endpoint", func() {
+		suite.Paused(func() {
+			r := newRig(scripts{"model-1": standin.Always(sure)})
+			defer r.stop()
+			a := r.ask(request("POST", "/stream/1", "x", modelHeads))
+			Expect(a.Err).NotTo(HaveOccurred())
+			Expect(a.Body).To(Equal(events(1, 5, "small")))
+			Expect(a.Head.Get("Server-Seal")).To(Equal("seal-of-model-1"))
+		})
+	})
+
+	It("go on at another endpoint after a break inside an event", func() {
+		suite.Paused(func() {
+			n := 0
+			both := func(int, *http.Request) standin.Script {
+				n++
+				if n == 1 {
+					return standin.Stream{Events: 5, Confidence: 90, BreakAfter: 2}
+				}
+				return standin.Stream{Events: 5, Confidence: 90}
+			}
+			r := newRig(scripts{"model-1": both, "model-2": both})
+			defer r.stop()
+			a := r.ask(request("POST", "/stream/1", "x", modelHeads))
+			Expect(a.Err).NotTo(HaveOccurred())
+			Expect(a.Body).To(Equal(events(1, 5, "small")))
+			Expect(r.runs()).To(Equal(2))
+		})
+	})
+
+	It("that may not be resumed are cut and do not look whole", func() {
+		suite.Paused(func() {
+			r := newRig(scripts{"model-1": standin.Always(standin.Stream{Events: 5, Confidence: -1, BreakAfter: 2})})
+			defer r.stop()
+			a := r.ask(request("POST", "/fixed/1", "x", modelHeads))
+			Expect(a.Err).To(HaveOccurred())
+			Expect(a.Body).To(Equal(events(1, 2, "*")))
+			Expect(r.runs()).To(Equal(1))
+		})
+	})
+
+	It("of a small model without confidence are asked of the largest", func() {
+		suite.Paused(func() {
+			r := newRig(scripts{"model-1": first(standin.Stream{Events: 5, Confidence: 10}, standin.Stream{Events: 5, Confidence: 10})})
+			defer r.stop()
+			a := r.ask(request("POST", "/stream/1", "x", modelHeads))
+			Expect(a.Err).NotTo(HaveOccurred())
+			Expect(a.Body).To(Equal(events(1, 5, "large")))
+			Expect(r.runs()).To(Equal(2))
+		})
+	})
+
+	It("start where the caller's last event says", func() {
+		suite.Paused(func() {
+			r := newRig(scripts{"model-1": standin.Always(sure)})
+			defer r.stop()
+			a := r.ask(request("POST", "/stream/1", "x", modelHeads, "Last-Event-Id: 3"))
+			Expect(a.Body).To(Equal(events(4, 5, "small")))
+		})
+	})
+
+	It("that break at every endpoint end without looking whole, within the attempts", func() {
+		suite.Paused(func() {
+			broken := standin.Always(standin.Stream{Events: 5, Confidence: 90, BreakAfter: 2})
+			r := newRig(scripts{"model-1": broken, "model-2": broken, "model-3": broken, "model-4": broken})
+			defer r.stop()
+			a := r.ask(request("POST", "/stream/1", "x", modelHeads))
+			Expect(a.Err).To(HaveOccurred())
+			Expect(r.runs()).To(BeNumerically("<=", 3))
+		})
+	})
+})
--- /dev/null
+++ b/internal/gateway/whole_test.go
@@ -0,0 +1,143 @@
+package gateway_test
+
+import (
+	"net/http"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"quaybarrow/internal/standin/suite"
+	"quaybarrow/platform/standin"
+)
+
+type scripts = map[string]func(int, *http.Request) standin.Script
+
+// first answers an endpoint's first request in one way and all others in another.
+func first(a, b standin.Script) func(int, *http.Request) standin.Script {
+	return func(n int, _ *http.Request) standin.Script {
+		if n == 0 {
+			return a
+		}
+		return b
+	}
+}
+
+var good = standin.Reply{Status: 200, Body: "done"}
+
+// wholeCases are requests with one endpoint that goes wrong once and then well.
+var wholeCases = map[string]struct {
+	path   string
+	goes   standin.Script
+	status int
+	runs   int
+	sealed bool
+}{
+	"a good answer is passed on":                            {"/once/1", good, 200, 1, true},
+	"a repeatable request whose endpoint failed runs again": {"/again/1", standin.Reply{Status: 500, Body: "no"}, 200, 2, true},
+	"a failure of what runs once is the endpoint's own":     {"/once/1", standin.Reply{Status: 500, Body: "no"}, 500, 1, true},
+	"a reset leaves open whether it ran":                    {"/once/1", standin.Reset{}, 502, 1, false},
+	"a repeatable request that was reset runs again":        {"/again/1", standin.Reset{}, 200, 2, true},
+	"a refusal before any work is offered again":            {"/once/1", standin.Reply{Status: 503, NotRun: true}, 200, 2, true},
+	"an answer without a seal is no answer":                 {"/once/1", standin.Reply{Status: 200, Body: "x", Bare: true}, 502, 1, false},
+	"a body cut short is no answer":                         {"/once/1", standin.Reply{Status: 200, Body: "whole body", Cut: 4}, 502, 1, false},
+	"a body cut short is asked for again":                   {"/again/1", standin.Reply{Status: 200, Body: "whole body", Cut: 4}, 200, 2, true},
+	"a body that ends with the connection is whole":         {"/once/1", standin.Reply{Status: 200, Body: "whole body", Unsized: true}, 200, 1, true},
+	"an answer to another request is passed over":           {"/once/1", standin.Reply{Status: 200, Body: "mine", Stray: true}, 200, 1, true},
+}
+
+var _ = Describe("requests with one answer", func() {
+	for name, c := range wholeCases {
+		It(name, func() {
+			suite.Paused(func() {
+				// Both endpoints follow one script between them, whichever comes first.
+				n := 0
+				both := func(int, *http.Request) standin.Script {
+					n++
+					if n == 1 {
+						return c.goes
+					}
+					return good
+				}
+				r := newRig(scripts{"plain-1": both, "plain-2": both})
+				defer r.stop()
+				a := r.ask(request("POST", c.path, "body"))
+				Expect(a.Err).NotTo(HaveOccurred())
+				Expect(a.Status).To(Equal(c.status))
+				Expect(r.runs()).To(Equal(c.runs))
+				Expect(a.Head.Get("Server-Seal") != "").To(Equal(c.sealed))
+			})
+		})
+	}
+
+	It("never passes on what belongs to another request", func() {
+		suite.Paused(func() {
+			r := newRig(scripts{"plain-1": standin.Always(standin.Reply{Status: 200, Body: "mine", Stray: true})})
+			defer r.stop()
+			Expect(r.ask(request("POST", "/once/1", "x")).Body).To(Equal("mine"))
+		})
+	})
+
+	It("does not use a connection again after surplus bytes", func() {
+		suite.Paused(func() {
+			r := newRig(scripts{"plain-1": standin.Always(standin.Reply{Status: 200, Body: "a", Extra: "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nb"})})
+			defer r.stop()
+			for range 3 {
+				Expect(r.ask(request("POST", "/once/1", "x")).Body).To(Equal("a"))
+			}
+			Expect(r.endpoints["plain-1"].Connections()).To(Equal(3))
+		})
+	})
+
+	It("uses a connection again after a clean answer", func() {
+		suite.Paused(func() {
+			r := newRig(scripts{"plain-1": standin.Always(good)})
+			defer r.stop()
+			for range 3 {
+				Expect(r.ask(request("POST", "/once/1", "x")).Status).To(Equal(200))
+			}
+			Expect(r.endpoints["plain-1"].Connections()).To(Equal(1))
+		})
+	})
+
+	It("tells that a request did not run only where nothing was sent", func() {
+		suite.Paused(func() {
+			r := newRig(scripts{"plain-1": standin.Always(good)})
+			defer r.stop()
+			for _, l := range r.listeners {
+				_ = l.Close()
+			}
+			a := r.ask(request("POST", "/once/1", "x"))
+			Expect(a.Status).To(Equal(http.StatusServiceUnavailable))
+			Expect(a.Head.Get("Retry-After")).NotTo(BeEmpty())
+			Expect(r.runs()).To(BeZero())
+		})
+	})
+
+	It("answers at the route's time-out when the endpoint is mute, and lets go of it", func() {
+		suite.Paused(func() {
+			r := newRig(scripts{"plain-1": standin.Always(standin.Mute{})})
+			defer r.stop()
+			start := time.Now()
+			a := r.ask(request("POST", "/once/1", "x"))
+			Expect(a.Status).To(Equal(http.StatusGatewayTimeout))
+			Expect(time.Since(start)).To(Equal(2 * time.Second))
+			time.Sleep(time.Second)
+			Expect(r.endpoints["plain-1"].Seen()[0].Ended.Sub(start)).To(BeNumerically("~", 2*time.Second, 100*time.Millisecond))
+		})
+	})
+
+	It("lets go of the endpoint when the caller leaves", func() {
+		suite.Paused(func() {
+			r := newRig(scripts{"plain-1": standin.Always(standin.Mute{})})
+			defer r.stop()
+			start := time.Now()
+			c := r.call()
+			c.send(request("POST", "/again/1", "x"))
+			time.Sleep(300 * time.Millisecond)
+			_ = c.Close()
+			time.Sleep(time.Second)
+			Expect(r.endpoints["plain-1"].Seen()[0].Ended.Sub(start)).To(BeNumerically("~", 300*time.Millisecond, 100*time.Millisecond))
+		})
+	})
+})
--- a/internal/gatewayd/module.go
+++ b/internal/gatewayd/module.go
@@ -99,7 +99,7 @@
 	if p.Store != nil {
 		return stores{Tables: p.Store, Watch: p.Store}
 	}
-	client := platform.NewStore(s.Gateway.Store)
+	client := platform.NewStore(s.Gateway.Store, nil)
 	return stores{Tables: client, Watch: client}
 }
 
