--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -196,8 +196,16 @@
 }
 
 // Sweep closes connections that have rested for as long as they may.
-func (p *Pool) Sweep() {
-	for _, c := range p.expired(time.Now()) {
+func (p *Pool) Sweep() { p.closeRested(time.Now()) }
+
+// Close closes all connections at rest.
+func (p *Pool) Close() { p.closeRested(time.Now().Add(idleForEver)) }
+
+// idleForEver is longer than any connection rests.
+const idleForEver = 24 * time.Hour
+
+func (p *Pool) closeRested(now time.Time) {
+	for _, c := range p.expired(now) {
 		c.Release(false)
 	}
 }
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -29,9 +29,9 @@
 	// silent without an error is noticed when the wait is over.
 	waitLong = 3 * time.Second
 	// waitShort is one wait until the store has answered again.
-	waitShort = 500 * time.Millisecond
-	retryMost = 800 * time.Millisecond
-	retryMin  = 100 * time.Millisecond
+	waitShort  = 500 * time.Millisecond
+	retryMost  = 800 * time.Millisecond
+	retryFirst = 100 * time.Millisecond
 	// awayAfter is how long after an error entries that vanish are taken to have
 	// lapsed while the store was away.
 	awayAfter = 3 * time.Second
@@ -67,7 +67,7 @@
 
 // Run follows a table until the context ends.
 func Run(ctx context.Context, o Options, p Picture) {
-	f := &follower{Options: o, picture: p, version: -1, retry: retryMin}
+	f := &follower{Options: o, picture: p, version: -1, retry: retryFirst}
 	for ctx.Err() == nil {
 		err := f.step(ctx)
 		switch {
@@ -118,7 +118,7 @@
 	if f.lost {
 		f.Logger.Info("store regained", "table", f.Table, "version", f.version)
 	}
-	f.lost, f.retry = false, retryMin
+	f.lost, f.retry = false, retryFirst
 }
 
 func (f *follower) failedOnce(ctx context.Context, err error) {
--- /dev/null
+++ b/internal/gateway/events_test.go
@@ -0,0 +1,103 @@
+package gateway
+
+import (
+	"strings"
+	"testing"
+	"testing/iotest"
+)
+
+// FuzzEvents checks that whatever way a stream is cut up, its whole events come
+// out in order, once each, and nothing else does.
+func FuzzEvents(f *testing.F) {
+	f.Add("id: 1\ndata: a\n\nid: 2\ndata: b\n\n", "", true)
+	f.Add("id: 1\ndata: a\n\nid: 2\nda", "", false)
+	f.Add("data: no id\n\n\n\nid: 5\n\n", "4", true)
+	f.Fuzz(func(t *testing.T, text, last string, slow bool) {
+		read := func(oneByOne bool) (string, bool) {
+			from := strings.NewReader(text)
+			var e *eventReader
+			if oneByOne {
+				e = newEventReader(iotest.OneByteReader(from), last)
+			} else {
+				e = newEventReader(from, last)
+			}
+			var out strings.Builder
+			for {
+				c, err := e.next()
+				out.Write(c.data)
+				if err != nil {
+					return out.String(), err == errStreamEnd //nolint:errorlint // identity tells a clean end
+				}
+			}
+		}
+		a, cleanA := read(slow)
+		b, cleanB := read(!slow)
+		if a != b || cleanA != cleanB {
+			t.Fatalf("%q and %q, %v and %v", a, b, cleanA, cleanB)
+		}
+		if a != "" && !strings.HasSuffix(a, "\n\n") {
+			t.Fatalf("a part of an event: %q", a)
+		}
+		if cleanA && len(text) > 0 && !strings.HasSuffix(text, "\n\n") {
+			t.Fatalf("%q ended cleanly", text)
+		}
+	})
+}
+
+func TestEventsAreNotRepeated(t *testing.T) {
+	e := newEventReader(strings.NewReader("id: 3\ndata: old\n\nid: 4\ndata: new\n\n"), "3")
+	c, err := e.next()
+	if err != nil || string(c.data) != "id: 4\ndata: new\n\n" || c.events != 1 || c.last != "4" {
+		t.Fatalf("got %q, %d events, last %s: %v", c.data, c.events, c.last, err)
+	}
+}
+
+func TestBudget(t *testing.T) {
+	b := newBudgets(0.5)
+	for range 10 {
+		b.first("s")
+	}
+	granted := 0
+	for range 20 {
+		if b.repeat("s", 1) {
+			granted++
+		}
+	}
+	if granted != 7 { // half of ten, and the reserve
+		t.Fatalf("granted %d", granted)
+	}
+	if b.repeat("other", 0.4) {
+		t.Fatal("a part of the reserve is less than one")
+	}
+}
+
+func TestEscalationGain(t *testing.T) {
+	cases := map[string]struct {
+		confidence     float64
+		inTime, larger bool
+		asked          bool
+	}{
+		"a wrong answer":                         {10, true, true, true},
+		"a doubtful one":                         {45, true, true, true},
+		"a likely one":                           {65, true, true, false},
+		"a sure one":                             {100, true, true, false},
+		"a doubtful one, the larger one late":    {45, true, false, false},
+		"a wrong one when both are late already": {5, false, false, false},
+	}
+	for name, c := range cases {
+		if got := escalationGain(c.confidence, c.inTime, c.larger) >= gainLeast; got != c.asked {
+			t.Errorf("%s: asked is %v", name, got)
+		}
+	}
+}
+
+func FuzzFraming(f *testing.F) {
+	f.Add("POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n")
+	f.Fuzz(func(t *testing.T, head string) {
+		low := strings.ToLower(head)
+		problem := framingProblem([]byte(head))
+		if strings.Contains(low, "\r\ncontent-length:") && strings.Contains(low, "\r\ntransfer-encoding:") && problem == "" {
+			t.Fatalf("%q has two lengths", head)
+		}
+	})
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,7 +5,7 @@
 //
 //	g := gateway.New(gateway.Options{Holder: holder, Fleet: f, Pool: pool, Codec: codec, ...})
 //	server := g.Server()
-//	err := server.Serve(g.Listen(listener))
+//	err := server.Serve(g.Wrap(listener))
 //
 // A request passes through stages: its head is checked, its route and workspace
 // are found, its body is read, and it is sent to endpoints until one answers it
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -20,7 +20,6 @@
 	errNoEndpoint = errors.New("no endpoint takes the request")
 	errRejected   = errors.New("the endpoint did not run the request")
 	errUnsound    = errors.New("the answer is not an endpoint's")
-	errBudget     = errors.New("the retry budget is spent")
 )
 
 // Bounds of attempts.
@@ -103,7 +102,7 @@
 	x.tried = append(x.tried, hold.Endpoint.ID)
 	x.endpoint, x.model = hold.Endpoint.ID, model
 	a.stop = context.AfterFunc(ctx, c.Interrupt)
-	answer, err := c.Send(x.request(a, lastEvent), x.accepts)
+	answer, err := c.Send(x.request(a, lastEvent), x.accepts) //nolint:bodyclose // a closed connection ends its body
 	if errors.Is(err, conn.ErrNotSent) {
 		x.sends--
 		a.end(fleet.OutcomeLost, false)
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -21,7 +21,7 @@
 	probeCount  = 3
 )
 
-// Server returns a server of routed requests, for a listener made by Listen.
+// Server returns a server of routed requests, for a listener made by Wrap.
 func (g *Gateway) Server() *http.Server {
 	return &http.Server{
 		Handler: g, ReadHeaderTimeout: headTimeout, IdleTimeout: idleMost, MaxHeaderBytes: headMost,
@@ -35,8 +35,8 @@
 	}
 }
 
-// Listen opens the address for callers.
-func (g *Gateway) Listen(ctx context.Context, address string) (net.Listener, error) {
+// Listen opens an address so that callers that vanish are noticed.
+func Listen(ctx context.Context, address string) (net.Listener, error) {
 	config := net.ListenConfig{
 		Control:         conn.SetUserTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeAfter, Interval: probeEvery, Count: probeCount},
@@ -45,7 +45,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
-	return g.Wrap(inner), nil
+	return inner, nil
 }
 
 // Wrap makes a listener's connections keep the heads of requests for checking.
--- a/internal/gatewayd/host.go
+++ b/internal/gatewayd/host.go
@@ -42,6 +42,7 @@
 type parts struct {
 	fx.In
 	Settings  settings.Settings
+	Ports     Ports
 	Lines     *telemetry.Lines
 	Logger    *log.Logger
 	Telemetry *telemetry.Telemetry
@@ -112,17 +113,17 @@
 	limitMemory(h.Settings.Gateway.MemoryMB)
 	ctx, cancel := context.WithCancel(context.Background())
 	h.cancel = cancel
-	callers, err := h.Gateway.Listen(ctx, h.Settings.Gateway.Callers)
+	callers, err := h.listen(ctx, h.Settings.Gateway.Callers)
 	if err != nil {
 		return fmt.Errorf("start gateway: %w", err)
 	}
-	h.serve(h.callers, callers)
+	h.serve(h.callers, h.Gateway.Wrap(callers))
 	for address, server := range map[string]*http.Server{
 		h.Settings.Gateway.Ready: h.probes, h.Settings.Gateway.Control: h.control,
 	} {
-		listener, err := net.Listen("tcp4", address)
+		listener, err := h.listen(ctx, address)
 		if err != nil {
-			return fmt.Errorf("listen on %s: %w", address, err)
+			return fmt.Errorf("start: %w", err)
 		}
 		h.serve(server, listener)
 	}
@@ -133,6 +134,14 @@
 	return nil
 }
 
+// listen opens an address.
+func (h *Host) listen(ctx context.Context, address string) (net.Listener, error) {
+	if h.Ports.Listen != nil {
+		return h.Ports.Listen(ctx, address)
+	}
+	return gateway.Listen(ctx, address)
+}
+
 func (h *Host) serve(server *http.Server, listener net.Listener) {
 	h.working.Go(func() {
 		if err := server.Serve(listener); err != http.ErrServerClosed {
@@ -178,6 +187,7 @@
 	for _, server := range []*http.Server{h.callers, h.probes, h.control} {
 		_ = server.Close()
 	}
+	h.Pool.Close()
 	h.Logger.Info("stopped", "took_ms", time.Since(started).Milliseconds())
 	h.Lines.Close(logTimeout)
 	return nil
--- /dev/null
+++ b/internal/gatewayd/host_test.go
@@ -0,0 +1,191 @@
+package gatewayd_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/fx"
+
+	"quaybarrow/internal/gatewayd"
+	"quaybarrow/internal/settings"
+	"quaybarrow/internal/standin/memnet"
+	"quaybarrow/internal/standin/suite"
+	"quaybarrow/platform"
+	"quaybarrow/platform/standin"
+)
+
+// Addresses of the system under test.
+const (
+	storeAddress    = "10.9.0.1:80"
+	endpointAddress = "10.0.1.1:80"
+	callersAddress  = "10.0.0.1:80"
+	readyAddress    = "10.0.0.1:81"
+	controlAddress  = "10.0.0.1:82"
+)
+
+const declaration = `{"version":1,"routes":[{"name":"r","host":"a.example","path_prefix":"/x/","kind":"non_idempotent","timeout_ms":20000,
+"target_latency_ms":300,"service":"s","max_attempts":1,"public":true}],"services":[{"name":"s","max_conns":96}],"limits":{"idle_timeout_ms":15000}}`
+
+// system is a host with its store and an endpoint.
+type system struct {
+	net   *memnet.Network
+	store *standin.Store
+	app   *fx.App
+}
+
+func hostSettings() settings.Settings {
+	s := settings.Default()
+	s.Host, s.DataHall, s.Region = "front-1", "ikeja", "lagos"
+	s.Gateway = settings.Gateway{
+		Callers: callersAddress, Ready: readyAddress, Control: controlAddress, Store: storeAddress,
+		MemoryMB: 200, RetryRatio: 0.9, Grace: 8 * time.Second,
+	}
+	return s
+}
+
+// running runs a body beside a host, under the paused clock.
+func running(script standin.Script, body func(s *system)) {
+	suite.Paused(func() {
+		s := &system{net: memnet.New(), store: standin.NewStore()}
+		server := &http.Server{Handler: s.store}
+		storeListener, endpointListener := s.net.Listen(storeAddress), s.net.Listen(endpointAddress)
+		go func() { _ = server.Serve(storeListener) }()
+		go standin.NewEndpoint("e-1", standin.Always(script)).Serve(endpointListener)
+		s.app = fx.New(gatewayd.Module(hostSettings(), gatewayd.Ports{
+			Store: platform.NewStore(storeAddress, s.net.Dial), LogTo: io.Discard, Dial: s.net.Dial,
+			Listen: func(_ context.Context, address string) (net.Listener, error) { return s.net.Listen(address), nil },
+		}))
+		Expect(s.app.Start(context.Background())).To(Succeed())
+		body(s)
+		Expect(s.app.Stop(context.Background())).To(Succeed())
+		_ = server.Close()
+		_ = endpointListener.Close()
+		time.Sleep(5 * time.Minute)
+	})
+}
+
+func (s *system) declare() {
+	s.store.Put("op", "config", []byte(declaration))
+}
+
+func (s *system) list() {
+	s.store.Put("servers", "e-1", []byte(`{"service":"s","address":"`+endpointAddress+`","zone":"ikeja","version":"v1","slots":8,"state":"ready"}`))
+}
+
+// get asks an address; 0 if it does not answer.
+func (s *system) get(address, path string) (int, string) {
+	client := &http.Client{Transport: s.net.Transport()}
+	defer client.CloseIdleConnections()
+	r, err := client.Get("http://" + address + path)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = r.Body.Close() }()
+	body, _ := io.ReadAll(r.Body)
+	return r.StatusCode, string(body)
+}
+
+const request = "POST /x/1 HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: id-1\r\nDeadline-Ms: 15000\r\nContent-Length: 1\r\n\r\nx"
+
+// connect opens a caller's connection.
+func (s *system) connect() (net.Conn, *bufio.Reader) {
+	c, err := s.net.Dial(context.Background(), "tcp", callersAddress)
+	Expect(err).NotTo(HaveOccurred())
+	return c, bufio.NewReader(c)
+}
+
+var good = standin.Reply{Status: 200, Body: "done"}
+
+var _ = Describe("a host", func() {
+	It("is ready once it knows a configuration and endpoints", func() {
+		running(good, func(s *system) {
+			status, reason := s.get(readyAddress, "/-/readiness")
+			Expect(status).To(Equal(503))
+			Expect(reason).To(ContainSubstring("no configuration"))
+			s.declare()
+			time.Sleep(10 * time.Millisecond)
+			status, reason = s.get(readyAddress, "/-/readiness")
+			Expect(status).To(Equal(503))
+			Expect(reason).To(ContainSubstring("no endpoints"))
+			s.list()
+			time.Sleep(10 * time.Millisecond)
+			status, _ = s.get(readyAddress, "/-/readiness")
+			Expect(status).To(Equal(200))
+		})
+	})
+
+	It("serves, and shows its figures", func() {
+		running(good, func(s *system) {
+			s.declare()
+			s.list()
+			time.Sleep(10 * time.Millisecond)
+			c, reader := s.connect()
+			defer func() { _ = c.Close() }()
+			go func() { _, _ = io.WriteString(c, request) }()
+			r, err := http.ReadResponse(reader, nil)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(r.StatusCode).To(Equal(200))
+			_, _ = io.ReadAll(r.Body)
+			_, figures := s.get(controlAddress, "/metrics")
+			Expect(figures).To(ContainSubstring("quaybarrow_config_version 1"))
+			Expect(figures).To(ContainSubstring("routed_request"))
+		})
+	})
+
+	It("that stops takes no request on a kept connection in the last seconds of the grace", func() {
+		running(good, func(s *system) {
+			s.declare()
+			s.list()
+			time.Sleep(10 * time.Millisecond)
+			c, reader := s.connect()
+			defer func() { _ = c.Close() }()
+			stopping := make(chan error)
+			go func() { stopping <- s.app.Stop(context.Background()) }()
+			start := time.Now()
+			status, _ := s.get(readyAddress, "/-/readiness")
+			Expect(status).To(Equal(503))
+			_, err := reader.Peek(1)
+			Expect(err).To(HaveOccurred())
+			Expect(time.Since(start)).To(BeNumerically("<=", 8*time.Second))
+			Expect(<-stopping).To(Succeed())
+		})
+	})
+
+	It("that stops finishes what is in flight", func() {
+		slow := standin.Reply{Status: 200, Body: "late", Delay: 5 * time.Second}
+		running(slow, func(s *system) {
+			s.declare()
+			s.list()
+			time.Sleep(10 * time.Millisecond)
+			c, reader := s.connect()
+			defer func() { _ = c.Close() }()
+			go func() { _, _ = io.WriteString(c, request) }()
+			time.Sleep(100 * time.Millisecond)
+			stopping := make(chan error)
+			go func() { stopping <- s.app.Stop(context.Background()) }()
+			r, err := http.ReadResponse(reader, nil)
+			Expect(err).NotTo(HaveOccurred())
+			body, _ := io.ReadAll(r.Body)
+			Expect(string(body)).To(Equal("late"))
+			Expect(<-stopping).To(Succeed())
+		})
+	})
+})
+
+var _ = Describe("the settings' template", func() {
+	It("has a line for each setting of the gateway that has no default", func() {
+		text, err := os.ReadFile("../../deploy/settings.yaml.tmpl")
+		Expect(err).NotTo(HaveOccurred())
+		for _, field := range []string{"callers", "ready", "control", "store", "memory_mb", "retry_ratio", "grace"} {
+			Expect(strings.Contains(string(text), "\n  "+field+": ")).To(BeTrue(), field)
+		}
+	})
+})
--- a/internal/gatewayd/module.go
+++ b/internal/gatewayd/module.go
@@ -13,7 +13,9 @@
 package gatewayd
 
 import (
+	"context"
 	"io"
+	"net"
 	"os"
 	"runtime/debug"
 	"time"
@@ -47,7 +49,9 @@
 		store.Tables
 		store.Watcher
 	}
-	LogTo io.Writer
+	LogTo  io.Writer
+	Dial   platform.Dialer
+	Listen func(ctx context.Context, address string) (net.Listener, error)
 }
 
 // Module wires a host.
@@ -107,8 +111,12 @@
 	return fleet.New(fleet.Options{Hall: s.DataHall})
 }
 
-func newPool(t *telemetry.Telemetry) *conn.Pool {
-	return conn.NewPool(conn.Options{Opened: func(string) { t.Count("endpoint_connections", 1) }})
+func newPool(p Ports, t *telemetry.Telemetry) *conn.Pool {
+	options := conn.Options{Opened: func(string) { t.Count("endpoint_connections", 1) }}
+	if p.Dial != nil {
+		options.Dial = func(ctx context.Context, address string) (net.Conn, error) { return p.Dial(ctx, "tcp", address) }
+	}
+	return conn.NewPool(options)
 }
 
 func newTracker(s settings.Settings, tables store.Tables, watch store.Watcher, f *fleet.Fleet, l *log.Logger) *upgrade.Tracker {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -1,6 +1,9 @@
 package settings_test
 
 import (
+	"strings"
+	"time"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -46,6 +49,16 @@
 		})
 	}
 
+	It("of a gateway need no session keys, and name its bad fields", func() {
+		const gateway = "host: h\ndata_hall: d\nregion: r\ngateway: {callers: 10.0.0.1:1, ready: 10.0.0.1:2, control: 10.0.0.1:3, store: 10.9.0.1:4, memory_mb: 284, retry_ratio: 0.9, grace: 8s}\n"
+		s, err := settings.Parse("host.yaml", []byte(gateway))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.Gateway.Grace).To(Equal(8 * time.Second))
+		_, err = settings.Parse("host.yaml", []byte(strings.Replace(gateway, "store: 10.9.0.1:4, memory_mb: 284", "store: nowhere, memory_mb: 0", 1)))
+		Expect(err).To(MatchError(ContainSubstring("$.gateway.store")))
+		Expect(err).To(MatchError(ContainSubstring("$.gateway.memory_mb")))
+	})
+
 	It("name every bad field at once", func() {
 		_, err := settings.Parse("host.yaml", []byte("host: \"\"\nplatform: nowhere\n"))
 		for _, field := range []string{"$.host", "$.data_hall", "$.platform", "$.session_keys"} {
--- /dev/null
+++ b/internal/telemetry/lines_test.go
@@ -0,0 +1,75 @@
+package telemetry_test
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"quaybarrow/internal/telemetry"
+)
+
+// stuck is a writer that nobody reads from.
+type stuck struct{ release chan struct{} }
+
+func (s stuck) Write(p []byte) (int, error) {
+	<-s.release
+	return len(p), nil
+}
+
+func TestLinesNeverBlock(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := stuck{release: make(chan struct{})}
+		lines := telemetry.NewLines(out)
+		start := time.Now()
+		for range 100 {
+			for range 100 {
+				_, _ = fmt.Fprintln(lines, "line")
+			}
+			time.Sleep(time.Second)
+		}
+		if took := time.Since(start); took != 100*time.Second {
+			t.Fatalf("writing took %s", took)
+		}
+		if lines.Dropped() == 0 {
+			t.Fatal("nothing was dropped")
+		}
+		close(out.release)
+		lines.Close(time.Second)
+	})
+}
+
+// safe is a buffer for use at once.
+type safe struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (s *safe) Write(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.Write(p)
+}
+
+func TestLinesAreBoundedAndCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := &safe{}
+		lines := telemetry.NewLines(out)
+		for range 800 {
+			_, _ = fmt.Fprintln(lines, "line")
+		}
+		time.Sleep(time.Second)
+		_, _ = fmt.Fprintln(lines, "later")
+		lines.Close(time.Second)
+		text := out.b.String()
+		if n := strings.Count(text, "line\n"); n != 500 {
+			t.Fatalf("%d lines", n)
+		}
+		if !strings.Contains(text, `"total":300`) || !strings.Contains(text, "later") {
+			t.Fatalf("the drop is not told: %s", text[len(text)-200:])
+		}
+	})
+}
