A few hosts of each data hall read the store and pass it on

Ruled out: longer waits alone, since entries of 112 endpoints that come and go wake every feed.

A second cause found here: on 91 hosts a good version was rolled back, for only hosts that had seen bad answers published, and their few answers looked like all.

--- a/internal/gatewayd/host.go
+++ b/internal/gatewayd/host.go
@@ -11,6 +11,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/gorilla/mux"
 	"go.uber.org/fx"
+	"google.golang.org/grpc"
 
 	"quaybarrow/internal/clock"
 	"quaybarrow/internal/conn"
@@ -19,8 +20,10 @@
 	"quaybarrow/internal/gateway"
 	"quaybarrow/internal/route"
 	"quaybarrow/internal/settings"
+	"quaybarrow/internal/spread"
 	"quaybarrow/internal/store"
 	"quaybarrow/internal/telemetry"
+	"quaybarrow/internal/tlsfiles"
 	"quaybarrow/internal/upgrade"
 	"quaybarrow/platform"
 )
@@ -47,6 +50,8 @@
 	Logger    *log.Logger
 	Telemetry *telemetry.Telemetry
 	Watch     store.Watcher
+	Spread    *spread.Watcher
+	TLS       *tlsfiles.Files
 	Holder    *route.Holder
 	Fleet     *fleet.Fleet
 	Pool      *conn.Pool
@@ -60,6 +65,7 @@
 	callers *http.Server
 	probes  *http.Server
 	control *http.Server
+	peers   *grpc.Server
 	cancel  context.CancelFunc
 	working sync.WaitGroup
 }
@@ -67,6 +73,7 @@
 func newHost(p parts) *Host {
 	h := &Host{parts: &p, callers: p.Gateway.Server()}
 	h.probes = &http.Server{Handler: h.readiness(), ReadHeaderTimeout: headTimeout}
+	h.peers = p.Spread.Server(p.TLS.ServerCredentials())
 	h.control = &http.Server{Handler: h.figures(), ReadHeaderTimeout: headTimeout}
 	return h
 }
@@ -127,6 +134,15 @@
 		}
 		h.serve(server, listener)
 	}
+	peers, err := h.listen(ctx, h.Settings.Gateway.Peers)
+	if err != nil {
+		return fmt.Errorf("start: %w", err)
+	}
+	h.working.Go(func() {
+		if err := h.peers.Serve(peers); err != nil {
+			h.Logger.Error("server for other hosts ended", "error", err)
+		}
+	})
 	for _, work := range h.work() {
 		h.working.Go(func() { work(ctx) })
 	}
@@ -160,7 +176,7 @@
 	return []func(context.Context){
 		table(platform.TableOperator, &operators{holder: h.Holder, upgrades: h.Upgrades, logger: h.Logger}),
 		table(platform.TableEndpoints, &endpoints{fleet: h.Fleet, upgrades: h.Upgrades, logger: h.Logger}),
-		h.Upgrades.Run, h.sweep,
+		h.Spread.Run, h.Upgrades.Run, h.sweep,
 	}
 }
 
@@ -181,9 +197,12 @@
 	started := time.Now()
 	h.Gateway.Drain()
 	h.Logger.Info("draining", "in_flight", h.Gateway.InFlight())
-	clock.Sleep(ctx, leaveTime)
+	h.Spread.Stop(ctx)
+	clock.Sleep(ctx, leaveTime-time.Since(started))
 	h.finish(ctx, started.Add(h.Settings.Gateway.Grace-stopMargin))
 	h.cancel()
+	h.peers.Stop()
+	h.Spread.Close()
 	for _, server := range []*http.Server{h.callers, h.probes, h.control} {
 		_ = server.Close()
 	}
--- a/internal/gatewayd/module.go
+++ b/internal/gatewayd/module.go
@@ -29,8 +29,10 @@
 	"quaybarrow/internal/gateway"
 	"quaybarrow/internal/route"
 	"quaybarrow/internal/settings"
+	"quaybarrow/internal/spread"
 	"quaybarrow/internal/store"
 	"quaybarrow/internal/telemetry"
+	"quaybarrow/internal/tlsfiles"
 	"quaybarrow/internal/upgrade"
 	"quaybarrow/platform"
 )
@@ -45,22 +47,27 @@
 
 // Ports are the ways to the outside. What is nil is made from the settings.
 type Ports struct {
-	Store interface {
-		store.Tables
-		store.Watcher
-	}
+	Store  storeClient
 	LogTo  io.Writer
 	Dial   platform.Dialer
 	Listen func(ctx context.Context, address string) (net.Listener, error)
 }
 
+// dialPeer is the way to endpoints and other hosts; nil is the network's.
+func (p Ports) dialPeer() func(ctx context.Context, address string) (net.Conn, error) {
+	if p.Dial == nil {
+		return nil
+	}
+	return func(ctx context.Context, address string) (net.Conn, error) { return p.Dial(ctx, "tcp", address) }
+}
+
 // Module wires a host.
 func Module(s settings.Settings, ports Ports) fx.Option {
 	return fx.Options(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.Supply(s, ports),
 		fx.Provide(
-			newLines, newLogger, newTelemetry, newStore, route.NewHolder, newFleet, newPool, newTracker, newGateway, newHost,
+			newLines, newLogger, newTelemetry, newTLS, newStore, newWatcher, route.NewHolder, newFleet, newPool, newTracker, newGateway, newHost,
 		),
 		fx.Invoke(func(lc fx.Lifecycle, h *Host) {
 			lc.Append(fx.Hook{OnStart: h.Start, OnStop: h.Stop})
@@ -92,19 +99,28 @@
 
 func newTelemetry() *telemetry.Telemetry { return telemetry.MetricsOnly() }
 
-// stores are the ports to the platform's store.
-type stores struct {
-	fx.Out
-	Tables store.Tables
-	Watch  store.Watcher
+func newTLS(s settings.Settings) (*tlsfiles.Files, error) { return tlsfiles.Open(s.TLS) }
+
+// storeClient is the platform's store as this host reaches it.
+type storeClient interface {
+	store.Tables
+	store.Watcher
 }
 
-func newStore(s settings.Settings, p Ports) stores {
+func newStore(s settings.Settings, p Ports) (storeClient, store.Tables) {
 	if p.Store != nil {
-		return stores{Tables: p.Store, Watch: p.Store}
+		return p.Store, p.Store
 	}
 	client := platform.NewStore(s.Gateway.Store, nil)
-	return stores{Tables: client, Watch: client}
+	return client, client
+}
+
+func newWatcher(s settings.Settings, p Ports, c storeClient, files *tlsfiles.Files, l *log.Logger) (*spread.Watcher, store.Watcher) {
+	w := spread.NewWatcher(spread.Options{
+		Host: s.Host, Hall: s.DataHall, Address: s.Gateway.Peers, Tables: c, Store: c, Logger: l,
+		Credentials: files.ClientCredentials(), Dial: p.dialPeer(),
+	})
+	return w, w
 }
 
 func newFleet(s settings.Settings) *fleet.Fleet {
@@ -112,16 +128,14 @@
 }
 
 func newPool(p Ports, t *telemetry.Telemetry) *conn.Pool {
-	options := conn.Options{Opened: func(string) { t.Count("endpoint_connections", 1) }}
-	if p.Dial != nil {
-		options.Dial = func(ctx context.Context, address string) (net.Conn, error) { return p.Dial(ctx, "tcp", address) }
-	}
-	return conn.NewPool(options)
+	return conn.NewPool(conn.Options{
+		Opened: func(string) { t.Count("endpoint_connections", 1) }, Dial: p.dialPeer(),
+	})
 }
 
-func newTracker(s settings.Settings, tables store.Tables, watch store.Watcher, f *fleet.Fleet, l *log.Logger) *upgrade.Tracker {
+func newTracker(s settings.Settings, tables store.Tables, w *spread.Watcher, f *fleet.Fleet, l *log.Logger) *upgrade.Tracker {
 	return upgrade.NewTracker(upgrade.Options{
-		Host: s.Host, Tables: tables, Watch: watch, Fleet: f, Logger: l, Status: platform.StatusWrite,
+		Host: s.Host, Tables: tables, Watch: w, Fleet: f, Logger: l, Status: platform.StatusWrite, Hosts: w.Hosts,
 	})
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -151,6 +151,9 @@
 	Ready string `yaml:"ready"`
 	// Control is the address, ip:port, for metrics and operators' tools.
 	Control string `yaml:"control"`
+	// Peers is the address, ip:port, for the other hosts of the data hall, which
+	// pass on what they read from the store.
+	Peers string `yaml:"peers"`
 	// Store is the address, ip:port, of the platform's table store.
 	Store string `yaml:"store"`
 	// MemoryMB is the memory that the host may use, in MB.
@@ -252,7 +255,7 @@
 	var problems []problem
 	for _, a := range []struct{ field, value string }{
 		{"$.gateway.callers", g.Callers}, {"$.gateway.ready", g.Ready},
-		{"$.gateway.control", g.Control}, {"$.gateway.store", g.Store},
+		{"$.gateway.control", g.Control}, {"$.gateway.peers", g.Peers}, {"$.gateway.store", g.Store},
 	} {
 		if !isAddress(a.value) {
 			problems = append(problems, problem{a.field, fmt.Sprintf("%q is not an address: write ip:port, such as 10.0.0.7:7100", a.value)})
--- /dev/null
+++ b/internal/spread/peers.go
@@ -0,0 +1,168 @@
+package spread
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"quaybarrow/internal/codec"
+	"quaybarrow/internal/store"
+)
+
+// Table is where hosts list themselves, by name.
+const Table = "hosts"
+
+// Pauses before a host that failed is asked again; they double each time, since
+// a host that is gone for good stays listed.
+const (
+	pauseFirst = 3 * time.Second
+	pauseMost  = 60 * time.Second
+)
+
+// entry is a host's row.
+type entry struct {
+	Address string `json:"address"`
+	Hall    string `json:"hall"`
+}
+
+// peer is another host of the data hall, or this one.
+type peer struct {
+	name    string
+	address string
+	rank    uint64
+}
+
+// standing is how a peer has lately done.
+type standing struct {
+	until time.Time // not asked before
+	pause time.Duration
+}
+
+// peers are the hosts of a data hall in the order in which they are asked; safe
+// for use at once.
+type peers struct {
+	self, hall string
+
+	mu     sync.Mutex // guards all below
+	ranked []peer
+	all    int // hosts of all data halls
+	stands map[string]standing
+}
+
+func newPeers(self, hall string) *peers {
+	return &peers{self: self, hall: hall, stands: map[string]standing{}}
+}
+
+// set replaces the list.
+func (p *peers) set(entries map[string]entry) {
+	var ranked []peer
+	for name, e := range entries {
+		if e.Hall == p.hall {
+			ranked = append(ranked, peer{name: name, address: e.Address, rank: xxhash.Sum64String(p.hall + "/" + name)})
+		}
+	}
+	slices.SortFunc(ranked, func(a, b peer) int {
+		if a.rank < b.rank {
+			return -1
+		}
+		return 1
+	})
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ranked, p.all = ranked, len(entries)
+}
+
+// candidates returns the hosts to ask, best first, at most limit; none if this
+// host comes first.
+func (p *peers) candidates(limit int) []peer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	var found []peer
+	for _, q := range p.ranked {
+		if q.name == p.self || len(found) == limit {
+			break
+		}
+		if now.Before(p.stands[q.name].until) {
+			continue
+		}
+		found = append(found, q)
+	}
+	return found
+}
+
+func (p *peers) answered(q peer) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.stands, q.name)
+}
+
+// failed notes that a host did not answer, or does not reach the store.
+func (p *peers) failed(q peer, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.stands[q.name]
+	s.pause = min(max(2*s.pause, pauseFirst), pauseMost)
+	if storeLost(err) {
+		// The host is well; it is the store that comes and goes.
+		s.pause = 0
+		s.until = time.Now().Add(lostPause)
+	} else {
+		s.until = time.Now().Add(s.pause)
+	}
+	p.stands[q.name] = s
+}
+
+// lostPause is how long a host that does not reach the store is not asked.
+const lostPause = 500 * time.Millisecond
+
+// Hosts counts the listed hosts of all data halls, at least this one.
+func (w *Watcher) Hosts() int {
+	w.peers.mu.Lock()
+	defer w.peers.mu.Unlock()
+	return max(w.peers.all, 1)
+}
+
+// enlist writes this host's row.
+func (w *Watcher) enlist(ctx context.Context) error {
+	data, err := codec.Encode(entry{Address: w.options.Address, Hall: w.options.Hall})
+	if err != nil {
+		return fmt.Errorf("list host: %w", err)
+	}
+	if err := w.options.Tables.Commit(ctx, store.Transaction{Writes: []store.Write{store.Put(Table, w.options.Host, data)}}); err != nil {
+		return fmt.Errorf("list host: %w", err)
+	}
+	return nil
+}
+
+// delist removes this host's row.
+func (w *Watcher) delist(ctx context.Context) error {
+	if err := w.options.Tables.Commit(ctx, store.Transaction{Writes: []store.Write{store.Delete(Table, w.options.Host)}}); err != nil {
+		return fmt.Errorf("take host off the list: %w", err)
+	}
+	return nil
+}
+
+// readPeers reads the list of hosts.
+func (w *Watcher) readPeers(ctx context.Context) error {
+	state, err := w.options.Store.State(ctx, Table)
+	if err != nil {
+		return fmt.Errorf("read hosts: %w", err)
+	}
+	entries := map[string]entry{}
+	for _, row := range state.Rows {
+		e, err := codec.Decode[entry](row.Value)
+		if err != nil {
+			w.options.Logger.Error("entry of a host can't be read", "row", row.Key, "error", err)
+			continue
+		}
+		entries[row.Key] = e
+	}
+	w.peers.set(entries)
+	w.options.Logger.Info("hosts read", "count", len(entries))
+	return nil
+}
--- /dev/null
+++ b/internal/spread/server.go
@@ -0,0 +1,88 @@
+package spread
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/status"
+
+	"quaybarrow/internal/spread/spreadpb"
+	"quaybarrow/internal/store"
+)
+
+// Server returns a gRPC server that passes on what this host reads.
+func (w *Watcher) Server(c credentials.TransportCredentials) *grpc.Server {
+	s := grpc.NewServer(grpc.Creds(c), grpc.WriteBufferSize(writeBuffer), grpc.ReadBufferSize(readBuffer))
+	spreadpb.RegisterSpreadServer(s, &server{watcher: w})
+	return s
+}
+
+// server answers other hosts from this host's mirrors.
+type server struct {
+	spreadpb.UnimplementedSpreadServer
+	watcher *Watcher
+}
+
+// State implements spreadpb.SpreadServer.
+func (s *server) State(ctx context.Context, r *spreadpb.StateRequest) (*spreadpb.StateReply, error) {
+	if s.watcher.isStopping() {
+		return nil, status.Error(codes.Unavailable, "stopping")
+	}
+	state, err := s.watcher.mirror(r.GetTable()).State(ctx)
+	if err != nil {
+		return nil, statusOf(err)
+	}
+	reply := &spreadpb.StateReply{Version: state.Version, NowMicros: s.now()}
+	for _, row := range state.Rows {
+		reply.Rows = append(reply.Rows, rowToWire(row, false))
+	}
+	return reply, nil
+}
+
+// Changes implements spreadpb.SpreadServer.
+func (s *server) Changes(ctx context.Context, r *spreadpb.ChangesRequest) (*spreadpb.ChangesReply, error) {
+	if s.watcher.isStopping() {
+		return nil, status.Error(codes.Unavailable, "stopping")
+	}
+	wait := min(time.Duration(r.GetWaitMicros())*time.Microsecond, peerWait)
+	changes, version, err := s.watcher.mirror(r.GetTable()).Changes(ctx, r.GetAfter(), wait)
+	if err != nil {
+		return nil, statusOf(err)
+	}
+	reply := &spreadpb.ChangesReply{Version: version, NowMicros: s.now()}
+	for _, c := range changes {
+		reply.Rows = append(reply.Rows, rowToWire(c.Row, c.Deleted))
+	}
+	return reply, nil
+}
+
+// now is the store's clock; 0 if it is not known.
+func (s *server) now() int64 {
+	now, ok := s.watcher.options.Store.Now()
+	if !ok {
+		return 0
+	}
+	return now.Microseconds()
+}
+
+func (w *Watcher) isStopping() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.stopping
+}
+
+// statusOf makes a gRPC error of a store's.
+func statusOf(err error) error {
+	switch {
+	case errors.Is(err, store.ErrCompacted):
+		return status.Error(codes.OutOfRange, err.Error())
+	case errors.Is(err, store.ErrUnavailable):
+		return status.Error(codes.FailedPrecondition, err.Error())
+	default:
+		return status.Error(codes.Unavailable, err.Error())
+	}
+}
--- /dev/null
+++ b/internal/spread/spread.go
@@ -0,0 +1,287 @@
+// Package spread lets a few hosts of each data hall read the platform's store and
+// pass on what they read to the others, since every call to the store is priced.
+//
+// # Usage
+//
+//	w := spread.NewWatcher(spread.Options{Host: "front-1", Hall: "ikeja", Address: "10.0.0.1:7340", ...})
+//	go w.Run(ctx)
+//	state, err := w.State(ctx, "endpoints") // as from the store
+//
+// A Watcher is a store.Watcher: who follows a table does not know where changes
+// come from. Hosts are ranked in each data hall by a hash of their names; the
+// first of those that answer is asked, and asking it makes it read the store. A
+// host that gets no answer in time asks the next, and reads the store itself when
+// two have failed. Nobody is elected and nothing is agreed: two readers cost calls,
+// none costs a moment's delay. Hosts list themselves in a table of the store.
+package spread
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/pkg/errors"
+	"google.golang.org/grpc/credentials"
+
+	"quaybarrow/internal/clock"
+	"quaybarrow/internal/store"
+)
+
+// Times of a watcher.
+const (
+	// peerWait is one wait for changes at another host; one that went silent is
+	// noticed after it and the margin.
+	peerWait   = time.Second
+	peerMargin = 400 * time.Millisecond
+	// peersTried before the store is read directly.
+	peersTried = 2
+	// directEvery bounds direct reads while other hosts say that they do not
+	// reach the store: most likely nobody does.
+	directEvery = 1200 * time.Millisecond
+	// listAfter a start the other hosts have listed themselves too.
+	listAfter = 1500 * time.Millisecond
+	listEvery = 30 * time.Second
+	listRetry = 2 * time.Second
+	// listPatience is how long the first read of a table waits for that list.
+	listPatience = 250 * time.Millisecond
+	// leaveTimeout bounds the removal of the own entry.
+	leaveTimeout = 500 * time.Millisecond
+)
+
+// Options set up a Watcher.
+type Options struct {
+	Host    string
+	Hall    string
+	Address string // ip:port for the other hosts
+	Tables  store.Tables
+	Store   store.Watcher
+	Logger  *log.Logger
+	// Credentials secure the connections to other hosts.
+	Credentials credentials.TransportCredentials
+	// Dial replaces the network in tests.
+	Dial Dialer
+}
+
+// Watcher reads tables from another host, or from the store; safe for use at
+// once.
+type Watcher struct {
+	options Options
+	peers   *peers
+	link    *link
+	ctx     context.Context // of the mirrors
+	cancel  context.CancelFunc
+	working sync.WaitGroup
+	listed  chan struct{} // closed once the other hosts are known
+
+	mu       sync.Mutex // guards all below
+	mirrors  map[string]*mirror
+	read     map[string]struct{}  // tables that were asked for
+	direct   map[string]time.Time // by table, the last direct read after peers failed
+	stopping bool
+	clock    reading
+}
+
+// reading is the store's clock as of a moment, as another host told it.
+type reading struct {
+	shown time.Duration
+	at    time.Time
+}
+
+// NewWatcher returns a watcher that knows no other host yet.
+func NewWatcher(options Options) *Watcher {
+	w := &Watcher{
+		options: options, peers: newPeers(options.Host, options.Hall), link: newLink(options.Credentials, options.Dial),
+		listed: make(chan struct{}), mirrors: map[string]*mirror{}, read: map[string]struct{}{}, direct: map[string]time.Time{},
+	}
+	w.ctx, w.cancel = context.WithCancel(context.Background())
+	return w
+}
+
+// Run lists this host and keeps the list of others up to date, until the context
+// ends.
+func (w *Watcher) Run(ctx context.Context) {
+	w.update(ctx, w.enlist, "host can't list itself")
+	w.update(ctx, w.readPeers, "list of hosts can't be read")
+	close(w.listed)
+	clock.Sleep(ctx, clock.Around(listAfter))
+	for ctx.Err() == nil {
+		w.update(ctx, w.readPeers, "list of hosts can't be read")
+		clock.Sleep(ctx, clock.Around(listEvery))
+	}
+}
+
+// update does a step until it succeeds or the context ends.
+func (w *Watcher) update(ctx context.Context, step func(context.Context) error, problem string) {
+	for ctx.Err() == nil {
+		err := step(ctx)
+		if err == nil {
+			return
+		}
+		w.options.Logger.Warn(problem, "error", err)
+		clock.Sleep(ctx, clock.Around(listRetry))
+	}
+}
+
+// awaitList waits until the other hosts are known, for a short while: a table
+// that is asked for before is read from the store by every host.
+func (w *Watcher) awaitList(ctx context.Context) {
+	timer := time.NewTimer(listPatience)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-w.listed:
+	case <-timer.C:
+	}
+}
+
+// Stop sends other hosts elsewhere, takes this one off the list and ends the
+// mirrors.
+func (w *Watcher) Stop(ctx context.Context) {
+	w.mu.Lock()
+	w.stopping = true
+	w.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	if err := w.delist(ctx); err != nil {
+		w.options.Logger.Warn("host can't take itself off the list", "error", err)
+	}
+}
+
+// Close ends the mirrors and the connections to other hosts.
+func (w *Watcher) Close() {
+	w.cancel()
+	w.working.Wait()
+	w.link.close()
+}
+
+// mirror returns the host's own copy of a table, kept up for a while.
+func (w *Watcher) mirror(table string) *mirror {
+	w.mu.Lock()
+	m, ok := w.mirrors[table]
+	if !ok {
+		m = newMirror(table, w.options.Store, w.options.Logger)
+		w.mirrors[table] = m
+	}
+	w.mu.Unlock()
+	m.want(w.ctx, &w.working)
+	return m
+}
+
+// Now implements store.Watcher.
+func (w *Watcher) Now() (time.Duration, bool) {
+	w.mu.Lock()
+	told := w.clock
+	w.mu.Unlock()
+	if now, ok := w.options.Store.Now(); ok {
+		return now, true
+	}
+	if told.at.IsZero() {
+		return 0, false
+	}
+	return told.shown + time.Since(told.at), true
+}
+
+// hear notes what another host says of the store's clock.
+func (w *Watcher) hear(shown time.Duration) {
+	if shown <= 0 {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.clock = reading{shown: shown, at: time.Now()}
+}
+
+// State implements store.Watcher. A host that has just started serves nobody
+// before it has read its tables, so these first reads go to the store itself, and
+// to other hosts only if that is away.
+func (w *Watcher) State(ctx context.Context, table string) (store.State, error) {
+	if w.firstRead(table) {
+		state, err := w.options.Store.State(ctx, table)
+		if err == nil {
+			return state, nil
+		}
+		w.options.Logger.Warn("store not reached; asking other hosts", "table", table, "error", err)
+	}
+	w.awaitList(ctx)
+	state, asked, err := throughPeers(w, func(p peer) (store.State, error) {
+		limited, cancel := context.WithTimeout(ctx, peerWait+peerMargin)
+		defer cancel()
+		return w.link.state(limited, p, table, w.hear)
+	})
+	if asked {
+		return state, err
+	}
+	if !w.mayReadDirectly(table, err) {
+		return store.State{}, err
+	}
+	return w.mirror(table).State(ctx)
+}
+
+// firstRead reports whether a table was not asked for before.
+func (w *Watcher) firstRead(table string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	_, before := w.read[table]
+	w.read[table] = struct{}{}
+	return !before
+}
+
+// result is what an answer about changes holds.
+type result struct {
+	changes []store.Change
+	version int64
+}
+
+// Changes implements store.Watcher. A wait that another host cuts short returns
+// no changes.
+func (w *Watcher) Changes(ctx context.Context, table string, after int64, wait time.Duration) ([]store.Change, int64, error) {
+	w.awaitList(ctx)
+	r, asked, err := throughPeers(w, func(p peer) (result, error) {
+		wait := min(wait, peerWait)
+		limited, cancel := context.WithTimeout(ctx, wait+peerMargin)
+		defer cancel()
+		return w.link.changes(limited, p, table, after, wait, w.hear)
+	})
+	if asked {
+		return r.changes, r.version, err
+	}
+	if !w.mayReadDirectly(table, err) {
+		return nil, 0, err
+	}
+	return w.mirror(table).Changes(ctx, after, wait)
+}
+
+// throughPeers asks the hosts that come before this one in its data hall; asked
+// is false if there are none, or those that were tried have failed with the
+// error.
+func throughPeers[T any](w *Watcher, ask func(peer) (T, error)) (answer T, asked bool, err error) {
+	for _, p := range w.peers.candidates(peersTried) {
+		answer, err = ask(p)
+		if err == nil {
+			w.peers.answered(p)
+			return answer, true, nil
+		}
+		if errors.Is(err, store.ErrCompacted) {
+			return answer, true, err
+		}
+		w.peers.failed(p, err)
+		w.options.Logger.Info("host does not pass on the store", "peer", p.name, "address", p.address, "error", err)
+	}
+	return answer, false, err
+}
+
+// mayReadDirectly reports whether a table may be read from the store now. While
+// other hosts say that they do not reach it, that is now and then.
+func (w *Watcher) mayReadDirectly(table string, err error) bool {
+	if !errors.Is(err, store.ErrUnavailable) {
+		return true
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if time.Since(w.direct[table]) < clock.Around(directEvery) {
+		return false
+	}
+	w.direct[table] = time.Now()
+	return true
+}
--- a/internal/upgrade/pace.go
+++ b/internal/upgrade/pace.go
@@ -6,7 +6,7 @@
 const (
 	paceDecay  = 0.95 // weight of the past in the mean
 	paceLeast  = 12   // answers before the mean says anything
-	paceFactor = 3.0  // times the mean that is slow; bad versions take several times as long
+	paceFactor = 4.0  // times the mean that is slow; bad versions take several times as long, and of good ones' answers one in fifty takes three times
 )
 
 // pace is the mean time of a route's answers on a model.
--- a/internal/upgrade/tracker.go
+++ b/internal/upgrade/tracker.go
@@ -22,6 +22,8 @@
 	Watch  store.Watcher
 	Fleet  *fleet.Fleet
 	Logger *log.Logger
+	// Hosts counts the hosts that serve.
+	Hosts func() int
 	// Status encodes an upgrade's outcome for operators.
 	Status func(service, target string, o Outcome) (store.Write, error)
 }
@@ -216,11 +218,12 @@
 	if s.condemned != "" {
 		return
 	}
-	all := []Evidence{s.own}
+	var others []Evidence
 	for _, e := range s.others {
-		all = append(all, e)
+		others = append(others, e)
 	}
-	route, bad := Judge(all)
+	silent := max(t.options.Hosts()-len(others)-1, 0)
+	route, bad := Judge(s.own, others, silent)
 	if !bad {
 		return
 	}
@@ -229,7 +232,7 @@
 		s.condemned = "bad answers on route " + route
 	}
 	t.options.Logger.Warn("version found bad; it gets nothing more from this host", "service", s.order.Service,
-		"target", s.order.Target, "reason", s.condemned, "bad", s.own.badTarget(), "endpoints", len(s.own.Endpoints), "hosts", len(all))
+		"target", s.order.Target, "reason", s.condemned, "bad", s.own.badTarget(), "endpoints", len(s.own.Endpoints), "hosts", len(others)+1, "silent", silent)
 	t.poke()
 }
 
--- a/internal/upgrade/upgrade.go
+++ b/internal/upgrade/upgrade.go
@@ -128,10 +128,20 @@
 )
 
 // Judge reports whether the evidence of all hosts shows a bad version, and on
-// which route; "" is all routes together.
-func Judge(all []Evidence) (route string, bad bool) {
+// which route; "" is all routes together. Hosts that have seen nothing bad
+// publish nothing: for each of these silent ones, good answers are counted as
+// this host has them, or a few hosts' bad luck would look like everyone's.
+func Judge(own Evidence, others []Evidence, silent int) (route string, bad bool) {
 	sums, total, endpoints := map[string]Pair{}, Pair{}, map[string]bool{}
-	for _, e := range all {
+	for name, p := range own.Routes {
+		unseen := Pair{
+			Target: Count{Good: silent * (p.Target.Good + p.Target.Bad)},
+			Other:  Count{Good: silent * p.Other.Good, Bad: silent * p.Other.Bad},
+		}
+		sums[name] = unseen
+		total = total.plus(unseen)
+	}
+	for _, e := range append([]Evidence{own}, others...) {
 		for name, p := range e.Routes {
 			sums[name] = sums[name].plus(p)
 			total = total.plus(p)
