Tests of hosts that pass on the store; a host that starts in an outage asks others

Found by the tests: connections to other hosts were made after the host had closed them, and mirrors were started while their end was awaited. Both are mended. A host that starts while the store is away now reads what the seeds were told last; before it answered 503 until the store was back.

--- a/internal/gatewayd/module.go
+++ b/internal/gatewayd/module.go
@@ -117,7 +117,7 @@
 
 func newWatcher(s settings.Settings, p Ports, c storeClient, files *tlsfiles.Files, l *log.Logger) (*spread.Watcher, store.Watcher) {
 	w := spread.NewWatcher(spread.Options{
-		Host: s.Host, Hall: s.DataHall, Address: s.Gateway.Peers, Tables: c, Store: c, Logger: l,
+		Host: s.Host, Hall: s.DataHall, Address: s.Gateway.Peers, Seeds: s.Gateway.SeedPeers(), Tables: c, Store: c, Logger: l,
 		Credentials: files.ClientCredentials(), Dial: p.dialPeer(),
 	})
 	return w, w
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -154,6 +154,9 @@
 	// Peers is the address, ip:port, for the other hosts of the data hall, which
 	// pass on what they read from the store.
 	Peers string `yaml:"peers"`
+	// Seeds are addresses, ip:port, of hosts that may be asked while the store is
+	// away; only the IP numbers count, since all hosts' ports are the same.
+	Seeds []string `yaml:"seeds"`
 	// Store is the address, ip:port, of the platform's table store.
 	Store string `yaml:"store"`
 	// MemoryMB is the memory that the host may use, in MB.
@@ -165,6 +168,17 @@
 	Grace time.Duration `yaml:"grace"`
 }
 
+// SeedPeers are the addresses at which the seeds serve other hosts.
+func (g Gateway) SeedPeers() []string {
+	_, port, _ := net.SplitHostPort(g.Peers)
+	var peers []string
+	for _, seed := range g.Seeds {
+		host, _, _ := net.SplitHostPort(seed)
+		peers = append(peers, net.JoinHostPort(host, port))
+	}
+	return peers
+}
+
 // Enabled reports whether the host serves routed requests.
 func (g Gateway) Enabled() bool { return g.Callers != "" }
 
@@ -261,6 +275,11 @@
 			problems = append(problems, problem{a.field, fmt.Sprintf("%q is not an address: write ip:port, such as 10.0.0.7:7100", a.value)})
 		}
 	}
+	for i, seed := range g.Seeds {
+		if !isAddress(seed) {
+			problems = append(problems, problem{fmt.Sprintf("$.gateway.seeds[%d]", i), fmt.Sprintf("%q is not an address: write ip:port", seed)})
+		}
+	}
 	for _, n := range []struct {
 		field string
 		value float64
--- a/internal/spread/link.go
+++ b/internal/spread/link.go
@@ -35,6 +35,9 @@
 // errStoreLost means that the host that was asked does not reach the store.
 var errStoreLost = errors.New("the host does not reach the store")
 
+// errClosed means that this host has stopped.
+var errClosed = errors.New("the host has stopped")
+
 func storeLost(err error) bool { return errors.Is(err, errStoreLost) }
 
 // link holds the connections to other hosts; safe for use at once.
@@ -42,8 +45,9 @@
 	credentials credentials.TransportCredentials
 	dial        Dialer
 
-	mu    sync.Mutex // guards conns
-	conns map[string]*grpc.ClientConn
+	mu     sync.Mutex // guards all below
+	conns  map[string]*grpc.ClientConn
+	closed bool
 }
 
 func newLink(c credentials.TransportCredentials, dial Dialer) *link {
@@ -54,6 +58,7 @@
 func (l *link) close() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.closed = true
 	for address, c := range l.conns {
 		_ = c.Close()
 		delete(l.conns, address)
@@ -64,6 +69,9 @@
 func (l *link) client(address string) (spreadpb.SpreadClient, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.closed {
+		return nil, errClosed
+	}
 	if c, ok := l.conns[address]; ok {
 		return spreadpb.NewSpreadClient(c), nil
 	}
--- a/internal/spread/mirror.go
+++ b/internal/spread/mirror.go
@@ -55,18 +55,18 @@
 	return &mirror{table: table, watch: watch, logger: logger, rows: map[string]store.Row{}, changed: make(chan struct{})}
 }
 
-// want keeps the mirror up for a while longer.
-func (m *mirror) want(ctx context.Context, work *sync.WaitGroup) {
+// want keeps the mirror up for a while longer; it reports whether run has to be
+// started.
+func (m *mirror) want() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.wanted = time.Now()
-	if m.running || ctx.Err() != nil {
-		return
+	if m.running {
+		return false
 	}
-	// What was known when it was last kept up may be old.
-	m.running, m.lost = true, false
-	m.loaded = false
-	work.Go(func() { m.run(ctx) })
+	// What was known when the mirror was last kept up may be old.
+	m.running, m.lost, m.loaded = true, false, false
+	return true
 }
 
 // run reads the table and its changes until nobody wants them.
--- a/internal/spread/peers.go
+++ b/internal/spread/peers.go
@@ -48,13 +48,19 @@
 	self, hall string
 
 	mu     sync.Mutex // guards all below
-	ranked []peer
-	all    int // hosts of all data halls
+	ranked []peer     // the seeds until the list was read
+	all    int        // hosts of all data halls
 	stands map[string]standing
 }
 
-func newPeers(self, hall string) *peers {
-	return &peers{self: self, hall: hall, stands: map[string]standing{}}
+func newPeers(o Options) *peers {
+	p := &peers{self: o.Host, hall: o.Hall, stands: map[string]standing{}}
+	for _, address := range o.Seeds {
+		if address != o.Address {
+			p.ranked = append(p.ranked, peer{name: address, address: address})
+		}
+	}
+	return p
 }
 
 // set replaces the list.
--- a/internal/spread/server.go
+++ b/internal/spread/server.go
@@ -34,7 +34,12 @@
 	}
 	state, err := s.watcher.mirror(r.GetTable()).State(ctx)
 	if err != nil {
-		return nil, statusOf(err)
+		last, ok := s.watcher.remember(r.GetTable()).state()
+		if !ok {
+			return nil, statusOf(err)
+		}
+		s.watcher.options.Logger.Info("passing on what was known before the store was lost", "table", r.GetTable(), "version", last.Version)
+		state = last
 	}
 	reply := &spreadpb.StateReply{Version: state.Version, NowMicros: s.now()}
 	for _, row := range state.Rows {
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -54,9 +54,12 @@
 	Host    string
 	Hall    string
 	Address string // ip:port for the other hosts
-	Tables  store.Tables
-	Store   store.Watcher
-	Logger  *log.Logger
+	// Seeds are addresses of hosts that may be asked before the list of hosts
+	// could be read; some may be stale.
+	Seeds  []string
+	Tables store.Tables
+	Store  store.Watcher
+	Logger *log.Logger
 	// Credentials secure the connections to other hosts.
 	Credentials credentials.TransportCredentials
 	// Dial replaces the network in tests.
@@ -76,9 +79,10 @@
 
 	mu       sync.Mutex // guards all below
 	mirrors  map[string]*mirror
-	read     map[string]struct{}  // tables that were asked for
+	known    map[string]*known    // by table, what this host was told last
 	direct   map[string]time.Time // by table, the last direct read after peers failed
-	stopping bool
+	stopping bool                 // other hosts are sent elsewhere
+	closed   bool                 // no mirror starts any more
 	clock    reading
 }
 
@@ -91,8 +95,8 @@
 // NewWatcher returns a watcher that knows no other host yet.
 func NewWatcher(options Options) *Watcher {
 	w := &Watcher{
-		options: options, peers: newPeers(options.Host, options.Hall), link: newLink(options.Credentials, options.Dial),
-		listed: make(chan struct{}), mirrors: map[string]*mirror{}, read: map[string]struct{}{}, direct: map[string]time.Time{},
+		options: options, peers: newPeers(options), link: newLink(options.Credentials, options.Dial),
+		listed: make(chan struct{}), mirrors: map[string]*mirror{}, known: map[string]*known{}, direct: map[string]time.Time{},
 	}
 	w.ctx, w.cancel = context.WithCancel(context.Background())
 	return w
@@ -150,6 +154,9 @@
 
 // Close ends the mirrors and the connections to other hosts.
 func (w *Watcher) Close() {
+	w.mu.Lock()
+	w.closed = true
+	w.mu.Unlock()
 	w.cancel()
 	w.working.Wait()
 	w.link.close()
@@ -163,8 +170,10 @@
 		m = newMirror(table, w.options.Store, w.options.Logger)
 		w.mirrors[table] = m
 	}
-	w.mu.Unlock()
-	m.want(w.ctx, &w.working)
+	defer w.mu.Unlock()
+	if m.want() && !w.closed {
+		w.working.Go(func() { m.run(w.ctx) })
+	}
 	return m
 }
 
@@ -196,7 +205,15 @@
 // before it has read its tables, so these first reads go to the store itself, and
 // to other hosts only if that is away.
 func (w *Watcher) State(ctx context.Context, table string) (store.State, error) {
-	if w.firstRead(table) {
+	state, err := w.state(ctx, table)
+	if err == nil {
+		w.remember(table).load(state)
+	}
+	return state, err
+}
+
+func (w *Watcher) state(ctx context.Context, table string) (store.State, error) {
+	if !w.remember(table).isLoaded() {
 		state, err := w.options.Store.State(ctx, table)
 		if err == nil {
 			return state, nil
@@ -218,13 +235,16 @@
 	return w.mirror(table).State(ctx)
 }
 
-// firstRead reports whether a table was not asked for before.
-func (w *Watcher) firstRead(table string) bool {
+// remember returns what this host was told last of a table.
+func (w *Watcher) remember(table string) *known {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	_, before := w.read[table]
-	w.read[table] = struct{}{}
-	return !before
+	k, ok := w.known[table]
+	if !ok {
+		k = &known{}
+		w.known[table] = k
+	}
+	return k
 }
 
 // result is what an answer about changes holds.
@@ -236,6 +256,14 @@
 // Changes implements store.Watcher. A wait that another host cuts short returns
 // no changes.
 func (w *Watcher) Changes(ctx context.Context, table string, after int64, wait time.Duration) ([]store.Change, int64, error) {
+	changes, version, err := w.changes(ctx, table, after, wait)
+	if err == nil {
+		w.remember(table).apply(changes, version)
+	}
+	return changes, version, err
+}
+
+func (w *Watcher) changes(ctx context.Context, table string, after int64, wait time.Duration) ([]store.Change, int64, error) {
 	w.awaitList(ctx)
 	r, asked, err := throughPeers(w, func(p peer) (result, error) {
 		wait := min(wait, peerWait)
--- /dev/null
+++ b/internal/spread/spread_test.go
@@ -0,0 +1,216 @@
+package spread_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"quaybarrow/internal/follow"
+	"quaybarrow/internal/spread"
+	"quaybarrow/internal/standin/memnet"
+	"quaybarrow/internal/standin/suite"
+	"quaybarrow/internal/store"
+	"quaybarrow/platform"
+	"quaybarrow/platform/standin"
+)
+
+const storeAddress = "10.9.0.1:80"
+
+// host is a host that follows a table.
+type host struct {
+	address string
+	watcher *spread.Watcher
+	server  *grpc.Server
+	cancel  context.CancelFunc
+
+	mu     sync.Mutex // guards all below
+	values map[string]string
+}
+
+func (h *host) Reset(rows []store.Row, _ bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.values = map[string]string{}
+	for _, r := range rows {
+		h.values[r.Key] = string(r.Value)
+	}
+}
+
+func (h *host) Change(changes []store.Change, _ bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, c := range changes {
+		if c.Deleted {
+			delete(h.values, c.Key)
+		} else {
+			h.values[c.Key] = string(c.Value)
+		}
+	}
+}
+
+func (h *host) Confirm() {}
+
+func (h *host) value(key string) string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.values[key]
+}
+
+// hall is several hosts of a data hall at one store.
+type hall struct {
+	net    *memnet.Network
+	store  *standin.Store
+	server *http.Server
+	hosts  []*host
+}
+
+func (h *hall) start(i int) *host {
+	n := &host{address: fmt.Sprintf("10.0.0.%d:7340", i)}
+	client := platform.NewStore(storeAddress, h.net.Dial)
+	n.watcher = spread.NewWatcher(spread.Options{
+		Host: fmt.Sprint("host-", i), Hall: "ikeja", Address: n.address, Seeds: []string{"10.0.0.1:7340", "10.0.0.77:7340"}, Tables: client, Store: client,
+		Logger: log.New(io.Discard), Credentials: insecure.NewCredentials(),
+		Dial: func(ctx context.Context, address string) (net.Conn, error) { return h.net.Dial(ctx, "tcp", address) },
+	})
+	n.server = n.watcher.Server(insecure.NewCredentials())
+	l := h.net.Listen(n.address)
+	go func() { _ = n.server.Serve(l) }()
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	go n.watcher.Run(ctx)
+	go follow.Run(ctx, follow.Options{Watch: n.watcher, Table: "t", Logger: log.New(io.Discard)}, n)
+	return n
+}
+
+func (h *host) stop() {
+	h.cancel()
+	h.server.Stop()
+	h.watcher.Close()
+}
+
+// withHall runs a body beside several hosts, under the paused clock.
+func withHall(count int, body func(h *hall)) {
+	suite.Paused(func() {
+		h := &hall{net: memnet.New(), store: standin.NewStore()}
+		h.server = &http.Server{Handler: h.store}
+		l := h.net.Listen(storeAddress)
+		go func() { _ = h.server.Serve(l) }()
+		h.store.Put("t", "k", []byte("0"))
+		for i := range count {
+			h.hosts = append(h.hosts, h.start(i))
+		}
+		time.Sleep(10 * time.Second)
+		body(h)
+		h.store.Break(standin.Healthy)
+		for _, n := range h.hosts {
+			n.stop()
+		}
+		_ = h.server.Close()
+		time.Sleep(5 * time.Minute)
+	})
+}
+
+// expectEverywhere waits for a time and expects a value at hosts.
+func expectEverywhere(hosts []*host, value string, within time.Duration) {
+	time.Sleep(within)
+	for i, n := range hosts {
+		ExpectWithOffset(1, n.value("k")).To(Equal(value), "host %d", i)
+	}
+}
+
+var _ = Describe("hosts that pass on the store", func() {
+	It("all see a change at once, for few calls", func() {
+		withHall(12, func(h *hall) {
+			before := h.store.Calls("/-/rows-feed")
+			for i := range 20 {
+				h.store.Put("t", "k", fmt.Append(nil, i))
+				time.Sleep(time.Second)
+			}
+			expectEverywhere(h.hosts, "19", 300*time.Millisecond)
+			Expect(h.store.Calls("/-/rows-feed") - before).To(BeNumerically("<", 60))
+		})
+	})
+
+	It("see a change soon when those that read the store die, one after the other", func() {
+		withHall(6, func(h *hall) {
+			for i := 0; len(h.hosts) > 1; i++ {
+				h.hosts[0].stop()
+				h.hosts = h.hosts[1:]
+				h.store.Put("t", "k", fmt.Append(nil, i))
+				expectEverywhere(h.hosts, fmt.Sprint(i), 2*time.Second)
+			}
+		})
+	})
+
+	It("see a change soon when hosts are silent", func() {
+		withHall(5, func(h *hall) {
+			for i, n := range h.hosts[:4] {
+				h.net.Cut(n.address, true)
+				h.store.Put("t", "k", fmt.Append(nil, i))
+				expectEverywhere(h.hosts, fmt.Sprint(i), 3*time.Second)
+			}
+		})
+	})
+
+	It("are right again soon after the store was away, and did not storm it", func() {
+		withHall(12, func(h *hall) {
+			before := h.store.Calls("/-/rows-feed") + h.store.Calls("/-/rows-get")
+			h.store.Break(standin.Busy)
+			h.store.Put("t", "k", []byte("1"))
+			time.Sleep(20 * time.Second)
+			Expect(h.store.Calls("/-/rows-feed") + h.store.Calls("/-/rows-get") - before).To(BeNumerically("<", 12*20*2))
+			h.store.Break(standin.Healthy)
+			expectEverywhere(h.hosts, "1", 2900*time.Millisecond)
+		})
+	})
+
+	It("read on after the history was dropped", func() {
+		withHall(4, func(h *hall) {
+			h.store.Break(standin.LoseFeed)
+			h.store.Put("t", "k", []byte("1"))
+			h.store.Drop("t", "k")
+			h.store.Put("t", "k", []byte("2"))
+			h.store.Forget()
+			h.store.Break(standin.Healthy)
+			expectEverywhere(h.hosts, "2", 2*time.Second)
+		})
+	})
+
+	It("let a host that starts while the store is away read from others", func() {
+		withHall(3, func(h *hall) {
+			h.store.Put("t", "k", []byte("1"))
+			expectEverywhere(h.hosts, "1", time.Second)
+			h.store.Break(standin.Silent)
+			time.Sleep(5 * time.Second)
+			late := h.start(9)
+			h.hosts = append(h.hosts, late)
+			time.Sleep(6 * time.Second)
+			Expect(late.value("k")).To(Equal("1"))
+			h.store.Break(standin.Healthy)
+			h.store.Put("t", "k", []byte("2"))
+			expectEverywhere(h.hosts, "2", 3*time.Second)
+		})
+	})
+
+	It("send others elsewhere before they stop", func() {
+		withHall(4, func(h *hall) {
+			for _, n := range h.hosts[:3] {
+				n.watcher.Stop(context.Background())
+			}
+			h.store.Put("t", "k", []byte("1"))
+			expectEverywhere(h.hosts[3:], "1", time.Second)
+			Expect(h.store.Value("hosts", "host-0")).To(BeNil())
+			Expect(h.store.Value("hosts", "host-3")).NotTo(BeNil())
+		})
+	})
+})
