Settings that change come into force while a gateway host runs

At SIGHUP and every five seconds the file is read again; memory, retry ratio, grace and log level apply at once, the rest is named as needing a restart. Bad settings leave the old ones in force. Before, SIGHUP was ignored.

--- a/cmd/quaybarrowd/main.go
+++ b/cmd/quaybarrowd/main.go
@@ -11,7 +11,6 @@
 )
 
 func main() {
-	signal.Ignore(syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	code := daemon.Run(ctx, os.Args[1:], os.Stderr)
 	stop()
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -5,6 +5,9 @@
 	"flag"
 	"fmt"
 	"io"
+	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"go.uber.org/fx"
@@ -46,7 +49,7 @@
 		_, _ = fmt.Fprintln(stderr, "settings are in order")
 		return exitOK
 	}
-	app := newApp(loaded)
+	app := newApp(loaded, *file)
 	if err := serve(ctx, app); err != nil {
 		_, _ = fmt.Fprintln(stderr, "quaybarrowd:", err)
 		return exitFailed
@@ -63,11 +66,16 @@
 }
 
 // newApp wires the host that the settings describe.
-func newApp(s settings.Settings) *fx.App {
-	if s.Gateway.Enabled() {
-		return fx.New(gatewayd.Module(s, gatewayd.Ports{}), fx.StartTimeout(startTimeout), fx.StopTimeout(s.Gateway.Grace))
+func newApp(s settings.Settings, file string) *fx.App {
+	if !s.Gateway.Enabled() {
+		return fx.New(Module(s, Ports{}), fx.StartTimeout(startTimeout), fx.StopTimeout(s.Times.Leave+s.Times.Drain+stopMargin))
 	}
-	return fx.New(Module(s, Ports{}), fx.StartTimeout(startTimeout), fx.StopTimeout(s.Times.Leave+s.Times.Drain+stopMargin))
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	ports := gatewayd.Ports{
+		Hangup: hangup, Reload: func() (settings.Settings, error) { return settings.Load(file) },
+	}
+	return fx.New(gatewayd.Module(s, ports), fx.StartTimeout(startTimeout), fx.StopTimeout(s.Gateway.Grace))
 }
 
 // serve runs an app until the context ends.
--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -14,9 +14,8 @@
 
 // budgets hold a host's repeats to a part of its first sends, by service.
 type budgets struct {
-	ratio float64
-
-	mu       sync.Mutex // guards services
+	mu       sync.Mutex // guards all below
+	ratio    float64
 	services map[string]*budget
 }
 
@@ -24,6 +23,12 @@
 	return &budgets{ratio: ratio, services: map[string]*budget{}}
 }
 
+func (b *budgets) setRatio(ratio float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ratio = ratio
+}
+
 // budget counts the sends of the last seconds.
 type budget struct {
 	second  int64
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -72,6 +72,9 @@
 // Drain makes the gateway not ready; callers are told to close connections.
 func (g *Gateway) Drain() { g.draining.Store(true) }
 
+// SetRetryRatio bounds repeats from now on.
+func (g *Gateway) SetRetryRatio(ratio float64) { g.budgets.setRatio(ratio) }
+
 // InFlight counts the requests being served.
 func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
 
--- a/internal/gatewayd/host.go
+++ b/internal/gatewayd/host.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -66,12 +67,14 @@
 	probes  *http.Server
 	control *http.Server
 	peers   *grpc.Server
+	now     atomic.Pointer[settings.Settings] // in force
 	cancel  context.CancelFunc
 	working sync.WaitGroup
 }
 
 func newHost(p parts) *Host {
 	h := &Host{parts: &p, callers: p.Gateway.Server()}
+	h.now.Store(&p.Settings)
 	h.probes = &http.Server{Handler: h.readiness(), ReadHeaderTimeout: headTimeout}
 	h.peers = p.Spread.Server(p.TLS.ServerCredentials())
 	h.control = &http.Server{Handler: h.figures(), ReadHeaderTimeout: headTimeout}
@@ -176,7 +179,7 @@
 	return []func(context.Context){
 		table(platform.TableOperator, &operators{holder: h.Holder, upgrades: h.Upgrades, logger: h.Logger}),
 		table(platform.TableEndpoints, &endpoints{fleet: h.Fleet, upgrades: h.Upgrades, logger: h.Logger}),
-		h.Spread.Run, h.Upgrades.Run, h.sweep,
+		h.Spread.Run, h.Upgrades.Run, h.sweep, h.reload,
 	}
 }
 
@@ -199,7 +202,7 @@
 	h.Logger.Info("draining", "in_flight", h.Gateway.InFlight())
 	h.Spread.Stop(ctx)
 	clock.Sleep(ctx, leaveTime-time.Since(started))
-	h.finish(ctx, started.Add(h.Settings.Gateway.Grace-stopMargin))
+	h.finish(ctx, started.Add(h.now.Load().Gateway.Grace-stopMargin))
 	h.cancel()
 	h.peers.Stop()
 	h.Spread.Close()
--- a/internal/gatewayd/host_test.go
+++ b/internal/gatewayd/host_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net"
 	"net/http"
 	"os"
 	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -181,6 +185,74 @@
 	})
 })
 
+var _ = Describe("changed settings", func() {
+	It("come into force at a signal and without one; bad ones do not", func() {
+		var next atomic.Pointer[settings.Settings]
+		var failing atomic.Bool
+		change := func(to func(s *settings.Settings)) {
+			s := hostSettings()
+			to(&s)
+			next.Store(&s)
+		}
+		change(func(*settings.Settings) {})
+		suite.Paused(func() {
+			hangup := make(chan os.Signal)
+			s := &system{net: memnet.New(), store: standin.NewStore()}
+			server := &http.Server{Handler: s.store}
+			l := s.net.Listen(storeAddress)
+			go func() { _ = server.Serve(l) }()
+			var log safeBuffer
+			app := fx.New(gatewayd.Module(hostSettings(), gatewayd.Ports{
+				Store: platform.NewStore(storeAddress, s.net.Dial), LogTo: &log, Dial: s.net.Dial, Hangup: hangup,
+				Listen: func(_ context.Context, address string) (net.Listener, error) { return s.net.Listen(address), nil },
+				Reload: func() (settings.Settings, error) {
+					if failing.Load() {
+						return settings.Settings{}, io.ErrUnexpectedEOF
+					}
+					return *next.Load(), nil
+				},
+			}))
+			Expect(app.Start(context.Background())).To(Succeed())
+			hangup <- syscall.SIGHUP
+			time.Sleep(time.Second)
+			Expect(log.text()).To(ContainSubstring("nothing changed"))
+			failing.Store(true)
+			hangup <- syscall.SIGHUP
+			time.Sleep(time.Second)
+			Expect(log.text()).To(ContainSubstring("the old ones stay in force"))
+			failing.Store(false)
+			change(func(s *settings.Settings) { s.Gateway.Grace = 4 * time.Second })
+			time.Sleep(6 * time.Second)
+			Expect(log.text()).To(ContainSubstring(`"settings changed","host":"front-1","signal":false,"restart_needed":false`))
+			change(func(s *settings.Settings) { s.Gateway.Store = "10.9.0.2:80" })
+			hangup <- syscall.SIGHUP
+			time.Sleep(time.Second)
+			Expect(log.text()).To(ContainSubstring(`"signal":true,"restart_needed":true`))
+			Expect(app.Stop(context.Background())).To(Succeed())
+			_ = server.Close()
+			time.Sleep(5 * time.Minute)
+		})
+	})
+})
+
+// safeBuffer is a buffer for use at once.
+type safeBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (s *safeBuffer) Write(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.Write(p)
+}
+
+func (s *safeBuffer) text() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.String()
+}
+
 var _ = Describe("the settings' template", func() {
 	It("has a line for each setting of the gateway that has no default", func() {
 		text, err := os.ReadFile("../../deploy/settings.yaml.tmpl")
--- a/internal/gatewayd/module.go
+++ b/internal/gatewayd/module.go
@@ -51,6 +51,10 @@
 	LogTo  io.Writer
 	Dial   platform.Dialer
 	Listen func(ctx context.Context, address string) (net.Listener, error)
+	// Reload reads the settings again; nil if they never change.
+	Reload func() (settings.Settings, error)
+	// Hangup tells that the settings have changed.
+	Hangup <-chan os.Signal
 }
 
 // dialPeer is the way to endpoints and other hosts; nil is the network's.
