--- a/internal/gatewayd/host.go
+++ b/internal/gatewayd/host.go
@@ -200,7 +200,7 @@
 	started := time.Now()
 	h.Gateway.Drain()
 	h.Logger.Info("draining", "in_flight", h.Gateway.InFlight())
-	h.Spread.Stop(ctx)
+	h.Spread.Stop()
 	clock.Sleep(ctx, leaveTime-time.Since(started))
 	h.finish(ctx, started.Add(h.now.Load().Gateway.Grace-stopMargin))
 	h.cancel()
--- a/internal/gatewayd/module.go
+++ b/internal/gatewayd/module.go
@@ -121,12 +121,22 @@
 
 func newWatcher(s settings.Settings, p Ports, c storeClient, files *tlsfiles.Files, l *log.Logger) (*spread.Watcher, store.Watcher) {
 	w := spread.NewWatcher(spread.Options{
-		Host: s.Host, Hall: s.DataHall, Address: s.Gateway.Peers, Seeds: s.Gateway.SeedPeers(), Tables: c, Store: c, Logger: l,
+		Host: s.Host, Hall: s.DataHall, Address: s.Gateway.Peers, Seeds: s.Gateway.SeedPeers(), First: s.Gateway.First,
+		Wait: max(s.Gateway.InForce-silenceMargin, leastWait), Tables: c, Store: c, Logger: l,
 		Credentials: files.ClientCredentials(), Dial: p.dialPeer(),
 	})
 	return w, w
 }
 
+// Parameters of waits for changes at the store.
+const (
+	// silenceMargin is taken off the time in which a configuration has to be in
+	// force: a feed that fell silent is given up after the wait and 0.7 s, and
+	// the next host is asked.
+	silenceMargin = time.Second
+	leastWait     = 500 * time.Millisecond
+)
+
 func newFleet(s settings.Settings) *fleet.Fleet {
 	return fleet.New(fleet.Options{Hall: s.DataHall})
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -164,6 +164,11 @@
 	// RetryRatio is the most repeats of requests, as a part of first sends, that
 	// all hosts together may make.
 	RetryRatio float64 `yaml:"retry_ratio"`
+	// InForce is the time in which a configuration has to be in force after its
+	// acknowledgement.
+	InForce time.Duration `yaml:"in_force"`
+	// First tells that all hosts start for the first time.
+	First bool `yaml:"first"`
 	// Grace is how long after the order to stop the host is ended by force.
 	Grace time.Duration `yaml:"grace"`
 }
@@ -285,6 +290,7 @@
 		value float64
 	}{
 		{"$.gateway.memory_mb", float64(g.MemoryMB)}, {"$.gateway.retry_ratio", g.RetryRatio}, {"$.gateway.grace", float64(g.Grace)},
+		{"$.gateway.in_force", float64(g.InForce)},
 	} {
 		if n.value <= 0 {
 			problems = append(problems, problem{n.field, "must be more than 0"})
--- a/internal/spread/mirror.go
+++ b/internal/spread/mirror.go
@@ -17,9 +17,6 @@
 
 // Parameters of mirrors.
 const (
-	// mirrorWait is one wait for changes at the store. A feed that went silent
-	// is noticed when it is over; each wait is a priced call.
-	mirrorWait = time.Second
 	// gather is how long changes that follow each other share a call; the
 	// platform's bounds are seconds.
 	gather = 250 * time.Millisecond
@@ -37,6 +34,7 @@
 type mirror struct {
 	table  string
 	watch  store.Watcher
+	wait   time.Duration // one wait for changes at the store
 	logger *log.Logger
 
 	mu      sync.Mutex // guards all below
@@ -51,8 +49,8 @@
 	changed chan struct{} // closed at each change of the above
 }
 
-func newMirror(table string, watch store.Watcher, logger *log.Logger) *mirror {
-	return &mirror{table: table, watch: watch, logger: logger, rows: map[string]store.Row{}, changed: make(chan struct{})}
+func newMirror(table string, o Options) *mirror {
+	return &mirror{table: table, watch: o.Store, wait: o.Wait, logger: o.Logger, rows: map[string]store.Row{}, changed: make(chan struct{})}
 }
 
 // want keeps the mirror up for a while longer; it reports whether run has to be
@@ -109,7 +107,7 @@
 		m.load(state)
 		return nil
 	}
-	changes, next, err := m.watch.Changes(ctx, m.table, version, mirrorWait)
+	changes, next, err := m.watch.Changes(ctx, m.table, version, m.wait)
 	if err != nil {
 		if errors.Is(err, store.ErrCompacted) {
 			m.unload()
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -39,14 +39,14 @@
 	// directEvery bounds direct reads while other hosts say that they do not
 	// reach the store: most likely nobody does.
 	directEvery = 1200 * time.Millisecond
-	// listAfter a start the other hosts have listed themselves too.
+	// listAfter the first start of all hosts each has listed itself.
 	listAfter = 1500 * time.Millisecond
-	listEvery = 30 * time.Second
+	listEvery = 2 * time.Minute
 	listRetry = 2 * time.Second
 	// listPatience is how long the first read of a table waits for that list.
 	listPatience = 250 * time.Millisecond
-	// leaveTimeout bounds the removal of the own entry.
-	leaveTimeout = 500 * time.Millisecond
+	// startTime is how long a host has just started.
+	startTime = 3 * time.Second
 )
 
 // Options set up a Watcher.
@@ -54,6 +54,11 @@
 	Host    string
 	Hall    string
 	Address string // ip:port for the other hosts
+	// First tells that all hosts start for the first time.
+	First bool
+	// Wait is the longest wait for changes at the store; what this host passes
+	// on is at most so old, and a second, when the store falls silent.
+	Wait time.Duration
 	// Seeds are addresses of hosts that may be asked before the list of hosts
 	// could be read; some may be stale.
 	Seeds  []string
@@ -72,6 +77,7 @@
 	options Options
 	peers   *peers
 	link    *link
+	started time.Time
 	ctx     context.Context // of the mirrors
 	cancel  context.CancelFunc
 	working sync.WaitGroup
@@ -96,22 +102,26 @@
 func NewWatcher(options Options) *Watcher {
 	w := &Watcher{
 		options: options, peers: newPeers(options), link: newLink(options.Credentials, options.Dial),
-		listed: make(chan struct{}), mirrors: map[string]*mirror{}, known: map[string]*known{}, direct: map[string]time.Time{},
+		started: time.Now(), listed: make(chan struct{}), mirrors: map[string]*mirror{}, known: map[string]*known{}, direct: map[string]time.Time{},
 	}
 	w.ctx, w.cancel = context.WithCancel(context.Background())
 	return w
 }
 
 // Run lists this host and keeps the list of others up to date, until the context
-// ends.
+// ends. A host that starts again finds its own entry as it was and writes nothing.
 func (w *Watcher) Run(ctx context.Context) {
-	w.update(ctx, w.enlist, "host can't list itself")
 	w.update(ctx, w.readPeers, "list of hosts can't be read")
+	if !w.peers.has(w.options.Host, w.own()) {
+		w.update(ctx, w.enlist, "host can't list itself")
+	}
 	close(w.listed)
-	clock.Sleep(ctx, clock.Around(listAfter))
-	for ctx.Err() == nil {
+	if w.options.First {
+		clock.Sleep(ctx, clock.Around(listAfter))
+		w.update(ctx, w.readPeers, "list of hosts can't be read")
+	}
+	for clock.Sleep(ctx, clock.Around(listEvery)) {
 		w.update(ctx, w.readPeers, "list of hosts can't be read")
-		clock.Sleep(ctx, clock.Around(listEvery))
 	}
 }
 
@@ -139,17 +149,12 @@
 	}
 }
 
-// Stop sends other hosts elsewhere, takes this one off the list and ends the
-// mirrors.
-func (w *Watcher) Stop(ctx context.Context) {
+// Stop sends other hosts elsewhere. The host's entry stays: it starts again at the
+// same address, and if it does not, others ask it less and less.
+func (w *Watcher) Stop() {
 	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.stopping = true
-	w.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
-	defer cancel()
-	if err := w.delist(ctx); err != nil {
-		w.options.Logger.Warn("host can't take itself off the list", "error", err)
-	}
 }
 
 // Close ends the mirrors and the connections to other hosts.
@@ -167,7 +172,7 @@
 	w.mu.Lock()
 	m, ok := w.mirrors[table]
 	if !ok {
-		m = newMirror(table, w.options.Store, w.options.Logger)
+		m = newMirror(table, w.options)
 		w.mirrors[table] = m
 	}
 	defer w.mu.Unlock()
@@ -213,7 +218,7 @@
 }
 
 func (w *Watcher) state(ctx context.Context, table string) (store.State, error) {
-	if !w.remember(table).isLoaded() {
+	if !w.remember(table).isLoaded() && time.Since(w.started) < startTime {
 		state, err := w.options.Store.State(ctx, table)
 		if err == nil {
 			return state, nil
--- a/internal/upgrade/run.go
+++ b/internal/upgrade/run.go
@@ -20,8 +20,8 @@
 	publishEvery = time.Second            // evidence is written at most as often
 	watchWait    = 5 * time.Second        // one waiting read of the shared table
 	watchRetry   = 500 * time.Millisecond // after a failed read
-	turnStep     = 250 * time.Millisecond // hosts take turns, so that one writes and the others see it
-	turns        = 8
+	turnStep     = 50 * time.Millisecond  // hosts take turns, so that one writes and the others see it
+	turns        = 40
 )
 
 // cutKey splits a row's key into service and host; a row of progress has none.
