--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net/http"
 	"strings"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -39,14 +38,7 @@
 
 	It("go on at another endpoint after a break inside an event", func() {
 		suite.Paused(func() {
-			n := 0
-			both := func(int, *http.Request) standin.Script {
-				n++
-				if n == 1 {
-					return standin.Stream{Events: 5, Confidence: 90, BreakAfter: 2}
-				}
-				return standin.Stream{Events: 5, Confidence: 90}
-			}
+			both := between(standin.Stream{Events: 5, Confidence: 90, BreakAfter: 2}, sure)
 			r := newRig(scripts{"model-1": both, "model-2": both})
 			defer r.stop()
 			a := r.ask(request("POST", "/stream/1", "x", modelHeads))
@@ -69,7 +61,7 @@
 
 	It("of a small model without confidence are asked of the largest", func() {
 		suite.Paused(func() {
-			r := newRig(scripts{"model-1": first(standin.Stream{Events: 5, Confidence: 10}, standin.Stream{Events: 5, Confidence: 10})})
+			r := newRig(scripts{"model-1": standin.Always(standin.Stream{Events: 5, Confidence: 10})})
 			defer r.stop()
 			a := r.ask(request("POST", "/stream/1", "x", modelHeads))
 			Expect(a.Err).NotTo(HaveOccurred())
--- a/internal/gateway/whole_test.go
+++ b/internal/gateway/whole_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -13,13 +14,15 @@
 
 type scripts = map[string]func(int, *http.Request) standin.Script
 
-// first answers an endpoint's first request in one way and all others in another.
-func first(a, b standin.Script) func(int, *http.Request) standin.Script {
-	return func(n int, _ *http.Request) standin.Script {
-		if n == 0 {
-			return a
+// between returns a script for several endpoints: whichever gets the first request
+// answers in one way, and all others in another.
+func between(first, then standin.Script) func(int, *http.Request) standin.Script {
+	var n atomic.Int64
+	return func(int, *http.Request) standin.Script {
+		if n.Add(1) == 1 {
+			return first
 		}
-		return b
+		return then
 	}
 }
 
@@ -50,15 +53,7 @@
 	for name, c := range wholeCases {
 		It(name, func() {
 			suite.Paused(func() {
-				// Both endpoints follow one script between them, whichever comes first.
-				n := 0
-				both := func(int, *http.Request) standin.Script {
-					n++
-					if n == 1 {
-						return c.goes
-					}
-					return good
-				}
+				both := between(c.goes, good)
 				r := newRig(scripts{"plain-1": both, "plain-2": both})
 				defer r.stop()
 				a := r.ask(request("POST", c.path, "body"))
@@ -129,14 +124,7 @@
 
 	It("offers a repeatable request that gets no answer to another endpoint, in time", func() {
 		suite.Paused(func() {
-			n := 0
-			both := func(int, *http.Request) standin.Script {
-				n++
-				if n == 1 {
-					return standin.Mute{}
-				}
-				return good
-			}
+			both := between(standin.Mute{}, good)
 			r := newRig(scripts{"plain-1": both, "plain-2": both})
 			defer r.stop()
 			start := time.Now()
