Reading times by length of what is read; late answers of the large model need less gain

Cause: the estimate for the largest model was half of what prompts of 16,000 tokens took (610 ms expected then, 900 measured): samples were divided by all tokens although shared ones were in memory, and the time per token rises with the prompt. With the better estimate more escalations are known to be late; those need a gain of 0.2.

--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -25,10 +25,15 @@
 	member   *member
 	ask      Ask
 	sent     time.Time
+	tokens   int           // of the prompt that have to be read
 	expected time.Duration // until the head of the answer, if the endpoint were idle
 	reading  time.Duration // counted as the endpoint's work until the head is there
 }
 
+// Expected is the time until the head of the answer if the endpoint were idle; 0
+// for requests without a prompt.
+func (h *Hold) Expected() time.Duration { return h.expected }
+
 // Head notes that the head of the answer is there, and the load that it tells.
 func (h *Hold) Head(l Load) {
 	h.fleet.mu.Lock()
@@ -45,7 +50,7 @@
 	took := now.Sub(h.sent)
 	h.member.wait, h.member.waitAt = max(0, took-h.expected), now
 	known := h.fleet.readingOf(h.ask.Service, h.ask.Model)
-	h.fleet.readings[h.ask.Service+"/"+h.ask.Model] = known.with(h.ask.Tokens, took)
+	h.fleet.readings[h.ask.Service+"/"+h.ask.Model] = known.with(h.tokens, took)
 }
 
 // read takes the request's prompt out of the endpoint's work.
@@ -169,7 +174,7 @@
 	if home {
 		tokens -= ask.Shared
 	}
-	h.expected, h.reading = r.head(tokens), r.tokens(tokens)
+	h.tokens, h.expected, h.reading = tokens, r.head(tokens), r.tokens(tokens)
 	m.reading += h.reading
 	return h
 }
--- a/internal/gateway/cascade.go
+++ b/internal/gateway/cascade.go
@@ -26,6 +26,9 @@
 	// gainUrgent is the same for the most urgent requests, whose answers are
 	// worth most beside their price.
 	gainUrgent = 0.33
+	// gainLate is the same where the larger answer comes late: such prompts are
+	// long, and their answers worth more than most.
+	gainLate = 0.2
 	// escalationPart of the retry budget may go to larger models; the rest is
 	// for requests that failed.
 	escalationPart = 0.85
@@ -72,11 +75,7 @@
 	took := time.Since(x.start)
 	expected := took + x.g.Fleet.Expect(x.fleetAsk(largest))
 	gain := escalationGain(a.said.Confidence, took <= x.route.Objective, expected <= x.route.Objective)
-	least := gainLeast
-	if x.urgency == 0 {
-		least = gainUrgent
-	}
-	if gain < least || !x.g.budgets.repeat(x.service, escalationPart) {
+	if gain < x.gainNeeded(expected <= x.route.Objective) || !x.g.budgets.repeat(x.service, escalationPart) {
 		return false
 	}
 	x.model = largest
@@ -84,6 +83,18 @@
 	return true
 }
 
+// gainNeeded is what asking the largest model has to gain.
+func (x *exchange) gainNeeded(inTime bool) float64 {
+	switch {
+	case !inTime:
+		return gainLate
+	case x.urgency == 0:
+		return gainUrgent
+	default:
+		return gainLeast
+	}
+}
+
 // fleetAsk is what the choice of an endpoint for a model goes by.
 func (x *exchange) fleetAsk(model string) fleet.Ask {
 	return fleet.Ask{
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -104,6 +104,8 @@
 	endpoint string
 	model    string
 	events   int
+	first    time.Duration // until the head of the answer that the caller got; 0 if it got none
+	expected time.Duration // what that was expected to take at the last attempt, without waiting
 }
 
 // ServeHTTP implements http.Handler.
@@ -155,5 +157,5 @@
 	age, _ := x.g.Holder.Age()
 	x.g.Logger.Info("request", "id", x.ask.ID, "route", x.route.Name, "service", x.service, "workspace", x.workspace,
 		"config", version, "config_age_ms", age.Milliseconds(), "endpoint", x.endpoint, "model", x.model, "sends", x.sends,
-		"events", x.events, "took_ms", took.Milliseconds(), "outcome", x.outcome)
+		"tokens", x.ask.TokensIn, "first_ms", x.first.Milliseconds(), "expected_ms", x.expected.Milliseconds(), "events", x.events, "took_ms", took.Milliseconds(), "outcome", x.outcome)
 }
