An outage of the store does not make all hosts read it

Change: a follower reads directly once in two seconds, with single calls, and goes on only if the store answers it.

--- a/internal/spread/mirror.go
+++ b/internal/spread/mirror.go
@@ -19,12 +19,12 @@
 const (
 	// gather is how long changes that follow each other share a call; the
 	// platform's bounds are seconds.
-	gather = 250 * time.Millisecond
+	gather = 400 * time.Millisecond
 	// wantedFor is how long a mirror is kept up after it was last asked; who
 	// goes on asking does so every second.
 	wantedFor  = 2500 * time.Millisecond
 	retryFirst = 150 * time.Millisecond
-	retryMost  = 800 * time.Millisecond
+	retryMost  = 1200 * time.Millisecond
 	// logMost bounds the changes that a mirror remembers.
 	logMost = 4096
 )
--- a/internal/spread/peers.go
+++ b/internal/spread/peers.go
@@ -123,21 +123,17 @@
 func (p *peers) failed(q peer, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s := p.stands[q.name]
-	s.pause = min(max(2*s.pause, pauseFirst), pauseMost)
 	if storeLost(err) {
-		// The host is well; it is the store that comes and goes.
-		s.pause = 0
-		s.until = time.Now().Add(lostPause)
-	} else {
-		s.until = time.Now().Add(s.pause)
+		// The host is well, and goes on trying for everyone.
+		delete(p.stands, q.name)
+		return
 	}
+	s := p.stands[q.name]
+	s.pause = min(max(2*s.pause, pauseFirst), pauseMost)
+	s.until = time.Now().Add(s.pause)
 	p.stands[q.name] = s
 }
 
-// lostPause is how long a host that does not reach the store is not asked.
-const lostPause = 500 * time.Millisecond
-
 // Hosts counts the listed hosts of all data halls, at least this one.
 func (w *Watcher) Hosts() int {
 	w.peers.mu.Lock()
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -38,7 +38,10 @@
 	peersTried = 2
 	// directEvery bounds direct reads while other hosts say that they do not
 	// reach the store: most likely nobody does.
-	directEvery = 1200 * time.Millisecond
+	directEvery = 2 * time.Second
+	// reachedFor is how long a host that reached the store directly goes on
+	// doing so.
+	reachedFor = 3 * time.Second
 	// listAfter the first start of all hosts each has listed itself.
 	listAfter = 1500 * time.Millisecond
 	listEvery = 2 * time.Minute
@@ -85,10 +88,11 @@
 
 	mu       sync.Mutex // guards all below
 	mirrors  map[string]*mirror
-	known    map[string]*known    // by table, what this host was told last
-	direct   map[string]time.Time // by table, the last direct read after peers failed
-	stopping bool                 // other hosts are sent elsewhere
-	closed   bool                 // no mirror starts any more
+	known    map[string]*known // by table, what this host was told last
+	probed   time.Time         // the last direct read while other hosts do not reach the store
+	reached  time.Time         // direct reads may go on until then
+	stopping bool              // other hosts are sent elsewhere
+	closed   bool              // no mirror starts any more
 	clock    reading
 }
 
@@ -102,7 +106,7 @@
 func NewWatcher(options Options) *Watcher {
 	w := &Watcher{
 		options: options, peers: newPeers(options), link: newLink(options.Credentials, options.Dial),
-		started: time.Now(), listed: make(chan struct{}), mirrors: map[string]*mirror{}, known: map[string]*known{}, direct: map[string]time.Time{},
+		started: time.Now(), listed: make(chan struct{}), mirrors: map[string]*mirror{}, known: map[string]*known{},
 	}
 	w.ctx, w.cancel = context.WithCancel(context.Background())
 	return w
@@ -234,10 +238,15 @@
 	if asked {
 		return state, err
 	}
-	if !w.mayReadDirectly(table, err) {
+	switch {
+	case err == nil:
+		return w.mirror(table).State(ctx)
+	case !w.mayReadDirectly(err):
 		return store.State{}, err
 	}
-	return w.mirror(table).State(ctx)
+	state, err = w.options.Store.State(ctx, table)
+	w.readDirectly(err)
+	return state, err
 }
 
 // remember returns what this host was told last of a table.
@@ -279,10 +288,15 @@
 	if asked {
 		return r.changes, r.version, err
 	}
-	if !w.mayReadDirectly(table, err) {
+	switch {
+	case err == nil:
+		return w.mirror(table).Changes(ctx, after, wait)
+	case !w.mayReadDirectly(err):
 		return nil, 0, err
 	}
-	return w.mirror(table).Changes(ctx, after, wait)
+	changes, version, err := w.options.Store.Changes(ctx, table, after, min(wait, w.options.Wait))
+	w.readDirectly(err)
+	return changes, version, err
 }
 
 // throughPeers asks the hosts that come before this one in its data hall; asked
@@ -304,17 +318,32 @@
 	return answer, false, err
 }
 
-// mayReadDirectly reports whether a table may be read from the store now. While
-// other hosts say that they do not reach it, that is now and then.
-func (w *Watcher) mayReadDirectly(table string, err error) bool {
-	if !errors.Is(err, store.ErrUnavailable) {
+// mayReadDirectly reports whether the store may be read directly now that other
+// hosts do not pass it on. While they say that they do not reach it, that is now
+// and then, unless this host has lately reached it: most likely nobody does.
+func (w *Watcher) mayReadDirectly(err error) bool {
+	if !storeLost(err) {
 		return true
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if time.Since(w.direct[table]) < clock.Around(directEvery) {
+	now := time.Now()
+	if now.Before(w.reached) {
+		return true
+	}
+	if now.Sub(w.probed) < clock.Around(directEvery) {
 		return false
 	}
-	w.direct[table] = time.Now()
+	w.probed = now
 	return true
 }
+
+// readDirectly notes how a direct read went.
+func (w *Watcher) readDirectly(err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.reached = time.Time{}
+	if err == nil || errors.Is(err, store.ErrCompacted) {
+		w.reached = time.Now().Add(reachedFor)
+	}
+}
--- a/internal/spread/spread_test.go
+++ b/internal/spread/spread_test.go
@@ -168,7 +168,7 @@
 			h.store.Break(standin.Busy)
 			h.store.Put("t", "k", []byte("1"))
 			time.Sleep(20 * time.Second)
-			Expect(h.store.Calls("/-/rows-feed") + h.store.Calls("/-/rows-get") - before).To(BeNumerically("<", 12*20*2))
+			Expect(h.store.Calls("/-/rows-feed") + h.store.Calls("/-/rows-get") - before).To(BeNumerically("<", 12*20))
 			h.store.Break(standin.Healthy)
 			expectEverywhere(h.hosts, "1", 2900*time.Millisecond)
 		})
