Hosts that the store turns away ask those it serves

Change: hosts that are told nothing ask a few others, of any data hall, for what they were told lately, which costs no call. The test with 3 of 4 hosts turned away fails without it.

--- a/internal/spread/known.go
+++ b/internal/spread/known.go
@@ -1,7 +1,10 @@
 package spread
 
 import (
+	"cmp"
+	"slices"
 	"sync"
+	"time"
 
 	"quaybarrow/internal/store"
 )
@@ -13,8 +16,12 @@
 	loaded  bool
 	rows    map[string]store.Row
 	version int64
+	told    time.Time // by the store, or by who reads it
 }
 
+// freshFor is how long what a host was told counts as told lately: two waits.
+const freshFor = 2 * peerWait
+
 func (k *known) isLoaded() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -24,6 +31,11 @@
 func (k *known) load(state store.State) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.replace(state)
+	k.told = time.Now()
+}
+
+func (k *known) replace(state store.State) {
 	k.rows = make(map[string]store.Row, len(state.Rows))
 	for _, row := range state.Rows {
 		k.rows[row.Key] = row
@@ -45,6 +57,54 @@
 		}
 	}
 	k.version = version
+	k.told = time.Now()
+}
+
+// lately returns the table if it was told lately; only the version if that is
+// not after one that the asker has.
+func (k *known) lately(after int64) (store.State, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !k.loaded || time.Since(k.told) > freshFor {
+		return store.State{}, false
+	}
+	state := store.State{Version: k.version}
+	if k.version <= after {
+		return state, true
+	}
+	for _, row := range k.rows {
+		state.Rows = append(state.Rows, row)
+	}
+	return state, true
+}
+
+// changes returns what differs in a newer state, in order, and takes it in. It
+// was told by a host that does not read the store, so it is not told lately.
+func (k *known) changes(state store.State) []store.Change {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	changes := difference(k.rows, state)
+	k.replace(state)
+	return changes
+}
+
+// difference lists what changed from rows to a state, in order.
+func difference(rows map[string]store.Row, state store.State) []store.Change {
+	var changes []store.Change
+	listed := map[string]bool{}
+	for _, row := range state.Rows {
+		listed[row.Key] = true
+		if rows[row.Key].Version != row.Version {
+			changes = append(changes, store.Change{Row: row})
+		}
+	}
+	for key := range rows {
+		if !listed[key] {
+			changes = append(changes, store.Change{Row: store.Row{Key: key, Version: state.Version}, Deleted: true})
+		}
+	}
+	slices.SortStableFunc(changes, func(a, b store.Change) int { return cmp.Compare(a.Version, b.Version) })
+	return changes
 }
 
 // state returns the table as it was last known; false if it never was.
--- a/internal/spread/link.go
+++ b/internal/spread/link.go
@@ -96,12 +96,12 @@
 }
 
 // state asks a host for a table.
-func (l *link) state(ctx context.Context, p peer, table string, hear func(time.Duration)) (store.State, error) {
+func (l *link) state(ctx context.Context, p peer, request *spreadpb.StateRequest, hear func(time.Duration)) (store.State, error) {
 	client, err := l.client(p.address)
 	if err != nil {
 		return store.State{}, err
 	}
-	reply, err := client.State(ctx, &spreadpb.StateRequest{Table: table})
+	reply, err := client.State(ctx, request)
 	if err != nil {
 		return store.State{}, errorOf(p, err)
 	}
--- a/internal/spread/mirror.go
+++ b/internal/spread/mirror.go
@@ -150,20 +150,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	first := m.version == 0
-	var changes []store.Change
-	listed := map[string]bool{}
-	for _, row := range state.Rows {
-		listed[row.Key] = true
-		if m.rows[row.Key].Version != row.Version {
-			changes = append(changes, store.Change{Row: row})
-		}
-	}
-	for key := range m.rows {
-		if !listed[key] {
-			changes = append(changes, store.Change{Row: store.Row{Key: key, Version: state.Version}, Deleted: true})
-		}
-	}
-	slices.SortStableFunc(changes, func(a, b store.Change) int { return cmp.Compare(a.Version, b.Version) })
+	changes := difference(m.rows, state)
 	m.take(changes, state.Version)
 	if first {
 		m.log, m.oldest = nil, state.Version
--- a/internal/spread/peers.go
+++ b/internal/spread/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -49,6 +50,7 @@
 
 	mu     sync.Mutex // guards all below
 	ranked []peer     // the seeds until the list was read
+	others []peer     // of all data halls, without this host
 	all    int        // hosts of all data halls
 	stands map[string]standing
 }
@@ -65,10 +67,14 @@
 
 // set replaces the list.
 func (p *peers) set(entries map[string]entry) {
-	var ranked []peer
+	var ranked, others []peer
 	for name, e := range entries {
+		q := peer{name: name, address: e.Address, rank: xxhash.Sum64String(p.hall + "/" + name)}
 		if e.Hall == p.hall {
-			ranked = append(ranked, peer{name: name, address: e.Address, rank: xxhash.Sum64String(p.hall + "/" + name)})
+			ranked = append(ranked, q)
+		}
+		if name != p.self {
+			others = append(others, q)
 		}
 	}
 	slices.SortFunc(ranked, func(a, b peer) int {
@@ -79,7 +85,22 @@
 	})
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.ranked, p.all = ranked, len(entries)
+	p.ranked, p.others, p.all = ranked, others, len(entries)
+}
+
+// some returns a few hosts of any data hall, by chance.
+func (p *peers) some(limit int) []peer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	var found []peer
+	for _, i := range rand.Perm(len(p.others)) {
+		q := p.others[i]
+		if !now.Before(p.stands[q.name].until) && len(found) < limit {
+			found = append(found, q)
+		}
+	}
+	return found
 }
 
 // has reports whether the list has a host's entry as it is.
--- a/internal/spread/server.go
+++ b/internal/spread/server.go
@@ -32,6 +32,9 @@
 	if s.watcher.isStopping() {
 		return nil, status.Error(codes.Unavailable, "stopping")
 	}
+	if r.GetLately() {
+		return s.lately(r)
+	}
 	state, err := s.watcher.mirror(r.GetTable()).State(ctx)
 	if err != nil {
 		last, ok := s.watcher.remember(r.GetTable()).state()
@@ -41,11 +44,24 @@
 		s.watcher.options.Logger.Info("passing on what was known before the store was lost", "table", r.GetTable(), "version", last.Version)
 		state = last
 	}
+	return s.stateReply(state), nil
+}
+
+// lately answers with what this host was told a moment ago.
+func (s *server) lately(r *spreadpb.StateRequest) (*spreadpb.StateReply, error) {
+	state, ok := s.watcher.remember(r.GetTable()).lately(r.GetAfter())
+	if !ok {
+		return nil, status.Error(codes.FailedPrecondition, "nothing was told lately")
+	}
+	return s.stateReply(state), nil
+}
+
+func (s *server) stateReply(state store.State) *spreadpb.StateReply {
 	reply := &spreadpb.StateReply{Version: state.Version, NowMicros: s.now()}
 	for _, row := range state.Rows {
 		reply.Rows = append(reply.Rows, rowToWire(row, false))
 	}
-	return reply, nil
+	return reply
 }
 
 // Changes implements spreadpb.SpreadServer.
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -25,6 +25,7 @@
 	"google.golang.org/grpc/credentials"
 
 	"quaybarrow/internal/clock"
+	"quaybarrow/internal/spread/spreadpb"
 	"quaybarrow/internal/store"
 )
 
@@ -39,6 +40,8 @@
 	// directEvery bounds direct reads while other hosts say that they do not
 	// reach the store: most likely nobody does.
 	directEvery = 2 * time.Second
+	// latelyEvery is how often other hosts are asked for what they were told.
+	latelyEvery = 400 * time.Millisecond
 	// reachedFor is how long a host that reached the store directly goes on
 	// doing so.
 	reachedFor = 3 * time.Second
@@ -233,7 +236,7 @@
 	state, asked, err := throughPeers(w, func(p peer) (store.State, error) {
 		limited, cancel := context.WithTimeout(ctx, peerWait+peerMargin)
 		defer cancel()
-		return w.link.state(limited, p, table, w.hear)
+		return w.link.state(limited, p, &spreadpb.StateRequest{Table: table}, w.hear)
 	})
 	if asked {
 		return state, err
@@ -271,8 +274,11 @@
 // no changes.
 func (w *Watcher) Changes(ctx context.Context, table string, after int64, wait time.Duration) ([]store.Change, int64, error) {
 	changes, version, err := w.changes(ctx, table, after, wait)
-	if err == nil {
+	switch {
+	case err == nil:
 		w.remember(table).apply(changes, version)
+	case errors.Is(err, errSecondHand):
+		err = nil
 	}
 	return changes, version, err
 }
@@ -288,10 +294,18 @@
 	if asked {
 		return r.changes, r.version, err
 	}
-	switch {
-	case err == nil:
-		return w.mirror(table).Changes(ctx, after, wait)
-	case !w.mayReadDirectly(err):
+	if err == nil {
+		var changes []store.Change
+		var version int64
+		changes, version, err = w.mirror(table).Changes(ctx, after, wait)
+		if !errors.Is(err, store.ErrUnavailable) {
+			return changes, version, err
+		}
+	}
+	if changes, version, ok := w.lately(ctx, table, after, wait); ok {
+		return changes, version, errSecondHand
+	}
+	if !w.mayReadDirectly(err) {
 		return nil, 0, err
 	}
 	changes, version, err := w.options.Store.Changes(ctx, table, after, min(wait, w.options.Wait))
@@ -299,6 +313,30 @@
 	return changes, version, err
 }
 
+// errSecondHand marks changes that were told by a host that does not read the
+// store itself.
+var errSecondHand = errors.New("told at second hand")
+
+// lately asks a few hosts of any data hall for what they were told lately, when
+// neither this host nor those that it asks first reach the store.
+func (w *Watcher) lately(ctx context.Context, table string, after int64, wait time.Duration) ([]store.Change, int64, bool) {
+	for _, p := range w.peers.some(peersTried) {
+		limited, cancel := context.WithTimeout(ctx, peerMargin)
+		state, err := w.link.state(limited, p, &spreadpb.StateRequest{Table: table, Lately: true, After: after}, w.hear)
+		cancel()
+		switch {
+		case err != nil:
+			w.peers.failed(p, err)
+		case state.Version > after:
+			return w.remember(table).changes(state), state.Version, true
+		default:
+			clock.Sleep(ctx, min(wait, latelyEvery))
+			return nil, after, true
+		}
+	}
+	return nil, 0, false
+}
+
 // throughPeers asks the hosts that come before this one in its data hall; asked
 // is false if there are none, or those that were tried have failed with the
 // error.
--- a/internal/spread/spread_test.go
+++ b/internal/spread/spread_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -32,6 +33,7 @@
 	watcher *spread.Watcher
 	server  *grpc.Server
 	cancel  context.CancelFunc
+	door    atomic.Bool // the store turns this host away
 
 	mu     sync.Mutex // guards all below
 	values map[string]string
@@ -76,7 +78,13 @@
 
 func (h *hall) start(i int) *host {
 	n := &host{address: fmt.Sprintf("10.0.0.%d:7340", i)}
-	client := platform.NewStore(storeAddress, h.net.Dial)
+	client := platform.NewStore(storeAddress, func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := h.net.Dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &turnedConn{Conn: c, away: &n.door}, nil
+	})
 	n.watcher = spread.NewWatcher(spread.Options{
 		Host: fmt.Sprint("host-", i), Hall: "ikeja", Address: n.address, First: true, Wait: time.Second, Seeds: []string{"10.0.0.1:7340", "10.0.0.77:7340"}, Tables: client, Store: client,
 		Logger: log.New(io.Discard), Credentials: insecure.NewCredentials(),
@@ -98,6 +106,21 @@
 	h.watcher.Close()
 }
 
+// turnedConn is a connection to a store that may turn its host away.
+type turnedConn struct {
+	net.Conn
+	away *atomic.Bool
+}
+
+// Write implements net.Conn.
+func (c *turnedConn) Write(p []byte) (int, error) {
+	if c.away.Load() {
+		_ = c.Close()
+		return 0, net.ErrClosed
+	}
+	return c.Conn.Write(p)
+}
+
 // withHall runs a body beside several hosts, under the paused clock.
 func withHall(count int, body func(h *hall)) {
 	suite.Paused(func() {
@@ -174,6 +197,27 @@
 		})
 	})
 
+	for turned := 1; turned <= 3; turned++ {
+		It(fmt.Sprintf("see changes while the store turns %d of 4 away", turned), func() {
+			withHall(4, func(h *hall) {
+				for _, n := range h.hosts[:turned] {
+					n.door.Store(true)
+				}
+				for i := range 6 {
+					h.store.Put("t", "k", fmt.Append(nil, i))
+					expectEverywhere(h.hosts, fmt.Sprint(i), 2900*time.Millisecond)
+				}
+				h.store.Drop("t", "k")
+				expectEverywhere(h.hosts, "", 2900*time.Millisecond)
+				for _, n := range h.hosts[:turned] {
+					n.door.Store(false)
+				}
+				h.store.Put("t", "k", []byte("after"))
+				expectEverywhere(h.hosts, "after", 2900*time.Millisecond)
+			})
+		})
+	}
+
 	It("read on after the history was dropped", func() {
 		withHall(4, func(h *hall) {
 			h.store.Break(standin.LoseFeed)
