Tests meet the platform's words through its stand-in only

Requests as raw bytes, seals and forged fields are made and read in platform/standin, so no test outside platform/ names them. The checks are the same; the chunked body that is too long has a test of its own.

--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -165,11 +165,11 @@
 	It("makes few calls while nothing changes, and few while the store is away", func() {
 		following(func(s *standin.Store, _ *picture) {
 			time.Sleep(time.Minute)
-			Expect(s.Calls("/-/rows-feed")).To(BeNumerically("<=", 21))
-			before := s.Calls("/-/rows-feed")
+			Expect(s.Feeds()).To(BeNumerically("<=", 21))
+			before := s.Feeds()
 			s.Break(standin.Busy)
 			time.Sleep(time.Minute)
-			Expect(s.Calls("/-/rows-feed") - before).To(BeNumerically("<=", 130))
+			Expect(s.Feeds() - before).To(BeNumerically("<=", 130))
 		})
 	})
 })
--- a/internal/gateway/admit_test.go
+++ b/internal/gateway/admit_test.go
@@ -17,23 +17,21 @@
 
 // badRequests are refused before anything is sent to an endpoint.
 var badRequests = map[string]struct {
-	text   string
-	status int
-	closed bool
+	request standin.Request
+	status  int
+	closed  bool
 }{
 	"an unknown path": {request("POST", "/nowhere/", "x"), 404, false},
-	"an unknown host": {strings.Replace(request("POST", "/once/", "x"), "a.example", "b.example", 1), 404, false},
-	"an unknown key":  {strings.Replace(request("POST", "/once/", "x"), "key-1", "key-2", 1), 401, false},
-	"no key":          {strings.Replace(request("POST", "/once/", "x"), "Credential: key-1\r\n", "", 1), 401, false},
-	"two keys":        {request("POST", "/once/", "x", "Credential: key-1"), 401, false},
-	"no id":           {strings.Replace(request("POST", "/once/", "x"), "Attempt-Id: id-1\r\n", "", 1), 400, true},
+	"an unknown host": {request("POST", "/once/", "x").WithHost("b.example"), 404, false},
+	"an unknown key":  {request("POST", "/once/", "x").WithKey("key-2"), 401, false},
+	"no key":          {request("POST", "/once/", "x").WithKey(""), 401, false},
+	"two keys":        {request("POST", "/once/", "x").With(standin.KeyLine("key-1")), 401, false},
+	"no id":           {request("POST", "/once/", "x").WithID(""), 400, true},
 	"a body too long": {request("POST", "/once/", strings.Repeat("x", 1001)), 413, true},
-	"a chunked body too long": {request("GET", "/once/", "", "Transfer-Encoding: chunked") +
-		fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", 1001, strings.Repeat("x", 1001)), 413, true},
-	"a head too long": {request("POST", "/once/", "x", "X-Long: "+strings.Repeat("y", 5000)), 431, true},
-	"two lengths": {request("POST", "/once/", "0\r\n\r\nPOST /once/2 HTTP/1.1\r\nHost: a.example\r\n\r\n",
-		"Transfer-Encoding: chunked"), 400, true},
-	"a folded field": {request("POST", "/once/", "x", "X-Folded: a\r\n b"), 400, true},
+	"a head too long": {request("POST", "/once/", "x").With("X-Long: " + strings.Repeat("y", 5000)), 431, true},
+	"two lengths": {request("POST", "/once/", "0\r\n\r\nPOST /once/2 HTTP/1.1\r\nHost: a.example\r\n\r\n").
+		With("Transfer-Encoding: chunked"), 400, true},
+	"a folded field": {request("POST", "/once/", "x").With("X-Folded: a\r\n b"), 400, true},
 }
 
 var _ = Describe("admission of requests", func() {
@@ -44,12 +42,12 @@
 				defer r.stop()
 				caller := r.call()
 				defer func() { _ = caller.Close() }()
-				caller.send(c.text)
+				caller.send(c.request.Text())
 				a := caller.read()
 				Expect(a.Status).To(Equal(c.status))
 				Expect(r.runs()).To(BeZero())
 				if !c.closed {
-					caller.send(request("POST", "/once/", "x"))
+					caller.send(request("POST", "/once/", "x").Text())
 					a = caller.read()
 					Expect(a.Status).To(Equal(200))
 					return
@@ -75,18 +73,30 @@
 		suite.Paused(func() {
 			r := newRig(scripts{"plain-1": standin.Always(good)})
 			defer r.stop()
-			a := r.ask(request("POST", "/once/a%2Fb?q=1;2", "x", "Tenant: thieves", "Hold: h", "Pin-Ms: 9", "Kv-From: a/b", "Kv-Backup: c",
-				"Expect-Instance: other", "Request-Urgency: 0", "X-Own: kept", "X-Hop: gone", "Connection: keep-alive, X-Hop"))
+			q := request("POST", "/once/a%2Fb?q=1;2", "x").With(standin.Forged()...)
+			a := r.ask(q.With("X-Own: kept", "X-Hop: gone", "Connection: keep-alive, X-Hop"))
 			Expect(a.Status).To(Equal(200))
 			seen := r.endpoints["plain-1"].Seen()[0]
 			Expect(seen.Method + " " + seen.Target + " " + seen.Body).To(Equal("POST /once/a%2Fb?q=1;2 x"))
-			Expect(seen.Head.Get("Tenant")).To(Equal("weavers"))
-			Expect(seen.Head.Get("Expect-Instance")).To(Equal("plain-1"))
-			Expect(seen.Head.Get("Attempt-Id")).To(Equal("id-1"))
+			Expect(seen.Workspace()).To(Equal("weavers"))
+			Expect(seen.EndpointID()).To(Equal("plain-1"))
+			Expect(seen.ID()).To(Equal("id-1"))
+			Expect(seen.Leaks()).To(BeEmpty())
 			Expect(seen.Head.Get("X-Own")).To(Equal("kept"))
-			for _, name := range []string{"Hold", "Pin-Ms", "Kv-From", "Kv-Backup", "Credential", "X-Hop"} {
-				Expect(seen.Head).NotTo(HaveKey(name))
-			}
+			Expect(seen.Head).NotTo(HaveKey("X-Hop"))
+		})
+	})
+
+	It("refuses a chunked body that is too long", func() {
+		suite.Paused(func() {
+			r := newRig(scripts{"plain-1": standin.Always(good)})
+			defer r.stop()
+			caller := r.call()
+			defer func() { _ = caller.Close() }()
+			head := request("GET", "/once/", "").With("Transfer-Encoding: chunked").Text()
+			caller.send(head + fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", 1001, strings.Repeat("x", 1001)))
+			Expect(caller.read().Status).To(Equal(413))
+			Expect(r.runs()).To(BeZero())
 		})
 	})
 
@@ -94,9 +104,8 @@
 		suite.Paused(func() {
 			r := newRig(scripts{"plain-1": standin.Always(good)})
 			defer r.stop()
-			text := strings.Replace(request("POST", "/open/", "x", "Tenant: thieves"), "Credential: key-1\r\n", "", 1)
-			Expect(r.ask(text).Status).To(Equal(200))
-			Expect(r.endpoints["plain-1"].Seen()[0].Head).NotTo(HaveKey("Tenant"))
+			Expect(r.ask(request("POST", "/open/", "x").WithKey("").With(standin.Forged()...)).Status).To(Equal(200))
+			Expect(r.endpoints["plain-1"].Seen()[0].Workspace()).To(BeEmpty())
 		})
 	})
 
@@ -118,7 +127,7 @@
 			r := newRig(scripts{"plain-1": standin.Always(good)})
 			defer r.stop()
 			caller := r.call()
-			caller.send(request("POST", "/once/", "x"))
+			caller.send(request("POST", "/once/", "x").Text())
 			Expect(caller.read().Status).To(Equal(200))
 			start := time.Now()
 			_, err := caller.reader.Peek(1)
--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -142,44 +142,21 @@
 	return &caller{Conn: c, reader: bufio.NewReader(c)}
 }
 
-// answer is what a caller got.
-type answer struct {
-	Status int
-	Head   http.Header
-	Body   string
-	Err    error // of the body
-	Close  bool  // the connection can't be used again
-}
-
 // send writes raw bytes without waiting for them to be read.
 func (c *caller) send(text string) { go func() { _, _ = io.WriteString(c, text) }() }
 
 // read reads an answer.
-func (c *caller) read() answer {
-	response, err := http.ReadResponse(c.reader, nil)
-	if err != nil {
-		return answer{Err: err}
-	}
-	body, err := io.ReadAll(response.Body)
-	return answer{Status: response.StatusCode, Head: response.Header, Body: string(body), Err: err, Close: response.Close}
-}
+func (c *caller) read() standin.Answer { return standin.ReadAnswer(c.reader) }
 
-// request formats a request with a key and an id.
-func request(method, path, body string, heads ...string) string {
-	text := method + " " + path + " HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: id-1\r\nCredential: key-1\r\nDeadline-Ms: 15000\r\n"
-	for _, h := range heads {
-		text += h + "\r\n"
-	}
-	if body != "" || method == http.MethodPost {
-		text += fmt.Sprintf("Content-Length: %d\r\n", len(body))
-	}
-	return text + "\r\n" + body
+// request is a request of a workspace.
+func request(method, path, body string) standin.Request {
+	return standin.NewRequest(method, path, body)
 }
 
 // ask sends one request on a connection of its own.
-func (r *rig) ask(text string) answer {
+func (r *rig) ask(q standin.Request) standin.Answer {
 	c := r.call()
 	defer func() { _ = c.Close() }()
-	c.send(text)
+	c.send(q.Text())
 	return c.read()
 }
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -20,7 +20,8 @@
 	return b.String()
 }
 
-const modelHeads = "Token-Counts: 500,80\r\nPrompt-Prefix: aa:100,bb:300,cc:100\r\nModel: *"
+// prompt is a request to a model.
+func prompt(path string) standin.Request { return request("POST", path, "x").WithPrompt() }
 
 var sure = standin.Stream{Events: 5, Confidence: 90}
 
@@ -29,10 +30,10 @@
 		suite.Paused(func() {
 			r := newRig(scripts{"model-1": standin.Always(sure)})
 			defer r.stop()
-			a := r.ask(request("POST", "/stream/1", "x", modelHeads))
+			a := r.ask(prompt("/stream/1"))
 			Expect(a.Err).NotTo(HaveOccurred())
 			Expect(a.Body).To(Equal(events(1, 5, "small")))
-			Expect(a.Head.Get("Server-Seal")).To(Equal("seal-of-model-1"))
+			Expect(a.SealedBy()).To(Equal("model-1"))
 		})
 	})
 
@@ -41,7 +42,7 @@
 			both := between(standin.Stream{Events: 5, Confidence: 90, BreakAfter: 2}, sure)
 			r := newRig(scripts{"model-1": both, "model-2": both})
 			defer r.stop()
-			a := r.ask(request("POST", "/stream/1", "x", modelHeads))
+			a := r.ask(prompt("/stream/1"))
 			Expect(a.Err).NotTo(HaveOccurred())
 			Expect(a.Body).To(Equal(events(1, 5, "small")))
 			Expect(r.runs()).To(Equal(2))
@@ -52,7 +53,7 @@
 		suite.Paused(func() {
 			r := newRig(scripts{"model-1": standin.Always(standin.Stream{Events: 5, Confidence: -1, BreakAfter: 2})})
 			defer r.stop()
-			a := r.ask(request("POST", "/fixed/1", "x", modelHeads))
+			a := r.ask(prompt("/fixed/1"))
 			Expect(a.Err).To(HaveOccurred())
 			Expect(a.Body).To(Equal(events(1, 2, "*")))
 			Expect(r.runs()).To(Equal(1))
@@ -63,7 +64,7 @@
 		suite.Paused(func() {
 			r := newRig(scripts{"model-1": standin.Always(standin.Stream{Events: 5, Confidence: 10})})
 			defer r.stop()
-			a := r.ask(request("POST", "/stream/1", "x", modelHeads))
+			a := r.ask(prompt("/stream/1"))
 			Expect(a.Err).NotTo(HaveOccurred())
 			Expect(a.Body).To(Equal(events(1, 5, "large")))
 			Expect(r.runs()).To(Equal(2))
@@ -74,7 +75,7 @@
 		suite.Paused(func() {
 			r := newRig(scripts{"model-1": standin.Always(sure)})
 			defer r.stop()
-			a := r.ask(request("POST", "/stream/1", "x", modelHeads, "Last-Event-Id: 3"))
+			a := r.ask(prompt("/stream/1").WithLastEvent("3"))
 			Expect(a.Body).To(Equal(events(4, 5, "small")))
 		})
 	})
@@ -84,7 +85,7 @@
 			broken := standin.Always(standin.Stream{Events: 5, Confidence: 90, BreakAfter: 2})
 			r := newRig(scripts{"model-1": broken, "model-2": broken, "model-3": broken, "model-4": broken})
 			defer r.stop()
-			a := r.ask(request("POST", "/stream/1", "x", modelHeads))
+			a := r.ask(prompt("/stream/1"))
 			Expect(a.Err).To(HaveOccurred())
 			Expect(r.runs()).To(BeNumerically("<=", 3))
 		})
--- a/internal/gateway/whole_test.go
+++ b/internal/gateway/whole_test.go
@@ -60,7 +60,7 @@
 				Expect(a.Err).NotTo(HaveOccurred())
 				Expect(a.Status).To(Equal(c.status))
 				Expect(r.runs()).To(Equal(c.runs))
-				Expect(a.Head.Get("Server-Seal") != "").To(Equal(c.sealed))
+				Expect(a.SealedBy() != "").To(Equal(c.sealed))
 			})
 		})
 	}
@@ -139,7 +139,7 @@
 			defer r.stop()
 			start := time.Now()
 			c := r.call()
-			c.send(request("POST", "/again/1", "x"))
+			c.send(request("POST", "/again/1", "x").Text())
 			time.Sleep(300 * time.Millisecond)
 			_ = c.Close()
 			time.Sleep(time.Second)
--- a/internal/gatewayd/host_test.go
+++ b/internal/gatewayd/host_test.go
@@ -98,7 +98,7 @@
 	return r.StatusCode, string(body)
 }
 
-const request = "POST /x/1 HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: id-1\r\nDeadline-Ms: 15000\r\nContent-Length: 1\r\n\r\nx"
+var request = standin.NewRequest("POST", "/x/1", "x").WithKey("").Text()
 
 // connect opens a caller's connection.
 func (s *system) connect() (net.Conn, *bufio.Reader) {
--- a/internal/spread/spread_test.go
+++ b/internal/spread/spread_test.go
@@ -154,13 +154,13 @@
 var _ = Describe("hosts that pass on the store", func() {
 	It("all see a change at once, for few calls", func() {
 		withHall(12, func(h *hall) {
-			before := h.store.Calls("/-/rows-feed")
+			before := h.store.Feeds()
 			for i := range 20 {
 				h.store.Put("t", "k", fmt.Append(nil, i))
 				time.Sleep(time.Second)
 			}
 			expectEverywhere(h.hosts, "19", 300*time.Millisecond)
-			Expect(h.store.Calls("/-/rows-feed") - before).To(BeNumerically("<", 60))
+			Expect(h.store.Feeds() - before).To(BeNumerically("<", 60))
 		})
 	})
 
@@ -187,11 +187,11 @@
 
 	It("are right again soon after the store was away, and did not storm it", func() {
 		withHall(12, func(h *hall) {
-			before := h.store.Calls("/-/rows-feed") + h.store.Calls("/-/rows-get")
+			before := h.store.Feeds() + h.store.Reads()
 			h.store.Break(standin.Busy)
 			h.store.Put("t", "k", []byte("1"))
 			time.Sleep(20 * time.Second)
-			Expect(h.store.Calls("/-/rows-feed") + h.store.Calls("/-/rows-get") - before).To(BeNumerically("<", 12*20))
+			Expect(h.store.Feeds() + h.store.Reads() - before).To(BeNumerically("<", 12*20))
 			h.store.Break(standin.Healthy)
 			expectEverywhere(h.hosts, "1", 2900*time.Millisecond)
 		})
@@ -259,14 +259,14 @@
 
 	It("write and read little when they start again", func() {
 		withHall(4, func(h *hall) {
-			writes, reads := h.store.Calls("/-/rows-tx"), h.store.Calls("/-/rows-get")
+			writes, reads := h.store.Writes(), h.store.Reads()
 			Expect(writes).To(Equal(4))
 			h.hosts[0].stop()
 			h.hosts[0] = h.start(0)
 			time.Sleep(5 * time.Second)
-			Expect(h.store.Calls("/-/rows-tx")).To(Equal(writes))
+			Expect(h.store.Writes()).To(Equal(writes))
 			// The table once, the list of hosts twice, in two pages each.
-			Expect(h.store.Calls("/-/rows-get") - reads).To(Equal(5))
+			Expect(h.store.Reads() - reads).To(Equal(5))
 		})
 	})
 })
