A fault soak of the real daemon as separate processes

quaybarrow soak runs daemons with stand-ins for store and endpoints behind loopback proxies that delay, reset, silence and cut one way; processes are killed, stopped, paused and restarted by signals; the store is busy, limited, silent, loses answers and forgets. Promises are checked from what callers and endpoints saw.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -108,6 +108,7 @@
 	c.Register(&measureCommand{env: env}, groupTry)
 	c.Register(&loadCommand{env: env}, groupTry)
 	c.Register(&standinCommand{env: env}, groupTry)
+	c.Register(&soakCommand{env: env}, groupTry)
 }
 
 // Environment variables.
--- /dev/null
+++ b/internal/cli/soak.go
@@ -0,0 +1,83 @@
+package cli
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"time"
+
+	"github.com/google/subcommands"
+	"github.com/pkg/errors"
+
+	"quaybarrow/internal/soak"
+)
+
+// soakCommand runs the fault soak.
+type soakCommand struct {
+	env     Environment
+	options soak.Options
+	seeds   int
+}
+
+// Name implements subcommands.Command.
+func (*soakCommand) Name() string { return "soak" }
+
+// Synopsis implements subcommands.Command.
+func (*soakCommand) Synopsis() string { return "run daemons as processes and inject faults" }
+
+// Usage implements subcommands.Command.
+func (*soakCommand) Usage() string {
+	return `soak -daemon PROGRAM [-seed N] [-seeds COUNT] [-for TIME] [-hosts COUNT] [-logs FOLDER]
+  Runs daemons as separate processes on this machine, with stand-ins for the store and
+  endpoints, injects faults at random from the seed and checks the router's promises from
+  what callers and endpoints see. Exits with 1 if one is broken.
+`
+}
+
+// Defaults of a soak.
+const (
+	soakHosts  = 6
+	soakLength = 20 * time.Second
+)
+
+// SetFlags implements subcommands.Command.
+func (c *soakCommand) SetFlags(f *flag.FlagSet) {
+	f.Uint64Var(&c.options.Seed, "seed", 1, "first `seed`")
+	f.IntVar(&c.seeds, "seeds", 1, "how many seeds, one after the other")
+	f.DurationVar(&c.options.Length, "for", soakLength, "how long faults are injected, for each seed")
+	f.IntVar(&c.options.Hosts, "hosts", soakHosts, "how many hosts")
+	f.StringVar(&c.options.Daemon, "daemon", "", "`program` of the daemon")
+	f.StringVar(&c.options.LogDir, "logs", "", "`folder` for the hosts' logs")
+}
+
+// Execute implements subcommands.Command.
+func (c *soakCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	return finish(c.env, c.run(ctx))
+}
+
+// errSoak means that a promise was broken.
+var errSoak = errors.New("a promise was broken")
+
+func (c *soakCommand) run(ctx context.Context) error {
+	if c.options.Daemon == "" {
+		return errors.WithMessage(errUsage, "flag -daemon: name the daemon's program")
+	}
+	broken := 0
+	for range c.seeds {
+		r, err := soak.Run(ctx, c.options)
+		if err != nil {
+			return fmt.Errorf("seed %d: %w", c.options.Seed, err)
+		}
+		_, _ = fmt.Fprintf(c.env.Stdout, "seed %d: %d faults, %d requests, %d served, %d refused, %d failed, %d violations\n",
+			c.options.Seed, r.Faults, r.Requests, r.Served, r.Refused, r.Failed, len(r.Violations))
+		for _, v := range r.Violations {
+			_, _ = fmt.Fprintln(c.env.Stdout, "  ", v)
+		}
+		broken += len(r.Violations)
+		c.options.Seed++
+	}
+	if broken > 0 {
+		return errSoak
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/soak/soak.go
@@ -0,0 +1,117 @@
+// Package soak runs the real daemon as separate processes on one machine and
+// injects faults from outside, at random from a seed, while callers use it. It
+// checks the router's promises from what callers and endpoints see.
+//
+// # Usage
+//
+//	report, err := soak.Run(ctx, soak.Options{Seed: 7, Length: 20 * time.Second, Hosts: 6, Daemon: "bin/quaybarrowd"})
+//	for _, v := range report.Violations { fmt.Println(v) }
+//
+// Connections to the store and to endpoints pass through loopback proxies, which
+// delay, reset, silence and cut them one way; processes are stopped, killed,
+// paused and restarted by signals; the store's stand-in misbehaves. Faults
+// overlap and are not counted as excuses: what may not happen may not happen
+// under any of them. Only processes that the soak started are signalled.
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+)
+
+// Parameters of a run.
+const (
+	// warmUp is how long all hosts may take to be ready.
+	warmUp = 15 * time.Second
+	// quiet at the end of a run is without faults; the system has to be well.
+	quiet = 8 * time.Second
+	// settled is the part of it that is judged.
+	settled = 4 * time.Second
+	// servedLeast is the part of requests that has to be served then.
+	servedLeast = 0.95
+	callers     = 12
+)
+
+// Options set up a run.
+type Options struct {
+	Seed   uint64
+	Length time.Duration // with faults
+	Hosts  int
+	Daemon string // path of the daemon's program
+	LogDir string // where hosts' logs are kept; empty keeps none
+}
+
+// Result is what a run saw.
+type Result struct {
+	Requests, Served, Refused, Failed int
+	Faults                            int
+	Violations                        []string
+}
+
+// Run plays one run.
+func Run(ctx context.Context, o Options) (Result, error) {
+	dir, err := os.MkdirTemp("", "quaybarrow-soak-")
+	if err != nil {
+		return Result{}, fmt.Errorf("make folder: %w", err)
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	w, err := newWorld(o, dir)
+	if err != nil {
+		return Result{}, err
+	}
+	defer w.stop()
+	if err := w.awaitReady(ctx, warmUp); err != nil {
+		return Result{}, err
+	}
+	calling, stop := context.WithCancel(ctx)
+	var work sync.WaitGroup
+	for i := range callers {
+		work.Go(func() { w.call(calling, rand.New(rand.NewPCG(o.Seed, uint64(i)))) })
+	}
+	faults := w.injectFaults(ctx, o.Length)
+	w.healAll()
+	sleep(ctx, quiet-settled)
+	w.history.startJudging()
+	sleep(ctx, settled)
+	stop()
+	work.Wait()
+	report := w.history.report(w.runs())
+	report.Faults = faults
+	return report, nil
+}
+
+// sleep waits; false if the context ends first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// logFile opens a host's log.
+func logFile(dir, name string) (io.WriteCloser, error) {
+	if dir == "" {
+		return nopCloser{io.Discard}, nil
+	}
+	f, err := os.OpenFile(filepath.Join(dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return nil, fmt.Errorf("open log: %w", err)
+	}
+	return f, nil
+}
+
+// nopCloser is a writer that need not be closed.
+type nopCloser struct{ io.Writer }
+
+// Close implements io.Closer.
+func (nopCloser) Close() error { return nil }
--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,131 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"quaybarrow/platform/standin"
+)
+
+// sealed is the head of an answer that an endpoint made; one is asked for it.
+func sealed() http.Header {
+	e := standin.NewEndpoint("e-1", nil)
+	return e.Head()
+}
+
+// good is a whole answer.
+func good(body string) standin.Answer {
+	return standin.Answer{Status: 200, Head: sealed(), Body: body}
+}
+
+func streamOf(ids ...int) string {
+	var b strings.Builder
+	for _, id := range ids {
+		fmt.Fprintf(&b, "id: %d\ndata: x\n\n", id)
+	}
+	return b.String()
+}
+
+// histories are outcomes of one request with how often it ran, and what the
+// judgement has to say; "" if nothing.
+var histories = map[string]struct {
+	path   string
+	answer standin.Answer
+	runs   int
+	says   string
+}{
+	"a good answer":                            {pathOnce, good("answer to r1"), 1, ""},
+	"another request's answer":                 {pathOnce, good("answer to r2"), 1, "the body is"},
+	"a part of an answer":                      {pathOnce, good("answer"), 1, "the body is"},
+	"a success that no endpoint made":          {pathOnce, standin.Answer{Status: 200, Body: "answer to r1"}, 1, "without an endpoint's seal"},
+	"a success of a request that nobody ran":   {pathOnce, good("answer to r1"), 0, "no endpoint ran it"},
+	"a request that ran twice":                 {pathOnce, good("answer to r1"), 2, "ran 2 times"},
+	"a repeatable request that ran twice":      {pathAgain, good("answer to r1"), 2, ""},
+	"a true refusal":                           {pathOnce, standin.Answer{Status: 503}, 0, ""},
+	"a refusal of a request that ran":          {pathOnce, standin.Answer{Status: 503}, 1, "told that it did not run"},
+	"a stream with a gap":                      {pathStream, good(streamOf(1, 2, 4, 5, 6, 7, 8, 9)), 1, "event 3 has id 4"},
+	"a stream with an event twice":             {pathStream, good(streamOf(1, 2, 2, 3, 4, 5, 6, 7)), 1, "event 3 has id 2"},
+	"a stream that ends before its last event": {pathStream, good(streamOf(1, 2, 3)), 1, "a whole stream of 3 events"},
+	"a whole stream":                           {pathStream, good(streamOf(1, 2, 3, 4, 5, 6, 7, 8)), 2, ""},
+}
+
+var _ = Describe("the judgement of a soak", func() {
+	for name, c := range histories {
+		It("of "+name, func() {
+			h := newHistory()
+			h.startJudging()
+			h.add(outcome{id: "r1", path: c.path, answer: c.answer}, true)
+			for i := range 40 { // the rest of the traffic is well
+				id := fmt.Sprint("w", i)
+				h.add(outcome{id: id, path: pathAgain, answer: good(bodyOf(id))}, true)
+			}
+			runs := map[string]int{"r1": c.runs}
+			for i := range 40 {
+				runs[fmt.Sprint("w", i)] = 1
+			}
+			violations := h.report(runs).Violations
+			if c.says == "" {
+				Expect(violations).To(BeEmpty())
+				return
+			}
+			Expect(violations).To(ContainElement(ContainSubstring(c.says)))
+		})
+	}
+
+	It("of a configuration that goes back", func() {
+		h, now := newHistory(), time.Now()
+		h.showVersion("host-1/1", 5, now, now)
+		h.showVersion("host-1/1", 4, now.Add(100*time.Millisecond), now)
+		Expect(h.violations).To(BeEmpty())
+		h.showVersion("host-1/2", 4, now.Add(time.Second), now)
+		Expect(h.violations).To(BeEmpty())
+		h.showVersion("host-1/1", 4, now.Add(time.Second), now)
+		Expect(h.violations).To(HaveLen(1))
+	})
+
+	It("of a system that does not recover", func() {
+		h := newHistory()
+		for i := range 10 {
+			h.add(outcome{id: fmt.Sprint(i), path: pathAgain, answer: standin.Answer{Status: 504}}, true)
+		}
+		Expect(h.report(nil).Violations).To(ContainElement(ContainSubstring("0 of 10 requests were served")))
+	})
+})
+
+// seeds are runs of the check: one fixed seed, and every seed that ever failed
+// with a line on its cause.
+var seeds = map[string]uint64{
+	"a fixed seed": 1,
+}
+
+var _ = Describe("a short soak of the real daemon", Ordered, func() {
+	var daemon string
+
+	BeforeAll(func() {
+		daemon = filepath.Join(GinkgoT().TempDir(), "quaybarrowd")
+		build := exec.Command("go", "build", "-o", daemon, "../../cmd/quaybarrowd")
+		build.Stderr = os.Stderr
+		Expect(build.Run()).To(Succeed())
+	})
+
+	for name, seed := range seeds {
+		It("keeps its promises with "+name, func() {
+			report, err := Run(context.Background(), Options{
+				Seed: seed, Length: 5 * time.Second, Hosts: 4, Daemon: daemon,
+			})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(report.Violations).To(BeEmpty())
+			Expect(report.Served).To(BeNumerically(">", 100))
+			Expect(report.Faults).To(BeNumerically(">", 2))
+		})
+	}
+})
--- /dev/null
+++ b/internal/soak/world.go
@@ -0,0 +1,343 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"quaybarrow/platform/standin"
+)
+
+// Size of a world besides its hosts.
+const (
+	plainEndpoints = 3
+	modelEndpoints = 4
+)
+
+// halls are the data halls of the hosts.
+var halls = []string{"ikeja", "lekki", "yaba"}
+
+// world is a system under test: the store's stand-in, endpoints and hosts.
+type world struct {
+	store   *standin.Store
+	server  *http.Server
+	history *history
+	hosts   []*process
+
+	mu        sync.Mutex // guards all below
+	random    *rand.Rand
+	endpoints map[string]*endpoint
+	all       []*standin.Endpoint // also those that are gone
+	version   int                 // of the newest configuration
+	serial    int
+}
+
+// endpoint is an endpoint behind a proxy.
+type endpoint struct {
+	*standin.Endpoint
+	service  string
+	listener net.Listener
+	proxy    *proxy
+}
+
+// newWorld starts everything.
+func newWorld(o Options, dir string) (*world, error) {
+	w := &world{
+		store: standin.NewStore(), history: newHistory(), random: rand.New(rand.NewPCG(o.Seed, o.Seed)),
+		endpoints: map[string]*endpoint{},
+	}
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("start store: %w", err)
+	}
+	w.server = &http.Server{Handler: w.store}
+	go func() { _ = w.server.Serve(l) }()
+	w.configure()
+	for i := range plainEndpoints + modelEndpoints {
+		service := "plain"
+		if i >= plainEndpoints {
+			service = "model"
+		}
+		if err := w.addEndpoint(service); err != nil {
+			return nil, err
+		}
+	}
+	for i := range o.Hosts {
+		p, err := newProcess(o, dir, i, l.Addr().String())
+		if err != nil {
+			w.stop()
+			return nil, err
+		}
+		w.hosts = append(w.hosts, p)
+	}
+	return w, nil
+}
+
+// configure brings the next version of the configuration into force.
+func (w *world) configure() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.version++
+	w.store.Put(standin.TableOperator, standin.KeyDeclaration, standin.Declaration(w.version))
+}
+
+// addEndpoint starts an endpoint and lists it.
+func (w *world) addEndpoint(service string) error {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return fmt.Errorf("start endpoint: %w", err)
+	}
+	p, err := newProxy(l.Addr().String())
+	if err != nil {
+		return err
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.serial++
+	id := fmt.Sprintf("%s-%d", service, w.serial)
+	e := &endpoint{Endpoint: standin.NewEndpoint(id, w.script(service)), service: service, listener: l, proxy: p}
+	w.endpoints[id] = e
+	w.all = append(w.all, e.Endpoint)
+	go e.Serve(l)
+	w.store.Put(standin.TableEndpoints, id, standin.EndpointValue(service, p.address(), halls[w.serial%len(halls)], "v1", false))
+	return nil
+}
+
+// script makes an endpoint's answers: most are good, some go wrong.
+func (w *world) script(service string) func(int, *http.Request) standin.Script {
+	seed := w.random.Uint64()
+	random := rand.New(rand.NewPCG(seed, seed))
+	return func(_ int, r *http.Request) standin.Script {
+		dice := random.Float64()
+		if service == "model" {
+			s := standin.Stream{Events: streamEvents, Confidence: random.IntN(100), Gap: 10 * time.Millisecond}
+			if dice < 0.05 {
+				s.BreakAfter = 1 + random.IntN(streamEvents-1)
+			}
+			return s
+		}
+		good := standin.Reply{Status: 200, Body: bodyOf(standin.IDOf(r)), Delay: time.Duration(random.IntN(40)) * time.Millisecond}
+		switch {
+		case dice < 0.02:
+			return standin.Reset{}
+		case dice < 0.04:
+			return standin.Reply{Status: 500, Body: "failed"}
+		case dice < 0.05:
+			good.Cut = 3
+		case dice < 0.06:
+			good.Extra = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad"
+		case dice < 0.07:
+			good.Stray = true
+		case dice < 0.08:
+			good.Unsized = true
+		case dice < 0.09:
+			good.Close = true
+		}
+		return good
+	}
+}
+
+// runs counts how often endpoints got each id.
+func (w *world) runs() map[string]int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	counts := map[string]int{}
+	for _, e := range w.all {
+		for _, s := range e.Seen() {
+			counts[s.ID()]++
+		}
+	}
+	return counts
+}
+
+// awaitReady waits until all hosts are ready.
+func (w *world) awaitReady(ctx context.Context, limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	for _, p := range w.hosts {
+		for !p.ready(ctx) {
+			if !sleep(ctx, 50*time.Millisecond) {
+				return errors.Errorf("%s is not ready", p.name)
+			}
+		}
+	}
+	return nil
+}
+
+// stop ends everything that the world started.
+func (w *world) stop() {
+	for _, p := range w.hosts {
+		p.end()
+	}
+	_ = w.server.Close()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, e := range w.endpoints {
+		e.end()
+	}
+}
+
+func (e *endpoint) end() {
+	_ = e.listener.Close()
+	e.proxy.close()
+}
+
+// process is a host's process.
+type process struct {
+	name     string
+	daemon   string
+	settings string
+	logDir   string
+	callers  string
+	readyAt  string
+	store    *proxy
+	ending   sync.Mutex // held by the fault that ends or pauses the process
+
+	mu     sync.Mutex // guards all below
+	cmd    *exec.Cmd
+	starts int
+	exited chan struct{}
+}
+
+// settingsText is a host's settings file.
+const settingsText = `host: %s
+data_hall: %s
+region: lagos
+gateway:
+  callers: %s
+  ready: %s
+  control: %s
+  peers: %s
+  store: %s
+  memory_mb: 200
+  retry_ratio: 0.9
+  grace: 6s
+  in_force: 2s
+  first: true
+`
+
+// addressesOfHost is how many addresses a host listens at.
+const addressesOfHost = 4
+
+func newProcess(o Options, dir string, i int, store string) (*process, error) {
+	through, err := newProxy(store)
+	if err != nil {
+		return nil, err
+	}
+	addresses, err := freeAddresses(addressesOfHost)
+	if err != nil {
+		return nil, err
+	}
+	p := &process{
+		name: fmt.Sprint("host-", i), daemon: o.Daemon, logDir: o.LogDir, callers: addresses[0], readyAt: addresses[1], store: through,
+	}
+	p.settings = filepath.Join(dir, p.name+".yaml")
+	text := fmt.Sprintf(settingsText, p.name, halls[i%len(halls)], addresses[0], addresses[1], addresses[2], addresses[3], through.address())
+	if err := os.WriteFile(p.settings, []byte(text), 0o600); err != nil {
+		return nil, fmt.Errorf("write settings: %w", err)
+	}
+	return p, p.start()
+}
+
+// Ports that hosts listen at: below those that the system gives to outgoing
+// connections, which would take them while a host is down.
+const (
+	firstPort = 15_000
+	lastPort  = 32_000
+	portTries = 1000
+)
+
+// freeAddresses finds addresses on the loopback that nobody listens at.
+func freeAddresses(n int) ([]string, error) {
+	var addresses []string
+	for range portTries {
+		if len(addresses) == n {
+			return addresses, nil
+		}
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		l, err := net.Listen("tcp4", address)
+		if err != nil {
+			continue // somebody listens there
+		}
+		defer func() { _ = l.Close() }()
+		addresses = append(addresses, address)
+	}
+	return nil, errors.New("no free ports")
+}
+
+// start starts the process.
+func (p *process) start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out, err := logFile(p.logDir, p.name)
+	if err != nil {
+		return err
+	}
+	cmd := exec.Command(p.daemon, "-settings", p.settings)
+	cmd.Stdout, cmd.Stderr = out, out
+	if err := cmd.Start(); err != nil {
+		return fmt.Errorf("start %s: %w", p.name, err)
+	}
+	exited := make(chan struct{})
+	p.cmd, p.exited = cmd, exited
+	p.starts++
+	go func() {
+		_ = cmd.Wait() // how it ended is seen by callers
+		_ = out.Close()
+		close(exited)
+	}()
+	return nil
+}
+
+// signal sends a signal to the process.
+func (p *process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = p.cmd.Process.Signal(s) // it may have ended
+}
+
+// life names the present life of the process.
+func (p *process) life() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return fmt.Sprintf("%s/%d", p.name, p.starts)
+}
+
+// await waits until the process has ended.
+func (p *process) await() {
+	p.mu.Lock()
+	exited := p.exited
+	p.mu.Unlock()
+	<-exited
+}
+
+// ready reports whether the host says that it is ready.
+func (p *process) ready(ctx context.Context) bool {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.readyAt+standin.PathReady, nil)
+	if err != nil {
+		return false
+	}
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// end kills the process, paused or not.
+func (p *process) end() {
+	p.signal(syscall.SIGKILL)
+	p.await()
+	p.store.close()
+}
