A prompt has a home among all data halls beside that of its own

Change: the first by rendezvous of all data halls counts as having read it, that of the own hall in four of ten cases; the price of another hall stays.

--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -18,6 +18,12 @@
 	Objective time.Duration // by when the answer should begin
 }
 
+// unread counts the prompt's tokens that are read where a part of the shared ones
+// is not in memory.
+func (a Ask) unread(part float64) int {
+	return a.Tokens - int((1-part)*float64(a.Shared))
+}
+
 // Hold is a place at an endpoint.
 type Hold struct {
 	Endpoint Endpoint
@@ -121,12 +127,12 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
-	home := f.home(ask, now)
-	best := f.best(ask, home, now)
+	homes := f.homes(ask, now)
+	best := f.best(ask, homes, now)
 	if best == nil {
 		return nil, false
 	}
-	return f.hold(best, best == home, ask, now), true
+	return f.hold(best, homes.unread(best), ask, now), true
 }
 
 // Expect estimates how long an attempt that is sent now takes until the head of
@@ -135,27 +141,24 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
-	home := f.home(ask, now)
-	m := f.best(ask, home, now)
+	homes := f.homes(ask, now)
+	m := f.best(ask, homes, now)
 	if m == nil {
 		return 0
 	}
-	tokens := ask.Tokens
-	if m == home {
-		tokens -= ask.Shared
-	}
+	tokens := ask.unread(homes.unread(m))
 	wait := time.Duration(m.waiting(now) * float64(time.Second))
 	return m.reading + wait + f.readingOf(ask.Service, ask.Model).head(tokens)
 }
 
 // best returns the endpoint with the lowest score; nil if none may be used.
-func (f *Fleet) best(ask Ask, home *member, now time.Time) *member {
+func (f *Fleet) best(ask Ask, homes homes, now time.Time) *member {
 	best, bestScore := (*member)(nil), math.Inf(1)
 	for _, m := range f.byService[ask.Service] {
 		if !m.usable(ask) {
 			continue
 		}
-		if s := f.score(m, home, ask, now); s < bestScore {
+		if s := f.score(m, homes, ask, now); s < bestScore {
 			best, bestScore = m, s
 		}
 	}
@@ -163,39 +166,55 @@
 }
 
 // hold takes a place at an endpoint.
-func (f *Fleet) hold(m *member, home bool, ask Ask, now time.Time) *Hold {
+func (f *Fleet) hold(m *member, unread float64, ask Ask, now time.Time) *Hold {
 	h := &Hold{Endpoint: m.Endpoint, fleet: f, member: m, ask: ask, sent: now}
 	m.flying++
 	if ask.Key == 0 {
 		return h
 	}
 	r := f.readingOf(ask.Service, ask.Model)
-	tokens := ask.Tokens
-	if home {
-		tokens -= ask.Shared
-	}
+	tokens := ask.unread(unread)
 	h.tokens, h.expected, h.reading = tokens, r.head(tokens), r.tokens(tokens)
 	m.reading += h.reading
 	return h
 }
 
-// home is the endpoint of the own data hall that is most likely to have the
-// shared part of the prompt in memory; nil if there is none.
-func (f *Fleet) home(ask Ask, now time.Time) *member {
+// homes are the endpoints that most likely have the shared part of a prompt in
+// memory: the first by rendezvous of all data halls, and that of the own one.
+type homes struct{ all, hall *member }
+
+// homes finds them; they are nil for requests without a prompt.
+func (f *Fleet) homes(ask Ask, now time.Time) homes {
+	var found homes
 	if ask.Key == 0 {
-		return nil
+		return found
 	}
-	var home *member
-	least := math.Inf(1)
+	least, leastHall := math.Inf(1), math.Inf(1)
 	for _, m := range f.byService[ask.Service] {
-		if m.Hall != f.options.Hall || !m.usable(ask) || m.tier(now) > 0 {
+		if !m.usable(ask) || m.tier(now) > 0 {
 			continue
 		}
-		if w := weight(ask.Key, m.seed); w < least {
-			home, least = m, w
+		w := weight(ask.Key, m.seed)
+		if w < least {
+			found.all, least = m, w
+		}
+		if m.Hall == f.options.Hall && w < leastHall {
+			found.hall, leastHall = m, w
 		}
 	}
-	return home
+	return found
+}
+
+// unread is the part of a shared prompt that an endpoint is expected to read.
+func (h homes) unread(m *member) float64 {
+	switch m {
+	case h.all:
+		return 0
+	case h.hall:
+		return hallUnread
+	default:
+		return 1
+	}
 }
 
 // Weights of the choice. Scores are seconds until the answer is expected to
@@ -209,6 +228,9 @@
 	// sharedPart of the objective is what reading a shared part again costs
 	// beyond its time.
 	sharedPart = 0.05
+	// hallUnread is the part of a shared prompt that the home of a data hall is
+	// expected to read: it has seen the prompt if its hall has asked for it.
+	hallUnread = 0.6
 	// plainHall is the load that a request without a prompt passes by to stay in
 	// its data hall.
 	plainHall = 0.5
@@ -218,7 +240,7 @@
 )
 
 // score ranks an endpoint for an attempt; the lowest is chosen.
-func (f *Fleet) score(m, home *member, ask Ask, now time.Time) float64 {
+func (f *Fleet) score(m *member, homes homes, ask Ask, now time.Time) float64 {
 	load := m.load(now)
 	score := float64(m.tier(now))*tierSeconds + tieBreak*rand.Float64()
 	if ask.Key == 0 {
@@ -235,10 +257,8 @@
 	if m.Hall != f.options.Hall {
 		score += hallPart * ask.Objective.Seconds()
 	}
-	if m != home {
-		score += sharedPart*ask.Objective.Seconds() + f.readingOf(ask.Service, ask.Model).tokens(ask.Shared).Seconds()
-	}
-	return score
+	again := sharedPart*ask.Objective.Seconds() + f.readingOf(ask.Service, ask.Model).tokens(ask.Shared).Seconds()
+	return score + homes.unread(m)*again
 }
 
 // waiting is how long, in seconds, requests have lately waited at an endpoint
