A line for each decision on an attempt and on a larger model

An on-call engineer could see how a request ended, not why it was sent again or a larger model was asked.

--- a/internal/gateway/cascade.go
+++ b/internal/gateway/cascade.go
@@ -75,7 +75,14 @@
 	took := time.Since(x.start)
 	expected := took + x.g.Fleet.Expect(x.fleetAsk(largest))
 	gain := escalationGain(a.said.Confidence, took <= x.route.Objective, expected <= x.route.Objective)
-	if gain < x.gainNeeded(expected <= x.route.Objective) || !x.g.budgets.repeat(x.service, escalationPart) {
+	needed := x.gainNeeded(expected <= x.route.Objective)
+	if gain < needed {
+		return false
+	}
+	granted := x.g.budgets.repeat(x.service, escalationPart)
+	x.g.Logger.Info("larger model", "id", x.ask.ID, "model", largest, "confidence", a.said.Confidence, "gain", gain, "needed", needed,
+		"took_ms", took.Milliseconds(), "expected_ms", expected.Milliseconds(), "asked", granted)
+	if !granted {
 		return false
 	}
 	x.model = largest
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -88,17 +88,31 @@
 // again reports whether the request may be sent once more after an error, and
 // waits where that helps.
 func (x *exchange) again(err error) bool {
+	if x.gone() {
+		return false
+	}
+	may, reason := x.mayRepeat(err)
+	x.g.Logger.Info("attempt failed", "id", x.ask.ID, "endpoint", x.endpoint, "model", x.model, "sends", x.sends,
+		"attempts", x.route.Attempts, "left_ms", x.left().Milliseconds(), "error", err, "again", may, "reason", reason)
+	return may
+}
+
+// mayRepeat decides whether the request is sent once more, and tells why.
+func (x *exchange) mayRepeat(err error) (may bool, reason string) {
 	switch {
 	case x.ctx.Err() != nil:
-		return false
+		return false, "time is over"
 	case errors.Is(err, errNoEndpoint):
-		return x.wait()
+		return x.wait(), "no endpoint took it"
 	case x.mayRun && !x.route.Repeatable():
-		return false
+		return false, "it may have run, and may run once only"
 	case x.sends >= max(x.route.Attempts, 1):
-		return false
+		return false, "no attempts left"
+	case !x.g.budgets.repeat(x.service, 1):
+		return false, "the retry budget is spent"
+	default:
+		return true, "may be repeated"
 	}
-	return x.g.budgets.repeat(x.service, 1)
 }
 
 // wait pauses while no endpoint takes the request; false once the caller is
