A host that knows a table takes no state of it that is older

Followers whose history was gone at the next reader read it whole there, went back to the old version, and so on in a circle. Change: old state is taken by a host that knows nothing, and only if nobody has newer. The tests with hosts turned away now drop the history too; without the change they go round for ever (stopped by hand).

--- a/internal/spread/link.go
+++ b/internal/spread/link.go
@@ -36,6 +36,11 @@
 // the store, the time in which a lost answer is given up, and some.
 const staleAfter = 1800 * time.Millisecond
 
+// staleError means that a host was told too long ago.
+func staleError(p peer, age time.Duration) error {
+	return fmt.Errorf("ask %s: told %s ago: %w: %w", p.name, age, errStoreLost, store.ErrUnavailable)
+}
+
 // errStoreLost means that the host that was asked does not reach the store.
 var errStoreLost = errors.New("the host does not reach the store")
 
@@ -131,7 +136,7 @@
 	hear(time.Duration(reply.GetNowMicros()) * time.Microsecond)
 	r := result{version: reply.GetVersion(), age: time.Duration(reply.GetAgeMicros()) * time.Microsecond}
 	if r.age > staleAfter {
-		return result{}, fmt.Errorf("ask %s: told %s ago: %w: %w", p.name, r.age, errStoreLost, store.ErrUnavailable)
+		return result{}, staleError(p, r.age)
 	}
 	for _, row := range reply.GetRows() {
 		r.changes = append(r.changes, store.Change{Row: rowFromWire(row), Deleted: row.GetDeleted()})
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -234,7 +234,8 @@
 }
 
 func (w *Watcher) state(ctx context.Context, table string) (aged, error) {
-	if !w.remember(table).isLoaded() && time.Since(w.started) < startTime {
+	loaded := w.remember(table).isLoaded()
+	if !loaded && time.Since(w.started) < startTime {
 		state, err := w.options.Store.State(ctx, table)
 		if err == nil {
 			return aged{state: state}, nil
@@ -242,20 +243,26 @@
 		w.options.Logger.Warn("store not reached; asking other hosts", "table", table, "error", err)
 	}
 	w.awaitList(ctx)
+	var old aged // better than nothing, for a host that has nothing
 	a, asked, err := throughPeers(w, func(p peer) (aged, error) {
 		limited, cancel := context.WithTimeout(ctx, peerWait+peerMargin)
 		defer cancel()
-		return w.link.state(limited, p, &spreadpb.StateRequest{Table: table}, w.hear)
+		a, err := w.link.state(limited, p, &spreadpb.StateRequest{Table: table}, w.hear)
+		if err == nil && a.age > staleAfter {
+			old, err = a, staleError(p, a.age)
+		}
+		return a, err
 	})
-	if asked {
+	switch {
+	case asked:
 		return a, err
-	}
-	if err == nil {
+	case err == nil:
 		m := w.mirror(table)
 		state, err := m.State(ctx)
 		return aged{state: state, age: m.age()}, err
-	}
-	if !w.mayReadDirectly(err) {
+	case !loaded && old.age > 0:
+		return old, nil
+	case !w.mayReadDirectly(err):
 		return aged{}, err
 	}
 	state, err := w.options.Store.State(ctx, table)
--- a/internal/spread/spread_test.go
+++ b/internal/spread/spread_test.go
@@ -171,6 +171,7 @@
 	for _, n := range h.hosts[:turned] {
 		n.door.Store(true)
 	}
+	h.store.Forget()
 	for i := range 4 {
 		h.store.Put("t", "k", fmt.Append(nil, i))
 		expectEverywhere(h.hosts, fmt.Sprint(i), 2500*time.Millisecond)
