--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -33,6 +33,7 @@
 	server  *http.Server
 	history *history
 	hosts   []*process
+	ports   *portBlock
 
 	mu        sync.Mutex // guards all below
 	random    *rand.Rand
@@ -61,6 +62,9 @@
 		return nil, fmt.Errorf("start store: %w", err)
 	}
 	w.server = &http.Server{Handler: w.store}
+	if w.ports, err = takePorts(); err != nil {
+		return nil, err
+	}
 	go func() { _ = w.server.Serve(l) }()
 	w.configure()
 	for i := range plainEndpoints + modelEndpoints {
@@ -73,7 +77,7 @@
 		}
 	}
 	for i := range o.Hosts {
-		p, err := newProcess(o, dir, i, l.Addr().String())
+		p, err := newProcess(o, dir, i, l.Addr().String(), w.ports)
 		if err != nil {
 			w.stop()
 			return nil, err
@@ -180,6 +184,7 @@
 		p.end()
 	}
 	_ = w.server.Close()
+	_ = w.ports.taken.Close()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, e := range w.endpoints {
@@ -226,23 +231,16 @@
   first: true
 `
 
-// addressesOfHost is how many addresses a host listens at.
-const addressesOfHost = 4
-
-func newProcess(o Options, dir string, i int, store string) (*process, error) {
+func newProcess(o Options, dir string, i int, store string, ports *portBlock) (*process, error) {
 	through, err := newProxy(store)
 	if err != nil {
 		return nil, err
 	}
-	addresses, err := freeAddresses(addressesOfHost)
-	if err != nil {
-		return nil, err
-	}
 	p := &process{
-		name: fmt.Sprint("host-", i), daemon: o.Daemon, logDir: o.LogDir, callers: addresses[0], readyAt: addresses[1], store: through,
+		name: fmt.Sprint("host-", i), daemon: o.Daemon, logDir: o.LogDir, callers: ports.address(), readyAt: ports.address(), store: through,
 	}
 	p.settings = filepath.Join(dir, p.name+".yaml")
-	text := fmt.Sprintf(settingsText, p.name, halls[i%len(halls)], addresses[0], addresses[1], addresses[2], addresses[3], through.address())
+	text := fmt.Sprintf(settingsText, p.name, halls[i%len(halls)], p.callers, p.readyAt, ports.address(), ports.address(), through.address())
 	if err := os.WriteFile(p.settings, []byte(text), 0o600); err != nil {
 		return nil, fmt.Errorf("write settings: %w", err)
 	}
@@ -250,31 +248,41 @@
 }
 
 // Ports that hosts listen at: below those that the system gives to outgoing
-// connections, which would take them while a host is down.
+// connections, which would take them while a host is down, and in blocks, so that
+// soaks that run at the same time do not either.
 const (
-	firstPort = 15_000
-	lastPort  = 32_000
-	portTries = 1000
+	firstPort  = 15_000
+	blocks     = 80
+	blockPorts = 200
 )
 
-// freeAddresses finds addresses on the loopback that nobody listens at.
-func freeAddresses(n int) ([]string, error) {
-	var addresses []string
-	for range portTries {
-		if len(addresses) == n {
-			return addresses, nil
-		}
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
-		l, err := net.Listen("tcp4", address)
-		if err != nil {
-			continue // somebody listens there
+// portBlock is a row of ports that no other soak uses; the first is kept open to
+// show that it is taken.
+type portBlock struct {
+	taken net.Listener
+	next  int
+}
+
+// takePorts takes a block that is free.
+func takePorts() (*portBlock, error) {
+	for _, i := range rand.Perm(blocks) {
+		base := firstPort + i*blockPorts
+		l, err := net.Listen("tcp4", loopback(base))
+		if err == nil {
+			return &portBlock{taken: l, next: base + 1}, nil
 		}
-		defer func() { _ = l.Close() }()
-		addresses = append(addresses, address)
 	}
 	return nil, errors.New("no free ports")
 }
 
+// address returns an address that nobody listens at.
+func (b *portBlock) address() string {
+	b.next++
+	return loopback(b.next - 1)
+}
+
+func loopback(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
+
 // start starts the process.
 func (p *process) start() error {
 	p.mu.Lock()
