--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -229,16 +229,6 @@
 	return old
 }
 
-// Open counts the connections to an address.
-func (p *Pool) Open(address string) int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if known := p.peers[address]; known != nil {
-		return known.open
-	}
-	return 0
-}
-
 // Conn is a connection that one request at a time holds.
 type Conn struct {
 	pool    *Pool
@@ -250,9 +240,6 @@
 	answer  *http.Response
 }
 
-// Address returns the peer's address.
-func (c *Conn) Address() string { return c.address }
-
 // alive reports whether a connection that rested can be used.
 func (c *Conn) alive() bool {
 	if !time.Now().Before(c.until) || c.reader.Buffered() > 0 {
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -13,7 +13,6 @@
 import (
 	"context"
 	"fmt"
-	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -129,18 +128,3 @@
 	clock.Sleep(ctx, clock.Jitter(f.retry))
 	f.retry = min(2*f.retry, retryMost)
 }
-
-// Age tells how long ago something was last confirmed; safe for use at once.
-type Age struct{ at atomic.Int64 }
-
-// Confirm notes the present moment.
-func (a *Age) Confirm() { a.at.Store(time.Now().UnixNano()) }
-
-// Since is the time since the last confirmation; false if there was none.
-func (a *Age) Since() (time.Duration, bool) {
-	at := a.at.Load()
-	if at == 0 {
-		return 0, false
-	}
-	return time.Since(time.Unix(0, at)), true
-}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -194,17 +194,6 @@
 	return s, ok
 }
 
-// Cost returns what a model of a service costs for 1,000 tokens made; 0 if it
-// is not declared.
-func (t *Table) Cost(service, model string) float64 {
-	for _, m := range t.services[service].Models {
-		if m.Name == model {
-			return m.Cost
-		}
-	}
-	return 0
-}
-
 // canonicalHost drops a port and the case of a host name.
 func canonicalHost(host string) string {
 	if name, _, err := net.SplitHostPort(host); err == nil {
