--- a/internal/spread/link.go
+++ b/internal/spread/link.go
@@ -33,8 +33,9 @@
 type Dialer func(ctx context.Context, address string) (net.Conn, error)
 
 // staleAfter is the age from which what a host passes on is not taken: a wait at
-// the store, the time in which a lost answer is given up, and some.
-const staleAfter = 1800 * time.Millisecond
+// the store and half of the time in which a lost answer is given up. With a wait at
+// a host that falls silent then, a change is seen in two and a half seconds.
+const staleAfter = 1350 * time.Millisecond
 
 // staleError means that a host was told too long ago.
 func staleError(p peer, age time.Duration) error {
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -33,8 +33,8 @@
 const (
 	// peerWait is one wait for changes at another host; one that went silent is
 	// noticed after it and the margin.
-	peerWait   = time.Second
-	peerMargin = 400 * time.Millisecond
+	peerWait   = 600 * time.Millisecond
+	peerMargin = 300 * time.Millisecond
 	// peersTried before the store is read directly.
 	peersTried = 2
 	// directEvery bounds direct reads while other hosts say that they do not
