Judge versions by what all hosts are taken to have seen

A host that had seen no answer of the target itself counted none for the hosts that publish nothing, so five unlucky hosts looked like everyone. Change: silent hosts count as the mean of those that tell. Test: a host without answers of the target, failing first.

--- a/internal/upgrade/upgrade.go
+++ b/internal/upgrade/upgrade.go
@@ -129,22 +129,15 @@
 
 // Judge reports whether the evidence of all hosts shows a bad version, and on
 // which route; "" is all routes together. Hosts that have seen nothing bad
-// publish nothing: for each of these silent ones, good answers are counted as
-// this host has them, or a few hosts' bad luck would look like everyone's.
+// publish nothing: each of these silent ones is taken to have had as many answers
+// as the hosts that tell have had on average, all good ones of the target, or a
+// few hosts' bad luck would look like everyone's.
 func Judge(own Evidence, others []Evidence, silent int) (route string, bad bool) {
+	told := append([]Evidence{own}, others...)
 	sums, total, endpoints := map[string]Pair{}, Pair{}, map[string]bool{}
-	for name, p := range own.Routes {
-		unseen := Pair{
-			Target: Count{Good: silent * (p.Target.Good + p.Target.Bad)},
-			Other:  Count{Good: silent * p.Other.Good, Bad: silent * p.Other.Bad},
-		}
-		sums[name] = unseen
-		total = total.plus(unseen)
-	}
-	for _, e := range append([]Evidence{own}, others...) {
+	for _, e := range told {
 		for name, p := range e.Routes {
 			sums[name] = sums[name].plus(p)
-			total = total.plus(p)
 		}
 		for _, id := range e.Endpoints {
 			endpoints[id] = true
@@ -153,6 +146,10 @@
 	if len(endpoints) < badEndpoints {
 		return "", false
 	}
+	for name, p := range sums {
+		sums[name] = p.withSilent(silent, len(told))
+		total = total.plus(sums[name])
+	}
 	if total.bad() {
 		return "", true
 	}
@@ -164,6 +161,16 @@
 	return "", false
 }
 
+// withSilent adds what hosts that tell nothing are taken to have seen, if some
+// hosts together have told p.
+func (p Pair) withSilent(silent, tellers int) Pair {
+	target, good, bad := p.Target.Good+p.Target.Bad, p.Other.Good, p.Other.Bad
+	return p.plus(Pair{
+		Target: Count{Good: silent * target / tellers},
+		Other:  Count{Good: silent * good / tellers, Bad: silent * bad / tellers},
+	})
+}
+
 // bad reports whether the target does clearly worse than the others.
 func (p Pair) bad() bool {
 	return p.Target.Bad >= badLeast && p.Target.rate() > badRate+badRateFactor*p.Other.rate()
--- a/internal/upgrade/upgrade_test.go
+++ b/internal/upgrade/upgrade_test.go
@@ -81,6 +81,25 @@
 	})
 })
 
+var _ = Describe("the judgement by a host that has seen no answer of the target", func() {
+	unlucky := func(id string) upgrade.Evidence {
+		e := evidence(counts{1, 1, 60, 0, 0})
+		e.Endpoints = []string{id}
+		return e
+	}
+	others := []upgrade.Evidence{unlucky("a"), unlucky("b"), unlucky("c"), unlucky("d"), unlucky("e")}
+
+	It("takes silent hosts to have seen as much as those that tell", func() {
+		_, bad := upgrade.Judge(evidence(counts{0, 0, 60, 0, 0}), others, 85)
+		Expect(bad).To(BeFalse())
+	})
+
+	It("believes the others where nobody is silent", func() {
+		_, bad := upgrade.Judge(evidence(counts{0, 0, 60, 0, 0}), others, 0)
+		Expect(bad).To(BeTrue())
+	})
+})
+
 var _ = Describe("the share of a new version", func() {
 	It("is none in the first half, never falls, and is all before completion", func() {
 		last := 0.0
