Hosts ask each other in a race, whatever data hall, and check keys

Change: sources are asked in a race, each after a fifth of a second of silence; a mirror fails as soon as it is stale; groups of 48 hosts of all halls share a reader, large hosts first; whole tables over a page come from the store; a hash over the keys shows a missed removal, so no history is needed to go on from any version. The bound is the shorter of those on configurations and on leaving endpoints.

--- a/internal/gatewayd/module.go
+++ b/internal/gatewayd/module.go
@@ -121,21 +121,17 @@
 
 func newWatcher(s settings.Settings, p Ports, c storeClient, files *tlsfiles.Files, l *log.Logger) (*spread.Watcher, store.Watcher) {
 	w := spread.NewWatcher(spread.Options{
-		Host: s.Host, Hall: s.DataHall, Address: s.Gateway.Peers, Seeds: s.Gateway.SeedPeers(), First: s.Gateway.First,
-		Wait: min(s.Gateway.InForce/waitPart, mostWait), Tables: c, Store: c, Logger: l,
+		Host: s.Host, Address: s.Gateway.Peers, Cores: s.Gateway.Cores, Seeds: s.Gateway.SeedPeers(), First: s.Gateway.First,
+		Wait: time.Duration(waitPart * float64(s.Gateway.Bound())), Tables: c, Store: c, Logger: l,
 		Credentials: files.ClientCredentials(), Dial: p.dialPeer(),
 	})
 	return w, w
 }
 
-// Parameters of waits for changes at the store.
-const (
-	// waitPart of the time in which a configuration has to be in force is one
-	// wait: a feed that fell silent is given up after the wait and 0.7 s, and
-	// then other hosts are asked.
-	waitPart = 2
-	mostWait = time.Second
-)
+// waitPart of the time in which a change has to be in force is one wait for changes
+// at the store. A feed that falls silent is given up a quarter of a second after
+// it, and then there is time to ask four others, a fifth of a second each.
+const waitPart = 0.45
 
 func newFleet(s settings.Settings) *fleet.Fleet {
 	return fleet.New(fleet.Options{Hall: s.DataHall})
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -143,50 +143,6 @@
 	LogLevel string `yaml:"log_level"`
 }
 
-// Gateway is what a host needs to serve routed requests.
-type Gateway struct {
-	// Callers is the address, ip:port, for routed requests; empty serves none.
-	Callers string `yaml:"callers"`
-	// Ready is the address, ip:port, that tells whether the host is ready.
-	Ready string `yaml:"ready"`
-	// Control is the address, ip:port, for metrics and operators' tools.
-	Control string `yaml:"control"`
-	// Peers is the address, ip:port, for the other hosts of the data hall, which
-	// pass on what they read from the store.
-	Peers string `yaml:"peers"`
-	// Seeds are addresses, ip:port, of hosts that may be asked while the store is
-	// away; only the IP numbers count, since all hosts' ports are the same.
-	Seeds []string `yaml:"seeds"`
-	// Store is the address, ip:port, of the platform's table store.
-	Store string `yaml:"store"`
-	// MemoryMB is the memory that the host may use, in MB.
-	MemoryMB int `yaml:"memory_mb"`
-	// RetryRatio is the most repeats of requests, as a part of first sends, that
-	// all hosts together may make.
-	RetryRatio float64 `yaml:"retry_ratio"`
-	// InForce is the time in which a configuration has to be in force after its
-	// acknowledgement.
-	InForce time.Duration `yaml:"in_force"`
-	// First tells that all hosts start for the first time.
-	First bool `yaml:"first"`
-	// Grace is how long after the order to stop the host is ended by force.
-	Grace time.Duration `yaml:"grace"`
-}
-
-// SeedPeers are the addresses at which the seeds serve other hosts.
-func (g Gateway) SeedPeers() []string {
-	_, port, _ := net.SplitHostPort(g.Peers)
-	var peers []string
-	for _, seed := range g.Seeds {
-		host, _, _ := net.SplitHostPort(seed)
-		peers = append(peers, net.JoinHostPort(host, port))
-	}
-	return peers
-}
-
-// Enabled reports whether the host serves routed requests.
-func (g Gateway) Enabled() bool { return g.Callers != "" }
-
 // Default returns the settings that hold where a file says nothing.
 func Default() Settings {
 	return Settings{
@@ -269,36 +225,6 @@
 	return problems
 }
 
-// check returns every problem of the gateway's settings.
-func (g Gateway) check() []problem {
-	var problems []problem
-	for _, a := range []struct{ field, value string }{
-		{"$.gateway.callers", g.Callers}, {"$.gateway.ready", g.Ready},
-		{"$.gateway.control", g.Control}, {"$.gateway.peers", g.Peers}, {"$.gateway.store", g.Store},
-	} {
-		if !isAddress(a.value) {
-			problems = append(problems, problem{a.field, fmt.Sprintf("%q is not an address: write ip:port, such as 10.0.0.7:7100", a.value)})
-		}
-	}
-	for i, seed := range g.Seeds {
-		if !isAddress(seed) {
-			problems = append(problems, problem{fmt.Sprintf("$.gateway.seeds[%d]", i), fmt.Sprintf("%q is not an address: write ip:port", seed)})
-		}
-	}
-	for _, n := range []struct {
-		field string
-		value float64
-	}{
-		{"$.gateway.memory_mb", float64(g.MemoryMB)}, {"$.gateway.retry_ratio", g.RetryRatio}, {"$.gateway.grace", float64(g.Grace)},
-		{"$.gateway.in_force", float64(g.InForce)},
-	} {
-		if n.value <= 0 {
-			problems = append(problems, problem{n.field, "must be more than 0"})
-		}
-	}
-	return problems
-}
-
 func isAddress(text string) bool {
 	host, _, err := net.SplitHostPort(text)
 	return err == nil && net.ParseIP(host) != nil
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -228,6 +228,8 @@
   retry_ratio: 0.9
   grace: 6s
   in_force: 2s
+  leaving: 2s
+  cores: 0.4
   first: true
 `
 
--- a/internal/spread/known.go
+++ b/internal/spread/known.go
@@ -1,7 +1,6 @@
 package spread
 
 import (
-	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -9,19 +8,25 @@
 	"quaybarrow/internal/store"
 )
 
+// news is what a source tells of a table.
+type news struct {
+	changes []store.Change // all rows if the whole table was asked for
+	version int64          // that the source has
+	age     time.Duration  // since the store said so
+	keys    uint64         // hash over the keys of the whole table, if checked
+	checked bool
+}
+
 // known is what a host was told last of a table. While the store is away it is
 // the best there is for a host that has just started; safe for use at once.
 type known struct {
 	mu      sync.Mutex // guards all below
 	loaded  bool
-	rows    map[string]store.Row
-	version int64
+	picture picture
 	told    time.Time // when the store said so
 }
 
-// freshFor is how old what a host was told may be to count as told lately: a
-// wait at the store and some.
-const freshFor = 1300 * time.Millisecond
+func newKnown() *known { return &known{picture: newPicture()} }
 
 func (k *known) isLoaded() bool {
 	k.mu.Lock()
@@ -29,99 +34,55 @@
 	return k.loaded
 }
 
-func (k *known) load(state store.State, age time.Duration) {
+// version is that of what is known, 0 if nothing is.
+func (k *known) version() int64 {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.replace(state)
-	k.told = time.Now().Add(-age)
-}
-
-func (k *known) replace(state store.State) {
-	k.rows = make(map[string]store.Row, len(state.Rows))
-	for _, row := range state.Rows {
-		k.rows[row.Key] = row
-	}
-	k.loaded, k.version = true, state.Version
+	return k.picture.version
 }
 
-func (k *known) apply(changes []store.Change, version int64, age time.Duration) {
+// replace takes in a whole table.
+func (k *known) replace(n news) store.State {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if !k.loaded {
-		return
+	state := store.State{Version: n.version}
+	for _, c := range n.changes {
+		state.Rows = append(state.Rows, c.Row)
 	}
-	for _, c := range changes {
-		if c.Deleted {
-			delete(k.rows, c.Key)
-		} else {
-			k.rows[c.Key] = c.Row
-		}
-	}
-	k.version = version
-	k.told = time.Now().Add(-age)
+	k.picture, k.loaded = pictureOf(state), true
+	k.told = time.Now().Add(-n.age)
+	return state
 }
 
-// age is the time since the store said what is known.
-func (k *known) age() time.Duration {
+// apply takes in what changed; false if it shows that a removal was missed. A
+// source that knows less than this host tells nothing.
+func (k *known) apply(n news) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return time.Since(k.told)
-}
-
-// lately returns the table if it was told lately; only the version if that is
-// not after one that the asker has.
-func (k *known) lately(after int64) (store.State, bool) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if !k.loaded || time.Since(k.told) > freshFor {
-		return store.State{}, false
-	}
-	state := store.State{Version: k.version}
-	if k.version <= after {
-		return state, true
+	if !k.loaded || n.version < k.picture.version {
+		return true
 	}
-	for _, row := range k.rows {
-		state.Rows = append(state.Rows, row)
-	}
-	return state, true
+	k.picture.apply(n.changes, n.version)
+	k.told = time.Now().Add(-n.age)
+	return !n.checked || n.keys == k.picture.keys
 }
 
-// changes returns what differs in a newer state, in order, and takes it in.
-func (k *known) changes(state store.State, age time.Duration) []store.Change {
+// news returns what is known after a version, all for -1; false if nothing is.
+func (k *known) news(after int64) (news, bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	changes := difference(k.rows, state)
-	k.replace(state)
-	k.told = time.Now().Add(-age)
-	return changes
-}
-
-// difference lists what changed from rows to a state, in order.
-func difference(rows map[string]store.Row, state store.State) []store.Change {
-	var changes []store.Change
-	listed := map[string]bool{}
-	for _, row := range state.Rows {
-		listed[row.Key] = true
-		if rows[row.Key].Version != row.Version {
-			changes = append(changes, store.Change{Row: row})
-		}
-	}
-	for key := range rows {
-		if !listed[key] {
-			changes = append(changes, store.Change{Row: store.Row{Key: key, Version: state.Version}, Deleted: true})
-		}
-	}
-	slices.SortStableFunc(changes, func(a, b store.Change) int { return cmp.Compare(a.Version, b.Version) })
-	return changes
+	return news{
+		changes: k.picture.since(after), version: k.picture.version, age: time.Since(k.told),
+		keys: k.picture.keys, checked: true,
+	}, k.loaded
 }
 
-// state returns the table as it was last known; false if it never was.
-func (k *known) state() (store.State, bool) {
+// copy returns what is known for a mirror to begin with; false if nothing is.
+func (k *known) copy() (picture, bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	state := store.State{Version: k.version}
-	for _, row := range k.rows {
-		state.Rows = append(state.Rows, row)
-	}
-	return state, k.loaded
+	p := pictureOf(k.picture.state())
+	p.removed = slices.Clone(k.picture.removed)
+	p.latest = k.picture.latest
+	return p, k.loaded
 }
--- a/internal/spread/peers.go
+++ b/internal/spread/peers.go
@@ -1,6 +1,7 @@
 package spread
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -17,23 +18,28 @@
 // Table is where hosts list themselves, by name.
 const Table = "hosts"
 
-// Pauses before a host that failed is asked again; they double each time, since
-// a host that is gone for good stays listed.
 const (
+	// groupSize is how many hosts share a reader of the store. One answers some
+	// two and a half questions a second of each, a fifth of a millisecond of a
+	// core for each (measured on gateway hosts).
+	groupSize = 48
+	// pauseFirst and pauseMost bound the time before a host that failed is asked
+	// again; it doubles each time, since a host that is gone for good stays listed.
 	pauseFirst = 3 * time.Second
 	pauseMost  = 60 * time.Second
 )
 
 // entry is a host's row.
 type entry struct {
-	Address string `json:"address"`
-	Hall    string `json:"hall"`
+	Address string  `json:"address"`
+	Cores   float64 `json:"cores"` // what it may use of a processor
 }
 
-// peer is another host of the data hall, or this one.
+// peer is another host, or this one.
 type peer struct {
 	name    string
 	address string
+	cores   float64
 	rank    uint64
 }
 
@@ -43,20 +49,18 @@
 	pause time.Duration
 }
 
-// peers are the hosts of a data hall in the order in which they are asked; safe
-// for use at once.
+// peers are the listed hosts; safe for use at once.
 type peers struct {
-	self, hall string
+	self string
 
 	mu     sync.Mutex // guards all below
-	ranked []peer     // the seeds until the list was read
-	others []peer     // of all data halls, without this host
-	all    int        // hosts of all data halls
+	ranked []peer     // in the order in which this host asks; the seeds until the list was read
+	all    int
 	stands map[string]standing
 }
 
 func newPeers(o Options) *peers {
-	p := &peers{self: o.Host, hall: o.Hall, stands: map[string]standing{}}
+	p := &peers{self: o.Host, stands: map[string]standing{}}
 	for _, address := range o.Seeds {
 		if address != o.Address {
 			p.ranked = append(p.ranked, peer{name: address, address: address})
@@ -65,40 +69,39 @@
 	return p
 }
 
-// set replaces the list.
+// set replaces the list. Hosts that may use more of a processor come first, so
+// that the readers are among them; a group of hosts has an order of its own.
 func (p *peers) set(entries map[string]entry) {
-	var ranked, others []peer
+	groups := uint64(max(1, (len(entries)+groupSize-1)/groupSize))
+	group := xxhash.Sum64String(p.self) % groups
+	ranked := make([]peer, 0, len(entries))
 	for name, e := range entries {
-		q := peer{name: name, address: e.Address, rank: xxhash.Sum64String(p.hall + "/" + name)}
-		if e.Hall == p.hall {
-			ranked = append(ranked, q)
-		}
-		if name != p.self {
-			others = append(others, q)
-		}
+		rank := xxhash.Sum64String(fmt.Sprint(group, "/", name))
+		ranked = append(ranked, peer{name: name, address: e.Address, cores: e.Cores, rank: rank})
 	}
 	slices.SortFunc(ranked, func(a, b peer) int {
-		if a.rank < b.rank {
-			return -1
-		}
-		return 1
+		return cmp.Or(cmp.Compare(b.cores, a.cores), cmp.Compare(a.rank, b.rank))
 	})
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.ranked, p.others, p.all = ranked, others, len(entries)
+	p.ranked, p.all = ranked, len(entries)
 }
 
-// some returns a few hosts of any data hall, by chance.
-func (p *peers) some(limit int) []peer {
+// some returns a few hosts by chance, of those that are not asked first.
+func (p *peers) some(limit int, but []peer) []peer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
 	var found []peer
-	for _, i := range rand.Perm(len(p.others)) {
-		q := p.others[i]
-		if !now.Before(p.stands[q.name].until) && len(found) < limit {
-			found = append(found, q)
+	for _, i := range rand.Perm(len(p.ranked)) {
+		q := p.ranked[i]
+		if len(found) == limit {
+			break
 		}
+		if q.name == p.self || slices.Contains(but, q) || now.Before(p.stands[q.name].until) {
+			continue
+		}
+		found = append(found, q)
 	}
 	return found
 }
@@ -109,7 +112,7 @@
 	defer p.mu.Unlock()
 	for _, q := range p.ranked {
 		if q.name == name {
-			return q.address == e.Address
+			return q.address == e.Address && q.cores == e.Cores
 		}
 	}
 	return false
@@ -155,7 +158,7 @@
 	p.stands[q.name] = s
 }
 
-// Hosts counts the listed hosts of all data halls, at least this one.
+// Hosts counts the listed hosts, at least this one.
 func (w *Watcher) Hosts() int {
 	w.peers.mu.Lock()
 	defer w.peers.mu.Unlock()
@@ -163,7 +166,7 @@
 }
 
 // own is this host's entry.
-func (w *Watcher) own() entry { return entry{Address: w.options.Address, Hall: w.options.Hall} }
+func (w *Watcher) own() entry { return entry{Address: w.options.Address, Cores: w.options.Cores} }
 
 // enlist writes this host's row.
 func (w *Watcher) enlist(ctx context.Context) error {
--- a/internal/spread/server.go
+++ b/internal/spread/server.go
@@ -14,6 +14,11 @@
 	"quaybarrow/internal/store"
 )
 
+// wholeRows is the longest table that is passed on whole. Longer ones are quicker
+// read from the store, whose link is wide, than from a host on 10 Mbit/s; it is
+// also what one call to the store returns.
+const wholeRows = 500
+
 // Server returns a gRPC server that passes on what this host reads.
 func (w *Watcher) Server(c credentials.TransportCredentials) *grpc.Server {
 	s := grpc.NewServer(grpc.Creds(c), grpc.WriteBufferSize(writeBuffer), grpc.ReadBufferSize(readBuffer))
@@ -27,62 +32,54 @@
 	watcher *Watcher
 }
 
-// State implements spreadpb.SpreadServer.
-func (s *server) State(ctx context.Context, r *spreadpb.StateRequest) (*spreadpb.StateReply, error) {
+// Read implements spreadpb.SpreadServer.
+func (s *server) Read(ctx context.Context, r *spreadpb.ReadRequest) (*spreadpb.ReadReply, error) {
 	if s.watcher.isStopping() {
 		return nil, status.Error(codes.Unavailable, "stopping")
 	}
-	if r.GetLately() {
-		return s.lately(r)
+	n, err := s.news(ctx, r)
+	switch {
+	case errors.Is(err, store.ErrUnavailable):
+		return nil, status.Error(codes.FailedPrecondition, err.Error())
+	case err != nil:
+		return nil, status.Error(codes.Unavailable, err.Error())
+	case r.GetAfter() < 0 && len(n.changes) > wholeRows:
+		return nil, status.Error(codes.OutOfRange, errTooLong.Error())
 	}
-	m := s.watcher.mirror(r.GetTable())
-	state, err := m.State(ctx)
-	age := m.age()
-	if err != nil {
-		last, ok := s.watcher.remember(r.GetTable()).state()
-		if !ok {
-			return nil, statusOf(err)
-		}
-		s.watcher.options.Logger.Info("passing on what was known before the store was lost", "table", r.GetTable(), "version", last.Version)
-		state, age = last, s.watcher.remember(r.GetTable()).age()
+	reply := &spreadpb.ReadReply{Version: n.version, NowMicros: s.now(), AgeMicros: n.age.Microseconds(), Keys: n.keys}
+	for _, c := range n.changes {
+		reply.Rows = append(reply.Rows, rowToWire(c.Row, c.Deleted))
 	}
-	return s.stateReply(state, age), nil
+	return reply, nil
 }
 
-// lately answers with what this host was told a moment ago.
-func (s *server) lately(r *spreadpb.StateRequest) (*spreadpb.StateReply, error) {
-	k := s.watcher.remember(r.GetTable())
-	state, ok := k.lately(r.GetAfter())
+// news is what this host has to tell.
+func (s *server) news(ctx context.Context, r *spreadpb.ReadRequest) (news, error) {
+	w := s.watcher
+	if r.GetLately() {
+		return w.lately(r.GetTable(), r.GetAfter())
+	}
+	wait := min(time.Duration(r.GetWaitMicros())*time.Microsecond, w.options.peerWait())
+	n, err := w.mirror(r.GetTable()).news(ctx, r.GetAfter(), wait)
+	if err == nil || r.GetAfter() >= 0 {
+		return n, err
+	}
+	// A host that has just started takes what was known before the store was lost.
+	old, ok := w.remember(r.GetTable()).news(r.GetAfter())
 	if !ok {
-		return nil, status.Error(codes.FailedPrecondition, "nothing was told lately")
+		return news{}, err
 	}
-	return s.stateReply(state, k.age()), nil
+	w.options.Logger.Info("passing on what was known before the store was lost", "table", r.GetTable(), "version", old.version, "age_ms", old.age.Milliseconds())
+	return old, nil
 }
 
-func (s *server) stateReply(state store.State, age time.Duration) *spreadpb.StateReply {
-	reply := &spreadpb.StateReply{Version: state.Version, NowMicros: s.now(), AgeMicros: age.Microseconds()}
-	for _, row := range state.Rows {
-		reply.Rows = append(reply.Rows, rowToWire(row, false))
+// lately is what this host was told a moment ago.
+func (w *Watcher) lately(table string, after int64) (news, error) {
+	n, ok := w.remember(table).news(after)
+	if !ok || n.age > w.options.fresh() {
+		return news{}, errors.WithMessage(store.ErrUnavailable, "nothing was told lately")
 	}
-	return reply
-}
-
-// Changes implements spreadpb.SpreadServer.
-func (s *server) Changes(ctx context.Context, r *spreadpb.ChangesRequest) (*spreadpb.ChangesReply, error) {
-	if s.watcher.isStopping() {
-		return nil, status.Error(codes.Unavailable, "stopping")
-	}
-	wait := min(time.Duration(r.GetWaitMicros())*time.Microsecond, peerWait)
-	m := s.watcher.mirror(r.GetTable())
-	changes, version, err := m.Changes(ctx, r.GetAfter(), wait)
-	if err != nil {
-		return nil, statusOf(err)
-	}
-	reply := &spreadpb.ChangesReply{Version: version, NowMicros: s.now(), AgeMicros: m.age().Microseconds()}
-	for _, c := range changes {
-		reply.Rows = append(reply.Rows, rowToWire(c.Row, c.Deleted))
-	}
-	return reply, nil
+	return n, nil
 }
 
 // now is the store's clock; 0 if it is not known.
@@ -99,15 +96,3 @@
 	defer w.mu.Unlock()
 	return w.stopping
 }
-
-// statusOf makes a gRPC error of a store's.
-func statusOf(err error) error {
-	switch {
-	case errors.Is(err, store.ErrCompacted):
-		return status.Error(codes.OutOfRange, err.Error())
-	case errors.Is(err, store.ErrUnavailable):
-		return status.Error(codes.FailedPrecondition, err.Error())
-	default:
-		return status.Error(codes.Unavailable, err.Error())
-	}
-}
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -1,18 +1,23 @@
-// Package spread lets a few hosts of each data hall read the platform's store and
-// pass on what they read to the others, since every call to the store is priced.
+// Package spread lets a few hosts read the platform's store and pass on what they
+// read to the others, since every call to the store is priced.
 //
 // # Usage
 //
-//	w := spread.NewWatcher(spread.Options{Host: "front-1", Hall: "ikeja", Address: "10.0.0.1:7340", ...})
+//	w := spread.NewWatcher(spread.Options{Host: "front-1", Address: "10.0.0.1:7340", ...})
 //	go w.Run(ctx)
 //	state, err := w.State(ctx, "endpoints") // as from the store
 //
 // A Watcher is a store.Watcher: who follows a table does not know where changes
-// come from. Hosts are ranked in each data hall by a hash of their names; the
-// first of those that answer is asked, and asking it makes it read the store. A
-// host that gets no answer in time asks the next, and reads the store itself when
-// two have failed. Nobody is elected and nothing is agreed: two readers cost calls,
-// none costs a moment's delay. Hosts list themselves in a table of the store.
+// come from. Hosts list themselves in a table of the store. A group of hosts ranks
+// all hosts in an order of its own; the first of those that answer is asked, and
+// asking it makes it read the store. A host that hears nothing in time asks the
+// next as well, then hosts of other groups for what they were told, then the store
+// itself; the first sound answer counts. Nobody is elected and nothing is agreed:
+// two readers cost calls, none costs a moment's delay.
+//
+// What is passed on carries the time since the store said so, and is taken only
+// while it is fresh, so that the age of what a host knows is bounded however many
+// hands it came through.
 package spread
 
 import (
@@ -31,38 +36,39 @@
 
 // Times of a watcher.
 const (
-	// peerWait is one wait for changes at another host; one that went silent is
-	// noticed after it and the margin.
-	peerWait   = 600 * time.Millisecond
-	peerMargin = 300 * time.Millisecond
-	// peersTried before the store is read directly.
-	peersTried = 2
-	// directEvery bounds direct reads while other hosts say that they do not
-	// reach the store: most likely nobody does.
+	// peerPart of the wait at the store is one wait for changes at another host.
+	peerPart = 0.45
+	// slowStore is what an answer of a slow store takes beyond its wait; what is
+	// passed on may be that much older than one wait.
+	slowStore = 250 * time.Millisecond
+	// hopMargin is how long an answer takes at most that need not be waited for:
+	// a connection, a call to the store and a slow processor. After it the next
+	// source is asked too.
+	hopMargin = 200 * time.Millisecond
+	// peersTried hosts are asked in order, and then others for what they were told.
+	peersTried  = 3
+	othersTried = 2
+	// pollEvery is how often those are asked that do not wait for changes.
+	pollEvery = 400 * time.Millisecond
+	// directEvery is the pause after a direct read of the store that failed, for
+	// each directHosts hosts that there are: most likely it is away for all.
 	directEvery = 2 * time.Second
-	// latelyTried hosts are asked for what they were told before the store is
-	// read directly.
-	latelyTried = 3
-	// latelyEvery is how often other hosts are asked for what they were told.
-	latelyEvery = 400 * time.Millisecond
-	// reachedFor is how long a host that reached the store directly goes on
-	// doing so.
-	reachedFor = 3 * time.Second
+	directHosts = 12
 	// listAfter the first start of all hosts each has listed itself.
 	listAfter = 1500 * time.Millisecond
 	listEvery = 2 * time.Minute
 	listRetry = 2 * time.Second
-	// listPatience is how long the first read of a table waits for that list.
-	listPatience = 250 * time.Millisecond
-	// startTime is how long a host has just started.
-	startTime = 3 * time.Second
+	// listPatience is how long the first read of a table waits for that list;
+	// at the first start of all hosts there is time.
+	listPatience      = 300 * time.Millisecond
+	listPatienceFirst = 3 * time.Second
 )
 
 // Options set up a Watcher.
 type Options struct {
 	Host    string
-	Hall    string
-	Address string // ip:port for the other hosts
+	Address string  // ip:port for the other hosts
+	Cores   float64 // what this host may use of a processor; those with most read the store
 	// First tells that all hosts start for the first time.
 	First bool
 	// Wait is the longest wait for changes at the store; what this host passes
@@ -80,13 +86,18 @@
 	Dial Dialer
 }
 
+// fresh is how old what is passed on may be.
+func (o Options) fresh() time.Duration { return o.Wait + slowStore }
+
+// peerWait is one wait for changes at another host.
+func (o Options) peerWait() time.Duration { return time.Duration(peerPart * float64(o.Wait)) }
+
 // Watcher reads tables from another host, or from the store; safe for use at
 // once.
 type Watcher struct {
 	options Options
 	peers   *peers
 	link    *link
-	started time.Time
 	ctx     context.Context // of the mirrors
 	cancel  context.CancelFunc
 	working sync.WaitGroup
@@ -95,8 +106,7 @@
 	mu       sync.Mutex // guards all below
 	mirrors  map[string]*mirror
 	known    map[string]*known // by table, what this host was told last
-	probed   time.Time         // the last direct read while other hosts do not reach the store
-	reached  time.Time         // direct reads may go on until then
+	direct   time.Time         // the store is not read directly before
 	stopping bool              // other hosts are sent elsewhere
 	closed   bool              // no mirror starts any more
 	clock    reading
@@ -112,24 +122,25 @@
 func NewWatcher(options Options) *Watcher {
 	w := &Watcher{
 		options: options, peers: newPeers(options), link: newLink(options.Credentials, options.Dial),
-		started: time.Now(), listed: make(chan struct{}), mirrors: map[string]*mirror{}, known: map[string]*known{},
+		listed: make(chan struct{}), mirrors: map[string]*mirror{}, known: map[string]*known{},
 	}
 	w.ctx, w.cancel = context.WithCancel(context.Background())
 	return w
 }
 
 // Run lists this host and keeps the list of others up to date, until the context
-// ends. A host that starts again finds its own entry as it was and writes nothing.
+// ends. A host that starts again finds its own entry as it was and writes nothing;
+// at the first start of all hosts there is no list to find it in.
 func (w *Watcher) Run(ctx context.Context) {
+	if w.options.First {
+		w.update(ctx, w.enlist, "host can't list itself")
+		clock.Sleep(ctx, clock.Around(listAfter))
+	}
 	w.update(ctx, w.readPeers, "list of hosts can't be read")
 	if !w.peers.has(w.options.Host, w.own()) {
 		w.update(ctx, w.enlist, "host can't list itself")
 	}
 	close(w.listed)
-	if w.options.First {
-		clock.Sleep(ctx, clock.Around(listAfter))
-		w.update(ctx, w.readPeers, "list of hosts can't be read")
-	}
 	for clock.Sleep(ctx, clock.Around(listEvery)) {
 		w.update(ctx, w.readPeers, "list of hosts can't be read")
 	}
@@ -147,10 +158,13 @@
 	}
 }
 
-// awaitList waits until the other hosts are known, for a short while: a table
-// that is asked for before is read from the store by every host.
+// awaitList waits until the other hosts are known, for a short while.
 func (w *Watcher) awaitList(ctx context.Context) {
-	timer := time.NewTimer(listPatience)
+	patience := listPatience
+	if w.options.First {
+		patience = listPatienceFirst
+	}
+	timer := time.NewTimer(patience)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
@@ -182,7 +196,7 @@
 	w.mu.Lock()
 	m, ok := w.mirrors[table]
 	if !ok {
-		m = newMirror(table, w.options)
+		m = newMirror(table, w.options, w.rememberLocked(table))
 		w.mirrors[table] = m
 	}
 	defer w.mu.Unlock()
@@ -216,142 +230,194 @@
 	w.clock = reading{shown: shown, at: time.Now()}
 }
 
-// State implements store.Watcher. A host that has just started serves nobody
-// before it has read its tables, so these first reads go to the store itself, and
-// to other hosts only if that is away.
+// State implements store.Watcher.
 func (w *Watcher) State(ctx context.Context, table string) (store.State, error) {
-	a, err := w.state(ctx, table)
-	if err == nil {
-		w.remember(table).load(a.state, a.age)
+	w.awaitList(ctx)
+	n, err := w.whole(ctx, table)
+	if err != nil {
+		return store.State{}, err
 	}
-	return a.state, err
+	return w.remember(table).replace(n), nil
 }
 
-// aged is a table and the time since the store said so.
-type aged struct {
-	state store.State
-	age   time.Duration
+// whole asks other hosts for a whole table, then the store. A host that knows
+// nothing yet takes what is old rather than nothing.
+func (w *Watcher) whole(ctx context.Context, table string) (news, error) {
+	old := make(chan news, peersTried+othersTried)
+	sources := w.peerSources(table, -1, 0)
+	sources = append(sources, source{patience: directPatience, read: func(ctx context.Context) (news, error) {
+		return w.readDirectly(ctx, table, -1, 0)
+	}})
+	sources = append(sources, w.otherSources(table, -1)...)
+	if !w.remember(table).isLoaded() {
+		sources = keepingOld(sources, old)
+	}
+	n, _, err := race(ctx, sources)
+	if err == nil {
+		return n, nil
+	}
+	select {
+	case n := <-old:
+		w.options.Logger.Warn("only old state of a table is to be had", "table", table, "version", n.version, "age_ms", n.age.Milliseconds())
+		return n, nil
+	default:
+		return news{}, err
+	}
 }
 
-func (w *Watcher) state(ctx context.Context, table string) (aged, error) {
-	loaded := w.remember(table).isLoaded()
-	if !loaded && time.Since(w.started) < startTime {
-		state, err := w.options.Store.State(ctx, table)
-		if err == nil {
-			return aged{state: state}, nil
-		}
-		w.options.Logger.Warn("store not reached; asking other hosts", "table", table, "error", err)
-	}
-	w.awaitList(ctx)
-	var old aged // better than nothing, for a host that has nothing
-	a, asked, err := throughPeers(w, func(p peer) (aged, error) {
-		limited, cancel := context.WithTimeout(ctx, peerWait+peerMargin)
-		defer cancel()
-		a, err := w.link.state(limited, p, &spreadpb.StateRequest{Table: table}, w.hear)
-		if err == nil && a.age > staleAfter {
-			old, err = a, staleError(p, a.age)
+// directPatience is how long the store is waited for before hosts are asked that
+// are asked last: some pages of a long table.
+const directPatience = time.Second
+
+// keepingOld puts what was too old to be taken into a channel with room for all.
+func keepingOld(sources []source, old chan<- news) []source {
+	kept := make([]source, len(sources))
+	for i, s := range sources {
+		kept[i] = s
+		kept[i].read = func(ctx context.Context) (news, error) {
+			n, err := s.read(ctx)
+			if err != nil && n.version > 0 {
+				old <- n
+			}
+			return n, err
 		}
-		return a, err
-	})
-	switch {
-	case asked:
-		return a, err
-	case err == nil:
-		m := w.mirror(table)
-		state, err := m.State(ctx)
-		return aged{state: state, age: m.age()}, err
-	case !loaded && old.age > 0:
-		return old, nil
-	case !w.mayReadDirectly(err):
-		return aged{}, err
 	}
-	state, err := w.options.Store.State(ctx, table)
-	w.readDirectly(err)
-	return aged{state: state}, err
+	return kept
 }
 
 // remember returns what this host was told last of a table.
 func (w *Watcher) remember(table string) *known {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	return w.rememberLocked(table)
+}
+
+func (w *Watcher) rememberLocked(table string) *known {
 	k, ok := w.known[table]
 	if !ok {
-		k = &known{}
+		k = newKnown()
 		w.known[table] = k
 	}
 	return k
 }
 
-// result is what an answer about changes holds.
-type result struct {
-	changes []store.Change
-	version int64
-	age     time.Duration // since the store said so
-	known   bool          // the changes were taken in already
-}
-
 // Changes implements store.Watcher. A wait that another host cuts short returns
 // no changes.
 func (w *Watcher) Changes(ctx context.Context, table string, after int64, wait time.Duration) ([]store.Change, int64, error) {
-	r, err := w.changes(ctx, table, after, wait)
-	if err == nil && !r.known {
-		w.remember(table).apply(r.changes, r.version, r.age)
-	}
-	return r.changes, r.version, err
-}
-
-func (w *Watcher) changes(ctx context.Context, table string, after int64, wait time.Duration) (result, error) {
 	w.awaitList(ctx)
-	r, asked, err := throughPeers(w, func(p peer) (result, error) {
-		wait := min(wait, peerWait)
-		limited, cancel := context.WithTimeout(ctx, wait+peerMargin)
-		defer cancel()
-		return w.link.changes(limited, p, table, after, wait, w.hear)
-	})
-	if asked {
-		return r, err
+	wait = min(wait, w.options.peerWait())
+	sources := append(w.peerSources(table, after, wait), w.otherSources(table, after)...)
+	sources = append(sources, source{patience: directPatience, read: func(ctx context.Context) (news, error) {
+		return w.readDirectly(ctx, table, after, 0)
+	}})
+	n, place, err := race(ctx, sources)
+	if err != nil {
+		return nil, 0, err
 	}
-	if err == nil {
-		r, err = w.mirrorChanges(ctx, table, after, wait)
-		if !errors.Is(err, store.ErrUnavailable) {
-			return r, err
-		}
+	if !w.remember(table).apply(n) {
+		w.options.Logger.Warn("a removal was missed; reading the table whole", "table", table, "version", after)
+		clock.Sleep(ctx, clock.Jitter(wholePause))
+		return nil, 0, errors.WithMessagef(store.ErrCompacted, "changes of %s", table)
 	}
-	if r, ok := w.lately(ctx, table, after, wait); ok {
-		return r, nil
+	if place > 0 && len(n.changes) == 0 {
+		clock.Sleep(ctx, min(wait, pollEvery)) // only the first was asked to wait
 	}
-	if !w.mayReadDirectly(err) {
-		return result{}, err
+	return n.changes, max(after, n.version), nil
+}
+
+// wholePause bounds how often a table is read whole that does not come to agree.
+const wholePause = 100 * time.Millisecond
+
+// peerSources are the hosts that come before this one in its order, and if there
+// are none, this host's own mirror. The first is asked to wait for changes.
+func (w *Watcher) peerSources(table string, after int64, wait time.Duration) []source {
+	candidates := w.peers.candidates(peersTried)
+	if len(candidates) == 0 {
+		m := w.mirror(table)
+		return []source{{patience: wait + hopMargin, read: func(ctx context.Context) (news, error) {
+			return m.news(ctx, after, wait)
+		}}}
 	}
-	changes, version, err := w.options.Store.Changes(ctx, table, after, min(wait, w.options.Wait))
-	w.readDirectly(err)
-	return result{changes: changes, version: version}, err
+	var sources []source
+	for _, p := range candidates {
+		sources = append(sources, w.peerSource(p, &spreadpb.ReadRequest{Table: table, After: after, WaitMicros: wait.Microseconds()}))
+		wait = 0
+	}
+	return sources
 }
 
-// mirrorChanges waits for changes of this host's own copy.
-func (w *Watcher) mirrorChanges(ctx context.Context, table string, after int64, wait time.Duration) (result, error) {
-	m := w.mirror(table)
-	changes, version, err := m.Changes(ctx, after, wait)
-	return result{changes: changes, version: version, age: m.age()}, err
+// otherSources are a few hosts of any group, asked for what they were told.
+func (w *Watcher) otherSources(table string, after int64) []source {
+	var sources []source
+	for _, p := range w.peers.some(othersTried, w.peers.candidates(peersTried)) {
+		sources = append(sources, w.peerSource(p, &spreadpb.ReadRequest{Table: table, After: after, Lately: true}))
+	}
+	return sources
 }
 
-// lately asks a few hosts of any data hall for what they were told lately, when
-// neither this host nor those that it asks first reach the store.
-func (w *Watcher) lately(ctx context.Context, table string, after int64, wait time.Duration) (result, bool) {
-	for _, p := range w.peers.some(latelyTried) {
-		limited, cancel := context.WithTimeout(ctx, peerMargin)
-		a, err := w.link.state(limited, p, &spreadpb.StateRequest{Table: table, Lately: true, After: after}, w.hear)
-		cancel()
+// peerSource asks another host. What it tells is taken only while it is fresh.
+func (w *Watcher) peerSource(p peer, request *spreadpb.ReadRequest) source {
+	wait := time.Duration(request.GetWaitMicros()) * time.Microsecond
+	read := func(ctx context.Context) (news, error) {
+		limited, cancel := context.WithTimeout(ctx, wait+peerTimeout)
+		defer cancel()
+		n, err := w.link.read(limited, p, request, w.hear)
+		behind := request.GetAfter() < 0 && n.version < w.remember(request.GetTable()).version()
+		if err == nil && (n.age > w.options.fresh() || behind) {
+			err = staleError(p, n.age)
+		}
 		switch {
-		case err != nil:
+		case err == nil:
+			w.peers.answered(p)
+		case ctx.Err() == nil && !errors.Is(err, errTooLong):
 			w.peers.failed(p, err)
-		case a.state.Version > after:
-			changes := w.remember(table).changes(a.state, a.age)
-			return result{changes: changes, version: a.state.Version, known: true}, true
-		default:
-			clock.Sleep(ctx, min(wait, latelyEvery))
-			return result{version: after, age: a.age + latelyEvery}, true
+			w.options.Logger.Info("host does not pass on the store", "peer", p.name, "address", p.address, "error", err)
 		}
+		return n, err
+	}
+	silent := func() {
+		w.peers.failed(p, errSilent)
+		w.options.Logger.Info("host does not pass on the store", "peer", p.name, "address", p.address, "error", errSilent)
+	}
+	return source{patience: wait + hopMargin, read: read, silent: silent}
+}
+
+// peerTimeout is when an answer of another host is given up, beyond its wait, if
+// nobody else has answered either.
+const peerTimeout = time.Second
+
+// errSilent means that a host has not answered in time.
+var errSilent = errors.New("no answer in time")
+
+// readDirectly reads the store. After a failure it is not read again for a while,
+// the longer the more hosts there are, since it is most likely away for all.
+func (w *Watcher) readDirectly(ctx context.Context, table string, after int64, wait time.Duration) (news, error) {
+	w.mu.Lock()
+	early := time.Now().Before(w.direct)
+	w.mu.Unlock()
+	if early {
+		return news{}, errors.WithMessage(store.ErrUnavailable, "not read directly so soon after a failure")
+	}
+	n, err := w.readStore(ctx, table, after, wait)
+	if err != nil && !errors.Is(err, store.ErrCompacted) && ctx.Err() == nil {
+		pause := directEvery * time.Duration(max(1, w.Hosts()/directHosts))
+		w.mu.Lock()
+		w.direct = time.Now().Add(clock.Around(pause))
+		w.mu.Unlock()
+	}
+	return n, err
+}
+
+// readStore reads changes of a table from the store, or all of it.
+func (w *Watcher) readStore(ctx context.Context, table string, after int64, wait time.Duration) (news, error) {
+	if after >= 0 {
+		changes, version, err := w.options.Store.Changes(ctx, table, after, wait)
+		return news{changes: changes, version: version}, err
+	}
+	state, err := w.options.Store.State(ctx, table)
+	n := news{version: state.Version}
+	for _, row := range state.Rows {
+		n.changes = append(n.changes, store.Change{Row: row})
 	}
-	return result{}, false
+	return n, err
 }
