--- a/internal/daemon/host.go
+++ b/internal/daemon/host.go
@@ -16,9 +16,11 @@
 	"quaybarrow/internal/billing"
 	"quaybarrow/internal/clock"
 	"quaybarrow/internal/config"
+	"quaybarrow/internal/conn"
 	"quaybarrow/internal/endpoint"
 	"quaybarrow/internal/entry"
 	"quaybarrow/internal/estimate"
+	"quaybarrow/internal/fleet"
 	"quaybarrow/internal/job"
 	"quaybarrow/internal/lease"
 	"quaybarrow/internal/membership"
@@ -38,6 +40,7 @@
 // Limits of the HTTP servers.
 const (
 	headerTimeout  = 10 * time.Second
+	connSweep      = 500 * time.Millisecond
 	idleTimeout    = 2 * time.Minute
 	maxHeaderBytes = 64 << 10
 	stopTimeout    = 5 * time.Second
@@ -54,7 +57,9 @@
 	Spreader   *config.Spreader
 	Membership *membership.Membership
 	Leases     *lease.Manager
-	Pool       *endpoint.Pool
+	Watch      *endpoint.Watch
+	Fleet      *fleet.Fleet
+	Conns      *conn.Pool
 	Admission  *admission.Controller
 	Ledger     *billing.Ledger
 	Guard      *once.Guard
@@ -147,10 +152,18 @@
 // work lists what runs in the background.
 func (h *Host) work() []func(context.Context) {
 	return []func(context.Context){
-		h.Membership.Run, h.Spreader.Run, h.Pool.Run, h.Ledger.Run, h.Guard.Run, h.Estimates.Run, h.Rollout.Run,
+		h.Membership.Run, h.Spreader.Run, h.Watch.Run, h.Ledger.Run, h.Guard.Run, h.Estimates.Run, h.Rollout.Run,
 		func(ctx context.Context) { h.Leases.Run(ctx, estimate.Duty, h.Estimates.Sum) },
 		func(ctx context.Context) { h.Leases.Run(ctx, dutySweep, h.sweep) },
-		h.ordersOfHalls, h.housekeeping,
+		h.ordersOfHalls, h.housekeeping, h.sweepConns,
+	}
+}
+
+// sweepConns closes connections to endpoints that have rested for as long as they
+// may.
+func (h *Host) sweepConns(ctx context.Context) {
+	for clock.Sleep(ctx, connSweep) {
+		h.Conns.Sweep()
 	}
 }
 
@@ -215,6 +228,7 @@
 func (h *Host) Kill() {
 	h.cancel()
 	h.working.Wait()
+	h.Conns.Close()
 	h.jobs.Wait()
 	_ = h.callers.Close()
 	_ = h.operators.Close()
--- a/internal/daemon/module.go
+++ b/internal/daemon/module.go
@@ -26,9 +26,12 @@
 	"quaybarrow/internal/admission"
 	"quaybarrow/internal/billing"
 	"quaybarrow/internal/config"
+	"quaybarrow/internal/conn"
+	"quaybarrow/internal/declare"
 	"quaybarrow/internal/dispatch"
 	"quaybarrow/internal/endpoint"
 	"quaybarrow/internal/estimate"
+	"quaybarrow/internal/fleet"
 	"quaybarrow/internal/job"
 	"quaybarrow/internal/lease"
 	"quaybarrow/internal/membership"
@@ -51,10 +54,13 @@
 // Sizes of what a host remembers or keeps open.
 const (
 	trafficRecords  = 10_000
-	idlePerEndpoint = 512
+	idlePerEndpoint = 16 // for reports and orders
 	outcomesWaiting = 10_000
 )
 
+// dialTimeout is ample for a connection between data halls.
+const dialTimeout = 2 * time.Second
+
 // Ports are the ways to the outside. What is nil is made from the settings.
 type Ports struct {
 	Tables    store.Tables
@@ -62,8 +68,8 @@
 	Ratings   store.Ratings
 	Link      peer.Link
 	ServePeer func(address string, h peer.Handler) // in place of a gRPC server
-	Transport http.RoundTripper                    // kept connections
-	Fresh     http.RoundTripper                    // a new connection each time
+	Transport http.RoundTripper                    // for reports and orders of engines
+	Dial      func(ctx context.Context, address string) (net.Conn, error)
 	Listen    func(address string) (net.Listener, error)
 	Logger    *log.Logger
 }
@@ -80,9 +86,9 @@
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.Supply(s, ports, identity{host: s.Host, incarnation: uuid.NewString()}),
 		fx.Provide(
-			newLogger, newPlatform, newTelemetry, newTLS, newLink, newTransports,
+			newLogger, newPlatform, newTelemetry, newTLS, newLink, newTransport, newConns,
 			config.NewHolder, config.NewLog, newKeyrings, newState, newMembership, newSpreader,
-			newPool, newDispatcher, newAdmission, newLeases, newLedger, newGuard,
+			newWatch, newDispatcher, newAdmission, newLeases, newLedger, newGuard,
 			session.NewNames, job.NewQueue, newCredits, newTraffic, estimate.NewKeeper,
 			newPipeline, newWorker, operator.NewCommands, newQueries, newRollout, newOrders, newHost,
 		),
@@ -134,26 +140,20 @@
 	return rpc.NewLink(files.ClientCredentials())
 }
 
-// transports are the ways to endpoints.
-type transports struct{ kept, fresh http.RoundTripper }
-
-func newTransports(p Ports) transports {
-	t := transports{kept: p.Transport, fresh: p.Fresh}
-	if t.kept == nil {
-		t.kept = &http.Transport{
-			MaxIdleConnsPerHost: idlePerEndpoint, IdleConnTimeout: time.Minute, DisableCompression: true,
-			DialContext: (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
-		}
+// newTransport returns the way of reports and orders.
+func newTransport(p Ports) http.RoundTripper {
+	if p.Transport != nil {
+		return p.Transport
 	}
-	if t.fresh == nil {
-		t.fresh = &http.Transport{
-			DisableKeepAlives: true, DisableCompression: true,
-			DialContext: (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
-		}
+	return &http.Transport{
+		MaxIdleConnsPerHost: idlePerEndpoint, IdleConnTimeout: time.Minute, DisableCompression: true,
+		DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext,
 	}
-	return t
 }
 
+// newConns returns the connections that requests are sent on.
+func newConns(p Ports) *conn.Pool { return conn.NewPool(conn.Options{Dial: p.Dial}) }
+
 func newCredits(s settings.Settings, h *config.Holder, tables store.Tables) *rollout.Credits {
 	return rollout.NewCredits(h, tables, s.Host)
 }
@@ -175,17 +175,21 @@
 	return spreader
 }
 
-func newPool(s settings.Settings, m *membership.Membership, t transports) *endpoint.Pool {
-	return endpoint.NewPool(endpoint.Options{
-		Host: s.Host, Hall: s.DataHall, Period: s.Times.Load, List: m.Listed, Fetch: endpoint.HTTPFetcher(t.kept),
+func newWatch(s settings.Settings, m *membership.Membership, t http.RoundTripper) (*endpoint.Watch, *fleet.Fleet) {
+	w := endpoint.NewWatch(endpoint.Options{
+		Host: s.Host, Hall: s.DataHall, Period: s.Times.Load, List: m.Listed, Fetch: endpoint.HTTPFetcher(t),
 		Hosts: func() int { return len(m.View().Members) },
 	})
+	return w, w.Fleet()
 }
 
-func newDispatcher(s settings.Settings, pool *endpoint.Pool, t transports, tel *telemetry.Telemetry) *dispatch.Dispatcher {
-	return dispatch.New(dispatch.Options{
-		Pool: pool, Transport: t.kept, Fresh: t.fresh, FirstToken: s.Times.FirstToken, Telemetry: tel,
-	})
+func newDispatcher(s settings.Settings, f *fleet.Fleet, conns *conn.Pool, tel *telemetry.Telemetry) *dispatch.Dispatcher {
+	return dispatch.New(dispatch.Options{Fleet: f, Conns: conns, FirstToken: s.Times.FirstToken, Telemetry: tel})
+}
+
+// ready tells whether some endpoint serves a version and takes new work.
+func ready(f *fleet.Fleet) func(declare.Ref) bool {
+	return func(ref declare.Ref) bool { return f.Has(endpoint.Engines, ref.String()) }
 }
 
 func newAdmission(s settings.Settings) *admission.Controller {
@@ -212,12 +216,12 @@
 	})
 }
 
-func newPipeline(s settings.Settings, h *config.Holder, a *admission.Controller, k *keyrings, n *session.Names, pool *endpoint.Pool,
+func newPipeline(s settings.Settings, h *config.Holder, a *admission.Controller, k *keyrings, n *session.Names, f *fleet.Fleet,
 	d *dispatch.Dispatcher, l *billing.Ledger, g *once.Guard, c *rollout.Credits, e *estimate.Keeper,
 	tel *telemetry.Telemetry, tr *traffic.Log,
 ) *pipeline.Pipeline {
 	return pipeline.New(pipeline.Options{
-		Host: s.Host, Config: h, Admission: a, Keyring: k.current, Names: n, Pool: pool, Dispatcher: d, Ledger: l,
+		Host: s.Host, Config: h, Admission: a, Keyring: k.current, Names: n, Ready: ready(f), Dispatcher: d, Ledger: l,
 		Guard: g, Credits: c, Estimates: e.Current, Telemetry: tel, Traffic: tr,
 		Stale: s.Times.Stale, Proven: s.Times.Proven, Longest: s.Times.Request,
 	})
@@ -229,24 +233,24 @@
 }
 
 func newQueries(h *config.Holder, l *config.Log, tables store.Tables, m *membership.Membership, link peer.Link,
-	pool *endpoint.Pool, tr *traffic.Log, tel *telemetry.Telemetry, c *rollout.Credits,
+	f *fleet.Fleet, tr *traffic.Log, tel *telemetry.Telemetry, c *rollout.Credits,
 ) *operator.Queries {
 	return operator.NewQueries(operator.QueryOptions{
-		Config: h, Log: l, Tables: tables, View: m.View, Link: link, Pool: pool, Traffic: tr, Telemetry: tel, Credits: c,
+		Config: h, Log: l, Tables: tables, View: m.View, Link: link, Fleet: f, Traffic: tr, Telemetry: tel, Credits: c,
 	})
 }
 
 func newRollout(tables store.Tables, ratings store.Ratings, h *config.Holder, leases *lease.Manager, link peer.Link,
-	m *membership.Membership, commands *operator.Commands, credits *rollout.Credits, pool *endpoint.Pool,
+	m *membership.Membership, commands *operator.Commands, credits *rollout.Credits, f *fleet.Fleet,
 ) *rollout.Controller {
 	return rollout.NewController(rollout.Options{
 		Tables: tables, Ratings: ratings, Config: h, Leases: leases, Link: link, View: m.View,
-		Move: commands.MoveFor, GrantSelf: credits.Grant, Ready: pool.Has,
+		Move: commands.MoveFor, GrantSelf: credits.Grant, Ready: ready(f),
 	})
 }
 
-func newOrders(h *config.Holder, m *membership.Membership, t transports) *order.Reconciler {
+func newOrders(h *config.Holder, m *membership.Membership, t http.RoundTripper) *order.Reconciler {
 	return order.New(order.Options{
-		Config: h, List: m.Listed, Fetch: endpoint.HTTPFetcher(t.kept), Transport: t.kept,
+		Config: h, List: m.Listed, Fetch: endpoint.HTTPFetcher(t), Transport: t,
 	})
 }
--- a/internal/demo/scene.go
+++ b/internal/demo/scene.go
@@ -10,6 +10,7 @@
 	"quaybarrow/internal/codec"
 	"quaybarrow/internal/config"
 	"quaybarrow/internal/declare"
+	"quaybarrow/internal/endpoint"
 	"quaybarrow/internal/operator"
 	"quaybarrow/internal/rollout"
 	"quaybarrow/internal/standin/caller"
@@ -215,7 +216,9 @@
 	if err := s.cluster.Start(ctx, h); err != nil {
 		return err
 	}
-	until(ctx, steady, func() bool { return h.Daemon().Config.Current() != nil && h.Daemon().Pool.Has(supportOne) })
+	until(ctx, steady, func() bool {
+		return h.Daemon().Config.Current() != nil && h.Daemon().Fleet.Has(endpoint.Engines, supportOne.String())
+	})
 	s.setStopped(nil)
 	return pause(ctx, time.Second)
 }
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -9,7 +9,7 @@
 
 	"github.com/google/uuid"
 
-	"quaybarrow/internal/endpoint"
+	"quaybarrow/internal/fleet"
 	"quaybarrow/internal/problem"
 	"quaybarrow/internal/telemetry"
 )
@@ -21,16 +21,17 @@
 func (d *Dispatcher) cancelAt(address, attemptID string) {
 	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 	defer cancel()
-	url := "http://" + address + "/v1/streams/" + attemptID
-	request, err := http.NewRequestWithContext(ctx, http.MethodDelete, url, nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodDelete, "http://"+address+"/v1/streams/"+attemptID, nil)
 	if err != nil {
 		return
 	}
-	response, err := d.options.Transport.RoundTrip(request)
+	c, err := d.options.Conns.Get(ctx, address, 0)
 	if err != nil {
 		return
 	}
-	drain(response)
+	stop := context.AfterFunc(ctx, c.Interrupt)
+	response, err := c.Send(request, func(http.Header) bool { return true }) //nolint:bodyclose // a closed connection ends its body
+	c.Release(stop() && err == nil && drained(response))
 }
 
 // Call is a request to a plain service.
@@ -55,24 +56,24 @@
 // Call sends a call to a plain service. A call that may not be repeated goes to
 // another endpoint only while it is certain that none has run it.
 func (d *Dispatcher) Call(ctx context.Context, call Call) (Answer, error) {
-	d.budget.first()
+	d.budgets.First(call.Service)
 	run := problem.NotRun
 	var avoid []string
 	var last error
 	for attempt := range MaxAttempts {
-		if attempt > 0 && !d.budget.retry() {
+		if attempt > 0 && !d.budgets.Repeat(call.Service, 1) {
 			break
 		}
-		reserved, ok := d.options.Pool.Pick(endpoint.Ask{Service: call.Service, Avoid: avoid})
+		hold, ok := d.options.Fleet.Pick(fleet.Ask{Service: call.Service, Avoid: avoid})
 		if !ok {
 			break
 		}
-		answer, err := d.callOnce(ctx, call, reserved)
+		answer, err := d.callOnce(ctx, call, hold)
 		if err == nil {
 			return answer, nil
 		}
 		last = err
-		avoid = append(avoid, reserved.ID)
+		avoid = append(avoid, hold.Endpoint.ID)
 		if runOf(err) != problem.NotRun {
 			run = problem.Unknown
 			call.Attempted()
@@ -85,39 +86,35 @@
 }
 
 // callOnce makes one attempt at one endpoint.
-func (d *Dispatcher) callOnce(ctx context.Context, call Call, reserved *endpoint.Reservation) (Answer, error) {
-	ctx, span := d.options.Telemetry.Start(ctx, "attempt "+reserved.ID)
+func (d *Dispatcher) callOnce(ctx context.Context, call Call, hold *fleet.Hold) (Answer, error) {
+	ctx, span := d.options.Telemetry.Start(ctx, "attempt "+hold.Endpoint.ID)
 	defer span.End()
-	answer, err := d.exchangeCall(ctx, call, reserved)
+	answer, err := d.exchangeCall(ctx, call, hold)
 	telemetry.Fail(span, err)
 	if err != nil {
-		reserved.Done(outcomeOf(ctx, err))
+		hold.Done(fleet.Result{Outcome: outcomeOf(ctx, err)})
 		return Answer{}, err
 	}
-	reserved.Done(endpoint.OutcomeGood)
+	hold.Done(fleet.Result{Outcome: fleet.OutcomeGood})
 	return answer, nil
 }
 
-func (d *Dispatcher) exchangeCall(ctx context.Context, call Call, reserved *endpoint.Reservation) (Answer, error) {
-	transport := d.options.Transport
-	if !call.Repeatable {
-		transport = d.options.Fresh
-	}
+func (d *Dispatcher) exchangeCall(ctx context.Context, call Call, hold *fleet.Hold) (Answer, error) {
 	header := http.Header{}
 	if call.ContentType != "" {
 		header.Set("Content-Type", call.ContentType)
 	}
-	response, err := d.send(ctx, transport, exchange{
-		method: call.Method, url: "http://" + reserved.Address + "/" + call.Name, header: header,
+	a, err := d.send(ctx, exchange{
+		method: call.Method, address: hold.Endpoint.Address, path: "/" + call.Name, header: header,
 		body: call.Body, requestID: call.ID, attemptID: uuid.NewString(),
 	})
 	if err != nil {
 		return Answer{}, err
 	}
-	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	body, err := io.ReadAll(io.LimitReader(a.Body, maxAnswerBytes))
+	a.release(err == nil && len(body) < maxAnswerBytes)
 	if err != nil {
-		return Answer{}, &attemptError{run: problem.Unknown, cause: fmt.Errorf("read the answer: %w", err)}
+		return Answer{}, &attemptError{run: problem.Unknown, outcome: fleet.OutcomeFailed, cause: fmt.Errorf("read the answer: %w", err)}
 	}
-	return Answer{Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: body}, nil
+	return Answer{Status: a.StatusCode, ContentType: a.Header.Get("Content-Type"), Body: body}, nil
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -7,10 +7,12 @@
 //	defer stream.Close()
 //	for { event, err := stream.Next() ... }
 //
-// An attempt owns its stream: what a cancelled or late attempt still sends goes
-// nowhere. A request is tried again only while the caller has seen nothing, and
-// within a budget; one that may not be repeated is never tried again once a
-// byte of it may have been sent.
+// Endpoints are chosen by the fleet, requests are sent on connections of the
+// package conn, and repeats are bounded by the package retry, as those of routed
+// requests are. An attempt owns its stream: what a cancelled or late attempt still
+// sends goes nowhere. A request is tried again only while the caller has seen
+// nothing; one that may not be repeated is never tried again once a byte of it may
+// have been sent.
 package dispatch
 
 import (
@@ -19,16 +21,18 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"time"
 
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
 	"quaybarrow/internal/chat"
+	"quaybarrow/internal/conn"
 	"quaybarrow/internal/declare"
 	"quaybarrow/internal/endpoint"
+	"quaybarrow/internal/fleet"
 	"quaybarrow/internal/problem"
+	"quaybarrow/internal/retry"
 	"quaybarrow/internal/telemetry"
 )
 
@@ -37,16 +41,19 @@
 	MaxAttempts    = 3 // of one request
 	maxAnswerBytes = 32 << 20
 	retryAfter     = time.Second // told to callers that find no endpoint
+	// usualFirst is the time to a first token that is taken for good where nobody
+	// declares one; it weighs bytes between data halls against waiting.
+	usualFirst = 1500 * time.Millisecond
 )
 
+// DefaultRetries bounds repeats where nobody declares a bound: a tenth of the first
+// sends, and a few for an idle host.
+var DefaultRetries = retry.Limits{Ratio: 0.1, Reserve: 10}
+
 // Options set up a Dispatcher.
 type Options struct {
-	Pool *endpoint.Pool
-	// Transport carries what may be repeated; its connections are kept.
-	Transport http.RoundTripper
-	// Fresh carries calls that may not be repeated: a new connection for each,
-	// so that the HTTP library never has a reason to send one again.
-	Fresh      http.RoundTripper
+	Fleet      *fleet.Fleet
+	Conns      *conn.Pool
 	FirstToken time.Duration
 	Telemetry  *telemetry.Telemetry
 }
@@ -54,12 +61,12 @@
 // Dispatcher sends requests to endpoints.
 type Dispatcher struct {
 	options Options
-	budget  *sharedBudget
+	budgets *retry.Budgets
 }
 
 // New returns a dispatcher.
 func New(options Options) *Dispatcher {
-	return &Dispatcher{options: options, budget: &sharedBudget{now: NewBudget()}}
+	return &Dispatcher{options: options, budgets: retry.NewBudgets(DefaultRetries)}
 }
 
 // Request is a completion for an engine.
@@ -68,7 +75,9 @@
 	Version  declare.Ref
 	Body     []byte // with the version as its model
 	Priority declare.Priority
-	Prefix   uint64
+	Prefix   uint64 // hash of what the prompt shares with others; 0 for nothing
+	Tokens   int    // of the prompt, estimated
+	Shared   int    // of them, those that others share
 	// Allowed is asked right before each attempt, so that a version withdrawn
 	// meanwhile gets nothing new.
 	Allowed func() error
@@ -79,10 +88,18 @@
 	Judged func(failed bool)
 }
 
+// ask is what the choice of an engine goes by.
+func (r Request) ask(avoid []string) fleet.Ask {
+	return fleet.Ask{
+		Service: endpoint.Engines, Model: r.Version.String(), Avoid: avoid, Key: r.Prefix,
+		Tokens: r.Tokens, Shared: r.Shared, Objective: usualFirst,
+	}
+}
+
 // Open sends a completion and returns its answer once it has begun. Errors are
 // problems that say whether it ran.
 func (d *Dispatcher) Open(ctx context.Context, request Request) (*Stream, error) {
-	d.budget.first()
+	d.budgets.First(endpoint.Engines)
 	run := problem.NotRun
 	var avoid []string
 	var last error
@@ -90,20 +107,20 @@
 		if err := request.Allowed(); err != nil {
 			return nil, problem.Of(err).WithRun(run)
 		}
-		if attempt > 0 && !d.budget.retry() {
+		if attempt > 0 && !d.budgets.Repeat(endpoint.Engines, 1) {
 			break
 		}
-		reserved, ok := d.options.Pool.Pick(endpoint.Ask{Version: request.Version, Prefix: request.Prefix, Avoid: avoid})
+		hold, ok := d.options.Fleet.Pick(request.ask(avoid))
 		if !ok {
 			break
 		}
-		stream, err := d.attempt(ctx, request, reserved)
+		stream, err := d.attempt(ctx, request, hold)
 		if err == nil {
 			request.judge(false)
 			return stream, nil
 		}
 		last = err
-		avoid = append(avoid, reserved.ID)
+		avoid = append(avoid, hold.Endpoint.ID)
 		if errors.Is(err, errVersionFailed) {
 			request.judge(true)
 		}
@@ -141,7 +158,7 @@
 // attemptError is a failed attempt.
 type attemptError struct {
 	run     problem.Run
-	refused bool // by the endpoint, in so many words
+	outcome fleet.Outcome
 	cause   error
 }
 
@@ -162,47 +179,46 @@
 
 // outcomeOf tells how a failed attempt speaks of its endpoint. One whose
 // context ended says nothing: the caller left, or its time was up.
-func outcomeOf(ctx context.Context, err error) endpoint.Outcome {
+func outcomeOf(ctx context.Context, err error) fleet.Outcome {
 	var e *attemptError
+	known := errors.As(err, &e)
 	switch {
-	case errors.As(err, &e) && e.refused:
-		return endpoint.OutcomeRefused
+	case known && e.outcome == fleet.OutcomeRefused:
+		return fleet.OutcomeRefused
 	case ctx.Err() != nil:
-		return endpoint.OutcomeNeutral
+		return fleet.OutcomeNeutral
+	case known:
+		return e.outcome
 	default:
-		return endpoint.OutcomeFailed
+		return fleet.OutcomeFailed
 	}
 }
 
 // errVersionFailed means that an engine ran the request and failed.
 var errVersionFailed = errors.New("the version failed")
 
-// errForeign means that an endpoint answered another request than ours.
-var errForeign = errors.New("endpoint answered for another request")
-
 // attempt sends a completion to one endpoint and waits for its first byte.
-func (d *Dispatcher) attempt(ctx context.Context, request Request, reserved *endpoint.Reservation) (*Stream, error) {
+func (d *Dispatcher) attempt(ctx context.Context, request Request, hold *fleet.Hold) (*Stream, error) {
 	caller := ctx
-	ctx, span := d.options.Telemetry.Start(ctx, "attempt "+reserved.ID)
+	ctx, span := d.options.Telemetry.Start(ctx, "attempt "+hold.Endpoint.ID)
 	defer span.End()
 	ctx, cancel := context.WithCancel(ctx)
 	timer := time.AfterFunc(d.options.FirstToken, cancel)
 	defer timer.Stop()
-	s := &Stream{dispatcher: d, reserved: reserved, cancel: cancel, context: ctx, request: request, attemptID: uuid.NewString()}
+	s := &Stream{dispatcher: d, hold: hold, cancel: cancel, context: ctx, request: request, attemptID: uuid.NewString()}
 	header := http.Header{}
 	header.Set("Content-Type", "application/json")
 	header.Set(chat.HeaderPriority, string(request.Priority))
 	header.Set(chat.HeaderResumable, "1")
-	url := "http://" + reserved.Address + "/v1/chat/completions"
-	response, err := d.send(ctx, d.options.Transport, exchange{ //nolint:bodyclose // the stream closes it
-		method: http.MethodPost, url: url, header: header, body: request.Body,
-		requestID: request.ID, attemptID: s.attemptID,
+	answer, err := d.send(ctx, exchange{
+		method: http.MethodPost, address: hold.Endpoint.Address, path: "/v1/chat/completions", header: header,
+		body: request.Body, requestID: request.ID, attemptID: s.attemptID,
 	})
 	if err == nil {
-		s.take(response)
+		s.take(answer)
 		_, err = s.reader.Peek(1)
 		if err != nil {
-			err = &attemptError{run: problem.Unknown, cause: fmt.Errorf("wait for the answer: %w", err)}
+			err = &attemptError{run: problem.Unknown, outcome: fleet.OutcomeFailed, cause: fmt.Errorf("wait for the answer: %w", err)}
 		}
 	}
 	if err != nil {
@@ -210,61 +226,86 @@
 		s.fail(outcomeOf(caller, err))
 		return nil, err
 	}
+	hold.Head(fleet.Load{})
 	return s, nil
 }
 
 // exchange is one HTTP request to an endpoint.
 type exchange struct {
 	method    string
-	url       string
+	address   string // ip:port
+	path      string
 	header    http.Header
 	body      []byte
 	requestID string
 	attemptID string
 }
 
-// send makes one exchange and returns the response if it is an answer to it.
-// Errors are *attemptError.
-func (d *Dispatcher) send(ctx context.Context, transport http.RoundTripper, x exchange) (*http.Response, error) {
-	connected := false
-	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected = true },
-	})
-	request, err := http.NewRequestWithContext(traced, x.method, x.url, bytes.NewReader(x.body))
+// answer is an endpoint's answer on the connection that it comes by.
+type answer struct {
+	*http.Response
+	conn *conn.Conn
+	stop func() bool // ends the watch on the context
+}
+
+// release gives the connection back; it is kept if the answer was read whole.
+func (a *answer) release(whole bool) { a.conn.Release(a.stop() && whole) }
+
+// send makes one exchange and returns the answer if it is one to it. Errors are
+// *attemptError.
+func (d *Dispatcher) send(ctx context.Context, x exchange) (*answer, error) {
+	request, err := http.NewRequestWithContext(ctx, x.method, "http://"+x.address+x.path, bytes.NewReader(x.body))
 	if err != nil {
-		return nil, &attemptError{run: problem.NotRun, cause: fmt.Errorf("build request: %w", err)}
+		return nil, &attemptError{run: problem.NotRun, outcome: fleet.OutcomeNeutral, cause: fmt.Errorf("build request: %w", err)}
 	}
-	request.GetBody = nil // so that the library never sends it again by itself
 	request.Header = x.header
 	request.Header.Set(chat.HeaderRequestID, x.requestID)
 	request.Header.Set(chat.HeaderAttempt, x.attemptID)
 	d.options.Telemetry.Inject(ctx, request.Header)
-	response, err := transport.RoundTrip(request)
+	c, err := d.options.Conns.Get(ctx, x.address, 0)
 	if err != nil {
-		run := problem.Unknown
-		if !connected {
-			run = problem.NotRun
-		}
-		return nil, &attemptError{run: run, cause: fmt.Errorf("send: %w", err)}
+		return nil, notSent(err)
 	}
-	if err := x.check(response); err != nil {
-		drain(response)
+	stop := context.AfterFunc(ctx, c.Interrupt)
+	response, err := c.Send(request, x.accepts) //nolint:bodyclose // a closed connection ends its body
+	a := &answer{Response: response, conn: c, stop: stop}
+	if err == nil {
+		err = x.check(response)
+		if err == nil {
+			return a, nil
+		}
+		a.release(drained(response))
 		return nil, err
 	}
-	return response, nil
+	a.release(false)
+	if errors.Is(err, conn.ErrNotSent) {
+		return nil, notSent(err)
+	}
+	return nil, &attemptError{run: problem.Unknown, outcome: fleet.OutcomeFailed, cause: fmt.Errorf("send: %w", err)}
 }
 
-// check tells an answer to this exchange from a refusal, a failure and an
-// answer to another one.
+// notSent is the error of an attempt that its endpoint has seen nothing of.
+func notSent(err error) error {
+	return &attemptError{run: problem.NotRun, outcome: fleet.OutcomeLost, cause: fmt.Errorf("send: %w", err)}
+}
+
+// accepts reports whether an answer is one to this exchange; endpoints that do not
+// echo the ids are believed.
+func (x exchange) accepts(h http.Header) bool {
+	return echoes(h, chat.HeaderRequestID, x.requestID) && echoes(h, chat.HeaderAttempt, x.attemptID)
+}
+
+// check tells an answer from a refusal and a failure.
 func (x exchange) check(response *http.Response) error {
 	refused := response.Header.Get(chat.HeaderRun) == chat.NotRun
 	switch {
 	case refused && response.StatusCode >= http.StatusBadRequest:
-		return &attemptError{run: problem.NotRun, refused: true, cause: errors.Errorf("refused with status %d", response.StatusCode)}
+		return &attemptError{run: problem.NotRun, outcome: fleet.OutcomeRefused, cause: errors.Errorf("refused with status %d", response.StatusCode)}
 	case response.StatusCode >= http.StatusInternalServerError:
-		return &attemptError{run: problem.Unknown, cause: errors.WithMessagef(errVersionFailed, "status %d", response.StatusCode)}
-	case !echoes(response.Header, chat.HeaderRequestID, x.requestID), !echoes(response.Header, chat.HeaderAttempt, x.attemptID):
-		return &attemptError{run: problem.Unknown, cause: errForeign}
+		return &attemptError{
+			run: problem.Unknown, outcome: fleet.OutcomeFailed,
+			cause: errors.WithMessagef(errVersionFailed, "status %d", response.StatusCode),
+		}
 	default:
 		return nil
 	}
@@ -276,9 +317,9 @@
 	return got == "" || got == value
 }
 
-// drain lets a connection be used again if little is left on it.
-func drain(response *http.Response) {
+// drained reads what is left of a short answer; true if it was read to its end.
+func drained(response *http.Response) bool {
 	const most = 4 << 10
-	_, _ = io.CopyN(io.Discard, response.Body, most)
-	_ = response.Body.Close()
+	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, most))
+	return err == nil && n < most
 }
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -13,6 +13,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"quaybarrow/internal/conn"
 	"quaybarrow/internal/dispatch"
 	"quaybarrow/internal/endpoint"
 	"quaybarrow/internal/problem"
@@ -81,13 +82,13 @@
 type rig struct {
 	service    *service.Service
 	server     *http.Server
-	transport  *http.Transport
-	fresh      *http.Transport
+	transport  *http.Transport // of the library, for comparison
+	conns      *conn.Pool
 	dispatcher *dispatch.Dispatcher
 
-	mu    sync.Mutex // guards conns and plan
-	conns []*breaker
-	plan  breaker
+	mu   sync.Mutex // guards all below
+	open []*breaker
+	plan breaker
 }
 
 func newRig() *rig {
@@ -104,28 +105,30 @@
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		b := &breaker{Conn: c, armed: r.plan.armed, written: r.plan.written, read: r.plan.read}
-		r.conns = append(r.conns, b)
+		r.open = append(r.open, b)
 		return b, nil
 	}
 	r.transport = &http.Transport{DialContext: dial}
-	r.fresh = &http.Transport{DialContext: dial, DisableKeepAlives: true}
+	r.conns = conn.NewPool(conn.Options{
+		Dial: func(ctx context.Context, address string) (net.Conn, error) { return dial(ctx, "tcp", address) },
+	})
 	hosts := []store.Host{
 		{ID: "p1", Kind: store.HostService, Service: "payouts", Address: address, State: store.HostLive},
 		{ID: "p2", Kind: store.HostService, Service: "payouts", Address: address, State: store.HostLive},
 	}
-	pool := endpoint.NewPool(endpoint.Options{List: func() []store.Host { return hosts }, Period: time.Second})
-	pool.Sync()
+	watch := endpoint.NewWatch(endpoint.Options{List: func() []store.Host { return hosts }, Period: time.Second})
+	watch.Sync()
 	t, err := telemetry.New(context.Background(), telemetry.Options{Traces: 1})
 	Expect(err).NotTo(HaveOccurred())
 	r.dispatcher = dispatch.New(dispatch.Options{
-		Pool: pool, Transport: r.transport, Fresh: r.fresh, FirstToken: time.Second, Telemetry: t,
+		Fleet: watch.Fleet(), Conns: r.conns, FirstToken: time.Second, Telemetry: t,
 	})
 	return r
 }
 
 func (r *rig) close() {
 	r.transport.CloseIdleConnections()
-	r.fresh.CloseIdleConnections()
+	r.conns.Close()
 	_ = r.server.Close()
 }
 
@@ -135,7 +138,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.plan = breaker{armed: true, written: written, read: read}
-	for _, c := range r.conns {
+	for _, c := range r.open {
 		c.mu.Lock()
 		c.armed, c.written, c.read = true, written, read
 		c.mu.Unlock()
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -9,11 +9,12 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/pkg/errors"
 
 	"quaybarrow/internal/chat"
-	"quaybarrow/internal/endpoint"
+	"quaybarrow/internal/fleet"
 	"quaybarrow/internal/problem"
 )
 
@@ -22,42 +23,46 @@
 	readBuffer = 16 << 10
 	maxEvent   = 4 << 20
 	maxResumes = 3
+	// endPatience is how long the end of an answer is waited for after its end
+	// mark; it comes in the same packet, or the connection is closed.
+	endPatience = 50 * time.Millisecond
 )
 
 // Stream is the answer of one attempt.
 type Stream struct {
 	dispatcher *Dispatcher
-	reserved   *endpoint.Reservation
+	hold       *fleet.Hold
 	cancel     context.CancelFunc
 	context    context.Context
 	request    Request
 	attemptID  string
 
-	response *http.Response
-	reader   *bufio.Reader
-	event    []byte // the last event; reused
-	events   int    // data events read so far
-	resumes  int
-	usage    *chat.Usage
-	ended    bool // the end mark was read
-	failed   bool
+	answer  *answer
+	reader  *bufio.Reader
+	event   []byte // the last event; reused
+	events  int    // data events read so far
+	resumes int
+	usage   *chat.Usage
+	ended   bool // the end mark was read
+	failed  bool
+	over    bool // everything was given back
 }
 
-// take starts to read a response.
-func (s *Stream) take(response *http.Response) {
-	s.response = response
-	s.reader = bufio.NewReaderSize(response.Body, readBuffer)
+// take starts to read an answer.
+func (s *Stream) take(a *answer) {
+	s.answer = a
+	s.reader = bufio.NewReaderSize(a.Body, readBuffer)
 }
 
 // Status returns the endpoint's HTTP status, which is below 500.
-func (s *Stream) Status() int { return s.response.StatusCode }
+func (s *Stream) Status() int { return s.answer.StatusCode }
 
 // ContentType returns the answer's content type.
-func (s *Stream) ContentType() string { return s.response.Header.Get("Content-Type") }
+func (s *Stream) ContentType() string { return s.answer.Header.Get("Content-Type") }
 
 // Confidence returns the engine's confidence in its answer; 1 if it says none.
 func (s *Stream) Confidence() float64 {
-	text := s.response.Header.Get(chat.HeaderConfidence)
+	text := s.answer.Header.Get(chat.HeaderConfidence)
 	value, err := strconv.ParseFloat(text, 64)
 	if err != nil {
 		return 1
@@ -72,7 +77,7 @@
 func (s *Stream) Events() int { return s.events }
 
 // Endpoint names the endpoint that answers.
-func (s *Stream) Endpoint() string { return s.reserved.ID }
+func (s *Stream) Endpoint() string { return s.hold.Endpoint.ID }
 
 // Event is one event of a stream, as it goes to the caller.
 type Event struct {
@@ -172,20 +177,19 @@
 		return cause
 	}
 	s.resumes++
-	_ = s.response.Body.Close()
-	url := fmt.Sprintf("http://%s/v1/streams/%s?from=%d", s.reserved.Address, s.attemptID, s.events)
-	response, err := s.dispatcher.send(s.context, s.dispatcher.options.Transport, exchange{
-		method: http.MethodGet, url: url, header: http.Header{},
-		requestID: s.request.ID, attemptID: s.attemptID,
+	s.answer.release(false)
+	a, err := s.dispatcher.send(s.context, exchange{
+		method: http.MethodGet, address: s.hold.Endpoint.Address, path: fmt.Sprintf("/v1/streams/%s?from=%d", s.attemptID, s.events),
+		header: http.Header{}, requestID: s.request.ID, attemptID: s.attemptID,
 	})
 	if err != nil {
 		return err
 	}
-	if response.StatusCode != http.StatusOK {
-		drain(response)
+	if a.StatusCode != http.StatusOK {
+		a.release(drained(a.Response))
 		return cause
 	}
-	s.take(response)
+	s.take(a)
 	return nil
 }
 
@@ -205,10 +209,10 @@
 }
 
 // fail ends a stream that never began.
-func (s *Stream) fail(outcome endpoint.Outcome) {
-	s.end(outcome)
-	if outcome != endpoint.OutcomeRefused {
-		go s.dispatcher.cancelAt(s.reserved.Address, s.attemptID)
+func (s *Stream) fail(outcome fleet.Outcome) {
+	s.end(outcome, false)
+	if outcome != fleet.OutcomeRefused {
+		go s.dispatcher.cancelAt(s.hold.Endpoint.Address, s.attemptID)
 	}
 }
 
@@ -217,19 +221,31 @@
 func (s *Stream) Close() {
 	switch {
 	case s.failed:
-		s.fail(endpoint.OutcomeFailed)
+		s.fail(fleet.OutcomeFailed)
 	case s.ended:
-		s.end(endpoint.OutcomeGood)
+		s.end(fleet.OutcomeGood, s.atEnd())
 	default:
-		s.fail(endpoint.OutcomeNeutral)
+		s.fail(fleet.OutcomeNeutral)
 	}
 }
 
+// atEnd reads what follows the mark that ends a stream: nothing, if the connection
+// can be used again.
+func (s *Stream) atEnd() bool {
+	s.answer.conn.SetReadDeadline(time.Now().Add(endPatience))
+	n, err := io.Copy(io.Discard, io.LimitReader(s.reader, 1))
+	return err == nil && n == 0
+}
+
 // end gives everything back; calls after the first do nothing.
-func (s *Stream) end(outcome endpoint.Outcome) {
-	s.cancel()
-	if s.response != nil {
-		_ = s.response.Body.Close()
+func (s *Stream) end(outcome fleet.Outcome, whole bool) {
+	if s.over {
+		return
 	}
-	s.reserved.Done(outcome)
+	s.over = true
+	if s.answer != nil {
+		s.answer.release(whole)
+	}
+	s.cancel()
+	s.hold.Done(fleet.Result{Outcome: outcome})
 }
--- a/internal/endpoint/report.go
+++ b/internal/endpoint/report.go
@@ -12,8 +12,7 @@
 	"github.com/pkg/errors"
 
 	"quaybarrow/internal/clock"
-	"quaybarrow/internal/declare"
-	"quaybarrow/internal/store"
+	"quaybarrow/internal/fleet"
 )
 
 // Limits of reading reports.
@@ -28,10 +27,8 @@
 	Queued   int       `json:"queued"`
 	Slots    int       `json:"slots"`
 	Draining bool      `json:"draining"`
-	Versions []string  `json:"versions"`
+	Versions []string  `json:"versions"` // loaded, as model@version
 	At       time.Time `json:"at"`
-
-	refs []declare.Ref
 }
 
 // Fetcher reads an engine's report.
@@ -61,11 +58,11 @@
 }
 
 // Run follows the list and the reports until the context ends.
-func (p *Pool) Run(ctx context.Context) {
+func (w *Watch) Run(ctx context.Context) {
 	for {
-		p.Sync()
-		p.Refresh(ctx)
-		if !clock.Sleep(ctx, clock.Around(p.period())) {
+		w.Sync()
+		w.Refresh(ctx)
+		if !clock.Sleep(ctx, clock.Around(w.period())) {
 			return
 		}
 	}
@@ -76,33 +73,31 @@
 const reportsPerPeriod = 3
 
 // period is the time between two reports of an engine.
-func (p *Pool) period() time.Duration {
-	return p.options.Period * time.Duration(max(len(p.engines()), reportsPerPeriod)) / reportsPerPeriod
+func (w *Watch) period() time.Duration {
+	return w.options.Period * time.Duration(max(len(w.engines()), reportsPerPeriod)) / reportsPerPeriod
 }
 
 // Refresh reads the report of every watched engine, a few at once.
-func (p *Pool) Refresh(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, max(p.options.Period, time.Second))
+func (w *Watch) Refresh(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, max(w.options.Period, time.Second))
 	defer cancel()
 	slots := make(chan struct{}, fetchAtOnce)
 	var wait sync.WaitGroup
-	for _, h := range p.engines() {
+	for _, e := range w.engines() {
 		slots <- struct{}{}
 		wait.Go(func() {
-			p.refresh(ctx, h)
+			w.refresh(ctx, e)
 			<-slots
 		})
 	}
 	wait.Wait()
 }
 
-func (p *Pool) engines() []store.Host {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var engines []store.Host
-	for _, s := range p.states {
-		if s.host.Kind == store.HostEngine {
-			engines = append(engines, s.host)
+func (w *Watch) engines() []fleet.Endpoint {
+	var engines []fleet.Endpoint
+	for _, s := range w.fleet.View() {
+		if s.Service == Engines {
+			engines = append(engines, s.Endpoint)
 		}
 	}
 	return engines
@@ -110,25 +105,14 @@
 
 // refresh reads one report. An engine that can't be reached is not ejected for
 // it: attempts decide that.
-func (p *Pool) refresh(ctx context.Context, h store.Host) {
-	asked := time.Now()
-	p.mu.Lock()
-	mine := 0
-	if s := p.states[h.ID]; s != nil {
-		mine = s.flying
-	}
-	p.mu.Unlock()
-	report, err := p.options.Fetch(ctx, h.Address)
+func (w *Watch) refresh(ctx context.Context, e fleet.Endpoint) {
+	asked, flying := time.Now(), w.fleet.Flying(e.ID)
+	report, err := w.options.Fetch(ctx, e.Address)
 	if err != nil {
 		return
 	}
-	report.refs = make([]declare.Ref, len(report.Versions))
-	for i, v := range report.Versions {
-		report.refs[i] = declare.ParseRef(v)
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if s := p.states[h.ID]; s != nil && s.host.Address == h.Address {
-		s.report, s.reported, s.mine = report, asked, mine
-	}
+	w.fleet.Report(e.ID, fleet.Report{
+		Load:     fleet.Load{Running: report.Running, Waiting: report.Queued, Slots: report.Slots},
+		Draining: report.Draining, Models: append([]string{}, report.Versions...), Asked: asked, Flying: flying,
+	})
 }
--- a/internal/experiment/placement.go
+++ b/internal/experiment/placement.go
@@ -6,7 +6,9 @@
 	"sort"
 	"time"
 
-	"quaybarrow/internal/place"
+	"github.com/cespare/xxhash/v2"
+
+	"quaybarrow/internal/fleet"
 )
 
 // PlacementScenario is what placement is tried on.
@@ -39,6 +41,7 @@
 	arrived time.Duration
 	prefix  uint64
 	tokens  int
+	hold    *fleet.Hold // at the router's own choice; nil for other policies
 }
 
 // placement is one run.
@@ -47,10 +50,9 @@
 	clock   *clockwork
 	random  *rand.Rand
 	workers []*worker
-	mine    [][]int // in flight, by host and worker
-	atCheck [][]int // mine when the report was read
-	reports [][]int // by host and worker
-	turns   []int   // of round robin, by host
+	fleets  []*fleet.Fleet // by host
+	reports [][]int        // by host and worker
+	turns   []int          // of round robin, by host
 	firsts  sample
 	hits    int
 	asked   int
@@ -60,46 +62,74 @@
 // sampleEvery is how often a worker's load is noted for reports.
 const sampleEvery = 250 * time.Millisecond
 
-// placementPolicy picks a worker for a request at a host.
-type placementPolicy func(p *placement, host int, prefix uint64) int
+// placementPolicy picks a worker for a request at a host; the hold is nil but for
+// the router's own choice.
+type placementPolicy func(p *placement, host int, prefix uint64) (int, *fleet.Hold)
 
 var placementPolicies = []struct {
 	name string
 	pick placementPolicy
 }{
-	{"random", func(p *placement, _ int, _ uint64) int { return p.random.IntN(p.Workers) }},
-	{"round robin", func(p *placement, host int, _ uint64) int {
+	{"random", func(p *placement, _ int, _ uint64) (int, *fleet.Hold) { return p.random.IntN(p.Workers), nil }},
+	{"round robin", func(p *placement, host int, _ uint64) (int, *fleet.Hold) {
 		p.turns[host]++
-		return p.turns[host] % p.Workers
+		return p.turns[host] % p.Workers, nil
 	}},
-	{"least reported load", func(p *placement, host int, _ uint64) int {
+	{"least reported load", func(p *placement, host int, _ uint64) (int, *fleet.Hold) {
 		least := 0
 		for i, r := range p.reports[host] {
 			if r < p.reports[host][least] {
 				least = i
 			}
 		}
-		return least
-	}},
-	{"affinity only", func(p *placement, _ int, prefix uint64) int {
-		return place.Pick(p.endpoints(-1), place.Ask{Prefix: prefix}, p.random.Float64())
+		return least, nil
 	}},
-	{"quaybarrow", func(p *placement, host int, prefix uint64) int {
-		return place.Pick(p.endpoints(host), place.Ask{Prefix: prefix, Sharers: p.Hosts}, p.random.Float64())
+	{"affinity only", func(p *placement, _ int, prefix uint64) (int, *fleet.Hold) {
+		home, most := 0, uint64(0)
+		for i := range p.Workers {
+			if w := xxhash.Sum64String(fmt.Sprint(prefix, "/", i)); w > most {
+				home, most = i, w
+			}
+		}
+		return home, nil
 	}},
+	{"quaybarrow", (*placement).choose},
 }
 
-// endpoints is what a host knows of the workers; host -1 knows no loads.
-func (p *placement) endpoints(host int) []place.Endpoint {
-	list := make([]place.Endpoint, p.Workers)
-	for i := range list {
-		list[i] = place.Endpoint{ID: "w", Hash: uint64(i+1) * 0x9e3779b97f4a7c15, Slots: p.Slots, Ready: true, Slow: 1}
-		if host >= 0 {
-			list[i].InFlight, list[i].Reported = p.mine[host][i], p.reports[host][i]
-			list[i].Mine, list[i].Age = p.atCheck[host][i], p.lag
-		}
+// Lengths of prompts in tokens: a prefix is what takes Prefill to be read at the
+// speed that the choice takes for granted at first.
+const (
+	prefixTokens = 4000
+	promptTokens = 4400
+)
+
+// choose picks a worker as the router does.
+func (p *placement) choose(host int, prefix uint64) (int, *fleet.Hold) {
+	h, ok := p.fleets[host].Pick(fleet.Ask{
+		Key: prefix | 1, Model: "m", Tokens: promptTokens, Shared: prefixTokens, Objective: time.Second,
+	})
+	if !ok {
+		return 0, nil
+	}
+	var index int
+	if _, err := fmt.Sscanf(h.Endpoint.ID, workerName, &index); err != nil {
+		panic(err) // the names are this file's own
 	}
-	return list
+	return index, h
+}
+
+// workerName names a worker by its place.
+const workerName = "w%03d"
+
+// newFleet returns what a host knows before the first request.
+func (p *placement) newFleet() *fleet.Fleet {
+	f := fleet.New(fleet.Options{
+		Now: p.clock.wall, Random: p.random.Float64, Sharers: func(string) int { return p.Hosts },
+	})
+	for i := range p.Workers {
+		f.Put(fleet.Endpoint{ID: fmt.Sprintf(workerName, i), Slots: p.Slots})
+	}
+	return f
 }
 
 // rate of arrivals at which the workers are loaded as asked, if most prefixes
@@ -121,10 +151,11 @@
 func (s PlacementScenario) play(seed int, lag float64, pick placementPolicy) *placement {
 	p := &placement{
 		PlacementScenario: s, clock: &clockwork{}, random: source(seed, 3), lag: seconds(lag),
-		mine: grid(s.Hosts, s.Workers), atCheck: grid(s.Hosts, s.Workers), reports: grid(s.Hosts, s.Workers),
+		reports: grid(s.Hosts, s.Workers),
 	}
 	for range s.Hosts {
 		p.turns = append(p.turns, p.random.IntN(s.Workers))
+		p.fleets = append(p.fleets, p.newFleet())
 	}
 	for range s.Workers {
 		p.workers = append(p.workers, &worker{})
@@ -144,10 +175,9 @@
 	for range s.Requests {
 		p.clock.run(p.clock.now + exponential(p.random, s.rate()))
 		host, prefix := p.random.IntN(s.Hosts), prefixes.Uint64()*0x2545f4914f6cdd1d+1
-		w := pick(p, host, prefix)
+		w, hold := pick(p, host, prefix)
 		tokens := max(1, int(float64(s.Tokens)*(0.5+p.random.Float64())))
-		p.mine[host][w]++
-		p.arrive(w, &placed{host: host, arrived: p.clock.now, prefix: prefix, tokens: tokens})
+		p.arrive(w, &placed{host: host, arrived: p.clock.now, prefix: prefix, tokens: tokens, hold: hold})
 	}
 	return p
 }
@@ -158,7 +188,11 @@
 	for i, w := range p.workers {
 		if at := len(w.history) - 1 - back; at >= 0 {
 			p.reports[host][i] = w.history[at]
-			p.atCheck[host][i] = min(p.mine[host][i], w.history[at])
+			name := fmt.Sprintf(workerName, i)
+			p.fleets[host].Report(name, fleet.Report{
+				Load:  fleet.Load{Running: w.history[at], Slots: p.Slots},
+				Asked: p.clock.wall().Add(-p.lag), Flying: min(p.fleets[host].Flying(name), w.history[at]),
+			})
 		}
 	}
 	p.clock.after(time.Second, func() { p.read(host) })
@@ -183,9 +217,14 @@
 	}
 	pace := seconds(p.Token * (1 + float64(w.running)/float64(p.Slots)))
 	p.firsts = append(p.firsts, (p.clock.now - r.arrived + prefill + pace).Seconds())
+	if r.hold != nil {
+		p.clock.after(prefill+pace, func() { r.hold.Head(fleet.Load{}) })
+	}
 	p.clock.after(prefill+time.Duration(r.tokens)*pace, func() {
 		w.running--
-		p.mine[r.host][index]--
+		if r.hold != nil {
+			r.hold.Done(fleet.Result{Outcome: fleet.OutcomeGood})
+		}
 		if len(w.queue) > 0 {
 			next := w.queue[0]
 			w.queue = w.queue[1:]
--- a/internal/experiment/retries.go
+++ b/internal/experiment/retries.go
@@ -2,11 +2,12 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"quaybarrow/internal/dispatch"
-	"quaybarrow/internal/endpoint"
-	"quaybarrow/internal/place"
+	"quaybarrow/internal/fleet"
+	"quaybarrow/internal/retry"
 )
 
 // RetriesScenario is what retries are tried on.
@@ -29,50 +30,35 @@
 	clock := &clockwork{}
 	random := source(seed, 5)
 	run := retriesRun{}
-	health := make([][]endpoint.Health, s.Hosts)
-	budgets := make([]dispatch.Budget, s.Hosts)
-	flying := grid(s.Hosts, s.Workers)
-	for h := range health {
-		health[h] = make([]endpoint.Health, s.Workers)
-		budgets[h] = dispatch.NewBudget()
-	}
-	pick := func(h int, avoid []string) int {
-		list := make([]place.Endpoint, s.Workers)
-		for i := range list {
-			list[i] = place.Endpoint{ID: fmt.Sprint(i), Slots: 8, InFlight: flying[h][i], Ready: true, Slow: 1}
-			if judged {
-				list[i].Ready, list[i].Slow = health[h][i].Ready(clock.wall()), health[h][i].Slow(clock.wall())
-			}
-		}
-		return place.Pick(list, place.Ask{Avoid: avoid}, random.Float64())
+	hosts := make([]*retryingHost, s.Hosts)
+	for h := range hosts {
+		hosts[h] = s.newHost(clock, random)
 	}
 	request := func() {
-		h := random.IntN(s.Hosts)
+		h := hosts[random.IntN(s.Hosts)]
 		run.requests++
-		budgets[h] = budgets[h].WithFirst()
+		h.window = h.window.WithFirst(clock.wall())
 		var avoid []string
 		for attempt := range dispatch.MaxAttempts {
-			if judged && attempt > 0 {
-				next, ok := budgets[h].WithRetry()
-				if !ok {
-					return
-				}
-				budgets[h] = next
+			if judged && attempt > 0 && !h.mayRepeat(clock.wall()) {
+				return
 			}
-			w := pick(h, avoid)
-			if w < 0 {
+			hold, ok := h.fleet.Pick(fleet.Ask{Avoid: avoid})
+			if !ok {
 				return
 			}
 			run.attempts++
-			if w >= s.Down {
+			if !s.isDown(hold) {
 				run.served++
-				flying[h][w]++
-				health[h][w] = health[h][w].WithOutcome(endpoint.OutcomeGood, clock.wall())
-				clock.after(seconds(s.Service), func() { flying[h][w]-- })
+				clock.after(seconds(s.Service), func() { hold.Done(fleet.Result{Outcome: fleet.OutcomeGood}) })
 				return
 			}
-			health[h][w] = health[h][w].WithOutcome(endpoint.OutcomeFailed, clock.wall())
-			avoid = append(avoid, fmt.Sprint(w))
+			outcome := fleet.OutcomeNeutral // the baseline learns nothing
+			if judged {
+				outcome = fleet.OutcomeFailed
+			}
+			hold.Done(fleet.Result{Outcome: outcome})
+			avoid = append(avoid, hold.Endpoint.ID)
 		}
 	}
 	for clock.now < seconds(s.Length) {
@@ -83,6 +69,35 @@
 	return run
 }
 
+// retryingHost is what a host of the router knows.
+type retryingHost struct {
+	fleet  *fleet.Fleet
+	window retry.Window
+}
+
+// workerSlots are the requests that a worker runs at once.
+const workerSlots = 8
+
+func (s RetriesScenario) newHost(clock *clockwork, random *rand.Rand) *retryingHost {
+	f := fleet.New(fleet.Options{Now: clock.wall, Random: random.Float64})
+	for i := range s.Workers {
+		f.Put(fleet.Endpoint{ID: fmt.Sprintf(workerName, i), Slots: workerSlots})
+	}
+	return &retryingHost{fleet: f}
+}
+
+// mayRepeat takes a repeat from the host's budget.
+func (h *retryingHost) mayRepeat(now time.Time) bool {
+	next, ok := h.window.WithRepeat(now, dispatch.DefaultRetries, 1)
+	h.window = next
+	return ok
+}
+
+// isDown reports whether a worker is one of those that fail.
+func (s RetriesScenario) isDown(h *fleet.Hold) bool {
+	return h.Endpoint.ID < fmt.Sprintf(workerName, s.Down)
+}
+
 // runRetries compares the router's retries with unbounded ones.
 func runRetries(s RetriesScenario, options Options) Result {
 	seeds := seedsOf(options, s.Seeds)
--- a/internal/faults/rows_test.go
+++ b/internal/faults/rows_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -258,8 +259,8 @@
 	healed()
 	w.withdrawEverywhere(1, supportTwo)
 	Eventually(func() bool {
-		for _, e := range w.c.Hosts[1].Daemon().Pool.View() {
-			if e.Versions != nil && e.Slots > 0 && e.Serves(supportTwo) {
+		for _, e := range w.c.Hosts[1].Daemon().Fleet.View() {
+			if slices.Contains(e.Models, supportTwo.String()) {
 				return false
 			}
 		}
--- a/internal/fleet/endpoint.go
+++ b/internal/fleet/endpoint.go
@@ -27,6 +27,25 @@
 	Draining bool   // it takes nothing new
 }
 
+// Report is an endpoint's own account of its load.
+type Report struct {
+	Load     Load
+	Draining bool
+	Models   []string  // that it has loaded; nil if it does not say
+	Asked    time.Time // when it was asked for
+	Flying   int       // this host's requests there at that moment
+}
+
+// Status is what a host knows of an endpoint, for operators.
+type Status struct {
+	Endpoint
+	Models []string
+	Flying int           // this host's requests there
+	Others int           // others' requests there, when it last said
+	Age    time.Duration // since it said so; 0 if it never did
+	Ready  bool          // it is not ejected
+}
+
 // Load is what an endpoint says of itself in an answer.
 type Load struct {
 	Running, Waiting, Slots int
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"cmp"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -24,6 +26,13 @@
 // Options set up a Fleet.
 type Options struct {
 	Hall string // the host's own data hall
+	// Sharers counts the hosts that send to an endpoint of a service, this one
+	// included; nil where endpoints say in each answer how loaded they are.
+	Sharers func(service string) int
+	// Now and Random stand in for the runtime's clock and random numbers from 0 to
+	// 1 in experiments, which play virtual time; nil outside of them.
+	Now    func() time.Time
+	Random func() float64
 }
 
 // Fleet is what a host knows of all endpoints; safe for use at once.
@@ -39,9 +48,11 @@
 // member is an endpoint with what this host knows of it.
 type member struct {
 	Endpoint
-	seed    uint64 // hash of the id
-	flying  int    // this host's requests there
-	others  int    // others' requests there, when it last said
+	seed    uint64   // hash of the id
+	models  []string // that it said it has loaded; nil if it did not say
+	leaving bool     // it said so itself
+	flying  int      // this host's requests there
+	others  int      // others' requests there, when it last said
 	saidAt  time.Time
 	reading time.Duration // prompts of this host that it is reading
 	wait    time.Duration // that the last answer waited beyond its prompt's time
@@ -52,6 +63,12 @@
 
 // New returns a fleet without endpoints.
 func New(options Options) *Fleet {
+	if options.Now == nil {
+		options.Now = time.Now
+	}
+	if options.Random == nil {
+		options.Random = rand.Float64
+	}
 	return &Fleet{options: options, members: map[string]*member{}, byService: map[string][]*member{}, readings: map[string]reading{}}
 }
 
@@ -72,6 +89,9 @@
 		f.unlink(m)
 		ok = false
 	}
+	if e.Slots == 0 {
+		e.Slots = m.Slots // the endpoint's own word
+	}
 	m.Endpoint, m.lapsed = e, time.Time{}
 	if !ok {
 		f.byService[e.Service] = append(f.byService[e.Service], m)
@@ -113,7 +133,7 @@
 
 func (f *Fleet) lapse(id string) {
 	if m, ok := f.members[id]; ok && m.lapsed.IsZero() {
-		m.lapsed = time.Now().Add(lapseGrace)
+		m.lapsed = f.options.Now().Add(lapseGrace)
 	}
 }
 
@@ -142,7 +162,7 @@
 func (f *Fleet) Sweep() []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := time.Now()
+	now := f.options.Now()
 	var gone []string
 	for id, m := range f.members {
 		if !m.lapsed.IsZero() && now.After(m.lapsed) {
@@ -192,6 +212,63 @@
 	return m.Endpoint, true
 }
 
+// Has reports whether some endpoint of a service that is well has a model.
+func (f *Fleet) Has(service, model string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.options.Now()
+	for _, m := range f.byService[service] {
+		if m.usable(Ask{Model: model}) && m.tier(now) < tierEjected {
+			return true
+		}
+	}
+	return false
+}
+
+// Flying counts this host's requests at an endpoint.
+func (f *Fleet) Flying(id string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if m, ok := f.members[id]; ok {
+		return m.flying
+	}
+	return 0
+}
+
+// Report takes in an endpoint's own account of its load.
+func (f *Fleet) Report(id string, r Report) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m, ok := f.members[id]
+	if !ok {
+		return
+	}
+	m.models, m.leaving = r.Models, r.Draining
+	if r.Load.Slots > 0 {
+		m.Slots = r.Load.Slots
+	}
+	m.others, m.saidAt = max(0, r.Load.Running+r.Load.Waiting-r.Flying), r.Asked
+}
+
+// View lists all endpoints by id, for operators.
+func (f *Fleet) View() []Status {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.options.Now()
+	list := make([]Status, 0, len(f.members))
+	for _, m := range f.members {
+		s := Status{Endpoint: m.Endpoint, Models: m.models, Flying: m.flying, Others: m.others}
+		s.Draining = m.Draining || m.leaving
+		s.Ready = !s.Draining && m.tier(now) < tierEjected
+		if !m.saidAt.IsZero() {
+			s.Age = now.Sub(m.saidAt)
+		}
+		list = append(list, s)
+	}
+	slices.SortFunc(list, func(a, b Status) int { return cmp.Compare(a.ID, b.ID) })
+	return list
+}
+
 // readingOf returns the estimate of reading times for a model.
 func (f *Fleet) readingOf(service, model string) reading {
 	if r, ok := f.readings[service+"/"+model]; ok {
--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -2,7 +2,7 @@
 
 import (
 	"math"
-	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -45,7 +45,7 @@
 	h.fleet.mu.Lock()
 	defer h.fleet.mu.Unlock()
 	h.read()
-	now := time.Now()
+	now := h.fleet.options.Now()
 	if l.Slots > 0 {
 		h.member.others = max(0, l.Running+l.Waiting-h.member.flying)
 		h.member.saidAt = now
@@ -69,7 +69,7 @@
 func (h *Hold) Done(r Result) {
 	h.fleet.mu.Lock()
 	defer h.fleet.mu.Unlock()
-	now := time.Now()
+	now := h.fleet.options.Now()
 	m := h.member
 	if h.reading > 0 {
 		// No head came: the wait was at least so long.
@@ -85,22 +85,37 @@
 	}
 }
 
-// load is the part of an endpoint's slots in use, as far as this host knows.
-func (m *member) load(now time.Time) float64 {
+// load is the part of an endpoint's slots in use, as far as this host knows. What
+// the endpoint said counts for less with age; in its place comes what this host's
+// own count says of the hosts that it shares the endpoint with.
+func (m *member) load(now time.Time, sharers int) float64 {
 	slots := m.Slots
 	if slots <= 0 {
 		slots = slotsUnsaid
 	}
-	others := 0.0
+	trust := 0.0
 	if age := now.Sub(m.saidAt); age < echoLife {
-		others = float64(m.others) * (1 - float64(age)/float64(echoLife))
+		trust = 1 - float64(age)/float64(echoLife)
 	}
+	alike := float64(m.flying * (sharers - 1))
+	others := trust*float64(m.others) + (1-trust)*alike
 	return (float64(m.flying) + others) / float64(slots)
 }
 
+// sharers counts the hosts that send to an endpoint of a service.
+func (f *Fleet) sharers(service string) int {
+	if f.options.Sharers == nil {
+		return 1
+	}
+	return max(1, f.options.Sharers(service))
+}
+
 // usable reports whether an endpoint may get the attempt at all.
 func (m *member) usable(ask Ask) bool {
-	if m.Draining || (ask.Allowed != nil && !ask.Allowed(m.Version)) {
+	if m.Draining || m.leaving || (ask.Allowed != nil && !ask.Allowed(m.Version)) {
+		return false
+	}
+	if m.models != nil && ask.Model != "" && !slices.Contains(m.models, ask.Model) {
 		return false
 	}
 	for _, id := range ask.Avoid {
@@ -111,22 +126,29 @@
 	return true
 }
 
-// tier orders endpoints by how sure it is that they answer.
+// Tiers of endpoints, by how sure it is that they answer.
+const (
+	tierWell = iota
+	tierLapsed
+	tierEjected
+)
+
 func (m *member) tier(now time.Time) int {
-	if now.Before(m.health.until) {
-		return 2
-	}
-	if !m.lapsed.IsZero() {
-		return 1
+	switch {
+	case now.Before(m.health.until):
+		return tierEjected
+	case !m.lapsed.IsZero():
+		return tierLapsed
+	default:
+		return tierWell
 	}
-	return 0
 }
 
 // Pick chooses an endpoint and holds a place there; false if none may be used.
 func (f *Fleet) Pick(ask Ask) (*Hold, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := time.Now()
+	now := f.options.Now()
 	homes := f.homes(ask, now)
 	best := f.best(ask, homes, now)
 	if best == nil {
@@ -140,7 +162,7 @@
 func (f *Fleet) Expect(ask Ask) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := time.Now()
+	now := f.options.Now()
 	homes := f.homes(ask, now)
 	m := f.best(ask, homes, now)
 	if m == nil {
@@ -154,11 +176,12 @@
 // best returns the endpoint with the lowest score; nil if none may be used.
 func (f *Fleet) best(ask Ask, homes homes, now time.Time) *member {
 	best, bestScore := (*member)(nil), math.Inf(1)
+	t := f.terms(ask, homes)
 	for _, m := range f.byService[ask.Service] {
 		if !m.usable(ask) {
 			continue
 		}
-		if s := f.score(m, homes, ask, now); s < bestScore {
+		if s := f.score(m, t, now); s < bestScore {
 			best, bestScore = m, s
 		}
 	}
@@ -191,7 +214,7 @@
 	}
 	least, leastHall := math.Inf(1), math.Inf(1)
 	for _, m := range f.byService[ask.Service] {
-		if !m.usable(ask) || m.tier(now) > 0 {
+		if !m.usable(ask) || m.tier(now) > tierWell {
 			continue
 		}
 		w := weight(ask.Key, m.seed)
@@ -239,26 +262,38 @@
 	tieBreak = 1e-4
 )
 
-// score ranks an endpoint for an attempt; the lowest is chosen.
-func (f *Fleet) score(m *member, homes homes, ask Ask, now time.Time) float64 {
-	load := m.load(now)
-	score := float64(m.tier(now))*tierSeconds + tieBreak*rand.Float64()
-	if ask.Key == 0 {
-		score += load
-		if load >= fullLoad {
-			score += load
-		}
-		if m.Hall != f.options.Hall {
-			score += plainHall
-		}
-		return score
+// terms are what the scores of all endpoints for an attempt have in common.
+type terms struct {
+	homes   homes
+	prompt  bool    // the request has one
+	sharers int     // hosts that send to an endpoint
+	hall    float64 // what bytes between data halls cost
+	again   float64 // what reading the whole shared part again costs
+}
+
+func (f *Fleet) terms(ask Ask, homes homes) terms {
+	t := terms{homes: homes, prompt: ask.Key != 0, sharers: f.sharers(ask.Service), hall: plainHall}
+	if t.prompt {
+		t.hall = hallPart * ask.Objective.Seconds()
+		t.again = sharedPart*ask.Objective.Seconds() + f.readingOf(ask.Service, ask.Model).tokens(ask.Shared).Seconds()
 	}
-	score += loadSeconds*load + m.reading.Seconds() + m.waiting(now)
+	return t
+}
+
+// score ranks an endpoint for an attempt; the lowest is chosen.
+func (f *Fleet) score(m *member, t terms, now time.Time) float64 {
+	load := m.load(now, t.sharers)
+	score := float64(m.tier(now))*tierSeconds + tieBreak*f.options.Random()
 	if m.Hall != f.options.Hall {
-		score += hallPart * ask.Objective.Seconds()
+		score += t.hall
+	}
+	if t.prompt {
+		return score + loadSeconds*load + m.reading.Seconds() + m.waiting(now) + t.homes.unread(m)*t.again
+	}
+	if load >= fullLoad {
+		load *= 2
 	}
-	again := sharedPart*ask.Objective.Seconds() + f.readingOf(ask.Service, ask.Model).tokens(ask.Shared).Seconds()
-	return score + homes.unread(m)*again
+	return score + load
 }
 
 // waiting is how long, in seconds, requests have lately waited at an endpoint
--- /dev/null
+++ b/internal/fleet/report_test.go
@@ -0,0 +1,161 @@
+package fleet_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"quaybarrow/internal/fleet"
+	"quaybarrow/internal/standin/suite"
+)
+
+// reported is a fleet of endpoints without answers that tell their load; flying
+// requests of this host are at each.
+func reported(o fleet.Options, flying ...int) *fleet.Fleet {
+	f := fleet.New(o)
+	for i, n := range flying {
+		f.Put(fleet.Endpoint{ID: fmt.Sprint("e", i), Service: "s"})
+		f.Report(fmt.Sprint("e", i), fleet.Report{Load: fleet.Load{Slots: 10}, Models: []string{"m"}, Asked: time.Now()})
+		others := avoid(len(flying), i)
+		for range n {
+			if _, ok := f.Pick(fleet.Ask{Service: "s", Avoid: others}); !ok {
+				panic("no endpoint")
+			}
+		}
+	}
+	return f
+}
+
+// avoid lists all endpoints but one.
+func avoid(count, but int) []string {
+	var list []string
+	for i := range count {
+		if i != but {
+			list = append(list, fmt.Sprint("e", i))
+		}
+	}
+	return list
+}
+
+func picked(f *fleet.Fleet, ask fleet.Ask) string {
+	h, ok := f.Pick(ask)
+	if !ok {
+		return ""
+	}
+	h.Done(fleet.Result{})
+	return h.Endpoint.ID
+}
+
+var model = fleet.Ask{Service: "s", Model: "m"}
+
+var _ = Describe("endpoints that report their load", func() {
+	It("get the attempt if they are the less loaded", func() {
+		Expect(picked(reported(fleet.Options{}, 9, 1), model)).To(Equal("e1"))
+		Expect(picked(reported(fleet.Options{}, 1, 9), model)).To(Equal("e0"))
+	})
+
+	It("are trusted less the older the report is, and this host's own count always", func() {
+		suite.Paused(func() {
+			f := reported(fleet.Options{}, 0, 3)
+			f.Report("e0", fleet.Report{Load: fleet.Load{Running: 8, Slots: 10}, Asked: time.Now()})
+			Expect(picked(f, model)).To(Equal("e1"))
+			time.Sleep(time.Minute)
+			Expect(picked(f, model)).To(Equal("e0"))
+		})
+	})
+
+	It("are taken to be as loaded by other hosts as by this one where reports are old", func() {
+		suite.Paused(func() {
+			f := reported(fleet.Options{Sharers: func(string) int { return 5 }}, 2, 0)
+			f.Report("e1", fleet.Report{Load: fleet.Load{Running: 9, Slots: 10}, Asked: time.Now()})
+			time.Sleep(time.Minute)
+			f.Report("e1", fleet.Report{Load: fleet.Load{Running: 9, Slots: 10}, Asked: time.Now()})
+			// Two of its own stand for ten at the first, against nine at the second.
+			Expect(picked(f, model)).To(Equal("e1"))
+		})
+	})
+
+	It("are never taken if they do not fit", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			n := rapid.IntRange(1, 12).Draw(t, "endpoints")
+			f := fleet.New(fleet.Options{})
+			fits := map[string]bool{}
+			for i := range n {
+				id := fmt.Sprint("e", i)
+				f.Put(fleet.Endpoint{ID: id, Service: "s", Draining: rapid.Bool().Draw(t, "draining")})
+				report := fleet.Report{Draining: rapid.Bool().Draw(t, "leaving"), Asked: time.Now(), Models: []string{"other"}}
+				if rapid.Bool().Draw(t, "has the model") {
+					report.Models = append(report.Models, "m")
+				}
+				f.Report(id, report)
+				s := f.View()[index(f, id)]
+				fits[id] = !s.Draining && len(report.Models) == 2 && i != 0
+			}
+			ask := fleet.Ask{Service: "s", Model: "m", Avoid: []string{"e0"}, Key: 7}
+			id := picked(f, ask)
+			if id != "" && !fits[id] {
+				t.Fatalf("took %s", id)
+			}
+			for other, ok := range fits {
+				if id == "" && ok {
+					t.Fatalf("took none although %s fits", other)
+				}
+			}
+		})
+	})
+
+	It("serve a model if one that is well has it", func() {
+		f := reported(fleet.Options{}, 0, 0)
+		Expect(f.Has("s", "m")).To(BeTrue())
+		Expect(f.Has("s", "x")).To(BeFalse())
+		Expect(f.Has("t", "m")).To(BeFalse())
+		f.Report("e0", fleet.Report{Draining: true, Models: []string{"m"}, Asked: time.Now()})
+		Expect(f.Has("s", "m")).To(BeTrue())
+		for range 4 {
+			h, _ := f.Pick(model)
+			h.Done(fleet.Result{Outcome: fleet.OutcomeLost})
+		}
+		Expect(f.Has("s", "m")).To(BeFalse())
+	})
+
+	It("keep the slots that they told when the list is read again", func() {
+		f := reported(fleet.Options{}, 0)
+		f.Reset([]fleet.Endpoint{{ID: "e0", Service: "s"}}, false)
+		Expect(f.View()[0].Slots).To(Equal(10))
+		Expect(f.View()[0].Models).To(Equal([]string{"m"}))
+	})
+})
+
+// index is the place of an endpoint in the view.
+func index(f *fleet.Fleet, id string) int {
+	for i, s := range f.View() {
+		if s.ID == id {
+			return i
+		}
+	}
+	return -1
+}
+
+func benchmark(b *testing.B, count int, key uint64) {
+	f := fleet.New(fleet.Options{Hall: "h"})
+	for i := range count {
+		f.Put(fleet.Endpoint{ID: fmt.Sprint("e", i), Service: "s", Slots: 10})
+	}
+	ask := fleet.Ask{Service: "s", Key: key, Model: "m", Tokens: 6000, Shared: 5000, Objective: 2 * time.Second}
+	b.ReportAllocs()
+	for b.Loop() {
+		h, ok := f.Pick(ask)
+		if !ok {
+			b.Fatal("none")
+		}
+		h.Done(fleet.Result{Outcome: fleet.OutcomeGood})
+	}
+}
+
+func BenchmarkPick32Plain(b *testing.B)    { benchmark(b, 32, 0) }
+func BenchmarkPick32Prompt(b *testing.B)   { benchmark(b, 32, 3) }
+func BenchmarkPick1000Prompt(b *testing.B) { benchmark(b, 1000, 3) }
--- a/internal/gateway/cascade.go
+++ b/internal/gateway/cascade.go
@@ -79,7 +79,7 @@
 	if gain < needed {
 		return false
 	}
-	granted := x.g.budgets.repeat(x.service, escalationPart)
+	granted := x.g.budgets.Repeat(x.service, escalationPart)
 	x.g.Logger.Info("larger model", "id", x.ask.ID, "model", largest, "confidence", a.said.Confidence, "gain", gain, "needed", needed,
 		"took_ms", took.Milliseconds(), "expected_ms", expected.Milliseconds(), "asked", granted)
 	if !granted {
--- a/internal/gateway/events_test.go
+++ b/internal/gateway/events_test.go
@@ -52,25 +52,6 @@
 	}
 }
 
-func TestBudget(t *testing.T) {
-	b := newBudgets(0.5)
-	for range 10 {
-		b.first("s")
-	}
-	granted := 0
-	for range 20 {
-		if b.repeat("s", 1) {
-			granted++
-		}
-	}
-	if granted != 7 { // half of ten, and the reserve
-		t.Fatalf("granted %d", granted)
-	}
-	if b.repeat("other", 0.4) {
-		t.Fatal("a part of the reserve is less than one")
-	}
-}
-
 func TestEscalationGain(t *testing.T) {
 	cases := map[string]struct {
 		confidence     float64
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -24,6 +24,7 @@
 
 	"quaybarrow/internal/conn"
 	"quaybarrow/internal/fleet"
+	"quaybarrow/internal/retry"
 	"quaybarrow/internal/route"
 	"quaybarrow/internal/telemetry"
 	"quaybarrow/internal/upgrade"
@@ -45,14 +46,18 @@
 // Gateway serves routed requests.
 type Gateway struct {
 	Options
-	budgets  *budgets
+	budgets  *retry.Budgets
 	draining atomic.Bool
 	inFlight atomic.Int64
 }
 
+// retryReserve is how many repeats a host may make in the window without any first
+// sends: the platform's reserve for all hosts together, some fifty, stays unspent.
+const retryReserve = 2
+
 // New returns a gateway.
 func New(options Options) *Gateway {
-	return &Gateway{Options: options, budgets: newBudgets(options.RetryRatio)}
+	return &Gateway{Options: options, budgets: retry.NewBudgets(retry.Limits{Ratio: options.RetryRatio, Reserve: retryReserve})}
 }
 
 // Ready reports whether the gateway can serve, and if not, why.
@@ -73,7 +78,7 @@
 func (g *Gateway) Drain() { g.draining.Store(true) }
 
 // SetRetryRatio bounds repeats from now on.
-func (g *Gateway) SetRetryRatio(ratio float64) { g.budgets.setRatio(ratio) }
+func (g *Gateway) SetRetryRatio(ratio float64) { g.budgets.SetRatio(ratio) }
 
 // InFlight counts the requests being served.
 func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
@@ -132,7 +137,7 @@
 
 // serve sends the request to endpoints and answers it.
 func (x *exchange) serve() {
-	x.g.budgets.first(x.service)
+	x.g.budgets.First(x.service)
 	if x.route.Kind == route.KindStream {
 		x.serveStream()
 		return
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -108,7 +108,7 @@
 		return false, "it may have run, and may run once only"
 	case x.sends >= max(x.route.Attempts, 1):
 		return false, "no attempts left"
-	case !x.g.budgets.repeat(x.service, 1):
+	case !x.g.budgets.Repeat(x.service, 1):
 		return false, "the retry budget is spent"
 	default:
 		return true, "may be repeated"
--- a/internal/measure/capacity.go
+++ b/internal/measure/capacity.go
@@ -17,6 +17,7 @@
 	"quaybarrow/internal/declare"
 	"quaybarrow/internal/endpoint"
 	"quaybarrow/internal/estimate"
+	"quaybarrow/internal/fleet"
 	"quaybarrow/internal/membership"
 	"quaybarrow/internal/peer"
 	"quaybarrow/internal/peer/rpc"
@@ -169,28 +170,28 @@
 			}
 		}
 		before := heap()
-		pool := endpoint.NewPool(endpoint.Options{Host: "entry-001", Hall: "hall-01", Period: time.Second, List: func() []store.Host { return hosts }})
-		pool.Sync()
+		watch := endpoint.NewWatch(endpoint.Options{Host: "entry-001", Hall: "hall-01", Period: time.Second, List: func() []store.Host { return hosts }})
+		watch.Sync()
 		memory := heap() - before
 		started := time.Now()
 		const rounds = 20
 		for range rounds {
-			pool.Sync()
+			watch.Sync()
 		}
 		syncTime := time.Since(started) / rounds
 		started = time.Now()
 		const picks = 2000
 		for range picks {
-			if l, ok := pool.Pick(endpoint.Ask{Prefix: 7}); ok {
-				l.Done(endpoint.OutcomeGood)
+			if h, ok := watch.Fleet().Pick(fleet.Ask{Key: 7}); ok {
+				h.Done(fleet.Result{Outcome: fleet.OutcomeGood})
 			}
 		}
 		pick := time.Since(started) / picks
-		watched := len(pool.View())
+		watched := len(watch.Fleet().View())
 		t.Rows = append(t.Rows, []string{
 			fmt.Sprint(n), fmt.Sprint(watched), "3", kilobytes(memory), micros(syncTime), fmt.Sprintf("%.1f µs", pick.Seconds()*1e6),
 		})
-		runtime.KeepAlive(pool)
+		runtime.KeepAlive(watch)
 	}
 	return t, nil
 }
@@ -239,7 +240,7 @@
 // peerMessages measures gRPC's cost of a message between hosts.
 func peerMessages() (Table, error) {
 	t := Table{Title: "A message between hosts over gRPC on loopback", Columns: []string{"message", "round trip p50", "CPU of both sides"}}
-	h := &fleetHost{name: "a", holder: config.NewHolder()}
+	h := &spreadHost{name: "a", holder: config.NewHolder()}
 	h.members = membership.New(membership.Options{Hosts: table.New(table.Options{}), Self: h.status, Ping: time.Second, List: time.Second})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/measure/hosts.go
+++ b/internal/measure/hosts.go
@@ -27,25 +27,25 @@
 // each way takes a packet of 66 bytes of headers and an acknowledgement.
 const wireOverhead = 300
 
-// fleet is many hosts with only what spreads: membership and configuration.
-type fleet struct {
+// manyHosts is many hosts with only what spreads: membership and configuration.
+type manyHosts struct {
 	network *peer.Local
-	hosts   []*fleetHost
+	hosts   []*spreadHost
 	bytes   atomic.Int64
 	latency func(from, to string) time.Duration
 	cancel  context.CancelFunc
 	wait    sync.WaitGroup
 }
 
-// fleetHost is one host of a fleet; it implements peer.Handler.
-type fleetHost struct {
+// spreadHost is one of many hosts; it implements peer.Handler.
+type spreadHost struct {
 	name, hall, region string
 	holder             *config.Holder
 	members            *membership.Membership
 	spreader           *config.Spreader
 }
 
-func (h *fleetHost) status() peer.Status {
+func (h *spreadHost) status() peer.Status {
 	age, confirmed := h.holder.Age()
 	return peer.Status{
 		Host: h.name, DataHall: h.hall, Region: h.region, Address: h.name, Incarnation: "c0ffee00-0000-4000-8000-000000000000",
@@ -54,81 +54,81 @@
 }
 
 // Ping implements peer.Handler.
-func (h *fleetHost) Ping(_ context.Context, s peer.Status) (peer.Status, error) {
+func (h *spreadHost) Ping(_ context.Context, s peer.Status) (peer.Status, error) {
 	return h.members.Answer(s), nil
 }
 
 // Fetch implements peer.Handler.
-func (h *fleetHost) Fetch(_ context.Context, above int64) (peer.RevisionMessage, error) {
+func (h *spreadHost) Fetch(_ context.Context, above int64) (peer.RevisionMessage, error) {
 	return h.spreader.Fetch(above)
 }
 
 // Push implements peer.Handler.
-func (h *fleetHost) Push(ctx context.Context, p peer.Push) ([]peer.Confirmation, error) {
+func (h *spreadHost) Push(ctx context.Context, p peer.Push) ([]peer.Confirmation, error) {
 	return h.spreader.Push(ctx, p)
 }
 
 // Hold implements peer.Handler.
-func (h *fleetHost) Hold(context.Context, peer.Hold) error { return nil }
+func (h *spreadHost) Hold(context.Context, peer.Hold) error { return nil }
 
 // Grant implements peer.Handler.
-func (h *fleetHost) Grant(context.Context, peer.Grant) error { return nil }
+func (h *spreadHost) Grant(context.Context, peer.Grant) error { return nil }
 
 // Show implements peer.Handler.
-func (h *fleetHost) Show(_ context.Context, q peer.Query) (peer.Reply, error) {
+func (h *spreadHost) Show(_ context.Context, q peer.Query) (peer.Reply, error) {
 	return h.members.AnswerList(q.ID)
 }
 
 // countingLink counts the bytes of messages and delays them.
 type countingLink struct {
 	peer.Link
-	fleet *fleet
+	manyHosts *manyHosts
 	from  string
 }
 
 // Ping implements peer.Link.
 func (l countingLink) Ping(ctx context.Context, address string, s peer.Status) (peer.Status, error) {
-	l.fleet.delay(ctx, l.from, address)
+	l.manyHosts.delay(ctx, l.from, address)
 	reply, err := l.Link.Ping(ctx, address, s)
-	l.fleet.bytes.Add(int64(rpc.StatusSize(s) + rpc.StatusSize(reply) + wireOverhead))
+	l.manyHosts.bytes.Add(int64(rpc.StatusSize(s) + rpc.StatusSize(reply) + wireOverhead))
 	return reply, err
 }
 
 // Push implements peer.Link.
 func (l countingLink) Push(ctx context.Context, address string, p peer.Push) ([]peer.Confirmation, error) {
-	l.fleet.delay(ctx, l.from, address)
-	l.fleet.bytes.Add(int64(rpc.PushSize(p) + wireOverhead))
+	l.manyHosts.delay(ctx, l.from, address)
+	l.manyHosts.bytes.Add(int64(rpc.PushSize(p) + wireOverhead))
 	return l.Link.Push(ctx, address, p)
 }
 
 // Show implements peer.Link.
 func (l countingLink) Show(ctx context.Context, address string, q peer.Query) (peer.Reply, error) {
-	l.fleet.delay(ctx, l.from, address)
+	l.manyHosts.delay(ctx, l.from, address)
 	reply, err := l.Link.Show(ctx, address, q)
-	l.fleet.bytes.Add(int64(len(reply.Data) + len(q.ID) + wireOverhead))
+	l.manyHosts.bytes.Add(int64(len(reply.Data) + len(q.ID) + wireOverhead))
 	return reply, err
 }
 
 // delay waits a round trip.
-func (f *fleet) delay(ctx context.Context, from, to string) {
+func (f *manyHosts) delay(ctx context.Context, from, to string) {
 	if f.latency != nil {
 		clock.Sleep(ctx, f.latency(from, to))
 	}
 }
 
 // newFleet starts hosts spread over data halls and regions.
-func newFleet(count int, rows *table.Store, latency func(from, to string) time.Duration) *fleet {
+func newFleet(count int, rows *table.Store, latency func(from, to string) time.Duration) *manyHosts {
 	ctx, cancel := context.WithCancel(context.Background())
-	f := &fleet{network: peer.NewLocal(), latency: latency, cancel: cancel}
+	f := &manyHosts{network: peer.NewLocal(), latency: latency, cancel: cancel}
 	log := config.NewLog(rows)
 	halls := min(dataHalls, max(3, count/20))
 	for i := range count {
 		hall := i % halls
-		h := &fleetHost{
+		h := &spreadHost{
 			name: fmt.Sprintf("entry-%03d", i), hall: fmt.Sprintf("hall-%02d", hall), region: fmt.Sprintf("region-%d", hall%regions),
 			holder: config.NewHolder(),
 		}
-		link := countingLink{Link: f.network.Link(h.name), fleet: f, from: h.name}
+		link := countingLink{Link: f.network.Link(h.name), manyHosts: f, from: h.name}
 		h.members = membership.New(membership.Options{
 			Hosts: rows, Link: link, Self: h.status, Ping: time.Second, List: time.Second,
 			Observe: func(s peer.Status, at time.Time) { h.spreader.Observe(s, at) },
@@ -147,12 +147,12 @@
 	return f
 }
 
-func (f *fleet) close() {
+func (f *manyHosts) close() {
 	f.cancel()
 	f.wait.Wait()
 }
 
-// twoPeriods covers two pings of every watched host of the largest fleet.
+// twoPeriods covers two pings of every watched host of the largest manyHosts.
 const twoPeriods = 5 * time.Second
 
 // controlTraffic measures what membership and configuration cost a host as the
@@ -203,7 +203,7 @@
 }
 
 // latencies of the two years' size: a millisecond within a region, forty between.
-func distant(f *fleet) func(from, to string) time.Duration {
+func distant(f *manyHosts) func(from, to string) time.Duration {
 	region := map[string]string{}
 	for _, h := range f.hosts {
 		region[h.name] = h.region
--- a/internal/operator/queries.go
+++ b/internal/operator/queries.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sort"
+	"strings"
 	"sync"
 	"time"
 
@@ -12,6 +13,7 @@
 	"quaybarrow/internal/console"
 	"quaybarrow/internal/declare"
 	"quaybarrow/internal/endpoint"
+	"quaybarrow/internal/fleet"
 	"quaybarrow/internal/membership"
 	"quaybarrow/internal/peer"
 	"quaybarrow/internal/rollout"
@@ -37,7 +39,7 @@
 	Tables    store.Tables
 	View      func() membership.View
 	Link      peer.Link
-	Pool      *endpoint.Pool
+	Fleet     *fleet.Fleet
 	Traffic   *traffic.Log
 	Telemetry *telemetry.Telemetry
 	Credits   *rollout.Credits
@@ -237,7 +239,7 @@
 				{Name: "version", Value: ref.String()}, {Name: "state", Value: string(v.State)},
 				{Name: "since", Value: since[ref.String()].Format(time.RFC3339)},
 				{Name: "plan", Value: plan.Name}, {Name: "credits", Value: q.options.Credits.Left(ref)},
-				{Name: "ready", Value: q.options.Pool.Has(ref)},
+				{Name: "ready", Value: q.options.Fleet.Has(endpoint.Engines, ref.String())},
 				{Name: "input_cost", Value: v.InputCost}, {Name: "output_cost", Value: v.OutputCost},
 			})
 		}
@@ -260,19 +262,12 @@
 
 func (q *Queries) endpoints() []console.Row {
 	var rows []console.Row
-	for _, e := range q.options.Pool.View() {
-		versions := ""
-		for i, v := range e.Versions {
-			if i > 0 {
-				versions += ", "
-			}
-			versions += v.String()
-		}
+	for _, e := range q.options.Fleet.View() {
 		rows = append(rows, console.Row{
 			{Name: "endpoint", Value: e.ID}, {Name: "data_hall", Value: e.Hall}, {Name: "address", Value: e.Address},
-			{Name: "ready", Value: e.Ready}, {Name: "in_flight", Value: e.InFlight}, {Name: "reported", Value: e.Reported},
+			{Name: "ready", Value: e.Ready}, {Name: "in_flight", Value: e.Flying}, {Name: "others", Value: e.Others},
 			{Name: "slots", Value: e.Slots}, {Name: "age_ms", Value: float64(e.Age.Milliseconds())},
-			{Name: "versions", Value: versions},
+			{Name: "versions", Value: strings.Join(e.Models, ", ")},
 		})
 	}
 	return rows
--- a/internal/pipeline/ask.go
+++ b/internal/pipeline/ask.go
@@ -59,6 +59,7 @@
 	class    *declare.TaskClass
 	prefix   uint64
 	promptly int // estimated tokens of the prompt
+	shared   int // of them, in its first message
 
 	service   declare.Service // of calls to plain services
 	operation declare.Call
@@ -91,7 +92,8 @@
 		a.class = &class
 	}
 	if len(request.Messages) > 1 {
-		a.prefix = xxhash.Sum64(request.Messages[0].Content)
+		a.prefix = xxhash.Sum64(request.Messages[0].Content) | 1 // 0 stands for none
+		a.shared = len(request.Messages[0].Content) / bytesPerToken
 	}
 	return a, nil
 }
--- a/internal/pipeline/choose.go
+++ b/internal/pipeline/choose.go
@@ -98,7 +98,7 @@
 	input := choose.Input{
 		Workspace: in.workspace.Name,
 		Estimates: p.options.Estimates(),
-		Ready:     p.options.Pool.Has,
+		Ready:     p.options.Ready,
 		Credit:    p.options.Credits.Available,
 		Stale:     !known || age > p.options.Stale,
 		Proven:    p.options.Proven,
--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -27,7 +27,6 @@
 	"quaybarrow/internal/billing"
 	"quaybarrow/internal/config"
 	"quaybarrow/internal/dispatch"
-	"quaybarrow/internal/endpoint"
 	"quaybarrow/internal/estimate"
 	"quaybarrow/internal/once"
 	"quaybarrow/internal/problem"
@@ -55,7 +54,7 @@
 	Admission  *admission.Controller
 	Keyring    func() session.Keyring
 	Names      *session.Names
-	Pool       *endpoint.Pool
+	Ready      func(declare.Ref) bool // whether some endpoint serves a version
 	Dispatcher *dispatch.Dispatcher
 	Ledger     *billing.Ledger
 	Guard      *once.Guard
--- a/internal/place/suite_test.go
+++ /dev/null
@@ -1,9 +0,0 @@
-package place_test
-
-import (
-	"testing"
-
-	"quaybarrow/internal/standin/suite"
-)
-
-func TestSuite(t *testing.T) { suite.Run(t, "place") }
--- /dev/null
+++ b/internal/retry/retry.go
@@ -0,0 +1,106 @@
+// Package retry holds a host's repeats of requests to a part of its first sends, so
+// that they can't multiply the load on endpoints that fail.
+//
+// # Usage
+//
+//	b := retry.NewBudgets(retry.Limits{Ratio: 0.8, Reserve: 2})
+//	b.First("tagger")           // a request is sent for the first time
+//	if b.Repeat("tagger", 1) {  // and may be sent once more
+//		...
+//	}
+//
+// All hosts together may make repeats up to a part of a service's requests in a
+// window of time; each keeps to that part of its own, so nothing is shared. A
+// Window is the value that decides; Budgets keeps one for each service.
+package retry
+
+import (
+	"sync"
+	"time"
+)
+
+// windowSeconds is the length of the window, which the platform's bound names.
+const windowSeconds = 10
+
+// Limits bound repeats.
+type Limits struct {
+	Ratio   float64 // repeats for each first send
+	Reserve float64 // repeats that may be made without any first sends
+}
+
+// Window counts the sends of the last seconds; an immutable value.
+type Window struct {
+	second  int64
+	firsts  [windowSeconds]int
+	repeats [windowSeconds]int
+}
+
+// WithFirst returns the window after a first send.
+func (w Window) WithFirst(now time.Time) Window {
+	w = w.at(now)
+	w.firsts[w.second%windowSeconds]++
+	return w
+}
+
+// WithRepeat returns the window after a repeat, if there is room for it. A part
+// below 1 leaves the rest of the room to others.
+func (w Window) WithRepeat(now time.Time, limits Limits, part float64) (Window, bool) {
+	w = w.at(now)
+	firsts, repeats := 0, 0
+	for i := range windowSeconds {
+		firsts += w.firsts[i]
+		repeats += w.repeats[i]
+	}
+	if float64(repeats+1) > part*(limits.Ratio*float64(firsts)+limits.Reserve) {
+		return w, false
+	}
+	w.repeats[w.second%windowSeconds]++
+	return w, true
+}
+
+// at returns the window with the seconds that are over dropped.
+func (w Window) at(now time.Time) Window {
+	second := now.Unix()
+	for s := max(w.second, second-windowSeconds); s < second; s++ {
+		next := (s + 1) % windowSeconds
+		w.firsts[next], w.repeats[next] = 0, 0
+	}
+	w.second = max(w.second, second)
+	return w
+}
+
+// Budgets keeps a window for each service; safe for use at once.
+type Budgets struct {
+	mu      sync.Mutex // guards all below
+	limits  Limits
+	windows map[string]Window
+}
+
+// NewBudgets returns budgets that nothing was taken from.
+func NewBudgets(limits Limits) *Budgets {
+	return &Budgets{limits: limits, windows: map[string]Window{}}
+}
+
+// SetRatio bounds repeats from now on.
+func (b *Budgets) SetRatio(ratio float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.limits.Ratio = ratio
+}
+
+// First counts a request's first send.
+func (b *Budgets) First(service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.windows[service] = b.windows[service].WithFirst(time.Now())
+}
+
+// Repeat takes a further send from a service's budget; false if none is left in a
+// part of it.
+func (b *Budgets) Repeat(service string, part float64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	next, ok := b.windows[service].WithRepeat(time.Now(), b.limits, part)
+	b.windows[service] = next
+	return ok
+}
--- /dev/null
+++ b/internal/retry/retry_test.go
@@ -0,0 +1,106 @@
+package retry_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"quaybarrow/internal/retry"
+	"quaybarrow/internal/standin/suite"
+)
+
+// window is the time in which sends count; a send counts in whole seconds.
+const window = 10 * time.Second
+
+var _ = Describe("a window of sends", func() {
+	It("never lets through more than the ratio and the reserve in any ten seconds", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			limits := retry.Limits{
+				Ratio: rapid.Float64Range(0, 2).Draw(t, "ratio"), Reserve: float64(rapid.IntRange(0, 10).Draw(t, "reserve")),
+			}
+			now, w := time.Unix(1_000_000, 0), retry.Window{}
+			var firsts, repeats []time.Time
+			for range rapid.IntRange(1, 200).Draw(t, "steps") {
+				now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "pause")) * time.Millisecond)
+				if rapid.Bool().Draw(t, "first") {
+					w = w.WithFirst(now)
+					firsts = append(firsts, now)
+					continue
+				}
+				next, ok := w.WithRepeat(now, limits, 1)
+				w = next
+				if !ok {
+					continue
+				}
+				repeats = append(repeats, now)
+				if float64(within(repeats, now)) > limits.Ratio*float64(within(firsts, now))+limits.Reserve {
+					t.Fatalf("%d repeats for %d first sends", within(repeats, now), within(firsts, now))
+				}
+			}
+		})
+	})
+
+	It("leaves the rest to others where only a part may be taken", func() {
+		limits, now, w := retry.Limits{Ratio: 1}, time.Unix(1_000_000, 0), retry.Window{}
+		for range 10 {
+			w = w.WithFirst(now)
+		}
+		taken := 0
+		for ok := true; ok; taken++ {
+			w, ok = w.WithRepeat(now, limits, 0.5)
+		}
+		Expect(taken - 1).To(Equal(5))
+		_, ok := w.WithRepeat(now, limits, 1)
+		Expect(ok).To(BeTrue())
+	})
+})
+
+// within counts the moments in the window's seconds before now.
+func within(moments []time.Time, now time.Time) int {
+	n := 0
+	for _, m := range moments {
+		if m.Unix() > now.Add(-window).Unix() {
+			n++
+		}
+	}
+	return n
+}
+
+var _ = Describe("budgets", func() {
+	It("grant the ratio of the first sends and the reserve, and nothing where a part of the reserve is less than one", func() {
+		suite.Paused(func() {
+			b := retry.NewBudgets(retry.Limits{Ratio: 0.5, Reserve: 2})
+			for range 10 {
+				b.First("s")
+			}
+			granted := 0
+			for range 20 {
+				if b.Repeat("s", 1) {
+					granted++
+				}
+			}
+			Expect(granted).To(Equal(7))
+			Expect(b.Repeat("other", 0.4)).To(BeFalse())
+		})
+	})
+
+	It("are kept by service, and come back with time", func() {
+		suite.Paused(func() {
+			b := retry.NewBudgets(retry.Limits{Ratio: 0.5, Reserve: 1})
+			Expect(b.Repeat("a", 1)).To(BeTrue())
+			Expect(b.Repeat("a", 1)).To(BeFalse())
+			Expect(b.Repeat("b", 1)).To(BeTrue())
+			b.First("a")
+			b.First("a")
+			Expect(b.Repeat("a", 1)).To(BeTrue())
+			Expect(b.Repeat("a", 1)).To(BeFalse())
+			b.SetRatio(1)
+			Expect(b.Repeat("a", 1)).To(BeTrue())
+			time.Sleep(11 * time.Second)
+			Expect(b.Repeat("a", 1)).To(BeTrue())
+			Expect(b.Repeat("a", 1)).To(BeFalse())
+		})
+	})
+})
--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -209,8 +209,8 @@
 // knowsEngines reports whether a host has a report of every engine.
 func (c *Cluster) knowsEngines(h *Host) bool {
 	known := 0
-	for _, e := range h.Daemon().Pool.View() {
-		if e.Versions != nil {
+	for _, e := range h.Daemon().Fleet.View() {
+		if e.Models != nil {
 			known++
 		}
 	}
--- a/internal/standin/cluster/host.go
+++ b/internal/standin/cluster/host.go
@@ -41,10 +41,9 @@
 		Tables: next.door, Hosts: next.door, Ratings: next.door, Logger: c.logger, Listen: c.opened,
 	}
 	if c.options.Memory {
-		fresh := c.Net.Transport()
-		fresh.DisableKeepAlives = true
 		ports.Link, ports.ServePeer = c.Peers.Link(next.peers), c.Peers.Serve
-		ports.Transport, ports.Fresh = c.Transport(), fresh
+		ports.Transport = c.Transport()
+		ports.Dial = func(ctx context.Context, address string) (net.Conn, error) { return c.Net.Dial(ctx, "tcp", address) }
 	}
 	next.app = fx.New(daemon.Module(c.settingsOf(h, next), ports), fx.Populate(&next.daemon))
 	if err := next.app.Start(ctx); err != nil {
