Hosts of a data hall choose endpoints together

Cause: on the grown sites an endpoint has 12 to 16 slots and runs some 8 requests; 61 to 91 hosts that each know only their own fill some endpoints while others have room. Change: the first host of a data hall is asked for each request with a prompt, within 25 ms; it counts requests until their end is told with the next question. Tests: slots of all filled before any waits, ends told, a silent first host.

--- /dev/null
+++ b/internal/advice/advice_test.go
@@ -0,0 +1,123 @@
+package advice_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"time"
+
+	"github.com/charmbracelet/log"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"quaybarrow/internal/advice"
+	"quaybarrow/internal/fleet"
+	"quaybarrow/internal/standin/memnet"
+	"quaybarrow/internal/standin/suite"
+)
+
+const firstAddress = "10.0.0.1:7340"
+
+// pair is the first host of a data hall and another one.
+type pair struct {
+	net         *memnet.Network
+	fleet       *fleet.Fleet // of the first
+	first, next *advice.Advisor
+	conn        *grpc.ClientConn
+	server      *grpc.Server
+}
+
+func newPair() *pair {
+	p := &pair{net: memnet.New(), fleet: fleet.New(fleet.Options{Hall: "ikeja"})}
+	for i := range 4 {
+		p.fleet.Put(fleet.Endpoint{ID: fmt.Sprint("e", i), Service: "s", Hall: "ikeja", Version: "v1", Slots: 4})
+	}
+	conn, err := grpc.NewClient("passthrough:///"+firstAddress, grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) { return p.net.Dial(ctx, "tcp", address) }))
+	Expect(err).NotTo(HaveOccurred())
+	p.conn = conn
+	options := advice.Options{
+		Fleet: p.fleet, Logger: log.New(io.Discard),
+		Allowed: func(string, uint64) func(string) bool { return func(v string) bool { return v == "v1" } },
+		Conn:    func(string) (grpc.ClientConnInterface, error) { return conn, nil },
+	}
+	options.First = func() (string, bool) { return "", false }
+	p.first = advice.New(options)
+	options.First = func() (string, bool) { return firstAddress, true }
+	p.next = advice.New(options)
+	p.server = grpc.NewServer()
+	p.first.Register(p.server)
+	l := p.net.Listen(firstAddress)
+	go func() { _ = p.server.Serve(l) }()
+	return p
+}
+
+func (p *pair) stop() {
+	_ = p.conn.Close()
+	p.server.Stop()
+	time.Sleep(time.Minute)
+}
+
+func ask(key uint64) fleet.Ask {
+	return fleet.Ask{Service: "s", Key: key, Model: "m", Tokens: 10, Objective: time.Second}
+}
+
+var _ = Describe("hosts of a data hall", func() {
+	ctx := context.Background()
+
+	It("fill endpoints together, and hear of what has ended", func() {
+		suite.Paused(func() {
+			p := newPair()
+			defer p.stop()
+			counts := map[string]int{}
+			for i := range 16 {
+				id, ok := p.next.Choose(ctx, ask(uint64(i)<<8|1), 0)
+				Expect(ok).To(BeTrue())
+				counts[id]++
+			}
+			Expect(counts).To(HaveLen(4))
+			for range counts["e2"] {
+				p.next.Ended("e2")
+			}
+			_, ok := p.next.Choose(ctx, ask(1), 0) // brings the news
+			Expect(ok).To(BeTrue())
+			id, ok := p.next.Choose(ctx, ask(2), 0)
+			Expect(ok).To(BeTrue())
+			Expect(id).To(Equal("e2"))
+		})
+	})
+
+	It("choose alone if they are the first, or the first has nothing to advise", func() {
+		suite.Paused(func() {
+			p := newPair()
+			defer p.stop()
+			_, ok := p.first.Choose(ctx, ask(1), 0)
+			Expect(ok).To(BeFalse())
+			_, ok = p.next.Choose(ctx, fleet.Ask{Service: "unknown", Key: 1}, 0)
+			Expect(ok).To(BeFalse())
+		})
+	})
+
+	It("do not wait for a silent host, and ask it again soon", func() {
+		suite.Paused(func() {
+			p := newPair()
+			defer p.stop()
+			_, ok := p.next.Choose(ctx, ask(1), 0)
+			Expect(ok).To(BeTrue())
+			p.net.Cut(firstAddress, true)
+			began := time.Now()
+			for range 10 {
+				_, ok = p.next.Choose(ctx, ask(1), 0)
+				Expect(ok).To(BeFalse())
+			}
+			Expect(time.Since(began)).To(BeNumerically("<=", 30*time.Millisecond))
+			p.net.Cut(firstAddress, false)
+			time.Sleep(5 * time.Second)
+			_, ok = p.next.Choose(ctx, ask(1), 0)
+			Expect(ok).To(BeTrue())
+		})
+	})
+})
--- /dev/null
+++ b/internal/fleet/advise_test.go
@@ -0,0 +1,85 @@
+package fleet_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"quaybarrow/internal/fleet"
+	"quaybarrow/internal/standin/suite"
+)
+
+var _ = Describe("advice to other hosts", func() {
+	// advise advises on prompts that have nothing in common.
+	advise := func(f *fleet.Fleet, count int, from uint64) map[string]int {
+		counts := map[string]int{}
+		for i := range count {
+			id, ok := f.Advise(fleet.Ask{Service: "s", Key: from + uint64(i)<<8, Model: "m", Tokens: 10, Objective: 2 * time.Second})
+			Expect(ok).To(BeTrue())
+			counts[id]++
+		}
+		return counts
+	}
+
+	It("fills the slots of all endpoints before any has to wait", func() {
+		suite.Paused(func() {
+			f := newFleet() // six endpoints of four slots
+			counts := advise(f, 24, 1)
+			Expect(counts).To(HaveLen(6))
+			for id, n := range counts {
+				Expect(n).To(BeNumerically("<=", 5), id)
+			}
+		})
+	})
+
+	It("counts requests until they have ended, or for a while if nobody says so", func() {
+		suite.Paused(func() {
+			f := newFleet()
+			load := func() int {
+				n := 0
+				for range 6 {
+					h, ok := f.Pick(plain)
+					Expect(ok).To(BeTrue())
+					if h.Endpoint.ID == "e0" {
+						n++
+					}
+					defer h.Done(fleet.Result{})
+				}
+				return n
+			}
+			var ended []string
+			for id, n := range advise(f, 60, 1) {
+				for range n {
+					if id != "e0" {
+						ended = append(ended, id)
+					}
+				}
+			}
+			f.Ended(ended)
+			Expect(load()).To(BeZero(), "the others are empty")
+			time.Sleep(9 * time.Second)
+			Expect(load()).To(BeNumerically(">", 0))
+		})
+	})
+
+	It("is not followed where the endpoint may not be used", func() {
+		f := newFleet()
+		_, ok := f.PickAt("e1", fleet.Ask{Service: "s", Avoid: []string{"e1"}})
+		Expect(ok).To(BeFalse())
+		_, ok = f.PickAt("e1", fleet.Ask{Service: "s", Allowed: func(v string) bool { return v == "v2" }})
+		Expect(ok).To(BeFalse())
+		_, ok = f.PickAt("e1", fleet.Ask{Service: "t"})
+		Expect(ok).To(BeFalse())
+		_, ok = f.PickAt("gone", plain)
+		Expect(ok).To(BeFalse())
+		h, ok := f.PickAt("e1", plain)
+		Expect(ok).To(BeTrue())
+		ended := 0
+		h.Ended = func() { ended++ }
+		h.Done(fleet.Result{Outcome: fleet.OutcomeLost})
+		Expect(ended).To(Equal(1))
+		_, ok = f.PickAt("e1", plain)
+		Expect(ok).To(BeFalse(), "it could not be reached a moment ago")
+	})
+})
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -55,6 +55,8 @@
 	others  int      // others' requests there, when it last said
 	saidAt  time.Time
 	reading time.Duration // prompts of this host that it is reading
+	booked  time.Time     // until when it reads prompts of hosts that were advised
+	advised []time.Time   // when these were, for requests that have not ended
 	wait    time.Duration // that the last answer waited beyond its prompt's time
 	waitAt  time.Time
 	health  health
--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -26,6 +26,8 @@
 
 // Hold is a place at an endpoint.
 type Hold struct {
+	// Ended is called when the hold is done; nil if nobody minds.
+	Ended    func()
 	Endpoint Endpoint
 	fleet    *Fleet
 	member   *member
@@ -47,7 +49,7 @@
 	h.read()
 	now := h.fleet.options.Now()
 	if l.Slots > 0 {
-		h.member.others = max(0, l.Running+l.Waiting-h.member.flying)
+		h.member.others = max(0, l.Running+l.Waiting-h.member.flying-h.member.remote(now))
 		h.member.saidAt = now
 	}
 	if h.ask.Key == 0 {
@@ -67,6 +69,9 @@
 
 // Done ends the hold and notes what the attempt told.
 func (h *Hold) Done(r Result) {
+	if h.Ended != nil {
+		defer h.Ended()
+	}
 	h.fleet.mu.Lock()
 	defer h.fleet.mu.Unlock()
 	now := h.fleet.options.Now()
@@ -80,7 +85,7 @@
 	m.health = m.health.with(r.Outcome, now)
 	if r.Load.Slots > 0 {
 		// The answered request itself may still be counted in what it says.
-		m.others = max(0, r.Load.Running+r.Load.Waiting-m.flying-1)
+		m.others = max(0, r.Load.Running+r.Load.Waiting-m.flying-1-m.remote(now))
 		m.saidAt = now
 	}
 }
@@ -93,13 +98,26 @@
 	if slots <= 0 {
 		slots = slotsUnsaid
 	}
+	mine := m.flying + m.remote(now)
 	trust := 0.0
 	if age := now.Sub(m.saidAt); age < echoLife {
 		trust = 1 - float64(age)/float64(echoLife)
 	}
 	alike := float64(m.flying * (sharers - 1))
 	others := trust*float64(m.others) + (1-trust)*alike
-	return (float64(m.flying) + others) / float64(slots)
+	return (float64(mine) + others) / float64(slots)
+}
+
+// advisedFor is how long a request of another host counts if its end is not told;
+// nearly all have ended by then.
+const advisedFor = 8 * time.Second
+
+// remote counts the requests that other hosts were advised to send here.
+func (m *member) remote(now time.Time) int {
+	for len(m.advised) > 0 && now.Sub(m.advised[0]) > advisedFor {
+		m.advised = m.advised[1:]
+	}
+	return len(m.advised)
 }
 
 // sharers counts the hosts that send to an endpoint of a service.
@@ -157,6 +175,46 @@
 	return f.hold(best, homes.unread(best), ask, now), true
 }
 
+// PickAt holds a place at an endpoint that was advised; false if it may not be used.
+func (f *Fleet) PickAt(id string, ask Ask) (*Hold, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.options.Now()
+	m, ok := f.members[id]
+	if !ok || m.Service != ask.Service || !m.usable(ask) || m.tier(now) > tierWell {
+		return nil, false
+	}
+	return f.hold(m, f.homes(ask, now).unread(m), ask, now), true
+}
+
+// Advise chooses an endpoint for another host and counts the request and the reading
+// of its prompt there; false if none may be used.
+func (f *Fleet) Advise(ask Ask) (string, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.options.Now()
+	homes := f.homes(ask, now)
+	m := f.best(ask, homes, now)
+	if m == nil {
+		return "", false
+	}
+	work := f.readingOf(ask.Service, ask.Model).tokens(ask.unread(homes.unread(m)))
+	m.booked = later(m.booked, now).Add(work)
+	m.advised = append(m.advised, now)
+	return m.ID, true
+}
+
+// Ended takes requests of other hosts out of the count at endpoints.
+func (f *Fleet) Ended(ids []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, id := range ids {
+		if m, ok := f.members[id]; ok && len(m.advised) > 0 {
+			m.advised = m.advised[1:]
+		}
+	}
+}
+
 // Expect estimates how long an attempt that is sent now takes until the head of
 // its answer; 0 if no endpoint takes it.
 func (f *Fleet) Expect(ask Ask) time.Duration {
@@ -170,7 +228,7 @@
 	}
 	tokens := ask.unread(homes.unread(m))
 	wait := time.Duration(m.waiting(now) * float64(time.Second))
-	return m.reading + wait + f.readingOf(ask.Service, ask.Model).head(tokens)
+	return m.reading + m.bookedFor(now) + wait + f.readingOf(ask.Service, ask.Model).head(tokens)
 }
 
 // best returns the endpoint with the lowest score; nil if none may be used.
@@ -246,6 +304,9 @@
 	tierSeconds = 1000 // an endpoint that may not answer comes after all others
 	// loadSeconds is what full slots cost: every request there slows all others.
 	loadSeconds = 0.15
+	// fullSeconds is what each request over full slots waits, for as many as there
+	// are slots: one ends in about a second and a half.
+	fullSeconds = 1.5
 	// hallPart of the objective is what bytes between data halls are worth.
 	hallPart = 0.1
 	// sharedPart of the objective is what reading a shared part again costs
@@ -288,7 +349,10 @@
 		score += t.hall
 	}
 	if t.prompt {
-		return score + loadSeconds*load + m.reading.Seconds() + m.waiting(now) + t.homes.unread(m)*t.again
+		if load > fullLoad {
+			score += fullSeconds * (load - fullLoad)
+		}
+		return score + loadSeconds*load + (m.reading + m.bookedFor(now)).Seconds() + m.waiting(now) + t.homes.unread(m)*t.again
 	}
 	if load >= fullLoad {
 		load *= 2
@@ -296,6 +360,10 @@
 	return score + load
 }
 
+// bookedFor is how long an endpoint reads prompts that other hosts were advised to
+// send there.
+func (m *member) bookedFor(now time.Time) time.Duration { return max(0, m.booked.Sub(now)) }
+
 // waiting is how long, in seconds, requests have lately waited at an endpoint
 // beyond what their prompts took; it fades as nothing more is heard.
 func (m *member) waiting(now time.Time) float64 {
--- a/internal/gateway/cascade.go
+++ b/internal/gateway/cascade.go
@@ -23,12 +23,9 @@
 	// price of the model's use, which the way does not tell beside the worth of
 	// an answer; on both calm days less costs more than it brings.
 	gainLeast = 0.43
-	// gainUrgent is the same for the most urgent requests, whose answers are
-	// worth most beside their price.
+	// gainUrgent is the same for the most urgent routes, whose answers are worth
+	// most beside their price.
 	gainUrgent = 0.33
-	// gainLate is the same where the larger answer comes late: such prompts are
-	// long, and their answers worth more than most.
-	gainLate = 0.2
 	// escalationPart of the retry budget may go to larger models; the rest is
 	// for requests that failed.
 	escalationPart = 0.85
@@ -47,17 +44,14 @@
 }
 
 // escalationGain is what asking the largest model gains over an answer of a
-// confidence, if that answer is in time and the larger one is or is not.
-func escalationGain(confidence float64, inTime, largerInTime bool) float64 {
+// confidence, if the larger one comes in time and that answer does or does not.
+func escalationGain(confidence float64, inTime bool) float64 {
 	chance := chanceRight(confidence)
-	small, large := chance+(1-chance)*valueWrong, 1.0
+	small := chance + (1-chance)*valueWrong
 	if !inTime {
 		small *= valueLate
 	}
-	if !largerInTime {
-		large = valueLate
-	}
-	return large - small
+	return 1 - small
 }
 
 // escalates reports whether the answer is dropped for the largest model's, and
@@ -74,11 +68,17 @@
 	largest := x.route.Models[n-1]
 	took := time.Since(x.start)
 	expected := took + x.g.Fleet.Expect(x.fleetAsk(largest))
-	gain := escalationGain(a.said.Confidence, took <= x.route.Objective, expected <= x.route.Objective)
-	needed := x.gainNeeded(expected <= x.route.Objective)
+	gain, needed := escalationGain(a.said.Confidence, took <= x.route.Objective), x.gainNeeded()
 	if gain < needed {
 		return false
 	}
+	if expected > x.route.Objective {
+		// A late answer is worth little more than this one, and under load the
+		// larger model's time makes others late as well.
+		x.g.Logger.Info("larger model would be late", "id", x.ask.ID, "model", largest, "confidence", a.said.Confidence, "gain", gain,
+			"took_ms", took.Milliseconds(), "expected_ms", expected.Milliseconds())
+		return false
+	}
 	granted := x.g.budgets.Repeat(x.service, escalationPart)
 	x.g.Logger.Info("larger model", "id", x.ask.ID, "model", largest, "confidence", a.said.Confidence, "gain", gain, "needed", needed,
 		"took_ms", took.Milliseconds(), "expected_ms", expected.Milliseconds(), "asked", granted)
@@ -91,15 +91,11 @@
 }
 
 // gainNeeded is what asking the largest model has to gain.
-func (x *exchange) gainNeeded(inTime bool) float64 {
-	switch {
-	case !inTime:
-		return gainLate
-	case x.urgency == 0:
+func (x *exchange) gainNeeded() float64 {
+	if x.route.Priority == 0 {
 		return gainUrgent
-	default:
-		return gainLeast
 	}
+	return gainLeast
 }
 
 // fleetAsk is what the choice of an endpoint for a model goes by.
--- a/internal/gateway/events_test.go
+++ b/internal/gateway/events_test.go
@@ -54,19 +54,19 @@
 
 func TestEscalationGain(t *testing.T) {
 	cases := map[string]struct {
-		confidence     float64
-		inTime, larger bool
-		asked          bool
+		confidence float64
+		inTime     bool
+		asked      bool
 	}{
-		"a wrong answer":                         {10, true, true, true},
-		"a doubtful one":                         {45, true, true, true},
-		"a likely one":                           {65, true, true, false},
-		"a sure one":                             {100, true, true, false},
-		"a doubtful one, the larger one late":    {45, true, false, false},
-		"a wrong one when both are late already": {5, false, false, false},
+		"a wrong answer":             {10, true, true},
+		"a doubtful one":             {45, true, true},
+		"a likely one":               {65, true, false},
+		"a sure one":                 {100, true, false},
+		"a likely one that is late":  {65, false, true},
+		"a wrong one that came late": {5, false, true},
 	}
 	for name, c := range cases {
-		if got := escalationGain(c.confidence, c.inTime, c.larger) >= gainLeast; got != c.asked {
+		if got := escalationGain(c.confidence, c.inTime) >= gainLeast; got != c.asked {
 			t.Errorf("%s: asked is %v", name, got)
 		}
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 
 	"github.com/charmbracelet/log"
 
+	"quaybarrow/internal/advice"
 	"quaybarrow/internal/conn"
 	"quaybarrow/internal/fleet"
 	"quaybarrow/internal/retry"
@@ -37,6 +38,7 @@
 	Pool      *conn.Pool
 	Upgrades  *upgrade.Tracker
 	Codec     Codec
+	Advice    *advice.Advisor // on endpoints for long prompts; nil for none
 	Telemetry *telemetry.Telemetry
 	Logger    *log.Logger
 	// RetryRatio bounds repeats to a part of the first sends.
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -50,7 +50,7 @@
 // reached are passed over: they have seen nothing.
 func (x *exchange) send(ctx context.Context, model, lastEvent string) (*attempt, error) {
 	for range maxDials {
-		hold, ok := x.pick(model)
+		hold, ok := x.pick(ctx, model)
 		if !ok {
 			return nil, errNoEndpoint
 		}
@@ -71,9 +71,24 @@
 	return nil, errNoEndpoint
 }
 
-// pick chooses an endpoint that the request has not been to.
-func (x *exchange) pick(model string) (*fleet.Hold, bool) {
-	return x.g.Fleet.Pick(x.fleetAsk(model))
+// pick chooses an endpoint that the request has not been to. For a request with a
+// prompt the hosts of the data hall choose together.
+func (x *exchange) pick(ctx context.Context, model string) (*fleet.Hold, bool) {
+	ask := x.fleetAsk(model)
+	if x.g.Advice == nil || ask.Key == 0 {
+		return x.g.Fleet.Pick(ask)
+	}
+	id, ok := x.g.Advice.Choose(ctx, ask, x.versionKey)
+	if !ok {
+		return x.g.Fleet.Pick(ask)
+	}
+	hold, ok := x.g.Fleet.PickAt(id, ask)
+	if !ok {
+		x.g.Advice.Ended(id)
+		return x.g.Fleet.Pick(ask)
+	}
+	hold.Ended = func() { x.g.Advice.Ended(id) }
+	return hold, true
 }
 
 // connLimit is how many connections to one endpoint this host may hold.
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"quaybarrow/internal/fleet"
 	"quaybarrow/internal/standin/suite"
 	"quaybarrow/platform/standin"
 )
@@ -71,6 +72,23 @@
 		})
 	})
 
+	It("of a small model are kept if the largest model's answer would be late", func() {
+		suite.Paused(func() {
+			doubtful := standin.Always(standin.Stream{Events: 5, Confidence: 10})
+			r := newRig(scripts{"model-1": doubtful, "model-2": doubtful})
+			defer r.stop()
+			// Both endpoints read a prompt for longer than the objective.
+			for _, other := range []string{"model-1", "model-2"} {
+				hold, ok := r.fleet.Pick(fleet.Ask{Service: "model", Key: 1, Model: "large", Tokens: 400_000, Avoid: []string{other}})
+				Expect(ok).To(BeTrue())
+				defer hold.Done(fleet.Result{})
+			}
+			a := r.ask(prompt("/stream/1"))
+			Expect(a.Body).To(Equal(events(1, 5, "small")))
+			Expect(r.runs()).To(Equal(1))
+		})
+	})
+
 	It("start where the caller's last event says", func() {
 		suite.Paused(func() {
 			r := newRig(scripts{"model-1": standin.Always(sure)})
--- a/internal/gatewayd/host.go
+++ b/internal/gatewayd/host.go
@@ -14,6 +14,7 @@
 	"go.uber.org/fx"
 	"google.golang.org/grpc"
 
+	"quaybarrow/internal/advice"
 	"quaybarrow/internal/clock"
 	"quaybarrow/internal/conn"
 	"quaybarrow/internal/fleet"
@@ -57,6 +58,7 @@
 	Fleet     *fleet.Fleet
 	Pool      *conn.Pool
 	Upgrades  *upgrade.Tracker
+	Advice    *advice.Advisor
 	Gateway   *gateway.Gateway
 }
 
@@ -77,6 +79,7 @@
 	h.now.Store(&p.Settings)
 	h.probes = &http.Server{Handler: h.readiness(), ReadHeaderTimeout: headTimeout}
 	h.peers = p.Spread.Server(p.TLS.ServerCredentials())
+	p.Advice.Register(h.peers)
 	h.control = &http.Server{Handler: h.figures(), ReadHeaderTimeout: headTimeout}
 	return h
 }
--- a/internal/gatewayd/module.go
+++ b/internal/gatewayd/module.go
@@ -24,6 +24,7 @@
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 
+	"quaybarrow/internal/advice"
 	"quaybarrow/internal/conn"
 	"quaybarrow/internal/fleet"
 	"quaybarrow/internal/gateway"
@@ -71,7 +72,7 @@
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.Supply(s, ports),
 		fx.Provide(
-			newLines, newLogger, newTelemetry, newTLS, newStore, newWatcher, route.NewHolder, newFleet, newPool, newTracker, newGateway, newHost,
+			newLines, newLogger, newTelemetry, newTLS, newStore, newWatcher, route.NewHolder, newFleet, newPool, newTracker, newAdvisor, newGateway, newHost,
 		),
 		fx.Invoke(func(lc fx.Lifecycle, h *Host) {
 			lc.Append(fx.Hook{OnStart: h.Start, OnStop: h.Stop})
@@ -121,7 +122,7 @@
 
 func newWatcher(s settings.Settings, p Ports, c storeClient, files *tlsfiles.Files, l *log.Logger) (*spread.Watcher, store.Watcher) {
 	w := spread.NewWatcher(spread.Options{
-		Host: s.Host, Address: s.Gateway.Peers, Cores: s.Gateway.Cores, Seeds: s.Gateway.SeedPeers(), First: s.Gateway.First,
+		Host: s.Host, Hall: s.DataHall, Address: s.Gateway.Peers, Cores: s.Gateway.Cores, Seeds: s.Gateway.SeedPeers(), First: s.Gateway.First,
 		Wait: time.Duration(waitPart * float64(s.Gateway.Bound())), Tables: c, Store: c, Logger: l,
 		Credentials: files.ClientCredentials(), Dial: p.dialPeer(),
 	})
@@ -149,11 +150,15 @@
 	})
 }
 
-func newGateway(s settings.Settings, h *route.Holder, f *fleet.Fleet, p *conn.Pool, u *upgrade.Tracker,
+func newAdvisor(w *spread.Watcher, f *fleet.Fleet, u *upgrade.Tracker, l *log.Logger) *advice.Advisor {
+	return advice.New(advice.Options{Fleet: f, Allowed: u.Allowed, First: w.FirstOfHall, Conn: w.Conn, Logger: l})
+}
+
+func newGateway(s settings.Settings, h *route.Holder, f *fleet.Fleet, p *conn.Pool, u *upgrade.Tracker, a *advice.Advisor,
 	t *telemetry.Telemetry, l *log.Logger,
 ) *gateway.Gateway {
 	return gateway.New(gateway.Options{
-		Holder: h, Fleet: f, Pool: p, Upgrades: u, Codec: platform.Heads{}, Telemetry: t, Logger: l,
+		Holder: h, Fleet: f, Pool: p, Upgrades: u, Codec: platform.Heads{}, Advice: a, Telemetry: t, Logger: l,
 		RetryRatio: retryPart * s.Gateway.RetryRatio,
 	})
 }
--- a/internal/measure/hosts.go
+++ b/internal/measure/hosts.go
@@ -83,7 +83,7 @@
 type countingLink struct {
 	peer.Link
 	manyHosts *manyHosts
-	from  string
+	from      string
 }
 
 // Ping implements peer.Link.
--- a/internal/spread/link.go
+++ b/internal/spread/link.go
@@ -73,15 +73,15 @@
 	}
 }
 
-// client returns the client of an address.
-func (l *link) client(address string) (spreadpb.SpreadClient, error) {
+// conn returns the connection to an address.
+func (l *link) conn(address string) (*grpc.ClientConn, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.closed {
 		return nil, errClosed
 	}
 	if c, ok := l.conns[address]; ok {
-		return spreadpb.NewSpreadClient(c), nil
+		return c, nil
 	}
 	options := []grpc.DialOption{
 		grpc.WithTransportCredentials(l.credentials),
@@ -100,16 +100,19 @@
 		return nil, fmt.Errorf("connect to %s: %w", address, err)
 	}
 	l.conns[address] = c
-	return spreadpb.NewSpreadClient(c), nil
+	return c, nil
 }
 
+// Conn returns the connection to another host, which other services share.
+func (w *Watcher) Conn(address string) (grpc.ClientConnInterface, error) { return w.link.conn(address) }
+
 // read asks a host for changes of a table, or for all of it.
 func (l *link) read(ctx context.Context, p peer, request *spreadpb.ReadRequest, hear func(time.Duration)) (news, error) {
-	client, err := l.client(p.address)
+	c, err := l.conn(p.address)
 	if err != nil {
 		return news{}, err
 	}
-	reply, err := client.Read(ctx, request)
+	reply, err := spreadpb.NewSpreadClient(c).Read(ctx, request)
 	if err != nil {
 		return news{}, errorOf(p, err)
 	}
--- a/internal/spread/peers.go
+++ b/internal/spread/peers.go
@@ -32,6 +32,7 @@
 // entry is a host's row.
 type entry struct {
 	Address string  `json:"address"`
+	Hall    string  `json:"hall"`
 	Cores   float64 `json:"cores"` // what it may use of a processor
 }
 
@@ -51,16 +52,17 @@
 
 // peers are the listed hosts; safe for use at once.
 type peers struct {
-	self string
+	self, hall string
 
 	mu     sync.Mutex // guards all below
 	ranked []peer     // in the order in which this host asks; the seeds until the list was read
+	first  peer       // of the data hall; empty until the list was read
 	all    int
 	stands map[string]standing
 }
 
 func newPeers(o Options) *peers {
-	p := &peers{self: o.Host, stands: map[string]standing{}}
+	p := &peers{self: o.Host, hall: o.Hall, stands: map[string]standing{}}
 	for _, address := range o.Seeds {
 		if address != o.Address {
 			p.ranked = append(p.ranked, peer{name: address, address: address})
@@ -84,7 +86,17 @@
 	})
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.ranked, p.all = ranked, len(entries)
+	p.ranked, p.all, p.first = ranked, len(entries), peer{}
+	for _, q := range ranked {
+		if entries[q.name].Hall != p.hall {
+			continue
+		}
+		rank := xxhash.Sum64String(p.hall + "/" + q.name)
+		if p.first.name == "" || q.cores > p.first.cores || (q.cores == p.first.cores && rank < p.first.rank) {
+			p.first = q
+			p.first.rank = rank
+		}
+	}
 }
 
 // some returns a few hosts by chance, of those that are not asked first.
@@ -166,7 +178,19 @@
 }
 
 // own is this host's entry.
-func (w *Watcher) own() entry { return entry{Address: w.options.Address, Cores: w.options.Cores} }
+func (w *Watcher) own() entry {
+	return entry{Address: w.options.Address, Hall: w.options.Hall, Cores: w.options.Cores}
+}
+
+// FirstOfHall returns the address of the first host of the data hall in an order
+// that all its hosts agree on while they know the same list; false if that is this
+// host, or not known.
+func (w *Watcher) FirstOfHall() (string, bool) {
+	w.peers.mu.Lock()
+	defer w.peers.mu.Unlock()
+	first := w.peers.first
+	return first.address, first.name != "" && first.name != w.options.Host
+}
 
 // enlist writes this host's row.
 func (w *Watcher) enlist(ctx context.Context) error {
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -67,6 +67,7 @@
 // Options set up a Watcher.
 type Options struct {
 	Host    string
+	Hall    string
 	Address string  // ip:port for the other hosts
 	Cores   float64 // what this host may use of a processor; those with most read the store
 	// First tells that all hosts start for the first time.
