--- /dev/null
+++ b/internal/spread/picture_test.go
@@ -0,0 +1,68 @@
+package spread
+
+import (
+	"fmt"
+	"maps"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"quaybarrow/internal/store"
+)
+
+// TestPicturesAgreeOrShowIt has a host follow another one from any version that it
+// has, while rows are written and removed and both forget old removals. After each
+// answer the host has the same rows, or the hash over the keys shows that it has not.
+func TestPicturesAgreeOrShowIt(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		source, version := newPicture(), int64(0)
+		host := &known{picture: newPicture(), loaded: true}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0, 1:
+				version++
+				source.apply([]store.Change{drawChange(t, version)}, version)
+			case 2:
+				source.removed = source.removed[rapid.IntRange(0, len(source.removed)).Draw(t, "forgotten"):]
+			default:
+				after := host.version()
+				n := news{changes: source.since(after), version: source.version, keys: source.keys, checked: true}
+				same := host.apply(n)
+				equal := maps.EqualFunc(host.picture.rows, source.rows, sameRow)
+				if same && !equal {
+					t.Fatalf("rows differ and nothing shows it")
+				}
+				if !same {
+					host.replace(news{changes: source.since(-1), version: source.version})
+				}
+				if !maps.EqualFunc(host.picture.rows, source.rows, sameRow) {
+					t.Fatalf("rows differ after the table was read whole")
+				}
+			}
+		}
+	})
+}
+
+// drawChange writes or removes one of a few rows.
+func drawChange(t *rapid.T, version int64) store.Change {
+	key := fmt.Sprint("k", rapid.IntRange(0, 5).Draw(t, "key"))
+	return store.Change{
+		Row:     store.Row{Key: key, Version: version, Value: []byte(fmt.Sprint(version))},
+		Deleted: rapid.Bool().Draw(t, "removed"),
+	}
+}
+
+func sameRow(a, b store.Row) bool { return a.Version == b.Version && string(a.Value) == string(b.Value) }
+
+// TestOlderNewsTellNothing has a host refuse to go back.
+func TestOlderNewsTellNothing(t *testing.T) {
+	host := newKnown()
+	host.replace(news{version: 7, changes: []store.Change{{Row: store.Row{Key: "k", Version: 7}}}})
+	old := store.Change{Row: store.Row{Key: "k", Version: 7}, Deleted: true}
+	if !host.apply(news{version: 6, changes: []store.Change{old}, checked: true}) {
+		t.Fatal("older news count as a missed removal")
+	}
+	if got := host.version(); got != 7 || len(host.picture.rows) != 1 {
+		t.Fatalf("version %d, %d rows", got, len(host.picture.rows))
+	}
+}
