--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -162,17 +162,29 @@
 	}
 }
 
+// choice is the endpoint that is best for an attempt now.
+type choice struct {
+	member *member // nil if none may be used
+	homes  homes
+	now    time.Time
+}
+
+// choose finds it; the caller holds mu.
+func (f *Fleet) choose(ask Ask) choice {
+	now := f.options.Now()
+	homes := f.homes(ask, now)
+	return choice{member: f.best(ask, homes, now), homes: homes, now: now}
+}
+
 // Pick chooses an endpoint and holds a place there; false if none may be used.
 func (f *Fleet) Pick(ask Ask) (*Hold, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := f.options.Now()
-	homes := f.homes(ask, now)
-	best := f.best(ask, homes, now)
-	if best == nil {
+	c := f.choose(ask)
+	if c.member == nil {
 		return nil, false
 	}
-	return f.hold(best, homes.unread(best), ask, now), true
+	return f.hold(c.member, c.homes.unread(c.member), ask, c.now), true
 }
 
 // PickAt holds a place at an endpoint that was advised; false if it may not be used.
@@ -192,15 +204,14 @@
 func (f *Fleet) Advise(ask Ask) (string, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := f.options.Now()
-	homes := f.homes(ask, now)
-	m := f.best(ask, homes, now)
+	c := f.choose(ask)
+	m := c.member
 	if m == nil {
 		return "", false
 	}
-	work := f.readingOf(ask.Service, ask.Model).tokens(ask.unread(homes.unread(m)))
-	m.booked = later(m.booked, now).Add(work)
-	m.advised = append(m.advised, now)
+	work := f.readingOf(ask.Service, ask.Model).tokens(ask.unread(c.homes.unread(m)))
+	m.booked = later(m.booked, c.now).Add(work)
+	m.advised = append(m.advised, c.now)
 	return m.ID, true
 }
 
@@ -220,15 +231,14 @@
 func (f *Fleet) Expect(ask Ask) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := f.options.Now()
-	homes := f.homes(ask, now)
-	m := f.best(ask, homes, now)
+	c := f.choose(ask)
+	m := c.member
 	if m == nil {
 		return 0
 	}
-	tokens := ask.unread(homes.unread(m))
-	wait := time.Duration(m.waiting(now) * float64(time.Second))
-	return m.reading + m.bookedFor(now) + wait + f.readingOf(ask.Service, ask.Model).head(tokens)
+	tokens := ask.unread(c.homes.unread(m))
+	wait := time.Duration(m.waiting(c.now) * float64(time.Second))
+	return m.reading + m.bookedFor(c.now) + wait + f.readingOf(ask.Service, ask.Model).head(tokens)
 }
 
 // best returns the endpoint with the lowest score; nil if none may be used.
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -13,6 +13,7 @@
 	"quaybarrow/internal/conn"
 	"quaybarrow/internal/fleet"
 	"quaybarrow/internal/route"
+	"quaybarrow/internal/telemetry"
 	"quaybarrow/internal/upgrade"
 )
 
@@ -80,17 +81,24 @@
 	}
 	id, ok := x.g.Advice.Choose(ctx, ask, x.versionKey)
 	if !ok {
+		x.countAdvice("none")
 		return x.g.Fleet.Pick(ask)
 	}
 	hold, ok := x.g.Fleet.PickAt(id, ask)
 	if !ok {
+		x.countAdvice("not usable")
 		x.g.Advice.Ended(id)
 		return x.g.Fleet.Pick(ask)
 	}
+	x.countAdvice("followed")
 	hold.Ended = func() { x.g.Advice.Ended(id) }
 	return hold, true
 }
 
+func (x *exchange) countAdvice(outcome string) {
+	x.g.Telemetry.Count("advice", 1, telemetry.Label("outcome", outcome))
+}
+
 // connLimit is how many connections to one endpoint this host may hold.
 func (x *exchange) connLimit() int {
 	s, ok := x.table.Service(x.service)
