--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -108,18 +108,6 @@
 	return (float64(mine) + others) / float64(slots)
 }
 
-// advisedFor is how long a request of another host counts if its end is not told;
-// nearly all have ended by then.
-const advisedFor = 8 * time.Second
-
-// remote counts the requests that other hosts were advised to send here.
-func (m *member) remote(now time.Time) int {
-	for len(m.advised) > 0 && now.Sub(m.advised[0]) > advisedFor {
-		m.advised = m.advised[1:]
-	}
-	return len(m.advised)
-}
-
 // sharers counts the hosts that send to an endpoint of a service.
 func (f *Fleet) sharers(service string) int {
 	if f.options.Sharers == nil {
@@ -187,45 +175,6 @@
 	return f.hold(c.member, c.homes.unread(c.member), ask, c.now), true
 }
 
-// PickAt holds a place at an endpoint that was advised; false if it may not be used.
-func (f *Fleet) PickAt(id string, ask Ask) (*Hold, bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := f.options.Now()
-	m, ok := f.members[id]
-	if !ok || m.Service != ask.Service || !m.usable(ask) || m.tier(now) > tierWell {
-		return nil, false
-	}
-	return f.hold(m, f.homes(ask, now).unread(m), ask, now), true
-}
-
-// Advise chooses an endpoint for another host and counts the request and the reading
-// of its prompt there; false if none may be used.
-func (f *Fleet) Advise(ask Ask) (string, bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	c := f.choose(ask)
-	m := c.member
-	if m == nil {
-		return "", false
-	}
-	work := f.readingOf(ask.Service, ask.Model).tokens(ask.unread(c.homes.unread(m)))
-	m.booked = later(m.booked, c.now).Add(work)
-	m.advised = append(m.advised, c.now)
-	return m.ID, true
-}
-
-// Ended takes requests of other hosts out of the count at endpoints.
-func (f *Fleet) Ended(ids []string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, id := range ids {
-		if m, ok := f.members[id]; ok && len(m.advised) > 0 {
-			m.advised = m.advised[1:]
-		}
-	}
-}
-
 // Expect estimates how long an attempt that is sent now takes until the head of
 // its answer; 0 if no endpoint takes it.
 func (f *Fleet) Expect(ask Ask) time.Duration {
@@ -307,90 +256,3 @@
 		return 1
 	}
 }
-
-// Weights of the choice. Scores are seconds until the answer is expected to
-// begin, with what else an endpoint costs put into seconds.
-const (
-	tierSeconds = 1000 // an endpoint that may not answer comes after all others
-	// loadSeconds is what full slots cost: every request there slows all others.
-	loadSeconds = 0.15
-	// fullSeconds is what each request over full slots waits, for as many as there
-	// are slots: one ends in about a second and a half.
-	fullSeconds = 1.5
-	// hallPart of the objective is what bytes between data halls are worth.
-	hallPart = 0.1
-	// sharedPart of the objective is what reading a shared part again costs
-	// beyond its time.
-	sharedPart = 0.05
-	// hallUnread is the part of a shared prompt that the home of a data hall is
-	// expected to read: it has seen the prompt if its hall has asked for it.
-	hallUnread = 0.6
-	// plainHall is the load that a request without a prompt passes by to stay in
-	// its data hall.
-	plainHall = 0.5
-	// fullLoad is the load from which an endpoint lets requests wait.
-	fullLoad = 0.9
-	tieBreak = 1e-4
-)
-
-// terms are what the scores of all endpoints for an attempt have in common.
-type terms struct {
-	homes   homes
-	prompt  bool    // the request has one
-	sharers int     // hosts that send to an endpoint
-	hall    float64 // what bytes between data halls cost
-	again   float64 // what reading the whole shared part again costs
-}
-
-func (f *Fleet) terms(ask Ask, homes homes) terms {
-	t := terms{homes: homes, prompt: ask.Key != 0, sharers: f.sharers(ask.Service), hall: plainHall}
-	if t.prompt {
-		t.hall = hallPart * ask.Objective.Seconds()
-		t.again = sharedPart*ask.Objective.Seconds() + f.readingOf(ask.Service, ask.Model).tokens(ask.Shared).Seconds()
-	}
-	return t
-}
-
-// score ranks an endpoint for an attempt; the lowest is chosen.
-func (f *Fleet) score(m *member, t terms, now time.Time) float64 {
-	load := m.load(now, t.sharers)
-	score := float64(m.tier(now))*tierSeconds + tieBreak*f.options.Random()
-	if m.Hall != f.options.Hall {
-		score += t.hall
-	}
-	if t.prompt {
-		if load > fullLoad {
-			score += fullSeconds * (load - fullLoad)
-		}
-		return score + loadSeconds*load + (m.reading + m.bookedFor(now)).Seconds() + m.waiting(now) + t.homes.unread(m)*t.again
-	}
-	if load >= fullLoad {
-		load *= 2
-	}
-	return score + load
-}
-
-// bookedFor is how long an endpoint reads prompts that other hosts were advised to
-// send there.
-func (m *member) bookedFor(now time.Time) time.Duration { return max(0, m.booked.Sub(now)) }
-
-// waiting is how long, in seconds, requests have lately waited at an endpoint
-// beyond what their prompts took; it fades as nothing more is heard.
-func (m *member) waiting(now time.Time) float64 {
-	age := now.Sub(m.waitAt)
-	if age >= echoLife {
-		return 0
-	}
-	return m.wait.Seconds() * (1 - float64(age)/float64(echoLife))
-}
-
-// weight is the rendezvous weight of an endpoint for a key, 0 to 1.
-func weight(key, seed uint64) float64 {
-	x := key ^ seed
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	x ^= x >> 33
-	return float64(x>>11) / (1 << 53)
-}
