Hosts of a data hall tell each other which endpoints fail

Ruled out: a lower bar for a host alone: it sees one request there every two seconds. Change: with each question about an endpoint a host tells how its attempts went since the last one; the first host of the hall judges them together and answers with the endpoints that are ejected, which the others leave alone for a second while others are there.

--- a/internal/advice/advice.go
+++ b/internal/advice/advice.go
@@ -12,7 +12,8 @@
 // Many hosts that each know only their own requests fill an endpoint's slots by
 // chance while others have room. Advice is soft state: nothing is agreed or kept,
 // it comes within milliseconds or not at all, and a host without it chooses by
-// itself.
+// itself. With each question a host tells how its attempts have gone since the last
+// one, and hears which endpoints fail the others.
 package advice
 
 import (
@@ -22,8 +23,6 @@
 
 	"github.com/charmbracelet/log"
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/status"
 
 	"quaybarrow/internal/advice/advicepb"
 	"quaybarrow/internal/fleet"
@@ -40,7 +39,8 @@
 	pauseMost  = 8 * time.Second
 	// endedMost bounds what is kept to be told; who was advised forgets requests by
 	// itself after a while.
-	endedMost = 256
+	endedMost   = 256
+	resultsMost = 256
 )
 
 // Options set up an Advisor.
@@ -60,9 +60,10 @@
 type Advisor struct {
 	options Options
 
-	mu     sync.Mutex         // guards all below
-	pauses map[string]pausing // by address
-	ended  []string           // endpoints of advised requests that have ended, not told yet
+	mu      sync.Mutex             // guards all below
+	pauses  map[string]pausing     // by address
+	ended   []string               // endpoints of advised requests that have ended, not told yet
+	results map[string]fleet.Tally // how attempts have gone, not told yet, by endpoint
 }
 
 // pausing is how long a host is not asked.
@@ -73,7 +74,7 @@
 
 // New returns an advisor.
 func New(options Options) *Advisor {
-	return &Advisor{options: options, pauses: map[string]pausing{}}
+	return &Advisor{options: options, pauses: map[string]pausing{}, results: map[string]fleet.Tally{}}
 }
 
 // Register serves advice to other hosts.
@@ -98,11 +99,8 @@
 	reply, err := advicepb.NewAdviceClient(connection).Choose(limited, &advicepb.ChooseRequest{
 		Service: ask.Service, Model: ask.Model, Key: ask.Key, VersionKey: versionKey, Tokens: int32(ask.Tokens), //nolint:gosec // prompts are far shorter
 		Shared: int32(ask.Shared), ObjectiveMicros: ask.Objective.Microseconds(), Avoid: ask.Avoid, //nolint:gosec // as above
-		Ended: a.takeEnded(),
+		Ended: a.takeEnded(), Results: a.takeResults(),
 	})
-	if status.Code(err) == codes.NotFound {
-		return "", false // it is well and knows no endpoint
-	}
 	if err != nil {
 		if ctx.Err() == nil {
 			a.failed(address, err)
@@ -110,6 +108,7 @@
 		return "", false
 	}
 	a.answered(address)
+	a.options.Fleet.Shun(reply.GetEjected())
 	return reply.GetEndpoint(), reply.GetEndpoint() != ""
 }
 
@@ -122,6 +121,26 @@
 	}
 }
 
+// Attempted notes how an attempt at an endpoint went.
+func (a *Advisor) Attempted(endpoint string, o fleet.Outcome) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if tally, ok := a.results[endpoint]; ok || len(a.results) < resultsMost {
+		a.results[endpoint] = tally.With(o)
+	}
+}
+
+func (a *Advisor) takeResults() []*advicepb.Result {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var results []*advicepb.Result
+	for id, t := range a.results {
+		results = append(results, &advicepb.Result{Endpoint: id, Good: t.Good, Failed: t.Failed, Lost: t.Lost})
+	}
+	clear(a.results)
+	return results
+}
+
 func (a *Advisor) takeEnded() []string {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -169,14 +188,16 @@
 
 // Choose implements advicepb.AdviceServer.
 func (s *server) Choose(_ context.Context, r *advicepb.ChooseRequest) (*advicepb.ChooseReply, error) {
-	s.options.Fleet.Ended(r.GetEnded())
-	id, ok := s.options.Fleet.Advise(fleet.Ask{
+	f := s.options.Fleet
+	f.Ended(r.GetEnded())
+	for _, t := range r.GetResults() {
+		f.Learn(t.GetEndpoint(), fleet.Tally{Good: t.GetGood(), Failed: t.GetFailed(), Lost: t.GetLost()})
+	}
+	// The reply goes out even if there is no endpoint: it tells which ones fail.
+	id, _ := f.Advise(fleet.Ask{
 		Service: r.GetService(), Model: r.GetModel(), Key: r.GetKey(), Tokens: int(r.GetTokens()), Shared: int(r.GetShared()),
 		Objective: time.Duration(r.GetObjectiveMicros()) * time.Microsecond, Avoid: r.GetAvoid(),
 		Allowed: s.options.Allowed(r.GetService(), r.GetVersionKey()),
 	})
-	if !ok {
-		return nil, status.Error(codes.NotFound, "no endpoint takes the request")
-	}
-	return &advicepb.ChooseReply{Endpoint: id}, nil
+	return &advicepb.ChooseReply{Endpoint: id, Ejected: f.Ejected()}, nil
 }
--- a/internal/advice/advice_test.go
+++ b/internal/advice/advice_test.go
@@ -25,6 +25,7 @@
 type pair struct {
 	net         *memnet.Network
 	fleet       *fleet.Fleet // of the first
+	other       *fleet.Fleet // of the next
 	first, next *advice.Advisor
 	conns       map[string]*grpc.ClientConn
 	before      []string // the hosts that next asks, in order
@@ -33,11 +34,13 @@
 
 func newPair() *pair {
 	p := &pair{
-		net: memnet.New(), fleet: fleet.New(fleet.Options{Hall: "ikeja"}),
+		net: memnet.New(), fleet: fleet.New(fleet.Options{Hall: "ikeja"}), other: fleet.New(fleet.Options{Hall: "ikeja"}),
 		conns: map[string]*grpc.ClientConn{}, before: []string{firstAddress},
 	}
 	for i := range 4 {
-		p.fleet.Put(fleet.Endpoint{ID: fmt.Sprint("e", i), Service: "s", Hall: "ikeja", Version: "v1", Slots: 4})
+		e := fleet.Endpoint{ID: fmt.Sprint("e", i), Service: "s", Hall: "ikeja", Version: "v1", Slots: 4}
+		p.fleet.Put(e)
+		p.other.Put(e)
 	}
 	options := advice.Options{
 		Fleet: p.fleet, Logger: log.New(io.Discard),
@@ -46,7 +49,7 @@
 	}
 	options.Before = func() []string { return nil }
 	p.first = advice.New(options)
-	options.Before = func() []string { return p.before }
+	options.Fleet, options.Before = p.other, func() []string { return p.before }
 	p.next = advice.New(options)
 	p.server = grpc.NewServer()
 	p.first.Register(p.server)
@@ -113,6 +116,30 @@
 		})
 	})
 
+	It("tell each other which endpoints fail", func() {
+		suite.Paused(func() {
+			p := newPair()
+			defer p.stop()
+			for range 5 {
+				p.next.Attempted("e1", fleet.OutcomeFailed)
+				p.next.Attempted("e2", fleet.OutcomeGood)
+			}
+			_, ok := p.next.Choose(ctx, ask(1), 0)
+			Expect(ok).To(BeTrue())
+			Expect(p.fleet.Ejected()).To(Equal([]string{"e1"}))
+			for range 40 {
+				h, ok := p.other.Pick(fleet.Ask{Service: "s"})
+				Expect(ok).To(BeTrue())
+				Expect(h.Endpoint.ID).NotTo(Equal("e1"))
+			}
+			for _, e := range []string{"e0", "e2", "e3"} {
+				p.other.Remove(e)
+			}
+			_, ok = p.other.Pick(fleet.Ask{Service: "s"})
+			Expect(ok).To(BeTrue(), "it is better than nothing")
+		})
+	})
+
 	It("ask the next in order while the first does not answer", func() {
 		suite.Paused(func() {
 			p := newPair()
--- a/internal/fleet/advise.go
+++ b/internal/fleet/advise.go
@@ -56,3 +56,85 @@
 // bookedFor is how long an endpoint reads prompts that other hosts were advised to
 // send there.
 func (m *member) bookedFor(now time.Time) time.Duration { return max(0, m.booked.Sub(now)) }
+
+// Tally counts how attempts at an endpoint have gone; an immutable value.
+type Tally struct{ Good, Failed, Lost int32 }
+
+// With returns the tally after an attempt. Refusals and what was not the endpoint's
+// doing do not count.
+func (t Tally) With(o Outcome) Tally {
+	switch o {
+	case OutcomeGood:
+		t.Good++
+	case OutcomeFailed:
+		t.Failed++
+	case OutcomeLost:
+		t.Lost++
+	case OutcomeNeutral, OutcomeRefused:
+	}
+	return t
+}
+
+// Bounds of what hosts tell each other of endpoints.
+const (
+	// learnMost of a host's good results count at a time; more say nothing new.
+	learnMost = 5
+	// shunFor is how long an endpoint is left alone that fails other hosts; who
+	// goes on asking hears of it again several times a second.
+	shunFor = time.Second
+	// ejectedLeast is the rest of an ejection that is worth telling; shorter ones
+	// are pauses of full endpoints.
+	ejectedLeast = 200 * time.Millisecond
+	ejectedMost  = 32 // endpoints in a reply
+)
+
+// Learn takes in how another host's attempts at an endpoint have gone.
+func (f *Fleet) Learn(id string, t Tally) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m, ok := f.members[id]
+	if !ok {
+		return
+	}
+	now := f.options.Now()
+	for range min(t.Good, learnMost) {
+		m.health = m.health.with(OutcomeGood, now)
+	}
+	for range min(t.Failed, learnMost) {
+		m.health = m.health.with(OutcomeFailed, now)
+	}
+	if t.Lost > 0 && !now.Before(m.health.until) {
+		m.health = m.health.with(OutcomeLost, now)
+	}
+}
+
+// Ejected lists endpoints that other hosts should leave alone.
+func (f *Fleet) Ejected() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.options.Now()
+	var ids []string
+	for id, m := range f.members {
+		if m.health.until.Sub(now) > ejectedLeast && len(ids) < ejectedMost {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// Shun leaves endpoints alone that fail other hosts, for a moment and while others
+// are there.
+func (f *Fleet) Shun(ids []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	until := f.options.Now().Add(shunFor)
+	for _, id := range ids {
+		if m, ok := f.members[id]; ok {
+			m.shunned = until
+		}
+	}
+}
+
+// Observe has a function told of the outcome of each attempt; it is called before
+// any attempt is made.
+func (f *Fleet) Observe(observe func(id string, o Outcome)) { f.observe = observe }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -38,6 +38,7 @@
 // Fleet is what a host knows of all endpoints; safe for use at once.
 type Fleet struct {
 	options Options
+	observe func(id string, o Outcome) // nil if nobody minds
 
 	mu        sync.Mutex // guards all below
 	members   map[string]*member
@@ -60,6 +61,7 @@
 	wait    time.Duration // that the last answer waited beyond its prompt's time
 	waitAt  time.Time
 	health  health
+	shunned time.Time // it fails other hosts; left alone until then
 	lapsed  time.Time // to be dropped then unless it is listed again; zero if listed
 }
 
--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -72,6 +72,9 @@
 	if h.Ended != nil {
 		defer h.Ended()
 	}
+	if h.fleet.observe != nil {
+		defer h.fleet.observe(h.Endpoint.ID, r.Outcome)
+	}
 	h.fleet.mu.Lock()
 	defer h.fleet.mu.Unlock()
 	now := h.fleet.options.Now()
@@ -141,7 +144,7 @@
 
 func (m *member) tier(now time.Time) int {
 	switch {
-	case now.Before(m.health.until):
+	case now.Before(m.health.until), now.Before(m.shunned):
 		return tierEjected
 	case !m.lapsed.IsZero():
 		return tierLapsed
--- a/internal/gatewayd/module.go
+++ b/internal/gatewayd/module.go
@@ -151,7 +151,9 @@
 }
 
 func newAdvisor(w *spread.Watcher, f *fleet.Fleet, u *upgrade.Tracker, l *log.Logger) *advice.Advisor {
-	return advice.New(advice.Options{Fleet: f, Allowed: u.Allowed, Before: w.Before, Conn: w.Conn, Logger: l})
+	a := advice.New(advice.Options{Fleet: f, Allowed: u.Allowed, Before: w.Before, Conn: w.Conn, Logger: l})
+	f.Observe(a.Attempted)
+	return a
 }
 
 func newGateway(s settings.Settings, h *route.Holder, f *fleet.Fleet, p *conn.Pool, u *upgrade.Tracker, a *advice.Advisor,
