--- a/internal/spread/pack.go
+++ b/internal/spread/pack.go
@@ -12,27 +12,34 @@
 	"quaybarrow/internal/spread/spreadpb"
 )
 
-// packer packs whole tables for other hosts, each once for all that ask for the same
-// version; safe for use at once.
+// packer packs many rows for other hosts, once for all that ask for the same ones;
+// safe for use at once.
 type packer struct {
 	mu     sync.Mutex // guards packed
-	packed map[string]packedTable
+	packed map[packKey][]byte
 }
 
-// packedTable is a table as of a version.
-type packedTable struct {
-	version int64
-	data    []byte
+// packKey names rows: those of a table from after a version to another.
+type packKey struct {
+	table          string
+	after, version int64
 }
 
-func newPacker() *packer { return &packer{packed: map[string]packedTable{}} }
+// packedMost bounds what is kept; hosts of a group ask for the same few versions.
+const packedMost = 8
 
-// pack returns the rows of a whole table, gzipped.
-func (p *packer) pack(table string, n news) ([]byte, error) {
+func newPacker() *packer { return &packer{packed: map[packKey][]byte{}} }
+
+// pack returns rows that came after a version, gzipped.
+func (p *packer) pack(table string, after int64, n news) ([]byte, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if known, ok := p.packed[table]; ok && known.version == n.version {
-		return known.data, nil
+	key := packKey{table: table, after: after, version: n.version}
+	if known, ok := p.packed[key]; ok {
+		return known, nil
+	}
+	if len(p.packed) >= packedMost {
+		clear(p.packed)
 	}
 	rows := &spreadpb.Rows{}
 	for _, c := range n.changes {
@@ -50,7 +57,7 @@
 	if err := w.Close(); err != nil {
 		return nil, fmt.Errorf("pack table %s: %w", table, err)
 	}
-	p.packed[table] = packedTable{version: n.version, data: b.Bytes()}
+	p.packed[key] = b.Bytes()
 	return b.Bytes(), nil
 }
 
--- a/internal/spread/peers.go
+++ b/internal/spread/peers.go
@@ -42,6 +42,7 @@
 	address string
 	cores   float64
 	rank    uint64
+	far     bool // in another data hall, where that matters
 }
 
 // standing is how a peer has lately done.
@@ -71,20 +72,39 @@
 	return p
 }
 
-// set replaces the list. Hosts that may use more of a processor come first, so
-// that the readers are among them; a group of hosts has an order of its own.
+// set replaces the list.
 func (p *peers) set(entries map[string]entry) {
-	groups := uint64(max(1, (len(entries)+groupSize-1)/groupSize))
-	group := xxhash.Sum64String(p.self) % groups
+	ranked, before := rankedFor(entries, p.self, p.hall), beforeIn(entries, p.self, p.hall)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ranked, p.all, p.before = ranked, len(entries), before
+}
+
+// rankedFor lists hosts in the order in which one of them asks. A group of hosts has
+// an order of its own; those that may use more of a processor come first, so that
+// the readers are among them. Where a data hall alone has more hosts than a group,
+// its own hosts come first: then a reader for each hall costs no more calls, and
+// bytes between halls are dear.
+func rankedFor(entries map[string]entry, self, hall string) []peer {
+	near := 0
+	for _, e := range entries {
+		if e.Hall == hall {
+			near++
+		}
+	}
+	members, own := len(entries), near > groupSize
+	if own {
+		members = near
+	}
+	groups := uint64(max(1, (members+groupSize-1)/groupSize))
+	group := xxhash.Sum64String(self) % groups
 	ranked := make([]peer, 0, len(entries))
 	for name, e := range entries {
 		rank := xxhash.Sum64String(fmt.Sprint(group, "/", name))
-		ranked = append(ranked, peer{name: name, address: e.Address, cores: e.Cores, rank: rank})
+		ranked = append(ranked, peer{name: name, address: e.Address, cores: e.Cores, rank: rank, far: own && e.Hall != hall})
 	}
 	slices.SortFunc(ranked, byCoresAndRank)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.ranked, p.all, p.before = ranked, len(entries), beforeIn(entries, p.self, p.hall)
+	return ranked
 }
 
 // beforeIn lists the addresses of a data hall's hosts that come before one of them,
@@ -108,6 +128,12 @@
 }
 
 func byCoresAndRank(a, b peer) int {
+	if a.far != b.far {
+		if a.far {
+			return 1
+		}
+		return -1
+	}
 	return cmp.Or(cmp.Compare(b.cores, a.cores), cmp.Compare(a.rank, b.rank))
 }
 
--- a/internal/spread/picture_test.go
+++ b/internal/spread/picture_test.go
@@ -76,7 +76,7 @@
 		versions := int64(rapid.IntRange(1, 20).Draw(t, "versions"))
 		for version := int64(1); version <= versions; version++ {
 			table.apply([]store.Change{drawChange(t, version)}, version)
-			data, err := p.pack("t", news{changes: table.since(-1), version: version})
+			data, err := p.pack("t", -1, news{changes: table.since(-1), version: version})
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -96,7 +96,7 @@
 }
 
 func FuzzUnpack(f *testing.F) {
-	data, err := newPacker().pack("t", news{changes: []store.Change{{Row: store.Row{Key: "k", Value: []byte("v")}}}})
+	data, err := newPacker().pack("t", 0, news{changes: []store.Change{{Row: store.Row{Key: "k", Value: []byte("v")}}}})
 	if err != nil {
 		f.Fatal(err)
 	}
@@ -108,3 +108,30 @@
 		}
 	})
 }
+
+// TestLargeHallsAskTheirOwn ranks the hosts of small and of large data halls.
+func TestLargeHallsAskTheirOwn(t *testing.T) {
+	listed := func(count int) map[string]entry {
+		entries := map[string]entry{}
+		for i := range count {
+			for _, hall := range []string{"ikeja", "lekki"} {
+				entries[fmt.Sprint(hall, "-", i)] = entry{Address: fmt.Sprint(hall, i), Hall: hall, Cores: 0.2}
+			}
+		}
+		entries["lekki-large"] = entry{Address: "large", Hall: "lekki", Cores: 0.8}
+		return entries
+	}
+	first := rankedFor(listed(10), "ikeja-3", "ikeja")[0]
+	if first.name != "lekki-large" {
+		t.Errorf("of few hosts %s comes first", first.name)
+	}
+	ranked := rankedFor(listed(60), "ikeja-3", "ikeja")
+	for i, q := range ranked[:60] {
+		if q.far {
+			t.Fatalf("of many hosts %s comes at place %d", q.name, i)
+		}
+	}
+	if ranked[60].name != "lekki-large" {
+		t.Errorf("of the far hosts %s comes first", ranked[60].name)
+	}
+}
