An endpoint that fails at once after an ejection is ejected again

Ruled out: the retry budget (the ratio and reserve are as before). Change: the first failure after an ejection ejects again, twice as long; on the OpenAI interface for up to a minute, as before, since a broken engine may stay listed. Test: longer each time.

--- a/internal/endpoint/watch.go
+++ b/internal/endpoint/watch.go
@@ -31,6 +31,10 @@
 // DefaultSubset is how many engines a host watches at most.
 const DefaultSubset = 32
 
+// ejectMost is the longest that an engine is left alone that fails: a broken one may
+// stay listed for long.
+const ejectMost = time.Minute
+
 // Options set up a Watch.
 type Options struct {
 	Host   string
@@ -58,7 +62,7 @@
 		options.Subset = DefaultSubset
 	}
 	w := &Watch{options: options}
-	w.fleet = fleet.New(fleet.Options{Hall: options.Hall, Sharers: w.sharers})
+	w.fleet = fleet.New(fleet.Options{Hall: options.Hall, Sharers: w.sharers, EjectMost: ejectMost})
 	return w
 }
 
--- a/internal/fleet/advise.go
+++ b/internal/fleet/advise.go
@@ -98,13 +98,13 @@
 	}
 	now := f.options.Now()
 	for range min(t.Good, learnMost) {
-		m.health = m.health.with(OutcomeGood, now)
+		m.health = m.health.with(OutcomeGood, now, f.options.EjectMost)
 	}
 	for range min(t.Failed, learnMost) {
-		m.health = m.health.with(OutcomeFailed, now)
+		m.health = m.health.with(OutcomeFailed, now, f.options.EjectMost)
 	}
 	if t.Lost > 0 && !now.Before(m.health.until) {
-		m.health = m.health.with(OutcomeLost, now)
+		m.health = m.health.with(OutcomeLost, now, f.options.EjectMost)
 	}
 }
 
--- a/internal/fleet/endpoint.go
+++ b/internal/fleet/endpoint.go
@@ -87,8 +87,8 @@
 	length  time.Duration // of the last ejection
 }
 
-// with returns the health after an attempt.
-func (h health) with(o Outcome, now time.Time) health {
+// with returns the health after an attempt; an ejection takes most at most.
+func (h health) with(o Outcome, now time.Time, most time.Duration) health {
 	switch o {
 	case OutcomeGood:
 		h.failing *= healthDecay
@@ -97,11 +97,12 @@
 		}
 	case OutcomeFailed:
 		h.failing = h.failing*healthDecay + (1 - healthDecay)
-		if h.failing >= healthEject {
-			h = h.ejected(now, ejectFirst)
+		// One that fails at its first attempt after an ejection has not recovered.
+		if h.failing >= healthEject || (h.length > 0 && now.After(h.until)) {
+			h = h.ejected(now, ejectFirst, most)
 		}
 	case OutcomeLost:
-		h = h.ejected(now, lostEject)
+		h = h.ejected(now, lostEject, most)
 	case OutcomeRefused:
 		h.until = later(h.until, now.Add(refusedPause))
 	case OutcomeNeutral:
@@ -109,8 +110,8 @@
 	return h
 }
 
-func (h health) ejected(now time.Time, least time.Duration) health {
-	h.length = min(max(h.length*2, least), ejectMost)
+func (h health) ejected(now time.Time, least, most time.Duration) health {
+	h.length = min(max(h.length*2, least), most)
 	h.until = later(h.until, now.Add(h.length))
 	h.failing /= 2
 	return h
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -29,6 +29,9 @@
 	// Sharers counts the hosts that send to an endpoint of a service, this one
 	// included; nil where endpoints say in each answer how loaded they are.
 	Sharers func(service string) int
+	// EjectMost is the longest that an endpoint is left alone; 0 stands for a time
+	// that suits endpoints whose list is brought up to date within seconds.
+	EjectMost time.Duration
 	// Now and Random stand in for the runtime's clock and random numbers from 0 to
 	// 1 in experiments, which play virtual time; nil outside of them.
 	Now    func() time.Time
@@ -67,6 +70,9 @@
 
 // New returns a fleet without endpoints.
 func New(options Options) *Fleet {
+	if options.EjectMost == 0 {
+		options.EjectMost = ejectMost
+	}
 	if options.Now == nil {
 		options.Now = time.Now
 	}
--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -85,7 +85,7 @@
 	}
 	h.read()
 	m.flying--
-	m.health = m.health.with(r.Outcome, now)
+	m.health = m.health.with(r.Outcome, now, h.fleet.options.EjectMost)
 	if r.Load.Slots > 0 {
 		// The answered request itself may still be counted in what it says.
 		m.others = max(0, r.Load.Running+r.Load.Waiting-m.flying-1-m.remote(now))
--- a/internal/fleet/report_test.go
+++ b/internal/fleet/report_test.go
@@ -122,6 +122,29 @@
 		Expect(f.Has("s", "m")).To(BeFalse())
 	})
 
+	It("are left alone longer each time if they fail at once after an ejection", func() {
+		suite.Paused(func() {
+			f := reported(fleet.Options{}, 0, 0)
+			fail := func() {
+				h, ok := f.PickAt("e0", model)
+				Expect(ok).To(BeTrue())
+				h.Done(fleet.Result{Outcome: fleet.OutcomeFailed})
+			}
+			for range 5 {
+				fail()
+			}
+			for _, length := range []time.Duration{2 * time.Second, 4 * time.Second, 8 * time.Second} {
+				_, ok := f.PickAt("e0", model)
+				Expect(ok).To(BeFalse())
+				time.Sleep(length - time.Millisecond)
+				_, ok = f.PickAt("e0", model)
+				Expect(ok).To(BeFalse(), length.String())
+				time.Sleep(2 * time.Millisecond)
+				fail()
+			}
+		})
+	})
+
 	It("keep the slots that they told when the list is read again", func() {
 		f := reported(fleet.Options{}, 0)
 		f.Reset([]fleet.Endpoint{{ID: "e0", Service: "s"}}, false)
