A test asks a stopping host once its stop has begun

The test started the stop in a goroutine and asked at once; which came first was the scheduler's choice. Ruled out: the host; it drains before anything else in its stop.

--- a/internal/gatewayd/host_test.go
+++ b/internal/gatewayd/host_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"testing/synctest"
 	"syscall"
 	"time"
 
@@ -155,6 +156,7 @@
 			stopping := make(chan error)
 			go func() { stopping <- s.app.Stop(context.Background()) }()
 			start := time.Now()
+			synctest.Wait() // until the stop has begun; no time passes
 			status, _ := s.get(readyAddress, "/-/readiness")
 			Expect(status).To(Equal(503))
 			_, err := reader.Peek(1)
