--- a/internal/gatewayd/host_test.go
+++ b/internal/gatewayd/host_test.go
@@ -11,8 +11,8 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"testing/synctest"
 	"syscall"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
