--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -71,8 +71,8 @@
 	Cores   float64 // what this host may use of a processor; those with most read the store
 	// First tells that all hosts start for the first time.
 	First bool
-	// Wait is the longest wait for changes at the store; what this host passes
-	// on is at most so old, and a second, when the store falls silent.
+	// Wait is the longest wait for changes at the store; what this host passes on
+	// is at most so old and a quarter of a second.
 	Wait time.Duration
 	// Seeds are addresses of hosts that may be asked before the list of hosts
 	// could be read; some may be stale.
