A bad version that is slow is seen, and no share rises without evidence

Cause: a slow version was known only by streams that had ended, by their whole time against a mean of the past, and the share of the keys rose by time alone.

Seen in logs: the time of an engine's step shows in the shortest pause of a stream. At good endpoints, idle to full, the lowest tenth of streams has 9.3 to 13.7 ms; a version 4 times as slow on half of its requests has 23.4 to 24.8 ms, 8 times 42 to 47 ms. Prompts that are read meanwhile lengthen most pauses to 45 ms on any version, so means and medians say little; the time to the first event says nothing (0.1 to 10 s on both).

Hosts publish what they saw of the target (twice a second at most), the share rises by a row in the store when the pooled evidence is good, and stays while it is not known.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -125,6 +125,9 @@
 	events   int
 	first    time.Duration // until the head of the answer that the caller got; 0 if it got none
 	expected time.Duration // what that was expected to take at the last attempt, without waiting
+	pause    time.Duration // longest time between two events that the caller got
+	shortest time.Duration // shortest one of the last attempt
+	version  string        // of the last attempt's endpoint
 }
 
 // ServeHTTP implements http.Handler.
@@ -175,6 +178,7 @@
 	}
 	age, _ := x.g.Holder.Age()
 	x.g.Logger.Info("request", "id", x.ask.ID, "route", x.route.Name, "service", x.service, "workspace", x.workspace,
-		"config", version, "config_age_ms", age.Milliseconds(), "endpoint", x.endpoint, "model", x.model, "sends", x.sends,
-		"tokens", x.ask.TokensIn, "first_ms", x.first.Milliseconds(), "expected_ms", x.expected.Milliseconds(), "events", x.events, "took_ms", took.Milliseconds(), "outcome", x.outcome)
+		"config", version, "config_age_ms", age.Milliseconds(), "endpoint", x.endpoint, "version", x.version, "model", x.model, "sends", x.sends,
+		"tokens", x.ask.TokensIn, "first_ms", x.first.Milliseconds(), "expected_ms", x.expected.Milliseconds(),
+		"events", x.events, "pause_ms", x.pause.Milliseconds(), "shortest_us", x.shortest.Microseconds(), "took_ms", took.Milliseconds(), "outcome", x.outcome)
 }
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -124,7 +124,7 @@
 	a := &attempt{x: x, hold: hold, conn: c, model: model, sentAt: time.Now()}
 	x.sends++
 	x.tried = append(x.tried, hold.Endpoint.ID)
-	x.endpoint, x.model = hold.Endpoint.ID, model
+	x.endpoint, x.version, x.model = hold.Endpoint.ID, hold.Endpoint.Version, model
 	a.stop = context.AfterFunc(ctx, c.Interrupt)
 	a.limitHead(ctx)
 	answer, err := c.Send(x.request(a, lastEvent), x.accepts) //nolint:bodyclose // a closed connection ends its body
@@ -253,11 +253,15 @@
 	return a.said.Sealed && a.answer.Header.Get("Content-Encoding") == ""
 }
 
-// report tells the upgrade of the service how the endpoint's version did.
-func (a *attempt) report(failed bool, pace time.Duration) {
+// paced tells the upgrade of the service how fast the answer came.
+func (a *attempt) paced(pace upgrade.Pace) {
+	a.report(upgrade.Paced{Pace: pace, Requests: a.said.Load.Running + a.said.Load.Waiting})
+}
+
+// report tells the upgrade of the service what was seen of the endpoint's version.
+func (a *attempt) report(f upgrade.Finding) {
 	e := a.hold.Endpoint
 	a.x.g.Upgrades.Note(upgrade.Report{
-		Service: a.x.service, Version: e.Version, Endpoint: e.ID, Route: a.x.route.Name, Model: a.model,
-		Failed: failed, Pace: pace,
+		Service: a.x.service, Version: e.Version, Endpoint: e.ID, Route: a.x.route.Name, Finding: f,
 	})
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"quaybarrow/internal/fleet"
+	"quaybarrow/internal/upgrade"
 )
 
 // serveStream serves a request whose answer is a stream of events. A stream that
@@ -55,6 +56,7 @@
 		a.fail()
 		return errUnsound
 	}
+	a.report(upgrade.Answered{})
 	if s.escalates(a) {
 		a.end(fleet.OutcomeGood, false)
 		return errEscalate
@@ -71,7 +73,7 @@
 		return errUnsound
 	}
 	failed := a.answer.StatusCode >= http.StatusInternalServerError
-	a.report(failed, 0)
+	a.report(upgrade.Answered{Failed: failed})
 	answer := &wholeAnswer{attempt: a, body: body}
 	if failed {
 		a.end(fleet.OutcomeFailed, true)
@@ -105,10 +107,16 @@
 	x := s.x
 	out := http.NewResponseController(x.w)
 	events := newEventReader(a.answer.Body, s.last)
-	before := x.events
+	times := &pauses{}
+	defer func() {
+		x.pause, x.shortest = max(x.pause, times.longest), times.shortest
+		a.tellPace(times, true)
+	}()
 	for {
 		chunk, err := events.next()
 		if len(chunk.data) > 0 {
+			times.add(time.Now(), chunk.events)
+			a.tellPace(times, false)
 			if _, writeErr := x.w.Write(chunk.data); writeErr != nil {
 				a.end(fleet.OutcomeNeutral, false)
 				return errors.WithMessage(writeErr, "caller left")
@@ -122,7 +130,6 @@
 		}
 		switch {
 		case errors.Is(err, errStreamEnd):
-			a.report(false, a.pace(x.events-before))
 			a.end(fleet.OutcomeGood, true)
 			return nil
 		case err != nil:
@@ -132,11 +139,6 @@
 	}
 }
 
-// pace is the time that the answer took for each of its events.
-func (a *attempt) pace(events int) time.Duration {
-	return time.Since(a.sentAt) / time.Duration(events+1)
-}
-
 // giveUp ends a stream that can't go on.
 func (s *stream) giveUp(err error) {
 	x := s.x
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -11,6 +11,7 @@
 
 	"quaybarrow/internal/fleet"
 	"quaybarrow/internal/route"
+	"quaybarrow/internal/upgrade"
 )
 
 // Bounds of answers that are relayed whole.
@@ -73,7 +74,10 @@
 	}
 	answer := &wholeAnswer{attempt: a, body: body, rest: len(body) == wholeBytes}
 	failed := a.answer.StatusCode >= http.StatusInternalServerError
-	a.report(failed, time.Since(a.sentAt))
+	a.report(upgrade.Answered{Failed: failed})
+	if !failed {
+		a.paced(upgrade.Whole(time.Since(a.sentAt)))
+	}
 	if answer.rest {
 		return answer, nil
 	}
--- a/internal/upgrade/pace.go
+++ b/internal/upgrade/pace.go
@@ -1,29 +1,86 @@
 package upgrade
 
-import "time"
+import (
+	"math/bits"
+	"slices"
+	"time"
+)
+
+// Pace is how fast an answer came.
+type Pace interface{ took() time.Duration }
+
+// Whole is the time from the sending of a request to the last byte of its answer.
+type Whole time.Duration
+
+func (w Whole) took() time.Duration { return time.Duration(w) }
+
+// Shortest is the shortest pause between events of a stream. Prompts that an engine
+// reads and places that are taken lengthen most pauses, but leave some as they are:
+// at endpoints from idle to full the lowest tenth of streams had 9.3 to 13.7 ms, at
+// such whose version was four times as slow on half of its requests 23.4 to 24.8 ms.
+type Shortest time.Duration
+
+func (s Shortest) took() time.Duration { return time.Duration(s) }
 
 // Parameters of slow answers.
 const (
-	paceDecay  = 0.95 // weight of the past in the mean
-	paceLeast  = 12   // answers before the mean says anything
-	paceFactor = 4.0  // times the mean that is slow; bad versions take several times as long, and of good ones' answers one in fifty takes three times
+	paceKept  = 48 // answers of the other versions, for each load, that the reference is taken from
+	paceLeast = 8  // of them before they say anything
+	// An answer is slow if it took more than a factor times a quantile of the
+	// reference. The quantile of pauses is low, for many are lengthened by prompts
+	// that are read meanwhile; factors lie between the spread of good answers and
+	// what versions show that are four times as slow on half of their requests.
+	wholeQuantile, wholeFactor       = 0.5, 2.2
+	shortestQuantile, shortestFactor = 0.1, 1.8
+	// loadBands tell loads apart in powers of two of the requests at an endpoint,
+	// from loadLeast on: with 100 running instead of 10 good pauses are twice as
+	// long, and a new version's endpoints have far fewer than the others' at first.
+	loadBands = 6
+	loadLeast = 4
 )
 
-// pace is the mean time of a route's answers on a model.
-type pace struct {
-	mean float64 // seconds
-	n    int
+// loadBand is the band of a number of requests.
+func loadBand(requests int) int {
+	return min(bits.Len(uint(max(requests, 0)/loadLeast)), loadBands-1)
 }
 
-// with returns the pace after an answer.
-func (p pace) with(took time.Duration) pace {
-	if p.n == 0 {
-		return pace{mean: took.Seconds(), n: 1}
+// paces keeps the last paces of answers that are taken for usual, by load.
+type paces struct{ bands [loadBands]band }
+
+// band is what was seen at a load.
+type band struct {
+	kept [paceKept]time.Duration
+	n    int // seen in all
+}
+
+func (p *paces) add(requests int, pace Pace) {
+	b := &p.bands[loadBand(requests)]
+	b.kept[b.n%paceKept] = pace.took()
+	b.n++
+}
+
+// slow reports whether an answer took clearly longer than usual at its load, or at
+// the next lower or higher one that was seen; known is false while none was.
+func (p *paces) slow(requests int, pace Pace) (slow, known bool) {
+	if p == nil {
+		return false, false
+	}
+	at := loadBand(requests)
+	for _, i := range []int{at, at - 1, at + 1, at - 2} {
+		if i >= 0 && i < loadBands && p.bands[i].n >= paceLeast {
+			return p.bands[i].slow(pace), true
+		}
 	}
-	return pace{mean: p.mean*paceDecay + took.Seconds()*(1-paceDecay), n: p.n + 1}
+	return false, false
 }
 
-// slow reports whether an answer took several times as long as usual.
-func (p pace) slow(took time.Duration) bool {
-	return p.n >= paceLeast && took.Seconds() > paceFactor*p.mean
+func (b *band) slow(pace Pace) bool {
+	quantile, factor := wholeQuantile, wholeFactor
+	if _, ok := pace.(Shortest); ok {
+		quantile, factor = shortestQuantile, shortestFactor
+	}
+	sorted := slices.Clone(b.kept[:min(b.n, paceKept)])
+	slices.Sort(sorted)
+	usual := sorted[int(quantile*float64(len(sorted)))]
+	return float64(pace.took()) > factor*float64(usual)
 }
--- /dev/null
+++ b/internal/upgrade/pace_test.go
@@ -0,0 +1,70 @@
+package upgrade_test
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/charmbracelet/log"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"quaybarrow/internal/fleet"
+	"quaybarrow/internal/standin/memnet"
+	"quaybarrow/internal/standin/suite"
+	"quaybarrow/internal/upgrade"
+	"quaybarrow/platform"
+	"quaybarrow/platform/standin"
+
+	"net/http"
+)
+
+// Pauses of the version in use, idle and with many requests, and what a new version's
+// endpoints show that have few yet.
+var loads = map[string]struct {
+	idle, full, target time.Duration
+	bad                bool
+}{
+	"slow, though not beside full endpoints":  {10 * time.Millisecond, 22 * time.Millisecond, 25 * time.Millisecond, true},
+	"as fast as idle endpoints":               {10 * time.Millisecond, 22 * time.Millisecond, 11 * time.Millisecond, false},
+	"slower than idle ones, but not by much":  {10 * time.Millisecond, 22 * time.Millisecond, 17 * time.Millisecond, false},
+	"where endpoints are as fast when full":   {10 * time.Millisecond, 10 * time.Millisecond, 11 * time.Millisecond, false},
+	"slow where load makes nothing of a step": {10 * time.Millisecond, 10 * time.Millisecond, 25 * time.Millisecond, true},
+}
+
+var _ = Describe("a version whose endpoints have few requests while the others are full", func() {
+	for name, l := range loads {
+		It("is judged at its own load: "+name, func() {
+			suite.Paused(func() {
+				network, store := memnet.New(), standin.NewStore()
+				server := &http.Server{Handler: store}
+				go func() { _ = server.Serve(network.Listen(storeAddress)) }()
+				client := platform.NewStore(storeAddress, network.Dial)
+				t := upgrade.NewTracker(upgrade.Options{
+					Host: "only", Tables: client, Watch: client, Fleet: fleet.New(fleet.Options{}), Logger: log.New(io.Discard),
+					Status: platform.StatusWrite, Hosts: func() int { return 1 },
+				})
+				ctx, cancel := context.WithCancel(context.Background())
+				go t.Run(ctx)
+				note := func(version, endpoint string, requests int, pause time.Duration) {
+					t.Note(upgrade.Report{Service: "s", Version: version, Endpoint: endpoint, Route: "r",
+						Finding: upgrade.Paced{Pace: upgrade.Shortest(pause), Requests: requests}})
+				}
+				for range 40 {
+					note("v1", "old", 2, l.idle)
+				}
+				t.Order(upgrade.Order{Service: "s", Target: "v2", Within: 20 * time.Second, Revision: 3})
+				time.Sleep(time.Second)
+				for i := range 40 {
+					note("v1", "old", 100, l.full)
+					note("v2", []string{"a", "b"}[i%2], 3, l.target)
+				}
+				time.Sleep(10 * time.Second)
+				Expect(t.Allowed("s", 0)("v2")).To(Equal(!l.bad))
+				cancel()
+				_ = server.Close()
+				time.Sleep(time.Minute)
+			})
+		})
+	}
+})
--- a/internal/upgrade/run.go
+++ b/internal/upgrade/run.go
@@ -16,12 +16,19 @@
 
 // Periods of the tracker.
 const (
-	stepEvery    = 250 * time.Millisecond // while an upgrade is under way
-	publishEvery = time.Second            // evidence is written at most as often
-	watchWait    = 5 * time.Second        // one waiting read of the shared table
-	watchRetry   = 500 * time.Millisecond // after a failed read
-	turnStep     = 50 * time.Millisecond  // hosts take turns, so that one writes and the others see it
-	turns        = 40
+	stepEvery  = 250 * time.Millisecond // while an upgrade is under way
+	writeEvery = time.Second            // progress of a service is written at most as often by one host
+	// Evidence is written and read once in half a second and a quarter at most, and
+	// by many hosts so seldom that the store gets some 250 calls a second for it.
+	publishEvery   = 500 * time.Millisecond
+	publishPerHost = 20 * time.Millisecond
+	readEvery      = 250 * time.Millisecond
+	readPerHost    = 5 * time.Millisecond
+	watchWait      = 5 * time.Second        // one waiting read of the shared table
+	watchRetry     = 500 * time.Millisecond // after a failed read
+	turnStep       = 50 * time.Millisecond  // hosts take turns, so that one writes and the others see it
+	turnsPerHost   = 2                      // so that most hosts have turns of their own
+	turnsMost      = 40
 )
 
 // cutKey splits a row's key into service and host; a row of progress has none.
@@ -90,6 +97,7 @@
 			continue
 		}
 		version = next
+		clock.Sleep(ctx, max(readEvery, time.Duration(t.options.Hosts())*readPerHost))
 	}
 }
 
@@ -144,6 +152,7 @@
 // write is a transaction that is due.
 type write struct {
 	service, what string
+	evidence      bool
 	txn           store.Transaction
 }
 
@@ -166,7 +175,10 @@
 			continue
 		}
 		w.service = name
-		s.writeAt = now.Add(publishEvery)
+		s.writeAt = now.Add(writeEvery)
+		if w.evidence {
+			s.writeAt = now.Add(max(publishEvery, time.Duration(t.options.Hosts())*publishPerHost))
+		}
 		writes = append(writes, w)
 	}
 	return writes
@@ -185,19 +197,39 @@
 	case s.condemned != "":
 		return t.finish(s, OutcomeRolledBack, s.condemned)
 	}
-	elapsed, ok := t.elapsed(s)
-	if ok && Due(elapsed-turn, s.order.Within) && t.options.Fleet.Versions(s.order.Service)[s.order.Target] > 0 {
-		return t.finish(s, OutcomeCompleted, "")
+	if elapsed, ok := t.elapsed(s); ok && t.options.Fleet.Versions(s.order.Service)[s.order.Target] > 0 {
+		switch passed := elapsed - turn; {
+		case s.progress.Due(passed, s.order.Within):
+			return t.finish(s, OutcomeCompleted, "")
+		case s.progress.Rises(passed, s.order.Within):
+			if j := t.judgement(s); j.Verdict == VerdictClear {
+				return t.raise(s, j)
+			}
+		}
 	}
-	if s.own.badTarget() > s.published {
+	if s.own.target() != s.published {
 		return t.publish(s)
 	}
 	return write{}, nil
 }
 
+// raise writes that the target gets its next share.
+func (t *Tracker) raise(s *service, j Judgement) (write, error) {
+	now, ok := t.options.Watch.Now()
+	if !ok {
+		return write{}, nil
+	}
+	p := s.progress
+	p.Stage, p.StageMs = p.Stage+1, now.Milliseconds()
+	t.options.Logger.Info("evidence for a larger share", "service", s.order.Service, "target", s.order.Target, "stage", p.Stage,
+		"target_seen", j.Seen.Target.String(), "others_seen", j.Seen.Other.String(), "hosts", len(s.others)+1)
+	return t.progressWrite(s, p, "share raised")
+}
+
 // turn is how long this host leaves a step to others.
 func (t *Tracker) turn(s *service) time.Duration {
-	place := xxhash.Sum64String(t.options.Host+"/"+s.order.Service) % turns
+	turns := min(max(turnsPerHost*t.options.Hosts(), 1), turnsMost)
+	place := xxhash.Sum64String(t.options.Host+"/"+s.order.Service) % uint64(turns)
 	return time.Duration(place) * turnStep
 }
 
@@ -240,8 +272,8 @@
 	if err != nil {
 		return write{}, fmt.Errorf("encode evidence: %w", err)
 	}
-	s.published = s.own.badTarget()
-	return write{what: "evidence", txn: store.Transaction{
+	s.published = s.own.target()
+	return write{what: "evidence", evidence: true, txn: store.Transaction{
 		Writes: []store.Write{store.Put(Table, s.order.Service+"/"+t.options.Host, data)},
 	}}, nil
 }
--- a/internal/upgrade/tracker.go
+++ b/internal/upgrade/tracker.go
@@ -36,6 +36,7 @@
 	mu       sync.Mutex // guards all below
 	services map[string]*service
 	settled  map[string]string // by service, its version while it had only one
+	paces    map[string]*paces // usual ones, by service and route
 }
 
 // service is the newest upgrade of a service.
@@ -46,17 +47,16 @@
 	row       store.Row // of the progress; version 0 if there is none
 	condemned string    // why this host has stopped using the target; "" if it has not
 	own       Evidence
-	published int // bad answers in the evidence that was written last
+	published Count // of the target in the evidence that was written last
 	writeAt   time.Time
 	others    map[string]Evidence // by host
-	paces     map[string]pace     // of versions other than the target, by route and model
 }
 
 // NewTracker returns a tracker that knows of no upgrade.
 func NewTracker(options Options) *Tracker {
 	return &Tracker{
 		options: options, wake: make(chan struct{}, 1),
-		services: map[string]*service{}, settled: map[string]string{},
+		services: map[string]*service{}, settled: map[string]string{}, paces: map[string]*paces{},
 	}
 }
 
@@ -70,7 +70,7 @@
 	}
 	s := &service{
 		order: o, seen: time.Now(), own: Evidence{Revision: o.Revision, Routes: map[string]Pair{}},
-		others: map[string]Evidence{}, paces: map[string]pace{},
+		others: map[string]Evidence{},
 	}
 	if known {
 		s.progress, s.row = old.progress, old.row
@@ -149,7 +149,7 @@
 	if !ok {
 		return false
 	}
-	return float64(key>>11)/keyScale < Share(elapsed, s.order.Within)
+	return float64(key>>11)/keyScale < s.progress.Share(elapsed, s.order.Within)
 }
 
 // elapsed is how long ago an upgrade was begun.
@@ -161,56 +161,92 @@
 // Report is what an answer told of a version.
 type Report struct {
 	Service, Version, Endpoint string
-	Route, Model               string
-	Failed                     bool          // the endpoint's own word
-	Pace                       time.Duration // how long it took, in a unit that the route's answers share; 0 if not known
+	Route                      string
+	Finding                    Finding
 }
 
-// Note counts an answer while an upgrade of its service is running.
+// Finding is what was seen of an answer.
+type Finding interface{ finding() }
+
+// Answered is an answer that the endpoint made, or its own word that it failed.
+type Answered struct{ Failed bool }
+
+// Paced is how fast an answer came, or the part of it that is there, from an
+// endpoint that had so many requests.
+type Paced struct {
+	Pace     Pace
+	Requests int
+}
+
+func (Answered) finding() {}
+func (Paced) finding()    {}
+
+// Note takes in what an answer told. Paces of versions that are not being tried are
+// the reference for those that are.
 func (t *Tracker) Note(r Report) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s, ok := t.services[r.Service]
-	if !ok || s.progress.Outcome == OutcomeCompleted || s.progress.Outcome == OutcomeRolledBack {
+	running := ok && !s.finished()
+	target := running && r.Version == s.order.Target
+	count := t.class(r, target)
+	if !running || count == (Count{}) {
 		return
 	}
-	usual := s.paces[r.Route+"/"+r.Model]
-	bad := r.Failed || (r.Pace > 0 && usual.slow(r.Pace))
-	count := Count{Good: 1}
-	if bad {
-		count = Count{Bad: 1}
-	}
-	if r.Version != s.order.Target {
-		if r.Pace > 0 {
-			s.paces[r.Route+"/"+r.Model] = usual.with(r.Pace)
-		}
+	if !target {
 		s.own.Routes[r.Route] = s.own.Routes[r.Route].plus(Pair{Other: count})
 		return
 	}
 	s.own.Routes[r.Route] = s.own.Routes[r.Route].plus(Pair{Target: count})
-	if bad {
+	if count.Bad > 0 || count.Slow > 0 {
 		s.own.blame(r.Endpoint)
-		t.judge(s)
 	}
+	t.judge(s)
 }
 
-// blame adds an endpoint to those that gave bad answers.
-func (e *Evidence) blame(id string) {
-	for _, known := range e.Endpoints {
-		if known == id {
-			return
+// class counts a report; nothing if it can't be told yet.
+func (t *Tracker) class(r Report, target bool) Count {
+	switch f := r.Finding.(type) {
+	case Answered:
+		if f.Failed {
+			return Count{Bad: 1}
+		}
+		return Count{Good: 1}
+	case Paced:
+		return t.classPace(r, f, target)
+	default:
+		return Count{}
+	}
+}
+
+func (t *Tracker) classPace(r Report, f Paced, target bool) Count {
+	name := r.Service + "/" + r.Route
+	usual := t.paces[name]
+	slow, known := usual.slow(f.Requests, f.Pace)
+	if !target {
+		if usual == nil {
+			usual = &paces{}
+			t.paces[name] = usual
 		}
+		usual.add(f.Requests, f.Pace)
+	}
+	switch {
+	case !known:
+		return Count{}
+	case slow:
+		return Count{Paced: 1, Slow: 1}
+	default:
+		return Count{Paced: 1}
 	}
-	e.Endpoints = append(e.Endpoints, id)
 }
 
-// badTarget counts the target's bad answers.
-func (e *Evidence) badTarget() int {
-	n := 0
-	for _, p := range e.Routes {
-		n += p.Target.Bad
+// judgement weighs what all hosts have told.
+func (t *Tracker) judgement(s *service) Judgement {
+	others := make([]Evidence, 0, len(s.others))
+	for _, e := range s.others {
+		others = append(others, e)
 	}
-	return n
+	return Judge(s.own, others, max(t.options.Hosts()-len(others)-1, 0))
 }
 
 // judge stops the use of the target on this host once the evidence is bad.
@@ -218,21 +254,14 @@
 	if s.condemned != "" {
 		return
 	}
-	var others []Evidence
-	for _, e := range s.others {
-		others = append(others, e)
-	}
-	silent := max(t.options.Hosts()-len(others)-1, 0)
-	route, bad := Judge(s.own, others, silent)
-	if !bad {
+	j := t.judgement(s)
+	if j.Verdict != VerdictBad {
 		return
 	}
-	s.condemned = "bad answers"
-	if route != "" {
-		s.condemned = "bad answers on route " + route
-	}
+	s.condemned = j.Reason
 	t.options.Logger.Warn("version found bad; it gets nothing more from this host", "service", s.order.Service,
-		"target", s.order.Target, "reason", s.condemned, "bad", s.own.badTarget(), "endpoints", len(s.own.Endpoints), "hosts", len(others)+1, "silent", silent)
+		"target", s.order.Target, "reason", s.condemned, "target_seen", j.Seen.Target.String(), "others_seen", j.Seen.Other.String(),
+		"endpoints", len(s.own.Endpoints), "hosts", len(s.others)+1)
 	t.poke()
 }
 
@@ -275,6 +304,6 @@
 		return
 	}
 	s.progress, s.row = p, row.Row
-	t.options.Logger.Info("upgrade moved on", "service", name, "target", p.Target, "outcome", string(p.Outcome),
+	t.options.Logger.Info("upgrade moved on", "service", name, "target", p.Target, "outcome", string(p.Outcome), "stage", p.Stage,
 		"revision", p.Revision, "row_version", row.Version, "reason", p.Reason)
 }
--- a/internal/upgrade/upgrade_test.go
+++ b/internal/upgrade/upgrade_test.go
@@ -47,11 +47,14 @@
 	return e
 }
 
+func isBad(own upgrade.Evidence, others []upgrade.Evidence, silent int) bool {
+	return upgrade.Judge(own, others, silent).Verdict == upgrade.VerdictBad
+}
+
 var _ = Describe("the judgement of a version", func() {
 	for name, j := range judgements {
 		It("of "+name, func() {
-			_, bad := upgrade.Judge(evidence(j.counts), nil, 0)
-			Expect(bad).To(Equal(j.bad))
+			Expect(isBad(evidence(j.counts), nil, 0)).To(Equal(j.bad))
 		})
 	}
 
@@ -60,9 +63,9 @@
 		other := evidence(counts{3, 2, 50, 0, 0})
 		other.Endpoints = []string{"another"}
 		good := upgrade.Evidence{Routes: map[string]upgrade.Pair{"q": {Target: upgrade.Count{Good: 500}, Other: upgrade.Count{Good: 500}}}}
-		route, bad := upgrade.Judge(half, []upgrade.Evidence{other, good}, 0)
-		Expect(bad).To(BeTrue())
-		Expect(route).To(Equal("r"))
+		j := upgrade.Judge(half, []upgrade.Evidence{other, good}, 0)
+		Expect(j.Verdict).To(Equal(upgrade.VerdictBad))
+		Expect(j.Reason).To(Equal("bad answers on route r"))
 	})
 })
 
@@ -74,10 +77,8 @@
 			return e
 		}
 		others := []upgrade.Evidence{unlucky("a"), unlucky("b"), unlucky("c"), unlucky("d")}
-		_, bad := upgrade.Judge(unlucky("e"), others, 86)
-		Expect(bad).To(BeFalse())
-		_, bad = upgrade.Judge(unlucky("e"), others, 0)
-		Expect(bad).To(BeTrue())
+		Expect(isBad(unlucky("e"), others, 86)).To(BeFalse())
+		Expect(isBad(unlucky("e"), others, 0)).To(BeTrue())
 	})
 })
 
@@ -90,30 +91,80 @@
 	others := []upgrade.Evidence{unlucky("a"), unlucky("b"), unlucky("c"), unlucky("d"), unlucky("e")}
 
 	It("takes silent hosts to have seen as much as those that tell", func() {
-		_, bad := upgrade.Judge(evidence(counts{0, 0, 60, 0, 0}), others, 85)
-		Expect(bad).To(BeFalse())
+		Expect(isBad(evidence(counts{0, 0, 60, 0, 0}), others, 85)).To(BeFalse())
 	})
 
 	It("believes the others where nobody is silent", func() {
-		_, bad := upgrade.Judge(evidence(counts{0, 0, 60, 0, 0}), others, 0)
-		Expect(bad).To(BeTrue())
+		Expect(isBad(evidence(counts{0, 0, 60, 0, 0}), others, 0)).To(BeTrue())
 	})
 })
 
+// paced is evidence by pace: of the target and of the others, slow ones of all.
+type paced struct{ slow, all, otherSlow, otherAll, endpoints int }
+
+var pacings = map[string]struct {
+	paced
+	verdict upgrade.Verdict
+}{
+	"all answers slow, on two endpoints":     {paced{12, 12, 300, 600, 2}, upgrade.VerdictOpen},
+	"more answers, all slow":                 {paced{16, 16, 300, 600, 2}, upgrade.VerdictBad},
+	"all answers slow, on a single endpoint": {paced{16, 16, 300, 600, 1}, upgrade.VerdictOpen},
+	"half of a plain service's answers slow": {paced{10, 20, 3, 60, 2}, upgrade.VerdictBad},
+	"as many slow ones as the others show":   {paced{60, 120, 300, 600, 4}, upgrade.VerdictClear},
+	"somewhat more, as with a cold memory":   {paced{84, 120, 300, 600, 4}, upgrade.VerdictOpen},
+	"too few answers with a pace":            {paced{0, 2, 300, 600, 0}, upgrade.VerdictOpen},
+	"enough answers, none of them slow":      {paced{0, 6, 300, 600, 0}, upgrade.VerdictClear},
+	"others whose pace is not known":         {paced{0, 0, 0, 0, 0}, upgrade.VerdictClear},
+}
+
+var _ = Describe("the judgement by pace", func() {
+	for name, p := range pacings {
+		It("of "+name, func() {
+			e := upgrade.Evidence{Routes: map[string]upgrade.Pair{"r": {
+				Target: upgrade.Count{Good: max(p.all, 8), Paced: p.all, Slow: p.slow},
+				Other:  upgrade.Count{Good: max(p.otherAll, 90), Paced: p.otherAll, Slow: p.otherSlow},
+			}}}
+			for i := range p.endpoints {
+				e.Endpoints = append(e.Endpoints, fmt.Sprint(i))
+			}
+			Expect(upgrade.Judge(e, nil, 0).Verdict).To(Equal(p.verdict))
+		})
+	}
+})
+
 var _ = Describe("the share of a new version", func() {
-	It("is none in the first half, never falls, and is all before completion", func() {
-		last := 0.0
+	const within = 24 * time.Second
+
+	It("is none in the first half, and then a trial's, however late it is", func() {
 		for s := range 240 {
-			share := upgrade.Share(time.Duration(s)*100*time.Millisecond, 24*time.Second)
-			Expect(share).To(BeNumerically(">=", last))
-			if s < 120 {
+			elapsed := time.Duration(s) * 100 * time.Millisecond
+			share := upgrade.Progress{}.Share(elapsed, within)
+			if elapsed < within/2 {
 				Expect(share).To(BeZero())
+				continue
 			}
+			Expect(share).To(Equal(0.2))
+		}
+	})
+
+	It("rises by stages, and the last one takes all", func() {
+		last := 0.0
+		for stage := range 3 {
+			share := upgrade.Progress{Stage: stage}.Share(23*time.Second, within)
+			Expect(share).To(BeNumerically(">", last))
 			last = share
 		}
 		Expect(last).To(Equal(1.0))
-		Expect(upgrade.Due(21*time.Second, 24*time.Second)).To(BeFalse())
-		Expect(upgrade.Due(23*time.Second, 24*time.Second)).To(BeTrue())
+	})
+
+	It("may be completed only in the last stage, after requests at the others could end", func() {
+		Expect(upgrade.Progress{Stage: 1}.Due(within, within)).To(BeFalse())
+		early := upgrade.Progress{Stage: 2, StageMs: 18_000}
+		Expect(early.Due(21*time.Second, within)).To(BeFalse())
+		Expect(early.Due(23*time.Second, within)).To(BeTrue())
+		late := upgrade.Progress{Stage: 2, StageMs: 21_000}
+		Expect(late.Due(23*time.Second, within)).To(BeFalse())
+		Expect(late.Due(within, within)).To(BeTrue())
 	})
 })
 
@@ -170,23 +221,35 @@
 
 func (h *hosts) status() string { return string(h.store.Value("status", "rollout/s")) }
 
-// serve plays traffic for a time: ten answers a second and host, of which a part
-// of the target's is bad.
-func (h *hosts) serve(d time.Duration, badEvery int) (exposed int) {
+// traffic is what endpoints of the target do.
+type traffic struct {
+	badEvery int           // one of so many answers fails; 0 for none
+	pause    time.Duration // shortest between events of a stream; the others have 10 ms
+}
+
+// othersPause is the shortest pause of the version that is in use.
+const othersPause = 10 * time.Millisecond
+
+// serve plays traffic for a time: ten answers a second and host. It returns how
+// many the target got.
+func (h *hosts) serve(d time.Duration, w traffic) (exposed int) {
 	n := 0
 	for range int(d / (100 * time.Millisecond)) {
 		time.Sleep(100 * time.Millisecond)
 		for _, t := range h.trackers {
 			n++
 			key := uint64(n) * 0x9e3779b97f4a7c15
-			version := "v1"
+			r := upgrade.Report{Service: "s", Version: "v1", Endpoint: fmt.Sprint("v1", n%4), Route: "r"}
+			pause := othersPause
 			if allowed := t.Allowed("s", key); allowed != nil && allowed("v2") {
-				version = "v2"
 				exposed++
+				r.Version, r.Endpoint = "v2", fmt.Sprint("v2", n%4)
+				pause = max(w.pause, othersPause)
 			}
-			bad := version == "v2" && badEvery > 0 && exposed%badEvery == 0
-			t.Note(upgrade.Report{Service: "s", Version: version, Endpoint: fmt.Sprint(version, n%4), Route: "r", Model: "m",
-				Failed: bad, Pace: 100 * time.Millisecond})
+			r.Finding = upgrade.Answered{Failed: r.Version == "v2" && w.badEvery > 0 && exposed%w.badEvery == 0}
+			t.Note(r)
+			r.Finding = upgrade.Paced{Pace: upgrade.Shortest(pause), Requests: n % 10}
+			t.Note(r)
 		}
 	}
 	return exposed
@@ -198,9 +261,9 @@
 			h := newHosts(5)
 			defer h.stop()
 			h.order(7)
-			h.serve(2*time.Second, 0)
+			h.serve(2*time.Second, traffic{})
 			Expect(h.status()).To(MatchJSON(`{"state":"running","target_version":"v2"}`))
-			h.serve(21900*time.Millisecond, 0)
+			h.serve(21900*time.Millisecond, traffic{})
 			Expect(h.status()).To(MatchJSON(`{"state":"completed","target_version":"v2"}`))
 			for _, t := range h.trackers {
 				Expect(t.Allowed("s", 1)("v1")).To(BeFalse())
@@ -213,7 +276,7 @@
 			h := newHosts(5)
 			defer h.stop()
 			h.order(7)
-			exposed := h.serve(20*time.Second, 2)
+			exposed := h.serve(20*time.Second, traffic{badEvery: 2})
 			Expect(h.status()).To(MatchJSON(`{"state":"rolled_back","target_version":"v2"}`))
 			Expect(exposed).To(BeNumerically("<", 60))
 			for _, t := range h.trackers {
@@ -222,17 +285,44 @@
 		})
 	})
 
+	It("of a slow version is rolled back after few answers", func() {
+		suite.Paused(func() {
+			h := newHosts(5)
+			defer h.stop()
+			h.serve(5*time.Second, traffic{})
+			h.order(7)
+			exposed := h.serve(20*time.Second, traffic{pause: 25 * time.Millisecond})
+			Expect(h.status()).To(MatchJSON(`{"state":"rolled_back","target_version":"v2"}`))
+			Expect(exposed).To(BeNumerically("<", 60))
+		})
+	})
+
+	It("gets no larger share while the store is away, and completes after", func() {
+		suite.Paused(func() {
+			h := newHosts(5)
+			defer h.stop()
+			h.order(7)
+			h.serve(11*time.Second, traffic{})
+			h.store.Break(standin.Busy)
+			exposed := h.serve(5*time.Second, traffic{})
+			Expect(exposed).To(BeNumerically("~", 0.2*4*50, 15))
+			h.store.Break(standin.Healthy)
+			h.serve(7900*time.Millisecond, traffic{})
+			Expect(h.status()).To(MatchJSON(`{"state":"completed","target_version":"v2"}`))
+		})
+	})
+
 	It("goes on when all but one host are gone", func() {
 		suite.Paused(func() {
 			h := newHosts(4)
 			defer h.stop()
 			h.order(7)
-			h.serve(3*time.Second, 0)
+			h.serve(3*time.Second, traffic{})
 			for _, cancel := range h.cancels[1:] {
 				cancel()
 			}
 			h.trackers = h.trackers[:1]
-			h.serve(20900*time.Millisecond, 0)
+			h.serve(20900*time.Millisecond, traffic{})
 			Expect(h.status()).To(MatchJSON(`{"state":"completed","target_version":"v2"}`))
 		})
 	})
@@ -243,7 +333,7 @@
 			defer h.stop()
 			h.store.Break(standin.LoseTx)
 			h.order(7)
-			h.serve(23900*time.Millisecond, 0)
+			h.serve(23900*time.Millisecond, traffic{})
 			Expect(h.status()).To(MatchJSON(`{"state":"completed","target_version":"v2"}`))
 		})
 	})
@@ -253,7 +343,7 @@
 			h := newHosts(3)
 			defer h.stop()
 			h.order(7)
-			h.serve(20*time.Second, 2)
+			h.serve(20*time.Second, traffic{badEvery: 2})
 			late := newLate(h)
 			late.Order(upgrade.Order{Service: "s", Target: "v2", Within: 24 * time.Second, Revision: 7})
 			time.Sleep(2 * time.Second)
@@ -266,9 +356,9 @@
 			h := newHosts(3)
 			defer h.stop()
 			h.order(7)
-			h.serve(20*time.Second, 2)
+			h.serve(20*time.Second, traffic{badEvery: 2})
 			h.order(9)
-			h.serve(3*time.Second, 0)
+			h.serve(3*time.Second, traffic{})
 			Expect(h.status()).To(MatchJSON(`{"state":"running","target_version":"v2"}`))
 		})
 	})
