Windows of repeats and of log lines go by the steady clock

Cause: both counted by the seconds of the time of day. After a jump ahead and back a window kept its counts for as long as the jump (minutes), and the budget stayed spent. All other deadlines and ages are differences of times of one process, which go by the steady clock, or the store's.

--- a/internal/experiment/retries.go
+++ b/internal/experiment/retries.go
@@ -37,10 +37,10 @@
 	request := func() {
 		h := hosts[random.IntN(s.Hosts)]
 		run.requests++
-		h.window = h.window.WithFirst(clock.wall())
+		h.window = h.window.WithFirst(clock.now)
 		var avoid []string
 		for attempt := range dispatch.MaxAttempts {
-			if judged && attempt > 0 && !h.mayRepeat(clock.wall()) {
+			if judged && attempt > 0 && !h.mayRepeat(clock.now) {
 				return
 			}
 			hold, ok := h.fleet.Pick(fleet.Ask{Avoid: avoid})
@@ -87,7 +87,7 @@
 }
 
 // mayRepeat takes a repeat from the host's budget.
-func (h *retryingHost) mayRepeat(now time.Time) bool {
+func (h *retryingHost) mayRepeat(now time.Duration) bool {
 	next, ok := h.window.WithRepeat(now, dispatch.DefaultRetries, 1)
 	h.window = next
 	return ok
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -17,6 +17,8 @@
 import (
 	"sync"
 	"time"
+
+	"quaybarrow/internal/clock"
 )
 
 // windowSeconds is the length of the window, which the platform's bound names.
@@ -28,15 +30,17 @@
 	Reserve float64 // repeats that may be made without any first sends
 }
 
-// Window counts the sends of the last seconds; an immutable value.
+// Window counts the sends of the last seconds; an immutable value. It goes by a
+// steady clock: by the time of day, a jump ahead and back would leave its counts in
+// place for as long as the jump.
 type Window struct {
-	second  int64
+	second  int64 // of the steady clock
 	firsts  [windowSeconds]int
 	repeats [windowSeconds]int
 }
 
 // WithFirst returns the window after a first send.
-func (w Window) WithFirst(now time.Time) Window {
+func (w Window) WithFirst(now time.Duration) Window {
 	w = w.at(now)
 	w.firsts[w.second%windowSeconds]++
 	return w
@@ -44,7 +48,7 @@
 
 // WithRepeat returns the window after a repeat, if there is room for it. A part
 // below 1 leaves the rest of the room to others.
-func (w Window) WithRepeat(now time.Time, limits Limits, part float64) (Window, bool) {
+func (w Window) WithRepeat(now time.Duration, limits Limits, part float64) (Window, bool) {
 	w = w.at(now)
 	firsts, repeats := 0, 0
 	for i := range windowSeconds {
@@ -59,8 +63,8 @@
 }
 
 // at returns the window with the seconds that are over dropped.
-func (w Window) at(now time.Time) Window {
-	second := now.Unix()
+func (w Window) at(now time.Duration) Window {
+	second := int64(now / time.Second)
 	for s := max(w.second, second-windowSeconds); s < second; s++ {
 		next := (s + 1) % windowSeconds
 		w.firsts[next], w.repeats[next] = 0, 0
@@ -74,11 +78,12 @@
 	mu      sync.Mutex // guards all below
 	limits  Limits
 	windows map[string]Window
+	began   clock.Steady
 }
 
 // NewBudgets returns budgets that nothing was taken from.
 func NewBudgets(limits Limits) *Budgets {
-	return &Budgets{limits: limits, windows: map[string]Window{}}
+	return &Budgets{limits: limits, windows: map[string]Window{}, began: clock.NewSteady()}
 }
 
 // SetRatio bounds repeats from now on.
@@ -92,7 +97,7 @@
 func (b *Budgets) First(service string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.windows[service] = b.windows[service].WithFirst(time.Now())
+	b.windows[service] = b.windows[service].WithFirst(b.began.Now())
 }
 
 // Repeat takes a further send from a service's budget; false if none is left in a
@@ -100,7 +105,7 @@
 func (b *Budgets) Repeat(service string, part float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	next, ok := b.windows[service].WithRepeat(time.Now(), b.limits, part)
+	next, ok := b.windows[service].WithRepeat(b.began.Now(), b.limits, part)
 	b.windows[service] = next
 	return ok
 }
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -20,10 +20,10 @@
 			limits := retry.Limits{
 				Ratio: rapid.Float64Range(0, 2).Draw(t, "ratio"), Reserve: float64(rapid.IntRange(0, 10).Draw(t, "reserve")),
 			}
-			now, w := time.Unix(1_000_000, 0), retry.Window{}
-			var firsts, repeats []time.Time
+			now, w := 1_000_000*time.Second, retry.Window{}
+			var firsts, repeats []time.Duration
 			for range rapid.IntRange(1, 200).Draw(t, "steps") {
-				now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "pause")) * time.Millisecond)
+				now += time.Duration(rapid.IntRange(0, 3000).Draw(t, "pause")) * time.Millisecond
 				if rapid.Bool().Draw(t, "first") {
 					w = w.WithFirst(now)
 					firsts = append(firsts, now)
@@ -43,7 +43,7 @@
 	})
 
 	It("leaves the rest to others where only a part may be taken", func() {
-		limits, now, w := retry.Limits{Ratio: 1}, time.Unix(1_000_000, 0), retry.Window{}
+		limits, now, w := retry.Limits{Ratio: 1}, 1_000_000*time.Second, retry.Window{}
 		for range 10 {
 			w = w.WithFirst(now)
 		}
@@ -58,10 +58,10 @@
 })
 
 // within counts the moments in the window's seconds before now.
-func within(moments []time.Time, now time.Time) int {
+func within(moments []time.Duration, now time.Duration) int {
 	n := 0
 	for _, m := range moments {
-		if m.Unix() > now.Add(-window).Unix() {
+		if m/time.Second > (now-window)/time.Second {
 			n++
 		}
 	}
--- a/internal/telemetry/lines.go
+++ b/internal/telemetry/lines.go
@@ -6,6 +6,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"quaybarrow/internal/clock"
 )
 
 // Bounds of logged lines.
@@ -29,11 +31,12 @@
 	second int64
 	lines  int
 	closed bool
+	began  clock.Steady
 }
 
 // NewLines starts a writer of lines.
 func NewLines(out io.Writer) *Lines {
-	l := &Lines{out: out, waiting: make(chan []byte, linesWaiting), ended: make(chan struct{})}
+	l := &Lines{out: out, waiting: make(chan []byte, linesWaiting), ended: make(chan struct{}), began: clock.NewSteady()}
 	go l.run()
 	return l
 }
@@ -42,7 +45,7 @@
 func (l *Lines) Write(p []byte) (int, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.closed || !l.within(time.Now().Unix()) {
+	if l.closed || !l.within(int64(l.began.Now()/time.Second)) {
 		l.dropped.Add(1)
 		return len(p), nil
 	}
