--- a/internal/upgrade/judge.go
+++ b/internal/upgrade/judge.go
@@ -27,7 +27,7 @@
 // Evidence that a larger share needs.
 const (
 	clearAnswers = 8    // of the target, failures of half of them would have shown
-	clearPaced   = 6    // of these, whose pace is known
+	clearFast    = 3    // of these, not slow; of a slow version one in twenty is not
 	clearSlow    = 0.12 // most that the part of slow answers may be above the usual one
 	clearPart    = 0.08 // of all answers since the order, where these are few
 )
@@ -118,5 +118,6 @@
 	if p.Other.Paced == 0 {
 		return true
 	}
-	return p.Target.Paced >= min(clearPaced, p.Target.answers()/2) && p.Target.slowRate() <= p.usualSlow()+clearSlow
+	fast := p.Target.Paced - p.Target.Slow
+	return fast >= min(clearFast, p.Target.answers()/2) && p.Target.slowRate() <= p.usualSlow()+clearSlow
 }
--- a/internal/upgrade/run.go
+++ b/internal/upgrade/run.go
@@ -152,7 +152,6 @@
 // write is a transaction that is due.
 type write struct {
 	service, what string
-	evidence      bool
 	txn           store.Transaction
 }
 
@@ -163,7 +162,7 @@
 	var writes []write
 	now := time.Now()
 	for name, s := range t.services {
-		if s.finished() || now.Before(s.writeAt) {
+		if s.finished() {
 			continue
 		}
 		w, err := t.next(s, now)
@@ -171,21 +170,32 @@
 			t.options.Logger.Error("upgrade can't be encoded", "service", name, "error", err)
 			continue
 		}
-		if w.what == "" {
-			continue
-		}
-		w.service = name
-		s.writeAt = now.Add(writeEvery)
-		if w.evidence {
-			s.writeAt = now.Add(max(publishEvery, time.Duration(t.options.Hosts())*publishPerHost))
+		if w.what != "" {
+			w.service = name
+			writes = append(writes, w)
 		}
-		writes = append(writes, w)
 	}
 	return writes
 }
 
-// next returns the step that is due for an upgrade; none if what is empty.
+// next returns the write that is due for an upgrade; none if what is empty.
 func (t *Tracker) next(s *service, now time.Time) (write, error) {
+	if !now.Before(s.writeAt) {
+		w, err := t.nextProgress(s, now)
+		if err != nil || w.what != "" {
+			s.writeAt = now.Add(writeEvery)
+			return w, err
+		}
+	}
+	if s.own.target() == s.published || now.Before(s.publishAt) {
+		return write{}, nil
+	}
+	s.publishAt = now.Add(max(publishEvery, time.Duration(t.options.Hosts())*publishPerHost))
+	return t.publish(s)
+}
+
+// nextProgress returns the step that is due.
+func (t *Tracker) nextProgress(s *service, now time.Time) (write, error) {
 	turn := t.turn(s)
 	begun := s.row.Version != 0 && s.progress.Revision == s.order.Revision
 	switch {
@@ -197,18 +207,17 @@
 	case s.condemned != "":
 		return t.finish(s, OutcomeRolledBack, s.condemned)
 	}
-	if elapsed, ok := t.elapsed(s); ok && t.options.Fleet.Versions(s.order.Service)[s.order.Target] > 0 {
-		switch passed := elapsed - turn; {
-		case s.progress.Due(passed, s.order.Within):
-			return t.finish(s, OutcomeCompleted, "")
-		case s.progress.Rises(passed, s.order.Within):
-			if j := t.judgement(s); j.Verdict == VerdictClear {
-				return t.raise(s, j)
-			}
-		}
+	elapsed, ok := t.elapsed(s)
+	if !ok || t.options.Fleet.Versions(s.order.Service)[s.order.Target] == 0 {
+		return write{}, nil
+	}
+	if s.progress.Due(elapsed-turn, s.order.Within) {
+		return t.finish(s, OutcomeCompleted, "")
 	}
-	if s.own.target() != s.published {
-		return t.publish(s)
+	if s.progress.Rises(elapsed-turn, s.order.Within) {
+		if j := t.judgement(s); j.Verdict == VerdictClear {
+			return t.raise(s, j)
+		}
 	}
 	return write{}, nil
 }
@@ -273,7 +282,7 @@
 		return write{}, fmt.Errorf("encode evidence: %w", err)
 	}
 	s.published = s.own.target()
-	return write{what: "evidence", evidence: true, txn: store.Transaction{
+	return write{what: "evidence", txn: store.Transaction{
 		Writes: []store.Write{store.Put(Table, s.order.Service+"/"+t.options.Host, data)},
 	}}, nil
 }
--- a/internal/upgrade/tracker.go
+++ b/internal/upgrade/tracker.go
@@ -47,8 +47,9 @@
 	row       store.Row // of the progress; version 0 if there is none
 	condemned string    // why this host has stopped using the target; "" if it has not
 	own       Evidence
-	published Count // of the target in the evidence that was written last
-	writeAt   time.Time
+	published Count               // of the target in the evidence that was written last
+	writeAt   time.Time           // progress is not written before
+	publishAt time.Time           // nor evidence before that
 	others    map[string]Evidence // by host
 }
 
