--- a/internal/upgrade/pace.go
+++ b/internal/upgrade/pace.go
@@ -60,13 +60,13 @@
 }
 
 // slow reports whether an answer took clearly longer than usual at its load, or at
-// the next lower or higher one that was seen; known is false while none was.
+// the nearest one that was seen, two bands away at most; known is false while none was.
 func (p *paces) slow(requests int, pace Pace) (slow, known bool) {
 	if p == nil {
 		return false, false
 	}
 	at := loadBand(requests)
-	for _, i := range []int{at, at - 1, at + 1, at - 2} {
+	for _, i := range []int{at, at - 1, at + 1, at - 2, at + 2} {
 		if i >= 0 && i < loadBands && p.bands[i].n >= paceLeast {
 			return p.bands[i].slow(pace), true
 		}
