A larger model is asked by what it gains less what it takes from others

Now `cascade` weighs: the chance that the small answer is right (prior, as before) against that of the larger one, its chance to come in time (from how much longer than expected heads lately took), its use (a prior part of the worth, by declared cost) and the seconds that others wait for its reading (work times the observed price). The expectation comes from the host that advises.

--- a/internal/advice/advice.go
+++ b/internal/advice/advice.go
@@ -83,34 +83,60 @@
 	advicepb.RegisterAdviceServer(s, &server{options: a.options})
 }
 
-// Choose returns the endpoint that the first host of the data hall advises, of those
-// that answer; false if none was advised in time, or this host is the first.
-func (a *Advisor) Choose(ctx context.Context, ask fleet.Ask, versionKey uint64) (string, bool) {
+// Choose returns what the first host of those that answer advises; false if nothing
+// was advised in time, or this host is the first.
+func (a *Advisor) Choose(ctx context.Context, ask fleet.Ask, versionKey uint64) (fleet.Advice, bool) {
+	reply, ok := a.ask(ctx, a.request(ask, versionKey))
+	if !ok || reply.GetEndpoint() == "" {
+		return fleet.Advice{}, false
+	}
+	return fleet.Advice{Endpoint: reply.GetEndpoint(), Expected: expectationFromWire(reply.GetExpected())}, true
+}
+
+// Expect returns what the first host of those that answer expects of an attempt;
+// false if it tells nothing in time, or this host is the first.
+func (a *Advisor) Expect(ctx context.Context, ask fleet.Ask, versionKey uint64) (fleet.Expectation, bool) {
+	request := a.request(ask, versionKey)
+	request.Weigh = true
+	reply, ok := a.ask(ctx, request)
+	if !ok || reply.GetExpected() == nil {
+		return fleet.Expectation{}, false
+	}
+	return expectationFromWire(reply.GetExpected()), true
+}
+
+func (a *Advisor) request(ask fleet.Ask, versionKey uint64) *advicepb.ChooseRequest {
+	return &advicepb.ChooseRequest{
+		Service: ask.Service, Model: ask.Model, Key: ask.Key, VersionKey: versionKey, Tokens: int32(ask.Tokens), //nolint:gosec // prompts are far shorter
+		Shared: int32(ask.Shared), ObjectiveMicros: ask.Objective.Microseconds(), Avoid: ask.Avoid, //nolint:gosec // as above
+		Parts: partsToWire(ask.Parts), Memory: int32(ask.Memory), Hall: a.options.Hall, //nolint:gosec // as above
+	}
+}
+
+// ask sends a request to the first host of those that answer.
+func (a *Advisor) ask(ctx context.Context, request *advicepb.ChooseRequest) (*advicepb.ChooseReply, bool) {
 	address, ok := a.first()
 	if !ok {
-		return "", false
+		return nil, false
 	}
 	connection, err := a.options.Conn(address)
 	if err != nil {
 		a.failed(address, err)
-		return "", false
+		return nil, false
 	}
+	request.Ended, request.Results = a.takeEnded(), a.takeResults()
 	limited, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
-	reply, err := advicepb.NewAdviceClient(connection).Choose(limited, &advicepb.ChooseRequest{
-		Service: ask.Service, Model: ask.Model, Key: ask.Key, VersionKey: versionKey, Tokens: int32(ask.Tokens), //nolint:gosec // prompts are far shorter
-		Shared: int32(ask.Shared), ObjectiveMicros: ask.Objective.Microseconds(), Avoid: ask.Avoid, //nolint:gosec // as above
-		Ended: a.takeEnded(), Results: a.takeResults(), Parts: partsToWire(ask.Parts), Memory: int32(ask.Memory), Hall: a.options.Hall, //nolint:gosec // as above
-	})
+	reply, err := advicepb.NewAdviceClient(connection).Choose(limited, request)
 	if err != nil {
 		if ctx.Err() == nil {
 			a.failed(address, err)
 		}
-		return "", false
+		return nil, false
 	}
 	a.answered(address)
 	a.options.Fleet.Shun(reply.GetEjected())
-	return reply.GetEndpoint(), reply.GetEndpoint() != ""
+	return reply, true
 }
 
 // Ended notes that a request at an advised endpoint has ended.
@@ -194,13 +220,33 @@
 	for _, t := range r.GetResults() {
 		f.Learn(t.GetEndpoint(), fleet.Tally{Good: t.GetGood(), Failed: t.GetFailed(), Lost: t.GetLost()})
 	}
-	// The reply goes out even if there is no endpoint: it tells which ones fail.
-	id, _ := f.Advise(fleet.Ask{
+	ask := fleet.Ask{
 		Service: r.GetService(), Model: r.GetModel(), Key: r.GetKey(), Tokens: int(r.GetTokens()), Shared: int(r.GetShared()),
 		Objective: time.Duration(r.GetObjectiveMicros()) * time.Microsecond, Avoid: r.GetAvoid(),
 		Allowed: s.options.Allowed(r.GetService(), r.GetVersionKey()), Parts: partsFromWire(r.GetParts()), Memory: int(r.GetMemory()), Hall: r.GetHall(),
-	})
-	return &advicepb.ChooseReply{Endpoint: id, Ejected: f.Ejected()}, nil
+	}
+	// The reply goes out even if there is no endpoint: it tells which ones fail.
+	advised := fleet.Advice{}
+	if r.GetWeigh() {
+		advised.Expected = f.Expect(ask)
+	} else {
+		advised = f.Advise(ask)
+	}
+	return &advicepb.ChooseReply{Endpoint: advised.Endpoint, Expected: expectationToWire(advised.Expected), Ejected: f.Ejected()}, nil
+}
+
+func expectationToWire(e fleet.Expectation) *advicepb.Expectation {
+	return &advicepb.Expectation{
+		HeadMicros: e.Head.Microseconds(), WorkMicros: e.Work.Microseconds(), Read: int32(e.Read), Price: e.Price, //nolint:gosec // prompts are far shorter
+		OverrunMean: e.Overrun.Mean, OverrunVariance: e.Overrun.Variance,
+	}
+}
+
+func expectationFromWire(w *advicepb.Expectation) fleet.Expectation {
+	return fleet.Expectation{
+		Head: time.Duration(w.GetHeadMicros()) * time.Microsecond, Work: time.Duration(w.GetWorkMicros()) * time.Microsecond,
+		Read: int(w.GetRead()), Price: w.GetPrice(), Overrun: fleet.Overrun{Mean: w.GetOverrunMean(), Variance: w.GetOverrunVariance()},
+	}
 }
 
 func partsToWire(parts []fleet.Part) []*advicepb.Part {
--- /dev/null
+++ b/internal/cascade/cascade.go
@@ -0,0 +1,81 @@
+// Package cascade weighs answers of models of unlike size against each other, and
+// against the time and the money that a larger model takes. It decides nothing by
+// itself and reads no clock.
+//
+// # Usage
+//
+//	small := cascade.Answer{Right: cascade.ChanceRight(confidence), InTime: 1}
+//	large := cascade.Option{Answer: cascade.Answer{Right: cascade.LargestRight, InTime: 0.9}, Use: use, Delay: delay}
+//	if large.Net() > small.Value() {
+//		...ask the larger model
+//	}
+//
+// All is told in parts of the worth of a right answer that comes in time.
+package cascade
+
+// Values of answers, as parts of a right one that comes in time. They are priors:
+// callers do not tell what an answer was worth to them.
+const (
+	valueWrong = 0.05
+	valueLate  = 0.3
+)
+
+// LargestRight is the prior for the chance that the largest model's answer is right:
+// it is there for what smaller ones can't answer.
+const LargestRight = 1.0
+
+// largestUse is the prior for what the use of the largest model costs, as a part of
+// the answer's worth: operators declare what models cost, but not what an answer is
+// worth.
+const largestUse = 0.35
+
+// Use is what the use of a model costs, by its declared cost and that of the largest.
+func Use(cost, largest float64) float64 {
+	if largest <= 0 {
+		return largestUse
+	}
+	return largestUse * cost / largest
+}
+
+// Answer is an answer that a caller may get.
+type Answer struct {
+	Right  float64 // chance that it is right
+	InTime float64 // chance that it comes in time
+}
+
+// Value is what it is worth on average.
+func (a Answer) Value() float64 {
+	return (a.Right + (1-a.Right)*valueWrong) * (a.InTime + (1-a.InTime)*valueLate)
+}
+
+// Option is an answer that has yet to be asked for.
+type Option struct {
+	Answer
+	Use float64 // what the model's use costs
+	// Delay is how long others wait for the work, as a part of the objective: of
+	// requests whose slack is spread evenly over it, so many become late.
+	Delay float64
+}
+
+// Net is what it is worth beyond what it takes from others.
+func (o Option) Net() float64 { return o.Value() - o.Use - o.Delay*(1-valueLate) }
+
+// rightness is the measured chance that a small model's answer is right, by the
+// confidence it gives: pairs in rising order. It is a prior, for nothing on the
+// way tells which answers were right. Measured on two users' calm days by moving
+// the threshold of a fixed rule from 0 to 80 and counting what was gained.
+var rightness = []struct{ confidence, chance float64 }{
+	{0, 0.02}, {20, 0.05}, {30, 0.12}, {40, 0.3}, {50, 0.55}, {60, 0.65}, {80, 0.85}, {100, 1},
+}
+
+// ChanceRight returns how likely an answer of a confidence, 0 to 100, is right.
+func ChanceRight(confidence float64) float64 {
+	for i := 1; i < len(rightness); i++ {
+		below, above := rightness[i-1], rightness[i]
+		if confidence < above.confidence {
+			part := (confidence - below.confidence) / (above.confidence - below.confidence)
+			return below.chance + max(part, 0)*(above.chance-below.chance)
+		}
+	}
+	return 1
+}
--- a/internal/fleet/advise.go
+++ b/internal/fleet/advise.go
@@ -2,33 +2,40 @@
 
 import "time"
 
+// Advice is an endpoint for an attempt, and what that is expected to take there.
+type Advice struct {
+	Endpoint string // its id; empty if none takes the attempt
+	Expected Expectation
+}
+
 // PickAt holds a place at an endpoint that was advised; false if it may not be used.
-func (f *Fleet) PickAt(id string, ask Ask) (*Hold, bool) {
+// The adviser has seen what other hosts sent there, so its expectation is taken.
+func (f *Fleet) PickAt(a Advice, ask Ask) (*Hold, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.options.Now()
-	m, ok := f.members[id]
+	m, ok := f.members[a.Endpoint]
 	if !ok || m.Service != ask.Service || !m.usable(ask) || m.tier(now) > tierWell {
 		return nil, false
 	}
-	return f.hold(choice{member: m, unread: f.terms(ask, now).unread(m), now: now}, ask), true
+	return f.hold(m, a.Expected, ask, now), true
 }
 
 // Advise chooses an endpoint for another host and counts the request and the reading
-// of its prompt there; false if none may be used.
-func (f *Fleet) Advise(ask Ask) (string, bool) {
+// of its prompt there.
+func (f *Fleet) Advise(ask Ask) Advice {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	c := f.choose(ask)
 	m := c.member
 	if m == nil {
-		return "", false
+		return Advice{}
 	}
-	work := f.readingOf(ask.Service, ask.Model).tokens(c.unread)
+	a := Advice{Endpoint: m.ID, Expected: f.expect(c, ask)}
 	f.note(m, ask)
-	m.booked = later(m.booked, c.now).Add(work)
+	m.booked = later(m.booked, c.now).Add(a.Expected.Work)
 	m.advised = append(m.advised, c.now)
-	return m.ID, true
+	return a
 }
 
 // Ended takes requests of other hosts out of the count at endpoints.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -48,6 +48,7 @@
 	byService map[string][]*member
 	readings  map[string]*reading // by service and model
 	prices    map[string]price    // of an engine's second, by service
+	overruns  map[string]Overrun  // by service
 	memory    memory
 }
 
@@ -85,7 +86,7 @@
 	}
 	return &Fleet{
 		options: options, members: map[string]*member{}, byService: map[string][]*member{}, readings: map[string]*reading{},
-		prices: map[string]price{}, memory: memory{holders: map[uint64][]*member{}}}
+		prices: map[string]price{}, overruns: map[string]Overrun{}, memory: memory{holders: map[uint64][]*member{}}}
 }
 
 // Put adds an endpoint or brings it up to date.
--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -60,6 +60,7 @@
 	h.member.wait, h.member.waitAt = max(0, took-h.idle), now
 	known := h.fleet.readingOf(h.ask.Service, h.ask.Model)
 	h.fleet.prices[h.ask.Service] = h.fleet.prices[h.ask.Service].with(h.member.wait, known.tokens(h.Expected.Read))
+	h.fleet.overruns[h.ask.Service] = h.fleet.overruns[h.ask.Service].with(took, h.Expected.Head)
 	known.add(h.Expected.Read, took)
 }
 
@@ -190,15 +191,7 @@
 	if c.member == nil {
 		return nil, false
 	}
-	return f.hold(c, ask), true
-}
-
-// Expectation is what an attempt is expected to take.
-type Expectation struct {
-	Head  time.Duration // until the head of the answer; 0 if no endpoint takes it
-	Work  time.Duration // of the engine, to read the prompt
-	Read  int           // tokens of the prompt that have to be read
-	Price float64       // seconds that others wait for a second of work
+	return f.hold(c.member, f.expect(c, ask), ask, c.now), true
 }
 
 // Expect estimates what an attempt takes that is sent now.
@@ -213,24 +206,25 @@
 }
 
 func (f *Fleet) expect(c choice, ask Ask) Expectation {
+	if ask.Key == 0 {
+		return Expectation{}
+	}
 	m, r := c.member, f.readingOf(ask.Service, ask.Model)
 	wait := time.Duration(m.waiting(c.now) * float64(time.Second))
 	return Expectation{
 		Head: m.reading + m.bookedFor(c.now) + wait + r.head(c.unread), Work: r.tokens(c.unread), Read: c.unread,
-		Price: f.prices[ask.Service].perSecond(),
+		Price: f.prices[ask.Service].perSecond(), Overrun: f.overruns[ask.Service],
 	}
 }
 
 // hold takes a place at an endpoint.
-func (f *Fleet) hold(c choice, ask Ask) *Hold {
-	m := c.member
-	h := &Hold{Endpoint: m.Endpoint, fleet: f, member: m, ask: ask, sent: c.now}
+func (f *Fleet) hold(m *member, expected Expectation, ask Ask, now time.Time) *Hold {
+	h := &Hold{Endpoint: m.Endpoint, Expected: expected, fleet: f, member: m, ask: ask, sent: now}
 	m.flying++
 	if ask.Key == 0 {
 		return h
 	}
-	h.Expected = f.expect(c, ask)
-	h.idle, h.reading = f.readingOf(ask.Service, ask.Model).head(c.unread), h.Expected.Work
+	h.idle, h.reading = f.readingOf(ask.Service, ask.Model).head(expected.Read), expected.Work
 	m.reading += h.reading
 	f.note(m, ask)
 	return h
--- a/internal/gateway/cascade.go
+++ b/internal/gateway/cascade.go
@@ -1,60 +1,17 @@
 package gateway
 
 import (
-	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"quaybarrow/internal/cascade"
 	"quaybarrow/internal/fleet"
 )
 
-// rightness is the measured chance that a small model's answer is right, by the
-// confidence it gives: pairs in rising order. It is a prior, for nothing on the
-// way tells which answers were right. Measured on both users' calm days by moving
-// the threshold of a fixed rule from 0 to 80 and counting what was gained.
-var rightness = []struct{ confidence, chance float64 }{
-	{0, 0.02}, {20, 0.05}, {30, 0.12}, {40, 0.3}, {50, 0.55}, {60, 0.65}, {80, 0.85}, {100, 1},
-}
-
-// Values of answers, as parts of a right one that comes in time.
-const (
-	valueWrong = 0.05
-	valueLate  = 0.3
-	// gainLeast is what asking the largest model has to gain. It stands for the
-	// price of the model's use, which the way does not tell beside the worth of
-	// an answer; on both calm days less costs more than it brings.
-	gainLeast = 0.43
-	// gainUrgent is the same for the most urgent routes, whose answers are worth
-	// most beside their price.
-	gainUrgent = 0.33
-	// escalationPart of the retry budget may go to larger models; the rest is
-	// for requests that failed.
-	escalationPart = 0.85
-)
-
-// chanceRight returns how likely an answer of a confidence is right.
-func chanceRight(confidence float64) float64 {
-	for i := 1; i < len(rightness); i++ {
-		below, above := rightness[i-1], rightness[i]
-		if confidence < above.confidence {
-			part := (confidence - below.confidence) / (above.confidence - below.confidence)
-			return below.chance + math.Max(part, 0)*(above.chance-below.chance)
-		}
-	}
-	return 1
-}
-
-// escalationGain is what asking the largest model gains over an answer of a
-// confidence, if the larger one comes in time and that answer does or does not.
-func escalationGain(confidence float64, inTime bool) float64 {
-	chance := chanceRight(confidence)
-	small := chance + (1-chance)*valueWrong
-	if !inTime {
-		small *= valueLate
-	}
-	return 1 - small
-}
+// escalationPart of the retry budget may go to larger models; the rest is for
+// requests that failed.
+const escalationPart = 0.85
 
 // escalates reports whether the answer is dropped for the largest model's, and
 // if so makes that the model to ask.
@@ -69,21 +26,20 @@
 	}
 	largest := x.route.Models[n-1]
 	took := time.Since(x.start)
-	expected := took + x.g.Fleet.Expect(x.fleetAsk(largest)).Head
-	gain, needed := escalationGain(a.said.Confidence, took <= x.route.Objective), x.gainNeeded()
-	if gain < needed {
-		return false
+	expected := x.expect(x.fleetAsk(largest))
+	kept := cascade.Answer{Right: cascade.ChanceRight(a.said.Confidence)}
+	if took <= x.route.Objective {
+		kept.InTime = 1
 	}
-	if expected > x.route.Objective {
-		// A late answer is worth little more than this one, and under load the
-		// larger model's time makes others late as well.
-		x.g.Logger.Info("larger model would be late", "id", x.ask.ID, "model", largest, "confidence", a.said.Confidence, "gain", gain,
-			"took_ms", took.Milliseconds(), "expected_ms", expected.Milliseconds())
-		return false
+	larger := cascade.Option{
+		Answer: cascade.Answer{Right: cascade.LargestRight, InTime: expected.InTime(x.route.Objective - took)},
+		Use:    x.use(largest), Delay: expected.Price * expected.Work.Seconds() / x.route.Objective.Seconds(),
 	}
-	granted := x.g.budgets.Repeat(x.service, escalationPart)
-	x.g.Logger.Info("larger model", "id", x.ask.ID, "model", largest, "confidence", a.said.Confidence, "gain", gain, "needed", needed,
-		"took_ms", took.Milliseconds(), "expected_ms", expected.Milliseconds(), "asked", granted)
+	better := expected.Head > 0 && larger.Net() > kept.Value()
+	granted := better && x.g.budgets.Repeat(x.service, escalationPart)
+	x.g.Logger.Info("larger model weighed", "id", x.ask.ID, "model", largest, "confidence", a.said.Confidence, "kept", kept.Value(),
+		"larger", larger.Value(), "use", larger.Use, "delay", larger.Delay, "in_time", larger.InTime, "took_ms", took.Milliseconds(),
+		"expected_ms", expected.Head.Milliseconds(), "read", expected.Read, "price", expected.Price, "better", better, "asked", granted)
 	if !granted {
 		return false
 	}
@@ -92,12 +48,27 @@
 	return true
 }
 
-// gainNeeded is what asking the largest model has to gain.
-func (x *exchange) gainNeeded() float64 {
-	if x.route.Priority == 0 {
-		return gainUrgent
+// expect is what an attempt is expected to take, as the host knows that advises.
+func (x *exchange) expect(ask fleet.Ask) fleet.Expectation {
+	if x.g.Advice != nil {
+		if e, ok := x.g.Advice.Expect(x.ctx, ask, x.versionKey); ok {
+			return e
+		}
+	}
+	return x.g.Fleet.Expect(ask)
+}
+
+// use is what the use of a model costs, as a part of the answer's worth.
+func (x *exchange) use(model string) float64 {
+	s, _ := x.table.Service(x.service)
+	cost, largest := 0.0, 0.0
+	for _, m := range s.Models {
+		largest = max(largest, m.Cost)
+		if m.Name == model {
+			cost = m.Cost
+		}
 	}
-	return gainLeast
+	return cascade.Use(cost, largest)
 }
 
 // fleetAsk is what the choice of an endpoint for a model goes by.
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -79,19 +79,19 @@
 	if x.g.Advice == nil || ask.Key == 0 {
 		return x.g.Fleet.Pick(ask)
 	}
-	id, ok := x.g.Advice.Choose(ctx, ask, x.versionKey)
+	advised, ok := x.g.Advice.Choose(ctx, ask, x.versionKey)
 	if !ok {
 		x.countAdvice("none")
 		return x.g.Fleet.Pick(ask)
 	}
-	hold, ok := x.g.Fleet.PickAt(id, ask)
+	hold, ok := x.g.Fleet.PickAt(advised, ask)
 	if !ok {
 		x.countAdvice("not usable")
-		x.g.Advice.Ended(id)
+		x.g.Advice.Ended(advised.Endpoint)
 		return x.g.Fleet.Pick(ask)
 	}
 	x.countAdvice("followed")
-	hold.Ended = func() { x.g.Advice.Ended(id) }
+	hold.Ended = func() { x.g.Advice.Ended(advised.Endpoint) }
 	return hold, true
 }
 
