Hosts tell the adviser what the heads of answers told

Cause: the host that advises knew the waits, loads and reading times of its own requests alone, a sixth of all. Now each question carries what was heard since the last one.

--- a/internal/advice/advice.go
+++ b/internal/advice/advice.go
@@ -41,6 +41,7 @@
 	// itself after a while.
 	endedMost   = 256
 	resultsMost = 256
+	headsMost   = 64
 )
 
 // Options set up an Advisor.
@@ -65,6 +66,7 @@
 	pauses  map[string]pausing     // by address
 	ended   []string               // endpoints of advised requests that have ended, not told yet
 	results map[string]fleet.Tally // how attempts have gone, not told yet, by endpoint
+	heads   []fleet.Heard          // not told yet
 }
 
 // pausing is how long a host is not asked.
@@ -124,7 +126,7 @@
 		a.failed(address, err)
 		return nil, false
 	}
-	request.Ended, request.Results = a.takeEnded(), a.takeResults()
+	request.Ended, request.Results, request.Heads = a.takeEnded(), a.takeResults(), a.takeHeads()
 	limited, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	reply, err := advicepb.NewAdviceClient(connection).Choose(limited, request)
@@ -157,6 +159,26 @@
 	}
 }
 
+// Heard notes what the head of an answer told.
+func (a *Advisor) Heard(h fleet.Heard) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(a.heads) < headsMost {
+		a.heads = append(a.heads, h)
+	}
+}
+
+func (a *Advisor) takeHeads() []*advicepb.Head {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	heads := make([]*advicepb.Head, len(a.heads))
+	for i, h := range a.heads {
+		heads[i] = headToWire(h)
+	}
+	a.heads = nil
+	return heads
+}
+
 func (a *Advisor) takeResults() []*advicepb.Result {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -220,6 +242,9 @@
 	for _, t := range r.GetResults() {
 		f.Learn(t.GetEndpoint(), fleet.Tally{Good: t.GetGood(), Failed: t.GetFailed(), Lost: t.GetLost()})
 	}
+	for _, h := range r.GetHeads() {
+		f.Hear(headFromWire(h))
+	}
 	ask := fleet.Ask{
 		Service: r.GetService(), Model: r.GetModel(), Key: r.GetKey(), Tokens: int(r.GetTokens()), Shared: int(r.GetShared()),
 		Objective: time.Duration(r.GetObjectiveMicros()) * time.Microsecond, Avoid: r.GetAvoid(),
@@ -234,33 +259,3 @@
 	}
 	return &advicepb.ChooseReply{Endpoint: advised.Endpoint, Expected: expectationToWire(advised.Expected), Ejected: f.Ejected()}, nil
 }
-
-func expectationToWire(e fleet.Expectation) *advicepb.Expectation {
-	return &advicepb.Expectation{
-		HeadMicros: e.Head.Microseconds(), WorkMicros: e.Work.Microseconds(), Read: int32(e.Read), Price: e.Price, //nolint:gosec // prompts are far shorter
-		OverrunMean: e.Overrun.Mean, OverrunVariance: e.Overrun.Variance,
-	}
-}
-
-func expectationFromWire(w *advicepb.Expectation) fleet.Expectation {
-	return fleet.Expectation{
-		Head: time.Duration(w.GetHeadMicros()) * time.Microsecond, Work: time.Duration(w.GetWorkMicros()) * time.Microsecond,
-		Read: int(w.GetRead()), Price: w.GetPrice(), Overrun: fleet.Overrun{Mean: w.GetOverrunMean(), Variance: w.GetOverrunVariance()},
-	}
-}
-
-func partsToWire(parts []fleet.Part) []*advicepb.Part {
-	wire := make([]*advicepb.Part, len(parts))
-	for i, p := range parts {
-		wire[i] = &advicepb.Part{Id: p.ID, Tokens: int32(p.Tokens)} //nolint:gosec // prompts are far shorter
-	}
-	return wire
-}
-
-func partsFromWire(wire []*advicepb.Part) []fleet.Part {
-	parts := make([]fleet.Part, len(wire))
-	for i, p := range wire {
-		parts[i] = fleet.Part{ID: p.GetId(), Tokens: int(p.GetTokens())}
-	}
-	return parts
-}
--- /dev/null
+++ b/internal/advice/wire.go
@@ -0,0 +1,55 @@
+package advice
+
+import (
+	"time"
+
+	"quaybarrow/internal/advice/advicepb"
+	"quaybarrow/internal/fleet"
+)
+
+//nolint:gosec // requests at an endpoint and tokens of a prompt are far fewer
+func headToWire(h fleet.Heard) *advicepb.Head {
+	return &advicepb.Head{
+		Endpoint: h.Endpoint, Service: h.Service, Model: h.Model, TookMicros: h.Took.Microseconds(), ExpectedMicros: h.Expected.Microseconds(),
+		Read: int32(h.Read), Running: int32(h.Load.Running), Waiting: int32(h.Load.Waiting), Slots: int32(h.Load.Slots),
+	}
+}
+
+func headFromWire(w *advicepb.Head) fleet.Heard {
+	return fleet.Heard{
+		Endpoint: w.GetEndpoint(), Service: w.GetService(), Model: w.GetModel(), Took: micros(w.GetTookMicros()), Expected: micros(w.GetExpectedMicros()),
+		Read: int(w.GetRead()), Load: fleet.Load{Running: int(w.GetRunning()), Waiting: int(w.GetWaiting()), Slots: int(w.GetSlots())},
+	}
+}
+
+func micros(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
+
+func expectationToWire(e fleet.Expectation) *advicepb.Expectation {
+	return &advicepb.Expectation{
+		HeadMicros: e.Head.Microseconds(), WorkMicros: e.Work.Microseconds(), Read: int32(e.Read), Price: e.Price, //nolint:gosec // prompts are far shorter
+		OverrunMean: e.Overrun.Mean, OverrunVariance: e.Overrun.Variance,
+	}
+}
+
+func expectationFromWire(w *advicepb.Expectation) fleet.Expectation {
+	return fleet.Expectation{
+		Head: micros(w.GetHeadMicros()), Work: micros(w.GetWorkMicros()),
+		Read: int(w.GetRead()), Price: w.GetPrice(), Overrun: fleet.Overrun{Mean: w.GetOverrunMean(), Variance: w.GetOverrunVariance()},
+	}
+}
+
+func partsToWire(parts []fleet.Part) []*advicepb.Part {
+	wire := make([]*advicepb.Part, len(parts))
+	for i, p := range parts {
+		wire[i] = &advicepb.Part{Id: p.ID, Tokens: int32(p.Tokens)} //nolint:gosec // prompts are far shorter
+	}
+	return wire
+}
+
+func partsFromWire(wire []*advicepb.Part) []fleet.Part {
+	parts := make([]fleet.Part, len(wire))
+	for i, p := range wire {
+		parts[i] = fleet.Part{ID: p.GetId(), Tokens: int(p.GetTokens())}
+	}
+	return parts
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -42,6 +42,7 @@
 type Fleet struct {
 	options Options
 	observe func(id string, o Outcome) // nil if nobody minds
+	heard   func(Heard)                // as observe
 
 	mu        sync.Mutex // guards all below
 	members   map[string]*member
--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -40,28 +40,31 @@
 	Expected Expectation // as the hold was taken
 	sent     time.Time
 	idle     time.Duration // until the head of the answer, if the endpoint were idle
+	took     time.Duration // until the head was there
 	reading  time.Duration // counted as the endpoint's work until the head is there
 }
 
 // Head notes that the head of the answer is there, and the load that it tells.
 func (h *Hold) Head(l Load) {
+	if heard := h.fleet.heard; heard != nil && h.ask.Key != 0 {
+		defer func() { heard(h.heard(l)) }()
+	}
 	h.fleet.mu.Lock()
 	defer h.fleet.mu.Unlock()
 	h.read()
-	now := h.fleet.options.Now()
-	if l.Slots > 0 {
-		h.member.others = max(0, l.Running+l.Waiting-h.member.flying-h.member.remote(now))
-		h.member.saidAt = now
-	}
+	h.took = h.fleet.options.Now().Sub(h.sent)
 	if h.ask.Key == 0 {
+		h.fleet.echo(h.member, l, h.member.flying)
 		return
 	}
-	took := now.Sub(h.sent)
-	h.member.wait, h.member.waitAt = max(0, took-h.idle), now
-	known := h.fleet.readingOf(h.ask.Service, h.ask.Model)
-	h.fleet.prices[h.ask.Service] = h.fleet.prices[h.ask.Service].with(h.member.wait, known.tokens(h.Expected.Read))
-	h.fleet.overruns[h.ask.Service] = h.fleet.overruns[h.ask.Service].with(took, h.Expected.Head)
-	known.add(h.Expected.Read, took)
+	h.fleet.hear(h.member, h.heard(l))
+}
+
+// heard is what the head of the answer told.
+func (h *Hold) heard(l Load) Heard {
+	return Heard{
+		Endpoint: h.Endpoint.ID, Service: h.ask.Service, Model: h.ask.Model, Took: h.took, Expected: h.Expected.Head, Read: h.Expected.Read, Load: l,
+	}
 }
 
 // read takes the request's prompt out of the endpoint's work.
@@ -94,8 +97,7 @@
 	m.health = m.health.with(r.Outcome, now, h.fleet.options.EjectMost)
 	if r.Load.Slots > 0 {
 		// The answered request itself may still be counted in what it says.
-		m.others = max(0, r.Load.Running+r.Load.Waiting-m.flying-1-m.remote(now))
-		m.saidAt = now
+		h.fleet.echo(m, r.Load, m.flying+1)
 	}
 }
 
