Use and delay of a larger model count by the worth of a request of its size

And the expectation left out the endpoint where the small model answered.

The test of the old gain is replaced by one of `cascade` with the same six cases and seven more.

--- a/internal/advice/advice_test.go
+++ b/internal/advice/advice_test.go
@@ -89,9 +89,9 @@
 			defer p.stop()
 			counts := map[string]int{}
 			for i := range 16 {
-				id, ok := p.next.Choose(ctx, ask(uint64(i)<<8|1), 0)
+				a, ok := p.next.Choose(ctx, ask(uint64(i)<<8|1), 0)
 				Expect(ok).To(BeTrue())
-				counts[id]++
+				counts[a.Endpoint]++
 			}
 			Expect(counts).To(HaveLen(4))
 			for range counts["e2"] {
@@ -99,9 +99,9 @@
 			}
 			_, ok := p.next.Choose(ctx, ask(1), 0) // brings the news
 			Expect(ok).To(BeTrue())
-			id, ok := p.next.Choose(ctx, ask(2), 0)
+			a, ok := p.next.Choose(ctx, ask(2), 0)
 			Expect(ok).To(BeTrue())
-			Expect(id).To(Equal("e2"))
+			Expect(a.Endpoint).To(Equal("e2"))
 		})
 	})
 
@@ -116,6 +116,39 @@
 		})
 	})
 
+	It("hear what an attempt is expected to take, which counts nowhere", func() {
+		suite.Paused(func() {
+			p := newPair()
+			defer p.stop()
+			for range 50 {
+				e, ok := p.next.Expect(ctx, ask(1), 0)
+				Expect(ok).To(BeTrue())
+				Expect(e.Head).To(BeNumerically(">", 0))
+			}
+			counts := map[string]int{}
+			for i := range 16 {
+				a, _ := p.next.Choose(ctx, ask(uint64(i)<<8|1), 0)
+				counts[a.Endpoint]++
+			}
+			Expect(counts).To(HaveLen(4))
+			_, ok := p.first.Expect(ctx, ask(1), 0)
+			Expect(ok).To(BeFalse())
+		})
+	})
+
+	It("tell the first what heads of answers told", func() {
+		suite.Paused(func() {
+			p := newPair()
+			defer p.stop()
+			for range 40 {
+				p.next.Heard(fleet.Heard{Endpoint: "e1", Service: "s", Model: "m", Took: 2 * time.Second, Read: 100, Expected: time.Second})
+			}
+			e, ok := p.next.Expect(ctx, ask(1), 0)
+			Expect(ok).To(BeTrue())
+			Expect(e.Price).To(BeNumerically(">", 0))
+		})
+	})
+
 	It("tell each other which endpoints fail", func() {
 		suite.Paused(func() {
 			p := newPair()
--- a/internal/cascade/cascade.go
+++ b/internal/cascade/cascade.go
@@ -37,6 +37,13 @@
 	return largestUse * cost / largest
 }
 
+// fixedPart of an answer's worth does not grow with its size, as the users tell.
+const fixedPart = 0.3
+
+// Worth is what a request is worth, as a part of its route's mean, by its size
+// relative to the mean one.
+func Worth(size float64) float64 { return fixedPart + (1-fixedPart)*size }
+
 // Answer is an answer that a caller may get.
 type Answer struct {
 	Right  float64 // chance that it is right
@@ -51,14 +58,18 @@
 // Option is an answer that has yet to be asked for.
 type Option struct {
 	Answer
-	Use float64 // what the model's use costs
+	Use  float64 // what the model's use costs for a request of the mean size
+	Size float64 // of the request, relative to the mean one of its route
 	// Delay is how long others wait for the work, as a part of the objective: of
-	// requests whose slack is spread evenly over it, so many become late.
+	// requests whose slack is spread evenly over it, so many become late. They are
+	// worth as much as the mean one.
 	Delay float64
 }
 
 // Net is what it is worth beyond what it takes from others.
-func (o Option) Net() float64 { return o.Value() - o.Use - o.Delay*(1-valueLate) }
+func (o Option) Net() float64 {
+	return o.Value() - (o.Use*o.Size+o.Delay*(1-valueLate))/Worth(o.Size)
+}
 
 // rightness is the measured chance that a small model's answer is right, by the
 // confidence it gives: pairs in rising order. It is a prior, for nothing on the
--- /dev/null
+++ b/internal/cascade/cascade_test.go
@@ -0,0 +1,73 @@
+package cascade_test
+
+import (
+	"testing"
+
+	"quaybarrow/internal/cascade"
+)
+
+// situation is a small answer that is there and what the largest model would take.
+type situation struct {
+	confidence float64
+	late       bool    // the small answer
+	inTime     float64 // chance of the larger one
+	size       float64
+	delay      float64
+}
+
+func (s situation) asked() bool {
+	kept := cascade.Answer{Right: cascade.ChanceRight(s.confidence), InTime: 1}
+	if s.late {
+		kept.InTime = 0
+	}
+	larger := cascade.Option{
+		Answer: cascade.Answer{Right: cascade.LargestRight, InTime: s.inTime}, Use: cascade.Use(0.2, 0.2), Size: s.size, Delay: s.delay,
+	}
+	return larger.Net() > kept.Value()
+}
+
+func TestLargerModelIsAsked(t *testing.T) {
+	cases := map[string]struct {
+		situation
+		asked bool
+	}{
+		"a wrong answer":                           {situation{10, false, 1, 1, 0}, true},
+		"a doubtful one":                           {situation{45, false, 1, 1, 0}, true},
+		"a likely one":                             {situation{65, false, 1, 1, 0}, false},
+		"a sure one":                               {situation{100, false, 1, 1, 0}, false},
+		"a likely one that is late":                {situation{65, true, 1, 1, 0}, true},
+		"a wrong one that came late":               {situation{5, true, 1, 1, 0}, true},
+		"a wrong one, the larger surely late":      {situation{10, false, 0, 1, 0}, false},
+		"a doubtful one, the larger perhaps late":  {situation{45, false, 0.5, 1, 0}, false},
+		"a wrong one while many wait":              {situation{10, false, 1, 1, 0.9}, false},
+		"a doubtful one while some wait":           {situation{45, false, 1, 1, 0.4}, false},
+		"a wrong one while some wait":              {situation{10, false, 1, 1, 0.4}, true},
+		"a wrong large one, its work in the worth": {situation{10, false, 1, 4, 1.2}, true},
+		"a doubtful small one, cheap to read":      {situation{47, false, 1, 0.2, 0}, true},
+	}
+	for name, c := range cases {
+		if got := c.situation.asked(); got != c.asked {
+			t.Errorf("%s: asked is %v", name, got)
+		}
+	}
+}
+
+func TestUseGoesByDeclaredCosts(t *testing.T) {
+	if half, whole := cascade.Use(0.1, 0.2), cascade.Use(0.2, 0.2); half*2 != whole {
+		t.Errorf("%v for half the cost, %v for the largest's", half, whole)
+	}
+	if unsaid := cascade.Use(0, 0); unsaid != cascade.Use(1, 1) {
+		t.Errorf("%v where nobody declares costs", unsaid)
+	}
+}
+
+func TestChanceRightRises(t *testing.T) {
+	last := -1.0
+	for confidence := range 101 {
+		chance := cascade.ChanceRight(float64(confidence))
+		if chance < last || chance < 0 || chance > 1 {
+			t.Fatalf("%v at %d after %v", chance, confidence, last)
+		}
+		last = chance
+	}
+}
--- a/internal/fleet/advise_test.go
+++ b/internal/fleet/advise_test.go
@@ -15,9 +15,9 @@
 	advise := func(f *fleet.Fleet, count int, from uint64) map[string]int {
 		counts := map[string]int{}
 		for i := range count {
-			id, ok := f.Advise(fleet.Ask{Service: "s", Key: from + uint64(i)<<8, Model: "m", Tokens: 10, Objective: 2 * time.Second})
-			Expect(ok).To(BeTrue())
-			counts[id]++
+			a := f.Advise(fleet.Ask{Service: "s", Key: from + uint64(i)<<8, Model: "m", Tokens: 10, Objective: 2 * time.Second})
+			Expect(a.Endpoint).NotTo(BeEmpty())
+			counts[a.Endpoint]++
 		}
 		return counts
 	}
@@ -65,24 +65,52 @@
 
 	It("is not followed where the endpoint may not be used", func() {
 		f := newFleet()
-		_, ok := f.PickAt("e1", fleet.Ask{Service: "s", Avoid: []string{"e1"}})
+		_, ok := f.PickAt(fleet.Advice{Endpoint: "e1"}, fleet.Ask{Service: "s", Avoid: []string{"e1"}})
 		Expect(ok).To(BeFalse())
-		_, ok = f.PickAt("e1", fleet.Ask{Service: "s", Allowed: func(v string) bool { return v == "v2" }})
+		_, ok = f.PickAt(fleet.Advice{Endpoint: "e1"}, fleet.Ask{Service: "s", Allowed: func(v string) bool { return v == "v2" }})
 		Expect(ok).To(BeFalse())
-		_, ok = f.PickAt("e1", fleet.Ask{Service: "t"})
+		_, ok = f.PickAt(fleet.Advice{Endpoint: "e1"}, fleet.Ask{Service: "t"})
 		Expect(ok).To(BeFalse())
-		_, ok = f.PickAt("gone", plain)
+		_, ok = f.PickAt(fleet.Advice{Endpoint: "gone"}, plain)
 		Expect(ok).To(BeFalse())
-		h, ok := f.PickAt("e1", plain)
+		h, ok := f.PickAt(fleet.Advice{Endpoint: "e1"}, plain)
 		Expect(ok).To(BeTrue())
 		ended := 0
 		h.Ended = func() { ended++ }
 		h.Done(fleet.Result{Outcome: fleet.OutcomeLost})
 		Expect(ended).To(Equal(1))
-		_, ok = f.PickAt("e1", plain)
+		_, ok = f.PickAt(fleet.Advice{Endpoint: "e1"}, plain)
 		Expect(ok).To(BeFalse(), "it could not be reached a moment ago")
 	})
 
+	It("tells what is expected there, and that is what the hold expects", func() {
+		suite.Paused(func() {
+			f, other := newFleet(), newFleet()
+			f.Advise(document(7, 100))
+			a := f.Advise(document(7, 101))
+			Expect(a.Expected.Read).To(Equal(1_000))
+			h, ok := other.PickAt(a, document(7, 101))
+			Expect(ok).To(BeTrue())
+			Expect(h.Expected).To(Equal(a.Expected))
+		})
+	})
+
+	It("goes by what other hosts hear", func() {
+		suite.Paused(func() {
+			f := newFleet()
+			before := f.Advise(document(7, 100))
+			for range 30 {
+				f.Hear(fleet.Heard{Endpoint: before.Endpoint, Service: "s", Model: "m", Took: 3 * time.Second, Expected: time.Second, Read: 1_000,
+					Load: fleet.Load{Running: 4, Waiting: 9, Slots: 4}})
+				f.Hear(fleet.Heard{Endpoint: "e5", Service: "s", Model: "m", Took: 100 * time.Millisecond, Expected: 100 * time.Millisecond, Read: 1_000})
+			}
+			f.Hear(fleet.Heard{Endpoint: "gone", Service: "s", Model: "m", Took: time.Second})
+			after := f.Advise(document(7, 101))
+			Expect(after.Endpoint).NotTo(Equal(before.Endpoint), "answers wait there")
+			Expect(after.Expected.Price).To(BeNumerically(">", before.Expected.Price))
+		})
+	})
+
 	It("ejects what fails other hosts, and not what fails now and then", func() {
 		suite.Paused(func() {
 			f := newFleet()
--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -208,9 +208,6 @@
 }
 
 func (f *Fleet) expect(c choice, ask Ask) Expectation {
-	if ask.Key == 0 {
-		return Expectation{}
-	}
 	m, r := c.member, f.readingOf(ask.Service, ask.Model)
 	wait := time.Duration(m.waiting(c.now) * float64(time.Second))
 	return Expectation{
--- a/internal/fleet/report_test.go
+++ b/internal/fleet/report_test.go
@@ -126,7 +126,7 @@
 		suite.Paused(func() {
 			f := reported(fleet.Options{}, 0, 0)
 			fail := func() {
-				h, ok := f.PickAt("e0", model)
+				h, ok := f.PickAt(fleet.Advice{Endpoint: "e0"}, model)
 				Expect(ok).To(BeTrue())
 				h.Done(fleet.Result{Outcome: fleet.OutcomeFailed})
 			}
@@ -134,10 +134,10 @@
 				fail()
 			}
 			for _, length := range []time.Duration{2 * time.Second, 4 * time.Second, 8 * time.Second} {
-				_, ok := f.PickAt("e0", model)
+				_, ok := f.PickAt(fleet.Advice{Endpoint: "e0"}, model)
 				Expect(ok).To(BeFalse())
 				time.Sleep(length - time.Millisecond)
-				_, ok = f.PickAt("e0", model)
+				_, ok = f.PickAt(fleet.Advice{Endpoint: "e0"}, model)
 				Expect(ok).To(BeFalse(), length.String())
 				time.Sleep(2 * time.Millisecond)
 				fail()
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -155,6 +155,7 @@
 		x.model = x.route.Models[0]
 	}
 	x.key, x.versionKey = x.keys()
+	x.size = x.g.sizes.relative(x.route.Name, x.ask.TokensIn, x.ask.TokensOut)
 }
 
 // keys hash what the prompt shares with other requests, all but its last part,
--- a/internal/gateway/cascade.go
+++ b/internal/gateway/cascade.go
@@ -26,14 +26,16 @@
 	}
 	largest := x.route.Models[n-1]
 	took := time.Since(x.start)
-	expected := x.expect(x.fleetAsk(largest))
+	ask := x.fleetAsk(largest)
+	ask.Avoid = nil // where the small model answered, the larger one may
+	expected := x.expect(ask)
 	kept := cascade.Answer{Right: cascade.ChanceRight(a.said.Confidence)}
 	if took <= x.route.Objective {
 		kept.InTime = 1
 	}
 	larger := cascade.Option{
 		Answer: cascade.Answer{Right: cascade.LargestRight, InTime: expected.InTime(x.route.Objective - took)},
-		Use:    x.use(largest), Delay: expected.Price * expected.Work.Seconds() / x.route.Objective.Seconds(),
+		Use:    x.use(largest), Size: x.size, Delay: expected.Price * expected.Work.Seconds() / x.route.Objective.Seconds(),
 	}
 	better := expected.Head > 0 && larger.Net() > kept.Value()
 	granted := better && x.g.budgets.Repeat(x.service, escalationPart)
--- a/internal/gateway/events_test.go
+++ b/internal/gateway/events_test.go
@@ -52,26 +52,6 @@
 	}
 }
 
-func TestEscalationGain(t *testing.T) {
-	cases := map[string]struct {
-		confidence float64
-		inTime     bool
-		asked      bool
-	}{
-		"a wrong answer":             {10, true, true},
-		"a doubtful one":             {45, true, true},
-		"a likely one":               {65, true, false},
-		"a sure one":                 {100, true, false},
-		"a likely one that is late":  {65, false, true},
-		"a wrong one that came late": {5, false, true},
-	}
-	for name, c := range cases {
-		if got := escalationGain(c.confidence, c.inTime) >= gainLeast; got != c.asked {
-			t.Errorf("%s: asked is %v", name, got)
-		}
-	}
-}
-
 func FuzzFraming(f *testing.F) {
 	f.Add("POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n")
 	f.Fuzz(func(t *testing.T, head string) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -49,6 +49,7 @@
 type Gateway struct {
 	Options
 	budgets  *retry.Budgets
+	sizes    *sizes
 	draining atomic.Bool
 	known    atomic.Bool // configuration and endpoints have been known
 	inFlight atomic.Int64
@@ -60,7 +61,8 @@
 
 // New returns a gateway.
 func New(options Options) *Gateway {
-	return &Gateway{Options: options, budgets: retry.NewBudgets(retry.Limits{Ratio: options.RetryRatio, Reserve: retryReserve})}
+	return &Gateway{Options: options, sizes: newSizes(),
+		budgets: retry.NewBudgets(retry.Limits{Ratio: options.RetryRatio, Reserve: retryReserve})}
 }
 
 // Ready reports whether the gateway can serve, and if not, why.
@@ -113,8 +115,9 @@
 	workspace  string
 	urgency    int
 	body       []byte
-	key        uint64 // of the prompt that it shares with others
-	versionKey uint64 // of what stays on one version
+	size       float64 // of the prompt and the answer, relative to its route's mean
+	key        uint64  // of the prompt that it shares with others
+	versionKey uint64  // of what stays on one version
 
 	sends    int // requests written to endpoints
 	tried    []string
