--- a/internal/advice/wire.go
+++ b/internal/advice/wire.go
@@ -11,14 +11,14 @@
 func headToWire(h fleet.Heard) *advicepb.Head {
 	return &advicepb.Head{
 		Endpoint: h.Endpoint, Service: h.Service, Model: h.Model, TookMicros: h.Took.Microseconds(), ExpectedMicros: h.Expected.Microseconds(),
-		Read: int32(h.Read), Running: int32(h.Load.Running), Waiting: int32(h.Load.Waiting), Slots: int32(h.Load.Slots),
+		Read: int32(h.Read), Sure: h.Sure, Running: int32(h.Load.Running), Waiting: int32(h.Load.Waiting), Slots: int32(h.Load.Slots),
 	}
 }
 
 func headFromWire(w *advicepb.Head) fleet.Heard {
 	return fleet.Heard{
 		Endpoint: w.GetEndpoint(), Service: w.GetService(), Model: w.GetModel(), Took: micros(w.GetTookMicros()), Expected: micros(w.GetExpectedMicros()),
-		Read: int(w.GetRead()), Load: fleet.Load{Running: int(w.GetRunning()), Waiting: int(w.GetWaiting()), Slots: int(w.GetSlots())},
+		Read: int(w.GetRead()), Sure: w.GetSure(), Load: fleet.Load{Running: int(w.GetRunning()), Waiting: int(w.GetWaiting()), Slots: int(w.GetSlots())},
 	}
 }
 
@@ -26,7 +26,7 @@
 
 func expectationToWire(e fleet.Expectation) *advicepb.Expectation {
 	return &advicepb.Expectation{
-		HeadMicros: e.Head.Microseconds(), WorkMicros: e.Work.Microseconds(), Read: int32(e.Read), Price: e.Price, //nolint:gosec // prompts are far shorter
+		HeadMicros: e.Head.Microseconds(), WorkMicros: e.Work.Microseconds(), Read: int32(e.Read), Sure: e.Sure, Price: e.Price, //nolint:gosec // prompts are far shorter
 		OverrunMean: e.Overrun.Mean, OverrunVariance: e.Overrun.Variance,
 	}
 }
@@ -34,7 +34,7 @@
 func expectationFromWire(w *advicepb.Expectation) fleet.Expectation {
 	return fleet.Expectation{
 		Head: micros(w.GetHeadMicros()), Work: micros(w.GetWorkMicros()),
-		Read: int(w.GetRead()), Price: w.GetPrice(), Overrun: fleet.Overrun{Mean: w.GetOverrunMean(), Variance: w.GetOverrunVariance()},
+		Read: int(w.GetRead()), Sure: w.GetSure(), Price: w.GetPrice(), Overrun: fleet.Overrun{Mean: w.GetOverrunMean(), Variance: w.GetOverrunVariance()},
 	}
 }
 
--- a/internal/fleet/expect.go
+++ b/internal/fleet/expect.go
@@ -10,6 +10,7 @@
 	Head  time.Duration // until the head of the answer; 0 if no endpoint takes it
 	Work  time.Duration // of the engine, to read the prompt
 	Read  int           // tokens of the prompt that have to be read
+	Sure  bool          // they can't be kept: all parts that others have too are known to be
 	Price float64       // seconds that others wait for a second of work
 	// Overrun is how much longer than expected heads take.
 	Overrun Overrun
--- a/internal/fleet/memory_test.go
+++ b/internal/fleet/memory_test.go
@@ -96,6 +96,20 @@
 		})
 	})
 
+	It("is not taken from prompts that may have been kept, as after a restart", func() {
+		suite.Paused(func() {
+			f := newFleet()
+			for own := range uint64(20) {
+				h, _ := f.Pick(document(7+own, 100+own)) // the engines read it before this host started
+				time.Sleep(20 * time.Millisecond)
+				h.Head(fleet.Load{})
+				h.Done(fleet.Result{Outcome: fleet.OutcomeGood})
+			}
+			e := f.Expect(document(99, 999))
+			Expect(e.Work).To(BeNumerically(">=", time.Duration(e.Read)*10*time.Microsecond), "the prior")
+		})
+	})
+
 	It("is not spoilt by a first answer that waited", func() {
 		suite.Paused(func() {
 			f := newFleet()
--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -63,7 +63,7 @@
 // heard is what the head of the answer told.
 func (h *Hold) heard(l Load) Heard {
 	return Heard{
-		Endpoint: h.Endpoint.ID, Service: h.ask.Service, Model: h.ask.Model, Took: h.took, Expected: h.Expected.Head, Read: h.Expected.Read, Load: l,
+		Endpoint: h.Endpoint.ID, Service: h.ask.Service, Model: h.ask.Model, Took: h.took, Expected: h.Expected.Head, Read: h.Expected.Read, Sure: h.Expected.Sure, Load: l,
 	}
 }
 
@@ -212,7 +212,7 @@
 	wait := time.Duration(m.waiting(c.now) * float64(time.Second))
 	return Expectation{
 		Head: m.reading + m.bookedFor(c.now) + wait + r.head(c.unread), Work: r.tokens(c.unread), Read: c.unread,
-		Price: f.prices[ask.Service].perSecond(), Overrun: f.overruns[ask.Service],
+		Sure: c.unread <= ask.Tokens-ask.Shared && f.memory.known(m) >= ask.Shared, Price: f.prices[ask.Service].perSecond(), Overrun: f.overruns[ask.Service],
 	}
 }
 
