Endpoints whose answers are overdue get nothing more

Now it counts how long the first answer is overdue that nothing sent later has overtaken; hosts name advised requests by tickets for that.

--- a/internal/advice/advice.go
+++ b/internal/advice/advice.go
@@ -64,7 +64,7 @@
 
 	mu      sync.Mutex             // guards all below
 	pauses  map[string]pausing     // by address
-	ended   []string               // endpoints of advised requests that have ended, not told yet
+	ended   []*advicepb.Ended      // advised requests that have ended, not told yet
 	results map[string]fleet.Tally // how attempts have gone, not told yet, by endpoint
 	heads   []fleet.Heard          // not told yet
 }
@@ -92,7 +92,7 @@
 	if !ok || reply.GetEndpoint() == "" {
 		return fleet.Advice{}, false
 	}
-	return fleet.Advice{Endpoint: reply.GetEndpoint(), Expected: expectationFromWire(reply.GetExpected())}, true
+	return fleet.Advice{Endpoint: reply.GetEndpoint(), Ticket: reply.GetTicket(), Expected: expectationFromWire(reply.GetExpected())}, true
 }
 
 // Expect returns what the first host of those that answer expects of an attempt;
@@ -141,12 +141,12 @@
 	return reply, true
 }
 
-// Ended notes that a request at an advised endpoint has ended.
-func (a *Advisor) Ended(endpoint string) {
+// Ended notes that an advised request has ended.
+func (a *Advisor) Ended(advised fleet.Advice) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if len(a.ended) < endedMost {
-		a.ended = append(a.ended, endpoint)
+		a.ended = append(a.ended, &advicepb.Ended{Endpoint: advised.Endpoint, Ticket: advised.Ticket})
 	}
 }
 
@@ -190,7 +190,7 @@
 	return results
 }
 
-func (a *Advisor) takeEnded() []string {
+func (a *Advisor) takeEnded() []*advicepb.Ended {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	ended := a.ended
@@ -238,13 +238,15 @@
 // Choose implements advicepb.AdviceServer.
 func (s *server) Choose(_ context.Context, r *advicepb.ChooseRequest) (*advicepb.ChooseReply, error) {
 	f := s.options.Fleet
-	f.Ended(r.GetEnded())
-	for _, t := range r.GetResults() {
-		f.Learn(t.GetEndpoint(), fleet.Tally{Good: t.GetGood(), Failed: t.GetFailed(), Lost: t.GetLost()})
-	}
 	for _, h := range r.GetHeads() {
 		f.Hear(headFromWire(h))
 	}
+	for _, e := range r.GetEnded() {
+		f.Ended(fleet.Advice{Endpoint: e.GetEndpoint(), Ticket: e.GetTicket()})
+	}
+	for _, t := range r.GetResults() {
+		f.Learn(t.GetEndpoint(), fleet.Tally{Good: t.GetGood(), Failed: t.GetFailed(), Lost: t.GetLost()})
+	}
 	ask := fleet.Ask{
 		Service: r.GetService(), Model: r.GetModel(), Key: r.GetKey(), Tokens: int(r.GetTokens()), Shared: int(r.GetShared()),
 		Objective: time.Duration(r.GetObjectiveMicros()) * time.Microsecond, Avoid: r.GetAvoid(),
@@ -257,5 +259,5 @@
 	} else {
 		advised = f.Advise(ask)
 	}
-	return &advicepb.ChooseReply{Endpoint: advised.Endpoint, Expected: expectationToWire(advised.Expected), Ejected: f.Ejected()}, nil
+	return &advicepb.ChooseReply{Endpoint: advised.Endpoint, Ticket: advised.Ticket, Expected: expectationToWire(advised.Expected), Ejected: f.Ejected()}, nil
 }
--- a/internal/advice/advice_test.go
+++ b/internal/advice/advice_test.go
@@ -87,15 +87,15 @@
 		suite.Paused(func() {
 			p := newPair()
 			defer p.stop()
-			counts := map[string]int{}
+			counts := map[string][]fleet.Advice{}
 			for i := range 16 {
 				a, ok := p.next.Choose(ctx, ask(uint64(i)<<8|1), 0)
 				Expect(ok).To(BeTrue())
-				counts[a.Endpoint]++
+				counts[a.Endpoint] = append(counts[a.Endpoint], a)
 			}
 			Expect(counts).To(HaveLen(4))
-			for range counts["e2"] {
-				p.next.Ended("e2")
+			for _, a := range counts["e2"] {
+				p.next.Ended(a)
 			}
 			_, ok := p.next.Choose(ctx, ask(1), 0) // brings the news
 			Expect(ok).To(BeTrue())
--- a/internal/advice/wire.go
+++ b/internal/advice/wire.go
@@ -10,14 +10,14 @@
 //nolint:gosec // requests at an endpoint and tokens of a prompt are far fewer
 func headToWire(h fleet.Heard) *advicepb.Head {
 	return &advicepb.Head{
-		Endpoint: h.Endpoint, Service: h.Service, Model: h.Model, TookMicros: h.Took.Microseconds(), ExpectedMicros: h.Expected.Microseconds(),
+		Endpoint: h.Endpoint, Ticket: h.Ticket, Service: h.Service, Model: h.Model, TookMicros: h.Took.Microseconds(), ExpectedMicros: h.Expected.Microseconds(),
 		Read: int32(h.Read), Sure: h.Sure, Running: int32(h.Load.Running), Waiting: int32(h.Load.Waiting), Slots: int32(h.Load.Slots),
 	}
 }
 
 func headFromWire(w *advicepb.Head) fleet.Heard {
 	return fleet.Heard{
-		Endpoint: w.GetEndpoint(), Service: w.GetService(), Model: w.GetModel(), Took: micros(w.GetTookMicros()), Expected: micros(w.GetExpectedMicros()),
+		Endpoint: w.GetEndpoint(), Ticket: w.GetTicket(), Service: w.GetService(), Model: w.GetModel(), Took: micros(w.GetTookMicros()), Expected: micros(w.GetExpectedMicros()),
 		Read: int(w.GetRead()), Sure: w.GetSure(), Load: fleet.Load{Running: int(w.GetRunning()), Waiting: int(w.GetWaiting()), Slots: int(w.GetSlots())},
 	}
 }
--- a/internal/fleet/advise.go
+++ b/internal/fleet/advise.go
@@ -1,13 +1,23 @@
 package fleet
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Advice is an endpoint for an attempt, and what that is expected to take there.
 type Advice struct {
 	Endpoint string // its id; empty if none takes the attempt
+	Ticket   int64  // by which the adviser knows the attempt
 	Expected Expectation
 }
 
+// advised is a request of another host at an endpoint.
+type advised struct {
+	ticket int64
+	at     time.Time
+}
+
 // PickAt holds a place at an endpoint that was advised; false if it may not be used.
 // The adviser has seen what other hosts sent there, so its expectation is taken.
 func (f *Fleet) PickAt(a Advice, ask Ask) (*Hold, bool) {
@@ -18,7 +28,9 @@
 	if !ok || m.Service != ask.Service || !m.usable(ask) || m.tier(now) > tierWell {
 		return nil, false
 	}
-	return f.hold(m, a.Expected, ask, now), true
+	h := f.hold(m, a.Expected, ask, now)
+	h.advice = a
+	return h, true
 }
 
 // Advise chooses an endpoint for another host and counts the request and the reading
@@ -34,18 +46,18 @@
 	a := Advice{Endpoint: m.ID, Expected: f.expect(c, ask)}
 	f.note(m, ask)
 	m.booked = later(m.booked, c.now).Add(a.Expected.Work)
-	m.advised = append(m.advised, c.now)
+	a.Ticket = f.await(m, a.Expected.Head, c.now)
+	m.advised = append(m.advised, advised{ticket: a.Ticket, at: c.now})
 	return a
 }
 
-// Ended takes requests of other hosts out of the count at endpoints.
-func (f *Fleet) Ended(ids []string) {
+// Ended takes a request of another host out of the count at its endpoint.
+func (f *Fleet) Ended(a Advice) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, id := range ids {
-		if m, ok := f.members[id]; ok && len(m.advised) > 0 {
-			m.advised = m.advised[1:]
-		}
+	if m, ok := f.members[a.Endpoint]; ok {
+		m.advised = slices.DeleteFunc(m.advised, func(r advised) bool { return r.ticket == a.Ticket })
+		m.forgo(a.Ticket)
 	}
 }
 
@@ -55,7 +67,7 @@
 
 // remote counts the requests that other hosts were advised to send here.
 func (m *member) remote(now time.Time) int {
-	for len(m.advised) > 0 && now.Sub(m.advised[0]) > advisedFor {
+	for len(m.advised) > 0 && now.Sub(m.advised[0].at) > advisedFor {
 		m.advised = m.advised[1:]
 	}
 	return len(m.advised)
--- a/internal/fleet/advise_test.go
+++ b/internal/fleet/advise_test.go
@@ -12,12 +12,12 @@
 
 var _ = Describe("advice to other hosts", func() {
 	// advise advises on prompts that have nothing in common.
-	advise := func(f *fleet.Fleet, count int, from uint64) map[string]int {
-		counts := map[string]int{}
+	advise := func(f *fleet.Fleet, count int, from uint64) map[string][]fleet.Advice {
+		counts := map[string][]fleet.Advice{}
 		for i := range count {
 			a := f.Advise(fleet.Ask{Service: "s", Key: from + uint64(i)<<8, Model: "m", Tokens: 10, Objective: 2 * time.Second})
 			Expect(a.Endpoint).NotTo(BeEmpty())
-			counts[a.Endpoint]++
+			counts[a.Endpoint] = append(counts[a.Endpoint], a)
 		}
 		return counts
 	}
@@ -27,8 +27,8 @@
 			f := newFleet() // six endpoints of four slots
 			counts := advise(f, 24, 1)
 			Expect(counts).To(HaveLen(6))
-			for id, n := range counts {
-				Expect(n).To(BeNumerically("<=", 5), id)
+			for id, list := range counts {
+				Expect(len(list)).To(BeNumerically("<=", 5), id)
 			}
 		})
 	})
@@ -48,15 +48,13 @@
 				}
 				return n
 			}
-			var ended []string
-			for id, n := range advise(f, 60, 1) {
-				for range n {
+			for id, list := range advise(f, 60, 1) {
+				for _, a := range list {
 					if id != "e0" {
-						ended = append(ended, id)
+						f.Ended(a)
 					}
 				}
 			}
-			f.Ended(ended)
 			Expect(load()).To(BeZero(), "the others are empty")
 			time.Sleep(9 * time.Second)
 			Expect(load()).To(BeNumerically(">", 0))
--- /dev/null
+++ b/internal/fleet/await_test.go
@@ -0,0 +1,80 @@
+package fleet_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"quaybarrow/internal/fleet"
+	"quaybarrow/internal/standin/suite"
+)
+
+// note is a short prompt that has nothing in common with others.
+func note(key uint64) fleet.Ask {
+	return fleet.Ask{Service: "s", Key: key, Model: "m", Tokens: 300, Objective: 2 * time.Second}
+}
+
+// begin has the answer begin after a time.
+func begin(h *fleet.Hold, after time.Duration) {
+	time.Sleep(after)
+	h.Head(fleet.Load{})
+}
+
+var _ = Describe("endpoints whose answers are overdue", func() {
+	It("get nothing more while none begins, though few requests are there", func() {
+		suite.Paused(func() {
+			f := newFleet()
+			stuck, _ := f.Pick(note(1))
+			time.Sleep(time.Second)
+			for key := range uint64(40) {
+				h, _ := f.Pick(note(10 + key))
+				Expect(h.Endpoint.ID).NotTo(Equal(stuck.Endpoint.ID))
+				begin(h, 10*time.Millisecond)
+				h.Done(fleet.Result{Outcome: fleet.OutcomeGood})
+			}
+			stuck.Head(fleet.Load{})
+			stuck.Done(fleet.Result{Outcome: fleet.OutcomeGood})
+			time.Sleep(3 * time.Second)
+			seen := map[string]bool{}
+			for key := range uint64(60) {
+				h, _ := f.Pick(note(100 + key))
+				seen[h.Endpoint.ID] = true
+				begin(h, 10*time.Millisecond)
+				h.Done(fleet.Result{Outcome: fleet.OutcomeGood})
+			}
+			Expect(seen).To(HaveKey(stuck.Endpoint.ID))
+		})
+	})
+
+	It("are not those that answer what was sent later", func() {
+		suite.Paused(func() {
+			f := fleet.New(fleet.Options{Hall: "ikeja"})
+			f.Put(fleet.Endpoint{ID: "only", Service: "s", Hall: "ikeja", Slots: 8})
+			_, _ = f.Pick(note(1)) // never begins
+			for key := range uint64(5) {
+				h, _ := f.Pick(note(10 + key))
+				begin(h, 50*time.Millisecond)
+				h.Done(fleet.Result{Outcome: fleet.OutcomeGood})
+			}
+			time.Sleep(2500 * time.Millisecond) // the wait of the last answer has faded
+			Expect(f.Expect(note(99)).Head).To(BeNumerically("<", 200*time.Millisecond))
+		})
+	})
+
+	It("are known by what other hosts were advised to send there", func() {
+		suite.Paused(func() {
+			f := newFleet()
+			stuck := f.Advise(note(1))
+			time.Sleep(time.Second)
+			for key := range uint64(20) {
+				a := f.Advise(note(10 + key))
+				Expect(a.Endpoint).NotTo(Equal(stuck.Endpoint))
+				f.Hear(fleet.Heard{Endpoint: a.Endpoint, Ticket: a.Ticket, Service: "s", Model: "m", Took: 50 * time.Millisecond, Read: 300})
+				f.Ended(a)
+			}
+			f.Ended(stuck)
+			Expect(f.Advise(note(1)).Endpoint).To(Equal(stuck.Endpoint), "the request has ended otherwise, and it is kept there")
+		})
+	})
+})
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -51,27 +51,29 @@
 	prices    map[string]price    // of an engine's second, by service
 	overruns  map[string]Overrun  // by service
 	memory    memory
+	tickets   int64 // given out
 }
 
 // member is an endpoint with what this host knows of it.
 type member struct {
 	Endpoint
-	seed    uint64   // hash of the id
-	models  []string // that it said it has loaded; nil if it did not say
-	leaving bool     // it said so itself
-	flying  int      // this host's requests there
-	others  int      // others' requests there, when it last said
-	saidAt  time.Time
-	reading time.Duration // prompts of this host that it is reading
-	booked  time.Time     // until when it reads prompts of hosts that were advised
-	advised []time.Time   // when these were, for requests that have not ended
-	wait    time.Duration // that the last answer waited beyond its prompt's time
-	waitAt  time.Time
-	health  health
-	shunned time.Time // it fails other hosts; left alone until then
-	lapsed  time.Time // to be dropped then unless it is listed again; zero if listed
-	kept    kept      // what it is taken to keep of prompts
-	found   finding   // what of the prompt that is being placed
+	seed     uint64   // hash of the id
+	models   []string // that it said it has loaded; nil if it did not say
+	leaving  bool     // it said so itself
+	flying   int      // this host's requests there
+	others   int      // others' requests there, when it last said
+	saidAt   time.Time
+	reading  time.Duration // prompts of this host that it is reading
+	booked   time.Time     // until when it reads prompts of hosts that were advised
+	advised  []advised     // requests there that have not ended
+	awaiting []awaited     // requests whose answers have not begun, in the order of their sending
+	wait     time.Duration // that the last answer waited beyond its prompt's time
+	waitAt   time.Time
+	health   health
+	shunned  time.Time // it fails other hosts; left alone until then
+	lapsed   time.Time // to be dropped then unless it is listed again; zero if listed
+	kept     kept      // what it is taken to keep of prompts
+	found    finding   // what of the prompt that is being placed
 }
 
 // New returns a fleet without endpoints.
--- a/internal/fleet/heard.go
+++ b/internal/fleet/heard.go
@@ -5,6 +5,7 @@
 // Heard is what the head of an answer to a request with a prompt told of an endpoint.
 type Heard struct {
 	Endpoint, Service, Model string
+	Ticket                   int64         // of the advice, 0 if there was none
 	Took                     time.Duration // from the sending of the request
 	Expected                 time.Duration // as it was sent
 	Read                     int           // tokens that had to be read
@@ -21,6 +22,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if m, ok := f.members[h.Endpoint]; ok {
+		m.begun(h.Ticket)
 		f.hear(m, h)
 	}
 }
--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -41,6 +41,8 @@
 	sent     time.Time
 	idle     time.Duration // until the head of the answer, if the endpoint were idle
 	took     time.Duration // until the head was there
+	ticket   int64         // of the awaited head
+	advice   Advice        // that was followed, if any
 	reading  time.Duration // counted as the endpoint's work until the head is there
 }
 
@@ -57,13 +59,14 @@
 		h.fleet.echo(h.member, l, h.member.flying)
 		return
 	}
+	h.member.begun(h.ticket)
 	h.fleet.hear(h.member, h.heard(l))
 }
 
 // heard is what the head of the answer told.
 func (h *Hold) heard(l Load) Heard {
 	return Heard{
-		Endpoint: h.Endpoint.ID, Service: h.ask.Service, Model: h.ask.Model, Took: h.took, Expected: h.Expected.Head, Read: h.Expected.Read, Sure: h.Expected.Sure, Load: l,
+		Endpoint: h.Endpoint.ID, Ticket: h.advice.Ticket, Service: h.ask.Service, Model: h.ask.Model, Took: h.took, Expected: h.Expected.Head, Read: h.Expected.Read, Sure: h.Expected.Sure, Load: l,
 	}
 }
 
@@ -85,6 +88,7 @@
 	defer h.fleet.mu.Unlock()
 	now := h.fleet.options.Now()
 	m := h.member
+	m.forgo(h.ticket)
 	if h.reading > 0 {
 		// No head came: the wait was at least so long.
 		m.wait, m.waitAt = max(0, now.Sub(h.sent)-h.idle), now
@@ -209,9 +213,8 @@
 
 func (f *Fleet) expect(c choice, ask Ask) Expectation {
 	m, r := c.member, f.readingOf(ask.Service, ask.Model)
-	wait := time.Duration(m.waiting(c.now) * float64(time.Second))
 	return Expectation{
-		Head: m.reading + m.bookedFor(c.now) + wait + r.head(c.unread), Work: r.tokens(c.unread), Read: c.unread,
+		Head: m.queue(c.now) + r.head(c.unread), Work: r.tokens(c.unread), Read: c.unread,
 		Sure: c.unread <= ask.Tokens-ask.Shared && f.memory.known(m) >= ask.Shared, Price: f.prices[ask.Service].perSecond(), Overrun: f.overruns[ask.Service],
 	}
 }
@@ -225,6 +228,7 @@
 	}
 	h.idle, h.reading = f.readingOf(ask.Service, ask.Model).head(expected.Read), expected.Work
 	m.reading += h.reading
+	h.ticket = f.await(m, expected.Head, now)
 	f.note(m, ask)
 	return h
 }
--- a/internal/fleet/score.go
+++ b/internal/fleet/score.go
@@ -81,8 +81,7 @@
 			score += fullSeconds * (load - fullLoad)
 		}
 		again := t.again * float64(max(unread-(t.ask.Tokens-t.ask.Shared), 0))
-		wait := (m.reading + m.bookedFor(now)).Seconds() + m.waiting(now)
-		return score + loadSeconds*load + wait + t.work*t.reading.tokens(unread).Seconds() + again
+		return score + loadSeconds*load + m.queue(now).Seconds() + t.work*t.reading.tokens(unread).Seconds() + again
 	}
 	if load >= fullLoad {
 		load *= 2
@@ -90,6 +89,12 @@
 	return score + load
 }
 
+// queue is how long a request is expected to wait at an endpoint for others.
+func (m *member) queue(now time.Time) time.Duration {
+	known := m.reading + m.bookedFor(now) + seconds(m.waiting(now))
+	return max(known, m.overdue(now))
+}
+
 // waiting is how long, in seconds, requests have lately waited at an endpoint
 // beyond what their prompts took; it fades as nothing more is heard.
 func (m *member) waiting(now time.Time) float64 {
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -87,11 +87,11 @@
 	hold, ok := x.g.Fleet.PickAt(advised, ask)
 	if !ok {
 		x.countAdvice("not usable")
-		x.g.Advice.Ended(advised.Endpoint)
+		x.g.Advice.Ended(advised)
 		return x.g.Fleet.Pick(ask)
 	}
 	x.countAdvice("followed")
-	hold.Ended = func() { x.g.Advice.Ended(advised.Endpoint) }
+	hold.Ended = func() { x.g.Advice.Ended(advised) }
 	return hold, true
 }
 
