--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -4,8 +4,6 @@
 	"context"
 	"flag"
 	"fmt"
-	"io"
-	"os"
 
 	"github.com/google/subcommands"
 	"github.com/pkg/errors"
@@ -43,18 +41,11 @@
 	if len(args) == 0 {
 		return errors.WithMessage(errUsage, "argument ID: name the request")
 	}
-	logs := []io.Reader{c.env.Stdin}
-	if len(args) > 1 {
-		logs = nil
-	}
-	for _, name := range args[1:] {
-		file, err := os.Open(name)
-		if err != nil {
-			return fmt.Errorf("open log: %w", err)
-		}
-		defer func() { _ = file.Close() }()
-		logs = append(logs, file)
+	logs, closeLogs, err := openLogs(c.env, args[1:])
+	if err != nil {
+		return err
 	}
+	defer closeLogs()
 	story, err := explain.Read(args[0], logs...)
 	if err != nil {
 		return fmt.Errorf("explain: %w", err)
--- a/internal/gateway/cascade.go
+++ b/internal/gateway/cascade.go
@@ -45,7 +45,7 @@
 	if !granted {
 		return false
 	}
-	x.model = largest
+	x.model, x.larger = largest, true
 	x.tried = nil
 	return true
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -132,6 +132,7 @@
 	pause    time.Duration     // longest time between two events that the caller got
 	shortest time.Duration     // shortest one of the last attempt
 	version  string            // of the last attempt's endpoint
+	larger   bool              // a larger model was asked
 }
 
 // ServeHTTP implements http.Handler.
@@ -185,5 +186,6 @@
 		"config", version, "config_age_ms", age.Milliseconds(), "endpoint", x.endpoint, "version", x.version, "model", x.model, "sends", x.sends,
 		"tokens", x.ask.TokensIn, "first_ms", x.first.Milliseconds(), "head_ms", x.head.Milliseconds(),
 		"expected_ms", x.expected.Head.Milliseconds(), "work_ms", x.expected.Work.Milliseconds(), "read", x.expected.Read, "price", x.expected.Price,
+		"objective_ms", x.route.Objective.Milliseconds(), "gap_ms", x.route.Gap.Milliseconds(), "larger", x.larger,
 		"events", x.events, "pause_ms", x.pause.Milliseconds(), "shortest_us", x.shortest.Microseconds(), "took_ms", took.Milliseconds(), "outcome", x.outcome)
 }
