Requests begin with the largest model where nearly all small answers are dropped

Cause: every request began with the smallest model, also where its answers are hardly ever kept. Now each small answer tells how much better the request would have done with the largest at once, by the same values; routes where that is over 0.02 on average begin there, but for a tenth that goes on asking.

--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -151,8 +151,11 @@
 // plan derives what the choice of an endpoint goes by.
 func (x *exchange) plan() {
 	x.model = x.ask.Model
-	if len(x.route.Models) > 0 {
+	if n := len(x.route.Models); n > 0 {
 		x.model = x.route.Models[0]
+		if x.g.begins.largest(x.route.Name) {
+			x.model = x.route.Models[n-1]
+		}
 	}
 	x.key, x.versionKey = x.keys()
 	x.size = x.g.sizes.relative(x.route.Name, x.ask.TokensIn, x.ask.TokensOut)
--- a/internal/gateway/cascade.go
+++ b/internal/gateway/cascade.go
@@ -37,6 +37,7 @@
 		Answer: cascade.Answer{Right: cascade.LargestRight, InTime: expected.InTime(x.route.Objective - took)},
 		Use:    x.use(largest), Size: x.size, Delay: expected.Price * expected.Work.Seconds() / x.route.Objective.Seconds(),
 	}
+	x.noteBeginning(kept, larger, expected)
 	better := expected.Head > 0 && larger.Net() > kept.Value()
 	granted := better && x.g.budgets.Repeat(x.service, escalationPart)
 	x.g.Logger.Info("larger model weighed", "id", x.ask.ID, "model", largest, "confidence", a.said.Confidence, "kept", kept.Value(),
@@ -50,6 +51,18 @@
 	return true
 }
 
+// noteBeginning takes in how much better the request would have done if it had begun
+// with the larger model.
+func (x *exchange) noteBeginning(kept cascade.Answer, larger cascade.Option, expected fleet.Expectation) {
+	if expected.Head == 0 || x.sends > 1 {
+		return
+	}
+	small := cascade.Option{Use: x.use(x.model), Size: x.size, Delay: x.expected.Price * x.expected.Work.Seconds() / x.route.Objective.Seconds()}
+	atOnce := larger
+	atOnce.InTime = expected.InTime(x.route.Objective)
+	x.g.begins.note(x.route.Name, atOnce.Net()-max(kept.Value(), larger.Net())-small.Net())
+}
+
 // expect is what an attempt is expected to take, as the host knows that advises.
 func (x *exchange) expect(ask fleet.Ask) fleet.Expectation {
 	if x.g.Advice != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -50,6 +50,7 @@
 	Options
 	budgets  *retry.Budgets
 	sizes    *sizes
+	begins   *beginnings
 	draining atomic.Bool
 	known    atomic.Bool // configuration and endpoints have been known
 	inFlight atomic.Int64
@@ -61,7 +62,7 @@
 
 // New returns a gateway.
 func New(options Options) *Gateway {
-	return &Gateway{Options: options, sizes: newSizes(),
+	return &Gateway{Options: options, sizes: newSizes(), begins: newBeginnings(),
 		budgets: retry.NewBudgets(retry.Limits{Ratio: options.RetryRatio, Reserve: retryReserve})}
 }
 
