--- /dev/null
+++ b/internal/gateway/beginnings_test.go
@@ -0,0 +1,80 @@
+package gateway
+
+import (
+	"fmt"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// begun is how many of a thousand requests begin with the largest model.
+func begun(b *beginnings, route string) int {
+	n := 0
+	for range 1000 {
+		if b.largest(route) {
+			n++
+		}
+	}
+	return n
+}
+
+var learned = map[string]struct {
+	better  []float64 // of each answer of the smallest model in turn
+	answers int
+	begins  bool
+}{
+	"the largest is better each time":  {[]float64{0.2}, 40, true},
+	"the smallest is better each time": {[]float64{-0.2}, 40, false},
+	"the largest is hardly better":     {[]float64{0.01}, 40, false},
+	"either is better by turns":        {[]float64{0.2, -0.25}, 200, false},
+	"the largest is mostly better":     {[]float64{0.3, 0.3, 0.3, -0.2}, 200, true},
+	"a few answers only":               {[]float64{0.2}, 10, false},
+}
+
+var _ = Describe("the model to begin with", func() {
+	for name, l := range learned {
+		It("is known by route where "+name, func() {
+			b := newBeginnings()
+			for i := range l.answers {
+				b.note("r", l.better[i%len(l.better)])
+			}
+			if !l.begins {
+				Expect(begun(b, "r")).To(BeZero())
+				return
+			}
+			Expect(begun(b, "r")).To(BeNumerically("~", 900, 60), "a tenth goes on asking the smallest")
+			Expect(begun(b, "other")).To(BeZero())
+		})
+	}
+
+	It("changes back when the smallest model becomes better", func() {
+		b := newBeginnings()
+		for range 50 {
+			b.note("r", 0.3)
+		}
+		for range 60 {
+			b.note("r", -0.3)
+		}
+		Expect(begun(b, "r")).To(BeZero())
+	})
+})
+
+var _ = Describe("the size of a request", func() {
+	It("is relative to the mean of its route", func() {
+		s := newSizes()
+		Expect(s.relative("r", 1000, 100)).To(Equal(1.0))
+		for i := range 500 {
+			s.relative("r", 1000+i%3, 100)
+			s.relative("other", 10, 1)
+		}
+		Expect(s.relative("r", 4000, 400)).To(BeNumerically("~", 4, 0.2))
+		Expect(s.relative("r", 500, 50)).To(BeNumerically("~", 0.5, 0.05))
+	})
+
+	It("is one where nobody tells tokens", func() {
+		s := newSizes()
+		for i := range 3 {
+			Expect(s.relative(fmt.Sprint(i), 0, 0)).To(Equal(1.0))
+		}
+	})
+})
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -1,6 +1,8 @@
 package gateway_test
 
 import (
+	"time"
+
 	"fmt"
 	"strings"
 
@@ -72,6 +74,24 @@
 		})
 	})
 
+	It("begin with the largest model where all small answers are dropped", func() {
+		suite.Paused(func() {
+			r := newRig(scripts{"model-1": standin.Always(standin.Stream{Events: 5, Confidence: 1})})
+			defer r.stop()
+			for range 60 {
+				a := r.ask(prompt("/stream/1"))
+				Expect(a.Err).NotTo(HaveOccurred())
+				time.Sleep(100 * time.Millisecond)
+			}
+			before := r.runs()
+			for range 40 {
+				r.ask(prompt("/stream/1"))
+				time.Sleep(100 * time.Millisecond)
+			}
+			Expect(r.runs()-before).To(BeNumerically("<", 60), "80 if each asked the small model first")
+		})
+	})
+
 	It("of a small model are kept if the largest model's answer would be late", func() {
 		suite.Paused(func() {
 			doubtful := standin.Always(standin.Stream{Events: 5, Confidence: 10})
