Specs of upgrade and of spread in files of their own

The judgement's specs and the rig of the hosts that pass on the store have files of their own; no spec is changed.

--- /dev/null
+++ b/internal/spread/rig_test.go
@@ -0,0 +1,200 @@
+package spread_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/charmbracelet/log"
+	. "github.com/onsi/gomega"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"quaybarrow/internal/follow"
+	"quaybarrow/internal/spread"
+	"quaybarrow/internal/standin/memnet"
+	"quaybarrow/internal/standin/suite"
+	"quaybarrow/internal/store"
+	"quaybarrow/platform"
+	"quaybarrow/platform/standin"
+)
+
+// testWait is the wait of sites whose configuration has to be in force in three
+// seconds.
+const testWait = time.Second
+
+const storeAddress = "10.9.0.1:80"
+
+// host is a host that follows a table.
+type host struct {
+	name    string
+	address string
+	watcher *spread.Watcher
+	server  *grpc.Server
+	cancel  context.CancelFunc
+	door    atomic.Bool // the store turns this host away
+
+	mu     sync.Mutex // guards all below
+	values map[string]string
+}
+
+func (h *host) Reset(rows []store.Row, _ bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.values = map[string]string{}
+	for _, r := range rows {
+		h.values[r.Key] = string(r.Value)
+	}
+}
+
+func (h *host) Change(changes []store.Change, _ bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, c := range changes {
+		if c.Deleted {
+			delete(h.values, c.Key)
+		} else {
+			h.values[c.Key] = string(c.Value)
+		}
+	}
+}
+
+func (h *host) Confirm() {}
+
+func (h *host) value(key string) string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.values[key]
+}
+
+// hall is several hosts at one store.
+type hall struct {
+	net    *memnet.Network
+	store  *standin.Store
+	server *http.Server
+	hosts  []*host
+	cut    []*host // still to be stopped
+}
+
+// reader returns the place of the host that the others ask first.
+func (h *hall) reader() int {
+	first, least := 0, uint64(math.MaxUint64)
+	for i, n := range h.hosts {
+		if rank := xxhash.Sum64String("0/" + n.name); rank < least {
+			first, least = i, rank
+		}
+	}
+	return first
+}
+
+func (h *hall) start(i int, first bool) *host {
+	n := &host{name: fmt.Sprint("host-", i), address: fmt.Sprintf("10.0.0.%d:7340", i)}
+	client := platform.NewStore(storeAddress, func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := h.net.Dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &turnedConn{Conn: c, away: &n.door}, nil
+	})
+	n.watcher = spread.NewWatcher(spread.Options{
+		Host: n.name, Address: n.address, Cores: 1, First: first, Wait: testWait, Seeds: []string{"10.0.0.1:7340", "10.0.0.77:7340"}, Tables: client, Store: client,
+		Logger: log.New(io.Discard), Credentials: insecure.NewCredentials(),
+		Dial: func(ctx context.Context, address string) (net.Conn, error) { return h.net.Dial(ctx, "tcp", address) },
+	})
+	n.server = n.watcher.Server(insecure.NewCredentials())
+	l := h.net.Listen(n.address)
+	go func() { _ = n.server.Serve(l) }()
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	go n.watcher.Run(ctx)
+	go follow.Run(ctx, follow.Options{Watch: n.watcher, Table: "t", Logger: log.New(io.Discard)}, n)
+	return n
+}
+
+func (h *host) stop() {
+	h.cancel()
+	h.server.Stop()
+	h.watcher.Close()
+}
+
+// turnedConn is a connection to a store that may turn its host away.
+type turnedConn struct {
+	net.Conn
+	away *atomic.Bool
+}
+
+// Read implements net.Conn. Answers to calls that were made before the host was
+// turned away never come.
+func (c *turnedConn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		if err != nil || !c.away.Load() {
+			return n, err
+		}
+	}
+}
+
+// Write implements net.Conn.
+func (c *turnedConn) Write(p []byte) (int, error) {
+	if c.away.Load() {
+		_ = c.Close()
+		return 0, net.ErrClosed
+	}
+	return c.Conn.Write(p)
+}
+
+// withHall runs a body beside several hosts, under the paused clock.
+func withHall(count int, body func(h *hall)) {
+	suite.Paused(func() {
+		h := &hall{net: memnet.New(), store: standin.NewStore()}
+		h.server = &http.Server{Handler: h.store}
+		l := h.net.Listen(storeAddress)
+		go func() { _ = h.server.Serve(l) }()
+		h.store.Put("t", "k", []byte("0"))
+		for i := range count {
+			h.hosts = append(h.hosts, h.start(i, true))
+		}
+		time.Sleep(10 * time.Second)
+		body(h)
+		h.store.Break(standin.Healthy)
+		for _, n := range append(h.hosts, h.cut...) {
+			n.stop()
+		}
+		_ = h.server.Close()
+		time.Sleep(5 * time.Minute)
+	})
+}
+
+// expectEverywhere waits for a time and expects a value at hosts.
+func expectEverywhere(hosts []*host, value string, within time.Duration) {
+	time.Sleep(within)
+	for i, n := range hosts {
+		ExpectWithOffset(1, n.value("k")).To(Equal(value), "host %d", i)
+	}
+}
+
+// turnAway has the store turn some hosts away while it changes.
+func turnAway(h *hall, turned int) {
+	for _, n := range h.hosts[:turned] {
+		n.door.Store(true)
+	}
+	h.store.Forget()
+	for i := range 4 {
+		h.store.Put("t", "k", fmt.Append(nil, i))
+		expectEverywhere(h.hosts, fmt.Sprint(i), 2500*time.Millisecond)
+	}
+	h.store.Drop("t", "k")
+	expectEverywhere(h.hosts, "", 2500*time.Millisecond)
+	for _, n := range h.hosts[:turned] {
+		n.door.Store(false)
+	}
+	h.store.Put("t", "k", []byte("after"))
+	expectEverywhere(h.hosts, "after", 2500*time.Millisecond)
+}
--- /dev/null
+++ b/internal/upgrade/judge_test.go
@@ -0,0 +1,158 @@
+package upgrade_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"quaybarrow/internal/upgrade"
+)
+
+// counts of answers on one route: good and bad of the target, good and bad of
+// the others, and how many endpoints of the target gave the bad ones.
+type counts struct{ good, bad, otherGood, otherBad, endpoints int }
+
+var judgements = map[string]struct {
+	counts counts
+	bad    bool
+}{
+	"a few failures on two endpoints":         {counts{10, 5, 100, 0, 2}, true},
+	"failures on a single endpoint":           {counts{10, 9, 100, 0, 1}, false},
+	"too few to tell":                         {counts{0, 3, 100, 0, 3}, false},
+	"as many failures as the others show":     {counts{80, 14, 860, 140, 5}, false},
+	"many good answers around a few failures": {counts{200, 6, 1000, 5, 3}, false},
+	"nothing": {counts{}, false},
+}
+
+func evidence(c counts) upgrade.Evidence {
+	e := upgrade.Evidence{Routes: map[string]upgrade.Pair{"r": {
+		Target: upgrade.Count{Good: c.good, Bad: c.bad}, Other: upgrade.Count{Good: c.otherGood, Bad: c.otherBad},
+	}}}
+	for i := range c.endpoints {
+		e.Endpoints = append(e.Endpoints, fmt.Sprint(i))
+	}
+	return e
+}
+
+func isBad(own upgrade.Evidence, others []upgrade.Evidence, silent int) bool {
+	return upgrade.Judge(own, others, silent).Verdict == upgrade.VerdictBad
+}
+
+var _ = Describe("the judgement of a version", func() {
+	for name, j := range judgements {
+		It("of "+name, func() {
+			Expect(isBad(evidence(j.counts), nil, 0)).To(Equal(j.bad))
+		})
+	}
+
+	It("adds up what hosts saw, and finds a single bad route", func() {
+		half := evidence(counts{3, 2, 50, 0, 1})
+		other := evidence(counts{3, 2, 50, 0, 0})
+		other.Endpoints = []string{"another"}
+		good := upgrade.Evidence{Routes: map[string]upgrade.Pair{"q": {Target: upgrade.Count{Good: 500}, Other: upgrade.Count{Good: 500}}}}
+		j := upgrade.Judge(half, []upgrade.Evidence{other, good}, 0)
+		Expect(j.Verdict).To(Equal(upgrade.VerdictBad))
+		Expect(j.Reason).To(Equal("bad answers on route r"))
+	})
+})
+
+var _ = Describe("the judgement by one of many hosts", func() {
+	It("takes silent hosts for content, so that a few unlucky ones do not condemn a version", func() {
+		unlucky := func(id string) upgrade.Evidence {
+			e := evidence(counts{4, 1, 60, 0, 0})
+			e.Endpoints = []string{id}
+			return e
+		}
+		others := []upgrade.Evidence{unlucky("a"), unlucky("b"), unlucky("c"), unlucky("d")}
+		Expect(isBad(unlucky("e"), others, 86)).To(BeFalse())
+		Expect(isBad(unlucky("e"), others, 0)).To(BeTrue())
+	})
+})
+
+var _ = Describe("the judgement by a host that has seen no answer of the target", func() {
+	unlucky := func(id string) upgrade.Evidence {
+		e := evidence(counts{1, 1, 60, 0, 0})
+		e.Endpoints = []string{id}
+		return e
+	}
+	others := []upgrade.Evidence{unlucky("a"), unlucky("b"), unlucky("c"), unlucky("d"), unlucky("e")}
+
+	It("takes silent hosts to have seen as much as those that tell", func() {
+		Expect(isBad(evidence(counts{0, 0, 60, 0, 0}), others, 85)).To(BeFalse())
+	})
+
+	It("believes the others where nobody is silent", func() {
+		Expect(isBad(evidence(counts{0, 0, 60, 0, 0}), others, 0)).To(BeTrue())
+	})
+})
+
+// paced is evidence by pace: of the target and of the others, slow ones of all.
+type paced struct{ slow, all, otherSlow, otherAll, endpoints int }
+
+var pacings = map[string]struct {
+	paced
+	verdict upgrade.Verdict
+}{
+	"all answers slow, on two endpoints":     {paced{12, 12, 300, 600, 2}, upgrade.VerdictOpen},
+	"more answers, all slow":                 {paced{16, 16, 300, 600, 2}, upgrade.VerdictBad},
+	"all answers slow, on a single endpoint": {paced{16, 16, 300, 600, 1}, upgrade.VerdictOpen},
+	"half of a plain service's answers slow": {paced{10, 20, 3, 60, 2}, upgrade.VerdictBad},
+	"as many slow ones as the others show":   {paced{60, 120, 300, 600, 4}, upgrade.VerdictClear},
+	"somewhat more, as with a cold memory":   {paced{84, 120, 300, 600, 4}, upgrade.VerdictOpen},
+	"too few answers with a pace":            {paced{0, 2, 300, 600, 0}, upgrade.VerdictOpen},
+	"enough answers, none of them slow":      {paced{0, 6, 300, 600, 0}, upgrade.VerdictClear},
+	"others whose pace is not known":         {paced{0, 0, 0, 0, 0}, upgrade.VerdictClear},
+}
+
+var _ = Describe("the judgement by pace", func() {
+	for name, p := range pacings {
+		It("of "+name, func() {
+			e := upgrade.Evidence{Routes: map[string]upgrade.Pair{"r": {
+				Target: upgrade.Count{Good: max(p.all, 8), Paced: p.all, Slow: p.slow},
+				Other:  upgrade.Count{Good: max(p.otherAll, 90), Paced: p.otherAll, Slow: p.otherSlow},
+			}}}
+			for i := range p.endpoints {
+				e.Endpoints = append(e.Endpoints, fmt.Sprint(i))
+			}
+			Expect(upgrade.Judge(e, nil, 0).Verdict).To(Equal(p.verdict))
+		})
+	}
+})
+
+var _ = Describe("the share of a new version", func() {
+	const within = 24 * time.Second
+
+	It("is none in the first half, and then a trial's, however late it is", func() {
+		for s := range 240 {
+			elapsed := time.Duration(s) * 100 * time.Millisecond
+			share := upgrade.Progress{}.Share(elapsed, within)
+			if elapsed < within/2 {
+				Expect(share).To(BeZero())
+				continue
+			}
+			Expect(share).To(Equal(0.2))
+		}
+	})
+
+	It("rises by stages, and the last one takes all", func() {
+		last := 0.0
+		for stage := range 3 {
+			share := upgrade.Progress{Stage: stage}.Share(23*time.Second, within)
+			Expect(share).To(BeNumerically(">", last))
+			last = share
+		}
+		Expect(last).To(Equal(1.0))
+	})
+
+	It("may be completed only in the last stage, after requests at the others could end", func() {
+		Expect(upgrade.Progress{Stage: 1}.Due(within, within)).To(BeFalse())
+		early := upgrade.Progress{Stage: 2, StageMs: 18_000}
+		Expect(early.Due(21*time.Second, within)).To(BeFalse())
+		Expect(early.Due(23*time.Second, within)).To(BeTrue())
+		late := upgrade.Progress{Stage: 2, StageMs: 21_000}
+		Expect(late.Due(23*time.Second, within)).To(BeFalse())
+		Expect(late.Due(within, within)).To(BeTrue())
+	})
+})
