A larger share of a version needs answers that somebody has seen

Cause, found by reading: hosts that tell nothing count as having seen as many good answers as those that tell. That keeps a few unlucky hosts from condemning a version, but it also granted a larger share: one host's two good answers stood for twelve of six hosts. The verdict that grants now counts only what was told. The spec of one teller among twenty silent hosts failed before.

--- a/internal/upgrade/judge.go
+++ b/internal/upgrade/judge.go
@@ -52,9 +52,11 @@
 // Judge weighs the evidence of all hosts, on all routes together and on each one.
 // Hosts that tell nothing are taken to have had as many answers as the hosts that
 // tell have had on average, all good ones of the target, or a few hosts' bad luck
-// would look like everyone's.
+// would look like everyone's. A larger share needs answers that somebody has seen, so
+// for that the silent ones count for nothing.
 func Judge(own Evidence, others []Evidence, silent int) Judgement {
-	s := sumOf(append([]Evidence{own}, others...), silent)
+	told := append([]Evidence{own}, others...)
+	s := sumOf(told, silent)
 	if s.endpoints >= badEndpoints {
 		if reason := s.total.fault(); reason != "" {
 			return Judgement{Verdict: VerdictBad, Reason: reason, Seen: s.total}
@@ -65,8 +67,8 @@
 			}
 		}
 	}
-	if s.total.clear() {
-		return Judgement{Verdict: VerdictClear, Seen: s.total}
+	if seen := sumOf(told, 0).total; seen.clear() {
+		return Judgement{Verdict: VerdictClear, Seen: seen}
 	}
 	return Judgement{Seen: s.total}
 }
--- a/internal/upgrade/judge_test.go
+++ b/internal/upgrade/judge_test.go
@@ -71,6 +71,19 @@
 	})
 })
 
+var _ = Describe("a larger share", func() {
+	told := evidence(counts{2, 0, 20, 0, 0})
+
+	It("is not granted by hosts that tell nothing", func() {
+		Expect(upgrade.Judge(told, nil, 0).Verdict).To(Equal(upgrade.VerdictClear), "22 answers in all, a small service")
+		Expect(upgrade.Judge(told, []upgrade.Evidence{evidence(counts{1, 0, 200, 0, 0})}, 20).Verdict).To(Equal(upgrade.VerdictOpen))
+	})
+
+	It("is granted by what hosts have seen", func() {
+		Expect(upgrade.Judge(told, []upgrade.Evidence{evidence(counts{6, 0, 200, 0, 0})}, 20).Verdict).To(Equal(upgrade.VerdictClear))
+	})
+})
+
 var _ = Describe("the judgement by a host that has seen no answer of the target", func() {
 	unlucky := func(id string) upgrade.Evidence {
 		e := evidence(counts{1, 1, 60, 0, 0})
