Advice: tickets of another adviser mean nothing, and old news is not told

Cause, found by reading: tickets counted from one in each life of a host, so what a host told the next adviser of the one before could match another request there; and what a host heard while it was the first itself it told, up to 64 answers late, once another was. Both specs failed before. Tickets begin by chance; a first host drops what it heard.

--- a/internal/advice/advice.go
+++ b/internal/advice/advice.go
@@ -119,6 +119,7 @@
 func (a *Advisor) ask(ctx context.Context, request *advicepb.ChooseRequest) (*advicepb.ChooseReply, bool) {
 	address, ok := a.first()
 	if !ok {
+		a.takeHeads() // old news by the time that another host is first
 		return nil, false
 	}
 	connection, err := a.options.Conn(address)
--- a/internal/advice/advice_test.go
+++ b/internal/advice/advice_test.go
@@ -149,6 +149,23 @@
 		})
 	})
 
+	It("do not tell a new first host what they heard while they were first", func() {
+		suite.Paused(func() {
+			p := newPair()
+			defer p.stop()
+			p.before = nil
+			for range 40 {
+				p.next.Heard(fleet.Heard{Endpoint: "e1", Service: "s", Model: "m", Took: 2 * time.Second, Read: 100, Expected: time.Second})
+				_, ok := p.next.Choose(ctx, ask(1), 0)
+				Expect(ok).To(BeFalse())
+			}
+			p.before = []string{firstAddress}
+			e, ok := p.next.Expect(ctx, ask(1), 0)
+			Expect(ok).To(BeTrue())
+			Expect(e.Price).To(BeZero())
+		})
+	})
+
 	It("tell each other which endpoints fail", func() {
 		suite.Paused(func() {
 			p := newPair()
--- a/internal/fleet/advise_test.go
+++ b/internal/fleet/advise_test.go
@@ -93,6 +93,11 @@
 		})
 	})
 
+	It("has tickets that no other adviser gives out", func() {
+		a, b := newFleet().Advise(note(1)), newFleet().Advise(note(1))
+		Expect(a.Ticket).NotTo(Equal(b.Ticket), "hosts tell the next adviser what the one before advised")
+	})
+
 	It("goes by what other hosts hear", func() {
 		suite.Paused(func() {
 			f := newFleet()
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -51,7 +52,7 @@
 	prices    map[string]price    // of an engine's second, by service
 	overruns  map[string]Overrun  // by service
 	memory    memory
-	tickets   int64 // given out
+	tickets   int64 // the last one given out; it begins by chance, so that those of another adviser mean nothing here
 }
 
 // member is an endpoint with what this host knows of it.
@@ -76,6 +77,9 @@
 	found    finding   // what of the prompt that is being placed
 }
 
+// ticketsFrom bounds the first ticket; it leaves as many again to be given out.
+const ticketsFrom = math.MaxInt64 / 2
+
 // New returns a fleet without endpoints.
 func New(options Options) *Fleet {
 	if options.EjectMost == 0 {
@@ -89,7 +93,8 @@
 	}
 	return &Fleet{
 		options: options, members: map[string]*member{}, byService: map[string][]*member{}, readings: map[string]*reading{},
-		prices: map[string]price{}, overruns: map[string]Overrun{}, memory: memory{holders: map[uint64][]*member{}}}
+		prices: map[string]price{}, overruns: map[string]Overrun{}, memory: memory{holders: map[uint64][]*member{}}, tickets: rand.Int64N(ticketsFrom),
+	}
 }
 
 // Put adds an endpoint or brings it up to date.
--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -66,7 +66,8 @@
 // heard is what the head of the answer told.
 func (h *Hold) heard(l Load) Heard {
 	return Heard{
-		Endpoint: h.Endpoint.ID, Ticket: h.advice.Ticket, Service: h.ask.Service, Model: h.ask.Model, Took: h.took, Expected: h.Expected.Head, Read: h.Expected.Read, Sure: h.Expected.Sure, Load: l,
+		Endpoint: h.Endpoint.ID, Ticket: h.advice.Ticket, Service: h.ask.Service, Model: h.ask.Model, Load: l,
+		Took: h.took, Expected: h.Expected.Head, Read: h.Expected.Read, Sure: h.Expected.Sure,
 	}
 }
 
