Requests wait for what a host that has just started does not know yet, until 1.2 s after its start

Ruled out: the decoding of 1,800 routes (12 ms of a core). Now requests wait until 1.2 s after the host's start, woken when the tables are there (each looked every 10 ms before), and are refused at once from then on, where each was held 0.4 s before.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -44,6 +44,7 @@
 	options Options
 	observe func(id string, o Outcome) // nil if nobody minds
 	heard   func(Heard)                // as observe
+	known   chan struct{}              // closed once an endpoint was listed
 
 	mu        sync.Mutex // guards all below
 	members   map[string]*member
@@ -92,11 +93,14 @@
 		options.Random = rand.Float64
 	}
 	return &Fleet{
-		options: options, members: map[string]*member{}, byService: map[string][]*member{}, readings: map[string]*reading{},
+		options: options, known: make(chan struct{}), members: map[string]*member{}, byService: map[string][]*member{}, readings: map[string]*reading{},
 		prices: map[string]price{}, overruns: map[string]Overrun{}, memory: memory{holders: map[uint64][]*member{}}, tickets: rand.Int64N(ticketsFrom),
 	}
 }
 
+// Known returns a channel that is closed once an endpoint was listed.
+func (f *Fleet) Known() <-chan struct{} { return f.known }
+
 // Put adds an endpoint or brings it up to date.
 func (f *Fleet) Put(e Endpoint) {
 	f.mu.Lock()
@@ -105,6 +109,11 @@
 }
 
 func (f *Fleet) put(e Endpoint) {
+	select {
+	case <-f.known:
+	default:
+		close(f.known)
+	}
 	m, ok := f.members[e.ID]
 	if !ok {
 		m = &member{seed: xxhash.Sum64String(e.ID), kept: newKept()}
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -10,7 +11,6 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
-	"quaybarrow/internal/clock"
 	"quaybarrow/internal/route"
 )
 
@@ -32,7 +32,9 @@
 // body; it returns why the request is refused, nil if it is not.
 func (x *exchange) admit() *refusal {
 	x.ask = x.g.Codec.Request(x.r.Header)
-	x.awaitStart()
+	if time.Since(x.g.began) < startPatience {
+		x.awaitStart()
+	}
 	if x.table == nil {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "no configuration yet", after: configRetry}
 	}
@@ -45,23 +47,25 @@
 	return nil
 }
 
-// startPatience is how long a request waits at a host that has just started. Where
-// the store answers, configuration and endpoints are known after 20 to 150 ms, as
-// measured with 60 hosts that start at once; a caller that is told to come back has
-// one try less.
-const (
-	startPatience = 400 * time.Millisecond
-	startPoll     = 10 * time.Millisecond
-)
+// startPatience is for how long after a host's start requests wait for what it does
+// not know yet; a caller that is told to come back has one try less. Where the store
+// answers, configuration and endpoints are known after 20 to 150 ms, and after a loss of
+// power of 91 hosts with 1,800 routes, on 0.19 of a core and 10 Mbit/s, after 0.5 to 1.0 s:
+// when each request waited 0.4 s, 313 to 475 callers were refused for good then. Once the
+// time is over nothing is known to come, and requests are refused at once.
+const startPatience = 1200 * time.Millisecond
 
 // awaitStart waits until a host that has just started can serve.
 func (x *exchange) awaitStart() {
-	for time.Since(x.start) < startPatience && !x.g.knows() && clock.Sleep(x.ctx, startPoll) {
-		x.table = x.g.Holder.Table()
-	}
-	if x.table == nil {
-		x.table = x.g.Holder.Table()
+	ctx, cancel := context.WithDeadline(x.ctx, x.g.began.Add(startPatience))
+	defer cancel()
+	for _, known := range []<-chan struct{}{x.g.Holder.Known(), x.g.Fleet.Known()} {
+		select {
+		case <-known:
+		case <-ctx.Done():
+		}
 	}
+	x.table = x.g.Holder.Table()
 }
 
 // configRetry is when to come back to a host that knows no configuration yet.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -51,8 +51,8 @@
 	budgets  *retry.Budgets
 	sizes    *sizes
 	begins   *beginnings
+	began    time.Time // when the host started
 	draining atomic.Bool
-	known    atomic.Bool // configuration and endpoints have been known
 	inFlight atomic.Int64
 }
 
@@ -62,7 +62,7 @@
 
 // New returns a gateway.
 func New(options Options) *Gateway {
-	return &Gateway{Options: options, sizes: newSizes(), begins: newBeginnings(),
+	return &Gateway{Options: options, sizes: newSizes(), begins: newBeginnings(), began: time.Now(),
 		budgets: retry.NewBudgets(retry.Limits{Ratio: options.RetryRatio, Reserve: retryReserve})}
 }
 
@@ -80,17 +80,6 @@
 	}
 }
 
-// knows reports whether configuration and endpoints are known; once they are, they
-// are known for good.
-func (g *Gateway) knows() bool {
-	if g.known.Load() {
-		return true
-	}
-	known := g.Holder.Table() != nil && g.Fleet.Size() > 0
-	g.known.Store(known)
-	return known
-}
-
 // Drain makes the gateway not ready; callers are told to close connections.
 func (g *Gateway) Drain() { g.draining.Store(true) }
 
--- a/internal/route/holder.go
+++ b/internal/route/holder.go
@@ -12,10 +12,16 @@
 }
 
 // Holder keeps the newest table of a host; safe for use at once.
-type Holder struct{ now atomic.Pointer[held] }
+type Holder struct {
+	now   atomic.Pointer[held]
+	known chan struct{}
+}
 
 // NewHolder returns a holder without a table.
-func NewHolder() *Holder { return &Holder{} }
+func NewHolder() *Holder { return &Holder{known: make(chan struct{})} }
+
+// Known returns a channel that is closed once there is a table.
+func (h *Holder) Known() <-chan struct{} { return h.known }
 
 // Table returns the table in force, nil if there is none yet.
 func (h *Holder) Table() *Table {
@@ -34,6 +40,9 @@
 			return false
 		}
 		if h.now.CompareAndSwap(old, &held{table: t, confirmed: time.Now()}) {
+			if old == nil {
+				close(h.known)
+			}
 			return true
 		}
 	}
