Long rows are passed on packed, not only many rows

Cause: what hosts pass on was packed from 16 rows on. A configuration of 1,800 routes is a single row of 560 KB: after a loss of power of 91 hosts its reader sent it to each as it was, half a second on 10 Mbit/s, and again at each change of it. Seen by timing each source of each read: the store answered the readers after 37 to 58 ms, they the other hosts after 300 to 680 ms. Ruled out: decoding (12 ms of a core).

Now also from 2 KB on; the test of a single long row and of a few of some length failed before.

--- a/internal/spread/pack.go
+++ b/internal/spread/pack.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"quaybarrow/internal/spread/spreadpb"
+	"quaybarrow/internal/store"
 )
 
 // packer packs many rows for other hosts, once for all that ask for the same ones;
@@ -28,8 +29,37 @@
 // packedMost bounds what is kept; hosts of a group ask for the same few versions.
 const packedMost = 8
 
+// What is worth packing: many rows, or long ones. A configuration of 1,800 routes is a
+// single row of 560 KB, which takes a host on 10 Mbit/s half a second, and packed a tenth
+// of that.
+const (
+	packRows  = 16
+	packBytes = 2 << 10
+)
+
 func newPacker() *packer { return &packer{packed: map[packKey][]byte{}} }
 
+// fill puts what came after a version into a reply, packed where that is worth it.
+func (p *packer) fill(reply *spreadpb.ReadReply, table string, after int64, n news) error {
+	if !worthPacking(n.changes) {
+		for _, c := range n.changes {
+			reply.Rows = append(reply.Rows, rowToWire(c.Row, c.Deleted))
+		}
+		return nil
+	}
+	packed, err := p.pack(table, after, n)
+	reply.Packed = packed
+	return err
+}
+
+func worthPacking(changes []store.Change) bool {
+	size := 0
+	for _, c := range changes {
+		size += len(c.Value)
+	}
+	return len(changes) >= packRows || size >= packBytes
+}
+
 // pack returns rows that came after a version, gzipped.
 func (p *packer) pack(table string, after int64, n news) ([]byte, error) {
 	p.mu.Lock()
--- a/internal/spread/server.go
+++ b/internal/spread/server.go
@@ -18,9 +18,6 @@
 // which takes a host on 10 Mbit/s a third of a second.
 const wholeRows = 20_000
 
-// packLeast is how many rows are worth packing.
-const packLeast = 16
-
 // Server returns a gRPC server that passes on what this host reads.
 func (w *Watcher) Server(c credentials.TransportCredentials) *grpc.Server {
 	s := grpc.NewServer(grpc.Creds(c), grpc.WriteBufferSize(writeBuffer), grpc.ReadBufferSize(readBuffer))
@@ -50,14 +47,8 @@
 		return nil, status.Error(codes.OutOfRange, errTooLong.Error())
 	}
 	reply := &spreadpb.ReadReply{Version: n.version, NowMicros: s.now(), AgeMicros: n.age.Microseconds(), Keys: n.keys}
-	if len(n.changes) >= packLeast {
-		if reply.Packed, err = s.packer.pack(r.GetTable(), r.GetAfter(), n); err != nil {
-			return nil, status.Error(codes.Internal, err.Error())
-		}
-		return reply, nil
-	}
-	for _, c := range n.changes {
-		reply.Rows = append(reply.Rows, rowToWire(c.Row, c.Deleted))
+	if err := s.packer.fill(reply, r.GetTable(), r.GetAfter(), n); err != nil {
+		return nil, status.Error(codes.Internal, err.Error())
 	}
 	return reply, nil
 }
