One keeper of recent values; the weighing of a larger model in steps

The last values of a measure and their quantiles were kept twice, in fleet's reading times and in upgrade's paces; the function that weighs a larger model had forty lines and stood beside a second copy of what others wait. A route without an objective makes a delay of nothing in place of a division by zero.

--- a/internal/fleet/reading.go
+++ b/internal/fleet/reading.go
@@ -1,8 +1,9 @@
 package fleet
 
 import (
-	"slices"
 	"time"
+
+	"quaybarrow/internal/recent"
 )
 
 // Parameters of the estimate of reading times.
@@ -30,9 +31,9 @@
 // reading estimates how long an engine that does nothing else takes until the
 // head of an answer, for one model.
 type reading struct {
-	short    samples // seconds
-	long     samples // seconds for each token, of prompts whose shared parts were known to be kept
-	guessed  samples // the same, of others: some may have been kept unknown to this host
+	short    *recent.Values // seconds
+	long     *recent.Values // seconds for each token, of prompts whose shared parts were known to be kept
+	guessed  *recent.Values // the same, of others: some may have been kept unknown to this host
 	base     time.Duration
 	perToken float64 // seconds
 }
@@ -42,9 +43,12 @@
 const readingPriors = 4
 
 func newReading() *reading {
-	r := &reading{base: readingBase, perToken: readingPerToken.Seconds()}
+	r := &reading{
+		short: recent.New(readingKept), long: recent.New(readingKept), guessed: recent.New(readingKept),
+		base: readingBase, perToken: readingPerToken.Seconds(),
+	}
 	for range readingPriors {
-		r.short.add(readingBase.Seconds())
+		r.short.Add(readingBase.Seconds())
 	}
 	return r
 }
@@ -54,21 +58,21 @@
 // would take warm prompts for engines that read in no time.
 func (r *reading) add(tokens int, sure bool, took time.Duration) {
 	if tokens < readingShort {
-		r.short.add(max(took.Seconds()-float64(tokens)*r.perToken, 0))
-		r.base = seconds(r.short.quantile(readingQuantile))
+		r.short.Add(max(took.Seconds()-float64(tokens)*r.perToken, 0))
+		r.base = seconds(r.short.Quantile(readingQuantile))
 		return
 	}
 	perToken := max(took-r.base, 0).Seconds() / float64(tokens)
 	if sure {
-		r.long.add(perToken)
+		r.long.Add(perToken)
 	} else {
-		r.guessed.add(perToken)
+		r.guessed.Add(perToken)
 	}
-	if r.long.n >= readingSure {
-		r.perToken = r.long.quantile(readingQuantile)
+	if r.long.Seen() >= readingSure {
+		r.perToken = r.long.Quantile(readingQuantile)
 		return
 	}
-	r.perToken = max(r.guessed.quantile(guessedQuantile), readingPerToken.Seconds())
+	r.perToken = max(r.guessed.Quantile(guessedQuantile), readingPerToken.Seconds())
 }
 
 // tokens returns the time that tokens take to be read.
@@ -78,26 +82,3 @@
 func (r *reading) head(n int) time.Duration { return r.base + r.tokens(n) }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
-
-// samples are the last values of a measure.
-type samples struct {
-	kept [readingKept]float64
-	n    int // seen in all
-}
-
-func (s *samples) add(v float64) {
-	s.kept[s.n%readingKept] = v
-	s.n++
-}
-
-// quantile returns a quantile of the values, the least one while there are few; 0
-// without any.
-func (s *samples) quantile(q float64) float64 {
-	if s.n == 0 {
-		return 0
-	}
-	sorted := s.kept
-	seen := sorted[:min(s.n, readingKept)]
-	slices.Sort(seen)
-	return seen[int(q*float64(len(seen)))]
-}
--- a/internal/gateway/cascade.go
+++ b/internal/gateway/cascade.go
@@ -18,49 +18,76 @@
 func (s *stream) escalates(a *attempt) bool {
 	x := s.x
 	n := len(x.route.Models)
-	if s.begun || n == 0 || x.model == x.route.Models[n-1] || a.said.Confidence == ConfidenceUnsaid {
+	if s.begun || n == 0 || x.model == x.route.Models[n-1] || a.said.Confidence == ConfidenceUnsaid || x.sends >= x.route.Attempts {
 		return false
 	}
-	if x.sends >= x.route.Attempts {
+	w := x.weigh(x.route.Models[n-1], a.said.Confidence)
+	x.noteBeginning(w)
+	granted := w.better() && x.g.budgets.Repeat(x.service, escalationPart)
+	x.logWeighing(w, granted)
+	if !granted {
 		return false
 	}
-	largest := x.route.Models[n-1]
-	took := time.Since(x.start)
-	ask := x.fleetAsk(largest)
+	x.model, x.larger = w.model, true
+	x.tried = nil
+	return true
+}
+
+// weighing is a small model's answer against a larger one that may be asked for.
+type weighing struct {
+	model      string // the larger one
+	confidence float64
+	took       time.Duration // so far
+	kept       cascade.Answer
+	larger     cascade.Option
+	expected   fleet.Expectation // of the larger model's answer
+}
+
+// better reports whether the larger model's answer is worth more.
+func (w weighing) better() bool { return w.expected.Head > 0 && w.larger.Net() > w.kept.Value() }
+
+// weigh weighs an answer of a confidence against a larger model's.
+func (x *exchange) weigh(model string, confidence float64) weighing {
+	ask := x.fleetAsk(model)
 	ask.Avoid = nil // where the small model answered, the larger one may
-	expected := x.expect(ask)
-	kept := cascade.Answer{Right: cascade.ChanceRight(a.said.Confidence)}
-	if took <= x.route.Objective {
-		kept.InTime = 1
+	w := weighing{model: model, confidence: confidence, took: time.Since(x.start), expected: x.expect(ask)}
+	w.kept.Right = cascade.ChanceRight(confidence)
+	if w.took <= x.route.Objective {
+		w.kept.InTime = 1
 	}
-	larger := cascade.Option{
-		Answer: cascade.Answer{Right: cascade.LargestRight, InTime: expected.InTime(x.route.Objective - took)},
-		Use:    x.use(largest), Size: x.size, Delay: expected.Price * expected.Work.Seconds() / x.route.Objective.Seconds(),
+	w.larger = cascade.Option{
+		Answer: cascade.Answer{Right: cascade.LargestRight, InTime: w.expected.InTime(x.route.Objective - w.took)},
+		Use:    x.use(model), Size: x.size, Delay: x.delay(w.expected),
 	}
-	x.noteBeginning(kept, larger, expected)
-	better := expected.Head > 0 && larger.Net() > kept.Value()
-	granted := better && x.g.budgets.Repeat(x.service, escalationPart)
-	x.g.Logger.Info("larger model weighed", "id", x.ask.ID, "model", largest, "confidence", a.said.Confidence, "kept", kept.Value(),
-		"larger", larger.Value(), "use", larger.Use, "delay", larger.Delay, "in_time", larger.InTime, "took_ms", took.Milliseconds(),
-		"expected_ms", expected.Head.Milliseconds(), "read", expected.Read, "price", expected.Price, "better", better, "asked", granted)
-	if !granted {
-		return false
+	return w
+}
+
+// delay is how long others wait for an attempt's work, as a part of the objective;
+// nothing where operators declare none.
+func (x *exchange) delay(e fleet.Expectation) float64 {
+	if x.route.Objective <= 0 {
+		return 0
 	}
-	x.model, x.larger = largest, true
-	x.tried = nil
-	return true
+	return e.Price * e.Work.Seconds() / x.route.Objective.Seconds()
+}
+
+// logWeighing writes the line about a small model's answer.
+func (x *exchange) logWeighing(w weighing, granted bool) {
+	x.g.Logger.Info("larger model weighed", "id", x.ask.ID, "model", w.model, "confidence", w.confidence, "kept", w.kept.Value(),
+		"larger", w.larger.Value(), "use", w.larger.Use, "delay", w.larger.Delay, "in_time", w.larger.InTime, "took_ms", w.took.Milliseconds(),
+		"expected_ms", w.expected.Head.Milliseconds(), "read", w.expected.Read, "price", w.expected.Price, "better", w.better(), "asked", granted)
 }
 
 // noteBeginning takes in how much better the request would have done if it had begun
 // with the larger model.
-func (x *exchange) noteBeginning(kept cascade.Answer, larger cascade.Option, expected fleet.Expectation) {
-	if expected.Head == 0 || x.sends > 1 {
+func (x *exchange) noteBeginning(w weighing) {
+	if w.expected.Head == 0 || x.sends > 1 {
 		return
 	}
-	small := cascade.Option{Use: x.use(x.model), Size: x.size, Delay: x.expected.Price * x.expected.Work.Seconds() / x.route.Objective.Seconds()}
-	atOnce := larger
-	atOnce.InTime = expected.InTime(x.route.Objective)
-	x.g.begins.note(x.route.Name, atOnce.Net()-max(kept.Value(), larger.Net())-small.Net())
+	small := cascade.Option{Use: x.use(x.model), Size: x.size, Delay: x.delay(x.expected)}
+	atOnce := w.larger
+	atOnce.InTime = w.expected.InTime(x.route.Objective)
+	x.g.begins.note(x.route.Name, atOnce.Net()-max(w.kept.Value(), w.larger.Net())-small.Net())
 }
 
 // expect is what an attempt is expected to take, as the host knows that advises.
--- a/internal/upgrade/pace.go
+++ b/internal/upgrade/pace.go
@@ -2,8 +2,9 @@
 
 import (
 	"math/bits"
-	"slices"
 	"time"
+
+	"quaybarrow/internal/recent"
 )
 
 // Pace is how fast an answer came.
@@ -44,43 +45,33 @@
 	return min(bits.Len(uint(max(requests, 0)/loadLeast)), loadBands-1)
 }
 
-// paces keeps the last paces of answers that are taken for usual, by load.
-type paces struct{ bands [loadBands]band }
+// paces keeps the last paces of answers that are taken for usual, in seconds, by load.
+type paces struct{ bands [loadBands]*recent.Values }
 
-// band is what was seen at a load.
-type band struct {
-	kept [paceKept]time.Duration
-	n    int // seen in all
+func newPaces() *paces {
+	p := &paces{}
+	for i := range p.bands {
+		p.bands[i] = recent.New(paceKept)
+	}
+	return p
 }
 
 func (p *paces) add(requests int, pace Pace) {
-	b := &p.bands[loadBand(requests)]
-	b.kept[b.n%paceKept] = pace.took()
-	b.n++
+	p.bands[loadBand(requests)].Add(pace.took().Seconds())
 }
 
 // slow reports whether an answer took clearly longer than usual at its load, or at
 // the nearest one that was seen, two bands away at most; known is false while none was.
 func (p *paces) slow(requests int, pace Pace) (slow, known bool) {
-	if p == nil {
-		return false, false
+	quantile, factor := wholeQuantile, wholeFactor
+	if _, ok := pace.(Shortest); ok {
+		quantile, factor = shortestQuantile, shortestFactor
 	}
 	at := loadBand(requests)
 	for _, i := range []int{at, at - 1, at + 1, at - 2, at + 2} {
-		if i >= 0 && i < loadBands && p.bands[i].n >= paceLeast {
-			return p.bands[i].slow(pace), true
+		if i >= 0 && i < loadBands && p.bands[i].Seen() >= paceLeast {
+			return pace.took().Seconds() > factor*p.bands[i].Quantile(quantile), true
 		}
 	}
 	return false, false
 }
-
-func (b *band) slow(pace Pace) bool {
-	quantile, factor := wholeQuantile, wholeFactor
-	if _, ok := pace.(Shortest); ok {
-		quantile, factor = shortestQuantile, shortestFactor
-	}
-	sorted := slices.Clone(b.kept[:min(b.n, paceKept)])
-	slices.Sort(sorted)
-	usual := sorted[int(quantile*float64(len(sorted)))]
-	return float64(pace.took()) > factor*float64(usual)
-}
--- a/internal/upgrade/tracker.go
+++ b/internal/upgrade/tracker.go
@@ -222,13 +222,13 @@
 
 func (t *Tracker) classPace(r Report, f Paced, target bool) Count {
 	name := r.Service + "/" + r.Route
-	usual := t.paces[name]
+	usual, ok := t.paces[name]
+	if !ok {
+		usual = newPaces()
+		t.paces[name] = usual
+	}
 	slow, known := usual.slow(f.Requests, f.Pace)
 	if !target {
-		if usual == nil {
-			usual = &paces{}
-			t.paces[name] = usual
-		}
 		usual.add(f.Requests, f.Pace)
 	}
 	switch {
