--- a/internal/fleet/await_test.go
+++ b/internal/fleet/await_test.go
@@ -47,6 +47,21 @@
 		})
 	})
 
+	It("lose to an endpoint of another data hall, which is taken for nothing else", func() {
+		suite.Paused(func() {
+			f := fleet.New(fleet.Options{Hall: "ikeja"})
+			f.Put(fleet.Endpoint{ID: "near", Service: "s", Hall: "ikeja", Slots: 64})
+			f.Put(fleet.Endpoint{ID: "far", Service: "s", Hall: "lekki", Slots: 64})
+			stuck, _ := f.Pick(note(1))
+			Expect(stuck.Endpoint.ID).To(Equal("near"))
+			second, _ := f.Pick(note(2))
+			Expect(second.Endpoint.ID).To(Equal("near"))
+			time.Sleep(time.Second)
+			third, _ := f.Pick(note(3))
+			Expect(third.Endpoint.ID).To(Equal("far"))
+		})
+	})
+
 	It("are not those that answer what was sent later", func() {
 		suite.Paused(func() {
 			f := fleet.New(fleet.Options{Hall: "ikeja"})
--- a/internal/fleet/memory_test.go
+++ b/internal/fleet/memory_test.go
@@ -57,6 +57,18 @@
 		})
 	})
 
+	It("does not count a part whose beginning is not kept", func() {
+		suite.Paused(func() {
+			f := fleet.New(fleet.Options{Hall: "ikeja"})
+			f.Put(fleet.Endpoint{ID: "only", Service: "s", Hall: "ikeja", Slots: 4})
+			read(f, document(7, 100))
+			other := document(7, 300)
+			other.Shared, other.Parts[0].ID = 0, 2 // another beginning before the same chapter
+			h, _ := f.Pick(other)
+			Expect(h.Expected.Read).To(Equal(10_000))
+		})
+	})
+
 	It("forgets what an endpoint refused to read, what was unused the longest, and who is gone", func() {
 		suite.Paused(func() {
 			f := fleet.New(fleet.Options{Hall: "ikeja"})
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -4,7 +4,9 @@
 	"time"
 
 	"fmt"
+	"net/http"
 	"strings"
+	"sync/atomic"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -74,6 +76,49 @@
 		})
 	})
 
+	It("that have begun are not dropped for a larger model after a break", func() {
+		suite.Paused(func() {
+			both := between(standin.Stream{Events: 5, Confidence: 90, BreakAfter: 2}, standin.Stream{Events: 5, Confidence: 1})
+			r := newRig(scripts{"model-1": both, "model-2": both})
+			defer r.stop()
+			a := r.ask(prompt("/stream/1"))
+			Expect(a.Err).NotTo(HaveOccurred())
+			Expect(a.Body).To(Equal(events(1, 5, "small")))
+			Expect(r.runs()).To(Equal(2))
+		})
+	})
+
+	It("of a small model are kept once the retry budget is spent", func() {
+		suite.Paused(func() {
+			r := newRig(scripts{"model-1": standin.Always(standin.Stream{Events: 5, Confidence: 10})})
+			defer r.stop()
+			r.gateway.SetRetryRatio(0.1)
+			for range 10 {
+				Expect(r.ask(prompt("/stream/1")).Err).NotTo(HaveOccurred())
+			}
+			Expect(r.runs()).To(Equal(12), "0.85 of a tenth of ten and the reserve of two")
+		})
+	})
+
+	It("of a small model are kept where no attempt is left", func() {
+		suite.Paused(func() {
+			var sends atomic.Int32
+			script := func(int, *http.Request) standin.Script {
+				if sends.Add(1) <= 2 {
+					return standin.Reply{Status: 500}
+				}
+				return standin.Stream{Events: 5, Confidence: 10}
+			}
+			r := newRig(scripts{"model-1": script, "model-2": script, "model-3": script})
+			defer r.stop()
+			r.gateway.SetRetryRatio(9)
+			a := r.ask(prompt("/stream/1"))
+			Expect(a.Err).NotTo(HaveOccurred())
+			Expect(a.Body).To(Equal(events(1, 5, "small")))
+			Expect(r.runs()).To(Equal(3))
+		})
+	})
+
 	It("begin with the largest model where all small answers are dropped", func() {
 		suite.Paused(func() {
 			r := newRig(scripts{"model-1": standin.Always(standin.Stream{Events: 5, Confidence: 1})})
--- a/internal/upgrade/upgrade_test.go
+++ b/internal/upgrade/upgrade_test.go
@@ -79,6 +79,7 @@
 type traffic struct {
 	badEvery int           // one of so many answers fails; 0 for none
 	pause    time.Duration // shortest between events of a stream; the others have 10 ms
+	shy      bool          // none of the requests goes to the target, whatever is allowed
 	noise    int           // one of so many streams of any version has four times that; 0 for none
 }
 
@@ -96,7 +97,7 @@
 			key := uint64(n) * 0x9e3779b97f4a7c15
 			r := upgrade.Report{Service: "s", Version: "v1", Endpoint: fmt.Sprint("v1", n%4), Route: "r"}
 			pause := othersPause
-			if allowed := t.Allowed("s", key); allowed != nil && allowed("v2") {
+			if allowed := t.Allowed("s", key); allowed != nil && allowed("v2") && !w.shy {
 				exposed++
 				r.Version, r.Endpoint = "v2", fmt.Sprint("v2", n%4)
 				pause = max(w.pause, othersPause)
@@ -166,6 +167,23 @@
 		})
 	})
 
+	It("gets no larger share, and is not completed, while nobody has seen its answers", func() {
+		suite.Paused(func() {
+			h := newHosts(5)
+			defer h.stop()
+			h.order(7)
+			h.serve(25*time.Second, traffic{shy: true})
+			Expect(h.status()).To(MatchJSON(`{"state":"running","target_version":"v2"}`))
+			allowed := 0
+			for n := range uint64(1000) {
+				if h.trackers[0].Allowed("s", n*0x9e3779b97f4a7c15)("v2") {
+					allowed++
+				}
+			}
+			Expect(allowed).To(BeNumerically("~", 200, 10))
+		})
+	})
+
 	It("gets no larger share while the store is away, and completes after", func() {
 		suite.Paused(func() {
 			h := newHosts(5)
