Whether an endpoint takes an attempt is said, not read off a time of nothing

Cause, found by a deliberate break that no spec saw: an expected time of 0 stood for no endpoint. Where engines answer at once, as in the specs, the estimate came down to 0 and no larger model was asked, so the spec of the retry budget could not fail. Fleet.Expect and Fleet.Advise return whether there is one. A spec more of prompts' memory, of a part that another endpoint keeps in between.

--- a/internal/advice/advice.go
+++ b/internal/advice/advice.go
@@ -254,11 +254,15 @@
 		Allowed: s.options.Allowed(r.GetService(), r.GetVersionKey()), Parts: partsFromWire(r.GetParts()), Memory: int(r.GetMemory()), Hall: r.GetHall(),
 	}
 	// The reply goes out even if there is no endpoint: it tells which ones fail.
-	advised := fleet.Advice{}
+	reply := &advicepb.ChooseReply{Ejected: f.Ejected()}
 	if r.GetWeigh() {
-		advised.Expected = f.Expect(ask)
-	} else {
-		advised = f.Advise(ask)
+		if expected, ok := f.Expect(ask); ok {
+			reply.Expected = expectationToWire(expected)
+		}
+		return reply, nil
+	}
+	if advised, ok := f.Advise(ask); ok {
+		reply.Endpoint, reply.Ticket, reply.Expected = advised.Endpoint, advised.Ticket, expectationToWire(advised.Expected)
 	}
-	return &advicepb.ChooseReply{Endpoint: advised.Endpoint, Ticket: advised.Ticket, Expected: expectationToWire(advised.Expected), Ejected: f.Ejected()}, nil
+	return reply, nil
 }
--- a/internal/fleet/advise.go
+++ b/internal/fleet/advise.go
@@ -7,7 +7,7 @@
 
 // Advice is an endpoint for an attempt, and what that is expected to take there.
 type Advice struct {
-	Endpoint string // its id; empty if none takes the attempt
+	Endpoint string // its id
 	Ticket   int64  // by which the adviser knows the attempt
 	Expected Expectation
 }
@@ -34,21 +34,21 @@
 }
 
 // Advise chooses an endpoint for another host and counts the request and the reading
-// of its prompt there.
-func (f *Fleet) Advise(ask Ask) Advice {
+// of its prompt there; false if none may be used.
+func (f *Fleet) Advise(ask Ask) (Advice, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	c := f.choose(ask)
 	m := c.member
 	if m == nil {
-		return Advice{}
+		return Advice{}, false
 	}
 	a := Advice{Endpoint: m.ID, Expected: f.expect(c, ask)}
 	f.note(m, ask)
 	m.booked = later(m.booked, c.now).Add(a.Expected.Work)
 	a.Ticket = f.await(m, a.Expected.Head, c.now)
 	m.advised = append(m.advised, advised{ticket: a.Ticket, at: c.now})
-	return a
+	return a, true
 }
 
 // Ended takes a request of another host out of the count at its endpoint.
--- a/internal/fleet/advise_test.go
+++ b/internal/fleet/advise_test.go
@@ -15,8 +15,8 @@
 	advise := func(f *fleet.Fleet, count int, from uint64) map[string][]fleet.Advice {
 		counts := map[string][]fleet.Advice{}
 		for i := range count {
-			a := f.Advise(fleet.Ask{Service: "s", Key: from + uint64(i)<<8, Model: "m", Tokens: 10, Objective: 2 * time.Second})
-			Expect(a.Endpoint).NotTo(BeEmpty())
+			a, ok := f.Advise(fleet.Ask{Service: "s", Key: from + uint64(i)<<8, Model: "m", Tokens: 10, Objective: 2 * time.Second})
+			Expect(ok).To(BeTrue())
 			counts[a.Endpoint] = append(counts[a.Endpoint], a)
 		}
 		return counts
@@ -84,8 +84,8 @@
 	It("tells what is expected there, and that is what the hold expects", func() {
 		suite.Paused(func() {
 			f, other := newFleet(), newFleet()
-			f.Advise(document(7, 100))
-			a := f.Advise(document(7, 101))
+			_, _ = f.Advise(document(7, 100))
+			a, _ := f.Advise(document(7, 101))
 			Expect(a.Expected.Read).To(Equal(1_000))
 			h, ok := other.PickAt(a, document(7, 101))
 			Expect(ok).To(BeTrue())
@@ -94,21 +94,22 @@
 	})
 
 	It("has tickets that no other adviser gives out", func() {
-		a, b := newFleet().Advise(note(1)), newFleet().Advise(note(1))
+		a, _ := newFleet().Advise(note(1))
+		b, _ := newFleet().Advise(note(1))
 		Expect(a.Ticket).NotTo(Equal(b.Ticket), "hosts tell the next adviser what the one before advised")
 	})
 
 	It("goes by what other hosts hear", func() {
 		suite.Paused(func() {
 			f := newFleet()
-			before := f.Advise(document(7, 100))
+			before, _ := f.Advise(document(7, 100))
 			for range 30 {
 				f.Hear(fleet.Heard{Endpoint: before.Endpoint, Service: "s", Model: "m", Took: 3 * time.Second, Expected: time.Second, Read: 1_000, Sure: true,
 					Load: fleet.Load{Running: 4, Waiting: 9, Slots: 4}})
 				f.Hear(fleet.Heard{Endpoint: "e5", Service: "s", Model: "m", Took: 100 * time.Millisecond, Expected: 100 * time.Millisecond, Read: 1_000, Sure: true})
 			}
 			f.Hear(fleet.Heard{Endpoint: "gone", Service: "s", Model: "m", Took: time.Second})
-			after := f.Advise(document(7, 101))
+			after, _ := f.Advise(document(7, 101))
 			Expect(after.Endpoint).NotTo(Equal(before.Endpoint), "answers wait there")
 			Expect(after.Expected.Price).To(BeNumerically(">", before.Expected.Price))
 		})
--- a/internal/fleet/await_test.go
+++ b/internal/fleet/await_test.go
@@ -73,23 +73,26 @@
 				h.Done(fleet.Result{Outcome: fleet.OutcomeGood})
 			}
 			time.Sleep(2500 * time.Millisecond) // the wait of the last answer has faded
-			Expect(f.Expect(note(99)).Head).To(BeNumerically("<", 200*time.Millisecond))
+			e, ok := f.Expect(note(99))
+			Expect(ok).To(BeTrue())
+			Expect(e.Head).To(BeNumerically("<", 200*time.Millisecond))
 		})
 	})
 
 	It("are known by what other hosts were advised to send there", func() {
 		suite.Paused(func() {
 			f := newFleet()
-			stuck := f.Advise(note(1))
+			stuck, _ := f.Advise(note(1))
 			time.Sleep(time.Second)
 			for key := range uint64(20) {
-				a := f.Advise(note(10 + key))
+				a, _ := f.Advise(note(10 + key))
 				Expect(a.Endpoint).NotTo(Equal(stuck.Endpoint))
 				f.Hear(fleet.Heard{Endpoint: a.Endpoint, Ticket: a.Ticket, Service: "s", Model: "m", Took: 50 * time.Millisecond, Read: 300})
 				f.Ended(a)
 			}
 			f.Ended(stuck)
-			Expect(f.Advise(note(1)).Endpoint).To(Equal(stuck.Endpoint), "the request has ended otherwise, and it is kept there")
+			again, _ := f.Advise(note(1))
+			Expect(again.Endpoint).To(Equal(stuck.Endpoint), "the request has ended otherwise, and it is kept there")
 		})
 	})
 })
--- a/internal/fleet/expect.go
+++ b/internal/fleet/expect.go
@@ -7,7 +7,7 @@
 
 // Expectation is what an attempt is expected to take.
 type Expectation struct {
-	Head  time.Duration // until the head of the answer; 0 if no endpoint takes it
+	Head  time.Duration // until the head of the answer
 	Work  time.Duration // of the engine, to read the prompt
 	Read  int           // tokens of the prompt that have to be read
 	Sure  bool          // they can't be kept: all parts that others have too are known to be
@@ -18,8 +18,11 @@
 
 // InTime is the chance that the head comes within a time.
 func (e Expectation) InTime(within time.Duration) float64 {
-	if within <= 0 || e.Head <= 0 {
+	switch {
+	case within <= 0:
 		return 0
+	case e.Head <= 0:
+		return 1
 	}
 	return e.Overrun.below(float64(within) / float64(e.Head))
 }
--- a/internal/fleet/memory_test.go
+++ b/internal/fleet/memory_test.go
@@ -69,6 +69,26 @@
 		})
 	})
 
+	It("does not count a part after one that only another endpoint keeps", func() {
+		suite.Paused(func() {
+			f := fleet.New(fleet.Options{Hall: "ikeja"})
+			f.Put(fleet.Endpoint{ID: "gap", Service: "s", Hall: "ikeja", Slots: 4})
+			f.Put(fleet.Endpoint{ID: "other", Service: "s", Hall: "ikeja", Slots: 4})
+			at := func(id string, parts ...fleet.Part) fleet.Ask {
+				avoid := map[string]string{"gap": "other", "other": "gap"}
+				ask := document(7, 100)
+				ask.Shared, ask.Parts, ask.Avoid = 0, parts, []string{avoid[id]}
+				return ask
+			}
+			first, second, third := fleet.Part{ID: 1, Tokens: 4_000}, fleet.Part{ID: 2, Tokens: 3_000}, fleet.Part{ID: 3, Tokens: 3_000}
+			read(f, at("gap", first))
+			read(f, at("gap", third))
+			read(f, at("other", first, second))
+			h, _ := f.Pick(at("gap", first, second, third))
+			Expect(h.Expected.Read).To(Equal(6_000))
+		})
+	})
+
 	It("forgets what an endpoint refused to read, what was unused the longest, and who is gone", func() {
 		suite.Paused(func() {
 			f := fleet.New(fleet.Options{Hall: "ikeja"})
@@ -103,7 +123,7 @@
 			for own := range uint64(12) {
 				read(f, document(7+own, 100+own))
 			}
-			e := f.Expect(document(99, 999))
+			e, _ := f.Expect(document(99, 999))
 			Expect(e.Work).To(BeNumerically("~", time.Duration(e.Read)*100*time.Microsecond, 100*time.Millisecond))
 		})
 	})
@@ -117,7 +137,7 @@
 				h.Head(fleet.Load{})
 				h.Done(fleet.Result{Outcome: fleet.OutcomeGood})
 			}
-			e := f.Expect(document(99, 999))
+			e, _ := f.Expect(document(99, 999))
 			Expect(e.Work).To(BeNumerically(">=", time.Duration(e.Read)*10*time.Microsecond), "the prior")
 		})
 	})
@@ -133,7 +153,7 @@
 			for own := range uint64(6) {
 				read(f, document(7+own, 100+own))
 			}
-			e := f.Expect(document(99, 999))
+			e, _ := f.Expect(document(99, 999))
 			Expect(e.Work).To(BeNumerically(">", time.Duration(e.Read)*80*time.Microsecond))
 		})
 	})
@@ -146,7 +166,8 @@
 			for own := range uint64(20) {
 				read(f, document(7, 100+own))
 			}
-			Expect(f.Expect(document(7, 99)).Price).To(BeNumerically("<", 0.1))
+			before, _ := f.Expect(document(7, 99))
+			Expect(before.Price).To(BeNumerically("<", 0.1))
 			for own := range uint64(60) {
 				h, _ := f.Pick(document(7, 200+own))
 				time.Sleep(100 * time.Millisecond)
@@ -156,7 +177,8 @@
 				h.Head(fleet.Load{})
 				h.Done(fleet.Result{Outcome: fleet.OutcomeGood})
 			}
-			Expect(f.Expect(document(7, 98)).Price).To(BeNumerically(">", 0.5))
+			after, _ := f.Expect(document(7, 98))
+			Expect(after.Price).To(BeNumerically(">", 0.5))
 		})
 	})
 })
--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -201,15 +201,16 @@
 	return f.hold(c.member, f.expect(c, ask), ask, c.now), true
 }
 
-// Expect estimates what an attempt takes that is sent now.
-func (f *Fleet) Expect(ask Ask) Expectation {
+// Expect estimates what an attempt takes that is sent now; false if no endpoint takes
+// it.
+func (f *Fleet) Expect(ask Ask) (Expectation, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	c := f.choose(ask)
 	if c.member == nil {
-		return Expectation{}
+		return Expectation{}, false
 	}
-	return f.expect(c, ask)
+	return f.expect(c, ask), true
 }
 
 func (f *Fleet) expect(c choice, ask Ask) Expectation {
--- a/internal/gateway/cascade.go
+++ b/internal/gateway/cascade.go
@@ -40,17 +40,19 @@
 	took       time.Duration // so far
 	kept       cascade.Answer
 	larger     cascade.Option
+	possible   bool              // some endpoint takes the larger model's
 	expected   fleet.Expectation // of the larger model's answer
 }
 
 // better reports whether the larger model's answer is worth more.
-func (w weighing) better() bool { return w.expected.Head > 0 && w.larger.Net() > w.kept.Value() }
+func (w weighing) better() bool { return w.possible && w.larger.Net() > w.kept.Value() }
 
 // weigh weighs an answer of a confidence against a larger model's.
 func (x *exchange) weigh(model string, confidence float64) weighing {
 	ask := x.fleetAsk(model)
 	ask.Avoid = nil // where the small model answered, the larger one may
-	w := weighing{model: model, confidence: confidence, took: time.Since(x.start), expected: x.expect(ask)}
+	w := weighing{model: model, confidence: confidence, took: time.Since(x.start)}
+	w.expected, w.possible = x.expect(ask)
 	w.kept.Right = cascade.ChanceRight(confidence)
 	if w.took <= x.route.Objective {
 		w.kept.InTime = 1
@@ -81,7 +83,7 @@
 // noteBeginning takes in how much better the request would have done if it had begun
 // with the larger model.
 func (x *exchange) noteBeginning(w weighing) {
-	if w.expected.Head == 0 || x.sends > 1 {
+	if !w.possible || x.sends > 1 {
 		return
 	}
 	small := cascade.Option{Use: x.use(x.model), Size: x.size, Delay: x.delay(x.expected)}
@@ -90,11 +92,12 @@
 	x.g.begins.note(x.route.Name, atOnce.Net()-max(w.kept.Value(), w.larger.Net())-small.Net())
 }
 
-// expect is what an attempt is expected to take, as the host knows that advises.
-func (x *exchange) expect(ask fleet.Ask) fleet.Expectation {
+// expect is what an attempt is expected to take, as the host knows that advises; false
+// if no endpoint takes it.
+func (x *exchange) expect(ask fleet.Ask) (fleet.Expectation, bool) {
 	if x.g.Advice != nil {
 		if e, ok := x.g.Advice.Expect(x.ctx, ask, x.versionKey); ok {
-			return e
+			return e, true
 		}
 	}
 	return x.g.Fleet.Expect(ask)
