The store's clock is known by bounds; upgrades begin by the latest and move by the earliest

Cause: a host took what the store's clock showed in an answer for what it shows as the answer arrives, so its idea was behind by as long as the answer was on its way; what another host told was behind twice.

Ruled out: the share's own threshold (exact in specs); the turn-taking of hosts (a turn is only added to the beginning).

Now: clock.Remote keeps bounds, narrowed by each answer; hosts pass on both. The beginning is the latest the clock may show (a host whose bounds are over 100 ms apart reads the progress once first), shares go by the least that has passed.

--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -1,6 +1,6 @@
 // Package clock waits: for a time or for the end of a context, with jitter where
 // many hosts would otherwise wait in step. It reads the runtime's clock, which
-// tests pause and advance with testing/synctest.
+// tests pause and advance with testing/synctest. Remote bounds what the clock of another host shows.
 //
 // # Usage
 //
--- /dev/null
+++ b/internal/clock/remote.go
@@ -0,0 +1,61 @@
+package clock
+
+import (
+	"sync"
+	"time"
+)
+
+// remoteDrift is how much a remote clock and this host's may go apart, for each second:
+// quartz clocks keep within 100 parts in a million each.
+const remoteDrift = 200e-6
+
+// Bounds are the earliest and the latest time that another host's clock may show. An
+// immutable value.
+type Bounds struct{ Earliest, Latest time.Duration }
+
+// Width is how far the bounds are apart.
+func (b Bounds) Width() time.Duration { return b.Latest - b.Earliest }
+
+// Remote bounds what another host's steady clock shows now, from what it showed in
+// answers (Cristian's way: it showed that at some moment between the sending of the
+// question and the arrival of the answer). Each answer narrows the bounds, as in
+// Marzullo's intersection; safe for use at once.
+//
+// A single estimate, taken as of the arrival, is behind by as long as the answer was
+// on its way. On hosts of 0.19 of a core that start together that was 0.5 s, and
+// sessions were moved so much before half of an upgrade's time was over.
+type Remote struct {
+	mu     sync.Mutex // guards all below
+	known  bool
+	bounds Bounds // as of at
+	at     time.Time
+}
+
+// Heard takes in what the clock showed between two moments.
+func (r *Remote) Heard(shown Bounds, sent, arrived time.Time) {
+	heard := Bounds{Earliest: shown.Earliest, Latest: shown.Latest + arrived.Sub(sent)}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.known {
+		old := r.asOf(arrived)
+		narrow := Bounds{Earliest: max(old.Earliest, heard.Earliest), Latest: min(old.Latest, heard.Latest)}
+		if narrow.Earliest <= narrow.Latest {
+			heard = narrow
+		} // else the clock is another one now
+	}
+	r.known, r.bounds, r.at = true, heard, arrived
+}
+
+// Now bounds what the clock shows; false before anything was heard.
+func (r *Remote) Now() (Bounds, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.asOf(time.Now()), r.known
+}
+
+// asOf is what was heard, carried to a moment; the caller holds mu.
+func (r *Remote) asOf(moment time.Time) Bounds {
+	passed := moment.Sub(r.at)
+	drift := time.Duration(remoteDrift * float64(passed))
+	return Bounds{Earliest: r.bounds.Earliest + passed - drift, Latest: r.bounds.Latest + passed + drift}
+}
--- /dev/null
+++ b/internal/clock/remote_test.go
@@ -0,0 +1,80 @@
+package clock_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"quaybarrow/internal/clock"
+)
+
+// question is one that another host answers: on its way for there, and back again.
+type question struct{ there, back time.Duration }
+
+// exchanges are questions in order, with how far the bounds may be apart in the end.
+var exchanges = map[string]struct {
+	questions []question
+	width     time.Duration
+}{
+	"a quick answer":                  {[]question{{time.Millisecond, time.Millisecond}}, 2 * time.Millisecond},
+	"an answer that is late":          {[]question{{time.Millisecond, time.Second}}, 1001 * time.Millisecond},
+	"a late one after a quick one":    {[]question{{time.Millisecond, time.Millisecond}, {0, time.Second}}, 3 * time.Millisecond},
+	"a wait, and a late answer":       {[]question{{3 * time.Second, time.Millisecond}, {time.Millisecond, time.Second}}, 3 * time.Millisecond},
+	"a quick one after two late ones": {[]question{{time.Second, 0}, {0, time.Second}, {0, time.Millisecond}}, time.Millisecond},
+}
+
+func TestRemoteBoundsTheOtherClock(t *testing.T) {
+	for name, e := range exchanges {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				other := clock.NewSteady()
+				time.Sleep(time.Hour)
+				var r clock.Remote
+				for _, q := range e.questions {
+					sent := time.Now()
+					time.Sleep(q.there)
+					shown := other.Now()
+					time.Sleep(q.back)
+					r.Heard(clock.Bounds{Earliest: shown, Latest: shown}, sent, time.Now())
+				}
+				checkBounds(t, &r, other.Now(), e.width)
+			})
+		})
+	}
+}
+
+func checkBounds(t *testing.T, r *clock.Remote, shown, width time.Duration) {
+	t.Helper()
+	b, known := r.Now()
+	if !known || b.Earliest > shown || b.Latest < shown {
+		t.Errorf("bounds are %v, %v; the clock shows %v", b, known, shown)
+	}
+	if b.Width() > width {
+		t.Errorf("bounds are %v apart, want at most %v", b.Width(), width)
+	}
+}
+
+func TestRemoteOfAnotherClock(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var r clock.Remote
+		if _, known := r.Now(); known {
+			t.Error("a clock is known that nothing was heard of")
+		}
+		hour, second := clock.Bounds{Earliest: time.Hour, Latest: time.Hour}, clock.Bounds{Earliest: time.Second, Latest: time.Second}
+		r.Heard(hour, time.Now(), time.Now())
+		r.Heard(second, time.Now(), time.Now())
+		checkBounds(t, &r, time.Second, 0)
+	})
+}
+
+func TestRemoteWidensWithAge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var r clock.Remote
+		r.Heard(clock.Bounds{}, time.Now(), time.Now())
+		time.Sleep(time.Hour)
+		b, _ := r.Now()
+		if want := 2 * 200 * time.Microsecond * 3600; b.Width() != want {
+			t.Errorf("bounds are %v apart after an hour, want %v", b.Width(), want)
+		}
+	})
+}
--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -12,6 +12,7 @@
 	"github.com/charmbracelet/log"
 	. "github.com/onsi/gomega"
 
+	"quaybarrow/internal/clock"
 	"quaybarrow/internal/conn"
 	"quaybarrow/internal/fleet"
 	"quaybarrow/internal/gateway"
@@ -42,7 +43,7 @@
 // noClock is a watcher for tests without upgrades.
 type noClock struct{ store.Watcher }
 
-func (noClock) Now() (time.Duration, bool) { return 0, false }
+func (noClock) Now() (clock.Bounds, bool) { return clock.Bounds{}, false }
 
 // declaration has a route of each kind.
 func declaration() route.Declaration {
--- a/internal/spread/link.go
+++ b/internal/spread/link.go
@@ -16,6 +16,7 @@
 
 	"github.com/pkg/errors"
 
+	"quaybarrow/internal/clock"
 	"quaybarrow/internal/spread/spreadpb"
 	"quaybarrow/internal/store"
 )
@@ -116,18 +117,19 @@
 func (w *Watcher) Conn(address string) (grpc.ClientConnInterface, error) { return w.link.conn(address) }
 
 // read asks a host for changes of a table, or for all of it.
-func (l *link) read(ctx context.Context, p peer, request *spreadpb.ReadRequest, hear func(time.Duration)) (news, error) {
+func (l *link) read(ctx context.Context, p peer, request *spreadpb.ReadRequest, hear func(shown clock.Bounds, sent time.Time)) (news, error) {
 	c, err := l.conn(p.address)
 	if err != nil {
 		return news{}, err
 	}
+	sent := time.Now()
 	reply, err := spreadpb.NewSpreadClient(c).Read(ctx, request)
 	if err != nil {
 		return news{}, errorOf(p, err)
 	}
-	hear(time.Duration(reply.GetNowMicros()) * time.Microsecond)
+	hear(clock.Bounds{Earliest: micros(reply.GetEarliestMicros()), Latest: micros(reply.GetLatestMicros())}, sent)
 	n := news{
-		version: reply.GetVersion(), age: time.Duration(reply.GetAgeMicros()) * time.Microsecond,
+		version: reply.GetVersion(), age: micros(reply.GetAgeMicros()),
 		keys: reply.GetKeys(), checked: true,
 	}
 	rows := reply.GetRows()
@@ -142,6 +144,8 @@
 	return n, nil
 }
 
+func micros(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
+
 // errorOf makes a store's error of a gRPC one.
 func errorOf(p peer, err error) error {
 	switch status.Code(err) {
--- a/internal/spread/server.go
+++ b/internal/spread/server.go
@@ -46,7 +46,10 @@
 	case r.GetAfter() < 0 && len(n.changes) > wholeRows:
 		return nil, status.Error(codes.OutOfRange, errTooLong.Error())
 	}
-	reply := &spreadpb.ReadReply{Version: n.version, NowMicros: s.now(), AgeMicros: n.age.Microseconds(), Keys: n.keys}
+	reply := &spreadpb.ReadReply{Version: n.version, AgeMicros: n.age.Microseconds(), Keys: n.keys}
+	if now, ok := s.watcher.Now(); ok {
+		reply.EarliestMicros, reply.LatestMicros = now.Earliest.Microseconds(), now.Latest.Microseconds()+1 // cut to whole ones
+	}
 	if err := s.packer.fill(reply, r.GetTable(), r.GetAfter(), n); err != nil {
 		return nil, status.Error(codes.Internal, err.Error())
 	}
@@ -82,15 +85,6 @@
 	return n, nil
 }
 
-// now is the store's clock; 0 if it is not known.
-func (s *server) now() int64 {
-	now, ok := s.watcher.options.Store.Now()
-	if !ok {
-		return 0
-	}
-	return now.Microseconds()
-}
-
 func (w *Watcher) isStopping() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -130,13 +130,8 @@
 	direct   time.Time         // the store is not read directly before
 	stopping bool              // other hosts are sent elsewhere
 	closed   bool              // no mirror starts any more
-	clock    reading
-}
 
-// reading is the store's clock as of a moment, as another host told it.
-type reading struct {
-	shown time.Duration
-	at    time.Time
+	clock clock.Remote // the store's, as other hosts tell it
 }
 
 // NewWatcher returns a watcher that knows no other host yet.
@@ -229,28 +224,27 @@
 	return m
 }
 
-// Now implements store.Watcher.
-func (w *Watcher) Now() (time.Duration, bool) {
-	w.mu.Lock()
-	told := w.clock
-	w.mu.Unlock()
-	if now, ok := w.options.Store.Now(); ok {
-		return now, true
-	}
-	if told.at.IsZero() {
-		return 0, false
+// Now implements store.Watcher. What this host read from the store and what others
+// tell both bound its clock.
+func (w *Watcher) Now() (clock.Bounds, bool) {
+	own, read := w.options.Store.Now()
+	told, heard := w.clock.Now()
+	both := clock.Bounds{Earliest: max(own.Earliest, told.Earliest), Latest: min(own.Latest, told.Latest)}
+	switch {
+	case !read:
+		return told, heard
+	case !heard || both.Width() < 0: // the store's own word counts for more
+		return own, true
+	default:
+		return both, true
 	}
-	return told.shown + time.Since(told.at), true
 }
 
-// hear notes what another host says of the store's clock.
-func (w *Watcher) hear(shown time.Duration) {
-	if shown <= 0 {
-		return
+// hear notes what another host says of the store's clock, of which it may know nothing.
+func (w *Watcher) hear(shown clock.Bounds, sent time.Time) {
+	if shown.Earliest > 0 && shown.Latest >= shown.Earliest {
+		w.clock.Heard(shown, sent, time.Now())
 	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.clock = reading{shown: shown, at: time.Now()}
 }
 
 // State implements store.Watcher.
--- a/internal/store/watch.go
+++ b/internal/store/watch.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"quaybarrow/internal/clock"
 )
 
 // ErrCompacted means that the changes asked for are no longer kept: read the
@@ -31,6 +33,6 @@
 	// returns them in order with the version to go on from. None within the
 	// time is no error. ErrCompacted if the history is gone.
 	Changes(ctx context.Context, table string, after int64, wait time.Duration) ([]Change, int64, error)
-	// Now estimates the store's steady clock; false before the first answer.
-	Now() (time.Duration, bool)
+	// Now bounds what the store's steady clock shows; false before the first answer.
+	Now() (clock.Bounds, bool)
 }
--- a/internal/upgrade/run.go
+++ b/internal/upgrade/run.go
@@ -29,6 +29,10 @@
 	turnStep       = 50 * time.Millisecond  // hosts take turns, so that one writes and the others see it
 	turnsPerHost   = 2                      // so that most hosts have turns of their own
 	turnsMost      = 40
+	// clockWidth is how far the bounds of the store's clock may be apart where an upgrade
+	// is begun: that much of its time is lost. A read takes some 20 ms where the store is
+	// well; of hosts that have just started together the bounds were up to 1 s apart.
+	clockWidth = 100 * time.Millisecond
 )
 
 // cutKey splits a row's key into service and host; a row of progress has none.
@@ -126,6 +130,10 @@
 // step does what is due for each upgrade.
 func (t *Tracker) step(ctx context.Context) {
 	for _, w := range t.due() {
+		if w.what == askClock {
+			t.reread(ctx, w.service)
+			continue
+		}
 		err := t.options.Tables.Commit(ctx, w.txn)
 		switch {
 		case err == nil:
@@ -139,9 +147,12 @@
 	}
 }
 
-// reread takes in a service's progress after a write that came too late.
+// reread takes in a service's progress, after a write that came too late or before one.
 func (t *Tracker) reread(ctx context.Context, name string) {
 	row, err := t.options.Tables.Get(ctx, Table, name)
+	if errors.Is(err, store.ErrNotFound) {
+		return // nothing was begun yet
+	}
 	if err != nil {
 		t.options.Logger.Warn("progress of an upgrade can't be read", "service", name, "error", err)
 		return
@@ -149,6 +160,9 @@
 	t.apply([]store.Change{{Row: row}})
 }
 
+// askClock stands for a read of the progress, which tells what the store's clock shows.
+const askClock = "clock asked for"
+
 // write is a transaction that is due.
 type write struct {
 	service, what string
@@ -182,7 +196,7 @@
 func (t *Tracker) next(s *service, now time.Time) (write, error) {
 	if !now.Before(s.writeAt) {
 		w, err := t.nextProgress(s, now)
-		if err != nil || w.what != "" {
+		if err != nil || (w.what != "" && w.what != askClock) {
 			s.writeAt = now.Add(writeEvery)
 			return w, err
 		}
@@ -227,29 +241,26 @@
 	case s.condemned != "":
 		return t.finish(s, OutcomeRolledBack, s.condemned)
 	}
-	elapsed, ok := t.elapsed(s)
+	shown, ok := t.options.Watch.Now()
 	if !ok || t.options.Fleet.Versions(s.order.Service)[s.order.Target] == 0 {
 		return write{}, nil
 	}
-	if s.progress.Due(elapsed-turn, s.order.Within) {
+	elapsed := s.progress.elapsedAt(shown) - turn
+	if s.progress.Due(elapsed, s.order.Within) {
 		return t.finish(s, OutcomeCompleted, "")
 	}
-	if s.progress.Rises(elapsed-turn, s.order.Within) {
+	if s.progress.Rises(elapsed, s.order.Within) {
 		if j := t.judgement(s); j.Verdict == VerdictClear {
-			return t.raise(s, j)
+			return t.raise(s, j, shown)
 		}
 	}
 	return write{}, nil
 }
 
 // raise writes that the target gets its next share.
-func (t *Tracker) raise(s *service, j Judgement) (write, error) {
-	now, ok := t.options.Watch.Now()
-	if !ok {
-		return write{}, nil
-	}
+func (t *Tracker) raise(s *service, j Judgement, now clock.Bounds) (write, error) {
 	p := s.progress
-	p.Stage, p.StageMs = p.Stage+1, now.Milliseconds()
+	p.Stage, p.StageMs = p.Stage+1, wholeMs(now.Latest)
 	t.options.Logger.Info("evidence for a larger share", "service", s.order.Service, "target", s.order.Target, "stage", p.Stage,
 		"target_seen", j.Seen.Target.String(), "others_seen", j.Seen.Other.String(), "hosts", len(s.others)+1)
 	return t.progressWrite(s, p, "share raised")
@@ -268,10 +279,17 @@
 	if !ok {
 		return write{}, nil
 	}
-	p := Progress{Revision: s.order.Revision, Target: s.order.Target, StartMs: now.Milliseconds(), Outcome: OutcomeRunning}
+	if now.Width() > clockWidth && !s.asked {
+		s.asked = true
+		return write{what: askClock}, nil
+	}
+	p := Progress{Revision: s.order.Revision, Target: s.order.Target, StartMs: wholeMs(now.Latest), Outcome: OutcomeRunning}
 	return t.progressWrite(s, p, "begun")
 }
 
+// wholeMs counts milliseconds, a part of one as a whole.
+func wholeMs(d time.Duration) int64 { return (d + time.Millisecond - 1).Milliseconds() }
+
 // finish writes the outcome.
 func (t *Tracker) finish(s *service, o Outcome, reason string) (write, error) {
 	p := s.progress
--- a/internal/upgrade/tracker.go
+++ b/internal/upgrade/tracker.go
@@ -48,6 +48,7 @@
 	condemned string    // why this host has stopped using the target; "" if it has not
 	own       Evidence
 	published Count               // of the target in the evidence that was written last
+	asked     bool                // the store was read for a better idea of its clock
 	writeAt   time.Time           // progress is not written before
 	publishAt time.Time           // nor evidence before that
 	others    map[string]Evidence // by host
@@ -146,17 +147,11 @@
 	case s.progress.Outcome == OutcomeRolledBack || s.condemned != "":
 		return false
 	}
-	elapsed, ok := t.elapsed(s)
+	now, ok := t.options.Watch.Now()
 	if !ok {
 		return false
 	}
-	return float64(key>>11)/keyScale < s.progress.Share(elapsed, s.order.Within)
-}
-
-// elapsed is how long ago an upgrade was begun.
-func (t *Tracker) elapsed(s *service) (time.Duration, bool) {
-	now, ok := t.options.Watch.Now()
-	return now - time.Duration(s.progress.StartMs)*time.Millisecond, ok
+	return float64(key>>11)/keyScale < s.progress.Share(s.progress.elapsedAt(now), s.order.Within)
 }
 
 // Report is what an answer told of a version.
--- a/internal/upgrade/upgrade.go
+++ b/internal/upgrade/upgrade.go
@@ -20,7 +20,11 @@
 // as while the store is away, the share stays as it is.
 package upgrade
 
-import "time"
+import (
+	"time"
+
+	"quaybarrow/internal/clock"
+)
 
 // Order asks for a service to be moved to a version.
 type Order struct {
@@ -44,9 +48,9 @@
 type Progress struct {
 	Revision int64   `json:"revision"` // of the order
 	Target   string  `json:"target"`
-	StartMs  int64   `json:"start_ms"` // by the store's clock
+	StartMs  int64   `json:"start_ms"` // the latest that the store's clock may have shown at the beginning
 	Stage    int     `json:"stage"`    // how large the target's share is
-	StageMs  int64   `json:"stage_ms"` // when the stage began, by the store's clock
+	StageMs  int64   `json:"stage_ms"` // as StartMs, when the stage began
 	Outcome  Outcome `json:"outcome"`
 	Reason   string  `json:"reason,omitempty"`
 }
@@ -72,7 +76,15 @@
 // lastStage is the one in which all keys go to the target.
 var lastStage = len(stages) - 1
 
-// Share is the part of the keys that goes to the target version.
+// elapsedAt is how long ago the upgrade was begun at least, by a host's bounds of the
+// store's clock. A session that moves before half of the time is over breaks the promise
+// to keep its version; one that moves late breaks none.
+func (p Progress) elapsedAt(now clock.Bounds) time.Duration {
+	return now.Earliest - time.Duration(p.StartMs)*time.Millisecond
+}
+
+// Share is the part of the keys that goes to the target version, when so much has
+// passed at least.
 func (p Progress) Share(elapsed, within time.Duration) float64 {
 	if within <= 0 || partOf(elapsed, within) < trialAt {
 		return 0
--- a/internal/upgrade/upgrade_test.go
+++ b/internal/upgrade/upgrade_test.go
@@ -32,9 +32,13 @@
 	cancels  []context.CancelFunc
 }
 
-func newHosts(n int) *hosts {
+func newHosts(n int) *hosts { return newLaggedHosts(n, 0) }
+
+// newLaggedHosts returns hosts that hear the answers to reads after a lag.
+func newLaggedHosts(n int, lag time.Duration) *hosts {
 	network := memnet.New()
 	h := &hosts{store: standin.NewStore()}
+	h.store.Delay(lag)
 	h.server = &http.Server{Handler: h.store}
 	l := network.Listen(storeAddress)
 	go func() { _ = h.server.Serve(l) }()
@@ -238,6 +242,20 @@
 		})
 	})
 
+	It("moves nothing in the first half, though hosts hear late what the store's clock showed", func() {
+		suite.Paused(func() {
+			h := newLaggedHosts(5, time.Second)
+			defer h.stop()
+			h.order(7)
+			exposed := h.serve(2*time.Second, traffic{})
+			h.store.Delay(0)
+			exposed += h.serve(9900*time.Millisecond, traffic{})
+			Expect(exposed).To(BeZero())
+			Expect(h.serve(12*time.Second, traffic{})).To(BeNumerically(">", 0))
+			Expect(h.status()).To(MatchJSON(`{"state":"completed","target_version":"v2"}`))
+		})
+	})
+
 	It("of a later order follows one that is over", func() {
 		suite.Paused(func() {
 			h := newHosts(3)
