Engines are known to be idle again after a load: reading times by free engines, waits by what has not begun

(1) The lowest fifth of the last answers stood for an engine that does nothing else; in a load all of them have waited. Now only answers that found no queue tell. (2) An adviser booked work by the clock only, 26 s ahead where 3 s passed; now it is bounded by what has not begun. A request is counted until its own answer begins, not until a later one does.

--- a/internal/advice/wire.go
+++ b/internal/advice/wire.go
@@ -10,14 +10,14 @@
 //nolint:gosec // requests at an endpoint and tokens of a prompt are far fewer
 func headToWire(h fleet.Heard) *advicepb.Head {
 	return &advicepb.Head{
-		Endpoint: h.Endpoint, Ticket: h.Ticket, Service: h.Service, Model: h.Model, TookMicros: h.Took.Microseconds(), ExpectedMicros: h.Expected.Microseconds(),
+		Endpoint: h.Endpoint, Ticket: h.Ticket, Service: h.Service, Model: h.Model, TookMicros: h.Took.Microseconds(), ExpectedMicros: h.Expected.Microseconds(), QueueMicros: h.Queue.Microseconds(),
 		Read: int32(h.Read), Sure: h.Sure, Running: int32(h.Load.Running), Waiting: int32(h.Load.Waiting), Slots: int32(h.Load.Slots),
 	}
 }
 
 func headFromWire(w *advicepb.Head) fleet.Heard {
 	return fleet.Heard{
-		Endpoint: w.GetEndpoint(), Ticket: w.GetTicket(), Service: w.GetService(), Model: w.GetModel(), Took: micros(w.GetTookMicros()), Expected: micros(w.GetExpectedMicros()),
+		Endpoint: w.GetEndpoint(), Ticket: w.GetTicket(), Service: w.GetService(), Model: w.GetModel(), Took: micros(w.GetTookMicros()), Expected: micros(w.GetExpectedMicros()), Queue: micros(w.GetQueueMicros()),
 		Read: int(w.GetRead()), Sure: w.GetSure(), Load: fleet.Load{Running: int(w.GetRunning()), Waiting: int(w.GetWaiting()), Slots: int(w.GetSlots())},
 	}
 }
@@ -26,14 +26,14 @@
 
 func expectationToWire(e fleet.Expectation) *advicepb.Expectation {
 	return &advicepb.Expectation{
-		HeadMicros: e.Head.Microseconds(), WorkMicros: e.Work.Microseconds(), Read: int32(e.Read), Sure: e.Sure, Price: e.Price, //nolint:gosec // prompts are far shorter
+		HeadMicros: e.Head.Microseconds(), QueueMicros: e.Queue.Microseconds(), WorkMicros: e.Work.Microseconds(), Read: int32(e.Read), Sure: e.Sure, Price: e.Price, //nolint:gosec // prompts are far shorter
 		OverrunMean: e.Overrun.Mean, OverrunVariance: e.Overrun.Variance,
 	}
 }
 
 func expectationFromWire(w *advicepb.Expectation) fleet.Expectation {
 	return fleet.Expectation{
-		Head: micros(w.GetHeadMicros()), Work: micros(w.GetWorkMicros()),
+		Head: micros(w.GetHeadMicros()), Queue: micros(w.GetQueueMicros()), Work: micros(w.GetWorkMicros()),
 		Read: int(w.GetRead()), Sure: w.GetSure(), Price: w.GetPrice(), Overrun: fleet.Overrun{Mean: w.GetOverrunMean(), Variance: w.GetOverrunVariance()},
 	}
 }
--- a/internal/fleet/advise.go
+++ b/internal/fleet/advise.go
@@ -45,8 +45,8 @@
 	}
 	a := Advice{Endpoint: m.ID, Expected: f.expect(c, ask)}
 	f.note(m, ask)
-	m.booked = later(m.booked, c.now).Add(a.Expected.Work)
-	a.Ticket = f.await(m, a.Expected.Head, c.now)
+	m.booked = c.now.Add(m.bookedFor(c.now) + a.Expected.Work)
+	a.Ticket = f.await(m, a.Expected.Head, a.Expected.Work, c.now)
 	m.advised = append(m.advised, advised{ticket: a.Ticket, at: c.now})
 	return a, true
 }
@@ -74,8 +74,12 @@
 }
 
 // bookedFor is how long an endpoint reads prompts that other hosts were advised to
-// send there.
-func (m *member) bookedFor(now time.Time) time.Duration { return max(0, m.booked.Sub(now)) }
+// send there: until it should be done, but no more than what has not begun takes. By the
+// one alone a host that thought engines slower than they are took them for busy 20 s
+// after four times the usual load had ended.
+func (m *member) bookedFor(now time.Time) time.Duration {
+	return max(0, min(m.booked.Sub(now), m.owed))
+}
 
 // Tally counts how attempts at an endpoint have gone; an immutable value.
 type Tally struct{ Good, Failed, Lost int32 }
--- a/internal/fleet/advise_test.go
+++ b/internal/fleet/advise_test.go
@@ -93,6 +93,19 @@
 		})
 	})
 
+	It("expects no wait after a load that was read faster than was thought", func() {
+		suite.Paused(func() {
+			f := newFleet()
+			for own := range uint64(300) {
+				a, _ := f.Advise(document(1_000+own, 5_000+own))
+				f.Hear(fleet.Heard{Endpoint: a.Endpoint, Ticket: a.Ticket, Service: "s", Model: "m", Took: 60 * time.Millisecond, Expected: a.Expected.Head})
+				f.Ended(a)
+			}
+			a, _ := f.Advise(document(7, 100))
+			Expect(a.Expected.Head).To(BeNumerically("<", a.Expected.Work+100*time.Millisecond), "5 s by what was booked")
+		})
+	})
+
 	It("has tickets that no other adviser gives out", func() {
 		a, _ := newFleet().Advise(note(1))
 		b, _ := newFleet().Advise(note(1))
--- a/internal/fleet/await.go
+++ b/internal/fleet/await.go
@@ -9,17 +9,21 @@
 type awaited struct {
 	ticket int64
 	sent   time.Time
-	due    time.Time // when the head was expected
+	due    time.Time     // when the head was expected
+	work   time.Duration // that it was booked for
+	passed bool          // the answer to one that was sent later has begun
 }
 
 // awaitedFor bounds how long the head of an answer counts as outstanding; callers
 // wait 20 seconds at most.
 const awaitedFor = 20 * time.Second
 
-// await notes a request of which the head is awaited, and returns its ticket.
-func (f *Fleet) await(m *member, expected time.Duration, now time.Time) int64 {
+// await notes a request of which the head is awaited, and how much work was booked for
+// it; it returns its ticket.
+func (f *Fleet) await(m *member, expected, work time.Duration, now time.Time) int64 {
 	f.tickets++
-	m.awaiting = append(m.awaiting, awaited{ticket: f.tickets, sent: now, due: now.Add(expected)})
+	m.awaiting = append(m.awaiting, awaited{ticket: f.tickets, sent: now, due: now.Add(expected), work: work})
+	m.owed += work
 	return f.tickets
 }
 
@@ -27,23 +31,38 @@
 // of the endpoint: it answers, if not these.
 func (m *member) begun(ticket int64) {
 	i := slices.IndexFunc(m.awaiting, func(a awaited) bool { return a.ticket == ticket })
-	m.awaiting = slices.Delete(m.awaiting, 0, i+1)
+	for before := range max(i, 0) {
+		m.awaiting[before].passed = true
+	}
+	m.forgo(ticket)
 }
 
-// forgo takes in that the head of an answer will not come.
+// forgo takes in that the head of an answer is there, or will not come.
 func (m *member) forgo(ticket int64) {
-	m.awaiting = slices.DeleteFunc(m.awaiting, func(a awaited) bool { return a.ticket == ticket })
+	m.dropAwaited(func(a awaited) bool { return a.ticket == ticket })
+}
+
+func (m *member) dropAwaited(drop func(awaited) bool) {
+	m.awaiting = slices.DeleteFunc(m.awaiting, func(a awaited) bool {
+		if !drop(a) {
+			return false
+		}
+		m.owed -= a.work
+		return true
+	})
 }
 
 // overdue is for how long an endpoint has not begun an answer that was expected, and
 // none that was sent after it either: one that has fallen silent, or has far more to do
 // than is known. What comes next waits at least so long on average.
 func (m *member) overdue(now time.Time) time.Duration {
-	for len(m.awaiting) > 0 && now.Sub(m.awaiting[0].sent) > awaitedFor {
-		m.awaiting = m.awaiting[1:]
+	if len(m.awaiting) > 0 && now.Sub(m.awaiting[0].sent) > awaitedFor {
+		m.dropAwaited(func(a awaited) bool { return now.Sub(a.sent) > awaitedFor })
 	}
-	if len(m.awaiting) == 0 {
-		return 0
+	for _, a := range m.awaiting {
+		if !a.passed {
+			return max(0, now.Sub(a.due))
+		}
 	}
-	return max(0, now.Sub(m.awaiting[0].due))
+	return 0
 }
--- a/internal/fleet/expect.go
+++ b/internal/fleet/expect.go
@@ -8,6 +8,7 @@
 // Expectation is what an attempt is expected to take.
 type Expectation struct {
 	Head  time.Duration // until the head of the answer
+	Queue time.Duration // of it, the wait for others
 	Work  time.Duration // of the engine, to read the prompt
 	Read  int           // tokens of the prompt that have to be read
 	Sure  bool          // they can't be kept: all parts that others have too are known to be
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -67,6 +67,7 @@
 	saidAt   time.Time
 	reading  time.Duration // prompts of this host that it is reading
 	booked   time.Time     // until when it reads prompts of hosts that were advised
+	owed     time.Duration // work of these that have not begun
 	advised  []advised     // requests there that have not ended
 	awaiting []awaited     // requests whose answers have not begun, in the order of their sending
 	wait     time.Duration // that the last answer waited beyond its prompt's time
--- a/internal/fleet/heard.go
+++ b/internal/fleet/heard.go
@@ -8,6 +8,7 @@
 	Ticket                   int64         // of the advice, 0 if there was none
 	Took                     time.Duration // from the sending of the request
 	Expected                 time.Duration // as it was sent
+	Queue                    time.Duration // of that, the wait for others
 	Read                     int           // tokens that had to be read
 	Sure                     bool          // none of them can have been kept
 	Load                     Load          // zero Slots if it said nothing
@@ -35,7 +36,7 @@
 	m.wait, m.waitAt = max(0, h.Took-r.head(h.Read)), f.options.Now()
 	f.prices[h.Service] = f.prices[h.Service].with(m.wait, r.tokens(h.Read))
 	f.overruns[h.Service] = f.overruns[h.Service].with(h.Took, h.Expected)
-	r.add(h.Read, h.Sure, h.Took)
+	r.add(h.Read, h.Sure, h.Queue, h.Took)
 }
 
 // echo takes in an endpoint's own word of its load, of which this host's requests
--- a/internal/fleet/memory_test.go
+++ b/internal/fleet/memory_test.go
@@ -142,6 +142,28 @@
 		})
 	})
 
+	It("is not taken from answers that waited for others", func() {
+		suite.Paused(func() {
+			f := fleet.New(fleet.Options{Hall: "ikeja"})
+			f.Put(fleet.Endpoint{ID: "only", Service: "s", Hall: "ikeja", Slots: 64})
+			for own := range uint64(12) {
+				read(f, document(7+own, 100+own))
+			}
+			var burst []*fleet.Hold
+			for own := range uint64(60) {
+				h, _ := f.Pick(document(100+own, 200+own))
+				burst = append(burst, h)
+			}
+			for _, h := range burst {
+				time.Sleep(time.Duration(h.Expected.Read) * 100 * time.Microsecond)
+				h.Head(fleet.Load{})
+				h.Done(fleet.Result{Outcome: fleet.OutcomeGood})
+			}
+			e, _ := f.Expect(document(999, 9999))
+			Expect(e.Work).To(BeNumerically("~", time.Duration(e.Read)*100*time.Microsecond, 200*time.Millisecond), "twelve times that before")
+		})
+	})
+
 	It("is not spoilt by a first answer that waited", func() {
 		suite.Paused(func() {
 			f := newFleet()
--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -67,7 +67,7 @@
 func (h *Hold) heard(l Load) Heard {
 	return Heard{
 		Endpoint: h.Endpoint.ID, Ticket: h.advice.Ticket, Service: h.ask.Service, Model: h.ask.Model, Load: l,
-		Took: h.took, Expected: h.Expected.Head, Read: h.Expected.Read, Sure: h.Expected.Sure,
+		Took: h.took, Expected: h.Expected.Head, Queue: h.Expected.Queue, Read: h.Expected.Read, Sure: h.Expected.Sure,
 	}
 }
 
@@ -215,8 +215,9 @@
 
 func (f *Fleet) expect(c choice, ask Ask) Expectation {
 	m, r := c.member, f.readingOf(ask.Service, ask.Model)
+	queue := m.queue(c.now)
 	return Expectation{
-		Head: m.queue(c.now) + r.head(c.unread), Work: r.tokens(c.unread), Read: c.unread,
+		Head: queue + r.head(c.unread), Queue: queue, Work: r.tokens(c.unread), Read: c.unread,
 		Sure: c.unread <= ask.Tokens-ask.Shared && f.memory.known(m) >= ask.Shared, Price: f.prices[ask.Service].perSecond(), Overrun: f.overruns[ask.Service],
 	}
 }
@@ -230,7 +231,7 @@
 	}
 	h.idle, h.reading = f.readingOf(ask.Service, ask.Model).head(expected.Read), expected.Work
 	m.reading += h.reading
-	h.ticket = f.await(m, expected.Head, now)
+	h.ticket = f.await(m, expected.Head, 0, now)
 	f.note(m, ask)
 	return h
 }
--- a/internal/fleet/reading.go
+++ b/internal/fleet/reading.go
@@ -17,6 +17,12 @@
 	// under load.
 	readingQuantile = 0.2
 	readingShort    = 1000 // prompts of fewer tokens tell the time that any answer takes
+	// freeQueue and freePart of a prompt's own time are the longest expected waits with
+	// which an answer tells how long reading takes. Under four times the usual load the
+	// lowest fifth of all answers told eight times what an idle engine takes, and larger
+	// models were asked for a third of their usual answers for the ten seconds after it.
+	freeQueue = 30 * time.Millisecond
+	freePart  = 0.25
 	// readingSure such answers stand for themselves; until then the median of the
 	// others does, with the prior as its least.
 	readingSure     = 4
@@ -53,10 +59,15 @@
 	return r
 }
 
-// add takes in an answer's head, when tokens were read; sure tells that no part of
-// them can have been kept. After a restart a host knows of nothing that is kept, and
-// would take warm prompts for engines that read in no time.
-func (r *reading) add(tokens int, sure bool, took time.Duration) {
+// add takes in an answer's head, when tokens were read after an expected wait for
+// others; sure tells that no part of them can have been kept. After a restart a host
+// knows of nothing that is kept, and would take warm prompts for engines that read in no
+// time.
+func (r *reading) add(tokens int, sure bool, queue, took time.Duration) {
+	free := queue <= max(freeQueue, time.Duration(freePart*float64(r.tokens(tokens))))
+	if !free && r.known(tokens) {
+		return
+	}
 	if tokens < readingShort {
 		r.short.Add(max(took.Seconds()-float64(tokens)*r.perToken, 0))
 		r.base = seconds(r.short.Quantile(readingQuantile))
@@ -75,6 +86,14 @@
 	r.perToken = max(r.guessed.Quantile(guessedQuantile), readingPerToken.Seconds())
 }
 
+// known reports whether answers have told how long prompts of a length take.
+func (r *reading) known(tokens int) bool {
+	if tokens < readingShort {
+		return r.short.Seen() >= readingPriors+readingSure
+	}
+	return r.long.Seen() >= readingSure || r.guessed.Seen() >= readingSure
+}
+
 // tokens returns the time that tokens take to be read.
 func (r *reading) tokens(n int) time.Duration { return seconds(float64(n) * r.perToken) }
 
