Evidence is told as answers come, not as slow ones do; hosts list themselves once

Cause: since hosts tell of a version as its counts double, each slow answer counted too, so what was told showed more slow ones than there were. Spec: one slow answer after four fast ones was told at once, now with the eighth.

--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -155,7 +155,8 @@
 		read = w.askPeers // there is time, and the seeds have just started too
 	}
 	w.update(ctx, read, "list of hosts can't be read")
-	if !w.peers.has(w.options.Host, w.own()) {
+	// The list that others pass on may be older than this host's entry.
+	if !w.options.First && !w.peers.has(w.options.Host, w.own()) {
 		w.update(ctx, w.enlist, "host can't list itself")
 	}
 	close(w.listed)
--- a/internal/upgrade/evidence.go
+++ b/internal/upgrade/evidence.go
@@ -14,10 +14,12 @@
 	return Count{Good: c.Good + o.Good, Bad: c.Bad + o.Bad, Paced: c.Paced + o.Paced, Slow: c.Slow + o.Slow}
 }
 
-// outgrows reports whether one of the counts has grown by publishGrowth.
+// outgrows reports whether so many more answers were counted that others should know.
+// Slow ones don't count for that: hosts that told of each as it came showed more of them
+// than there were, and a good version was rolled back.
 func (c Count) outgrows(o Count) bool {
 	grown := func(now, before int) bool { return now > before && now >= publishGrowth*before }
-	return grown(c.Good, o.Good) || grown(c.Bad, o.Bad) || grown(c.Paced, o.Paced) || grown(c.Slow, o.Slow)
+	return grown(c.Good, o.Good) || grown(c.Bad, o.Bad) || grown(c.Paced, o.Paced)
 }
 
 // String shows the count in logs.
--- a/internal/upgrade/upgrade_test.go
+++ b/internal/upgrade/upgrade_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"quaybarrow/internal/codec"
 	"quaybarrow/internal/fleet"
 	"quaybarrow/internal/standin/suite"
 	"quaybarrow/internal/upgrade"
@@ -274,6 +275,30 @@
 		})
 	})
 
+	It("is told of as answers come, and not as slow ones do", func() {
+		suite.Paused(func() {
+			h := newHosts(1)
+			defer h.stop()
+			h.serve(5*time.Second, traffic{})
+			h.order(7)
+			h.serve(12*time.Second, traffic{shy: true})
+			note := func(pause time.Duration) {
+				h.trackers[0].Note(upgrade.Report{Service: "s", Version: "v2", Endpoint: "new0", Route: "r", Finding: upgrade.Paced{Pace: upgrade.Shortest(pause), Requests: 5}})
+				time.Sleep(time.Second)
+			}
+			for range 4 {
+				note(othersPause)
+			}
+			Expect(h.told()).To(Equal(upgrade.Count{Paced: 4}))
+			note(8 * othersPause)
+			Expect(h.told()).To(Equal(upgrade.Count{Paced: 4}), "who tells of each slow one shows more than there are")
+			for range 3 {
+				note(othersPause)
+			}
+			Expect(h.told()).To(Equal(upgrade.Count{Paced: 8, Slow: 1}))
+		})
+	})
+
 	It("gives all hosts the larger share at the same moment, however they hear of it", func() {
 		suite.Paused(func() {
 			h := newHosts(30)
@@ -311,6 +336,23 @@
 	})
 })
 
+// told sums what hosts have told of the target.
+func (h *hosts) told() upgrade.Count {
+	sum := upgrade.Count{}
+	for i := range h.trackers {
+		row := h.store.Value(upgrade.Table, fmt.Sprint("s/host-", i))
+		if row == nil {
+			continue
+		}
+		e, err := codec.Decode[upgrade.Evidence](row)
+		Expect(err).NotTo(HaveOccurred())
+		for _, p := range e.Routes {
+			sum.Paced, sum.Slow = sum.Paced+p.Target.Paced, sum.Slow+p.Target.Slow
+		}
+	}
+	return sum
+}
+
 // sampled is how many keys are looked at for a share.
 const sampled = 200
 
