--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -68,6 +68,33 @@
 		})
 	})
 
+	// leaving are streams whose caller leaves while nothing comes.
+	leaving := map[string]standin.Script{
+		"before the first event":        standin.Mute{},
+		"between two events":            standin.Stream{Events: 5, Confidence: 90, Gap: 3 * time.Second},
+		"while nothing more comes":      standin.Stream{Events: 5, Confidence: 90, StallAfter: 1},
+		"while a larger model is asked": standin.Stream{Events: 5, Confidence: 1, Gap: 3 * time.Second},
+	}
+	for name, script := range leaving {
+		It("let go of their endpoint when their caller leaves "+name, func() {
+			suite.Paused(func() {
+				r := newRig(scripts{"model-1": standin.Always(script), "model-2": standin.Always(script)})
+				defer r.stop()
+				c := r.call()
+				c.send(prompt("/stream/1").Text())
+				time.Sleep(time.Second)
+				Expect(r.gateway.InFlight()).To(Equal(int64(1)))
+				runs := r.runs()
+				_ = c.Close()
+				time.Sleep(400 * time.Millisecond)
+				Expect(r.gateway.InFlight()).To(BeZero())
+				Expect(r.fleet.Flying("model-1") + r.fleet.Flying("model-2")).To(BeZero())
+				time.Sleep(20 * time.Second)
+				Expect(r.runs()).To(Equal(runs), "nothing more is sent")
+			})
+		})
+	}
+
 	It("that may not be resumed are waited for, however silent", func() {
 		suite.Paused(func() {
 			r := newRig(scripts{"model-1": standin.Always(standin.Stream{Events: 5, Confidence: -1, StallAfter: 2})})
