--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -112,7 +112,7 @@
 	versionKey uint64  // of what stays on one version
 
 	advice     string // what came of the last advice
-	rejections int    // by endpoints, which have not run it
+	rejections int    // of the sends, those that endpoints have not run
 	waits      int    // times that it was told to wait for its turn
 	sends      int    // requests written to endpoints
 	tried      []string
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -277,7 +277,6 @@
 
 // rejected ends an attempt that the endpoint did not run.
 func (a *attempt) rejected() {
-	a.x.sends--
 	a.x.rejections++
 	outcome := fleet.OutcomeRefused
 	if a.answer.StatusCode == http.StatusMisdirectedRequest {
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -27,9 +27,6 @@
 	// earlyPart of the objective is how long a request that no endpoint takes is
 	// offered again before the caller is told to come back.
 	earlyPart = 0.2
-	// rejectionsMost is how often endpoints may reject a request. Each costs the retry
-	// budget of all; who has met so many full ones knows that the next one is.
-	rejectionsMost = 3
 )
 
 // wholeAnswer is an answer, or its beginning if it is long.
@@ -116,8 +113,6 @@
 		return false, "it may have run, and may run once only"
 	case x.sends >= max(x.route.Attempts, 1):
 		return false, "no attempts left"
-	case x.rejections >= rejectionsMost:
-		return false, "rejected too often"
 	case !x.g.budgets.Repeat(x.service, 1):
 		return false, "the retry budget is spent"
 	default:
