--- a/internal/explain/lost.go
+++ b/internal/explain/lost.go
@@ -19,6 +19,7 @@
 	CauseNone     Cause = "answered in time"
 	CauseCaller   Cause = "the caller left, or was not let in"
 	CauseRefused  Cause = "refused: no endpoint took it"
+	CauseFull     Cause = "refused: engines were full for longer than its caller waits"
 	CauseFailed   Cause = "failed at endpoints, or broke off"
 	CausePause    Cause = "late: a pause between events"
 	CauseStuck    Cause = "late: the endpoint began far later than expected"
@@ -26,6 +27,7 @@
 	CauseLarger   Cause = "late: a larger model was asked after a smaller one"
 	CauseRepeated Cause = "late: asked again after a failure"
 	CauseWaiting  Cause = "late: waited for others, as expected"
+	CauseTurn     Cause = "late: waited for its turn while engines were full"
 )
 
 // Bounds of causes.
@@ -37,6 +39,10 @@
 	readingPart = 0.5
 )
 
+// outcomeFull is what the gateway says of a request that is refused because engines are
+// full.
+const outcomeFull = "engines can't serve it"
+
 // Loss counts the requests with a cause.
 type Loss struct {
 	Cause   Cause
@@ -112,6 +118,8 @@
 		return CauseCaller
 	case outcome == "streamed", strings.HasPrefix(outcome, "answered 2"), strings.HasPrefix(outcome, "answered 4"):
 		return lateCause(l)
+	case outcome == outcomeFull:
+		return CauseFull
 	case l.number("sends") == 0:
 		return CauseRefused
 	default:
@@ -129,6 +137,8 @@
 			return CausePause
 		}
 		return CauseNone
+	case l.number("waits") > 0:
+		return CauseTurn
 	case expected > 0 && head > stuckFactor*expected:
 		return CauseStuck
 	case l.number("work_ms") > readingPart*objective:
--- a/internal/explain/lost_test.go
+++ b/internal/explain/lost_test.go
@@ -18,6 +18,8 @@
 	explain.CauseLarger:   `"outcome":"streamed","objective_ms":2000,"first_ms":2900,"head_ms":800,"expected_ms":700,"work_ms":90,"sends":2,"larger":true`,
 	explain.CauseRepeated: `"outcome":"streamed","objective_ms":2000,"first_ms":2900,"head_ms":800,"expected_ms":700,"work_ms":90,"sends":2,"larger":false`,
 	explain.CauseWaiting:  `"outcome":"streamed","objective_ms":2000,"first_ms":2900,"head_ms":2900,"expected_ms":1800,"work_ms":90,"sends":1`,
+	explain.CauseTurn:     `"outcome":"streamed","objective_ms":2000,"first_ms":2900,"head_ms":400,"expected_ms":300,"work_ms":90,"sends":1,"waits":12`,
+	explain.CauseFull:     `"outcome":"engines can't serve it","sends":0`,
 	explain.CauseRefused:  `"outcome":"no endpoint takes the request","sends":0`,
 	explain.CauseFailed:   `"outcome":"cut: the stream broke off","sends":2`,
 	explain.CauseCaller:   `"outcome":"caller left","sends":1`,
