Requests that wait at a host which stops go elsewhere; turns of another adviser mean nothing

Found by reading the change: (1) a wait for a turn may last 9.6 s, longer than the grace of a stopping host; it is refused now, and the caller comes back to another host after 0.4 s. (2) Turns counted from one at each adviser, so one that takes over dropped others' turns; they begin by chance, as tickets do. (3) A stream that found no endpoint at all, as after a start, was told to come back as late as one that found them full. Specs: 'that waits at a host which stops is sent elsewhere', 'of another host mean nothing'.

--- a/internal/admission/order_test.go
+++ b/internal/admission/order_test.go
@@ -94,6 +94,11 @@
 		Expect(later).To(Equal(alone))
 	})
 
+	It("of another host mean nothing", func() {
+		a, b := &admission.Turns{}, &admission.Turns{}
+		Expect(a.Wait(0, 0, now, now, time.Second)).NotTo(Equal(b.Wait(0, 0, now, now, time.Second)))
+	})
+
 	It("are bounded in number", func() {
 		t := &admission.Turns{}
 		refused := 0
--- a/internal/admission/turns.go
+++ b/internal/admission/turns.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -34,7 +35,7 @@
 // those whose callers asked first. They read no clock and take no locks.
 type Turns struct {
 	waiting []turn
-	serial  int64
+	serial  int64       // of the last one; it begins by chance, so that turns of another host mean nothing here
 	grants  []time.Time // the latest ones, oldest first
 }
 
@@ -56,8 +57,7 @@
 		return 0
 	}
 	if id == 0 {
-		t.serial++
-		id = t.serial
+		id = t.next()
 	}
 	next := turn{id: id, urgency: urgency, asked: asked, lapses: now.Add(d + turnLapse)}
 	place, _ := t.place(next)
@@ -65,6 +65,17 @@
 	return id
 }
 
+// serialsFrom bounds the first id; it leaves as many again to be given out.
+const serialsFrom = math.MaxInt64 / 2
+
+func (t *Turns) next() int64 {
+	if t.serial == 0 {
+		t.serial = rand.Int64N(serialsFrom)
+	}
+	t.serial++
+	return t.serial
+}
+
 // Granted notes that a request which is not likely in time was sent.
 func (t *Turns) Granted(id int64, now time.Time) {
 	t.drop(id)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -177,10 +177,14 @@
 		version = x.table.Version()
 	}
 	age, _ := x.g.Holder.Age()
-	x.g.Logger.Info("request", "id", x.ask.ID, "route", x.route.Name, "service", x.service, "workspace", x.workspace,
-		"config", version, "config_age_ms", age.Milliseconds(), "endpoint", x.endpoint, "version", x.version, "model", x.model, "sends", x.sends, "rejections", x.rejections, "waits", x.waits, "advice", x.advice, "urgency", x.urgency, "queue_ms", x.expected.Queue.Milliseconds(),
-		"tokens", x.ask.TokensIn, "first_ms", x.first.Milliseconds(), "head_ms", x.head.Milliseconds(),
-		"expected_ms", x.expected.Head.Milliseconds(), "work_ms", x.expected.Work.Milliseconds(), "read", x.expected.Read, "price", x.expected.Price,
-		"objective_ms", x.route.Objective.Milliseconds(), "gap_ms", x.route.Gap.Milliseconds(), "larger", x.larger,
-		"events", x.events, "pause_ms", x.pause.Milliseconds(), "shortest_us", x.shortest.Microseconds(), "took_ms", took.Milliseconds(), "outcome", x.outcome)
+	x.g.Logger.Info("request",
+		"id", x.ask.ID, "route", x.route.Name, "service", x.service, "workspace", x.workspace,
+		"config", version, "config_age_ms", age.Milliseconds(),
+		"endpoint", x.endpoint, "version", x.version, "model", x.model, "larger", x.larger, "urgency", x.urgency,
+		"sends", x.sends, "rejections", x.rejections, "waits", x.waits, "advice", x.advice,
+		"tokens", x.ask.TokensIn, "read", x.expected.Read, "work_ms", x.expected.Work.Milliseconds(), "price", x.expected.Price,
+		"first_ms", x.first.Milliseconds(), "objective_ms", x.route.Objective.Milliseconds(),
+		"head_ms", x.head.Milliseconds(), "expected_ms", x.expected.Head.Milliseconds(), "queue_ms", x.expected.Queue.Milliseconds(),
+		"events", x.events, "pause_ms", x.pause.Milliseconds(), "gap_ms", x.route.Gap.Milliseconds(), "shortest_us", x.shortest.Microseconds(),
+		"took_ms", took.Milliseconds(), "outcome", x.outcome)
 }
--- a/internal/gateway/overload_test.go
+++ b/internal/gateway/overload_test.go
@@ -84,6 +84,25 @@
 		})
 	})
 
+	It("that waits at a host which stops is sent elsewhere", func() {
+		suite.Paused(func() {
+			r := newRig(scripts{"model-1": standin.Always(sure)})
+			defer r.stop()
+			holds := r.fill(24)
+			answered := make(chan standin.Answer)
+			go func() { answered <- r.ask(prompt("/stream/1")) }()
+			time.Sleep(time.Second)
+			r.gateway.Drain()
+			start := time.Now()
+			a := <-answered
+			Expect(a.Status).To(Equal(503))
+			Expect(a.Head.Get("Retry-After")).To(Equal("0.40"))
+			Expect(time.Since(start)).To(BeNumerically("<=", 500*time.Millisecond))
+			Expect(r.runs()).To(BeZero())
+			release(holds)
+		})
+	})
+
 	It("takes a rejection for no answer that has begun", func() {
 		suite.Paused(func() {
 			r := newRig(scripts{"model-1": standin.Always(standin.Reply{Status: 503, NotRun: true})})
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -88,6 +88,9 @@
 		if !ok {
 			return hold, decision
 		}
+		if x.g.draining.Load() {
+			return nil, admission.Refuse{} // the wait may outlast this host, and others take the request
+		}
 		x.waits++
 		if !clock.Sleep(ctx, wait.For) {
 			return nil, nil
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -184,14 +184,19 @@
 	}
 }
 
-// comeBack is when the caller of a request that no endpoint has run should come back.
-// Engines are full for as long as a load lasts; other endpoints have room again after a
-// few requests' time.
-func (x *exchange) comeBack() time.Duration {
-	if x.affinity(x.model) == 0 {
-		return x.g.pressure.comeBack(time.Now())
-	}
-	return admission.ComeBack(x.left(), rand.Float64())
+// comeBack is when the caller of a request that no endpoint has run, for a reason, should
+// come back.
+// Other hosts than one that stops take it at once; engines are full for as long as a load
+// lasts; other endpoints have room again after a few requests' time.
+func (x *exchange) comeBack(reason error) time.Duration {
+	if x.g.draining.Load() {
+		return comeBackLeast
+	}
+	full := errors.Is(reason, errRefused) || errors.Is(reason, errRejected)
+	if full && x.affinity(x.model) != 0 {
+		return admission.ComeBack(x.left(), rand.Float64())
+	}
+	return x.g.pressure.comeBack(time.Now())
 }
 
 // verdict is what a caller is told after the last error. Only where no endpoint
@@ -204,7 +209,7 @@
 	}
 	switch {
 	case !x.mayRun:
-		return refusal{status: http.StatusServiceUnavailable, reason: reason, after: x.comeBack()}
+		return refusal{status: http.StatusServiceUnavailable, reason: reason, after: x.comeBack(err)}
 	case late:
 		return refusal{status: http.StatusGatewayTimeout, reason: "time is over: " + reason}
 	case x.route.Kind == route.KindOnce:
