A caller that is taken for gone gets its connection ended, never an empty 200

Cause: a handler that returned without an answer, since its caller's context had ended, left the library to send 'HTTP/1.1 200 OK, Content-Length: 0', and streams to end cleanly.

--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -191,8 +191,7 @@
 func (x *exchange) refuse(f refusal) {
 	x.outcome = f.reason
 	if x.gone() {
-		x.outcome = "caller left: " + f.reason
-		return
+		x.abandon("caller left: " + f.reason)
 	}
 	h := x.w.Header()
 	if f.close || !x.drained() {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -168,8 +168,7 @@
 		return
 	}
 	if x.gone() {
-		x.outcome = "caller left"
-		return
+		x.abandon("caller left")
 	}
 	x.cut(err.Error())
 }
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -167,8 +167,13 @@
 }
 
 // cut ends the caller's connection, so that a part does not look whole.
-func (x *exchange) cut(reason string) {
-	x.outcome = "cut: " + reason
+func (x *exchange) cut(reason string) { x.abandon("cut: " + reason) }
+
+// abandon ends the caller's connection without another byte. A handler that returns
+// without an answer has the library send an empty one with status 200, or end a stream
+// cleanly, and a caller that has closed only its sending half reads it.
+func (x *exchange) abandon(outcome string) {
+	x.outcome = outcome
 	panic(http.ErrAbortHandler)
 }
 
@@ -176,7 +181,7 @@
 func (x *exchange) giveUp(failure *wholeAnswer, err error) {
 	switch {
 	case x.gone():
-		x.outcome = "caller left"
+		x.abandon("caller left")
 	case failure != nil:
 		x.relayWhole(failure)
 	default:
