Verdicts tell what was seen, what it was weighed as, and what is usual

The line of a verdict had the counts with what silent hosts are taken to have seen where it was open or bad, and without them where it was clear, and did not say which: a comparison that asks too much and evidence that is thinned looked the same. No change of logic: the verdicts' conditions are as they were, specs of the package pass.

--- a/internal/upgrade/judge.go
+++ b/internal/upgrade/judge.go
@@ -74,8 +74,10 @@
 type Judgement struct {
 	Verdict Verdict
 	Reason  string
-	Seen    Pair // on all routes, by all hosts, since the order
+	Seen    Pair // on all routes since the order, by the hosts that told
+	Weighed Pair // the same, with what silent hosts are taken to have seen
 	Recent  Pair // of these, the answers of the last moments
+	Silent  int  // hosts that have told nothing
 }
 
 // Judge weighs the evidence of all hosts, on all routes together and on each one, of all
@@ -89,7 +91,8 @@
 	told := append([]Evidence{own}, others...)
 	all, recent := sinceOrder(told), ofLate(told)
 	whole, lately := sumOf(all, silent), sumOf(recent, silent+len(all)-len(recent))
-	j := Judgement{Seen: whole.total, Recent: lately.total}
+	seen := sumOf(all, 0).total
+	j := Judgement{Seen: seen, Weighed: whole.total, Recent: lately.total, Silent: silent}
 	if blamed(told) >= badEndpoints {
 		if reason := whole.fault(); reason != "" {
 			return j.bad(reason)
@@ -98,8 +101,8 @@
 			return j.bad(reason)
 		}
 	}
-	if seen := sumOf(all, 0).total; seen.clear() && lately.well(whole) {
-		return Judgement{Verdict: VerdictClear, Seen: seen, Recent: lately.total}
+	if seen.clear() && lately.well(whole) {
+		j.Verdict = VerdictClear
 	}
 	return j
 }
@@ -181,7 +184,10 @@
 	return !failing && !slowing
 }
 
-func (p Pair) failsMore() bool { return p.Target.rate() > badRate+badRateFactor*p.Other.rate() }
+func (p Pair) failsMore() bool { return p.Target.rate() > badRate+p.usualFailures() }
+
+// usualFailures is the part of failures that is taken for usual beside the others' part.
+func (p Pair) usualFailures() float64 { return badRateFactor * p.Other.rate() }
 
 // failsAround reports whether the failures are spread over a part of the target's endpoints.
 func (p Pair) failsAround(part float64) bool {
@@ -203,7 +209,7 @@
 
 // failEvidence does the same for the target's failures, of which a part is taken for usual.
 func (p Pair) failEvidence(least float64) float64 {
-	return chernoff(p.Target.answers(), p.Target.rate(), max(least, badRateFactor*p.Other.rate()))
+	return chernoff(p.Target.answers(), p.Target.rate(), max(least, p.usualFailures()))
 }
 
 // chernoff bounds, as a logarithm, the chance that so large a part is seen among n answers
--- a/internal/upgrade/run.go
+++ b/internal/upgrade/run.go
@@ -206,8 +206,7 @@
 		return true
 	}
 	t.believe(s, j)
-	t.options.Logger.Info("upgrade is not completed", "service", name, "verdict", j.Verdict.String(), "reason", j.Reason,
-		"recent", j.Recent.Target.String())
+	t.options.Logger.Info("upgrade is not completed", append([]any{"service", name}, j.fields()...)...)
 	return false
 }
 
--- a/internal/upgrade/standing.go
+++ b/internal/upgrade/standing.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 
 	"github.com/charmbracelet/log"
 )
@@ -74,7 +75,18 @@
 	if j.Verdict == VerdictBad {
 		level = log.WarnLevel
 	}
-	t.options.Logger.Log(level, "version judged", "service", s.order.Service, "target", s.order.Target, "verdict", j.Verdict.String(),
-		"before", before.String(), "reason", j.Reason, "target_seen", j.Seen.Target.String(), "others_seen", j.Seen.Other.String(),
-		"recent", j.Recent.Target.String(), "hosts", len(s.others)+1)
+	fields := []any{"service", s.order.Service, "target", s.order.Target, "before", before.String(), "hosts", len(s.others) + 1}
+	t.options.Logger.Log(level, "version judged", append(fields, j.fields()...)...)
+}
+
+// fields tells in logs what a verdict goes by: what was seen, what it was weighed as with the
+// hosts that have told nothing, and what part of failures is usual.
+func (j Judgement) fields() []any {
+	return []any{
+		"verdict", j.Verdict.String(), "reason", j.Reason,
+		"target_seen", j.Seen.Target.String(), "others_seen", j.Seen.Other.String(),
+		"target_weighed", j.Weighed.Target.String(), "silent", j.Silent, "recent", j.Recent.Target.String(),
+		"usual_failures", math.Round(j.Weighed.usualFailures()*1000) / 1000,
+		"endpoints_failing", j.Seen.Failing.size(), "endpoints_tried", j.Seen.Tried.size(),
+	}
 }
--- a/internal/upgrade/tracker.go
+++ b/internal/upgrade/tracker.go
@@ -259,8 +259,7 @@
 		return
 	}
 	s.condemned = j.Reason
-	t.options.Logger.Warn("version found bad; it gets nothing more from this host", "service", s.order.Service,
-		"target", s.order.Target, "reason", s.condemned, "target_seen", j.Seen.Target.String(), "others_seen", j.Seen.Other.String(),
-		"endpoints", len(s.own.Endpoints), "hosts", len(s.others)+1)
+	fields := []any{"service", s.order.Service, "target", s.order.Target, "hosts", len(s.others) + 1}
+	t.options.Logger.Warn("version found bad; it gets nothing more from this host", append(fields, j.fields()...)...)
 	t.poke()
 }
--- a/internal/upgrade/writes.go
+++ b/internal/upgrade/writes.go
@@ -127,9 +127,8 @@
 	p.Stage++
 	begins := s.schedule.Begins(p.Stage, s.progress.elapsedAt(clock.Bounds{Earliest: now.Latest, Latest: now.Latest}), j.Seen)
 	p.StageMs = p.StartMs + wholeMs(begins)
-	t.options.Logger.Info("evidence for a larger share", "service", s.order.Service, "target", s.order.Target, "stage", p.Stage,
-		"begins_ms", begins.Milliseconds(), "target_seen", j.Seen.Target.String(), "others_seen", j.Seen.Other.String(),
-		"recent", j.Recent.Target.String(), "hosts", len(s.others)+1)
+	fields := []any{"service", s.order.Service, "target", s.order.Target, "stage", p.Stage, "begins_ms", begins.Milliseconds(), "hosts", len(s.others) + 1}
+	t.options.Logger.Info("evidence for a larger share", append(fields, j.fields()...)...)
 	return t.progressWrite(s, p, "share raised")
 }
 
@@ -176,8 +175,8 @@
 	p := s.progress
 	p.Outcome, p.Reason = o, reason
 	j := t.judgement(s)
-	t.options.Logger.Info("upgrade ends", "service", s.order.Service, "target", p.Target, "outcome", string(o), "reason", reason,
-		"verdict", j.Verdict.String(), "recent", j.Recent.Target.String(), "target_seen", j.Seen.Target.String(), "others_seen", j.Seen.Other.String(), "hosts", len(s.others)+1)
+	fields := []any{"service", s.order.Service, "target", p.Target, "outcome", string(o), "cause", reason, "hosts", len(s.others) + 1}
+	t.options.Logger.Info("upgrade ends", append(fields, j.fields()...)...)
 	return t.progressWrite(s, p, string(o))
 }
 
