--- /dev/null
+++ b/internal/upgrade/failingothers_test.go
@@ -0,0 +1,191 @@
+package upgrade_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"quaybarrow/internal/upgrade"
+)
+
+// Callers got failures from a new version for the rest of the day. No host ever found it bad.
+//
+// Order of events: many endpoints of a service failed a part of their requests, for reasons
+// of their own. A new version came, half of whose answers failed besides. It got its first
+// requests, larger shares, and in time all of them; its upgrade was written as completed, and
+// the old endpoints stopped.
+//
+// Cause: a version was bad if it failed more than twice as often as the others, and a tenth
+// more. Where the others fail 0.4 of their answers no version can. Not to be known as
+// worse was enough for every larger share and for the completion. Besides, where there are
+// many hosts, those that had told nothing were taken to have seen as many good answers as
+// those that told had seen, who told because they had seen some: 24 failures among 34 answers
+// were weighed as 24 among 181.
+//
+// Proof: the line of the completion counted 345 failures among 568 answers of the new
+// version, 1,643 among 5,115 of the old one, and called the new one clear.
+
+// Bounds of what a bad version may get besides exposeShare, as the users tell: nothing that
+// is sent lateAfter after its badMost-th failure.
+const (
+	badMost   = 50
+	lateAfter = 5 * time.Second
+)
+
+// service is a service with two versions, some of whose endpoints fail for reasons of their own.
+type service struct {
+	hosts, endpoints int // the latter of each version
+	perSecond        int // answers of the whole service
+	within           time.Duration
+	illPart, illRate float64 // endpoints that fail, and the part of their answers that they fail
+	badRate          float64 // part of the answers that the new version fails besides; 0 for a good one
+	badFrom          time.Duration
+	restarts         bool // hosts start again in turn
+}
+
+// grown and small are services as users run them.
+var (
+	grown = service{hosts: 91, endpoints: 140, perSecond: 290, within: 16 * time.Second}
+	small = service{hosts: 6, endpoints: 18, perSecond: 100, within: 24 * time.Second}
+)
+
+func (s service) withIll(part, rate float64) service {
+	s.illPart, s.illRate = part, rate
+	return s
+}
+
+func (s service) withBad(rate float64) service {
+	s.badRate = rate
+	return s
+}
+
+func (s service) withRestarts() service {
+	s.restarts = true
+	return s
+}
+
+var failingOthers = map[string]service{
+	"half fail, beside nine in ten that fail 0.45":                              grown.withIll(0.9, 0.45).withBad(0.5),
+	"half fail, beside nine in ten that fail 0.3":                               grown.withIll(0.9, 0.3).withBad(0.5),
+	"0.35 fail, beside nine in ten that fail 0.45, hosts start again":           grown.withIll(0.9, 0.45).withBad(0.35).withRestarts(),
+	"half fail, beside half that fail 0.4":                                      grown.withIll(0.5, 0.4).withBad(0.5),
+	"half fail, beside none that fail":                                          grown.withBad(0.5),
+	"a third fail, beside none that fail, hosts start again":                    grown.withBad(0.33).withRestarts(),
+	"half fail on a small service, beside nine in ten that fail 0.45":           small.withIll(0.9, 0.45).withBad(0.5),
+	"half fail on a small service, beside half that fail 0.4":                   small.withIll(0.5, 0.4).withBad(0.5),
+	"half fail on a small service, beside nine in ten that fail 0.3, restarts":  small.withIll(0.9, 0.3).withBad(0.5).withRestarts(),
+	"good, beside nine in ten that fail 0.45":                                   grown.withIll(0.9, 0.45),
+	"good, beside nine in ten that fail 0.45, hosts start again":                grown.withIll(0.9, 0.45).withRestarts(),
+	"good, beside half that fail 0.4":                                           grown.withIll(0.5, 0.4),
+	"good, beside 0.14 that fail 0.45":                                          grown.withIll(0.14, 0.45),
+	"good on a small service, beside nine in ten that fail 0.45":                small.withIll(0.9, 0.45),
+	"good on a small service, beside half that fail 0.4":                        small.withIll(0.5, 0.4),
+	"good on a small service, beside 0.14 that fail 0.45":                       small.withIll(0.14, 0.45),
+	"good on a small service, beside nine in ten that fail 0.45, hosts restart": small.withIll(0.9, 0.45).withRestarts(),
+}
+
+func TestBadVersionAmongFailingEndpoints(t *testing.T) {
+	for what, s := range failingOthers {
+		t.Run(what, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				RegisterTestingT(t)
+				s.play(1).judge(s)
+			})
+		})
+	}
+}
+
+// outcome is what callers and operators saw of an upgrade.
+type outcome struct {
+	all, exposed, late int    // requests until the end of the time; of them the new version's; those sent too late
+	status             string // at the end of the time
+}
+
+// judge checks an upgrade's outcome.
+func (o outcome) judge(s service) {
+	if s.badRate == 0 {
+		Expect(o.status).To(MatchJSON(completed))
+		return
+	}
+	Expect(o.late).To(BeZero(), "requests long after the failures had shown")
+	Expect(o.exposed).To(BeNumerically("<=", exposeShare*float64(o.all)+exposeSlack), "of %d", o.all)
+	Expect(o.status).To(MatchJSON(`{"state":"rolled_back","target_version":"v2"}`))
+}
+
+// play upgrades the service, and goes on for a while after the time for it.
+func (s service) play(seed uint64) outcome {
+	const tick = 100 * time.Millisecond
+	random := rand.New(rand.NewPCG(seed, seed))
+	h := newHosts(s.hosts)
+	defer h.stop()
+	h.orderWithin(s.within, 7)
+	ill := s.draw(random)
+	o, bad, badAt := outcome{}, 0, time.Hour // until it is known, later than all
+	for passed := time.Duration(0); passed < s.within+2*lateAfter; passed += tick {
+		if s.restarts && passed%time.Second == 0 {
+			h.restart(int(passed/time.Second) * 5 % s.hosts)
+			h.orderWithin(s.within, 7)
+		}
+		for range s.perSecond / int(time.Second/tick) {
+			t := h.trackers[random.IntN(s.hosts)]
+			r, failed := s.answer(t, random, ill, passed)
+			r.Finding = upgrade.Answered{Failed: failed}
+			t.Note(r)
+			if passed < s.within {
+				o.all++
+			}
+			if r.Version != "v2" {
+				continue
+			}
+			if passed < s.within {
+				o.exposed++
+			}
+			if passed > badAt+lateAfter {
+				o.late++
+			}
+			if failed {
+				bad++
+			}
+			if failed && bad == badMost {
+				badAt = passed
+			}
+		}
+		time.Sleep(tick)
+		if passed+tick == s.within {
+			o.status = h.status()
+		}
+	}
+	return o
+}
+
+// draw draws the endpoints that fail for reasons of their own.
+func (s service) draw(random *rand.Rand) map[string]bool {
+	all := make([]string, 0, 2*s.endpoints)
+	for i := range s.endpoints {
+		all = append(all, fmt.Sprint("v1-", i), fmt.Sprint("v2-", i))
+	}
+	random.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	ill := map[string]bool{}
+	for _, id := range all[:int(s.illPart*float64(len(all)))] {
+		ill[id] = true
+	}
+	return ill
+}
+
+// answer is one request's, on the version that a host allows it.
+func (s service) answer(t *upgrade.Tracker, random *rand.Rand, ill map[string]bool, passed time.Duration) (upgrade.Report, bool) {
+	version, badRate := "v1", 0.0
+	if allowed := t.Allowed("s", random.Uint64()); allowed != nil && allowed("v2") {
+		version = "v2"
+		if passed >= s.badFrom {
+			badRate = s.badRate
+		}
+	}
+	id := fmt.Sprintf("%s-%d", version, random.IntN(s.endpoints))
+	failed := random.Float64() < badRate || (ill[id] && random.Float64() < s.illRate)
+	return upgrade.Report{Service: "s", Version: version, Endpoint: id, Route: "r"}, failed
+}
--- a/internal/upgrade/rig_test.go
+++ b/internal/upgrade/rig_test.go
@@ -89,6 +89,13 @@
 	}
 }
 
+// orderWithin orders the usual version in a time.
+func (h *hosts) orderWithin(within time.Duration, revision int64) {
+	for _, t := range h.trackers {
+		t.Order(upgrade.Order{Service: "s", Target: "v2", Within: within, Revision: revision})
+	}
+}
+
 // settle tells the hosts which versions have endpoints.
 func (h *hosts) settle(versions ...string) {
 	counts := map[string]int{}
