Versions are weighed by what they fail besides their endpoints, and completed once that is shown

Cause: a version was bad if it failed over twice as often as the others and 0.12 more; where others fail 0.4 none can. Not known as worse was enough to complete it. And answers that nobody had told of were taken for as many as the tellers', who tell because they had some, and all good: 24 failures of 34 answers were weighed as 24 of 181, late ones thinned by the silent part of 91 hosts.

Change: answers are counted by endpoint while the target has a share; a likelihood ratio asks for the part that the version fails besides what endpoints like the others' do; the old rule stays beside it, for a version that some of its endpoints bear. What is untold is estimated from hosts' rates of answers and the target's share of keys. A completion needs the failures to be shown to be the endpoints' own.

Ways weighed in a simulation (3 to 140 endpoints, none to 0.9 of them failing 0.3 to 0.5): twice the rate, excess over the mean, with the spread of either side, Welch's test by endpoint, ranks, the likelihood ratio.

--- a/internal/upgrade/evidence.go
+++ b/internal/upgrade/evidence.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"maps"
 )
 
 // Count is how answers of a version went.
@@ -46,17 +45,29 @@
 
 // Pair counts answers of the target and of the other versions.
 type Pair struct {
-	Target  Count       `json:"target"`
-	Other   Count       `json:"other"`
-	Tried   EndpointSet `json:"tried"`   // of the target, that answered
-	Failing EndpointSet `json:"failing"` // of these, that failed some
+	Target Count `json:"target"`
+	Other  Count `json:"other"`
+	// By endpoint, those since the target got its first share: failures of another time say
+	// nothing of the same endpoints now.
+	TargetBy Tallies `json:"target_by,omitempty"`
+	OtherBy  Tallies `json:"other_by,omitempty"`
+	// unseen are answers of the target that hosts are taken to have seen which have not told.
+	unseen int
+	excess excess // of its failures, once it is weighed
 }
 
-func (p Pair) plus(o Pair) Pair {
-	return Pair{
-		Target: p.Target.plus(o.Target), Other: p.Other.plus(o.Other),
-		Tried: p.Tried.union(o.Tried), Failing: p.Failing.union(o.Failing),
-	}
+// add adds another pair's answers, in maps of its own.
+func (p *Pair) add(o Pair) {
+	p.Target, p.Other = p.Target.plus(o.Target), p.Other.plus(o.Other)
+	p.TargetBy, p.OtherBy = p.TargetBy.add(o.TargetBy), p.OtherBy.add(o.OtherBy)
+	p.unseen += o.unseen
+}
+
+// addTo adds a pair to a route's.
+func addTo(routes map[string]Pair, route string, p Pair) {
+	sum := routes[route]
+	sum.add(p)
+	routes[route] = sum
 }
 
 // targetPart is the part of all answers that the target gave; 0 without any.
@@ -65,29 +76,40 @@
 }
 
 // against returns a pair whose others show what they do at their worst, now or before:
-// what troubles all versions is no fault of the target's.
-func (p Pair) against(before Count) Pair {
-	if before.rate() > p.Other.rate() || p.Other.answers() == 0 {
-		p.Other.Good, p.Other.Bad = before.Good, before.Bad
+// what troubles all versions is no fault of the target's. What fewer answers than the target's
+// show of endpoints now is chance.
+func (p Pair) against(before Pair) Pair {
+	if before.OtherBy.rate() > p.OtherBy.rate() || p.OtherBy.sum().all() < p.Target.answers() {
+		p.OtherBy = before.OtherBy
 	}
-	if before.slowRate() > p.Other.slowRate() || p.Other.Paced == 0 {
-		p.Other.Paced, p.Other.Slow = before.Paced, before.Slow
+	if before.Other.rate() > p.Other.rate() || p.Other.answers() == 0 {
+		p.Other.Good, p.Other.Bad = before.Other.Good, before.Other.Bad
+	}
+	if before.Other.slowRate() > p.Other.slowRate() || p.Other.Paced == 0 {
+		p.Other.Paced, p.Other.Slow = before.Other.Paced, before.Other.Slow
+	}
+	return p.weighed()
+}
+
+// weighed returns the pair with its failures weighed against those of the other versions'
+// endpoints; too few of them tell nothing.
+func (p Pair) weighed() Pair {
+	if p.Target.Bad >= clearFailures {
+		p.excess = newExcess(p.TargetBy, p.OtherBy, p.unseen)
 	}
 	return p
 }
 
-// withSilent adds what hosts that tell nothing are taken to have seen, if some
-// hosts together have told p.
-func (p Pair) withSilent(silent, tellers int) Pair {
-	return p.plus(Pair{
-		Target: Count{Good: silent * p.Target.answers() / tellers},
-		Other:  Count{Good: silent * p.Other.Good / tellers, Bad: silent * p.Other.Bad / tellers},
-	})
+// withUnseen adds good answers of the target that nobody has told of.
+func (p Pair) withUnseen(n int) Pair {
+	p.Target.Good, p.unseen = p.Target.Good+n, p.unseen+n
+	return p
 }
 
 // Evidence is what answers told, by route.
 type Evidence struct {
 	Revision  int64           `json:"revision"`  // of the order
+	Seconds   float64         `json:"seconds"`   // for which the host has counted
 	Routes    map[string]Pair `json:"routes"`    // since the order
 	Recent    map[string]Pair `json:"recent"`    // of these, the answers of the last moments
 	Endpoints []string        `json:"endpoints"` // of the target that gave bad or slow answers
@@ -95,11 +117,13 @@
 
 // plus adds what an earlier life of the same host told since the order.
 func (e Evidence) plus(o Evidence) Evidence {
-	routes := maps.Clone(e.Routes)
-	for name, p := range o.Routes {
-		routes[name] = routes[name].plus(p)
+	routes := map[string]Pair{}
+	for _, told := range []map[string]Pair{e.Routes, o.Routes} {
+		for name, p := range told {
+			addTo(routes, name, p)
+		}
 	}
-	e.Routes = routes
+	e.Routes, e.Seconds = routes, e.Seconds+o.Seconds
 	for _, id := range o.Endpoints {
 		e.blame(id)
 	}
@@ -151,20 +175,48 @@
 	total  Pair
 }
 
-// sumOf adds up what hosts told. Hosts that are silent are taken to have seen as much as
-// those that told on average, and nothing bad.
-func sumOf(told []map[string]Pair, silent int) sums {
+// sumOf adds up what hosts told.
+func sumOf(told []map[string]Pair) sums {
 	s := sums{routes: map[string]Pair{}}
 	for _, routes := range told {
 		for name, p := range routes {
-			s.routes[name] = s.routes[name].plus(p)
+			addTo(s.routes, name, p)
+			s.total.add(p)
 		}
 	}
+	return s
+}
+
+// each returns sums whose pairs are changed; the total has no route.
+func (s sums) each(change func(route string, p Pair) Pair) sums {
+	changed := sums{routes: map[string]Pair{}, total: change("", s.total)}
 	for name, p := range s.routes {
-		s.routes[name] = p.withSilent(silent, max(len(told), 1))
-		s.total = s.total.plus(s.routes[name])
+		changed.routes[name] = change(name, p)
 	}
-	return s
+	return changed
+}
+
+// withUnseen adds the answers of the target that nobody has told of.
+func (s sums) withUnseen(untold func(route string, p Pair) int) sums {
+	return s.each(func(route string, p Pair) Pair { return p.withUnseen(untold(route, p)) })
+}
+
+// weighed weighs all failures.
+func (s sums) weighed() sums {
+	return s.each(func(_ string, p Pair) Pair { return p.weighed() })
+}
+
+// against weighs them against what the others showed before.
+func (s sums) against(before sums) sums {
+	return s.each(func(route string, p Pair) Pair { return p.against(before.of(route)) })
+}
+
+// of is a route's pair; that of no route is the total.
+func (s sums) of(route string) Pair {
+	if route == "" {
+		return s.total
+	}
+	return s.routes[route]
 }
 
 // blamed counts the endpoints of the target that gave bad or slow answers.
--- a/internal/upgrade/judge.go
+++ b/internal/upgrade/judge.go
@@ -6,20 +6,24 @@
 const (
 	badLeast     = 4 // bad answers before a version is called bad
 	badEndpoints = 2 // on as many endpoints: one that fails alone is no bad version
-	// badSpread is the part of the target's endpoints that answered which failed some: one of
-	// which half of all answers fail shows it after one or two answers of each. Endpoints of a
-	// good version that fail for reasons of their own do not: five of 18 that fail half
-	// of theirs rolled it back in 6 of 6 upgrades without this, and in 3 of 100 with it
-	// (simulated, 6 hosts).
-	badSpread     = 0.5
-	badRate       = 0.12 // part of bad answers above what the others show
-	badRateFactor = 2.0  // and this many times as many
+	// badAround is the part of the target's endpoints that answered which failed some, where
+	// the target fails far more than the others: one of which half of all answers fail
+	// shows it after one or two answers of each. Endpoints of a good version that fail for
+	// reasons of their own do not: five of 18 that fail half of theirs rolled it back in 6 of
+	// 6 upgrades without this, and in 3 of 100 with it (simulated, 6 hosts).
+	badAround     = 0.5
+	badRate       = 0.12 // part of bad answers above badRateFactor times what the others show
+	badRateFactor = 2.0
 	// badDoubt is the chance, as a logarithm, to see so many failures of a version that
-	// has badRateFactor times the others', or badUsualLeast. Without it four of fewer than
+	// has badRateFactor times the others', or badUsual. Without it four of fewer than
 	// 20 answers, where 4 in 100 of all fail, rolled a good version back in 3 of 190
 	// upgrades (spec), in 1 of 190 with 3.0, in none of 190 with this.
-	badDoubt      = 4.6
-	badUsualLeast = 0.02
+	badDoubt = 4.6
+	badUsual = 0.02 // part of failures that is chance
+	// excessDoubt is how much likelier it has to be that a version fails a part of its answers
+	// besides what endpoints do, as the logarithm of 1,000: an upgrade is judged a few hundred
+	// times, at answers most of which were there before.
+	excessDoubt = 6.9
 )
 
 // Bounds of the judgement by pace. Answers of both versions are classed by the same
@@ -35,14 +39,12 @@
 	// good version among 60 hosts, a third of whose streams are slow by chance, was rolled
 	// back in 3 of 400 upgrades (spec).
 	recentDoubt = 12.0
+	// recentUsual is the part of recent failures that is chance: hosts tell of failures as they
+	// come, and what is told of recent answers shows up to twice as many as there are.
+	recentUsual = 0.05
 	// slowUsualLeast is the least part of slow answers that is taken for usual,
 	// whatever few answers of the others show.
 	slowUsualLeast = 0.05
-	// failUsualLeast is the same of failures. Recent answers are few, so a part of
-	// failures among them has to be as unlikely as one of slow ones, and that beside
-	// badRateFactor times the others': hosts tell of failures as they come, and what is
-	// told of recent answers shows up to twice as many as there are.
-	failUsualLeast = 0.05
 )
 
 // Evidence that a larger share needs.
@@ -50,14 +52,18 @@
 	clearAnswers = 8    // of the target, failures of half of them would have shown
 	clearFast    = 3    // of these, not slow; of a slow version one in twenty is not
 	clearSlow    = 0.12 // most that the part of slow answers may be above the usual one
-	// A larger share waits while the recent failures are such that a version as good as
-	// the others shows them once in 20 times: what is held for nothing goes on a moment
-	// later, what is completed can't be taken back.
-	clearDoubt      = 3.0
-	clearUsualLeast = 0.01 // least part of failures that is taken for usual there
-	clearFailures   = 2    // as many at least
-	clearSpread     = 0.25 // of the endpoints that answered, which show the failures
-	clearPart       = 0.02 // of all answers since the order, where these are few; a trial gets 0.022 of them with the default bound
+	// A larger share waits while a bad version is 20 times likelier: what is held for nothing
+	// goes on a moment later, what is completed can't be taken back.
+	clearDoubt    = 3.0
+	clearUsual    = 0.01 // part of failures that is chance there
+	clearFailures = 2    // as many at least
+	clearAround   = 0.25 // of the endpoints that answered, which show the failures
+	clearPart     = 0.02 // of all answers since the order, where these are few; a trial gets 0.022 of them with the default bound
+	// provenDoubt is how much likelier a good version has to be, as a logarithm, before a
+	// version of which some answers failed takes over for good. Simulated as in newExcess:
+	// of versions that fail a tenth besides, 2 to 22 of 100 pass at some moment, and good
+	// ones pass within 60 to 140 answers.
+	provenDoubt = 1.0
 )
 
 // Verdict is what evidence says of a target version.
@@ -83,25 +89,25 @@
 // Judge weighs the evidence of all hosts, on all routes together and on each one, of all
 // answers since the order and of the recent ones: the former see a version that has
 // failed a little all along, the latter one that turns bad.
-// Hosts that tell nothing are taken to have had as many answers as the hosts that
-// tell have had on average, all good ones of the target, or a few hosts' bad luck
+// Answers that nobody has told of are taken to be good ones, or a few hosts' bad luck
 // would look like everyone's. A larger share needs answers that somebody has seen, so
-// for that the silent ones count for nothing.
-func Judge(own Evidence, others []Evidence, silent int) Judgement {
+// for that they count for nothing.
+func Judge(own Evidence, others []Evidence, u Untold) Judgement {
 	told := append([]Evidence{own}, others...)
 	all, recent := sinceOrder(told), ofLate(told)
-	whole, lately := sumOf(all, silent), sumOf(recent, silent+len(all)-len(recent))
-	seen := sumOf(all, 0).total
-	j := Judgement{Seen: seen, Weighed: whole.total, Recent: lately.total, Silent: silent}
+	seen := sumOf(all)
+	whole := seen.withUnseen(u.sinceOrder(told)).weighed()
+	lately := sumOf(recent).withUnseen(u.ofLate(told, len(recent), whole)).against(whole)
+	j := Judgement{Seen: seen.total, Weighed: whole.total, Recent: lately.total, Silent: u.Silent}
 	if blamed(told) >= badEndpoints {
-		if reason := whole.fault(); reason != "" {
+		if reason := whole.first(Pair.fault); reason != "" {
 			return j.bad(reason)
 		}
-		if reason := lately.turned(whole); reason != "" {
-			return j.bad(reason)
+		if reason := lately.first(Pair.turned); reason != "" {
+			return j.bad("lately " + reason)
 		}
 	}
-	if seen.clear() && lately.well(whole) {
+	if seen.total.clear() && !whole.total.exceeds(badUsual, clearDoubt) && lately.well() {
 		j.Verdict = VerdictClear
 	}
 	return j
@@ -113,50 +119,42 @@
 	return j
 }
 
+// Proven reports whether the failures that were seen are shown to be the endpoints' own. Not
+// to be known as worse is no ground for a step that can't be taken back.
+func (j Judgement) Proven() bool {
+	return j.Weighed.Target.Bad < clearFailures || j.Weighed.excess.good(badUsual) >= provenDoubt
+}
+
 // well reports whether nothing seems wrong with the recent answers, on any route.
-func (s sums) well(whole sums) bool {
-	if !s.total.against(whole.total.Other).well() {
+func (s sums) well() bool {
+	if !s.total.well() {
 		return false
 	}
-	for name, p := range s.routes {
-		if !p.against(whole.routes[name].Other).well() {
+	for _, p := range s.routes {
+		if !p.well() {
 			return false
 		}
 	}
 	return true
 }
 
-// fault tells how the target clearly does worse than the others, on all routes or on one;
-// "" if it does not.
-func (s sums) fault() string {
-	if reason := s.total.fault(); reason != "" {
+// first tells what is wrong with the target on all routes, or else on one; "" if nothing is.
+func (s sums) first(wrong func(Pair) string) string {
+	if reason := wrong(s.total); reason != "" {
 		return reason
 	}
 	for name, p := range s.routes {
-		if reason := p.fault(); reason != "" {
+		if reason := wrong(p); reason != "" {
 			return reason + " on route " + name
 		}
 	}
 	return ""
 }
 
-// turned tells how the target does worse of late than the others, now or before.
-func (s sums) turned(whole sums) string {
-	if reason := s.total.against(whole.total.Other).turned(); reason != "" {
-		return "lately " + reason
-	}
-	for name, p := range s.routes {
-		if reason := p.against(whole.routes[name].Other).turned(); reason != "" {
-			return "lately " + reason + " on route " + name
-		}
-	}
-	return ""
-}
-
 // fault tells how the target clearly does worse than the others; "" if it does not.
 func (p Pair) fault() string {
 	switch {
-	case p.Target.Bad >= badLeast && p.failsMore() && p.failsAround(badSpread) && p.failEvidence(badUsualLeast) >= badDoubt:
+	case p.Target.Bad >= badLeast && (p.failsFarMore(badUsual, badDoubt) || p.exceeds(badUsual, excessDoubt)):
 		return "bad answers"
 	case p.slowsMore() && p.slowEvidence() >= slowDoubt:
 		return "slow answers"
@@ -165,10 +163,10 @@
 	}
 }
 
-// turned is fault for a few answers, whose failures may be chance.
+// turned is fault for recent answers, which are new ones each time.
 func (p Pair) turned() string {
 	switch {
-	case p.Target.Bad >= badLeast && p.failsMore() && p.failsAround(badSpread) && p.failEvidence(failUsualLeast) >= recentDoubt:
+	case p.Target.Bad >= badLeast && (p.failsFarMore(recentUsual, recentDoubt) || p.exceeds(recentUsual, recentDoubt)):
 		return "bad answers"
 	case p.slowsMore() && p.slowEvidence() >= recentDoubt:
 		return "slow answers"
@@ -179,19 +177,41 @@
 
 // well reports whether nothing seems wrong with the recent answers.
 func (p Pair) well() bool {
-	failing := p.Target.Bad >= clearFailures && p.failsAround(clearSpread) && p.failEvidence(clearUsualLeast) >= clearDoubt
-	slowing := p.slowsMore() && p.slowEvidence() >= slowDoubt
-	return !failing && !slowing
+	if p.slowsMore() && p.slowEvidence() >= slowDoubt {
+		return false
+	}
+	if p.Target.Bad < clearFailures {
+		return true
+	}
+	failing := p.failsAround(clearAround) && p.failEvidence(clearUsual) >= clearDoubt
+	return !failing && p.excess.any(clearUsual) < clearDoubt
 }
 
-func (p Pair) failsMore() bool { return p.Target.rate() > badRate+p.usualFailures() }
+// failsFarMore reports whether the target fails much more often than the others, on many of
+// its endpoints. It sees a bad version beside endpoints that are well, also one that some of
+// its endpoints bear.
+func (p Pair) failsFarMore(usual, doubt float64) bool {
+	return p.failsMore() && p.failsAround(badAround) && p.failEvidence(usual) >= doubt
+}
 
-// usualFailures is the part of failures that is taken for usual beside the others' part.
-func (p Pair) usualFailures() float64 { return badRateFactor * p.Other.rate() }
+func (p Pair) failsMore() bool { return p.Target.rate() > badRate+badRateFactor*p.Other.rate() }
 
 // failsAround reports whether the failures are spread over a part of the target's endpoints.
 func (p Pair) failsAround(part float64) bool {
-	return p.Failing.size() >= badEndpoints && p.Failing.size() >= part*p.Tried.size()
+	failing := p.TargetBy.failing()
+	return failing >= badEndpoints && float64(failing) >= part*float64(len(p.TargetBy))
+}
+
+// failEvidence bounds the chance that a version as good as the others shows the target's
+// failures, as a logarithm, if a part is chance.
+func (p Pair) failEvidence(usual float64) float64 {
+	return chernoff(p.Target.answers(), p.Target.rate(), max(usual, badRateFactor*p.Other.rate()))
+}
+
+// exceeds reports whether the target fails more than its endpoints do for reasons of their
+// own. It sees a bad version also beside endpoints that fail.
+func (p Pair) exceeds(usual, doubt float64) bool {
+	return p.Target.Bad >= clearFailures && p.excess.bad(usual) >= doubt
 }
 
 func (p Pair) slowsMore() bool { return p.Target.slowRate() > p.usualSlow()+slowMore }
@@ -207,11 +227,6 @@
 	return chernoff(p.Target.Paced, p.Target.slowRate(), p.usualSlow())
 }
 
-// failEvidence does the same for the target's failures, of which a part is taken for usual.
-func (p Pair) failEvidence(least float64) float64 {
-	return chernoff(p.Target.answers(), p.Target.rate(), max(least, p.usualFailures()))
-}
-
 // chernoff bounds, as a logarithm, the chance that so large a part is seen among n answers
 // where less is usual, for values from 0 to 1 (Chernoff, 1952); 0 where it is not larger.
 func chernoff(n int, seen, usual float64) float64 {
@@ -234,7 +249,7 @@
 func (p Pair) clear() bool {
 	answers := float64(p.Target.answers())
 	all := answers + float64(p.Other.answers())
-	if answers < min(clearAnswers, clearPart*all) || answers == 0 || (p.failsMore() && p.failsAround(badSpread)) {
+	if answers < min(clearAnswers, clearPart*all) || answers == 0 || (p.failsMore() && p.failsAround(badAround)) {
 		return false
 	}
 	if p.Other.Paced == 0 {
--- a/internal/upgrade/judge_test.go
+++ b/internal/upgrade/judge_test.go
@@ -31,12 +31,11 @@
 }
 
 func evidence(c counts) upgrade.Evidence {
-	p := upgrade.Pair{Target: upgrade.Count{Good: c.good, Bad: c.bad}, Other: upgrade.Count{Good: c.otherGood, Bad: c.otherBad}}
-	for i := range c.endpoints {
-		p.Tried, p.Failing = p.Tried.With(fmt.Sprint(i)), p.Failing.With(fmt.Sprint(i))
-	}
-	for i := range c.well {
-		p.Tried = p.Tried.With(fmt.Sprint("well", i))
+	p := upgrade.Pair{
+		Target:   upgrade.Count{Good: c.good, Bad: c.bad},
+		Other:    upgrade.Count{Good: c.otherGood, Bad: c.otherBad},
+		TargetBy: spread(c.good, c.bad, c.endpoints, c.well),
+		OtherBy:  spread(c.otherGood, c.otherBad, max(c.endpoints+c.well, 4), 0),
 	}
 	e := upgrade.Evidence{Routes: map[string]upgrade.Pair{"r": p}}
 	e.Recent = e.Routes
@@ -46,17 +45,33 @@
 	return e
 }
 
+// spread deals answers out to endpoints: failures to those that fail, good ones to all.
+func spread(good, bad, failing, well int) upgrade.Tallies {
+	t := upgrade.Tallies{}
+	deal := func(n, endpoints int, one upgrade.Tally) {
+		for i := range n {
+			if endpoints > 0 {
+				id := fmt.Sprint(i % endpoints)
+				t[id] = upgrade.Tally{t[id][0] + one[0], t[id][1] + one[1]}
+			}
+		}
+	}
+	deal(good, failing+well, upgrade.Tally{1, 0})
+	deal(bad, failing, upgrade.Tally{0, 1})
+	return t
+}
+
 // blaming returns evidence whose failures an endpoint gave.
 func blaming(e upgrade.Evidence, id string) upgrade.Evidence {
 	p := e.Routes["r"]
-	p.Tried, p.Failing = p.Tried.With(id), p.Failing.With(id)
+	p.TargetBy = upgrade.Tallies{id: {p.Target.Good, p.Target.Bad}}
 	e.Routes["r"] = p
 	e.Endpoints = []string{id}
 	return e
 }
 
 func isBad(own upgrade.Evidence, others []upgrade.Evidence, silent int) bool {
-	return upgrade.Judge(own, others, silent).Verdict == upgrade.VerdictBad
+	return upgrade.Judge(own, others, upgrade.Untold{Silent: silent}).Verdict == upgrade.VerdictBad
 }
 
 var _ = Describe("the judgement of a version", func() {
@@ -70,7 +85,7 @@
 		half := evidence(counts{3, 2, 50, 0, 1, 0})
 		other := blaming(evidence(counts{3, 2, 50, 0, 0, 0}), "another")
 		good := upgrade.Evidence{Routes: map[string]upgrade.Pair{"q": {Target: upgrade.Count{Good: 500}, Other: upgrade.Count{Good: 500}}}}
-		j := upgrade.Judge(half, []upgrade.Evidence{other, good}, 0)
+		j := upgrade.Judge(half, []upgrade.Evidence{other, good}, upgrade.Untold{})
 		Expect(j.Verdict).To(Equal(upgrade.VerdictBad))
 		Expect(j.Reason).To(Equal("bad answers on route r"))
 	})
@@ -91,12 +106,12 @@
 	told := evidence(counts{2, 0, 20, 0, 0, 0})
 
 	It("is not granted by hosts that tell nothing", func() {
-		Expect(upgrade.Judge(told, nil, 0).Verdict).To(Equal(upgrade.VerdictClear), "22 answers in all, a small service")
-		Expect(upgrade.Judge(told, []upgrade.Evidence{evidence(counts{1, 0, 200, 0, 0, 0})}, 20).Verdict).To(Equal(upgrade.VerdictOpen))
+		Expect(upgrade.Judge(told, nil, upgrade.Untold{}).Verdict).To(Equal(upgrade.VerdictClear), "22 answers in all, a small service")
+		Expect(upgrade.Judge(told, []upgrade.Evidence{evidence(counts{1, 0, 200, 0, 0, 0})}, upgrade.Untold{Silent: 20}).Verdict).To(Equal(upgrade.VerdictOpen))
 	})
 
 	It("is granted by what hosts have seen", func() {
-		Expect(upgrade.Judge(told, []upgrade.Evidence{evidence(counts{6, 0, 200, 0, 0, 0})}, 20).Verdict).To(Equal(upgrade.VerdictClear))
+		Expect(upgrade.Judge(told, []upgrade.Evidence{evidence(counts{6, 0, 200, 0, 0, 0})}, upgrade.Untold{Silent: 20}).Verdict).To(Equal(upgrade.VerdictClear))
 	})
 })
 
@@ -144,7 +159,7 @@
 			for i := range p.endpoints {
 				e.Endpoints = append(e.Endpoints, fmt.Sprint(i))
 			}
-			Expect(upgrade.Judge(e, nil, 0).Verdict).To(Equal(p.verdict))
+			Expect(upgrade.Judge(e, nil, upgrade.Untold{}).Verdict).To(Equal(p.verdict))
 		})
 	}
 })
--- a/internal/upgrade/recently.go
+++ b/internal/upgrade/recently.go
@@ -1,9 +1,6 @@
 package upgrade
 
-import (
-	"maps"
-	"time"
-)
+import "time"
 
 // recentSpan is for how long answers count as recent, two halves of it at most. Counts of
 // all answers since the order hide a version that turns bad: with 846 good answers before, 63
@@ -21,7 +18,7 @@
 // add counts an answer.
 func (r *recently) add(now time.Time, route string, p Pair) {
 	r.roll(now)
-	r.newer[route] = r.newer[route].plus(p)
+	addTo(r.newer, route, p)
 }
 
 // roll begins a new half if the newer one is over.
@@ -40,9 +37,11 @@
 // counts returns what is recent now, by route.
 func (r *recently) counts(now time.Time) map[string]Pair {
 	r.roll(now)
-	sum := maps.Clone(r.newer)
-	for route, p := range r.older {
-		sum[route] = sum[route].plus(p)
+	sum := map[string]Pair{}
+	for _, half := range []map[string]Pair{r.newer, r.older} {
+		for route, p := range half {
+			addTo(sum, route, p)
+		}
 	}
 	return sum
 }
--- a/internal/upgrade/run.go
+++ b/internal/upgrade/run.go
@@ -33,8 +33,11 @@
 	// rate that their reader answers with 0.03 of a core (0.2 ms each).
 	readEvery   = 250 * time.Millisecond
 	readPerHost = time.Millisecond
-	watchWait   = 5 * time.Second        // one waiting read of the shared table
-	watchRetry  = 500 * time.Millisecond // after a failed read
+	// judgeEvery is how often a host weighs what all have told at most: where many fail, that
+	// takes 1 ms of a core for 91 hosts, and each tells several times a second.
+	judgeEvery = 50 * time.Millisecond
+	watchWait  = 5 * time.Second        // one waiting read of the shared table
+	watchRetry = 500 * time.Millisecond // after a failed read
 	// turnDoubles is the time in which twice as many hosts have had a turn, so that one
 	// writes, the others see it, and a few follow if that one can't. A write is seen by 295
 	// hosts in 0.17 to 0.25 s (log of a played day), 0.7 s at most, so two to four write for
@@ -89,6 +92,9 @@
 	pause := stepEvery
 	now, known := t.options.Watch.Now()
 	for _, s := range t.services {
+		if s.unjudged {
+			pause = min(pause, judgeEvery)
+		}
 		if !known || s.finished() || !s.begun() || s.progress.Stage < lastStage {
 			continue
 		}
@@ -202,7 +208,7 @@
 	}
 	s := t.services[name]
 	j := t.judgement(s)
-	if j.Verdict == VerdictClear {
+	if j.Verdict == VerdictClear && j.Proven() {
 		return true
 	}
 	t.believe(s, j)
--- a/internal/upgrade/standing.go
+++ b/internal/upgrade/standing.go
@@ -80,13 +80,19 @@
 }
 
 // fields tells in logs what a verdict goes by: what was seen, what it was weighed as with the
-// hosts that have told nothing, and what part of failures is usual.
+// hosts that have told nothing, the part that the version most likely fails besides its endpoints, how
+// much likelier a bad and a good version is (as logarithms), and on how many endpoints failures were.
 func (j Judgement) fields() []any {
+	e := j.Weighed.excess
 	return []any{
 		"verdict", j.Verdict.String(), "reason", j.Reason,
 		"target_seen", j.Seen.Target.String(), "others_seen", j.Seen.Other.String(),
 		"target_weighed", j.Weighed.Target.String(), "silent", j.Silent, "recent", j.Recent.Target.String(),
-		"usual_failures", math.Round(j.Weighed.usualFailures()*1000) / 1000,
-		"endpoints_failing", j.Seen.Failing.size(), "endpoints_tried", j.Seen.Tried.size(),
+		"excess", parts[e.likeliest()], "bad_by", oneDecimal(e.bad(badUsual)), "good_by", oneDecimal(e.good(badUsual)),
+		"endpoints_failing", j.Seen.TargetBy.failing(), "endpoints_tried", len(j.Seen.TargetBy),
+		"others_failing", j.Seen.OtherBy.failing(), "others_tried", len(j.Seen.OtherBy),
 	}
 }
+
+// oneDecimal rounds for logs.
+func oneDecimal(x float64) float64 { return math.Round(x*10) / 10 }
--- a/internal/upgrade/tracker.go
+++ b/internal/upgrade/tracker.go
@@ -63,6 +63,8 @@
 	writeAt      time.Time       // progress is not written before
 	publishAt    time.Time       // nor evidence before that
 	others       map[string]told // by host
+	judgedAt     time.Time
+	unjudged     bool // there is evidence that came after it
 }
 
 // told is another host's evidence.
@@ -149,7 +151,7 @@
 		return
 	}
 	if !target {
-		s.count(r.Route, Pair{Other: count})
+		s.count(r.Route, r.ofOthers(count, t.sharing(s)))
 		return
 	}
 	s.count(r.Route, r.ofTarget(count))
@@ -171,9 +173,15 @@
 	return known && s.begun() && s.progress.Stage == lastStage && s.progress.raised(s.progress.elapsedAt(now))
 }
 
+// sharing reports whether some keys go to the target by now.
+func (t *Tracker) sharing(s *service) bool {
+	now, known := t.options.Watch.Now()
+	return known && s.begun() && s.progress.Share(s.progress.elapsedAt(now), s.schedule) > 0
+}
+
 // count adds an answer to this host's evidence.
 func (s *service) count(route string, p Pair) {
-	s.own.Routes[route] = s.own.Routes[route].plus(p)
+	addTo(s.own.Routes, route, p)
 	s.lately.add(time.Now(), route, p)
 }
 
@@ -181,10 +189,17 @@
 func (r Report) ofTarget(c Count) Pair {
 	p := Pair{Target: c}
 	if c.answers() > 0 {
-		p.Tried = p.Tried.With(r.Endpoint)
+		p.TargetBy = tallyOf(r.Endpoint, c.Bad > 0)
 	}
-	if c.Bad > 0 {
-		p.Failing = p.Failing.With(r.Endpoint)
+	return p
+}
+
+// ofOthers is a report's answer as one of another version, by endpoint only while the
+// target has a share.
+func (r Report) ofOthers(c Count, sharing bool) Pair {
+	p := Pair{Other: c}
+	if sharing && c.answers() > 0 {
+		p.OtherBy = tallyOf(r.Endpoint, c.Bad > 0)
 	}
 	return p
 }
@@ -237,22 +252,34 @@
 		}
 		others = append(others, e)
 	}
-	silent := max(t.options.Hosts()-len(others)-1, 0)
+	untold := Untold{Silent: max(t.options.Hosts()-len(others)-1, 0)}
 	if s.finished() {
-		silent = 0 // nobody tells any more
+		untold.Silent = 0 // nobody tells any more
+	}
+	if shown, known := t.options.Watch.Now(); known && s.begun() {
+		elapsed := s.progress.elapsedAt(shown)
+		untold.Elapsed = elapsed
+		untold.Part = s.progress.partOf(0, elapsed, s.schedule)
+		untold.RecentPart = s.progress.partOf(elapsed-recentSpan, elapsed, s.schedule)
 	}
-	return Judge(s.evidence(now), others, silent)
+	return Judge(s.evidence(now), others, untold)
 }
 
 // evidence is what this host has seen.
 func (s *service) evidence(now time.Time) Evidence {
 	e := s.own
 	e.Recent = s.lately.counts(now)
+	e.Seconds += now.Sub(s.seen).Seconds()
 	return e
 }
 
-// judge weighs the evidence, and stops the use of the target on this host once it is bad.
+// judge weighs the evidence, and stops the use of the target on this host once it is bad;
+// a moment later if it was weighed a moment ago.
 func (t *Tracker) judge(s *service) {
+	if s.unjudged = time.Since(s.judgedAt) < judgeEvery; s.unjudged {
+		return
+	}
+	s.judgedAt = time.Now()
 	j := t.judgement(s)
 	t.believe(s, j)
 	if s.condemned != "" || s.finished() || j.Verdict != VerdictBad {
--- a/internal/upgrade/writes.go
+++ b/internal/upgrade/writes.go
@@ -28,6 +28,9 @@
 	var writes []write
 	now := time.Now()
 	for name, s := range t.services {
+		if s.unjudged {
+			t.judge(s)
+		}
 		if s.finished() {
 			continue
 		}
@@ -112,7 +115,7 @@
 	}
 	j := t.judgement(s)
 	switch {
-	case j.Verdict != VerdictClear || (done && s.answeredLast == 0):
+	case j.Verdict != VerdictClear || (done && (s.answeredLast == 0 || !j.Proven())):
 		return write{}, nil
 	case done:
 		return t.finish(s, OutcomeCompleted, "")
