--- a/internal/upgrade/judge_test.go
+++ b/internal/upgrade/judge_test.go
@@ -20,14 +20,17 @@
 	counts counts
 	bad    bool
 }{
-	"a few failures on two endpoints":         {counts{10, 5, 100, 0, 2, 0}, true},
-	"failures on a single endpoint":           {counts{10, 9, 100, 0, 1, 0}, false},
-	"too few to tell":                         {counts{0, 3, 100, 0, 3, 0}, false},
-	"as many failures as the others show":     {counts{80, 14, 860, 140, 5, 0}, false},
-	"many good answers around a few failures": {counts{200, 6, 1000, 5, 3, 0}, false},
-	"failures on few of many endpoints":       {counts{40, 10, 100, 0, 4, 14}, false},
-	"failures on half of them":                {counts{40, 10, 100, 0, 9, 9}, true},
-	"nothing":                                 {counts{}, false},
+	"a few failures on two endpoints":                    {counts{10, 5, 100, 0, 2, 0}, true},
+	"failures on a single endpoint":                      {counts{10, 9, 100, 0, 1, 0}, false},
+	"too few to tell":                                    {counts{0, 3, 100, 0, 3, 0}, false},
+	"as many failures as the others show":                {counts{80, 14, 860, 140, 5, 0}, false},
+	"many good answers around a few failures":            {counts{200, 6, 1000, 5, 3, 0}, false},
+	"failures on few of many endpoints":                  {counts{40, 10, 100, 0, 4, 14}, false},
+	"failures on half of them":                           {counts{40, 10, 100, 0, 9, 9}, true},
+	"nothing":                                            {counts{}, false},
+	"half of its answers beside endpoints that fail 0.4": {counts{30, 70, 600, 400, 40, 0}, true},
+	"as many as endpoints that fail 0.4":                 {counts{60, 40, 600, 400, 40, 0}, false},
+	"more than endpoints that are hardly known":          {counts{30, 70, 26, 14, 40, 0}, false},
 }
 
 func evidence(c counts) upgrade.Evidence {
@@ -91,6 +94,44 @@
 	})
 })
 
+// doubts are of versions beside endpoints that fail 0.4 of their answers.
+var doubts = map[string]struct {
+	good, bad int
+	doubtful  bool
+}{
+	"as many failures as the others":       {120, 80, false},
+	"somewhat more failures":               {95, 105, true},
+	"somewhat more, but of few answers":    {5, 6, false},
+	"a single failure":                     {199, 1, false},
+	"far more failures than the others do": {60, 140, true},
+}
+
+var _ = Describe("a step that can't be taken back", func() {
+	for name, d := range doubts {
+		It("goes by what is likelier: "+name, func() {
+			e := evidence(counts{d.good, d.bad, 1200, 800, 40, 0})
+			Expect(upgrade.Judge(e, nil, upgrade.Untold{}).Doubtful()).To(Equal(d.doubtful))
+		})
+	}
+})
+
+var _ = Describe("answers that nobody has told of", func() {
+	seen := evidence(counts{2, 6, 200, 0, 6, 0})
+	seen.Seconds = 10
+
+	It("are taken to be good, as many as hosts have had since they told", func() {
+		j := upgrade.Judge(seen, nil, upgrade.Untold{Silent: 5, Known: true, HostSeconds: 2})
+		Expect(j.Seen.Target).To(Equal(upgrade.Count{Good: 2, Bad: 6}))
+		Expect(j.Weighed.Target).To(Equal(upgrade.Count{Good: 2 + 41, Bad: 6}), "208 answers in 10 s")
+	})
+
+	It("are none where all hosts had the time to tell", func() {
+		j := upgrade.Judge(seen, nil, upgrade.Untold{Silent: 85, Known: true})
+		Expect(j.Weighed.Target).To(Equal(j.Seen.Target))
+		Expect(j.Verdict).To(Equal(upgrade.VerdictBad))
+	})
+})
+
 var _ = Describe("the judgement by one of many hosts", func() {
 	It("takes silent hosts for content, so that a few unlucky ones do not condemn a version", func() {
 		unlucky := func(id string) upgrade.Evidence {
--- a/internal/upgrade/upgrade_test.go
+++ b/internal/upgrade/upgrade_test.go
@@ -1,6 +1,7 @@
 package upgrade_test
 
 import (
+	"fmt"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -329,6 +330,43 @@
 		})
 	})
 
+	It("is told of by a host that stops", func() {
+		suite.Paused(func() {
+			h := newHosts(2)
+			defer h.stop()
+			h.order(7)
+			h.serve(13*time.Second, traffic{shy: true})
+			h.answers(0, 3, 0)
+			h.cancels[0]()
+			time.Sleep(300 * time.Millisecond)
+			Expect(h.toldBy("host-0").Good).To(Equal(3))
+		})
+	})
+
+	It("is told of by all hosts once one has seen it fail", func() {
+		suite.Paused(func() {
+			const hosts = 60
+			h := newHosts(hosts)
+			defer h.stop()
+			h.order(7)
+			h.serve(13*time.Second, traffic{shy: true})
+			all := func() (good int) {
+				for i := range hosts {
+					good += h.toldBy(fmt.Sprint("host-", i)).Good
+				}
+				return good
+			}
+			for i := range hosts {
+				h.answers(i, 1, 0)
+			}
+			time.Sleep(time.Second)
+			Expect(all()).To(BeNumerically("<", hosts/2), "by the hosts that report")
+			h.answers(0, 1, 1)
+			time.Sleep(2 * time.Second)
+			Expect(all()).To(Equal(hosts))
+		})
+	})
+
 	It("is told in a word, with the verdict, for the log of each request", func() {
 		suite.Paused(func() {
 			h := newHosts(3)
