A version whose failures may be its own is taken back at the end of its time

Change: at the end of the time a version that fails 0.3 rather than 0.15 of its answers, if its endpoints were as well as the best of the others, is rolled back. A bound kept is worth more than a version in time.

--- a/internal/upgrade/excess.go
+++ b/internal/upgrade/excess.go
@@ -1,6 +1,9 @@
 package upgrade
 
-import "math"
+import (
+	"math"
+	"slices"
+)
 
 // A version is weighed by the part of its answers that it fails besides what its endpoints
 // fail for reasons of their own. Of that the endpoints of the other versions tell: each has
@@ -104,6 +107,23 @@
 	return sum
 }
 
+// wellPart is the part of endpoints that tell what the service's endpoints fail when they are
+// well: the best ones of those seen.
+const wellPart = 0.05
+
+// well returns the mixture as if all endpoints were as well as the best ones.
+func (m mixture) well() mixture {
+	sum := 0.0
+	for i, weight := range m {
+		if sum += weight; sum >= wellPart {
+			best := mixture{}
+			best[i] = 1
+			return best
+		}
+	}
+	return m
+}
+
 // leastChance keeps a chance's logarithm finite.
 const leastChance = 1e-300
 
@@ -117,7 +137,12 @@
 // newExcess weighs a version's answers against those of the other versions' endpoints. Of
 // its unseen answers it is taken that none failed, and that each was another endpoint's.
 func newExcess(target, others Tallies, unseen int) excess {
-	m, alike := newMixture(others), target.alike()
+	return newMixture(others).excess(target, unseen)
+}
+
+// excess weighs a version's answers, whose endpoints are drawn from the mixture.
+func (m mixture) excess(target Tallies, unseen int) excess {
+	alike := target.alike()
 	e := excess{shown: float64(target.failing())}
 	for i, part := range parts {
 		e.logs[i] = float64(unseen) * math.Log1p(-part)
@@ -176,12 +201,9 @@
 
 // good is how much likelier it is that the version fails nothing beyond chance than that
 // it is bad.
-func (e excess) good(usual float64) float64 {
-	least := 0.0
-	for i, part := range parts {
-		if part == badPart {
-			least = e.logs[i]
-		}
-	}
-	return e.usual(usual) - least
+func (e excess) good(usual float64) float64 { return e.usual(usual) - e.at(badPart) }
+
+// at is the likelihood of one of parts.
+func (e excess) at(part float64) float64 {
+	return e.logs[slices.Index(parts[:], part)]
 }
--- a/internal/upgrade/judge.go
+++ b/internal/upgrade/judge.go
@@ -139,6 +139,23 @@
 	doubtUsual = 0.05
 )
 
+// MayBeItsOwn reports whether the target fails so much that it would be bad if its endpoints were as
+// well as the best of the others. Where most of those fail, a version that fails as often can't
+// be told from one whose endpoints do: one that failed 0.35 of its answers beside old endpoints that
+// failed 0.45 was completed, and got 5,682 requests too late (played day). It is taken back at
+// the end of its time: a good one can be ordered again, the endpoints of the old one can't be had back.
+func (j Judgement) MayBeItsOwn() bool {
+	if j.Weighed.Target.Bad < clearFailures {
+		return false
+	}
+	e := newMixture(j.Weighed.OtherBy).well().excess(j.Weighed.TargetBy, j.Weighed.unseen)
+	return e.at(ownPart)-e.usual(ownPart/2) > doubtful
+}
+
+// ownPart is how much that is: with the least of a bad version good ones would be taken back
+// wherever one endpoint in seven fails half of its answers.
+const ownPart = 0.3
+
 // well reports whether nothing seems wrong with the recent answers, on any route.
 func (s sums) well() bool {
 	if !s.total.well() {
--- a/internal/upgrade/writes.go
+++ b/internal/upgrade/writes.go
@@ -141,6 +141,8 @@
 	}
 	j := t.judgement(s)
 	switch {
+	case done && j.MayBeItsOwn():
+		return t.finish(s, OutcomeRolledBack, "failures that may be its own, beside endpoints that fail")
 	case j.Verdict != VerdictClear || (done && (s.answeredLast == 0 || j.Doubtful())):
 		return write{}, nil
 	case done:
