Sight: a host tells when an endpoint crashed under a request, and which request

Change: after a broken connection a host tries the endpoint's address once (all requests that broke there share the look, 100 ms at most); where nothing listens any more it writes 'endpoint crashed under a request' with the request's fingerprint: a hash over workspace, target and body, made only then. Endpoints that were to leave don't count. No decision goes by it yet.

Ruled out: the library's errors alone (a reset and a crash are both an unexpected end); missed heartbeats alone (3 to 4 s late).

--- /dev/null
+++ b/internal/conn/reach.go
@@ -0,0 +1,41 @@
+package conn
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"time"
+
+	"quaybarrow/internal/clock"
+)
+
+// Reach opens a new connection to an address, whatever is at rest, and reports whether the
+// peer still has it open after a while; the error is that of the dial. The connection is kept
+// at rest for the next request.
+func (p *Pool) Reach(ctx context.Context, address string, after time.Duration) (open bool, err error) {
+	raw, err := p.options.Dial(ctx, address)
+	if err != nil {
+		return false, fmt.Errorf("reach %s: %w", address, err)
+	}
+	c := &Conn{pool: p, address: address, raw: raw, reader: bufio.NewReaderSize(raw, readBuffer), until: time.Now().Add(keepUnsaid)}
+	p.count(address)
+	clock.Sleep(ctx, after)
+	if !c.alive() {
+		c.Release(false)
+		return false, nil
+	}
+	p.rest(c)
+	return true, nil
+}
+
+// count takes in a connection that was made without a request for it.
+func (p *Pool) count(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := p.peers[address]
+	if known == nil {
+		known = &peer{}
+		p.peers[address] = known
+	}
+	known.open++
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -283,6 +283,15 @@
 	return m.Endpoint, true
 }
 
+// Serves reports whether an endpoint's start is listed, and neither it nor its entry says that
+// it leaves.
+func (f *Fleet) Serves(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m, ok := f.members[id]
+	return ok && !m.Draining && !m.leaving
+}
+
 // Has reports whether some endpoint of a service that is well has a model.
 func (f *Fleet) Has(service, model string) bool {
 	f.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"quaybarrow/internal/advice"
 	"quaybarrow/internal/conn"
 	"quaybarrow/internal/fleet"
+	"quaybarrow/internal/quarantine"
 	"quaybarrow/internal/retry"
 	"quaybarrow/internal/route"
 	"quaybarrow/internal/telemetry"
@@ -39,6 +40,7 @@
 	Upgrades  *upgrade.Tracker
 	Codec     Codec
 	Advice    *advice.Advisor // on endpoints for long prompts; nil for none
+	Witness   *quarantine.Witness // of endpoints that crash
 	Telemetry *telemetry.Telemetry
 	Logger    *log.Logger
 	// RetryRatio bounds repeats to a part of the first sends.
@@ -128,6 +130,8 @@
 	shortest   time.Duration     // shortest one of the last attempt
 	version    string            // of the last attempt's endpoint
 	larger     bool              // a larger model was asked
+	crashes    int               // of endpoints while it ran there
+	print      quarantine.Fingerprint // zero until it is asked for
 }
 
 // ServeHTTP implements http.Handler.
@@ -181,7 +185,7 @@
 		"id", x.ask.ID, "route", x.route.Name, "service", x.service, "workspace", x.workspace,
 		"config", version, "config_age_ms", age.Milliseconds(),
 		"endpoint", x.endpoint, "version", x.version, "upgrade", x.g.Upgrades.Standing(x.service).String(), "model", x.model, "larger", x.larger, "urgency", x.urgency,
-		"sends", x.sends, "rejections", x.rejections, "waits", x.waits, "advice", x.advice,
+		"sends", x.sends, "rejections", x.rejections, "crashes", x.crashes, "waits", x.waits, "advice", x.advice,
 		"tokens", x.ask.TokensIn, "read", x.expected.Read, "work_ms", x.expected.Work.Milliseconds(), "price", x.expected.Price,
 		"first_ms", x.first.Milliseconds(), "objective_ms", x.route.Objective.Milliseconds(),
 		"head_ms", x.head.Milliseconds(), "expected_ms", x.expected.Head.Milliseconds(), "queue_ms", x.expected.Queue.Milliseconds(),
--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
+	"sync"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -16,6 +19,7 @@
 	"quaybarrow/internal/conn"
 	"quaybarrow/internal/fleet"
 	"quaybarrow/internal/gateway"
+	"quaybarrow/internal/quarantine"
 	"quaybarrow/internal/route"
 	"quaybarrow/internal/standin/memnet"
 	"quaybarrow/internal/store"
@@ -38,6 +42,33 @@
 	server    *http.Server
 	endpoints map[string]*standin.Endpoint
 	listeners []net.Listener
+	log       *lines
+}
+
+// lines is what was logged, for use at once.
+type lines struct {
+	mu sync.Mutex // guards b
+	b  bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lines) text() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+// fingerprintIn finds the fingerprint that a log tells.
+func fingerprintIn(text string) string {
+	_, after, _ := strings.Cut(text, "fingerprint=")
+	print, _, _ := strings.Cut(after, " ")
+	return print
 }
 
 // noClock is a watcher for tests without upgrades.
@@ -72,15 +103,15 @@
 func newRig(scripts map[string]func(int, *http.Request) standin.Script) *rig {
 	r := &rig{
 		net: memnet.New(), holder: route.NewHolder(), fleet: fleet.New(fleet.Options{Hall: "ikeja"}),
-		endpoints: map[string]*standin.Endpoint{},
+		endpoints: map[string]*standin.Endpoint{}, log: &lines{},
 	}
 	r.holder.Apply(route.NewTable(declaration()))
-	logger := log.New(io.Discard)
+	logger := log.New(r.log)
 	r.pool = conn.NewPool(conn.Options{Dial: func(ctx context.Context, address string) (net.Conn, error) {
 		return r.net.Dial(ctx, "tcp", address)
 	}})
 	r.gateway = gateway.New(gateway.Options{
-		Holder: r.holder, Fleet: r.fleet, Pool: r.pool, Codec: platform.Heads{}, Telemetry: telemetry.MetricsOnly(), Logger: logger,
+		Holder: r.holder, Fleet: r.fleet, Pool: r.pool, Codec: platform.Heads{}, Witness: quarantine.NewWitness(r.pool.Reach), Telemetry: telemetry.MetricsOnly(), Logger: logger,
 		Upgrades:   upgrade.NewTracker(upgrade.Options{Host: "h", Fleet: r.fleet, Logger: logger, Watch: noClock{}, Hosts: func() int { return 1 }}),
 		RetryRatio: 0.9,
 	})
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -203,7 +203,7 @@
 	before := x.mayRun
 	x.mayRun = true
 	if err != nil {
-		a.fail()
+		a.broke(err)
 		return nil, err
 	}
 	a.liftLimit(ctx)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -69,7 +69,11 @@
 // notStream handles an answer that is no stream.
 func (s *stream) notStream(a *attempt) error {
 	body, err := readShort(a.answer)
-	if err != nil || !a.sound() {
+	if err != nil {
+		a.broke(err)
+		return err
+	}
+	if !a.sound() {
 		a.fail()
 		return errUnsound
 	}
@@ -135,7 +139,7 @@
 			a.end(fleet.OutcomeGood, true)
 			return nil
 		case err != nil:
-			a.fail()
+			a.broke(err)
 			return err
 		}
 	}
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -71,7 +71,7 @@
 	}
 	body, err := io.ReadAll(io.LimitReader(a.answer.Body, wholeBytes))
 	if err != nil {
-		a.fail()
+		a.broke(err)
 		return nil, errors.WithMessage(err, "the answer broke off")
 	}
 	if !a.sound() {
@@ -169,7 +169,7 @@
 		return
 	}
 	if _, err := io.Copy(x.w, a.answer.Body); err != nil {
-		a.fail()
+		a.broke(err)
 		x.cut("the answer broke off")
 	}
 	a.end(fleet.OutcomeGood, true)
--- a/internal/gatewayd/module.go
+++ b/internal/gatewayd/module.go
@@ -28,6 +28,7 @@
 	"quaybarrow/internal/conn"
 	"quaybarrow/internal/fleet"
 	"quaybarrow/internal/gateway"
+	"quaybarrow/internal/quarantine"
 	"quaybarrow/internal/route"
 	"quaybarrow/internal/settings"
 	"quaybarrow/internal/spread"
@@ -72,7 +73,7 @@
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.Supply(s, ports),
 		fx.Provide(
-			newLines, newLogger, newTelemetry, newTLS, newStore, newWatcher, route.NewHolder, newFleet, newPool, newTracker, newAdvisor, newGateway, newHost,
+			newLines, newLogger, newTelemetry, newTLS, newStore, newWatcher, route.NewHolder, newFleet, newPool, newTracker, newAdvisor, newWitness, newGateway, newHost,
 		),
 		fx.Invoke(func(lc fx.Lifecycle, h *Host) {
 			lc.Append(fx.Hook{OnStart: h.Start, OnStop: h.Stop})
@@ -173,11 +174,13 @@
 	return a
 }
 
+func newWitness(p *conn.Pool) *quarantine.Witness { return quarantine.NewWitness(p.Reach) }
+
 func newGateway(s settings.Settings, h *route.Holder, f *fleet.Fleet, p *conn.Pool, u *upgrade.Tracker, a *advice.Advisor,
-	t *telemetry.Telemetry, l *log.Logger,
+	q *quarantine.Witness, t *telemetry.Telemetry, l *log.Logger,
 ) *gateway.Gateway {
 	return gateway.New(gateway.Options{
-		Holder: h, Fleet: f, Pool: p, Upgrades: u, Codec: platform.Heads{}, Advice: a, Telemetry: t, Logger: l,
+		Holder: h, Fleet: f, Pool: p, Upgrades: u, Codec: platform.Heads{}, Advice: a, Witness: q, Telemetry: t, Logger: l,
 		RetryRatio: retryPart * s.Gateway.RetryRatio,
 	})
 }
--- a/internal/standin/memnet/memnet.go
+++ b/internal/standin/memnet/memnet.go
@@ -14,14 +14,14 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
-
-	"github.com/pkg/errors"
+	"syscall"
 )
 
-// ErrRefused means that nothing listens at an address, or that it is cut off.
-var ErrRefused = errors.New("connection refused")
+// errRefused means that nothing listens at an address, or that it is cut off.
+var errRefused = os.NewSyscallError("connect", syscall.ECONNREFUSED)
 
 // Network joins listeners and dialers.
 type Network struct {
@@ -117,14 +117,14 @@
 		return nil, ctx.Err()
 	}
 	if l == nil || cut {
-		return nil, &net.OpError{Op: "dial", Net: "mem", Err: ErrRefused}
+		return nil, &net.OpError{Op: "dial", Net: "mem", Err: errRefused}
 	}
 	inner, server := net.Pipe()
 	client := &conn{Conn: inner}
 	select {
 	case l.accept <- server:
 	case <-l.done:
-		return nil, &net.OpError{Op: "dial", Net: "mem", Err: ErrRefused}
+		return nil, &net.OpError{Op: "dial", Net: "mem", Err: errRefused}
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
