--- a/internal/gatewayd/module.go
+++ b/internal/gatewayd/module.go
@@ -124,7 +124,8 @@
 func newWatcher(s settings.Settings, p Ports, c storeClient, files *tlsfiles.Files, l *log.Logger) (*spread.Watcher, store.Watcher) {
 	w := spread.NewWatcher(spread.Options{
 		Host: s.Host, Hall: s.DataHall, Address: s.Gateway.Peers, Cores: s.Gateway.Cores, Seeds: s.Gateway.SeedPeers(), First: s.Gateway.First,
-		Wait: time.Duration(waitPart * float64(s.Gateway.Bound())), Tables: c, Store: c, Logger: l,
+		Wait: time.Duration(waitPart * float64(s.Gateway.Bound())), Waits: map[string]time.Duration{quarantine.Table: crashWait},
+		Tables: c, Store: c, Logger: l,
 		Credentials: files.ClientCredentials(), Dial: p.dialPeer(),
 	})
 	return w, w
@@ -135,6 +136,11 @@
 // it, and then there is time to ask four others, a fifth of a second each.
 const waitPart = 0.45
 
+// crashWait is one wait for news of crashes at the store. Hosts have three seconds from the third
+// crash on; a feed that fell silent is given up after this wait and 0.7 s. At the wait of the
+// other tables it costs twice as many calls.
+const crashWait = 1600 * time.Millisecond
+
 func newFleet(s settings.Settings, h *route.Holder, w *spread.Watcher) *fleet.Fleet {
 	return fleet.New(fleet.Options{
 		Hall: s.DataHall, Regions: s.Gateway.Halls, Choosers: w.Choosers,
