--- a/internal/gatewayd/module.go
+++ b/internal/gatewayd/module.go
@@ -124,8 +124,7 @@
 func newWatcher(s settings.Settings, p Ports, c storeClient, files *tlsfiles.Files, l *log.Logger) (*spread.Watcher, store.Watcher) {
 	w := spread.NewWatcher(spread.Options{
 		Host: s.Host, Hall: s.DataHall, Address: s.Gateway.Peers, Cores: s.Gateway.Cores, Seeds: s.Gateway.SeedPeers(), First: s.Gateway.First,
-		Wait: time.Duration(waitPart * float64(s.Gateway.Bound())), Waits: map[string]time.Duration{quarantine.Table: crashWait},
-		Tables: c, Store: c, Logger: l,
+		Wait: time.Duration(waitPart * float64(s.Gateway.Bound())), Tables: c, Store: c, Logger: l,
 		Credentials: files.ClientCredentials(), Dial: p.dialPeer(),
 	})
 	return w, w
@@ -136,11 +135,6 @@
 // it, and then there is time to ask four others, a fifth of a second each.
 const waitPart = 0.45
 
-// crashWait is one wait for news of crashes at the store. Hosts have three seconds from the third
-// crash on; a feed that fell silent is given up after this wait and 0.7 s. At the wait of the
-// other tables it costs twice as many calls.
-const crashWait = 1600 * time.Millisecond
-
 func newFleet(s settings.Settings, h *route.Holder, w *spread.Watcher) *fleet.Fleet {
 	return fleet.New(fleet.Options{
 		Hall: s.DataHall, Regions: s.Gateway.Halls, Choosers: w.Choosers,
@@ -182,10 +176,20 @@
 
 func newQuarantine(s settings.Settings, tables store.Tables, w *spread.Watcher, p *conn.Pool, f *fleet.Fleet, l *log.Logger) *quarantine.Book {
 	return quarantine.NewBook(quarantine.Options{
-		Host: s.Host, Reach: p.Reach, Endpoints: f.Count, Tables: tables, Now: sharedClock(w), Logger: l,
+		Host: s.Host, Reach: p.Reach, Endpoints: f.Count, Members: func() []quarantine.Member { return members(w) },
+		Caller: quarantine.NewCaller(w.Conn), Tables: tables, Now: sharedClock(w), Logger: l,
 	})
 }
 
+// members are the other hosts, to be told of crashes.
+func members(w *spread.Watcher) []quarantine.Member {
+	var list []quarantine.Member
+	for _, m := range w.Members() {
+		list = append(list, quarantine.Member(m))
+	}
+	return list
+}
+
 // sharedClock is the store's as this host knows it.
 func sharedClock(w *spread.Watcher) func() (time.Duration, bool) {
 	return func() (time.Duration, bool) {
--- a/internal/quarantine/book.go
+++ b/internal/quarantine/book.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -21,9 +20,6 @@
 	// quarantine is let go an hour after its last crash: whoever runs the endpoints may have
 	// mended them by then, and if not, three crashes an hour are what it costs.
 	rememberedFor = time.Hour
-	// outlastsBy is how much longer than at any of its crashes a request's answer has to be
-	// under way elsewhere to show that it crashes nothing: twice as long and this.
-	outlastsBy = 50 * time.Millisecond
 	// unprovenFor is how long a broken connection waits for a proof by the list that its
 	// endpoint has crashed: three heartbeats, and two hops.
 	unprovenFor = 6 * time.Second
@@ -43,8 +39,12 @@
 	Reach Reach
 	// Endpoints counts those of a service.
 	Endpoints func(service string) int
-	// Tables keep what hosts have seen; Now is the clock that they share, false while it is
-	// not known.
+	// Members are the other hosts, the next in an order that all of them agree on first; Caller
+	// sends to them. Nil for a host alone.
+	Members func() []Member
+	Caller  Caller
+	// Tables keep what hosts have seen for those that start; Now is the clock that all share,
+	// false while it is not known.
 	Tables store.Tables
 	Now    func() (time.Duration, bool)
 	Logger *log.Logger
@@ -57,24 +57,24 @@
 	witness  *Witness
 	clock    clock.Steady
 	watching atomic.Bool   // something has crashed lately
-	due      chan struct{} // there is something to tell
 	news     chan struct{} // there is other evidence
+	due      chan struct{} // there is something to tell other hosts
+	save     chan struct{} // there may be something to keep
 
-	mu       sync.Mutex // guards all below
-	own      record
-	version  int64           // of the host's row; 0 if there is none
-	told     map[string]told // by other hosts
-	view     *view           // of all that; nil if it has changed since
+	mu       sync.Mutex     // guards all below
+	rows     map[string]row // by host; always one of this host
+	view     *view          // of all that; nil if it has changed since
 	unproven map[string][]Break
 	ongoing  map[*Ongoing]struct{}
 	verdicts map[Fingerprint]Verdict
 	judged   bool // verdicts stand on the view
+	kept     bool // the store has a row of this host
 }
 
-// told is what another host told.
-type told struct {
+// row is what a host has seen.
+type row struct {
 	record
-	version int64 // of its row
+	version int64 // grows with each change
 }
 
 // view is all evidence that a host has.
@@ -85,13 +85,20 @@
 
 // NewBook returns a book of a host that has seen nothing.
 func NewBook(options Options) *Book {
+	if options.Members == nil {
+		options.Members = func() []Member { return nil }
+	}
 	return &Book{
-		options: options, witness: NewWitness(options.Reach), clock: clock.NewSteady(), due: make(chan struct{}, 1), news: make(chan struct{}, 1),
-		own: newRecord(), told: map[string]told{}, unproven: map[string][]Break{}, ongoing: map[*Ongoing]struct{}{},
+		options: options, witness: NewWitness(options.Reach), clock: clock.NewSteady(),
+		news: make(chan struct{}, 1), due: make(chan struct{}, 1), save: make(chan struct{}, 1),
+		rows: map[string]row{options.Host: {record: newRecord()}}, unproven: map[string][]Break{}, ongoing: map[*Ongoing]struct{}{},
 		verdicts: map[Fingerprint]Verdict{},
 	}
 }
 
+// own is what this host has seen.
+func (b *Book) own() row { return b.rows[b.options.Host] }
+
 // Watching reports whether endpoints have crashed lately. While none has, no request needs a
 // fingerprint.
 func (b *Book) Watching() bool { return b.watching.Load() }
@@ -128,17 +135,6 @@
 	return true
 }
 
-// copies counts the answers to a request that are under way.
-func (b *Book) copies(f Fingerprint) int {
-	n := 0
-	for o := range b.ongoing {
-		if o.request() == f {
-			n++
-		}
-	}
-	return n
-}
-
 // Gone takes in that an endpoint's start is listed no more though it was not to leave: what
 // broke off there a moment ago crashed with it.
 func (b *Book) Gone(endpoint string) {
@@ -154,20 +150,37 @@
 
 // crashed takes in a crash that this host saw.
 func (b *Book) crashed(c Crash) {
-	b.own.add(c)
-	b.changed()
+	b.own().add(c)
 	b.tell()
 }
 
 // changed notes that there is other evidence.
 func (b *Book) changed() {
 	b.view, b.judged = nil, false
-	b.watching.Store(!b.own.isEmpty() || len(b.told) > 0)
+	b.watching.Store(slices.ContainsFunc(slices.Collect(maps.Values(b.rows)), func(r row) bool { return !r.isEmpty() }))
 	poke(b.news)
 }
 
-// tell has the host's row written.
-func (b *Book) tell() { poke(b.due) }
+// tell notes that there is other evidence which others have to know.
+func (b *Book) tell() {
+	mine := b.own()
+	mine.version++
+	if shared, known := b.options.now(); known { // goes on from an earlier life of the host
+		mine.version = max(mine.version, shared.Milliseconds())
+	}
+	b.rows[b.options.Host] = mine
+	b.changed()
+	poke(b.due)
+	poke(b.save)
+}
+
+// now is the clock that all hosts share.
+func (o Options) now() (time.Duration, bool) {
+	if o.Now == nil {
+		return 0, false
+	}
+	return o.Now()
+}
 
 // Finished takes in that a request came to a good end: the endpoint that ran it lives.
 func (b *Book) Finished(f Fingerprint) {
@@ -196,7 +209,7 @@
 	if moments == 0 {
 		return
 	}
-	b.own.finish(f, at)
+	b.own().finish(f, at)
 	b.changed()
 	if moments >= crashesLeast-1 {
 		b.options.Logger.Info("request cleared", "fingerprint", f, "crashes", moments, "reason", reason)
@@ -251,13 +264,10 @@
 		return b.view
 	}
 	all := newRecord()
-	all.merge(b.own)
-	for _, t := range b.told {
-		all.merge(t.record)
+	for _, r := range b.rows {
+		all.merge(r.record)
 	}
-	crashes := slices.SortedFunc(maps.Values(all.crashes), func(x, y Crash) int {
-		return cmp.Or(cmp.Compare(x.At, y.At), cmp.Compare(x.Endpoint, y.Endpoint))
-	})
+	crashes := sortedCrashes(all)
 	b.view = &view{
 		Evidence: Evidence{Crashes: crashes, Finished: all.finished, Endpoints: b.options.Endpoints}, counts: suspects(crashes, 1),
 	}
@@ -286,7 +296,7 @@
 	for f, d := range b.verdicts {
 		if _, known := before[f]; !known {
 			b.options.Logger.Warn("request quarantined", "fingerprint", f, "crashes", d.Crashes, "chance", d.Chance,
-				"first_ms_ago", b.Ago(d.First).Milliseconds(), "last_ms_ago", b.Ago(d.Last).Milliseconds(), "crashes_known", len(v.Crashes), "hosts", len(b.told)+1)
+				"first_ms_ago", b.Ago(d.First).Milliseconds(), "last_ms_ago", b.Ago(d.Last).Milliseconds(), "crashes_known", len(v.Crashes), "hosts", len(b.rows))
 		}
 	}
 	for f := range before {
@@ -300,14 +310,15 @@
 func (b *Book) forget() {
 	oldest := b.clock.Now() - rememberedFor
 	held := func(f Fingerprint) bool { _, ok := b.verdicts[f]; return ok }
-	had := !b.own.isEmpty()
-	b.own.trim(oldest, held)
-	for _, t := range b.told {
-		t.trim(oldest, held)
+	for host, r := range b.rows {
+		r.trim(oldest, held)
+		if r.isEmpty() && host != b.options.Host {
+			delete(b.rows, host)
+		}
 	}
 	b.changed()
-	if had && b.own.isEmpty() {
-		b.tell() // the row goes
+	if b.kept && b.own().isEmpty() {
+		poke(b.save) // the row goes
 	}
 }
 
@@ -322,55 +333,3 @@
 		b.judge()
 	}
 }
-
-// Ongoing is a request whose answer has begun.
-type Ongoing struct {
-	request func() Fingerprint
-	since   time.Time
-}
-
-// Begin notes that a request's answer has begun; End is to be called once it has ended.
-func (b *Book) Begin(request func() Fingerprint) *Ongoing {
-	o := &Ongoing{request: request, since: time.Now()}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.ongoing[o] = struct{}{}
-	return o
-}
-
-// End notes that a request's answer has ended, however it did.
-func (b *Book) End(o *Ongoing) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	delete(b.ongoing, o)
-}
-
-// outlast clears requests of which an answer goes on elsewhere for longer than endpoints took to
-// crash under them. What is asked often runs at all endpoints, so also at those that crash.
-func (b *Book) outlast() {
-	v := b.seen()
-	longest := map[Fingerprint]time.Duration{}
-	for f, n := range v.counts {
-		if n >= leftAt {
-			longest[f] = 0
-		}
-	}
-	if len(longest) == 0 {
-		return
-	}
-	for _, c := range v.Crashes {
-		for f, run := range c.Under {
-			if _, suspected := longest[f]; suspected {
-				longest[f] = max(longest[f], run.Answered)
-			}
-		}
-	}
-	now := time.Now()
-	for o := range b.ongoing {
-		f := o.request()
-		l, suspected := longest[f]
-		if suspected && now.Sub(o.since) > 2*l+outlastsBy {
-			b.finish(f, b.clock.Now(), "an answer to it goes on elsewhere")
-		}
-	}
-}
--- a/internal/quarantine/book_test.go
+++ b/internal/quarantine/book_test.go
@@ -38,14 +38,16 @@
 		})
 	})
 
-	It("know it within half a second of the third crash", func() {
+	It("know it a moment after the third crash", func() {
 		sharing(3, func(h *hosts) {
+			h.thrice(guilty)
+			h.letOut(guilty)
 			h.crash(0, "e0", guilty)
 			time.Sleep(apart)
 			h.crash(1, "e1", guilty)
 			time.Sleep(apart)
 			h.crash(1, "e2", guilty)
-			time.Sleep(500 * time.Millisecond)
+			time.Sleep(50 * time.Millisecond)
 			Expect(h.quarantined(guilty)).To(Equal(all))
 		})
 	})
@@ -164,22 +166,56 @@
 			h.thrice(guilty)
 			time.Sleep(time.Hour - 10*time.Second)
 			Expect(h.quarantined(guilty)).To(Equal(all))
-			h.kill(1) // its row is another's to remove
 			time.Sleep(2 * time.Minute)
-			Expect(h.books[0].Standing(guilty).Quarantined).To(BeFalse())
-			for i := range 3 {
-				Expect(h.store.Value(quarantine.Table, fmt.Sprint("host-", i))).To(BeNil())
-			}
-			h.start(1)
+			Expect(h.quarantined(guilty)).To(Equal(none))
+			Expect(h.kept()).To(BeZero())
+		})
+	})
+
+	It("leave no rows of hosts that are gone", func() {
+		sharing(3, func(h *hosts) {
+			h.thrice(guilty)
+			time.Sleep(apart)
+			Expect(h.kept()).To(Equal(3))
+			h.kill(1)
+			time.Sleep(2 * time.Hour)
+			Expect(h.kept()).To(Equal(1))
+			h.kill(0)
+			h.start(0)
+			time.Sleep(apart)
+			Expect(h.kept()).To(BeZero())
 		})
 	})
 })
 
+// letOut takes a request out of quarantine.
+func (h *hosts) letOut(f quarantine.Fingerprint) {
+	Expect(h.books[0].Lift(f)).To(BeTrue())
+	time.Sleep(apart)
+	Expect(h.quarantined(f)).To(Equal(none))
+}
+
+// kept counts the rows in the store.
+func (h *hosts) kept() int {
+	n := 0
+	for i := range h.books {
+		if h.store.Value(quarantine.Table, fmt.Sprint("host-", i)) != nil {
+			n++
+		}
+	}
+	return n
+}
+
 // slow has a request run at an endpoint for long, until that crashes.
 func (h *hosts) slow(host int, endpoint string, f quarantine.Fingerprint) {
 	h.books[host].Broke(context.Background(), quarantine.Break{Endpoint: endpoint, Address: endpoint, Service: "s", Request: f, Run: quarantine.Run{Lasted: 3 * time.Second}})
 }
 
+// storeFaults are ways in which the store is away.
+var storeFaults = map[string]standin.Fault{
+	"is silent": standin.Silent, "is busy": standin.Busy, "loses the answers to writes": standin.LoseTx, "limits calls": standin.Limited,
+}
+
 var _ = Describe("what hosts have seen of crashes", func() {
 	It("outlasts each of them, and all of them at once", func() {
 		sharing(3, func(h *hosts) {
@@ -187,57 +223,92 @@
 			time.Sleep(apart)
 			h.crash(0, "e1", guilty)
 			time.Sleep(apart)
-			for i := range 3 {
-				h.kill(i)
-				h.start(i)
-			}
-			time.Sleep(apart)
-			h.crash(0, "e2", guilty)
+			h.killAll()
+			h.crash(1, "e2", guilty)
 			time.Sleep(apart)
 			Expect(h.quarantined(guilty)).To(Equal(all))
-			for i := range 3 {
-				h.kill(i)
-				h.start(i)
-			}
+			h.killAll()
+			Expect(h.quarantined(guilty)).To(Equal(all))
+			h.kill(2)
+			h.start(2)
 			time.Sleep(apart)
 			Expect(h.quarantined(guilty)).To(Equal(all))
 		})
 	})
 
-	for name, fault := range map[string]standin.Fault{
-		"is silent": standin.Silent, "is busy": standin.Busy, "loses the answers to writes": standin.LoseTx,
-	} {
-		It("is known to those who saw it while the store "+name+", and to all a moment after", func() {
+	It("does not come back with a host's earlier life once it was cleared", func() {
+		sharing(3, func(h *hosts) {
+			h.thrice(guilty)
+			h.letOut(guilty)
+			time.Sleep(3 * time.Second)
+			h.killAll()
+			Expect(h.quarantined(guilty)).To(Equal(none))
+		})
+	})
+
+	for name, fault := range storeFaults {
+		It("is known to all while the store "+name+", and kept once it is back", func() {
 			sharing(3, func(h *hosts) {
 				h.store.Break(fault)
-				for i := range 3 {
-					h.crash(0, fmt.Sprint("e", i), guilty)
-					time.Sleep(apart)
-				}
-				Expect(h.books[0].Standing(guilty).Quarantined).To(BeTrue())
+				h.thrice(guilty)
+				Expect(h.quarantined(guilty)).To(Equal(all))
 				h.store.Break(standin.Healthy)
 				time.Sleep(3 * time.Second)
+				h.killAll()
 				Expect(h.quarantined(guilty)).To(Equal(all))
 			})
 		})
 	}
 
-	It("is read whole where the store has dropped its history", func() {
+	It("is the newest in the store though an older write is done late", func() {
+		sharing(1, func(h *hosts) {
+			h.store.Break(standin.Silent)
+			h.crash(0, "e0", guilty)
+			time.Sleep(apart)
+			h.crash(0, "e1", guilty)
+			time.Sleep(3 * time.Second)
+			old := []byte(`{"version":1,"row":{}}`)
+			h.store.Break(standin.Healthy)
+			time.Sleep(2 * time.Second)
+			h.store.Put(quarantine.Table, "host-0", old)
+			time.Sleep(10 * time.Second)
+			Expect(h.store.Value(quarantine.Table, "host-0")).NotTo(Equal(old))
+		})
+	})
+
+	It("reaches hosts that were cut off, or were passed over, within three seconds of their return", func() {
 		sharing(3, func(h *hosts) {
-			h.store.Break(standin.LoseFeed)
+			h.cutOff(2, true)
 			h.thrice(guilty)
-			h.store.Forget()
-			h.store.Break(standin.Healthy)
-			time.Sleep(4 * time.Second)
+			h.crash(1, "f", guilty)
+			time.Sleep(apart)
+			Expect(h.quarantined(guilty)).To(Equal([]bool{true, true, false}))
+			h.cutOff(2, false)
+			time.Sleep(3 * time.Second)
 			Expect(h.quarantined(guilty)).To(Equal(all))
 		})
 	})
 
+	It("reaches 60 hosts at once, though some of them do not answer", func() {
+		sharing(60, func(h *hosts) {
+			for i := range 9 {
+				h.cutOff(10+i*5, true)
+			}
+			h.calls = 0
+			h.thrice(guilty)
+			Expect(h.calls).To(BeNumerically("<", 3*60+60*3*2), "what is told, and 60 hosts that compare in three seconds")
+			for i, held := range h.quarantined(guilty) {
+				Expect(held).To(Equal(!h.cut[i]), "host %d", i)
+			}
+		})
+	})
+
 	It("is passed over where it can't be read", func() {
 		sharing(3, func(h *hosts) {
 			h.thrice(guilty)
-			h.store.Put(quarantine.Table, "host-9", []byte(`{"crashes":7}`))
-			time.Sleep(apart)
+			h.store.Put(quarantine.Table, "host-9", []byte(`{"row":7}`))
+			h.books[0].Hear(quarantine.News{Rows: []quarantine.Row{{Host: "host-8", Version: 9, Value: []byte("{")}}})
+			h.killAll()
 			Expect(h.quarantined(guilty)).To(Equal(all))
 			Expect(h.log.read()).To(ContainSubstring("can't be read"))
 		})
@@ -256,14 +327,20 @@
 		})
 	})
 
-	It("costs a write for each host and crash, and none while nothing crashes", func() {
+	It("costs no write while nothing crashes, or all that ran there comes to a good end elsewhere", func() {
 		sharing(3, func(h *hosts) {
 			time.Sleep(time.Minute)
-			Expect(h.store.Writes()).To(BeZero())
-			h.crash(0, "e0", guilty, beside, printOf(3), printOf(4))
-			h.crash(1, "e0", printOf(5), printOf(6))
+			h.crash(0, "e0", guilty, beside)
+			h.crash(1, "e0", printOf(3))
 			time.Sleep(apart)
-			Expect(h.store.Writes()).To(Equal(2))
+			h.books[0].Finished(guilty)
+			h.books[0].Finished(beside)
+			h.books[1].Finished(printOf(3))
+			time.Sleep(time.Minute)
+			Expect(h.store.Writes()).To(BeZero())
+			h.crash(0, "e1", guilty)
+			time.Sleep(time.Minute)
+			Expect(h.store.Writes()).To(Equal(1))
 		})
 	})
 })
--- /dev/null
+++ b/internal/quarantine/grpc.go
@@ -0,0 +1,64 @@
+package quarantine
+
+import (
+	"context"
+	"fmt"
+
+	"google.golang.org/grpc"
+
+	"quaybarrow/internal/quarantine/quarantinepb"
+)
+
+// Register has a gRPC server take in what other hosts tell.
+func (b *Book) Register(s grpc.ServiceRegistrar) {
+	quarantinepb.RegisterQuarantineServer(s, &server{book: b})
+}
+
+// server answers other hosts.
+type server struct {
+	quarantinepb.UnimplementedQuarantineServer
+	book *Book
+}
+
+// Tell implements quarantinepb.QuarantineServer.
+func (s *server) Tell(_ context.Context, n *quarantinepb.News) (*quarantinepb.News, error) {
+	return newsToWire(s.book.Hear(newsFromWire(n))), nil
+}
+
+// Connect returns the connection to an address.
+type Connect func(address string) (grpc.ClientConnInterface, error)
+
+// grpcCaller sends over gRPC.
+type grpcCaller struct{ connect Connect }
+
+// NewCaller returns a caller over connections that other services share.
+func NewCaller(connect Connect) Caller { return grpcCaller{connect} }
+
+// Tell implements Caller.
+func (c grpcCaller) Tell(ctx context.Context, address string, n News) (News, error) {
+	connection, err := c.connect(address)
+	if err != nil {
+		return News{}, fmt.Errorf("tell %s: %w", address, err)
+	}
+	reply, err := quarantinepb.NewQuarantineClient(connection).Tell(ctx, newsToWire(n))
+	if err != nil {
+		return News{}, fmt.Errorf("tell %s: %w", address, err)
+	}
+	return newsFromWire(reply), nil
+}
+
+func newsToWire(n News) *quarantinepb.News {
+	w := &quarantinepb.News{Versions: n.Versions, Compare: n.Compare, Relay: n.Relay}
+	for _, r := range n.Rows {
+		w.Rows = append(w.Rows, &quarantinepb.Row{Host: r.Host, Version: r.Version, Value: r.Value})
+	}
+	return w
+}
+
+func newsFromWire(w *quarantinepb.News) News {
+	n := News{Versions: w.GetVersions(), Compare: w.GetCompare(), Relay: w.GetRelay()}
+	for _, r := range w.GetRows() {
+		n.Rows = append(n.Rows, Row{Host: r.GetHost(), Version: r.GetVersion(), Value: r.GetValue()})
+	}
+	return n
+}
--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -78,7 +78,7 @@
 func Judge(e Evidence) map[Fingerprint]Verdict {
 	verdicts := map[Fingerprint]Verdict{}
 	open := slices.Clone(e.Crashes)
-	slices.SortFunc(open, func(a, b Crash) int { return cmp.Or(cmp.Compare(a.At, b.At), cmp.Compare(a.Endpoint, b.Endpoint)) })
+	slices.SortFunc(open, byTime)
 	for {
 		s, ok := e.strongest(open)
 		if !ok {
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -11,255 +11,174 @@
 	"quaybarrow/internal/store"
 )
 
-// Table is where each host keeps what it has seen, in a row named after it.
+// Table is where each host keeps what it has seen, in a row named after it, for hosts that start
+// when no other is there to ask.
 const Table = "quarantine"
 
-// Times of writes.
+// Times of what is kept.
 const (
-	// gather is how long what breaks at the same crash shares a write.
-	gather     = 20 * time.Millisecond
+	// keepAfter is how long a host waits before it keeps a crash under requests that were at no
+	// other: nearly all come to a good end elsewhere by then, and nothing is to be kept.
+	keepAfter  = 2 * time.Second
 	retryFirst = 150 * time.Millisecond
 	retryMost  = 1200 * time.Millisecond
-	sweepEvery = 30 * time.Second
+	// settleAfter a write of which the answer was lost it may still be done, in place of one
+	// that came later.
+	settleAfter = 8 * time.Second
 )
 
-// Run judges what comes to be known and writes what this host has seen, as long as the context
-// lasts.
-func (b *Book) Run(ctx context.Context) {
-	sweep := time.NewTicker(sweepEvery)
-	defer sweep.Stop()
-	for {
-		select {
-		case <-ctx.Done():
+// errNoClock means that the clock which hosts share is not known yet.
+var errNoClock = errors.New("the shared clock is not known yet")
+
+// keep keeps what this host has seen in the store.
+func (b *Book) keep(ctx context.Context) {
+	for await(ctx, b.save) {
+		if !b.awaitGrave(ctx) {
 			return
-		case <-sweep.C:
-			b.Sweep()
-			b.drop(ctx)
-		case <-b.news:
-			clock.Sleep(ctx, gather)
-			b.review()
-		case <-b.due:
-			clock.Sleep(ctx, gather)
-			drain(b.due)
+		}
+		lost := b.write(ctx)
+		if lost && clock.Sleep(ctx, settleAfter) {
 			b.write(ctx)
 		}
 	}
 }
 
-// review brings the verdicts up to date though no request asks: an answer that goes on here may
-// clear a request that others take for guilty.
-func (b *Book) review() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.judge()
-}
-
-// poke leaves a signal in a channel with room for one.
-func poke(c chan struct{}) {
-	select {
-	case c <- struct{}{}:
-	default:
+// awaitGrave waits for a while, or until something is to be kept at once; false if the context
+// ends.
+func (b *Book) awaitGrave(ctx context.Context) bool {
+	timer := time.NewTimer(keepAfter)
+	defer timer.Stop()
+	for !b.grave() {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-b.save:
+		case <-timer.C:
+			return true
+		}
 	}
+	return ctx.Err() == nil
 }
 
-// drain takes a signal out of a channel, if there is one.
-func drain(c chan struct{}) {
-	select {
-	case <-c:
-	default:
+// grave reports whether this host has seen something of a request that is in quarantine, or
+// would be after a crash more.
+func (b *Book) grave() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.judge()
+	v := b.seen()
+	for _, c := range b.own().crashes {
+		for f := range c.Under {
+			if _, held := b.verdicts[f]; held || v.of(f).moments >= crashesLeast-1 {
+				return true
+			}
+		}
 	}
+	return false
 }
 
-// write brings the host's row up to date, and tries until it is.
-func (b *Book) write(ctx context.Context) {
-	lost := false
+// write brings the host's row in the store up to date, and tries until it is; it reports whether
+// an answer was lost on the way.
+func (b *Book) write(ctx context.Context) (lost bool) {
 	for retry := retryFirst; ctx.Err() == nil; retry = min(2*retry, retryMost) {
-		err := b.writeOnce(ctx)
+		txn, err := b.transaction()
+		if err == nil && len(txn.Writes) > 0 {
+			err = b.options.Tables.Commit(ctx, txn)
+		}
 		if err == nil {
-			if lost {
-				b.options.Logger.Info("what was seen of crashes is told again")
-			}
-			return
+			return lost
 		}
 		if !lost && ctx.Err() == nil {
-			b.options.Logger.Warn("what was seen of crashes can't be told; trying on", "error", err)
+			b.options.Logger.Warn("what was seen of crashes can't be kept; trying on", "error", err)
 		}
 		lost = true
 		clock.Sleep(ctx, clock.Jitter(retry))
 	}
+	return lost
 }
 
-// errNoClock means that the clock which hosts share is not known yet.
-var errNoClock = errors.New("the shared clock is not known yet")
-
-// writeOnce writes the row, if it is as this host knows it. One that is not has what an earlier
-// life of the host told, or a write of which the answer was lost.
-func (b *Book) writeOnce(ctx context.Context) error {
-	txn, version, err := b.transaction()
-	if err != nil {
-		return err
-	}
-	if len(txn.Writes) == 0 {
-		return nil
-	}
-	err = b.options.Tables.Commit(ctx, txn)
-	if err == nil {
-		return nil
-	}
-	if !errors.Is(err, store.ErrConflict) {
-		return fmt.Errorf("write crashes: %w", err)
-	}
-	row, readErr := b.options.Tables.Get(ctx, Table, b.options.Host)
-	if readErr != nil && !errors.Is(readErr, store.ErrNotFound) {
-		return fmt.Errorf("read crashes: %w", readErr)
-	}
-	if row.Version == version {
-		return fmt.Errorf("write crashes: %w", err)
-	}
-	b.recall(row)
-	return b.writeOnce(ctx)
-}
-
-// transaction makes the write that is due, which may be none, and returns the version of the row that it replaces.
-func (b *Book) transaction() (store.Transaction, int64, error) {
-	ahead, err := b.ahead()
-	if err != nil {
-		return store.Transaction{}, 0, err
-	}
+// transaction makes the write that is due; without writes if none is.
+func (b *Book) transaction() (store.Transaction, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	row := store.Row{Key: b.options.Host, Version: b.version}
-	txn := store.Transaction{Conditions: []store.Condition{store.AtVersion(Table, row)}}
-	if b.own.isEmpty() && b.version == 0 {
-		return store.Transaction{}, 0, nil
+	if b.options.Tables == nil {
+		return store.Transaction{}, nil
 	}
-	if b.own.isEmpty() {
-		txn.Writes = []store.Write{store.Delete(Table, b.options.Host)}
-		return txn, b.version, nil
+	mine := b.own().open()
+	if mine.isEmpty() {
+		if !b.kept {
+			return store.Transaction{}, nil
+		}
+		b.kept = false
+		return store.Transaction{Writes: []store.Write{store.Delete(Table, b.options.Host)}}, nil
 	}
-	data, err := b.own.encode(ahead)
+	ahead, err := b.ahead()
 	if err != nil {
-		return store.Transaction{}, 0, fmt.Errorf("write crashes: %w", err)
-	}
-	txn.Writes = []store.Write{store.Put(Table, b.options.Host, data)}
-	return txn, b.version, nil
-}
-
-// drop removes the rows of hosts that have told nothing for as long as it counts; those that
-// live do so themselves.
-func (b *Book) drop(ctx context.Context) {
-	b.mu.Lock()
-	var txns []store.Transaction
-	for host, t := range b.told {
-		if t.isEmpty() {
-			row := store.Row{Key: host, Version: t.version}
-			txns = append(txns, store.Transaction{Conditions: []store.Condition{store.AtVersion(Table, row)}, Writes: []store.Write{store.Delete(Table, host)}})
-		}
+		return store.Transaction{}, err
 	}
-	b.mu.Unlock()
-	for _, txn := range txns {
-		if err := b.options.Tables.Commit(ctx, txn); err != nil {
-			b.options.Logger.Info("the row of a host that is gone stays for now", "row", txn.Writes[0].Key, "error", err)
-		}
+	data, err := encodeKept(mine, b.own().version, ahead)
+	if err != nil {
+		return store.Transaction{}, fmt.Errorf("keep crashes: %w", err)
 	}
+	b.kept = true
+	return store.Transaction{Writes: []store.Write{store.Put(Table, b.options.Host, data)}}, nil
 }
 
 // ahead is how far the shared clock is ahead of the book's.
 func (b *Book) ahead() (time.Duration, error) {
-	shared, known := b.options.Now()
+	shared, known := b.options.now()
 	if !known {
 		return 0, errNoClock
 	}
 	return shared - b.clock.Now(), nil
 }
 
-// recall takes in the host's own row: what it told in an earlier life counts on.
-func (b *Book) recall(row store.Row) {
-	r, ok := b.decode(row)
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.version = row.Version
-	if ok {
-		b.own.merge(r)
-		b.changed()
+// Load reads what hosts have kept, once, and tries until it can.
+func (b *Book) Load(ctx context.Context, read func(ctx context.Context) ([]store.Row, error)) {
+	for retry := retryFirst; ctx.Err() == nil; retry = min(2*retry, retryMost) {
+		rows, err := read(ctx)
+		if err == nil {
+			b.recall(ctx, rows)
+			return
+		}
+		if ctx.Err() == nil {
+			b.options.Logger.Warn("what hosts have seen of crashes can't be read; trying on", "error", err)
+		}
+		clock.Sleep(ctx, clock.Jitter(retry))
 	}
 }
 
-// decode reads a host's row; false if it can't be read, or there is none.
-func (b *Book) decode(row store.Row) (record, bool) {
-	if len(row.Value) == 0 {
-		return record{}, false
-	}
+// recall takes in what hosts have kept. Rows of which nothing counts any more are removed: their
+// hosts may be gone.
+func (b *Book) recall(ctx context.Context, rows []store.Row) {
+	var old []store.Row
+	b.mu.Lock()
 	ahead, err := b.ahead()
 	if err != nil {
-		ahead = 0 // what is told counts as seen when this host started
-	}
-	r, err := decodeRecord(row.Value, ahead)
-	if err != nil {
-		b.options.Logger.Error("what a host told of crashes can't be read", "row", row.Key, "row_version", row.Version, "error", err)
-		return record{}, false
+		ahead = 0 // what is kept counts as seen when this host started
 	}
-	return r, true
-}
-
-// Reset implements follow.Picture.
-func (b *Book) Reset(rows []store.Row, _ bool) {
-	others := map[string]told{}
-	own := store.Row{}
-	for _, row := range rows {
-		if row.Key == b.options.Host {
-			own = row
+	for _, kept := range rows {
+		r, err := decodeKept(kept.Value, ahead)
+		if err != nil {
+			b.options.Logger.Error("what a host has kept of crashes can't be read", "row", kept.Key, "row_version", kept.Version, "error", err)
 			continue
 		}
-		if r, ok := b.decode(row); ok {
-			others[row.Key] = told{r, row.Version}
-		}
-	}
-	b.recall(own)
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.told = others
-	b.changed()
-}
-
-// Change implements follow.Picture.
-func (b *Book) Change(changes []store.Change, _ bool) {
-	for _, c := range changes {
+		b.kept = b.kept || kept.Key == b.options.Host
+		r.trim(b.clock.Now()-rememberedFor, func(Fingerprint) bool { return false })
 		switch {
-		case c.Key == b.options.Host:
-			b.echo(c)
-		case c.Deleted:
-			b.mu.Lock()
-			delete(b.told, c.Key)
-			b.changed()
-			b.mu.Unlock()
-		default:
-			b.hear(c.Row)
+		case r.isEmpty():
+			old = append(old, kept)
+		case r.version > b.rows[kept.Key].version:
+			b.takeRow(kept.Key, r)
 		}
 	}
-}
-
-// Confirm implements follow.Picture.
-func (b *Book) Confirm() {}
-
-// hear takes in another host's row.
-func (b *Book) hear(row store.Row) {
-	r, ok := b.decode(row)
-	if !ok {
-		return
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.told[row.Key] = told{r, row.Version}
-	b.changed()
-}
-
-// echo takes in that the host's own row was written.
-func (b *Book) echo(c store.Change) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.version = c.Version
-	if c.Deleted {
-		b.version = 0
+	b.judge()
+	b.options.Logger.Info("crashes read", "rows", len(rows), "quarantined", len(b.verdicts))
+	b.mu.Unlock()
+	for _, kept := range old {
+		txn := store.Transaction{Conditions: []store.Condition{store.AtVersion(Table, kept)}, Writes: []store.Write{store.Delete(Table, kept.Key)}}
+		if err := b.options.Tables.Commit(ctx, txn); err != nil {
+			b.options.Logger.Info("a row that is too old to count stays for now", "row", kept.Key, "error", err)
+		}
 	}
 }
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -105,8 +105,38 @@
 	}
 }
 
-// Wire forms of a host's row. Times are ms on the store's clock.
+// byTime compares crashes by when they were.
+func byTime(a, b Crash) int {
+	return cmp.Or(cmp.Compare(a.At, b.At), cmp.Compare(a.Endpoint, b.Endpoint))
+}
+
+// sortedCrashes lists crashes in the order of time.
+func sortedCrashes(r record) []Crash { return slices.SortedFunc(maps.Values(r.crashes), byTime) }
+
+// open is the part of the record that still speaks against somebody.
+func (r record) open() record {
+	o := newRecord()
+	for _, c := range r.crashes {
+		left := Crash{Endpoint: c.Endpoint, Service: c.Service, At: c.At, Under: map[Fingerprint]Run{}}
+		for f, run := range c.Under {
+			if end, ok := r.finished[f]; !ok || end < c.At {
+				left.Under[f] = run
+			}
+		}
+		if len(left.Under) > 0 {
+			o.add(left)
+		}
+	}
+	return o
+}
+
+// Wire forms of what a host has seen. Times are ms, on a clock that the reader knows.
 type (
+	// keptJSON is a host's row in the store.
+	keptJSON struct {
+		Version int64   `json:"version"`
+		Row     rowJSON `json:"row"`
+	}
 	rowJSON struct {
 		Crashes  []crashJSON  `json:"crashes,omitempty"`
 		Finished []finishJSON `json:"finished,omitempty"`
@@ -129,35 +159,37 @@
 	}
 )
 
-// encode makes the host's row; ahead is how far the store's clock is ahead of the record's.
-// Runs of requests that came to a good end afterwards are left out.
-func (r record) encode(ahead time.Duration) ([]byte, error) {
+// toJSON makes the wire form; ahead is how far the reader's clock is ahead of the record's. Runs
+// of requests that came to a good end afterwards are left out.
+func (r record) toJSON(ahead time.Duration) rowJSON {
 	var w rowJSON
 	at := func(d time.Duration) int64 { return (d + ahead).Milliseconds() }
-	for _, name := range slices.Sorted(maps.Keys(r.crashes)) {
-		c := r.crashes[name]
+	for _, c := range sortedCrashes(r) {
 		crash := crashJSON{Endpoint: c.Endpoint, Service: c.Service, AtMs: at(c.At)}
-		for _, f := range slices.SortedFunc(maps.Keys(c.Under), func(a, b Fingerprint) int { return slices.Compare(a[:], b[:]) }) {
+		for _, f := range sorted(c.Under) {
 			if end, ok := r.finished[f]; ok && end >= c.At {
 				continue
 			}
 			run := c.Under[f]
-			crash.Under = append(crash.Under, runJSON{Request: f, LastedMs: run.Lasted.Milliseconds(), AnsweredMs: run.Answered.Milliseconds(), Copies: run.Copies})
+			crash.Under = append(crash.Under, runJSON{
+				Request: f, LastedMs: run.Lasted.Milliseconds(), AnsweredMs: run.Answered.Milliseconds(), Copies: run.Copies,
+			})
 		}
 		w.Crashes = append(w.Crashes, crash)
 	}
-	for _, f := range slices.SortedFunc(maps.Keys(r.finished), func(a, b Fingerprint) int { return slices.Compare(a[:], b[:]) }) {
+	for _, f := range sorted(r.finished) {
 		w.Finished = append(w.Finished, finishJSON{Request: f, AtMs: at(r.finished[f])})
 	}
-	return codec.Encode(w)
+	return w
 }
 
-// decodeRecord reads a host's row.
-func decodeRecord(data []byte, ahead time.Duration) (record, error) {
-	w, err := codec.Decode[rowJSON](data)
-	if err != nil {
-		return record{}, err
-	}
+// sorted lists the requests of a map in an order.
+func sorted[V any](of map[Fingerprint]V) []Fingerprint {
+	return slices.SortedFunc(maps.Keys(of), func(a, b Fingerprint) int { return slices.Compare(a[:], b[:]) })
+}
+
+// record reads the wire form.
+func (w rowJSON) record(ahead time.Duration) record {
 	r := newRecord()
 	at := func(ms int64) time.Duration { return time.Duration(ms)*time.Millisecond - ahead }
 	for _, c := range w.Crashes {
@@ -172,5 +204,31 @@
 	for _, f := range w.Finished {
 		r.finish(f.Request, at(f.AtMs))
 	}
-	return r, nil
+	return r
+}
+
+// encode makes what is told other hosts.
+func (r record) encode(ahead time.Duration) ([]byte, error) { return codec.Encode(r.toJSON(ahead)) }
+
+// decodeRecord reads what another host told.
+func decodeRecord(data []byte, ahead time.Duration) (record, error) {
+	w, err := codec.Decode[rowJSON](data)
+	if err != nil {
+		return record{}, err
+	}
+	return w.record(ahead), nil
+}
+
+// encodeKept makes a host's row in the store.
+func encodeKept(r record, version int64, ahead time.Duration) ([]byte, error) {
+	return codec.Encode(keptJSON{Version: version, Row: r.toJSON(ahead)})
+}
+
+// decodeKept reads a host's row in the store.
+func decodeKept(data []byte, ahead time.Duration) (row, error) {
+	w, err := codec.Decode[keptJSON](data)
+	if err != nil {
+		return row{}, err
+	}
+	return row{w.Row.record(ahead), w.Version}, nil
 }
--- a/internal/quarantine/rig_test.go
+++ b/internal/quarantine/rig_test.go
@@ -11,24 +11,29 @@
 
 	"github.com/charmbracelet/log"
 	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
 
-	"quaybarrow/internal/follow"
 	"quaybarrow/internal/quarantine"
 	"quaybarrow/internal/standin/memnet"
 	"quaybarrow/internal/standin/suite"
+	"quaybarrow/internal/store"
 	"quaybarrow/platform"
 	"quaybarrow/platform/standin"
 )
 
-// hosts are the books of some hosts that share a store.
+// hosts are the books of some hosts that tell each other and share a store.
 type hosts struct {
 	net   *memnet.Network
 	store *standin.Store
-	books []*quarantine.Book
-	lives []*life
 	log   *lines
 	up    map[string]bool // addresses that take connections
 	count int             // endpoints that have crashed
+
+	mu    sync.Mutex // guards all below
+	books []*quarantine.Book
+	lives []*life
+	cut   map[int]bool // hosts that nobody reaches
+	calls int          // of hosts to others
 }
 
 // life is a host's, until it is killed.
@@ -37,6 +42,44 @@
 	working sync.WaitGroup
 }
 
+// caller reaches the other hosts.
+type caller struct {
+	hosts *hosts
+	from  int
+}
+
+var errCut = errors.New("no answer")
+
+// Tell implements quarantine.Caller.
+func (c caller) Tell(ctx context.Context, address string, n quarantine.News) (quarantine.News, error) {
+	var to int
+	if _, err := fmt.Sscanf(address, "host-%d", &to); err != nil {
+		return quarantine.News{}, err
+	}
+	h := c.hosts
+	h.mu.Lock()
+	h.calls++
+	cut, book := h.cut[to] || h.cut[c.from], h.books[to]
+	h.mu.Unlock()
+	if cut || book == nil {
+		<-ctx.Done()
+		return quarantine.News{}, errCut
+	}
+	return book.Hear(n), nil
+}
+
+// members are the other hosts, from the next one on.
+func (c caller) members() []quarantine.Member {
+	c.hosts.mu.Lock()
+	defer c.hosts.mu.Unlock()
+	var list []quarantine.Member
+	for i := 1; i < len(c.hosts.books); i++ {
+		name := fmt.Sprint("host-", (c.from+i)%len(c.hosts.books))
+		list = append(list, quarantine.Member{Name: name, Address: name})
+	}
+	return list
+}
+
 // lines counts what was logged.
 type lines struct {
 	mu   sync.Mutex // guards text
@@ -62,12 +105,14 @@
 // sharing runs a body beside hosts.
 func sharing(count int, body func(h *hosts)) {
 	suite.Paused(func() {
-		h := &hosts{net: memnet.New(), store: standin.NewStore(), log: &lines{}, up: map[string]bool{}}
+		h := &hosts{
+			net: memnet.New(), store: standin.NewStore(), log: &lines{}, up: map[string]bool{}, cut: map[int]bool{},
+			books: make([]*quarantine.Book, count), lives: make([]*life, count),
+		}
 		server := &http.Server{Handler: h.store}
 		l := h.net.Listen(storeAddress)
 		go func() { _ = server.Serve(l) }()
 		for i := range count {
-			h.books, h.lives = append(h.books, nil), append(h.lives, nil)
 			h.start(i)
 		}
 		time.Sleep(time.Second)
@@ -84,9 +129,10 @@
 func (h *hosts) start(i int) {
 	ctx, cancel := context.WithCancel(context.Background())
 	client := platform.NewStore(storeAddress, h.net.Dial)
-	logger := log.New(h.log)
+	to := caller{h, i}
 	b := quarantine.NewBook(quarantine.Options{
-		Host: fmt.Sprint("host-", i), Reach: h.reach, Endpoints: func(string) int { return 12 }, Tables: client, Logger: logger,
+		Host: fmt.Sprint("host-", i), Reach: h.reach, Endpoints: func(string) int { return 12 }, Tables: client, Logger: log.New(h.log),
+		Members: to.members, Caller: to,
 		Now: func() (time.Duration, bool) {
 			bounds, known := client.Now()
 			return (bounds.Earliest + bounds.Latest) / 2, known
@@ -94,14 +140,46 @@
 	})
 	l := &life{cancel: cancel}
 	l.working.Go(func() { b.Run(ctx) })
-	l.working.Go(func() { follow.Run(ctx, follow.Options{Watch: client, Table: quarantine.Table, Logger: logger}, b) })
+	l.working.Go(func() {
+		b.Load(ctx, func(ctx context.Context) ([]store.Row, error) {
+			state, err := client.State(ctx, quarantine.Table)
+			return state.Rows, err
+		})
+	})
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	h.books[i], h.lives[i] = b, l
 }
 
 // kill ends a host; what it has not told is lost.
 func (h *hosts) kill(i int) {
-	h.lives[i].cancel()
-	h.lives[i].working.Wait()
+	h.mu.Lock()
+	l := h.lives[i]
+	h.books[i] = nil
+	h.mu.Unlock()
+	if l == nil {
+		return
+	}
+	l.cancel()
+	l.working.Wait()
+}
+
+// killAll ends all hosts and starts them again.
+func (h *hosts) killAll() {
+	for i := range h.books {
+		h.kill(i)
+	}
+	for i := range h.books {
+		h.start(i)
+	}
+	time.Sleep(apart)
+}
+
+// cutOff has nobody reach a host, or ends that.
+func (h *hosts) cutOff(i int, on bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.cut[i] = on
 }
 
 // reach is how hosts open connections to endpoints.
--- /dev/null
+++ b/internal/quarantine/share.go
@@ -0,0 +1,291 @@
+package quarantine
+
+import (
+	"context"
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"quaybarrow/internal/clock"
+)
+
+// Times of what hosts tell each other.
+const (
+	// gather is how long what breaks at the same crash shares a message.
+	gather = 20 * time.Millisecond
+	// tellTimeout is ample for a small message between data halls; who is passed over by it
+	// hears when it compares what it has.
+	tellTimeout = 500 * time.Millisecond
+	// compareEvery is how often a host compares what it has with another: hosts that were
+	// frozen or cut off have three seconds to know what others do.
+	compareEvery = 2 * time.Second
+	compareTries = 3
+	// directMost hosts are told one by one; beyond, some pass news on to others.
+	directMost = 16
+	sweepEvery = 30 * time.Second
+)
+
+// Member is another host.
+type Member struct{ Name, Address string }
+
+// Row is what a host has seen, as it is told.
+type Row struct {
+	Host    string
+	Version int64 // grows with each change
+	Value   []byte
+}
+
+// News is what one host tells another.
+type News struct {
+	Versions map[string]int64 // of the rows that the sender has
+	Compare  bool             // the receiver is to return what the sender lacks by them
+	Rows     []Row
+	Relay    []string // addresses of hosts that the receiver passes the rows on to
+}
+
+// Caller sends news to other hosts.
+type Caller interface {
+	// Tell brings news and returns what this host lacks.
+	Tell(ctx context.Context, address string, n News) (News, error)
+}
+
+// Run judges what comes to be known, tells other hosts what this one has seen and keeps it, as
+// long as the context lasts.
+func (b *Book) Run(ctx context.Context) {
+	var working sync.WaitGroup
+	defer working.Wait()
+	for _, work := range []func(context.Context){b.review, b.push, b.compare, b.keep, b.sweep} {
+		working.Go(func() { work(ctx) })
+	}
+}
+
+// review brings the verdicts up to date though no request asks: an answer that goes on here may
+// clear a request that others take for guilty.
+func (b *Book) review(ctx context.Context) {
+	for await(ctx, b.news) {
+		clock.Sleep(ctx, gather)
+		b.mu.Lock()
+		b.judge()
+		b.mu.Unlock()
+	}
+}
+
+// await waits for a signal; false if the context ends first.
+func await(ctx context.Context, signal chan struct{}) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-signal:
+		return true
+	}
+}
+
+// poke leaves a signal in a channel with room for one.
+func poke(signal chan struct{}) {
+	select {
+	case signal <- struct{}{}:
+	default:
+	}
+}
+
+// drain takes a signal out of a channel, if there is one.
+func drain(signal chan struct{}) {
+	select {
+	case <-signal:
+	default:
+	}
+}
+
+// push tells all other hosts what this one has seen, as soon as there is something.
+func (b *Book) push(ctx context.Context) {
+	for await(ctx, b.due) {
+		clock.Sleep(ctx, gather)
+		drain(b.due)
+		b.mu.Lock()
+		rows := b.encoded([]string{b.options.Host})
+		b.mu.Unlock()
+		members := b.options.Members()
+		if len(members) <= directMost {
+			b.tellAll(ctx, members, News{Rows: rows})
+			continue
+		}
+		b.tellThrough(ctx, members, rows)
+	}
+}
+
+// tellAll sends the same to some hosts at once, and returns those that it did not reach.
+func (b *Book) tellAll(ctx context.Context, members []Member, n News) (missed []Member) {
+	var telling sync.WaitGroup
+	var mu sync.Mutex // guards missed
+	for _, m := range members {
+		telling.Go(func() {
+			if err := b.tellOne(ctx, m, n); err != nil {
+				mu.Lock()
+				defer mu.Unlock()
+				missed = append(missed, m)
+			}
+		})
+	}
+	telling.Wait()
+	return missed
+}
+
+func (b *Book) tellOne(ctx context.Context, m Member, n News) error {
+	limited, cancel := context.WithTimeout(ctx, tellTimeout)
+	defer cancel()
+	_, err := b.options.Caller.Tell(limited, m.Address, n)
+	if err != nil && ctx.Err() == nil {
+		b.options.Logger.Info("host not told of a crash", "peer", m.Name, "address", m.Address, "error", err)
+	}
+	return err
+}
+
+// tellThrough has as many hosts pass rows on as each of them tells others: of 295 hosts 17 are
+// told, and tell 17 each. Where one does not answer the next of those that it was to tell does
+// so.
+func (b *Book) tellThrough(ctx context.Context, members []Member, rows []Row) {
+	size := int(math.Ceil(math.Sqrt(float64(len(members)))))
+	var telling sync.WaitGroup
+	for part := range slices.Chunk(members, size) {
+		telling.Go(func() {
+			for i := range min(compareTries, len(part)) {
+				n := News{Rows: rows}
+				for _, m := range part[i+1:] {
+					n.Relay = append(n.Relay, m.Address)
+				}
+				if b.tellOne(ctx, part[i], n) == nil {
+					return
+				}
+			}
+		})
+	}
+	telling.Wait()
+}
+
+// Hear takes in news and returns what the sender lacks.
+func (b *Book) Hear(n News) News {
+	b.mu.Lock()
+	b.take(n.Rows)
+	reply := News{Versions: b.versions()}
+	if n.Compare {
+		reply.Rows = b.encoded(b.newerThan(n.Versions))
+	}
+	b.mu.Unlock()
+	if len(n.Relay) > 0 {
+		members := make([]Member, len(n.Relay))
+		for i, address := range n.Relay {
+			members[i] = Member{Name: address, Address: address}
+		}
+		go b.tellAll(context.Background(), members, News{Rows: n.Rows})
+	}
+	return reply
+}
+
+// compare has what this host has and what the next one has become the same, now and then.
+func (b *Book) compare(ctx context.Context) {
+	for clock.Sleep(ctx, clock.Around(compareEvery)) {
+		members := b.options.Members()
+		for _, m := range members[:min(compareTries, len(members))] {
+			if b.compareWith(ctx, m) == nil {
+				break
+			}
+		}
+	}
+}
+
+func (b *Book) compareWith(ctx context.Context, m Member) error {
+	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
+	defer cancel()
+	b.mu.Lock()
+	n := News{Versions: b.versions(), Compare: true}
+	b.mu.Unlock()
+	reply, err := b.options.Caller.Tell(ctx, m.Address, n)
+	if err != nil {
+		return err
+	}
+	b.mu.Lock()
+	b.take(reply.Rows)
+	lacking := b.encoded(b.newerThan(reply.Versions))
+	b.mu.Unlock()
+	if len(lacking) == 0 {
+		return nil
+	}
+	_, err = b.options.Caller.Tell(ctx, m.Address, News{Rows: lacking})
+	return err
+}
+
+// sweep drops what is too old to count, now and then.
+func (b *Book) sweep(ctx context.Context) {
+	for clock.Sleep(ctx, sweepEvery) {
+		b.Sweep()
+	}
+}
+
+// take takes in rows that are newer than those that are known; the caller holds mu.
+func (b *Book) take(rows []Row) {
+	for _, told := range rows {
+		if told.Version <= b.rows[told.Host].version {
+			continue
+		}
+		r, err := decodeRecord(told.Value, -b.clock.Now())
+		if err != nil {
+			b.options.Logger.Error("what a host told of crashes can't be read", "from", told.Host, "version", told.Version, "error", err)
+			continue
+		}
+		b.takeRow(told.Host, row{r, told.Version})
+	}
+}
+
+// takeRow takes in a host's row. One of this host is from an earlier life: what it saw counts
+// on.
+func (b *Book) takeRow(host string, r row) {
+	if host != b.options.Host {
+		b.rows[host] = r
+		b.changed()
+		return
+	}
+	mine := b.own()
+	mine.merge(r.record)
+	mine.version = max(mine.version, r.version)
+	b.rows[host] = mine
+	b.tell()
+}
+
+// versions are those of the rows that have something.
+func (b *Book) versions() map[string]int64 {
+	versions := map[string]int64{}
+	for host, r := range b.rows {
+		if !r.isEmpty() {
+			versions[host] = r.version
+		}
+	}
+	return versions
+}
+
+// newerThan lists the hosts of whose rows this host has newer ones.
+func (b *Book) newerThan(known map[string]int64) []string {
+	var newer []string
+	for host, version := range b.versions() {
+		if version > known[host] {
+			newer = append(newer, host)
+		}
+	}
+	slices.Sort(newer)
+	return newer
+}
+
+// encoded makes rows to be told; times in them are relative to now.
+func (b *Book) encoded(hosts []string) []Row {
+	rows := make([]Row, 0, len(hosts))
+	for _, host := range hosts {
+		r := b.rows[host]
+		value, err := r.encode(-b.clock.Now())
+		if err != nil {
+			b.options.Logger.Error("what was seen of crashes can't be told", "of", host, "error", err)
+			continue
+		}
+		rows = append(rows, Row{Host: host, Version: r.version, Value: value})
+	}
+	return rows
+}
--- a/internal/spread/mirror.go
+++ b/internal/spread/mirror.go
@@ -48,7 +48,7 @@
 // newMirror returns a mirror that goes on from what the host knows already.
 func newMirror(table string, o Options, k *known) *mirror {
 	m := &mirror{
-		table: table, watch: o.Store, wait: o.wait(table), fresh: o.fresh(table), logger: o.Logger, changed: make(chan struct{}),
+		table: table, watch: o.Store, wait: o.Wait, fresh: o.fresh(), logger: o.Logger, changed: make(chan struct{}),
 	}
 	m.picture, m.loaded = k.copy()
 	return m
--- a/internal/spread/peers.go
+++ b/internal/spread/peers.go
@@ -255,6 +255,33 @@
 	return w.peers.leads
 }
 
+// Member is another host.
+type Member struct{ Name, Address string }
+
+// Members lists all other hosts in a ring that is the same for all, from the next one on; the
+// seeds until the list was read.
+func (w *Watcher) Members() []Member {
+	w.peers.mu.Lock()
+	defer w.peers.mu.Unlock()
+	self := w.options.Host
+	var after, before []Member
+	for _, q := range w.peers.ranked {
+		m := Member{Name: q.name, Address: q.address}
+		switch cmp.Or(cmp.Compare(xxhash.Sum64String(q.name), xxhash.Sum64String(self)), cmp.Compare(q.name, self)) {
+		case 1:
+			after = append(after, m)
+		case -1:
+			before = append(before, m)
+		}
+	}
+	byPlace := func(a, b Member) int {
+		return cmp.Or(cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)), cmp.Compare(a.Name, b.Name))
+	}
+	slices.SortFunc(after, byPlace)
+	slices.SortFunc(before, byPlace)
+	return append(after, before...)
+}
+
 // own is this host's entry.
 func (w *Watcher) own() entry {
 	return entry{Address: w.options.Address, Hall: w.options.Hall, Cores: w.options.Cores}
--- a/internal/spread/server.go
+++ b/internal/spread/server.go
@@ -62,7 +62,7 @@
 	if r.GetLately() {
 		return w.lately(r.GetTable(), r.GetAfter())
 	}
-	wait := min(time.Duration(r.GetWaitMicros())*time.Microsecond, w.options.peerWait(r.GetTable()))
+	wait := min(time.Duration(r.GetWaitMicros())*time.Microsecond, w.options.peerWait())
 	n, err := w.mirror(r.GetTable()).news(ctx, r.GetAfter(), wait)
 	if err == nil || r.GetAfter() >= 0 {
 		return n, err
@@ -79,7 +79,7 @@
 // lately is what this host was told a moment ago.
 func (w *Watcher) lately(table string, after int64) (news, error) {
 	n, ok := w.remember(table).news(after)
-	if !ok || n.age > w.options.fresh(table) {
+	if !ok || n.age > w.options.fresh() {
 		return news{}, errors.WithMessage(store.ErrUnavailable, "nothing was told lately")
 	}
 	return n, nil
--- a/internal/spread/sources.go
+++ b/internal/spread/sources.go
@@ -46,7 +46,7 @@
 		defer cancel()
 		n, err := w.link.read(limited, p, request, w.hear)
 		behind := request.GetAfter() < 0 && n.version < w.remember(request.GetTable()).version()
-		if err == nil && (n.age > w.options.fresh(request.GetTable()) || behind) {
+		if err == nil && (n.age > w.options.fresh() || behind) {
 			err = staleError(p, n.age)
 		}
 		switch {
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -74,8 +74,6 @@
 	// Wait is the longest wait for changes at the store; what this host passes on
 	// is at most so old and a quarter of a second.
 	Wait time.Duration
-	// Waits are those of tables of which news may be older, by name.
-	Waits map[string]time.Duration
 	// Seeds are addresses of hosts that may be asked before the list of hosts
 	// could be read; some may be stale.
 	Seeds  []string
@@ -88,21 +86,11 @@
 	Dial Dialer
 }
 
-// wait is the longest wait for changes of a table at the store.
-func (o Options) wait(table string) time.Duration {
-	if w, ok := o.Waits[table]; ok {
-		return w
-	}
-	return o.Wait
-}
+// fresh is how old what is passed on may be.
+func (o Options) fresh() time.Duration { return o.Wait + slowStore }
 
-// fresh is how old what is passed on of a table may be.
-func (o Options) fresh(table string) time.Duration { return o.wait(table) + slowStore }
-
-// peerWait is one wait for changes of a table at another host.
-func (o Options) peerWait(table string) time.Duration {
-	return time.Duration(peerPart * float64(o.wait(table)))
-}
+// peerWait is one wait for changes at another host.
+func (o Options) peerWait() time.Duration { return time.Duration(peerPart * float64(o.Wait)) }
 
 // patient gives other hosts the time that passing on a whole table takes: the reader
 // of a group packs a long one and sends it to all its hosts. A host that is not
@@ -335,7 +323,7 @@
 // no changes.
 func (w *Watcher) Changes(ctx context.Context, table string, after int64, wait time.Duration) ([]store.Change, int64, error) {
 	w.awaitList(ctx)
-	wait = min(wait, w.options.peerWait(table))
+	wait = min(wait, w.options.peerWait())
 	sources := append(w.peerSources(table, after, wait), w.otherSources(table, after)...)
 	sources = append(sources, source{patience: directPatience, read: func(ctx context.Context) (news, error) {
 		return w.readDirectly(ctx, table, after, 0)
