What hosts have kept of crashes is read by the first of them, and neighbours stand in one data hall

Change: a host that starts asks its neighbours, the first of all reads the store, the others only if they hear nothing for 1.5 s. The ring goes hall by hall. Gone from the list proves a crash only if nothing listens at the address or another start is listed there.

--- a/internal/gatewayd/endpoints.go
+++ b/internal/gatewayd/endpoints.go
@@ -1,6 +1,8 @@
 package gatewayd
 
 import (
+	"context"
+
 	"github.com/charmbracelet/log"
 	"github.com/pkg/errors"
 
@@ -68,10 +70,10 @@
 	old, known := e.fleet.Listed(c.Key)
 	again := e.fleet.Put(decoded)
 	services[decoded.Service] = true
+	e.quarantine.Listed(decoded.ID, decoded.Address)
 	if again {
 		// A request that is sent on a connection to the start before may run nowhere.
 		e.pool.Forget(old.Address)
-		e.quarantine.Gone(old.ID)
 	}
 	if !known || again || old.Draining != decoded.Draining || old.Cold != decoded.Cold {
 		e.logger.Info("endpoint listed", "endpoint", decoded.ID, "service", decoded.Service, "version", decoded.Version, "hall", decoded.Hall,
@@ -89,7 +91,7 @@
 	} else {
 		e.fleet.Remove(c.Key)
 		if !old.Draining {
-			e.quarantine.Gone(old.ID)
+			go e.quarantine.Gone(context.Background(), old.ID)
 		}
 	}
 	services[old.Service] = true
--- a/internal/gatewayd/host.go
+++ b/internal/gatewayd/host.go
@@ -186,27 +186,10 @@
 	return []func(context.Context){
 		table(platform.TableOperator, &operators{holder: h.Holder, fleet: h.Fleet, upgrades: h.Upgrades, logger: h.Logger}),
 		table(platform.TableEndpoints, &endpoints{fleet: h.Fleet, pool: h.Pool, quarantine: h.Quarantine, upgrades: h.Upgrades, halls: h.Settings.Gateway.Halls, logger: h.Logger}),
-		h.readCrashes,
 		h.Spread.Run, h.Upgrades.Run, h.Quarantine.Run, h.sweep, h.reload,
 	}
 }
 
-// crashesAfter a host's start it reads what hosts have seen of crashes. By then the host that
-// reads the store for it is most likely there: after 295 hosts had lost power each read the
-// table for itself, 300 calls.
-const crashesAfter = 300 * time.Millisecond
-
-// readCrashes reads what hosts have kept of crashes.
-func (h *Host) readCrashes(ctx context.Context) {
-	if !clock.Sleep(ctx, clock.Around(crashesAfter)) {
-		return
-	}
-	h.Quarantine.Load(ctx, func(ctx context.Context) ([]store.Row, error) {
-		state, err := h.Watch.State(ctx, quarantine.Table)
-		return state.Rows, err
-	})
-}
-
 // sweep closes connections at rest and drops endpoints that stayed away.
 func (h *Host) sweep(ctx context.Context) {
 	for clock.Sleep(ctx, sweepEvery) {
--- a/internal/quarantine/book.go
+++ b/internal/quarantine/book.go
@@ -43,6 +43,9 @@
 	// sends to them. Nil for a host alone.
 	Members func() []Member
 	Caller  Caller
+	// Leads reports whether this host is the first of all, which reads for the others what hosts
+	// have kept; nil for a host alone.
+	Leads func() bool
 	// Tables keep what hosts have seen for those that start; Now is the clock that all share,
 	// false while it is not known.
 	Tables store.Tables
@@ -69,6 +72,7 @@
 	verdicts map[Fingerprint]Verdict
 	judged   bool // verdicts stand on the view
 	kept     bool // the store has a row of this host
+	loaded   bool // what hosts have kept is known
 }
 
 // row is what a host has seen.
@@ -135,17 +139,39 @@
 	return true
 }
 
-// Gone takes in that an endpoint's start is listed no more though it was not to leave: what
-// broke off there a moment ago crashed with it.
-func (b *Book) Gone(endpoint string) {
+// Gone takes in that an endpoint's start is listed no more though it was not to leave. If
+// nothing listens at its address either, what broke off there a moment ago crashed with it; one
+// that leaves without notice serves on for a while.
+func (b *Book) Gone(ctx context.Context, endpoint string) {
+	b.mu.Lock()
+	runs := b.unproven[endpoint]
+	b.mu.Unlock()
+	if len(runs) > 0 && b.witness.refuses(ctx, runs[0].Address) {
+		b.prove(func(k Break) bool { return k.Endpoint == endpoint })
+	}
+}
+
+// Listed takes in that an endpoint's start is listed at an address: any other that was there has
+// ended, and what broke off there a moment ago crashed with it.
+func (b *Book) Listed(endpoint, address string) {
+	b.prove(func(k Break) bool { return k.Address == address && k.Endpoint != endpoint })
+}
+
+// prove takes in crashes of endpoints at which connections broke a moment ago.
+func (b *Book) prove(crashed func(k Break) bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for _, k := range b.unproven[endpoint] {
-		if b.clock.Now()-k.at <= unprovenFor {
-			b.crashed(k.crash(k.at))
+	for endpoint, runs := range b.unproven {
+		if !crashed(runs[0]) {
+			continue
+		}
+		for _, k := range runs {
+			if b.clock.Now()-k.at <= unprovenFor {
+				b.crashed(k.crash(k.at))
+			}
 		}
+		delete(b.unproven, endpoint)
 	}
-	delete(b.unproven, endpoint)
 }
 
 // crashed takes in a crash that this host saw.
--- a/internal/quarantine/book_test.go
+++ b/internal/quarantine/book_test.go
@@ -180,9 +180,12 @@
 			h.kill(1)
 			time.Sleep(2 * time.Hour)
 			Expect(h.kept()).To(Equal(1))
-			h.kill(0)
+			for i := range 3 {
+				h.kill(i)
+			}
 			h.start(0)
-			time.Sleep(apart)
+			h.start(2)
+			time.Sleep(2 * apart)
 			Expect(h.kept()).To(BeZero())
 		})
 	})
@@ -294,11 +297,11 @@
 			for i := range 9 {
 				h.cutOff(10+i*5, true)
 			}
-			h.calls = 0
+			before := h.told()
 			h.thrice(guilty)
-			Expect(h.calls).To(BeNumerically("<", 3*60+60*3*2), "what is told, and 60 hosts that compare in three seconds")
+			Expect(h.told()-before).To(BeNumerically("<", 3*60+60*3*2), "what is told, and 60 hosts that compare in three seconds")
 			for i, held := range h.quarantined(guilty) {
-				Expect(held).To(Equal(!h.cut[i]), "host %d", i)
+				Expect(held).To(Equal(!h.isCut(i)), "host %d", i)
 			}
 		})
 	})
@@ -350,24 +353,52 @@
 		return h.books[0].Broke(context.Background(), quarantine.Break{Endpoint: endpoint, Address: endpoint, Service: "s", Request: guilty, Run: quarantine.Run{Lasted: time.Second}})
 	}
 
-	It("has crashed if it is gone from the list a moment later", func() {
+	ctx := context.Background()
+
+	It("has crashed if it is gone from the list a moment later, and nothing listens there", func() {
 		sharing(1, func(h *hosts) {
-			h.up["e0"] = true // something listens there again already
+			h.up["e0"] = true // its process is not gone yet
 			Expect(broke(h, "e0")).To(BeFalse())
 			Expect(h.books[0].Watching()).To(BeFalse())
 			time.Sleep(4 * time.Second)
-			h.books[0].Gone("e0")
+			h.up["e0"] = false
+			h.books[0].Gone(ctx, "e0")
 			Expect(h.books[0].Standing(guilty).Moments).To(Equal(1))
 		})
 	})
 
+	It("has crashed if another start is listed at its address a moment later", func() {
+		sharing(1, func(h *hosts) {
+			h.up["e0"] = true // something listens there again already
+			Expect(broke(h, "e0")).To(BeFalse())
+			h.books[0].Listed("e0", "e0")
+			h.books[0].Listed("e2", "e2")
+			Expect(h.books[0].Watching()).To(BeFalse())
+			time.Sleep(time.Second)
+			h.books[0].Listed("e1", "e0")
+			Expect(h.books[0].Standing(guilty).Moments).To(Equal(1))
+		})
+	})
+
+	It("has not if it leaves without notice and serves on", func() {
+		sharing(1, func(h *hosts) {
+			h.up["e0"] = true
+			Expect(broke(h, "e0")).To(BeFalse())
+			time.Sleep(time.Second)
+			h.books[0].Gone(ctx, "e0")
+			Expect(h.books[0].Watching()).To(BeFalse())
+		})
+	})
+
 	It("has not if it goes long after, or nothing broke there", func() {
 		sharing(1, func(h *hosts) {
 			h.up["e0"] = true
 			Expect(broke(h, "e0")).To(BeFalse())
 			time.Sleep(10 * time.Second)
-			h.books[0].Gone("e0")
-			h.books[0].Gone("e1")
+			h.up["e0"] = false
+			h.books[0].Gone(ctx, "e0")
+			h.books[0].Gone(ctx, "e1")
+			h.books[0].Listed("e3", "e0")
 			Expect(h.books[0].Watching()).To(BeFalse())
 		})
 	})
--- a/internal/quarantine/grpc.go
+++ b/internal/quarantine/grpc.go
@@ -48,7 +48,7 @@
 }
 
 func newsToWire(n News) *quarantinepb.News {
-	w := &quarantinepb.News{Versions: n.Versions, Compare: n.Compare, Relay: n.Relay}
+	w := &quarantinepb.News{Versions: n.Versions, Compare: n.Compare, Loaded: n.Loaded, Relay: n.Relay}
 	for _, r := range n.Rows {
 		w.Rows = append(w.Rows, &quarantinepb.Row{Host: r.Host, Version: r.Version, Value: r.Value})
 	}
@@ -56,7 +56,7 @@
 }
 
 func newsFromWire(w *quarantinepb.News) News {
-	n := News{Versions: w.GetVersions(), Compare: w.GetCompare(), Relay: w.GetRelay()}
+	n := News{Versions: w.GetVersions(), Compare: w.GetCompare(), Loaded: w.GetLoaded(), Relay: w.GetRelay()}
 	for _, r := range w.GetRows() {
 		n.Rows = append(n.Rows, Row{Host: r.GetHost(), Version: r.GetVersion(), Value: r.GetValue()})
 	}
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -25,6 +27,11 @@
 	// settleAfter a write of which the answer was lost it may still be done, in place of one
 	// that came later.
 	settleAfter = 8 * time.Second
+	// loadEvery is how often a host that has started looks for one that knows what is kept, and
+	// loadAlone for how long before it reads the store itself. It sends again to endpoints three
+	// seconds after its start what others know.
+	loadEvery = 300 * time.Millisecond
+	loadAlone = 1500 * time.Millisecond
 )
 
 // errNoClock means that the clock which hosts share is not known yet.
@@ -133,26 +140,59 @@
 	return shared - b.clock.Now(), nil
 }
 
-// Load reads what hosts have kept, once, and tries until it can.
-func (b *Book) Load(ctx context.Context, read func(ctx context.Context) ([]store.Row, error)) {
-	for retry := retryFirst; ctx.Err() == nil; retry = min(2*retry, retryMost) {
-		rows, err := read(ctx)
-		if err == nil {
-			b.recall(ctx, rows)
-			return
+// load learns what hosts have kept, once: from another host that knows, and if none does from
+// the store. The first of all hosts reads it, and tells the others; they read it themselves if
+// they hear nothing for a while. After all of 295 hosts had lost power it is one call.
+func (b *Book) load(ctx context.Context) {
+	began := time.Now()
+	for clock.Sleep(ctx, clock.Around(loadEvery)) && !b.isLoaded() {
+		b.compareOnce(ctx)
+		if b.isLoaded() || (!b.options.leads() && time.Since(began) < loadAlone) {
+			continue
 		}
+		b.recall(ctx)
+	}
+}
+
+func (b *Book) isLoaded() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.loaded
+}
+
+// leads reports whether this host is the first of all.
+func (o Options) leads() bool { return o.Leads == nil || o.Leads() }
+
+// recall reads what hosts have kept, and tells all others, who may have just started too. Rows of
+// which nothing counts any more are removed: their hosts may be gone.
+func (b *Book) recall(ctx context.Context) {
+	if b.options.Tables == nil {
+		return
+	}
+	rows, err := b.options.Tables.Scan(ctx, store.Range{Table: Table})
+	if err != nil {
 		if ctx.Err() == nil {
-			b.options.Logger.Warn("what hosts have seen of crashes can't be read; trying on", "error", err)
+			b.options.Logger.Warn("what hosts have kept of crashes can't be read; trying on", "error", err)
+		}
+		return
+	}
+	old := b.takeKept(rows)
+	b.mu.Lock()
+	all := b.encoded(slices.Sorted(maps.Keys(b.versions())))
+	b.mu.Unlock()
+	b.spread(ctx, all)
+	for _, kept := range old {
+		txn := store.Transaction{Conditions: []store.Condition{store.AtVersion(Table, kept)}, Writes: []store.Write{store.Delete(Table, kept.Key)}}
+		if err := b.options.Tables.Commit(ctx, txn); err != nil {
+			b.options.Logger.Info("a row that is too old to count stays for now", "row", kept.Key, "error", err)
 		}
-		clock.Sleep(ctx, clock.Jitter(retry))
 	}
 }
 
-// recall takes in what hosts have kept. Rows of which nothing counts any more are removed: their
-// hosts may be gone.
-func (b *Book) recall(ctx context.Context, rows []store.Row) {
-	var old []store.Row
+// takeKept takes in rows of the store and returns those of which nothing counts any more.
+func (b *Book) takeKept(rows []store.Row) (old []store.Row) {
 	b.mu.Lock()
+	defer b.mu.Unlock()
 	ahead, err := b.ahead()
 	if err != nil {
 		ahead = 0 // what is kept counts as seen when this host started
@@ -172,13 +212,8 @@
 			b.takeRow(kept.Key, r)
 		}
 	}
+	b.loaded = true
 	b.judge()
 	b.options.Logger.Info("crashes read", "rows", len(rows), "quarantined", len(b.verdicts))
-	b.mu.Unlock()
-	for _, kept := range old {
-		txn := store.Transaction{Conditions: []store.Condition{store.AtVersion(Table, kept)}, Writes: []store.Write{store.Delete(Table, kept.Key)}}
-		if err := b.options.Tables.Commit(ctx, txn); err != nil {
-			b.options.Logger.Info("a row that is too old to count stays for now", "row", kept.Key, "error", err)
-		}
-	}
+	return old
 }
--- a/internal/quarantine/rig_test.go
+++ b/internal/quarantine/rig_test.go
@@ -13,10 +13,10 @@
 	. "github.com/onsi/gomega"
 	"github.com/pkg/errors"
 
+	"quaybarrow/internal/clock"
 	"quaybarrow/internal/quarantine"
 	"quaybarrow/internal/standin/memnet"
 	"quaybarrow/internal/standin/suite"
-	"quaybarrow/internal/store"
 	"quaybarrow/platform"
 	"quaybarrow/platform/standin"
 )
@@ -25,6 +25,7 @@
 type hosts struct {
 	net   *memnet.Network
 	store *standin.Store
+	clock clock.Steady // that all share
 	log   *lines
 	up    map[string]bool // addresses that take connections
 	count int             // endpoints that have crashed
@@ -80,6 +81,19 @@
 	return list
 }
 
+// told counts the messages of hosts to others.
+func (h *hosts) told() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.calls
+}
+
+func (h *hosts) isCut(i int) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.cut[i]
+}
+
 // lines counts what was logged.
 type lines struct {
 	mu   sync.Mutex // guards text
@@ -106,7 +120,7 @@
 func sharing(count int, body func(h *hosts)) {
 	suite.Paused(func() {
 		h := &hosts{
-			net: memnet.New(), store: standin.NewStore(), log: &lines{}, up: map[string]bool{}, cut: map[int]bool{},
+			net: memnet.New(), store: standin.NewStore(), clock: clock.NewSteady(), log: &lines{}, up: map[string]bool{}, cut: map[int]bool{},
 			books: make([]*quarantine.Book, count), lives: make([]*life, count),
 		}
 		server := &http.Server{Handler: h.store}
@@ -132,20 +146,11 @@
 	to := caller{h, i}
 	b := quarantine.NewBook(quarantine.Options{
 		Host: fmt.Sprint("host-", i), Reach: h.reach, Endpoints: func(string) int { return 12 }, Tables: client, Logger: log.New(h.log),
-		Members: to.members, Caller: to,
-		Now: func() (time.Duration, bool) {
-			bounds, known := client.Now()
-			return (bounds.Earliest + bounds.Latest) / 2, known
-		},
+		Members: to.members, Caller: to, Leads: func() bool { return i == 0 },
+		Now: func() (time.Duration, bool) { return h.clock.Now(), true },
 	})
 	l := &life{cancel: cancel}
 	l.working.Go(func() { b.Run(ctx) })
-	l.working.Go(func() {
-		b.Load(ctx, func(ctx context.Context) ([]store.Row, error) {
-			state, err := client.State(ctx, quarantine.Table)
-			return state.Rows, err
-		})
-	})
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.books[i], h.lives[i] = b, l
--- a/internal/quarantine/share.go
+++ b/internal/quarantine/share.go
@@ -40,6 +40,7 @@
 type News struct {
 	Versions map[string]int64 // of the rows that the sender has
 	Compare  bool             // the receiver is to return what the sender lacks by them
+	Loaded   bool             // the sender knows what hosts have kept
 	Rows     []Row
 	Relay    []string // addresses of hosts that the receiver passes the rows on to
 }
@@ -55,7 +56,7 @@
 func (b *Book) Run(ctx context.Context) {
 	var working sync.WaitGroup
 	defer working.Wait()
-	for _, work := range []func(context.Context){b.review, b.push, b.compare, b.keep, b.sweep} {
+	for _, work := range []func(context.Context){b.load, b.review, b.push, b.compare, b.keep, b.sweep} {
 		working.Go(func() { work(ctx) })
 	}
 }
@@ -105,56 +106,54 @@
 		b.mu.Lock()
 		rows := b.encoded([]string{b.options.Host})
 		b.mu.Unlock()
-		members := b.options.Members()
-		if len(members) <= directMost {
-			b.tellAll(ctx, members, News{Rows: rows})
-			continue
-		}
-		b.tellThrough(ctx, members, rows)
+		b.spread(ctx, rows)
 	}
 }
 
-// tellAll sends the same to some hosts at once, and returns those that it did not reach.
-func (b *Book) tellAll(ctx context.Context, members []Member, n News) (missed []Member) {
+// spread tells all other hosts.
+func (b *Book) spread(ctx context.Context, rows []Row) {
+	members, n := b.options.Members(), News{Rows: rows, Loaded: b.isLoaded()}
+	if len(members) <= directMost {
+		b.tellAll(ctx, members, n)
+		return
+	}
+	b.tellThrough(ctx, members, n)
+}
+
+// tellAll sends the same to some hosts at once.
+func (b *Book) tellAll(ctx context.Context, members []Member, n News) {
 	var telling sync.WaitGroup
-	var mu sync.Mutex // guards missed
 	for _, m := range members {
-		telling.Go(func() {
-			if err := b.tellOne(ctx, m, n); err != nil {
-				mu.Lock()
-				defer mu.Unlock()
-				missed = append(missed, m)
-			}
-		})
+		telling.Go(func() { b.tellOne(ctx, m, n) })
 	}
 	telling.Wait()
-	return missed
 }
 
-func (b *Book) tellOne(ctx context.Context, m Member, n News) error {
+// tellOne sends to a host; false if it does not answer.
+func (b *Book) tellOne(ctx context.Context, m Member, n News) bool {
 	limited, cancel := context.WithTimeout(ctx, tellTimeout)
 	defer cancel()
 	_, err := b.options.Caller.Tell(limited, m.Address, n)
 	if err != nil && ctx.Err() == nil {
 		b.options.Logger.Info("host not told of a crash", "peer", m.Name, "address", m.Address, "error", err)
 	}
-	return err
+	return err == nil
 }
 
-// tellThrough has as many hosts pass rows on as each of them tells others: of 295 hosts 17 are
+// tellThrough has as many hosts pass news on as each of them tells others: of 295 hosts 17 are
 // told, and tell 17 each. Where one does not answer the next of those that it was to tell does
 // so.
-func (b *Book) tellThrough(ctx context.Context, members []Member, rows []Row) {
+func (b *Book) tellThrough(ctx context.Context, members []Member, n News) {
 	size := int(math.Ceil(math.Sqrt(float64(len(members)))))
 	var telling sync.WaitGroup
 	for part := range slices.Chunk(members, size) {
 		telling.Go(func() {
 			for i := range min(compareTries, len(part)) {
-				n := News{Rows: rows}
+				relayed := n
 				for _, m := range part[i+1:] {
-					n.Relay = append(n.Relay, m.Address)
+					relayed.Relay = append(relayed.Relay, m.Address)
 				}
-				if b.tellOne(ctx, part[i], n) == nil {
+				if b.tellOne(ctx, part[i], relayed) {
 					return
 				}
 			}
@@ -166,8 +165,8 @@
 // Hear takes in news and returns what the sender lacks.
 func (b *Book) Hear(n News) News {
 	b.mu.Lock()
-	b.take(n.Rows)
-	reply := News{Versions: b.versions()}
+	b.take(n)
+	reply := News{Versions: b.versions(), Loaded: b.loaded}
 	if n.Compare {
 		reply.Rows = b.encoded(b.newerThan(n.Versions))
 	}
@@ -177,7 +176,7 @@
 		for i, address := range n.Relay {
 			members[i] = Member{Name: address, Address: address}
 		}
-		go b.tellAll(context.Background(), members, News{Rows: n.Rows})
+		go b.tellAll(context.Background(), members, News{Rows: n.Rows, Loaded: n.Loaded})
 	}
 	return reply
 }
@@ -185,11 +184,16 @@
 // compare has what this host has and what the next one has become the same, now and then.
 func (b *Book) compare(ctx context.Context) {
 	for clock.Sleep(ctx, clock.Around(compareEvery)) {
-		members := b.options.Members()
-		for _, m := range members[:min(compareTries, len(members))] {
-			if b.compareWith(ctx, m) == nil {
-				break
-			}
+		b.compareOnce(ctx)
+	}
+}
+
+// compareOnce compares with the next host that answers.
+func (b *Book) compareOnce(ctx context.Context) {
+	members := b.options.Members()
+	for _, m := range members[:min(compareTries, len(members))] {
+		if b.compareWith(ctx, m) == nil {
+			return
 		}
 	}
 }
@@ -198,20 +202,20 @@
 	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
 	defer cancel()
 	b.mu.Lock()
-	n := News{Versions: b.versions(), Compare: true}
+	n := News{Versions: b.versions(), Compare: true, Loaded: b.loaded}
 	b.mu.Unlock()
 	reply, err := b.options.Caller.Tell(ctx, m.Address, n)
 	if err != nil {
 		return err
 	}
 	b.mu.Lock()
-	b.take(reply.Rows)
+	b.take(reply)
 	lacking := b.encoded(b.newerThan(reply.Versions))
 	b.mu.Unlock()
 	if len(lacking) == 0 {
 		return nil
 	}
-	_, err = b.options.Caller.Tell(ctx, m.Address, News{Rows: lacking})
+	_, err = b.options.Caller.Tell(ctx, m.Address, News{Rows: lacking, Loaded: n.Loaded})
 	return err
 }
 
@@ -223,8 +227,9 @@
 }
 
 // take takes in rows that are newer than those that are known; the caller holds mu.
-func (b *Book) take(rows []Row) {
-	for _, told := range rows {
+func (b *Book) take(n News) {
+	b.loaded = b.loaded || n.Loaded
+	for _, told := range n.Rows {
 		if told.Version <= b.rows[told.Host].version {
 			continue
 		}
--- a/internal/spread/peers.go
+++ b/internal/spread/peers.go
@@ -50,6 +50,7 @@
 type peer struct {
 	name    string
 	address string
+	hall    string
 	cores   float64
 	rank    uint64
 	far     bool // in another data hall, where that matters
@@ -119,7 +120,7 @@
 	ranked := make([]peer, 0, len(entries))
 	for name, e := range entries {
 		rank := xxhash.Sum64String(fmt.Sprint(group, "/", name))
-		ranked = append(ranked, peer{name: name, address: e.Address, cores: e.Cores, rank: rank, far: own && e.Hall != hall})
+		ranked = append(ranked, peer{name: name, address: e.Address, hall: e.Hall, cores: e.Cores, rank: rank, far: own && e.Hall != hall})
 	}
 	slices.SortFunc(ranked, byCoresAndRank)
 	return ranked
@@ -259,27 +260,27 @@
 type Member struct{ Name, Address string }
 
 // Members lists all other hosts in a ring that is the same for all, from the next one on; the
-// seeds until the list was read.
+// seeds until the list was read. Hosts of a data hall stand together, so that few messages between
+// neighbours leave it.
 func (w *Watcher) Members() []Member {
 	w.peers.mu.Lock()
 	defer w.peers.mu.Unlock()
-	self := w.options.Host
-	var after, before []Member
-	for _, q := range w.peers.ranked {
-		m := Member{Name: q.name, Address: q.address}
-		switch cmp.Or(cmp.Compare(xxhash.Sum64String(q.name), xxhash.Sum64String(self)), cmp.Compare(q.name, self)) {
-		case 1:
-			after = append(after, m)
-		case -1:
-			before = append(before, m)
+	self := peer{name: w.options.Host, hall: w.options.Hall}
+	ring := slices.Clone(w.peers.ranked)
+	slices.SortFunc(ring, byPlace)
+	next, _ := slices.BinarySearchFunc(ring, self, byPlace)
+	var members []Member
+	for _, q := range slices.Concat(ring[next:], ring[:next]) {
+		if q.name != self.name {
+			members = append(members, Member{Name: q.name, Address: q.address})
 		}
 	}
-	byPlace := func(a, b Member) int {
-		return cmp.Or(cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)), cmp.Compare(a.Name, b.Name))
-	}
-	slices.SortFunc(after, byPlace)
-	slices.SortFunc(before, byPlace)
-	return append(after, before...)
+	return members
+}
+
+// byPlace compares hosts by their place in the ring.
+func byPlace(a, b peer) int {
+	return cmp.Or(cmp.Compare(a.hall, b.hall), cmp.Compare(xxhash.Sum64String(a.name), xxhash.Sum64String(b.name)), cmp.Compare(a.name, b.name))
 }
 
 // own is this host's entry.
--- a/internal/spread/peers_test.go
+++ b/internal/spread/peers_test.go
@@ -58,3 +58,33 @@
 		t.Error("it leads, and the others have a leader of their own")
 	}
 }
+
+func TestRing(t *testing.T) {
+	entries := fleetOf(61, 3)
+	next := map[string]string{}
+	far := 0
+	for self, e := range entries {
+		p := newPeers(Options{Host: self, Hall: e.Hall, Address: e.Address})
+		p.set(entries)
+		w := &Watcher{peers: p, options: Options{Host: self, Hall: e.Hall}}
+		members := w.Members()
+		if len(members) != len(entries)-1 {
+			t.Fatalf("%s knows %d others of %d hosts", self, len(members), len(entries))
+		}
+		next[self] = members[0].Name
+		if entries[members[0].Name].Hall != e.Hall {
+			far++
+		}
+	}
+	at, seen := "h000", map[string]bool{}
+	for !seen[at] {
+		seen[at] = true
+		at = next[at]
+	}
+	if len(seen) != len(entries) {
+		t.Errorf("the ring has %d of %d hosts", len(seen), len(entries))
+	}
+	if far != 3 {
+		t.Errorf("%d hosts have their next one in another data hall, not one for each of 3", far)
+	}
+}
