The OpenAI interface knows completions, calls and jobs under which engines crash

Cause: the same as for routed requests, in dispatch and in jobs: a broken connection was repeated, and a job run again, up to 50 times.

Change: dispatch, calls and resumed streams tell the same book of crashes; hosts tell each other over the link that they have; a request in quarantine ends with 422, code 'quarantined', not run, without a time to come back, before a bill or a claim is made, and a job of it ends as failed with that reason.

--- a/internal/conn/reach.go
+++ b/internal/conn/reach.go
@@ -4,8 +4,12 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
+	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"quaybarrow/internal/clock"
 )
 
@@ -39,3 +43,14 @@
 	}
 	known.open++
 }
+
+// BrokeOff reports whether an error of an exchange is its connection's: the peer closed or reset
+// it. Time that runs out and answers that are no good are others.
+func BrokeOff(err error) bool {
+	for _, end := range []error{io.EOF, io.ErrUnexpectedEOF, io.ErrClosedPipe, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(err, end) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/daemon/host.go
+++ b/internal/daemon/host.go
@@ -30,6 +30,7 @@
 	"quaybarrow/internal/peer"
 	"quaybarrow/internal/peer/rpc"
 	"quaybarrow/internal/pipeline"
+	"quaybarrow/internal/quarantine"
 	"quaybarrow/internal/rollout"
 	"quaybarrow/internal/settings"
 	"quaybarrow/internal/telemetry"
@@ -60,6 +61,7 @@
 	Watch      *endpoint.Watch
 	Fleet      *fleet.Fleet
 	Conns      *conn.Pool
+	Quarantine *quarantine.Book
 	Admission  *admission.Controller
 	Ledger     *billing.Ledger
 	Guard      *once.Guard
@@ -155,7 +157,7 @@
 		h.Membership.Run, h.Spreader.Run, h.Watch.Run, h.Ledger.Run, h.Guard.Run, h.Estimates.Run, h.Rollout.Run,
 		func(ctx context.Context) { h.Leases.Run(ctx, estimate.Duty, h.Estimates.Sum) },
 		func(ctx context.Context) { h.Leases.Run(ctx, dutySweep, h.sweep) },
-		h.ordersOfHalls, h.housekeeping, h.sweepConns,
+		h.ordersOfHalls, h.housekeeping, h.sweepConns, h.Quarantine.Run,
 	}
 }
 
--- a/internal/daemon/module.go
+++ b/internal/daemon/module.go
@@ -16,6 +16,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -41,6 +42,7 @@
 	"quaybarrow/internal/peer"
 	"quaybarrow/internal/peer/rpc"
 	"quaybarrow/internal/pipeline"
+	"quaybarrow/internal/quarantine"
 	"quaybarrow/internal/rollout"
 	"quaybarrow/internal/session"
 	"quaybarrow/internal/settings"
@@ -88,7 +90,7 @@
 		fx.Provide(
 			newLogger, newPlatform, newTelemetry, newTLS, newLink, newTransport, newConns,
 			config.NewHolder, config.NewLog, newKeyrings, newState, newMembership, newSpreader,
-			newWatch, newDispatcher, newAdmission, newLeases, newLedger, newGuard,
+			newWatch, newQuarantine, newDispatcher, newAdmission, newLeases, newLedger, newGuard,
 			session.NewNames, job.NewQueue, newCredits, newTraffic, estimate.NewKeeper,
 			newPipeline, newWorker, operator.NewCommands, newQueries, newRollout, newOrders, newHost,
 		),
@@ -183,8 +185,35 @@
 	return w, w.Fleet()
 }
 
-func newDispatcher(s settings.Settings, f *fleet.Fleet, conns *conn.Pool, tel *telemetry.Telemetry) *dispatch.Dispatcher {
-	return dispatch.New(dispatch.Options{Fleet: f, Conns: conns, FirstToken: s.Times.FirstToken, Telemetry: tel})
+func newQuarantine(s settings.Settings, f *fleet.Fleet, conns *conn.Pool, m *membership.Membership, link peer.Link, tables store.Tables, l *log.Logger) *quarantine.Book {
+	return quarantine.NewBook(quarantine.Options{
+		Host: s.Host, Reach: conns.Reach, Endpoints: f.Count, Members: func() []quarantine.Member { return ring(m.View()) },
+		Caller: link, Leads: func() bool { return leads(m.View()) }, Tables: tables, Logger: l,
+	})
+}
+
+// crashDuty is the name by which hosts rank themselves for what is kept of crashes.
+const crashDuty = "crashes"
+
+// ring lists the other live hosts from the next one on.
+func ring(v membership.View) []quarantine.Member {
+	ranked := membership.Rank(v.Live(), crashDuty)
+	self := slices.IndexFunc(ranked, func(m membership.Member) bool { return m.Host == v.Self })
+	var members []quarantine.Member
+	for _, m := range slices.Concat(ranked[self+1:], ranked[:max(self, 0)]) {
+		members = append(members, quarantine.Member{Name: m.Host, Address: m.Address})
+	}
+	return members
+}
+
+// leads reports whether this host is the first of the live ones.
+func leads(v membership.View) bool {
+	ranked := membership.Rank(v.Live(), crashDuty)
+	return len(ranked) > 0 && ranked[0].Host == v.Self
+}
+
+func newDispatcher(s settings.Settings, f *fleet.Fleet, conns *conn.Pool, q *quarantine.Book, tel *telemetry.Telemetry) *dispatch.Dispatcher {
+	return dispatch.New(dispatch.Options{Fleet: f, Conns: conns, FirstToken: s.Times.FirstToken, Telemetry: tel, Quarantine: q})
 }
 
 // ready tells whether some endpoint serves a version and takes new work.
@@ -217,11 +246,11 @@
 }
 
 func newPipeline(s settings.Settings, h *config.Holder, a *admission.Controller, k *keyrings, n *session.Names, f *fleet.Fleet,
-	d *dispatch.Dispatcher, l *billing.Ledger, g *once.Guard, c *rollout.Credits, e *estimate.Keeper,
+	d *dispatch.Dispatcher, q *quarantine.Book, l *billing.Ledger, g *once.Guard, c *rollout.Credits, e *estimate.Keeper,
 	tel *telemetry.Telemetry, tr *traffic.Log,
 ) *pipeline.Pipeline {
 	return pipeline.New(pipeline.Options{
-		Host: s.Host, Config: h, Admission: a, Keyring: k.current, Names: n, Ready: ready(f), Dispatcher: d, Ledger: l,
+		Host: s.Host, Config: h, Admission: a, Keyring: k.current, Names: n, Ready: ready(f), Dispatcher: d, Quarantine: q, Ledger: l,
 		Guard: g, Credits: c, Estimates: e.Current, Telemetry: tel, Traffic: tr,
 		Stale: s.Times.Stale, Proven: s.Times.Proven, Longest: s.Times.Request,
 	})
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -5,6 +5,7 @@
 
 	"quaybarrow/internal/membership"
 	"quaybarrow/internal/peer"
+	"quaybarrow/internal/quarantine"
 )
 
 // peerHandler answers other hosts; it implements peer.Handler.
@@ -43,3 +44,8 @@
 	}
 	return p.host.Queries.Answer(query)
 }
+
+// Tell implements peer.Handler.
+func (p *peerHandler) Tell(ctx context.Context, n quarantine.News) (quarantine.News, error) {
+	return p.host.Quarantine.Hear(ctx, n)
+}
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -11,6 +11,7 @@
 
 	"quaybarrow/internal/fleet"
 	"quaybarrow/internal/problem"
+	"quaybarrow/internal/quarantine"
 	"quaybarrow/internal/telemetry"
 )
 
@@ -44,6 +45,8 @@
 	Body        []byte
 	Repeatable  bool
 	Attempted   func() // told of each attempt that may have run
+	// Fingerprint is that by which the call is known when it comes again.
+	Fingerprint func() quarantine.Fingerprint
 }
 
 // Answer is a plain service's reply.
@@ -60,7 +63,15 @@
 	run := problem.NotRun
 	var avoid []string
 	var last error
+	crashes := 0
 	for attempt := range MaxAttempts {
+		standing := d.standing(call.Fingerprint)
+		if standing.Quarantined {
+			return Answer{}, Quarantined(run)
+		}
+		if !standing.Repeats(crashes) {
+			break
+		}
 		if attempt > 0 && !d.budgets.Repeat(call.Service, 1) {
 			break
 		}
@@ -68,10 +79,15 @@
 		if !ok {
 			break
 		}
+		sent := time.Now()
 		answer, err := d.callOnce(ctx, call, hold)
 		if err == nil {
+			d.finished(call.Fingerprint)
 			return answer, nil
 		}
+		if d.crashed(ctx, hold, call.Fingerprint, quarantine.Run{Lasted: time.Since(sent)}, err) {
+			crashes++
+		}
 		last = err
 		avoid = append(avoid, hold.Endpoint.ID)
 		if runOf(err) != problem.NotRun {
--- /dev/null
+++ b/internal/dispatch/crash.go
@@ -0,0 +1,41 @@
+package dispatch
+
+import (
+	"context"
+	"net/http"
+
+	"quaybarrow/internal/conn"
+	"quaybarrow/internal/fleet"
+	"quaybarrow/internal/problem"
+	"quaybarrow/internal/quarantine"
+)
+
+// standing is what is known of a request when it came before.
+func (d *Dispatcher) standing(fingerprint func() quarantine.Fingerprint) quarantine.Standing {
+	if !d.options.Quarantine.Watching() {
+		return quarantine.Standing{}
+	}
+	return d.options.Quarantine.Standing(fingerprint())
+}
+
+// Quarantined is the problem of a request under which endpoints crash.
+func Quarantined(run problem.Run) *problem.Problem {
+	return problem.New(http.StatusUnprocessableEntity, problem.CodeQuarantined, run,
+		"endpoints crash under this request, so it is not sent to any; change it, or ask the operators to let it out")
+}
+
+// crashed takes in that an attempt failed, and reports whether its endpoint has crashed.
+func (d *Dispatcher) crashed(ctx context.Context, hold *fleet.Hold, fingerprint func() quarantine.Fingerprint, run quarantine.Run, err error) bool {
+	e := hold.Endpoint
+	if !conn.BrokeOff(err) || ctx.Err() != nil || !d.options.Fleet.Serves(e.ID) {
+		return false
+	}
+	return d.options.Quarantine.Broke(ctx, quarantine.Break{Endpoint: e.ID, Address: e.Address, Service: e.Service, Request: fingerprint(), Run: run})
+}
+
+// finished takes in that a request came to a good end.
+func (d *Dispatcher) finished(fingerprint func() quarantine.Fingerprint) {
+	if d.options.Quarantine.Watching() {
+		d.options.Quarantine.Finished(fingerprint())
+	}
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -32,6 +32,7 @@
 	"quaybarrow/internal/endpoint"
 	"quaybarrow/internal/fleet"
 	"quaybarrow/internal/problem"
+	"quaybarrow/internal/quarantine"
 	"quaybarrow/internal/retry"
 	"quaybarrow/internal/telemetry"
 )
@@ -56,6 +57,8 @@
 	Conns      *conn.Pool
 	FirstToken time.Duration
 	Telemetry  *telemetry.Telemetry
+	// Quarantine knows requests under which endpoints crash.
+	Quarantine *quarantine.Book
 }
 
 // Dispatcher sends requests to endpoints.
@@ -78,6 +81,8 @@
 	Prefix   uint64 // hash of what the prompt shares with others; 0 for nothing
 	Tokens   int    // of the prompt, estimated
 	Shared   int    // of them, those that others share
+	// Fingerprint is that by which the request is known when it comes again.
+	Fingerprint func() quarantine.Fingerprint
 	// Allowed is asked right before each attempt, so that a version withdrawn
 	// meanwhile gets nothing new.
 	Allowed func() error
@@ -103,10 +108,18 @@
 	run := problem.NotRun
 	var avoid []string
 	var last error
+	crashes := 0
 	for attempt := range MaxAttempts {
 		if err := request.Allowed(); err != nil {
 			return nil, problem.Of(err).WithRun(run)
 		}
+		standing := d.standing(request.Fingerprint)
+		if standing.Quarantined {
+			return nil, Quarantined(run)
+		}
+		if !standing.Repeats(crashes) {
+			break
+		}
 		if attempt > 0 && !d.budgets.Repeat(endpoint.Engines, 1) {
 			break
 		}
@@ -114,11 +127,15 @@
 		if !ok {
 			break
 		}
+		sent := time.Now()
 		stream, err := d.attempt(ctx, request, hold)
 		if err == nil {
 			request.judge(false)
 			return stream, nil
 		}
+		if d.crashed(ctx, hold, request.Fingerprint, quarantine.Run{Lasted: time.Since(sent)}, err) {
+			crashes++
+		}
 		last = err
 		avoid = append(avoid, hold.Endpoint.ID)
 		if errors.Is(err, errVersionFailed) {
@@ -203,6 +220,7 @@
 	ctx, span := d.options.Telemetry.Start(ctx, "attempt "+hold.Endpoint.ID)
 	defer span.End()
 	ctx, cancel := context.WithCancel(ctx)
+	sent := time.Now()
 	timer := time.AfterFunc(d.options.FirstToken, cancel)
 	defer timer.Stop()
 	s := &Stream{dispatcher: d, hold: hold, cancel: cancel, context: ctx, request: request, attemptID: uuid.NewString()}
@@ -227,6 +245,8 @@
 		return nil, err
 	}
 	hold.Head(fleet.Load{})
+	s.sent, s.begun = sent, time.Now()
+	s.going = d.options.Quarantine.Begin(request.Fingerprint)
 	return s, nil
 }
 
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/charmbracelet/log"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -17,6 +18,7 @@
 	"quaybarrow/internal/dispatch"
 	"quaybarrow/internal/endpoint"
 	"quaybarrow/internal/problem"
+	"quaybarrow/internal/quarantine"
 	"quaybarrow/internal/standin/memnet"
 	"quaybarrow/internal/standin/service"
 	"quaybarrow/internal/standin/suite"
@@ -122,6 +124,7 @@
 	Expect(err).NotTo(HaveOccurred())
 	r.dispatcher = dispatch.New(dispatch.Options{
 		Fleet: watch.Fleet(), Conns: r.conns, FirstToken: time.Second, Telemetry: t,
+		Quarantine: quarantine.NewBook(quarantine.Options{Host: "h", Reach: r.conns.Reach, Endpoints: watch.Fleet().Count, Logger: log.New(io.Discard)}),
 	})
 	return r
 }
@@ -151,6 +154,7 @@
 	_, err := r.dispatcher.Call(ctx, dispatch.Call{
 		ID: "r1", Service: "payouts", Name: "pay", Method: http.MethodPost, Body: []byte(body),
 		Repeatable: repeatable, Attempted: func() {},
+		Fingerprint: quarantine.Identity{Target: "pay", Body: []byte(body)}.Fingerprint,
 	})
 	return err
 }
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -16,6 +16,7 @@
 	"quaybarrow/internal/chat"
 	"quaybarrow/internal/fleet"
 	"quaybarrow/internal/problem"
+	"quaybarrow/internal/quarantine"
 )
 
 // Limits of streams.
@@ -37,6 +38,9 @@
 	request    Request
 	attemptID  string
 
+	sent    time.Time // to the endpoint
+	begun   time.Time // the answer
+	going   *quarantine.Ongoing
 	answer  *answer
 	reader  *bufio.Reader
 	event   []byte // the last event; reused
@@ -110,6 +114,7 @@
 		}
 		if resumeErr := s.resume(err); resumeErr != nil {
 			s.failed = true
+			s.broke(err)
 			return Event{}, problem.New(http.StatusBadGateway, problem.CodeCut, problem.Ran,
 				"the answer broke off and could not be resumed").WithCause(resumeErr)
 		}
@@ -198,6 +203,7 @@
 	body, err := io.ReadAll(io.LimitReader(s.reader, maxAnswerBytes))
 	if err != nil {
 		s.failed = true
+		s.broke(err)
 		return nil, problem.New(http.StatusBadGateway, problem.CodeCut, problem.Ran, "the answer broke off").WithCause(err)
 	}
 	s.ended = true
@@ -208,6 +214,12 @@
 	return body, nil
 }
 
+// broke takes in that the answer broke off.
+func (s *Stream) broke(err error) {
+	run := quarantine.Run{Lasted: time.Since(s.sent), Answered: time.Since(s.begun)}
+	s.dispatcher.crashed(s.context, s.hold, s.request.Fingerprint, run, err)
+}
+
 // fail ends a stream that never began.
 func (s *Stream) fail(outcome fleet.Outcome) {
 	s.end(outcome, false)
@@ -223,6 +235,7 @@
 	case s.failed:
 		s.fail(fleet.OutcomeFailed)
 	case s.ended:
+		s.dispatcher.finished(s.request.Fingerprint)
 		s.end(fleet.OutcomeGood, s.atEnd())
 	default:
 		s.fail(fleet.OutcomeNeutral)
@@ -243,6 +256,9 @@
 		return
 	}
 	s.over = true
+	if s.going != nil {
+		s.dispatcher.options.Quarantine.End(s.going)
+	}
 	if s.answer != nil {
 		s.answer.release(whole)
 	}
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -1,13 +1,12 @@
 package gateway
 
 import (
-	"io"
 	"net/http"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"quaybarrow/internal/conn"
 	"quaybarrow/internal/quarantine"
 )
 
@@ -36,17 +35,6 @@
 	return &refusal{status: http.StatusServiceUnavailable, reason: errQuarantined.Error()}
 }
 
-// brokeOff reports whether an error of an attempt is its connection's: the peer closed or
-// reset it. Time that runs out and answers that are no good say nothing of a crash.
-func brokeOff(err error) bool {
-	for _, end := range []error{io.EOF, io.ErrUnexpectedEOF, io.ErrClosedPipe, syscall.ECONNRESET, syscall.EPIPE} {
-		if errors.Is(err, end) {
-			return true
-		}
-	}
-	return false
-}
-
 // broke ends an attempt whose answer could not be read, and notes whether its endpoint has
 // crashed.
 func (a *attempt) broke(err error) {
@@ -57,7 +45,7 @@
 	a.fail()
 	x := a.x
 	e := a.hold.Endpoint
-	if !brokeOff(err) || x.ctx.Err() != nil || !x.g.Fleet.Serves(e.ID) {
+	if !conn.BrokeOff(err) || x.ctx.Err() != nil || !x.g.Fleet.Serves(e.ID) {
 		return
 	}
 	if !x.g.Quarantine.Broke(x.ctx, quarantine.Break{Endpoint: e.ID, Address: e.Address, Service: x.service, Request: x.fingerprint(), Run: run}) {
--- a/internal/gatewayd/host.go
+++ b/internal/gatewayd/host.go
@@ -82,7 +82,7 @@
 	h.probes = &http.Server{Handler: h.readiness(), ReadHeaderTimeout: headTimeout}
 	h.peers = p.Spread.Server(p.TLS.ServerCredentials())
 	p.Advice.Register(h.peers)
-	p.Quarantine.Register(h.peers)
+	quarantine.Register(h.peers, p.Quarantine.Hear)
 	h.control = &http.Server{Handler: h.figures(), ReadHeaderTimeout: headTimeout}
 	return h
 }
--- a/internal/measure/hosts.go
+++ b/internal/measure/hosts.go
@@ -12,6 +12,7 @@
 	"quaybarrow/internal/membership"
 	"quaybarrow/internal/peer"
 	"quaybarrow/internal/peer/rpc"
+	"quaybarrow/internal/quarantine"
 	"quaybarrow/internal/standin/table"
 	"quaybarrow/internal/store"
 )
@@ -79,6 +80,11 @@
 	return h.members.AnswerList(q.ID)
 }
 
+// Tell implements peer.Handler.
+func (h *spreadHost) Tell(context.Context, quarantine.News) (quarantine.News, error) {
+	return quarantine.News{}, nil
+}
+
 // countingLink counts the bytes of messages and delays them.
 type countingLink struct {
 	peer.Link
--- a/internal/peer/local.go
+++ b/internal/peer/local.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"sync"
+
+	"quaybarrow/internal/quarantine"
 )
 
 // Local joins hosts of one process without a network: for tests and for
@@ -125,3 +127,12 @@
 	}
 	return h.Show(ctx, query)
 }
+
+// Tell implements Link.
+func (k localLink) Tell(ctx context.Context, address string, n quarantine.News) (quarantine.News, error) {
+	h, err := k.to(ctx, address)
+	if err != nil {
+		return quarantine.News{}, err
+	}
+	return h.Tell(ctx, n)
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"quaybarrow/internal/quarantine"
 )
 
 // ErrUnreachable means no reply came from the peer.
@@ -96,6 +98,8 @@
 	Hold(ctx context.Context, address string, hold Hold) error
 	Grant(ctx context.Context, address string, grant Grant) error
 	Show(ctx context.Context, address string, query Query) (Reply, error)
+	// Tell brings news of crashes and returns what this host lacks.
+	Tell(ctx context.Context, address string, n quarantine.News) (quarantine.News, error)
 }
 
 // Handler answers messages from other hosts.
@@ -106,4 +110,5 @@
 	Hold(ctx context.Context, hold Hold) error
 	Grant(ctx context.Context, grant Grant) error
 	Show(ctx context.Context, query Query) (Reply, error)
+	Tell(ctx context.Context, n quarantine.News) (quarantine.News, error)
 }
--- a/internal/peer/rpc/link.go
+++ b/internal/peer/rpc/link.go
@@ -15,6 +15,7 @@
 
 	"quaybarrow/internal/peer"
 	"quaybarrow/internal/peer/peerpb"
+	"quaybarrow/internal/quarantine"
 )
 
 // Reconnection of a link.
@@ -50,10 +51,19 @@
 
 // client returns the client of an address.
 func (l *Link) client(address string) (peerpb.PeerClient, error) {
+	c, err := l.conn(address)
+	if err != nil {
+		return nil, err
+	}
+	return peerpb.NewPeerClient(c), nil
+}
+
+// conn returns the connection to an address.
+func (l *Link) conn(address string) (grpc.ClientConnInterface, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if c, ok := l.conns[address]; ok {
-		return peerpb.NewPeerClient(c), nil
+		return c, nil
 	}
 	c, err := grpc.NewClient("passthrough:///"+address,
 		grpc.WithTransportCredentials(l.credentials),
@@ -66,7 +76,7 @@
 		return nil, fmt.Errorf("connect to %s: %w", address, err)
 	}
 	l.conns[address] = c
-	return peerpb.NewPeerClient(c), nil
+	return c, nil
 }
 
 // Forget closes the connections to hosts that are no longer there.
@@ -143,3 +153,8 @@
 	convert := func(r *peerpb.ShowReply) peer.Reply { return peer.Reply{Data: r.GetData()} }
 	return ask(ctx, l, address, queryToWire(query), peerpb.PeerClient.Show, convert, grpc.UseCompressor(gzip.Name))
 }
+
+// Tell implements peer.Link.
+func (l *Link) Tell(ctx context.Context, address string, n quarantine.News) (quarantine.News, error) {
+	return quarantine.NewCaller(l.conn).Tell(ctx, address, n)
+}
--- a/internal/peer/rpc/rpc_test.go
+++ b/internal/peer/rpc/rpc_test.go
@@ -20,6 +20,7 @@
 
 	"quaybarrow/internal/peer"
 	"quaybarrow/internal/peer/rpc"
+	"quaybarrow/internal/quarantine"
 	"quaybarrow/internal/settings"
 	"quaybarrow/internal/tlsfiles"
 )
@@ -51,6 +52,8 @@
 	return peer.Reply{Data: []byte(q.Subject)}, nil
 }
 
+func (e *echo) Tell(_ context.Context, n quarantine.News) (quarantine.News, error) { return n, nil }
+
 // authority signs certificates.
 type authority struct {
 	key  *ecdsa.PrivateKey
@@ -144,6 +147,11 @@
 		Expect(handler.got).To(Equal(hold))
 		hold.Known = 1
 		Expect(link.Hold(ctx, address, hold)).To(MatchError(peer.ErrRefused))
+		news := quarantine.News{
+			Versions: map[string]int64{"a": 7}, Compare: true, Loaded: true, Relay: []string{"x", "y"},
+			Rows: []quarantine.Row{{Host: "a", Version: 7, Value: []byte("{}")}},
+		}
+		Expect(link.Tell(ctx, address, news)).To(Equal(news))
 		Expect(ask(none.ClientCredentials(), "127.0.0.1:1")).To(MatchError(peer.ErrUnreachable))
 	})
 
--- a/internal/peer/rpc/server.go
+++ b/internal/peer/rpc/server.go
@@ -20,6 +20,7 @@
 
 	"quaybarrow/internal/peer"
 	"quaybarrow/internal/peer/peerpb"
+	"quaybarrow/internal/quarantine"
 )
 
 // maxMessageBytes bounds a message.
@@ -29,6 +30,7 @@
 func NewServer(h peer.Handler, c credentials.TransportCredentials) *grpc.Server {
 	server := grpc.NewServer(grpc.Creds(c), grpc.MaxRecvMsgSize(maxMessageBytes))
 	peerpb.RegisterPeerServer(server, &handler{to: h})
+	quarantine.Register(server, h.Tell)
 	return server
 }
 
--- a/internal/pipeline/ask.go
+++ b/internal/pipeline/ask.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"fmt"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -17,6 +18,7 @@
 	"quaybarrow/internal/config"
 	"quaybarrow/internal/declare"
 	"quaybarrow/internal/problem"
+	"quaybarrow/internal/quarantine"
 )
 
 // caller is a request whose workspace is known.
@@ -63,6 +65,10 @@
 
 	service   declare.Service // of calls to plain services
 	operation declare.Call
+
+	// fingerprint is that by which the request is known when it comes again; it is hashed when
+	// it is first asked for.
+	fingerprint func() quarantine.Fingerprint
 }
 
 // subject is what the bill of a service call names.
@@ -95,6 +101,7 @@
 		a.prefix = xxhash.Sum64(request.Messages[0].Content) | 1 // 0 stands for none
 		a.shared = len(request.Messages[0].Content) / bytesPerToken
 	}
+	a.fingerprint = sync.OnceValue(a.identity().Fingerprint)
 	return a, nil
 }
 
@@ -146,6 +153,7 @@
 	}
 	a := p.newAsk(c, "service/"+service.Name+"/"+call.Name)
 	a.service, a.operation = service, call
+	a.fingerprint = sync.OnceValue(a.identity().Fingerprint)
 	return a, nil
 }
 
--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -7,8 +7,8 @@
 //
 // A completion passes through
 //
-//	authenticate -> read -> admit -> pin session -> choose version ->
-//	open bill -> dispatch -> relay -> settle bill
+//	authenticate -> read -> check quarantine -> admit -> pin session ->
+//	choose version -> open bill -> dispatch -> relay -> settle bill
 //
 // and a call to a plain service through the same, with a claim in place of a
 // session where the call may not be repeated. A stage is a function from one
@@ -30,6 +30,7 @@
 	"quaybarrow/internal/estimate"
 	"quaybarrow/internal/once"
 	"quaybarrow/internal/problem"
+	"quaybarrow/internal/quarantine"
 	"quaybarrow/internal/session"
 	"quaybarrow/internal/telemetry"
 	"quaybarrow/internal/traffic"
@@ -56,6 +57,7 @@
 	Names      *session.Names
 	Ready      func(declare.Ref) bool // whether some endpoint serves a version
 	Dispatcher *dispatch.Dispatcher
+	Quarantine *quarantine.Book
 	Ledger     *billing.Ledger
 	Guard      *once.Guard
 	Credits    Credits
@@ -142,6 +144,9 @@
 	}
 	record.Workspace, record.Asked, record.RequestID = ask.workspace.Name, ask.chat.Model, ask.requestID
 	span.SetAttributes(attribute.String("request.id", ask.requestID), attribute.String("workspace", ask.workspace.Name))
+	if ask, err = stage(ctx, p, "check quarantine", p.checkQuarantine, ask); err != nil {
+		return err
+	}
 	ctx, cancel := context.WithDeadline(ctx, ask.deadline)
 	defer cancel()
 	place, err := stage(ctx, p, "admit", p.admit, ask)
@@ -198,6 +203,9 @@
 	}
 	record.Workspace, record.Asked, record.RequestID = ask.workspace.Name, ask.subject(), ask.requestID
 	span.SetAttributes(attribute.String("request.id", ask.requestID), attribute.String("workspace", ask.workspace.Name))
+	if ask, err = stage(ctx, p, "check quarantine", p.checkQuarantine, ask); err != nil {
+		return err
+	}
 	ctx, cancel := context.WithDeadline(ctx, ask.deadline)
 	defer cancel()
 	place, err := stage(ctx, p, "admit", p.admit, ask)
--- a/internal/quarantine/book.go
+++ b/internal/quarantine/book.go
@@ -47,7 +47,7 @@
 	// have kept; nil for a host alone.
 	Leads func() bool
 	// Tables keep what hosts have seen for those that start; Now is the clock that all share,
-	// false while it is not known.
+	// false while it is not known. Without one what was kept counts as old as it was then.
 	Tables store.Tables
 	Now    func() (time.Duration, bool)
 	Logger *log.Logger
--- a/internal/quarantine/grpc.go
+++ b/internal/quarantine/grpc.go
@@ -5,24 +5,33 @@
 	"fmt"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"quaybarrow/internal/quarantine/quarantinepb"
 )
 
+// Hear takes in news of another host and returns what that one lacks.
+type Hear func(ctx context.Context, n News) (News, error)
+
 // Register has a gRPC server take in what other hosts tell.
-func (b *Book) Register(s grpc.ServiceRegistrar) {
-	quarantinepb.RegisterQuarantineServer(s, &server{book: b})
+func Register(s grpc.ServiceRegistrar, hear Hear) {
+	quarantinepb.RegisterQuarantineServer(s, &server{hear: hear})
 }
 
 // server answers other hosts.
 type server struct {
 	quarantinepb.UnimplementedQuarantineServer
-	book *Book
+	hear Hear
 }
 
 // Tell implements quarantinepb.QuarantineServer.
-func (s *server) Tell(_ context.Context, n *quarantinepb.News) (*quarantinepb.News, error) {
-	return newsToWire(s.book.Hear(newsFromWire(n))), nil
+func (s *server) Tell(ctx context.Context, n *quarantinepb.News) (*quarantinepb.News, error) {
+	reply, err := s.hear(ctx, newsFromWire(n))
+	if err != nil {
+		return nil, status.Error(codes.Unavailable, err.Error())
+	}
+	return newsToWire(reply), nil
 }
 
 // Connect returns the connection to an address.
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -131,8 +131,12 @@
 	return store.Transaction{Writes: []store.Write{store.Put(Table, b.options.Host, data)}}, nil
 }
 
-// ahead is how far the shared clock is ahead of the book's.
+// ahead is how far the shared clock is ahead of the book's; where there is none, what is written
+// is relative to now.
 func (b *Book) ahead() (time.Duration, error) {
+	if b.options.Now == nil {
+		return -b.clock.Now(), nil
+	}
 	shared, known := b.options.now()
 	if !known {
 		return 0, errNoClock
--- a/internal/quarantine/share.go
+++ b/internal/quarantine/share.go
@@ -162,8 +162,8 @@
 	telling.Wait()
 }
 
-// Hear takes in news and returns what the sender lacks.
-func (b *Book) Hear(n News) News {
+// Hear takes in news and returns what the sender lacks; it is a Hear.
+func (b *Book) Hear(_ context.Context, n News) (News, error) {
 	b.mu.Lock()
 	b.take(n)
 	reply := News{Versions: b.versions(), Loaded: b.loaded}
@@ -178,7 +178,7 @@
 		}
 		go b.tellAll(context.Background(), members, News{Rows: n.Rows, Loaded: n.Loaded})
 	}
-	return reply
+	return reply, nil
 }
 
 // compare has what this host has and what the next one has become the same, now and then.
