Operators see which requests endpoints crash under, and let one out

Cause: the verdict was in the log only. Operators could not list requests in quarantine, could not tell whose they are, and could not let out one that was mended behind the endpoints.

Both ways in: the gateway's control address answers /quarantine, with a POST to release; the console of the OpenAI way in has the subject quarantine and release FINGERPRINT; the CLI has quarantine CONTROL. Metrics count requests in quarantine, refusals and crashes met. A request's line tells the crashes it met, and its fingerprint if there were any.

--- a/internal/cli/endpoints.go
+++ b/internal/cli/endpoints.go
@@ -68,20 +68,12 @@
 
 // readEndpoints asks a host.
 func readEndpoints(ctx context.Context, control string) (gatewayd.EndpointsView, error) {
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+control+gatewayd.PathEndpoints, nil)
+	data, err := askControl(ctx, http.MethodGet, control, gatewayd.PathEndpoints, http.StatusOK)
 	if err != nil {
-		return gatewayd.EndpointsView{}, fmt.Errorf("make request: %w", err)
-	}
-	response, err := http.DefaultClient.Do(r)
-	if err != nil {
-		return gatewayd.EndpointsView{}, fmt.Errorf("ask host: %w", err)
-	}
-	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode != http.StatusOK {
-		return gatewayd.EndpointsView{}, errors.Errorf("the host answered %s", response.Status)
+		return gatewayd.EndpointsView{}, err
 	}
 	var view gatewayd.EndpointsView
-	if err := json.NewDecoder(response.Body).Decode(&view); err != nil {
+	if err := json.Unmarshal(data, &view); err != nil {
 		return gatewayd.EndpointsView{}, fmt.Errorf("read answer: %w", err)
 	}
 	return view, nil
--- a/internal/console/console_test.go
+++ b/internal/console/console_test.go
@@ -18,6 +18,7 @@
 	"canary a@1":         console.Move{Version: declare.Ref{Model: "a", Version: "1"}, To: declare.StateCanary},
 	"hold plan-1":        console.Hold{Plan: "plan-1", Held: true},
 	"resume plan-1":      console.Hold{Plan: "plan-1"},
+	"release 9f2a":       console.Release{Fingerprint: "9f2a"},
 	"show hosts":         console.Show{Subject: console.SubjectHosts},
 	`show requests where workspace = "clerks" and total_ms > 100 since 5m by version limit 3`: console.Show{
 		Subject: console.SubjectRequests, Since: 5 * time.Minute, By: "version", Limit: 3,
--- a/internal/console/language.go
+++ b/internal/console/language.go
@@ -12,10 +12,11 @@
 //
 //	stage|canary|serve|retire|withdraw MODEL@VERSION
 //	hold|resume PLAN
+//	release FINGERPRINT
 //	show SUBJECT [where FIELD OP VALUE [and ...]] [since DURATION] [by FIELD] [limit N]
 //
-// Subjects are requests, versions, sessions, hosts, endpoints, bills, jobs, rollouts and
-// commands. Errors point at the column.
+// Subjects are requests, versions, sessions, hosts, endpoints, bills, jobs, rollouts,
+// commands and quarantine. Errors point at the column.
 package console
 
 import (
@@ -31,7 +32,7 @@
 	"quaybarrow/internal/declare"
 )
 
-// Statement is a parsed command or query: a Move, a Hold or a Show.
+// Statement is a parsed command or query: a Move, a Hold, a Release or a Show.
 type Statement interface{ statement() }
 
 // Move takes a version to another state.
@@ -46,6 +47,9 @@
 	Held bool
 }
 
+// Release lets a request out of quarantine.
+type Release struct{ Fingerprint string }
+
 // Show is a query.
 type Show struct {
 	Subject Subject
@@ -55,30 +59,32 @@
 	Limit   int           // 0 means no limit
 }
 
-func (Move) statement() {}
-func (Hold) statement() {}
-func (Show) statement() {}
+func (Move) statement()    {}
+func (Hold) statement()    {}
+func (Release) statement() {}
+func (Show) statement()    {}
 
 // Subject is what a query lists.
 type Subject string
 
 // Subjects.
 const (
-	SubjectRequests  Subject = "requests"
-	SubjectVersions  Subject = "versions"
-	SubjectSessions  Subject = "sessions"
-	SubjectHosts     Subject = "hosts"
-	SubjectEndpoints Subject = "endpoints"
-	SubjectBills     Subject = "bills"
-	SubjectJobs      Subject = "jobs"
-	SubjectRollouts  Subject = "rollouts"
-	SubjectCommands  Subject = "commands"
+	SubjectRequests   Subject = "requests"
+	SubjectVersions   Subject = "versions"
+	SubjectSessions   Subject = "sessions"
+	SubjectHosts      Subject = "hosts"
+	SubjectEndpoints  Subject = "endpoints"
+	SubjectBills      Subject = "bills"
+	SubjectJobs       Subject = "jobs"
+	SubjectRollouts   Subject = "rollouts"
+	SubjectCommands   Subject = "commands"
+	SubjectQuarantine Subject = "quarantine"
 )
 
 // Subjects lists all subjects in the order of the help.
 var Subjects = []Subject{
 	SubjectRequests, SubjectVersions, SubjectSessions, SubjectHosts, SubjectEndpoints,
-	SubjectBills, SubjectJobs, SubjectRollouts, SubjectCommands,
+	SubjectBills, SubjectJobs, SubjectRollouts, SubjectCommands, SubjectQuarantine,
 }
 
 // Operator compares a field with a value.
@@ -130,6 +136,7 @@
 type line struct {
 	Move *moveNode `parser:"  @@"`
 	Hold *holdNode `parser:"| @@"`
+	Free *freeNode `parser:"| @@"`
 	Show *showNode `parser:"| @@"`
 }
 
@@ -143,6 +150,10 @@
 	Plan string `parser:"@(Word | String)"`
 }
 
+type freeNode struct {
+	Fingerprint string `parser:"'release' @(Word | String)"`
+}
+
 type showNode struct {
 	Pos     lexer.Position
 	Subject string      `parser:"'show' @Word"`
@@ -181,6 +192,8 @@
 		return parsed.Move.statement(text)
 	case parsed.Hold != nil:
 		return Hold{Plan: unquote(parsed.Hold.Plan), Held: parsed.Hold.Verb == "hold"}, nil
+	case parsed.Free != nil:
+		return Release{Fingerprint: unquote(parsed.Free.Fingerprint)}, nil
 	default:
 		return parsed.Show.statement(text)
 	}
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -51,6 +51,7 @@
 	{"Roll-outs", console.Show{Subject: console.SubjectRollouts}},
 	{"Hosts", console.Show{Subject: console.SubjectHosts}},
 	{"Endpoints", console.Show{Subject: console.SubjectEndpoints}},
+	{"Requests under which endpoints crash", console.Show{Subject: console.SubjectQuarantine}},
 }
 
 // statusPage serves a read-only page about this host's view of the system.
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -47,6 +47,7 @@
 	Attempted   func() // told of each attempt that may have run
 	// Fingerprint is that by which the call is known when it comes again.
 	Fingerprint func() quarantine.Fingerprint
+	Of          string // workspace and what is called, for operators
 }
 
 // Answer is a plain service's reply.
@@ -85,7 +86,7 @@
 			d.finished(call.Fingerprint)
 			return answer, nil
 		}
-		if d.crashed(ctx, hold, call.Fingerprint, quarantine.Run{Lasted: time.Since(sent)}, err) {
+		if d.crashed(ctx, hold, call.asked(), quarantine.Run{Lasted: time.Since(sent)}, err) {
 			crashes++
 		}
 		last = err
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -24,13 +24,23 @@
 		"endpoints crash under this request, so it is not sent to any; change it, or ask the operators to let it out")
 }
 
+// asked is a request as it is known when it comes again.
+type asked struct {
+	fingerprint func() quarantine.Fingerprint
+	of          string // its workspace and what it asks for, for operators
+}
+
+func (r Request) asked() asked { return asked{r.Fingerprint, r.Of} }
+func (c Call) asked() asked    { return asked{c.Fingerprint, c.Of} }
+
 // crashed takes in that an attempt failed, and reports whether its endpoint has crashed.
-func (d *Dispatcher) crashed(ctx context.Context, hold *fleet.Hold, fingerprint func() quarantine.Fingerprint, run quarantine.Run, err error) bool {
+func (d *Dispatcher) crashed(ctx context.Context, hold *fleet.Hold, request asked, run quarantine.Run, err error) bool {
 	e := hold.Endpoint
+	run.Of = request.of
 	if !conn.BrokeOff(err) || ctx.Err() != nil || !d.options.Fleet.Serves(e.ID) {
 		return false
 	}
-	return d.options.Quarantine.Broke(ctx, quarantine.Break{Endpoint: e.ID, Address: e.Address, Service: e.Service, Request: fingerprint(), Run: run})
+	return d.options.Quarantine.Broke(ctx, quarantine.Break{Endpoint: e.ID, Address: e.Address, Service: e.Service, Request: request.fingerprint(), Run: run})
 }
 
 // finished takes in that a request came to a good end.
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -83,6 +83,7 @@
 	Shared   int    // of them, those that others share
 	// Fingerprint is that by which the request is known when it comes again.
 	Fingerprint func() quarantine.Fingerprint
+	Of          string // workspace and what is asked for, for operators
 	// Allowed is asked right before each attempt, so that a version withdrawn
 	// meanwhile gets nothing new.
 	Allowed func() error
@@ -133,7 +134,7 @@
 			request.judge(false)
 			return stream, nil
 		}
-		if d.crashed(ctx, hold, request.Fingerprint, quarantine.Run{Lasted: time.Since(sent)}, err) {
+		if d.crashed(ctx, hold, request.asked(), quarantine.Run{Lasted: time.Since(sent)}, err) {
 			crashes++
 		}
 		last = err
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -217,7 +217,7 @@
 // broke takes in that the answer broke off.
 func (s *Stream) broke(err error) {
 	run := quarantine.Run{Lasted: time.Since(s.sent), Answered: time.Since(s.begun)}
-	s.dispatcher.crashed(s.context, s.hold, s.request.Fingerprint, run, err)
+	s.dispatcher.crashed(s.context, s.hold, s.request.asked(), run, err)
 }
 
 // fail ends a stream that never began.
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -13,6 +13,15 @@
 // errQuarantined means that endpoints crash under the request.
 var errQuarantined = errors.New("quarantined: endpoints crash under this request; change it, or ask the operators to let it out")
 
+// known is the fingerprint, for the log of a request that endpoints crashed under; empty for
+// others, which need not be hashed.
+func (x *exchange) known() string {
+	if x.crashes == 0 && !x.held {
+		return ""
+	}
+	return x.fingerprint().String()
+}
+
 // hash makes the request's fingerprint.
 func (x *exchange) hash() quarantine.Fingerprint {
 	return quarantine.Identity{Workspace: x.workspace, Target: x.r.Method + " " + x.r.Host + " " + x.r.RequestURI, Body: x.body}.Fingerprint()
@@ -32,13 +41,15 @@
 	if !x.standing().Quarantined {
 		return nil
 	}
+	x.held = true
+	x.g.Telemetry.Count("quarantine_refusals", 1)
 	return &refusal{status: http.StatusServiceUnavailable, reason: errQuarantined.Error()}
 }
 
 // broke ends an attempt whose answer could not be read, and notes whether its endpoint has
 // crashed.
 func (a *attempt) broke(err error) {
-	run := quarantine.Run{Lasted: time.Since(a.sentAt)}
+	run := quarantine.Run{Lasted: time.Since(a.sentAt), Of: a.x.workspace + " " + a.x.route.Name}
 	if !a.headAt.IsZero() {
 		run.Answered = time.Since(a.headAt)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -133,6 +133,7 @@
 	version    string            // of the last attempt's endpoint
 	larger     bool              // a larger model was asked
 	crashes    int               // of endpoints while it ran there
+	held       bool              // it was refused since endpoints crash under it
 	// fingerprint is that by which the request is known when it comes again; it is hashed when
 	// it is first asked for.
 	fingerprint func() quarantine.Fingerprint
@@ -190,7 +191,7 @@
 		"id", x.ask.ID, "route", x.route.Name, "service", x.service, "workspace", x.workspace,
 		"config", version, "config_age_ms", age.Milliseconds(),
 		"endpoint", x.endpoint, "version", x.version, "upgrade", x.g.Upgrades.Standing(x.service).String(), "model", x.model, "larger", x.larger, "urgency", x.urgency,
-		"sends", x.sends, "rejections", x.rejections, "crashes", x.crashes, "waits", x.waits, "advice", x.advice,
+		"sends", x.sends, "rejections", x.rejections, "crashes", x.crashes, "fingerprint", x.known(), "waits", x.waits, "advice", x.advice,
 		"tokens", x.ask.TokensIn, "read", x.expected.Read, "work_ms", x.expected.Work.Milliseconds(), "price", x.expected.Price,
 		"first_ms", x.first.Milliseconds(), "objective_ms", x.route.Objective.Milliseconds(),
 		"head_ms", x.head.Milliseconds(), "expected_ms", x.expected.Head.Milliseconds(), "queue_ms", x.expected.Queue.Milliseconds(),
--- a/internal/gatewayd/crashrig_test.go
+++ b/internal/gatewayd/crashrig_test.go
@@ -200,6 +200,7 @@
 	life := &lifeline{}
 	s := hostSettings()
 	s.Host = fmt.Sprint("front-", h.number)
+	s.Gateway.First = h.app == nil
 	s.Gateway.Callers, s.Gateway.Ready, s.Gateway.Control, s.Gateway.Peers = h.address(80), h.address(81), h.address(82), h.address(83)
 	s.Gateway.Seeds = []string{"10.0.0.1:82", "10.0.0.2:82"}
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
--- a/internal/gatewayd/host.go
+++ b/internal/gatewayd/host.go
@@ -101,7 +101,8 @@
 	return router
 }
 
-// figures serves the host's metrics and what it knows of endpoints.
+// figures serves the host's metrics and what it knows of endpoints and of requests that they
+// crash under.
 func (h *Host) figures() http.Handler {
 	router := mux.NewRouter()
 	router.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) {
@@ -112,12 +113,15 @@
 		}
 	}).Methods(http.MethodGet)
 	router.HandleFunc(PathEndpoints, h.viewEndpoints).Methods(http.MethodGet)
+	router.HandleFunc(PathQuarantine, h.viewQuarantine).Methods(http.MethodGet)
+	router.HandleFunc(PathRelease, h.release).Methods(http.MethodPost)
 	return router
 }
 
 func (h *Host) gauges() {
 	h.Telemetry.Gauge("requests_in_flight", float64(h.Gateway.InFlight()))
 	h.Telemetry.Gauge("endpoints", float64(h.Fleet.Size()))
+	h.Telemetry.Gauge("requests_quarantined", float64(h.Quarantine.Held()))
 	h.Telemetry.Gauge("log_lines_dropped", float64(h.Lines.Dropped()))
 	if age, ok := h.Holder.Age(); ok {
 		h.Telemetry.Gauge("config_age_seconds", age.Seconds())
--- a/internal/operator/api.go
+++ b/internal/operator/api.go
@@ -281,6 +281,8 @@
 		return a.options.Commands.Move(ctx, e, s)
 	case console.Hold:
 		return a.options.Commands.Hold(ctx, e, s)
+	case console.Release:
+		return a.options.Commands.Release(e, s)
 	default:
 		return Outcome{}, errors.Errorf("unknown statement %T", s)
 	}
--- a/internal/operator/commands.go
+++ b/internal/operator/commands.go
@@ -21,6 +21,7 @@
 	"quaybarrow/internal/config"
 	"quaybarrow/internal/console"
 	"quaybarrow/internal/declare"
+	"quaybarrow/internal/quarantine"
 )
 
 // Errors of commands.
@@ -28,6 +29,7 @@
 	ErrForbidden = errors.New("the operator's role does not allow this")
 	ErrUnknown   = errors.New("no such version or plan")
 	ErrBackward  = errors.New("the version can't go back to that state")
+	ErrNotHeld   = errors.New("no such request is in quarantine")
 )
 
 // Commands accept changes of the configuration.
@@ -38,11 +40,13 @@
 	// Unload orders engines to drop a withdrawn version: a second line behind
 	// the hosts' own refusal; nil if there is none.
 	Unload func(ctx context.Context, ref declare.Ref)
+
+	quarantine *quarantine.Book
 }
 
 // NewCommands returns the commands of a host.
-func NewCommands(log *config.Log, holder *config.Holder, spread *config.Spreader) *Commands {
-	return &Commands{log: log, holder: holder, spread: spread}
+func NewCommands(log *config.Log, holder *config.Holder, spread *config.Spreader, q *quarantine.Book) *Commands {
+	return &Commands{log: log, holder: holder, spread: spread, quarantine: q}
 }
 
 // Envelope is what every command carries.
@@ -188,6 +192,18 @@
 	return c.accept(ctx, e, verb+" "+h.Plan, base.Declarations.WithHeld(h.Plan, h.Held), Outcome{})
 }
 
+// Release lets a request out of quarantine, on all hosts; it changes no declaration.
+func (c *Commands) Release(e Envelope, r console.Release) (Outcome, error) {
+	var f quarantine.Fingerprint
+	if err := f.UnmarshalText([]byte(r.Fingerprint)); err != nil {
+		return Outcome{}, fmt.Errorf("%w: %s: %w", ErrNotHeld, r.Fingerprint, err)
+	}
+	if !c.quarantine.Lift(f) {
+		return Outcome{}, fmt.Errorf("%w: %s", ErrNotHeld, r.Fingerprint)
+	}
+	return Outcome{Revision: e.Base, Notes: []string{"released; other hosts hear of it within seconds"}}, nil
+}
+
 // Limits of moves that plans ask for.
 const (
 	moveAttempts = 5
--- a/internal/operator/queries.go
+++ b/internal/operator/queries.go
@@ -16,6 +16,7 @@
 	"quaybarrow/internal/fleet"
 	"quaybarrow/internal/membership"
 	"quaybarrow/internal/peer"
+	"quaybarrow/internal/quarantine"
 	"quaybarrow/internal/rollout"
 	"quaybarrow/internal/store"
 	"quaybarrow/internal/telemetry"
@@ -43,6 +44,8 @@
 	Traffic   *traffic.Log
 	Telemetry *telemetry.Telemetry
 	Credits   *rollout.Credits
+	// Quarantine knows requests under which endpoints crash.
+	Quarantine *quarantine.Book
 }
 
 // Queries answer what operators ask.
@@ -101,6 +104,8 @@
 		rows, err = q.rollouts(ctx)
 	case console.SubjectCommands:
 		rows, err = q.commands(ctx)
+	case console.SubjectQuarantine:
+		rows = q.quarantine()
 	}
 	return rows, nil, err
 }
--- a/internal/operator/tables.go
+++ b/internal/operator/tables.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"time"
 
 	"quaybarrow/internal/billing"
@@ -76,3 +77,17 @@
 	}
 	return rows, nil
 }
+
+// quarantine lists the requests under which endpoints crash, or may.
+func (q *Queries) quarantine() []console.Row {
+	var rows []console.Row
+	for _, l := range q.options.Quarantine.List() {
+		workspace, target, _ := strings.Cut(l.Of, " ")
+		rows = append(rows, console.Row{
+			{Name: "request", Value: l.Request.String()}, {Name: "workspace", Value: workspace}, {Name: "asks", Value: target},
+			{Name: "quarantined", Value: l.Quarantined}, {Name: "crashes", Value: l.Crashes}, {Name: "chance", Value: l.Chance},
+			{Name: "last_crash_ms", Value: float64(l.Last.Milliseconds())},
+		})
+	}
+	return rows
+}
--- a/internal/pipeline/quarantine.go
+++ b/internal/pipeline/quarantine.go
@@ -11,13 +11,20 @@
 // identity is what stays the same of a request that comes again: as a job, under a key of its
 // caller's, or at another host.
 func (a ask) identity() quarantine.Identity {
-	target := "chat"
-	if a.service.Name != "" {
-		target = "service " + a.subject()
+	return quarantine.Identity{Workspace: a.workspace.Name, Target: a.target(), Body: a.in.Body}
+}
+
+// target is what the request asks for.
+func (a ask) target() string {
+	if a.service.Name == "" {
+		return "chat"
 	}
-	return quarantine.Identity{Workspace: a.workspace.Name, Target: target, Body: a.in.Body}
+	return "service " + a.subject()
 }
 
+// of tells operators whose request it is and what it asks for.
+func (a ask) of() string { return a.workspace.Name + " " + a.target() }
+
 // checkQuarantine refuses a request under which endpoints crash. It has not run and will not, and
 // nothing is gained by coming back; a job of it ends.
 func (p *Pipeline) checkQuarantine(_ context.Context, a ask) (ask, error) {
--- a/internal/quarantine/book.go
+++ b/internal/quarantine/book.go
@@ -272,17 +272,8 @@
 	return Standing{Quarantined: held, Moments: s.moments, Chance: s.Chance}
 }
 
-// Verdicts returns all requests in quarantine, and how long ago the last endpoint crashed
-// under each.
-func (b *Book) Verdicts() map[Fingerprint]Verdict {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.judge()
-	return maps.Clone(b.verdicts)
-}
-
-// Ago is how long ago a moment of the book's clock was.
-func (b *Book) Ago(at time.Duration) time.Duration { return b.clock.Now() - at }
+// ago is how long ago a moment of the book's clock was.
+func (b *Book) ago(at time.Duration) time.Duration { return b.clock.Now() - at }
 
 // seen is what this host saw and others told, in the order of time.
 func (b *Book) seen() *view {
@@ -321,8 +312,8 @@
 	b.verdicts, b.judged = Judge(v.Evidence), true
 	for f, d := range b.verdicts {
 		if _, known := before[f]; !known {
-			b.options.Logger.Warn("request quarantined", "fingerprint", f, "crashes", d.Crashes, "chance", d.Chance,
-				"first_ms_ago", b.Ago(d.First).Milliseconds(), "last_ms_ago", b.Ago(d.Last).Milliseconds(), "crashes_known", len(v.Crashes), "hosts", len(b.rows))
+			b.options.Logger.Warn("request quarantined", "fingerprint", f, "of", v.whose(f), "crashes", d.Crashes, "chance", d.Chance,
+				"first_ms_ago", b.ago(d.First).Milliseconds(), "last_ms_ago", b.ago(d.Last).Milliseconds(), "crashes_known", len(v.Crashes), "hosts", len(b.rows))
 		}
 	}
 	for f := range before {
--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -20,11 +20,12 @@
 	Lasted   time.Duration // since the request was sent there
 	Answered time.Duration // since the head of its answer; 0 if none had come
 	Copies   int           // of the request that its host had answers to elsewhere
+	Of       string        // the request's workspace and route, for operators
 }
 
 // Longer returns a run that lasted as long as either of two.
 func (r Run) Longer(o Run) Run {
-	return Run{Lasted: max(r.Lasted, o.Lasted), Answered: max(r.Answered, o.Answered), Copies: max(r.Copies, o.Copies)}
+	return Run{Lasted: max(r.Lasted, o.Lasted), Answered: max(r.Answered, o.Answered), Copies: max(r.Copies, o.Copies), Of: cmp.Or(r.Of, o.Of)}
 }
 
 // Parameters of the judgement. Their figures are from days of the package's own pool (its
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -152,6 +152,7 @@
 		LastedMs   int64       `json:"lasted_ms"`
 		AnsweredMs int64       `json:"answered_ms,omitempty"`
 		Copies     int         `json:"copies,omitempty"`
+		Of         string      `json:"of,omitempty"`
 	}
 	finishJSON struct {
 		Request Fingerprint `json:"request"`
@@ -172,7 +173,7 @@
 			}
 			run := c.Under[f]
 			crash.Under = append(crash.Under, runJSON{
-				Request: f, LastedMs: run.Lasted.Milliseconds(), AnsweredMs: run.Answered.Milliseconds(), Copies: run.Copies,
+				Request: f, LastedMs: run.Lasted.Milliseconds(), AnsweredMs: run.Answered.Milliseconds(), Copies: run.Copies, Of: run.Of,
 			})
 		}
 		w.Crashes = append(w.Crashes, crash)
@@ -196,7 +197,7 @@
 		crash := Crash{Endpoint: c.Endpoint, Service: c.Service, At: at(c.AtMs), Under: map[Fingerprint]Run{}}
 		for _, run := range c.Under {
 			crash.Under[run.Request] = Run{
-				Lasted: time.Duration(run.LastedMs) * time.Millisecond, Answered: time.Duration(run.AnsweredMs) * time.Millisecond, Copies: run.Copies,
+				Lasted: time.Duration(run.LastedMs) * time.Millisecond, Answered: time.Duration(run.AnsweredMs) * time.Millisecond, Copies: run.Copies, Of: run.Of,
 			}
 		}
 		r.add(crash)
