What goes on elsewhere is what has come, not time that has passed

Cause: an answer that was under way elsewhere for longer than endpoints took to crash cleared its request by the clock alone. A host that was frozen, or whose endpoint fell silent, hears of crashes before it has read that its own connection ended with one of them: its answer had gone on all along, and it let a request that crashes endpoints out for all hosts. Found by reading, for what a suspension and a freeze do to the same place.

Test: book_test.go, "take no answer for one that goes on of which nothing more has come"; it failed before. The spec beside it says now when events arrived.

--- a/internal/clock/ages_test.go
+++ b/internal/clock/ages_test.go
@@ -39,7 +39,6 @@
 	"internal/pipeline/record.go":    "how long a request took, for the log",
 	"internal/rollout/controller.go": "the time of day, as it is kept",
 	"internal/rollout/credits.go":    "the time of day, as it is kept",
-	"internal/quarantine/ongoing.go": "what an endpoint showed meanwhile is not known",
 }
 
 // TestAgesCountSuspensions finds what goes by a clock that stands still while the machine is
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -122,7 +122,9 @@
 		a.limitSilence()
 		chunk, err := events.next()
 		if len(chunk.data) > 0 {
-			times.add(clock.Now(), chunk.events)
+			now := clock.Now()
+			times.add(now, chunk.events)
+			a.going.Arrived(now)
 			a.tellPace(times, false)
 			if _, writeErr := x.w.Write(chunk.data); writeErr != nil {
 				a.end(fleet.OutcomeNeutral, false)
--- a/internal/quarantine/book_test.go
+++ b/internal/quarantine/book_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"quaybarrow/internal/clock"
 	"quaybarrow/internal/quarantine"
 	"quaybarrow/platform/standin"
 )
@@ -102,6 +103,7 @@
 		sharing(3, func(h *hosts) {
 			ongoing := h.books[1].Begin(func() quarantine.Fingerprint { return beside })
 			time.Sleep(apart)
+			ongoing.Arrived(clock.Now())
 			h.thrice(beside)
 			Expect(h.quarantined(beside)).To(Equal(none))
 			h.books[1].End(ongoing)
@@ -110,6 +112,20 @@
 		})
 	})
 
+	// A host that was frozen learns of crashes before it has read that its own connection ended
+	// with one of them: by time alone its answer had gone on all along, and it let out, for all
+	// hosts, a request that crashes endpoints.
+	It("take no answer for one that goes on of which nothing more has come", func() {
+		sharing(3, func(h *hosts) {
+			ongoing := h.books[1].Begin(func() quarantine.Fingerprint { return guilty })
+			ongoing.Arrived(clock.Now())
+			time.Sleep(apart)
+			h.thrice(guilty)
+			Expect(h.quarantined(guilty)).To(Equal(all))
+			h.books[1].End(ongoing)
+		})
+	})
+
 	It("leave it to its caller after two crashes, and what was beside one is repeated", func() {
 		sharing(3, func(h *hosts) {
 			h.crash(0, "e0", guilty, beside)
--- a/internal/quarantine/ongoing.go
+++ b/internal/quarantine/ongoing.go
@@ -1,20 +1,31 @@
 package quarantine
 
-import "time"
+import (
+	"sync/atomic"
+	"time"
 
-// outlastsBy is how much longer than at any of its crashes a request's answer has to be
-// under way elsewhere to show that it crashes nothing: twice as long and this.
+	"quaybarrow/internal/clock"
+)
+
+// outlastsBy is how much longer than at any of its crashes a request's answer has to have
+// come elsewhere to show that it crashes nothing: twice as long and this.
 const outlastsBy = 50 * time.Millisecond
 
 // Ongoing is a request whose answer has begun.
 type Ongoing struct {
 	request func() Fingerprint
-	since   time.Time
+	began   clock.Instant
+	lasted  atomic.Int64 // ns from then until the last of it came
 }
 
+// Arrived notes that more of the answer has come. What counts is how long the endpoint has been
+// seen at work: a host that was frozen or suspended hears of crashes before it has read that its
+// own connection ended with one of them, and would let the request out for all hosts.
+func (o *Ongoing) Arrived(now clock.Instant) { o.lasted.Store(int64(now.Sub(o.began))) }
+
 // Begin notes that a request's answer has begun; End is to be called once it has ended.
 func (b *Book) Begin(request func() Fingerprint) *Ongoing {
-	o := &Ongoing{request: request, since: time.Now()}
+	o := &Ongoing{request: request, began: clock.Now()}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.ongoing[o] = struct{}{}
@@ -48,11 +59,10 @@
 			}
 		}
 	}
-	now := time.Now()
 	for o := range b.ongoing {
 		f := o.request()
 		l, suspected := longest[f]
-		if suspected && now.Sub(o.since) > 2*l+outlastsBy {
+		if suspected && time.Duration(o.lasted.Load()) > 2*l+outlastsBy {
 			b.finish(f, b.clock.Now(), "an answer to it goes on elsewhere")
 		}
 	}
