The soak has requests under which endpoints crash come again and again

Verification of the quarantine between real processes: requests come at any host and at several at once, endpoints crash before and after the head of their answer, beside all other faults; hosts that nothing has happened to may send one three times more from 3 s after its third crash on, and no other request may be taken for one.

--- a/internal/cli/soak.go
+++ b/internal/cli/soak.go
@@ -28,7 +28,7 @@
 
 // Usage implements subcommands.Command.
 func (*soakCommand) Usage() string {
-	return `soak -daemon PROGRAM [-seed N] [-seeds COUNT] [-for TIME] [-hosts COUNT] [-logs FOLDER]
+	return `soak -daemon PROGRAM [-seed N] [-seeds COUNT] [-for TIME] [-hosts COUNT] [-crashers COUNT] [-logs FOLDER]
   Runs daemons as separate processes on this machine, with stand-ins for the store and
   endpoints, injects faults at random from the seed and checks the router's promises from
   what callers and endpoints see. Exits with 1 if one is broken.
@@ -37,8 +37,9 @@
 
 // Defaults of a soak.
 const (
-	soakHosts  = 6
-	soakLength = 20 * time.Second
+	soakHosts    = 6
+	soakCrashers = 3
+	soakLength   = 20 * time.Second
 )
 
 // SetFlags implements subcommands.Command.
@@ -47,6 +48,7 @@
 	f.IntVar(&c.seeds, "seeds", 1, "how many seeds, one after the other")
 	f.DurationVar(&c.options.Length, "for", soakLength, "how long faults are injected, for each seed")
 	f.IntVar(&c.options.Hosts, "hosts", soakHosts, "how many hosts")
+	f.IntVar(&c.options.Crashers, "crashers", soakCrashers, "how many requests come again and again under which endpoints crash")
 	f.StringVar(&c.options.Daemon, "daemon", "", "`program` of the daemon")
 	f.StringVar(&c.options.LogDir, "logs", "", "`folder` for the hosts' logs")
 }
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -19,6 +19,8 @@
 	callerPatient = 12 * time.Second // longer than any route takes
 	keptRequests  = 20               // on one connection
 	connectTime   = time.Second
+	// sameShare of the requests are one and the same of each kind: they run beside all crashes.
+	sameShare = 0.3
 )
 
 // serial numbers requests of all callers.
@@ -57,7 +59,11 @@
 		return w.probe(c, reader, p)
 	}
 	id := fmt.Sprint("r", serial.Add(1))
-	q := standin.NewRequest("POST", path+id, "body").WithID(id)
+	end := id
+	if w.crashing && random.Float64() < sameShare {
+		end = "same"
+	}
+	q := standin.NewRequest("POST", path+end, "body").WithID(id)
 	if path == pathStream {
 		q = q.WithPrompt()
 	}
--- /dev/null
+++ b/internal/soak/crashes.go
@@ -0,0 +1,225 @@
+package soak
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"quaybarrow/platform/standin"
+)
+
+// Parameters of requests under which endpoints crash.
+const (
+	// crashMark is in their paths.
+	crashMark = "crash-"
+	// crashStream sets their numbers apart from those of a seed's other faults.
+	crashStream = 43
+	// comesFor is how long one comes again and again: long enough for hosts to know it.
+	comesFor = 6 * time.Second
+	// comesEvery is how long it takes at most to come again.
+	comesEvery = 400 * time.Millisecond
+	// crashTime is how long it takes at most to crash an endpoint.
+	crashTime = 100 * time.Millisecond
+	// knownWithin the third crash hosts that nothing has happened to may send it on, and later
+	// lateMost times all together, as the users tell.
+	knownWithin = 3 * time.Second
+	lateMost    = 3
+	// restartTime is how long it takes until another endpoint is there after a crash, and
+	// lapseTime until the entry of the one that crashed goes.
+	restartTime = 3 * time.Second
+	lapseTime   = 3600 * time.Millisecond
+)
+
+// crasher is a request under which endpoints crash, with where and when it was sent.
+type crasher struct {
+	path string
+
+	mu    sync.Mutex // guards hosts
+	hosts map[string]*process
+}
+
+// crashScript is how an endpoint crashes under a request; false if it does not.
+func (w *world) crashScript(service, target string) (standin.Script, bool) {
+	if !strings.Contains(target, crashMark) {
+		return nil, false
+	}
+	return standin.Crash{After: time.Duration(w.crashDice.number(int(crashTime))), Head: service == "model" && w.crashDice.number(2) == 0}, true
+}
+
+// watch lets an endpoint that crashes go as one does: nobody listens there at once, another
+// comes after a while, and its entry stays until its heartbeats are missed.
+func (w *world) watch(e *endpoint) {
+	select {
+	case <-e.gone:
+		return
+	case <-e.Crashed():
+	}
+	e.end()
+	w.mu.Lock()
+	listed := w.endpoints[e.ID] == e
+	delete(w.endpoints, e.ID)
+	w.mu.Unlock()
+	if !listed {
+		return // it was to go in any case, and another is there
+	}
+	time.Sleep(restartTime)
+	if err := w.addEndpoint(e.service); err != nil {
+		w.history.mu.Lock()
+		defer w.history.mu.Unlock()
+		w.history.violate("no endpoint could be started: %s", err)
+	}
+	time.Sleep(lapseTime - restartTime)
+	w.store.Drop(standin.TableEndpoints, e.ID)
+}
+
+// dice are drawn for requests under which endpoints crash, apart from all else, so that a seed
+// without them stays what it is; safe for use at once.
+type dice struct {
+	mu     sync.Mutex // guards random
+	random *rand.Rand
+}
+
+// number draws a number below n.
+func (d *dice) number(n int) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.random.IntN(n)
+}
+
+// sendCrashers has requests come under which endpoints crash; it waits until the last one does
+// no more.
+func (w *world) sendCrashers(ctx context.Context, o Options) {
+	var under sync.WaitGroup
+	defer under.Wait()
+	for range o.Crashers {
+		after := time.Duration(w.crashDice.number(int(o.Length)))
+		under.Go(func() {
+			if sleep(ctx, after) {
+				w.sendCrasher(ctx)
+			}
+		})
+	}
+}
+
+// sendCrasher sends such a request again and again, at any host and at several at once.
+func (w *world) sendCrasher(ctx context.Context) {
+	paths := []string{pathOnce, pathAgain, pathStream}
+	r := &crasher{path: fmt.Sprint(paths[w.crashDice.number(len(paths))], crashMark, serial.Add(1)), hosts: map[string]*process{}}
+	w.mu.Lock()
+	w.crashers = append(w.crashers, r)
+	w.mu.Unlock()
+	every, copies := time.Duration(w.crashDice.number(int(comesEvery))), 1+w.crashDice.number(2)
+	var asking sync.WaitGroup
+	defer asking.Wait()
+	for began := time.Now(); time.Since(began) < comesFor && sleep(ctx, every+callerPause); {
+		for range copies {
+			p := w.hosts[w.crashDice.number(len(w.hosts))]
+			asking.Go(func() { w.askOnce(r, p) })
+		}
+	}
+}
+
+// askOnce sends the request to a host.
+func (w *world) askOnce(r *crasher, p *process) {
+	c, err := net.DialTimeout("tcp4", p.callers, connectTime)
+	if err != nil {
+		return
+	}
+	defer func() { _ = c.Close() }()
+	id := fmt.Sprint("c", serial.Add(1))
+	r.mu.Lock()
+	r.hosts[id] = p
+	r.mu.Unlock()
+	q := standin.NewRequest("POST", r.path, "body").WithID(id)
+	if strings.HasPrefix(r.path, pathStream) {
+		q = q.WithPrompt()
+	}
+	_ = c.SetDeadline(time.Now().Add(callerPatient))
+	if _, err := io.WriteString(c, q.Text()); err != nil {
+		return
+	}
+	w.history.add(outcome{id: id, path: r.path[:strings.Index(r.path, crashMark)], answer: standin.ReadAnswer(bufio.NewReader(c)), crashes: true}, false)
+}
+
+// lateSends lists requests under which endpoints crash that hosts went on sending.
+func (w *world) lateSends() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var found []string
+	for _, r := range w.crashers {
+		if late, third := r.late(w.all); late > lateMost {
+			found = append(found, fmt.Sprintf("%s was sent %d times more by hosts that nothing had happened to, %s after the third endpoint had crashed under it at %s",
+				r.path, late, knownWithin, third.Format(time.StampMilli)))
+		}
+	}
+	return found
+}
+
+// late counts sends after the third crash by hosts that had time to know of it.
+func (r *crasher) late(endpoints []*endpoint) (late int, third time.Time) {
+	var sends []send
+	var crashes []time.Time
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, e := range endpoints {
+		under := false
+		for _, s := range e.Seen() {
+			if s.Target == r.path {
+				sends = append(sends, send{at: s.At, well: r.hosts[s.ID()].wasWell(s.At.Add(-knownWithin), s.At)})
+				under = true
+			}
+		}
+		if at := e.CrashedAt(); under && !at.IsZero() {
+			crashes = append(crashes, at)
+		}
+	}
+	return lateOf(sends, crashes)
+}
+
+// send is a send of the request to an endpoint, by a host that was well for long enough or not.
+type send struct {
+	at   time.Time
+	well bool
+}
+
+// lateOf counts the sends of a request by hosts that have had time to know that three endpoints
+// had crashed under it, and tells when the third one did.
+func lateOf(sends []send, crashes []time.Time) (late int, third time.Time) {
+	if len(crashes) < 3 {
+		return 0, time.Time{}
+	}
+	slices.SortFunc(crashes, time.Time.Compare)
+	third = crashes[2]
+	for _, s := range sends {
+		if s.well && s.at.After(third.Add(knownWithin)) {
+			late++
+		}
+	}
+	return late, third
+}
+
+// trouble is a time in which something happened to a host.
+type trouble struct{ from, until time.Time }
+
+// troubled notes that something happens to the host while a function runs.
+func (p *process) troubled(do func()) {
+	from := time.Now()
+	do()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.troubles = append(p.troubles, trouble{from, time.Now()})
+}
+
+// wasWell reports whether nothing happened to the host in a time.
+func (p *process) wasWell(from, until time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !slices.ContainsFunc(p.troubles, func(t trouble) bool { return t.from.Before(until) && t.until.After(from) })
+}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -99,7 +99,7 @@
 		return
 	}
 	defer p.ending.Unlock()
-	do()
+	p.troubled(do)
 }
 
 func killHost(ctx context.Context, w *world, _ time.Duration) {
@@ -131,9 +131,11 @@
 
 func storeForHost(ctx context.Context, w *world, lasts time.Duration) {
 	p := w.host()
-	p.store.set(Mode(1 + w.number(int(Resetting))))
-	sleep(ctx, lasts)
-	p.store.set(Pass)
+	p.troubled(func() {
+		p.store.set(Mode(1 + w.number(int(Resetting))))
+		sleep(ctx, lasts)
+		p.store.set(Pass)
+	})
 }
 
 func storeForAll(ctx context.Context, w *world, lasts time.Duration) {
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"regexp"
+	"strings"
 	"sync"
 	"time"
 
@@ -22,6 +23,7 @@
 type outcome struct {
 	id, path string
 	answer   standin.Answer
+	crashes  bool // endpoints crash under it
 }
 
 // history records what callers saw and judges it; safe for use at once.
@@ -59,6 +61,9 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.outcomes = append(h.outcomes, o)
+	if !o.crashes && strings.Contains(o.answer.Body, "quarantined") {
+		h.violate("%s%s: taken for a request under which endpoints crash", o.path, o.id)
+	}
 	good := o.answer.Status == 200 && o.answer.Err == nil
 	if sentWhileJudging {
 		h.judged++
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -10,7 +10,8 @@
 // Connections to the store and to endpoints pass through loopback proxies, which
 // delay, reset, silence and cut them one way; processes are stopped, killed,
 // paused and restarted by signals; the store's stand-in misbehaves; endpoints start again
-// under their names, data halls are evacuated, others write among the endpoints. Faults
+// under their names or crash under a request that comes again and again, data halls are evacuated,
+// others write among the endpoints. Faults
 // overlap and are not counted as excuses: what may not happen may not happen
 // under any of them. Only processes that the soak started are signalled.
 package soak
@@ -48,6 +49,8 @@
 	Hosts  int
 	Daemon string // path of the daemon's program
 	LogDir string // where hosts' logs are kept; empty keeps none
+	// Crashers is how many requests come, each again and again, under which endpoints crash.
+	Crashers int
 }
 
 // Result is what a run saw.
@@ -79,7 +82,10 @@
 	for i := range callers {
 		work.Go(func() { w.call(calling, rand.New(rand.NewPCG(o.Seed, uint64(i)))) })
 	}
+	var crashing sync.WaitGroup
+	crashing.Go(func() { w.sendCrashers(ctx, o) })
 	faults := w.injectFaults(ctx, o.Length)
+	crashing.Wait()
 	w.healAll()
 	evacuated := w.evacuable()
 	w.store.Put(standin.TableOperator, standin.EvacuationKey(evacuated), []byte("{}"))
@@ -91,6 +97,7 @@
 	work.Wait()
 	report := w.history.report(w.runs())
 	report.Violations = append(report.Violations, w.misplaced(evacuated, judged)...)
+	report.Violations = append(report.Violations, w.lateSends()...)
 	report.Cold = w.overCold()
 	report.Faults = faults
 	return report, nil
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -104,8 +104,10 @@
 
 // seeds are runs of the check: one fixed seed, and every seed that ever failed
 // with a line on its cause.
-var seeds = map[string]uint64{
-	"a fixed seed": 1,
+var seeds = map[string]Options{
+	"a fixed seed": {Seed: 1, Length: 5 * time.Second, Hosts: 4},
+	// Long enough for hosts to know of the third crash and to be asked again after it.
+	"requests under which endpoints crash": {Seed: 1, Length: 10 * time.Second, Hosts: 4, Crashers: 2},
 }
 
 // buildDaemon builds the daemon into a folder and returns its path.
@@ -132,6 +134,47 @@
 	}
 }
 
+// sendings are sends of a request after endpoints had crashed under it, in seconds from the first
+// crash on, and how many count as late.
+var sendings = map[string]struct {
+	crashes []float64
+	sends   []send
+	late    int
+}{
+	"none after the third crash": {[]float64{0, 1, 2}, sendsAt(0, 1, 2), 0},
+	"while hosts may not know":   {[]float64{0, 1, 2}, sendsAt(0, 1, 2, 2.5, 4.9), 0},
+	"when all hosts must know":   {[]float64{0, 1, 2}, sendsAt(0, 1, 2, 5.1, 6, 7, 8), 4},
+	"by hosts in trouble":        {[]float64{0, 1, 2}, []send{{at: secondsOn(5.1)}, {at: secondsOn(6)}}, 0},
+	"after two crashes":          {[]float64{0, 1}, sendsAt(5.1, 6, 7, 8), 0},
+}
+
+// dawn is when the first endpoint crashes.
+var dawn = time.Unix(1_000_000, 0)
+
+func secondsOn(s float64) time.Time { return dawn.Add(time.Duration(s * float64(time.Second))) }
+
+// sendsAt are sends by hosts that are well.
+func sendsAt(seconds ...float64) []send {
+	var sends []send
+	for _, s := range seconds {
+		sends = append(sends, send{at: secondsOn(s), well: true})
+	}
+	return sends
+}
+
+var _ = Describe("sends of a request under which endpoints crash", func() {
+	for name, c := range sendings {
+		It("count: "+name, func() {
+			var crashes []time.Time
+			for _, s := range c.crashes {
+				crashes = append(crashes, secondsOn(s))
+			}
+			late, _ := lateOf(c.sends, crashes)
+			Expect(late).To(Equal(c.late))
+		})
+	}
+})
+
 var _ = Describe("a short soak of the real daemon", Ordered, func() {
 	var daemon string
 
@@ -141,11 +184,10 @@
 		Expect(err).NotTo(HaveOccurred())
 	})
 
-	for name, seed := range seeds {
+	for name, o := range seeds {
 		It("keeps its promises with "+name, func() {
-			report, err := Run(context.Background(), Options{
-				Seed: seed, Length: 5 * time.Second, Hosts: 4, Daemon: daemon,
-			})
+			o.Daemon = daemon
+			report, err := Run(context.Background(), o)
 			Expect(err).NotTo(HaveOccurred())
 			Expect(report.Violations).To(BeEmpty())
 			Expect(report.Served).To(BeNumerically(">", 100))
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -22,6 +23,8 @@
 const (
 	plainEndpoints = 3
 	modelEndpoints = 4
+	// spareEndpoints of each service are there besides where some crash under requests.
+	spareEndpoints = 4
 )
 
 // halls are the data halls of the hosts.
@@ -34,12 +37,16 @@
 	history *history
 	hosts   []*process
 	ports   *portBlock
+	// crashing tells that requests come under which endpoints crash.
+	crashing  bool
+	crashDice dice
 
 	mu        sync.Mutex // guards all below
 	random    *rand.Rand
 	endpoints map[string]*endpoint
 	all       []*endpoint         // also those that are gone
 	traps     []*standin.Endpoint // that entries of other writers name
+	crashers  []*crasher          // requests under which endpoints crash
 	version   int                 // of the newest configuration
 	serial    int
 }
@@ -51,6 +58,8 @@
 	hall     string
 	listener net.Listener
 	proxy    *proxy
+	gone     chan struct{} // closed once it has ended
+	ending   sync.Once
 
 	mu     sync.Mutex // guards starts
 	starts []time.Time
@@ -87,7 +96,8 @@
 func newWorld(o Options, dir string) (*world, error) {
 	w := &world{
 		store: standin.NewStore(), history: newHistory(), random: rand.New(rand.NewPCG(o.Seed, o.Seed)),
-		endpoints: map[string]*endpoint{},
+		endpoints: map[string]*endpoint{}, crashing: o.Crashers > 0,
+		crashDice: dice{random: rand.New(rand.NewPCG(o.Seed, crashStream))},
 	}
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -99,11 +109,11 @@
 	}
 	go func() { _ = w.server.Serve(l) }()
 	w.configure()
-	for i := range plainEndpoints + modelEndpoints {
-		service := "plain"
-		if i >= plainEndpoints {
-			service = "model"
-		}
+	services := slices.Concat(slices.Repeat([]string{"plain"}, plainEndpoints), slices.Repeat([]string{"model"}, modelEndpoints))
+	if o.Crashers > 0 {
+		services = append(services, slices.Repeat([]string{"plain", "model"}, spareEndpoints)...)
+	}
+	for _, service := range services {
 		if err := w.addEndpoint(service); err != nil {
 			return nil, err
 		}
@@ -142,11 +152,12 @@
 	w.serial++
 	id := fmt.Sprintf("%s-%d", service, w.serial)
 	e := &endpoint{
-		Endpoint: standin.NewEndpoint(id, w.script(service)), service: service, hall: halls[w.serial%len(halls)], listener: l, proxy: p,
+		Endpoint: standin.NewEndpoint(id, w.script(service)), service: service, hall: halls[w.serial%len(halls)], listener: l, proxy: p, gone: make(chan struct{}),
 	}
 	w.endpoints[id] = e
 	w.all = append(w.all, e)
 	go e.Serve(l)
+	go w.watch(e)
 	w.store.Put(standin.TableEndpoints, id, e.start())
 	return nil
 }
@@ -156,6 +167,9 @@
 	seed := w.random.Uint64()
 	random := rand.New(rand.NewPCG(seed, seed))
 	return func(_ int, r *http.Request) standin.Script {
+		if s, ok := w.crashScript(service, r.RequestURI); ok {
+			return s
+		}
 		dice := random.Float64()
 		if service == "model" {
 			s := standin.Stream{Events: streamEvents, Confidence: random.IntN(100), Gap: 10 * time.Millisecond}
@@ -227,8 +241,11 @@
 }
 
 func (e *endpoint) end() {
-	_ = e.listener.Close()
-	e.proxy.close()
+	e.ending.Do(func() {
+		close(e.gone)
+		_ = e.listener.Close()
+		e.proxy.close()
+	})
 }
 
 // process is a host's process.
@@ -246,6 +263,8 @@
 	cmd    *exec.Cmd
 	starts int
 	exited chan struct{}
+	// troubles are times in which something happened to the host.
+	troubles []trouble
 }
 
 // settingsText is a host's settings file.
