A lease is renewed by one write, and what can't be fenced waits where it was handed over

Cause: a renewal wrote and read its row, a take made four calls; each call to the store is priced. Hosts that act where the epoch is ignored could act in turns within a release and a second one: A releases, B takes, acts and releases, A takes and acts, all within a second.

Change: a renewal carries the condition that the fence row is unchanged, which changes only as the lease changes hands, so it needs no version of its own and is read back only if its reply was lost. A lease that was released has Rest for its taker. Hosts further back in an order look less often, with the square of their place, so that all looks together stay few.

Ruled out: reading the lease from a table that all hosts follow; each renewal would go to all of them.

Tests: walk_test.go walks all series of four moves (steps, lost replies, kills, releases, acts, time) from two beginnings, and 2,000 series of 60 by chance; both of two deliberate breaks are seen. The specs of before are unchanged.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -14,6 +14,10 @@
 // has stopped before another can start. A holder that was paused may still act
 // late; its writes carry a condition on the fence row, and its orders carry the
 // epoch, so both are refused once another holds the lease.
+//
+// Who takes a lease that was released does so at once. What can't be fenced, as calls to
+// a service that ignores the epoch, has to wait for Rest: else a lease that is handed to and
+// fro has two hosts act in turns.
 package lease
 
 import (
@@ -60,9 +64,10 @@
 	epoch int64
 	fence store.Row
 
+	rests clock.Instant // what is not fenced begins then
+
 	mu    sync.Mutex    // guards all below
 	until clock.Instant // holder's own clock
-	table store.Row
 	beat  int64
 }
 
@@ -83,6 +88,9 @@
 	return clock.Until(l.until)
 }
 
+// Rest is how long the holder still leaves undone what is not fenced; 0 or less for nothing.
+func (l *Lease) Rest() time.Duration { return clock.Until(l.rests) }
+
 // Fenced adds the condition that nobody took the lease since.
 func (l *Lease) Fenced(txn store.Transaction) store.Transaction {
 	conditions := slices.Clone(txn.Conditions)
@@ -99,6 +107,11 @@
 	Length      time.Duration
 	// Owner tells which host a duty is meant for; nil means any.
 	Owner func(duty string) string
+	// Place is how many hosts come before this one in taking a lease; nil for none. Each
+	// looks less often than the one before it, since a look is a call to the store.
+	Place func() int
+	// Turns is the time in which hosts must not act in turns where that is not fenced.
+	Turns time.Duration
 }
 
 // sighting is a lease row and how long it has been seen unchanged.
@@ -131,38 +144,61 @@
 	}
 	next := row{Holder: m.options.Host, Incarnation: m.options.Incarnation, Epoch: current.Epoch + 1}
 	sent := clock.Now()
-	if err := m.write(ctx, name, tableRow, next, true); err != nil {
-		if !store.Uncertain(err) {
-			return nil, fmt.Errorf("acquire %s: %w", name, ErrHeld)
-		}
-		if now, _, readErr := m.read(ctx, name); readErr != nil || now != next {
-			return nil, fmt.Errorf("acquire %s: %w", name, err)
-		}
+	if err := m.take(ctx, name, tableRow, next); err != nil {
+		return nil, err
+	}
+	fence, err := m.fence(ctx, name, next.Epoch)
+	if err != nil {
+		return nil, err
 	}
-	return m.take(ctx, name, next, sent)
+	l := &Lease{name: name, epoch: next.Epoch, fence: fence, until: m.until(sent)}
+	if current.Released {
+		l.rests = sent.Add(m.options.Turns)
+	}
+	return l, nil
 }
 
-// take reads back what was written and makes the lease of it.
-func (m *Manager) take(ctx context.Context, name string, mine row, sent clock.Instant) (*Lease, error) {
-	now, tableRow, err := m.read(ctx, name)
+// take writes that this host holds a lease, if its row is still as it was read: a renewal that
+// came in between has changed it.
+func (m *Manager) take(ctx context.Context, name string, at store.Row, next row) error {
+	data, err := codec.Encode(next)
 	if err != nil {
-		return nil, fmt.Errorf("acquire %s: %w", name, err)
+		return fmt.Errorf("acquire %s: %w", name, err)
 	}
-	if now != mine {
-		return nil, ErrHeld
+	err = m.options.Tables.Commit(ctx, store.Transaction{
+		Conditions: []store.Condition{store.AtVersion(tableLease, at)},
+		Writes:     []store.Write{store.Put(tableLease, name, data), store.Put(tableFence, name, data)},
+	})
+	switch {
+	case err == nil:
+		return nil
+	case !store.Uncertain(err):
+		return fmt.Errorf("acquire %s: %w", name, ErrHeld)
+	}
+	now, _, readErr := m.read(ctx, name)
+	if readErr != nil {
+		return fmt.Errorf("acquire %s: %w", name, err)
 	}
+	if now != next {
+		return fmt.Errorf("acquire %s: %w", name, ErrHeld)
+	}
+	return nil
+}
+
+// fence reads the row that changes only as the lease changes hands.
+func (m *Manager) fence(ctx context.Context, name string, epoch int64) (store.Row, error) {
 	fence, err := m.options.Tables.Get(ctx, tableFence, name)
 	if err != nil {
-		return nil, fmt.Errorf("acquire %s: %w", name, err)
+		return store.Row{}, fmt.Errorf("acquire %s: %w", name, err)
 	}
 	holder, err := codec.Decode[row](fence.Value)
 	if err != nil {
-		return nil, fmt.Errorf("acquire %s: %w", name, err)
+		return store.Row{}, fmt.Errorf("acquire %s: %w", name, err)
 	}
-	if holder.Epoch != mine.Epoch {
-		return nil, ErrHeld
+	if holder.Epoch != epoch || holder.Incarnation != m.options.Incarnation {
+		return store.Row{}, ErrHeld
 	}
-	return &Lease{name: name, epoch: mine.Epoch, fence: fence, until: m.until(sent), table: tableRow}, nil
+	return fence, nil
 }
 
 // until is when a holder stops that last wrote at a moment.
@@ -201,53 +237,54 @@
 	return clock.Since(s.since) >= m.options.Length
 }
 
-// write puts the lease's row, and the fence when the lease changes hands.
-func (m *Manager) write(ctx context.Context, name string, at store.Row, next row, fence bool) error {
+// write puts the lease's row as long as nobody took the lease.
+func (m *Manager) write(ctx context.Context, l *Lease, next row) error {
 	data, err := codec.Encode(next)
 	if err != nil {
-		return err
-	}
-	txn := store.Transaction{
-		Conditions: []store.Condition{store.AtVersion(tableLease, at)},
-		Writes:     []store.Write{store.Put(tableLease, name, data)},
+		return fmt.Errorf("encode lease: %w", err)
 	}
-	if fence {
-		txn.Writes = append(txn.Writes, store.Put(tableFence, name, data))
-	}
-	return m.options.Tables.Commit(ctx, txn)
+	return m.options.Tables.Commit(ctx, l.Fenced(store.Transaction{
+		Writes: []store.Write{store.Put(tableLease, l.name, data)},
+	}))
 }
 
-// Renew extends a lease; ErrHeld if it was lost. Any other error leaves it as
-// it was, and renewing again is right.
+// Renew extends a lease; ErrHeld if it was lost. Any
+// other error leaves it as it was, and renewing again is right.
 func (m *Manager) Renew(ctx context.Context, l *Lease) error {
 	l.mu.Lock()
-	at, beat := l.table, l.beat+1
+	l.beat++
+	next := row{Holder: m.options.Host, Incarnation: m.options.Incarnation, Epoch: l.epoch, Beat: l.beat}
 	l.mu.Unlock()
-	next := row{Holder: m.options.Host, Incarnation: m.options.Incarnation, Epoch: l.epoch, Beat: beat}
 	sent := clock.Now()
-	if err := m.write(ctx, l.name, at, next, false); err != nil && !errors.Is(err, store.ErrConflict) {
-		if !store.Uncertain(err) {
+	err := m.write(ctx, l, next)
+	if store.Uncertain(err) {
+		// It may be written: what the row says now tells.
+		now, _, readErr := m.read(ctx, l.name)
+		switch {
+		case readErr != nil:
 			return fmt.Errorf("renew %s: %w", l.name, err)
+		case now.Epoch != l.epoch || now.Incarnation != m.options.Incarnation || now.Released:
+			err = store.ErrConflict
+		case now.Beat == next.Beat:
+			err = nil
 		}
 	}
-	now, tableRow, err := m.read(ctx, l.name)
-	if err != nil {
-		return fmt.Errorf("renew %s: %w", l.name, err)
-	}
-	if now.Epoch != l.epoch || now.Incarnation != m.options.Incarnation || now.Released {
+	switch {
+	case errors.Is(err, store.ErrConflict):
 		l.end()
-		return ErrHeld
+		return fmt.Errorf("renew %s: %w", l.name, ErrHeld)
+	case err != nil:
+		return fmt.Errorf("renew %s: %w", l.name, err)
 	}
-	l.renewed(now, tableRow, beat, m.until(sent))
+	l.extend(m.until(sent))
 	return nil
 }
 
-// renewed notes what the table says; only this renewal's own beat extends.
-func (l *Lease) renewed(now row, tableRow store.Row, beat int64, until clock.Instant) {
+// extend has the lease last until a moment at least.
+func (l *Lease) extend(until clock.Instant) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.table, l.beat = tableRow, now.Beat
-	if now.Beat == beat && until.After(l.until) {
+	if until.After(l.until) {
 		l.until = until
 	}
 }
@@ -261,12 +298,9 @@
 
 // Release gives a lease up, so that another need not wait.
 func (m *Manager) Release(ctx context.Context, l *Lease) error {
-	l.mu.Lock()
-	at := l.table
-	l.mu.Unlock()
 	l.end()
 	next := row{Holder: m.options.Host, Incarnation: m.options.Incarnation, Epoch: l.epoch, Released: true}
-	if err := m.write(ctx, l.name, at, next, false); err != nil {
+	if err := m.write(ctx, l, next); err != nil {
 		return fmt.Errorf("release %s: %w", l.name, err)
 	}
 	return nil
--- a/internal/lease/run.go
+++ b/internal/lease/run.go
@@ -27,12 +27,21 @@
 				m.hold(ctx, l, duty)
 			}
 		}
-		if !clock.Sleep(ctx, period) {
+		if !clock.Sleep(ctx, m.pause(period)) {
 			return
 		}
 	}
 }
 
+// pause is how long it is until the next look at a lease that another holds.
+func (m *Manager) pause(period time.Duration) time.Duration {
+	if m.options.Place == nil {
+		return period
+	}
+	before := 1 + m.options.Place()
+	return period * time.Duration(before*before) // the looks of all hosts together stay few
+}
+
 // mine reports whether this host is meant to own the duty.
 func (m *Manager) mine(name string) bool {
 	return m.options.Owner == nil || m.options.Owner(name) == m.options.Host
--- /dev/null
+++ b/internal/lease/walk_test.go
@@ -0,0 +1,213 @@
+package lease_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"quaybarrow/internal/lease"
+	"quaybarrow/internal/standin/suite"
+	"quaybarrow/internal/standin/table"
+)
+
+// turns is the time in which hosts must not act in turns where that is not fenced.
+const turns = 3 * length / 4
+
+// contender is a host that takes a lease and acts outside of the store.
+type contender struct {
+	name  string
+	life  int
+	rules rules
+	rows  *table.Store
+	m     *lease.Manager
+	l     *lease.Lease
+}
+
+// rules are the times that a contender keeps to.
+type rules struct{ length, turns time.Duration }
+
+// sound are the right ones.
+var sound = rules{length, turns}
+
+func newContender(name string, rows *table.Store, r rules) *contender {
+	c := &contender{name: name, rows: rows, rules: r}
+	c.restart()
+	return c
+}
+
+// restart is a kill and a start: what the host knew is gone.
+func (c *contender) restart() {
+	c.life++
+	c.l = nil
+	c.m = lease.NewManager(lease.Options{Tables: c.rows, Host: c.name, Incarnation: fmt.Sprint(c.name, c.life), Length: c.rules.length, Turns: c.rules.turns})
+}
+
+// step renews the lease or tries to take it.
+func (c *contender) step(lost bool) {
+	if lost {
+		c.rows.Inject(table.Fault{Kind: table.FaultLoseReply, Writes: true, Count: 1})
+	}
+	if c.l != nil && c.l.Valid() {
+		_ = c.m.Renew(context.Background(), c.l)
+	} else {
+		c.l, _ = c.m.Acquire(context.Background(), "duty")
+	}
+	c.rows.Heal()
+}
+
+func (c *contender) release() {
+	if c.l != nil && c.l.Valid() {
+		_ = c.m.Release(context.Background(), c.l)
+	}
+}
+
+// action is what a host did outside of the store.
+type action struct {
+	at    time.Time
+	host  string
+	token int64
+}
+
+func (c *contender) act() []action {
+	if c.l == nil || !c.l.Valid() || c.l.Rest() > 0 {
+		return nil
+	}
+	return []action{{time.Now(), c.name, c.l.Epoch()}}
+}
+
+// walk is a series of what two hosts do, and what it broke.
+type walk struct {
+	hosts   [2]*contender
+	actions []action
+}
+
+// Moves of a walk.
+var moves = map[int]func(w *walk){
+	0: func(w *walk) { w.hosts[0].step(false) },
+	1: func(w *walk) { w.hosts[1].step(false) },
+	2: func(w *walk) { w.hosts[0].step(true) },
+	3: func(w *walk) { w.hosts[1].step(true) },
+	4: func(w *walk) { w.actions = append(w.actions, w.hosts[0].act()...) },
+	5: func(w *walk) { w.actions = append(w.actions, w.hosts[1].act()...) },
+	6: func(w *walk) { time.Sleep(length / 2) },
+	7: func(w *walk) { w.hosts[0].restart() },
+	8: func(w *walk) { w.hosts[0].release() },
+	9: func(w *walk) { w.hosts[1].release() },
+}
+
+// broken tells what the actions break; empty if nothing.
+func broken(actions []action) string {
+	holders := map[int64]string{}
+	for i, a := range actions {
+		if other, ok := holders[a.token]; ok && other != a.host {
+			return fmt.Sprintf("token %d of %s and of %s", a.token, other, a.host)
+		}
+		holders[a.token] = a.host
+		between := false
+		for j := i - 1; j >= 0; j-- {
+			b := actions[j]
+			switch {
+			case b.token > a.token:
+				return fmt.Sprintf("token %d after %d", a.token, b.token)
+			case b.host != a.host:
+				between = true
+			case between && a.at.Sub(b.at) < turns:
+				return fmt.Sprintf("%s acts %s after it did, and another in between", a.host, a.at.Sub(b.at))
+			}
+		}
+	}
+	return ""
+}
+
+// play plays a series of moves; the hosts keep to rules.
+func play(series []int, first, second rules) string {
+	rows := table.New(table.Options{})
+	w := &walk{hosts: [2]*contender{newContender("a", rows, first), newContender("b", rows, second)}}
+	for _, move := range series {
+		moves[move](w)
+	}
+	return broken(w.actions)
+}
+
+// seriesOf are all series of moves of a length, in turn.
+func seriesOf(length int, each func(series []int) bool) {
+	series := make([]int, length)
+	for {
+		if !each(series) {
+			return
+		}
+		i := 0
+		for ; i < length; i++ {
+			series[i]++
+			if series[i] < len(moves) {
+				break
+			}
+			series[i] = 0
+		}
+		if i == length {
+			return
+		}
+	}
+}
+
+// Sizes of walks.
+const (
+	shortWalk   = 4
+	longWalk    = 60
+	walkSeeds   = 2000
+	walkSources = 7
+)
+
+// random is a long series of moves.
+func random(seed uint64) []int {
+	r := rand.New(rand.NewPCG(seed, walkSources))
+	series := make([]int, longWalk)
+	for i := range series {
+		series[i] = r.IntN(len(moves))
+	}
+	return series
+}
+
+var _ = Describe("two hosts that act under a lease, outside of the store", func() {
+	It("break nothing in any short series of what may happen", func() {
+		suite.Paused(func() {
+			// Both have acted under the lease before, or one holds it.
+			for _, before := range [][]int{{0, 4}, {0, 4, 8, 1, 6, 6, 5}} {
+				seriesOf(shortWalk, func(series []int) bool {
+					all := append(append([]int{}, before...), series...)
+					Expect(play(all, sound, sound)).To(BeEmpty(), "%v", all)
+					return true
+				})
+			}
+		})
+	})
+
+	It("break nothing in long series by chance", func() {
+		suite.Paused(func() {
+			for seed := range uint64(walkSeeds) {
+				Expect(play(random(seed), sound, sound)).To(BeEmpty(), "seed %d", seed)
+			}
+		})
+	})
+
+	for name, broken := range map[string][2]rules{
+		"takes leases that are still held":          {sound, {length / 4, turns}},
+		"acts at once under a lease that is handed": {{length, 0}, {length, 0}},
+	} {
+		It("are seen to break something where one "+name, func() {
+			suite.Paused(func() {
+				found := 0
+				for seed := range uint64(walkSeeds) {
+					if play(random(seed), broken[0], broken[1]) != "" {
+						found++
+					}
+				}
+				Expect(found).To(BeNumerically(">", 0))
+			})
+		})
+	}
+})
