--- a/internal/advice/advice.go
+++ b/internal/advice/advice.go
@@ -235,6 +235,20 @@
 	return "", false
 }
 
+// Place counts the hosts before this one that answer, as far as it knows.
+func (a *Advisor) Place() int {
+	before := a.options.Before()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now, place := clock.Now(), 0
+	for _, address := range before {
+		if !now.Before(a.pauses[address].until) {
+			place++
+		}
+	}
+	return place
+}
+
 func (a *Advisor) answered(address string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- /dev/null
+++ b/internal/capacity/capacity.go
@@ -0,0 +1,250 @@
+// Package capacity decides how many endpoints of a service are ordered in each data hall.
+//
+// # Usage
+//
+//	p := capacity.NewPlanner()
+//	orders := p.Orders(now, capacity.State{Scaling: s, Slots: 64, Running: 180, Stocks: stocks})
+//	... send each, then ...
+//	p.Ordered(order) // or p.Refused(order, now)
+//
+// Load that it answers: work that comes in waves and bursts, endpoints that take seconds to start,
+// cheap ones (spot) that may be taken away a data hall at a time, and data halls that are lost or
+// evacuated. Enough endpoints serve that the work fits without those of any one data hall; most
+// are spot endpoints, over a floor of ordinary ones that keeps serving, slower, if all spot
+// endpoints go. Nothing here sends messages or reads a clock.
+package capacity
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"quaybarrow/internal/clock"
+)
+
+// Scaling is what operators declare of the number of a service's endpoints.
+type Scaling struct {
+	Least, Most int           // in each data hall, ordinary and spot ones together
+	Boot        time.Duration // until a new one serves
+	// SpotPrice is what a spot endpoint costs, as a part of an ordinary one; 0 where there
+	// are none.
+	SpotPrice float64
+	Prices    map[string]float64 // of a second of an endpoint, by data hall
+}
+
+// Ordered reports whether operators let endpoints be ordered.
+func (s Scaling) Ordered() bool { return s.Most > 0 }
+
+// Stock is how many endpoints of a service serve in a data hall.
+type Stock struct {
+	Ordinary, Spot int
+	Newer          int // ordinary ones that an upgrade brings in
+}
+
+// State is what is known of a service as it is planned for.
+type State struct {
+	Scaling Scaling
+	Slots   int              // requests that an endpoint runs at once
+	Running float64          // requests at endpoints or on their way there, over all hosts
+	Stocks  map[string]Stock // by data hall, for all that the service runs in
+	Away    []string         // data halls that get nothing for now
+	// Upgrading tells that an upgrade is under way: the endpoints that it brings in are counted
+	// among the ordinary ones of an order.
+	Upgrading bool
+}
+
+// Lot is the endpoints of one kind in a data hall, which are ordered together.
+type Lot struct {
+	Hall string
+	Spot bool
+}
+
+// Order says how many endpoints there are to be in a lot.
+type Order struct {
+	Lot
+	Count int
+}
+
+// Parameters of the plan.
+const (
+	// fill is the part of their slots that endpoints are to have in use at the usual peak:
+	// tokens come more slowly the more requests run together, and a prompt that is read holds
+	// up all beside it.
+	fill = 0.2
+	// floorPart of the endpoints that the work needs are ordinary ones; alone they have three
+	// times the usual load.
+	floorPart = 1.0 / 3
+	// forgets is the time in which half of a peak is forgotten: several waves of the work.
+	forgets = 30 * time.Second
+	// lowersAfter is how long fewer endpoints must be enough before fewer are ordered, and
+	// lowersBy the least part of them that is let go: each that goes takes prompts with it.
+	lowersAfter = 4 * time.Second
+	lowersBy    = 0.15
+	// dryFor is how long a lot is not ordered more of after none were to be had.
+	dryFor = 5 * time.Second
+)
+
+// Planner remembers what was ordered; not for use at once.
+type Planner struct {
+	peak    float64
+	peakAt  clock.Instant
+	ordered map[Lot]int
+	lower   map[Lot]clock.Instant // since when fewer are enough
+	dry     map[Lot]clock.Instant // until when no more are to be had
+}
+
+// NewPlanner returns a planner that has ordered nothing.
+func NewPlanner() *Planner {
+	return &Planner{ordered: map[Lot]int{}, lower: map[Lot]clock.Instant{}, dry: map[Lot]clock.Instant{}}
+}
+
+// Orders lists what is to be ordered now.
+func (p *Planner) Orders(now clock.Instant, s State) []Order {
+	p.remember(now, s.Running)
+	want := s.want(p.peak)
+	var orders []Order
+	for _, l := range slices.SortedFunc(maps.Keys(want), Lot.compare) {
+		if count, due := p.due(now, l, want[l], s.Stocks[l.Hall].of(l)); due {
+			orders = append(orders, Order{Lot: l, Count: count})
+		}
+	}
+	return orders
+}
+
+// Ordered takes in that the platform has taken an order.
+func (p *Planner) Ordered(o Order) {
+	p.ordered[o.Lot] = o.Count
+	delete(p.lower, o.Lot)
+}
+
+// Refused takes in that there are no more of a lot to be had.
+func (p *Planner) Refused(o Order, now clock.Instant) { p.dry[o.Lot] = now.Add(dryFor) }
+
+// Peak is the most that ran at once, as it is remembered.
+func (p *Planner) Peak() float64 { return p.peak }
+
+func (p *Planner) remember(now clock.Instant, running float64) {
+	if !p.peakAt.IsZero() {
+		p.peak *= math.Exp2(-now.Sub(p.peakAt).Seconds() / forgets.Seconds())
+	}
+	p.peak, p.peakAt = max(p.peak, running), now
+}
+
+// due returns what is to be ordered of a lot, if anything: at once if more are wanted, and after a
+// while if far fewer are. What was ordered and does not serve, as after an upgrade whose old
+// endpoints have gone, is not wanted any more at once: nothing is let go by that.
+func (p *Planner) due(now clock.Instant, l Lot, want, serving int) (count int, due bool) {
+	have, known := p.ordered[l]
+	if !known {
+		have = serving
+	}
+	if want > have {
+		delete(p.lower, l)
+		return want, !now.Before(p.dry[l])
+	}
+	if have-want < max(1, int(math.Ceil(lowersBy*float64(have)))) {
+		delete(p.lower, l)
+		return 0, false
+	}
+	if serving < have {
+		return max(want, serving), true
+	}
+	since, ok := p.lower[l]
+	if !ok {
+		p.lower[l] = now
+		return 0, false
+	}
+	return want, now.Sub(since) >= lowersAfter
+}
+
+// want is how many endpoints there are to be in each lot if so many requests run at once.
+func (s State) want(running float64) map[Lot]int {
+	halls := s.halls()
+	want := map[Lot]int{}
+	if len(halls) == 0 || running <= 0 || s.Slots <= 0 {
+		return want
+	}
+	needed := math.Ceil(running / (fill * float64(s.Slots)))
+	// All data halls but one have what is needed.
+	each := int(math.Ceil(needed / float64(max(len(halls)-1, 1))))
+	floor := s.floor(needed, each, len(halls))
+	for _, h := range halls {
+		if s.Upgrading {
+			s.beside(want, h, each)
+			continue
+		}
+		ordinary := min(max(floor, s.Scaling.Least), s.Scaling.Most)
+		want[Lot{Hall: h}] = ordinary
+		if s.Scaling.hasSpot() {
+			want[Lot{Hall: h, Spot: true}] = min(max(0, each-ordinary), s.Scaling.Most-ordinary)
+		}
+	}
+	return want
+}
+
+// floor is how many ordinary endpoints a data hall is to have.
+func (s State) floor(needed float64, each, halls int) int {
+	if !s.Scaling.hasSpot() {
+		return each
+	}
+	floor, serving := math.Ceil(floorPart*needed/float64(halls)), 0
+	for _, stock := range s.Stocks {
+		serving += stock.Spot
+	}
+	// Until enough spot endpoints serve, ordinary ones do.
+	missing := max(0, needed-float64(serving)-floor*float64(halls))
+	return int(floor + math.Ceil(missing/float64(halls)))
+}
+
+// beside plans for a data hall in which an upgrade is under way. What an order is lowered by is
+// taken from the endpoints that came last, so those of the version in force are all kept, and of
+// the new ones as many as the work needs once it is moved to them. Before any of them serve,
+// orders stay as they are.
+func (s State) beside(want map[Lot]int, hall string, each int) {
+	stock := s.Stocks[hall]
+	if stock.Newer > 0 {
+		want[Lot{Hall: hall}] = min(stock.Ordinary+min(stock.Newer, each), s.Scaling.Most)
+	}
+}
+
+// hasSpot reports whether there are spot endpoints that are worth their loss.
+func (s Scaling) hasSpot() bool { return s.SpotPrice > 0 && s.SpotPrice < 1 }
+
+// halls are the data halls that may take requests, in order.
+func (s State) halls() []string {
+	var halls []string
+	for _, h := range slices.Sorted(maps.Keys(s.Stocks)) {
+		if !slices.Contains(s.Away, h) {
+			halls = append(halls, h)
+		}
+	}
+	return halls
+}
+
+// of is how many of a lot serve.
+func (s Stock) of(l Lot) int {
+	if l.Spot {
+		return s.Spot
+	}
+	return s.Ordinary + s.Newer
+}
+
+// compare orders lots: more spot endpoints are asked for first.
+func (l Lot) compare(o Lot) int {
+	switch {
+	case l.Spot != o.Spot && l.Spot:
+		return -1
+	case l.Spot != o.Spot:
+		return 1
+	case l.Hall < o.Hall:
+		return -1
+	case l.Hall > o.Hall:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// InForce is what was ordered, by lot.
+func (p *Planner) InForce() map[Lot]int { return maps.Clone(p.ordered) }
--- /dev/null
+++ b/internal/duty/duty_test.go
@@ -0,0 +1,195 @@
+package duty_test
+
+import (
+	"fmt"
+	"maps"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"quaybarrow/internal/capacity"
+	"quaybarrow/internal/standin/suite"
+	"quaybarrow/internal/standin/table"
+	"quaybarrow/platform/standin"
+)
+
+// called is a call to the platform.
+type called struct{ path, holder, token, body string }
+
+// brokenCalls break what one holder at a time means.
+var brokenCalls = map[string]struct {
+	calls []called
+	says  string
+}{
+	"a window that is reported in two ways": {[]called{
+		{"/usage", "a", "1", `{"window":7,"counts":{"w":1}}`}, {"/usage", "a", "1", `{"window":7,"counts":{"w":2}}`},
+	}, "window 7 was reported as"},
+	"a token of two hosts": {[]called{
+		{"/usage", "a", "1", `{"window":7,"counts":{}}`}, {"/usage", "b", "1", `{"window":8,"counts":{}}`},
+	}, "token 1 of a and of b"},
+	"a token that is lower than the one before": {[]called{
+		{"/scale", "a", "2", `{"service":"s","zone":"z","desired":1}`}, {"/scale", "b", "1", `{"service":"s","zone":"z","desired":1}`},
+	}, "token 1 of b after 2 of a"},
+	"hosts that act in turns": {[]called{
+		{"/usage", "a", "1", `{"window":7,"counts":{}}`}, {"/usage", "b", "2", `{"window":8,"counts":{}}`}, {"/usage", "a", "3", `{"window":9,"counts":{}}`},
+	}, "another in between"},
+}
+
+// dueAfter is how long after a window's end its report is due.
+const dueAfter = 10 * time.Second
+
+// troubles are what happens to the host that holds the duties, and around it.
+var troubles = map[string]func(r *rig){
+	"nothing": func(*rig) {},
+	"its kill": func(r *rig) {
+		name := r.holder()
+		r.kill(name)
+		time.Sleep(2 * time.Second)
+		r.start(name)
+	},
+	"its planned stop": func(r *rig) {
+		name := r.holder()
+		r.terminate(name)
+		time.Sleep(2 * time.Second)
+		r.start(name)
+	},
+	"a store that loses answers": func(r *rig) {
+		r.rows.Inject(table.Fault{Kind: table.FaultLoseReply, Writes: true})
+		time.Sleep(5 * time.Second)
+		r.rows.Heal()
+	},
+	"a store that is away": func(r *rig) {
+		r.rows.Inject(table.Fault{Kind: table.FaultDown})
+		time.Sleep(4 * time.Second)
+		r.rows.Heal()
+	},
+	"a store that is slow": func(r *rig) {
+		r.rows.Inject(table.Fault{Kind: table.FaultSlow, Delay: 250 * time.Millisecond})
+		time.Sleep(5 * time.Second)
+		r.rows.Heal()
+	},
+	"a store that turns only it away": func(r *rig) {
+		n := r.hosts[r.holder()]
+		n.door.Cut(true)
+		time.Sleep(5 * time.Second)
+		n.door.Cut(false)
+	},
+	"a platform that loses answers": func(r *rig) {
+		r.calls.Break(standin.LoseTx)
+		time.Sleep(4 * time.Second)
+		r.calls.Break(standin.Healthy)
+	},
+	"a platform that is busy": func(r *rig) {
+		r.calls.Break(standin.Busy)
+		time.Sleep(4 * time.Second)
+		r.calls.Break(standin.Healthy)
+	},
+}
+
+// killAll kills all hosts and starts them again.
+func killAll(r *rig) {
+	for name := range r.hosts {
+		r.kill(name)
+	}
+	time.Sleep(time.Second)
+	for i := range len(r.hosts) {
+		r.start(fmt.Sprintf("front-%d", i))
+	}
+}
+
+// day is how long a rig is played.
+const day = 60 * time.Second
+
+// playDay plays a day with what happens on it, beside requests.
+func playDay(seed uint64, happens func(r *rig), check func(r *rig)) {
+	suite.Paused(func() {
+		r := newRig(6, seed)
+		defer r.close()
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			time.Sleep(12 * time.Second)
+			happens(r)
+		}()
+		r.serve(day)
+		<-done
+		time.Sleep(dueAfter)
+		check(r)
+	})
+}
+
+var _ = Describe("the duties of one host", func() {
+	for name, trouble := range troubles {
+		It("are done by one at a time, and usage is right, beside "+name, func() {
+			playDay(1, trouble, func(r *rig) {
+				Expect(r.calls.Violations()).To(BeEmpty())
+				Expect(r.wrong(dueAfter)).To(BeEmpty())
+				Expect(len(r.calls.Reports())).To(BeNumerically(">", 10))
+			})
+		})
+	}
+
+	It("go on after all hosts were killed", func() {
+		playDay(1, killAll, func(r *rig) {
+			Expect(r.calls.Violations()).To(BeEmpty())
+			// Nobody knows what began before in the windows that were not reported.
+			Expect(len(r.wrong(dueAfter))).To(BeNumerically("<=", 2))
+		})
+	})
+
+	It("break nothing in series of troubles, and 95 of 100 windows are right", func() {
+		names := slices.Sorted(maps.Keys(troubles))
+		wrong, windows := 0, 0
+		for seed := range uint64(200) {
+			playDay(seed, func(r *rig) {
+				for range 3 {
+					troubles[names[r.random.IntN(len(names))]](r)
+					time.Sleep(time.Duration(r.random.IntN(8000)) * time.Millisecond)
+				}
+			}, func(r *rig) {
+				Expect(r.calls.Violations()).To(BeEmpty(), "seed %d", seed)
+				wrong, windows = wrong+len(r.wrong(dueAfter)), windows+len(r.began)
+			})
+		}
+		GinkgoWriter.Printf("%d of %d windows wrong\n", wrong, windows)
+		Expect(float64(wrong)).To(BeNumerically("<=", 0.05*float64(windows)))
+	})
+
+	for name, c := range brokenCalls {
+		It("are seen to be broken by "+name, func() {
+			d := standin.NewDuties(turns)
+			for _, call := range c.calls {
+				r := httptest.NewRequest(http.MethodPost, call.path, strings.NewReader(call.body))
+				r.Header.Set("Duty-Holder", call.holder)
+				r.Header.Set("Fencing-Token", call.token)
+				d.ServeHTTP(httptest.NewRecorder(), r)
+			}
+			Expect(d.Violations()).To(ContainElement(ContainSubstring(c.says)))
+		})
+	}
+
+	It("order endpoints, and ask again where none were to be had", func() {
+		suite.Paused(func() {
+			r := newRig(2, 1)
+			defer r.close()
+			r.stocks = map[string]capacity.Stock{"ikeja": {Ordinary: 4}, "lekki": {Ordinary: 4}, "yaba": {Ordinary: 4}}
+			r.calls.AnswerOrders(http.StatusConflict)
+			time.Sleep(4 * time.Second)
+			refused := len(r.calls.Calls())
+			Expect(refused).To(BeNumerically(">", 0))
+			Expect(refused).To(BeNumerically("<", 20))
+			r.calls.AnswerOrders(0)
+			time.Sleep(10 * time.Second)
+			ordered := map[string]int{}
+			for _, c := range r.calls.Calls() {
+				ordered[fmt.Sprint(c.Scale.Hall, c.Scale.Spot)] = c.Scale.Desired
+			}
+			Expect(ordered).To(HaveKey("ikejatrue"))
+		})
+	})
+})
--- /dev/null
+++ b/internal/duty/rig_test.go
@@ -0,0 +1,257 @@
+package duty_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"quaybarrow/internal/capacity"
+	"quaybarrow/internal/duty"
+	"quaybarrow/internal/lease"
+	"quaybarrow/internal/standin/memnet"
+	"quaybarrow/internal/standin/table"
+	"quaybarrow/internal/usage"
+	"quaybarrow/platform"
+	"quaybarrow/platform/standin"
+)
+
+// Times of a rig.
+const (
+	window = 5 * time.Second
+	turns  = 3 * time.Second
+	// callsAddress is where the platform takes what is one host's duty.
+	callsAddress = "10.9.0.2:80"
+)
+
+// rig is hosts that keep duties, before a store and the platform.
+type rig struct {
+	rows    *table.Store
+	calls   *standin.Duties
+	net     *memnet.Network
+	server  *http.Server
+	random  *rand.Rand
+	running sync.WaitGroup
+
+	mu     sync.Mutex // guards all below
+	hosts  map[string]*node
+	began  map[int64]map[string]int64 // what truly began, by window and workspace
+	stocks map[string]capacity.Stock
+}
+
+// node is a life of a host.
+type node struct {
+	rig     *rig
+	name    string
+	door    *table.Door
+	counter *usage.Counter
+	keeper  *duty.Keeper
+	cancel  context.CancelFunc
+	dead    bool
+	silent  bool // it answers nobody
+}
+
+var errSilent = errors.New("no answer")
+
+func newRig(hosts int, seed uint64) *rig {
+	r := &rig{
+		rows: table.New(table.Options{}), calls: standin.NewDuties(turns), net: memnet.New(), random: rand.New(rand.NewPCG(seed, 7)),
+		hosts: map[string]*node{}, began: map[int64]map[string]int64{}, stocks: map[string]capacity.Stock{},
+	}
+	r.server = &http.Server{Handler: r.calls}
+	l := r.net.Listen(callsAddress)
+	go func() { _ = r.server.Serve(l) }()
+	for i := range hosts {
+		r.start(fmt.Sprintf("front-%d", i))
+	}
+	return r
+}
+
+// start starts a life of a host.
+func (r *rig) start(name string) {
+	lifetime := fmt.Sprint(name, "-", r.random.Uint64())
+	n := &node{rig: r, name: name, door: table.NewDoor(r.rows), counter: usage.NewCounter(lifetime)}
+	n.keeper = duty.New(duty.Options{
+		Host: name, Lifetime: lifetime, Window: window, Tables: n.door, Counter: n.counter, Asker: n,
+		Leases: lease.NewManager(lease.Options{
+			Tables: n.door, Host: name, Incarnation: lifetime, Length: turns * 4 / 3, Turns: turns, Place: func() int { return r.place(name) },
+		}),
+		Members: func() []duty.Member { return r.members(name) }, Next: func() []string { return r.next(name) }, Platform: n, Running: func() map[string]int { return map[string]int{"model": 30} },
+		Services: func() []duty.Service {
+			return []duty.Service{{Name: "model", Slots: 8, Scaling: capacity.Scaling{Least: 1, Most: 60, SpotPrice: 0.2, Prices: map[string]float64{"ikeja": 1, "lekki": 1, "yaba": 1}}}}
+		},
+		Stocks: func(string) (map[string]capacity.Stock, bool) {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			return maps.Clone(r.stocks), false
+		},
+		Away: func() []string { return nil }, Logger: log.New(io.Discard),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	r.mu.Lock()
+	r.hosts[name] = n
+	r.mu.Unlock()
+	r.running.Go(func() { n.keeper.Run(ctx) })
+}
+
+// kill ends a life at once: from this moment on it reaches nobody, and nobody it.
+func (r *rig) kill(name string) {
+	r.mu.Lock()
+	n := r.hosts[name]
+	n.dead = true
+	r.mu.Unlock()
+	n.door.Cut(true)
+	n.cancel()
+}
+
+// terminate ends a life as planned: it gives the duties up first, and lives on for a while.
+func (r *rig) terminate(name string) {
+	r.hosts[name].keeper.Leave(context.Background())
+	time.Sleep(leaves)
+	r.kill(name)
+}
+
+// leaves is how long a host that stops still answers.
+const leaves = 2500 * time.Millisecond
+
+// next are the hosts after one.
+func (r *rig) next(name string) []string {
+	var names []string
+	for i := range len(r.hosts) {
+		if other := fmt.Sprintf("front-%d", i); other > name {
+			names = append(names, other)
+		}
+	}
+	return names
+}
+
+// holder is the name of the host that made the newest call; the first host before there is one.
+func (r *rig) holder() string {
+	calls := r.calls.Calls()
+	if len(calls) == 0 {
+		return "front-0"
+	}
+	return calls[len(calls)-1].Holder
+}
+
+func (r *rig) alive(n *node) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !n.dead && !n.silent
+}
+
+// place is how many hosts that live come before one.
+func (r *rig) place(name string) int {
+	place := 0
+	for i := range len(r.hosts) {
+		other := fmt.Sprintf("front-%d", i)
+		if other == name {
+			return place
+		}
+		r.mu.Lock()
+		n := r.hosts[other]
+		r.mu.Unlock()
+		if n != nil && r.alive(n) {
+			place++
+		}
+	}
+	return place
+}
+
+func (r *rig) members(but string) []duty.Member {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var members []duty.Member
+	for name := range r.hosts {
+		if name != but {
+			members = append(members, duty.Member{Name: name, Address: name})
+		}
+	}
+	return members
+}
+
+// Ask implements duty.Asker: it asks a host of the rig by way of what goes over the wire.
+func (n *node) Ask(ctx context.Context, address string, q duty.Question) ([]duty.Answer, error) {
+	n.rig.mu.Lock()
+	other := n.rig.hosts[address]
+	n.rig.mu.Unlock()
+	if !n.rig.alive(n) || !n.rig.alive(other) {
+		<-ctx.Done()
+		return nil, errSilent
+	}
+	return other.keeper.Tell(ctx, q), nil
+}
+
+// Usage implements duty.Platform.
+func (n *node) Usage(ctx context.Context, h duty.Holder, report usage.Report) error {
+	if !n.rig.alive(n) {
+		return errSilent
+	}
+	return platform.NewDuties(callsAddress, n.rig.net.Dial).Usage(ctx, h, report)
+}
+
+// Scale implements duty.Platform.
+func (n *node) Scale(ctx context.Context, h duty.Holder, service string, o capacity.Order) error {
+	if !n.rig.alive(n) {
+		return errSilent
+	}
+	return platform.NewDuties(callsAddress, n.rig.net.Dial).Scale(ctx, h, service, o)
+}
+
+// serve has requests begin at hosts that live, for a while.
+func (r *rig) serve(lasts time.Duration) {
+	workspaces := []string{"weavers", "dyers", "carvers"}
+	for began := time.Now(); time.Since(began) < lasts; time.Sleep(20 * time.Millisecond) {
+		n := r.hosts[fmt.Sprintf("front-%d", r.random.IntN(len(r.hosts)))]
+		if !r.alive(n) {
+			continue
+		}
+		workspace := workspaces[r.random.IntN(len(workspaces))]
+		n.counter.Began(workspace)
+		w := int64(usage.WindowOf(time.Now(), window))
+		if r.began[w] == nil {
+			r.began[w] = map[string]int64{}
+		}
+		r.began[w][workspace]++
+	}
+}
+
+// close ends all hosts.
+func (r *rig) close() {
+	for _, n := range r.hosts {
+		n.cancel()
+	}
+	r.running.Wait()
+	_ = r.server.Close()
+	time.Sleep(time.Minute)
+}
+
+// usageOff is how far a window's count may be from the truth.
+const usageOff = 0.05
+
+// wrong lists the windows, of those that ended a time ago, whose report is missing or off.
+func (r *rig) wrong(ago time.Duration) []string {
+	reports := r.calls.Reports()
+	var found []string
+	for w, truth := range r.began {
+		if time.Since(usage.Window(w).End(window)) < ago {
+			continue
+		}
+		for workspace, n := range truth {
+			off := float64(reports[w][workspace]-n) / float64(n)
+			if off > usageOff || off < -usageOff {
+				found = append(found, fmt.Sprintf("window %d of %s: %d of %d", w, workspace, reports[w][workspace], n))
+				break
+			}
+		}
+	}
+	return found
+}
--- a/internal/fleet/endpoint.go
+++ b/internal/fleet/endpoint.go
@@ -33,6 +33,7 @@
 	Slots    int           // requests it runs at once
 	Draining bool          // it takes nothing new
 	Cold     time.Duration // until it bears its usual load, by its own word
+	Spot     bool          // the platform may take it away at short notice
 }
 
 // WithStart returns the endpoint as one that started at a moment, in Unix ms. What is known
--- /dev/null
+++ b/internal/fleet/stock.go
@@ -0,0 +1,37 @@
+package fleet
+
+import (
+	"maps"
+	"slices"
+
+	"quaybarrow/internal/capacity"
+)
+
+// Stocks counts the endpoints of a service that take requests, by data hall; those of another
+// version than the one in force apart, unless that is empty.
+func (f *Fleet) Stocks(service, inForce string) map[string]capacity.Stock {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	stocks := map[string]capacity.Stock{}
+	for _, m := range f.byService[service] {
+		s := stocks[m.Hall]
+		switch {
+		case m.Draining || m.leaving || !m.lapsed.IsZero():
+		case m.Spot:
+			s.Spot++
+		case inForce != "" && m.Version != inForce:
+			s.Newer++
+		default:
+			s.Ordinary++
+		}
+		stocks[m.Hall] = s
+	}
+	return stocks
+}
+
+// Evacuated lists the data halls that are evacuated, in order.
+func (f *Fleet) Evacuated() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Sorted(maps.Keys(f.evacuated))
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -32,6 +32,7 @@
 	"quaybarrow/internal/route"
 	"quaybarrow/internal/telemetry"
 	"quaybarrow/internal/upgrade"
+	"quaybarrow/internal/usage"
 )
 
 // Options set up a Gateway.
@@ -47,6 +48,8 @@
 	Deadlines  *clock.Deadlines // watched by the host
 	Telemetry  *telemetry.Telemetry
 	Logger     *log.Logger
+	// Usage counts the requests that begin; nil where nobody asks.
+	Usage *usage.Counter
 	// RetryRatio bounds repeats to a part of the first sends.
 	RetryRatio float64
 }
@@ -61,6 +64,7 @@
 	began    clock.Instant // when the host started
 	draining atomic.Bool
 	inFlight atomic.Int64
+	running  *running
 }
 
 // retryReserve is how many repeats a host may make in the window without any first
@@ -69,7 +73,7 @@
 
 // New returns a gateway.
 func New(options Options) *Gateway {
-	return &Gateway{Options: options, sizes: newSizes(), spans: newMeans(), begins: newBeginnings(), began: clock.Now(),
+	return &Gateway{Options: options, sizes: newSizes(), spans: newMeans(), begins: newBeginnings(), running: newRunning(), began: clock.Now(),
 		budgets: retry.NewBudgets(retry.Limits{Ratio: options.RetryRatio, Reserve: retryReserve})}
 }
 
@@ -134,6 +138,7 @@
 	shortest   time.Duration     // shortest one of the last attempt
 	version    string            // of the last attempt's endpoint
 	larger     bool              // a larger model was asked
+	counted    bool              // it has begun to run, and was counted
 	crashes    int               // of endpoints while it ran there
 	held       bool              // it was refused since endpoints crash under it
 	// fingerprint is that by which the request is known when it comes again; it is hashed when
@@ -167,6 +172,8 @@
 // serve sends the request to endpoints and answers it.
 func (x *exchange) serve() {
 	x.g.budgets.First(x.service)
+	x.g.running.add(x.service, 1)
+	defer x.g.running.add(x.service, -1)
 	if x.route.Kind == route.KindStream {
 		x.serveStream()
 		return
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -237,6 +237,7 @@
 	// A rejection comes at once: taken for the beginning of an answer it would tell that
 	// full endpoints read prompts in no time, and have nobody waiting.
 	a.hold.Head(a.said.Load)
+	x.count()
 	a.headAt, a.going = clock.Now(), x.g.Quarantine.Begin(x.fingerprint)
 	x.head, x.expected = clock.Since(a.sentAt), hold.Expected
 	return a, nil
--- a/internal/gatewayd/crashrig_test.go
+++ b/internal/gatewayd/crashrig_test.go
@@ -46,7 +46,10 @@
 	calling  sync.WaitGroup
 	running  sync.WaitGroup // machines, and hosts that were killed
 	server   *http.Server
-	log      safeBuffer
+	duties   *standin.Duties // nil where there are none
+	// dutiesServer serves them.
+	dutiesServer *http.Server
+	log          safeBuffer
 
 	mu       sync.Mutex // guards all below
 	serial   int
@@ -106,6 +109,7 @@
 
 // crashOutcome is how a request went.
 type crashOutcome struct {
+	began  time.Time // when the caller asked
 	sent   time.Time
 	path   string
 	status int // 0 if there was no whole answer
@@ -122,7 +126,10 @@
 	shared bool          // half of the other callers' requests are one and the same
 	killAt time.Duration // all hosts are killed then; 0 for never
 	away   bool          // the store is silent from shortly after the start on
-	lasts  time.Duration
+	duties bool          // the platform has duties for one host
+	// killHolderAt is when the host is killed that has the duties; 0 for never.
+	killHolderAt time.Duration
+	lasts        time.Duration
 }
 
 // playCrashes plays a day.
@@ -145,6 +152,9 @@
 		if d.killAt > 0 {
 			r.calling.Go(func() { r.killAll(ctx, d.killAt) })
 		}
+		if d.killHolderAt > 0 {
+			r.calling.Go(func() { r.killHolder(ctx, d.killHolderAt) })
+		}
 		if d.away {
 			r.store.Break(standin.Silent)
 		}
@@ -159,6 +169,12 @@
 	r.server = &http.Server{Handler: r.store}
 	l := r.net.Listen(storeAddress)
 	go func() { _ = r.server.Serve(l) }()
+	if d.duties {
+		r.duties = standin.NewDuties(dutyTurns)
+		calls := r.net.Listen(dutiesAddress)
+		r.dutiesServer = &http.Server{Handler: r.duties}
+		go func() { _ = r.dutiesServer.Serve(calls) }()
+	}
 	r.store.Put(standin.TableOperator, standin.KeyDeclaration, standin.Declaration(1))
 	for i := range crashMachines {
 		for n, service := range []string{"plain", "model"} {
@@ -209,6 +225,9 @@
 	s.Gateway.First = h.app == nil
 	s.Gateway.Callers, s.Gateway.Ready, s.Gateway.Control, s.Gateway.Peers = h.address(80), h.address(81), h.address(82), h.address(83)
 	s.Gateway.Seeds = []string{"10.0.0.1:82", "10.0.0.2:82"}
+	if h.rig.duties != nil {
+		s.Gateway.Duties, s.Gateway.DutyTurns, s.Gateway.UsageWindow = dutiesAddress, dutyTurns, usageWindow
+	}
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
 		return life.wrap(h.rig.net.Dial(ctx, network, address))
 	}
@@ -242,6 +261,21 @@
 	}
 }
 
+// killHolder kills the host that made the last call that is one host's duty.
+func (r *crashRig) killHolder(ctx context.Context, at time.Duration) {
+	if !sleepFor(ctx, at) {
+		return
+	}
+	calls := r.duties.Calls()
+	for i, h := range r.hosts {
+		if len(calls) > 0 && calls[len(calls)-1].Holder == fmt.Sprint("front-", i) {
+			h.kill()
+			time.Sleep(500 * time.Millisecond)
+			h.start()
+		}
+	}
+}
+
 func (r *crashRig) stop() {
 	for _, m := range r.machines {
 		m.Stop()
@@ -251,6 +285,9 @@
 	}
 	r.running.Wait()
 	_ = r.server.Close()
+	if r.dutiesServer != nil {
+		_ = r.dutiesServer.Close()
+	}
 	time.Sleep(5 * time.Minute)
 }
 
@@ -281,9 +318,10 @@
 		if d.shared && caller%2 == 1 {
 			path, body = "/stream/x", "the same"
 		}
+		asked := time.Now()
 		status := r.ask(ctx, r.draw(crashHosts), path, body)
 		if ctx.Err() == nil { // else the day has ended in the middle of it
-			r.note(path, status, time.Since(began) > d.lasts/2)
+			r.note(asked, path, status, time.Since(began) > d.lasts/2)
 		}
 		sleepFor(ctx, time.Duration(r.draw(200))*time.Millisecond)
 	}
@@ -296,7 +334,7 @@
 	for ctx.Err() == nil {
 		first := r.draw(crashHosts)
 		for i := range max(d.once, 1) {
-			under.Go(func() { r.note(crashBody, r.ask(ctx, (first+i)%crashHosts, d.path+"x", crashBody), false) })
+			under.Go(func() { r.note(time.Now(), crashBody, r.ask(ctx, (first+i)%crashHosts, d.path+"x", crashBody), false) })
 		}
 		sleepFor(ctx, d.every)
 	}
@@ -339,10 +377,10 @@
 	return a.Status
 }
 
-func (r *crashRig) note(path string, status int, later bool) {
+func (r *crashRig) note(began time.Time, path string, status int, later bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.outcomes = append(r.outcomes, crashOutcome{sent: time.Now(), path: path, status: status, later: later})
+	r.outcomes = append(r.outcomes, crashOutcome{began: began, sent: time.Now(), path: path, status: status, later: later})
 }
 
 // served is the part of the ordinary requests that got an answer, in the second half of the
--- /dev/null
+++ b/internal/gatewayd/duties_test.go
@@ -0,0 +1,56 @@
+package gatewayd_test
+
+import (
+	"math"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"quaybarrow/internal/usage"
+)
+
+// What the platform tells of its duties.
+const (
+	dutiesAddress = "10.9.0.2:80"
+	dutyTurns     = 3 * time.Second
+	usageWindow   = 5 * time.Second
+	// usageOff is how far a count may be from the truth, and usageDue how long after its end a
+	// window is to be reported.
+	usageOff = 0.05
+	usageDue = 10 * time.Second
+)
+
+// TestDutiesOfOneHost plays a day of hosts with callers: usage is reported as it was, by one host
+// at a time, also where the one that reports is killed.
+func TestDutiesOfOneHost(t *testing.T) {
+	for name, killed := range map[string]bool{"calm": false, "its holder is killed": true} {
+		t.Run(name, func(t *testing.T) {
+			playCrashes(t, crashDay{duties: true, lasts: 30 * time.Second, killHolderAt: map[bool]time.Duration{true: 12 * time.Second}[killed]}, func(r *crashRig) {
+				time.Sleep(usageDue)
+				Expect(r.duties.Violations()).To(BeEmpty())
+				served := map[int64]int64{}
+				first, last := int64(math.MaxInt64), int64(0)
+				for _, o := range r.outcomes {
+					w := int64(usage.WindowOf(o.began, usageWindow))
+					first, last = min(first, w), max(last, w)
+					if o.status == http.StatusOK {
+						served[w]++
+					}
+				}
+				// Callers came in a part of the first and the last window only, and what was in
+				// hand at the end is not among the outcomes.
+				delete(served, first)
+				delete(served, last)
+				reports := r.duties.Reports()
+				for w, truth := range served {
+					if off := float64(reports[w]["weavers"]-truth) / float64(truth); off > usageOff || off < -usageOff {
+						t.Errorf("window %d: %d reported of %d", w, reports[w]["weavers"], truth)
+					}
+				}
+				Expect(len(served)).To(BeNumerically(">=", 4))
+			})
+		})
+	}
+}
--- a/internal/gatewayd/host.go
+++ b/internal/gatewayd/host.go
@@ -17,6 +17,7 @@
 	"quaybarrow/internal/advice"
 	"quaybarrow/internal/clock"
 	"quaybarrow/internal/conn"
+	"quaybarrow/internal/duty"
 	"quaybarrow/internal/fleet"
 	"quaybarrow/internal/follow"
 	"quaybarrow/internal/gateway"
@@ -61,6 +62,7 @@
 	Upgrades   *upgrade.Tracker
 	Advice     *advice.Advisor
 	Quarantine *quarantine.Book
+	Duties     *duty.Keeper
 	Gateway    *gateway.Gateway
 	Deadlines  *clock.Deadlines
 }
@@ -84,6 +86,7 @@
 	h.peers = p.Spread.Server(p.TLS.ServerCredentials())
 	p.Advice.Register(h.peers)
 	quarantine.Register(h.peers, p.Quarantine.Hear)
+	p.Duties.Register(h.peers)
 	h.control = &http.Server{Handler: h.figures(), ReadHeaderTimeout: headTimeout}
 	return h
 }
@@ -191,7 +194,7 @@
 	return []func(context.Context){
 		table(platform.TableOperator, &operators{holder: h.Holder, fleet: h.Fleet, upgrades: h.Upgrades, logger: h.Logger}),
 		table(platform.TableEndpoints, &endpoints{fleet: h.Fleet, pool: h.Pool, quarantine: h.Quarantine, upgrades: h.Upgrades, halls: h.Settings.Gateway.Halls, logger: h.Logger}),
-		h.Spread.Run, h.Upgrades.Run, h.Quarantine.Run, h.sweep, h.reload,
+		h.Spread.Run, h.Upgrades.Run, h.Quarantine.Run, h.Duties.Run, h.sweep, h.reload,
 		func(ctx context.Context) { telemetry.WatchSuspensions(ctx, h.Deadlines, h.Telemetry, h.Logger) },
 	}
 }
@@ -214,6 +217,7 @@
 	h.Gateway.Drain()
 	h.Logger.Info("draining", "in_flight", h.Gateway.InFlight())
 	h.Spread.Stop()
+	h.Duties.Leave(ctx)
 	clock.Sleep(ctx, leaveTime-clock.Since(started))
 	h.finish(ctx, started.Add(h.now.Load().Gateway.Grace-stopMargin))
 	h.cancel()
--- a/internal/gatewayd/module.go
+++ b/internal/gatewayd/module.go
@@ -37,6 +37,7 @@
 	"quaybarrow/internal/telemetry"
 	"quaybarrow/internal/tlsfiles"
 	"quaybarrow/internal/upgrade"
+	"quaybarrow/internal/usage"
 	"quaybarrow/platform"
 )
 
@@ -74,7 +75,7 @@
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.Supply(s, ports),
 		fx.Provide(
-			newLines, newLogger, newTelemetry, newTLS, newStore, newWatcher, clock.NewDeadlines, route.NewHolder, newFleet, newPool, newTracker, newAdvisor, newQuarantine, newGateway, newHost,
+			newLines, newLogger, newTelemetry, newTLS, newStore, newWatcher, clock.NewDeadlines, route.NewHolder, newFleet, newPool, newTracker, newAdvisor, newQuarantine, newLifetime, newUsage, newDuties, newGateway, newHost,
 		),
 		fx.Invoke(func(lc fx.Lifecycle, h *Host) {
 			lc.Append(fx.Hook{OnStart: h.Start, OnStop: h.Stop})
@@ -200,10 +201,10 @@
 }
 
 func newGateway(s settings.Settings, h *route.Holder, f *fleet.Fleet, p *conn.Pool, u *upgrade.Tracker, a *advice.Advisor,
-	q *quarantine.Book, d *clock.Deadlines, t *telemetry.Telemetry, l *log.Logger,
+	q *quarantine.Book, counter *usage.Counter, d *clock.Deadlines, t *telemetry.Telemetry, l *log.Logger,
 ) *gateway.Gateway {
 	return gateway.New(gateway.Options{
-		Holder: h, Fleet: f, Pool: p, Upgrades: u, Codec: platform.Heads{}, Advice: a, Quarantine: q, Deadlines: d, Telemetry: t, Logger: l,
+		Holder: h, Fleet: f, Pool: p, Upgrades: u, Codec: platform.Heads{}, Advice: a, Quarantine: q, Deadlines: d, Telemetry: t, Logger: l, Usage: counter,
 		RetryRatio: retryPart * s.Gateway.RetryRatio,
 	})
 }
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -124,13 +124,23 @@
 type Manager struct {
 	options Options
 
+	look chan struct{} // a signal to look at leases at once
+
 	mu   sync.Mutex // guards seen
 	seen map[string]sighting
 }
 
 // NewManager returns a manager that holds nothing.
 func NewManager(options Options) *Manager {
-	return &Manager{options: options, seen: map[string]sighting{}}
+	return &Manager{options: options, look: make(chan struct{}, 1), seen: map[string]sighting{}}
+}
+
+// Look has the host look at its leases at once: one was released.
+func (m *Manager) Look() {
+	select {
+	case m.look <- struct{}{}:
+	default:
+	}
 }
 
 // Acquire takes a lease, or returns ErrHeld.
--- a/internal/lease/run.go
+++ b/internal/lease/run.go
@@ -27,8 +27,11 @@
 				m.hold(ctx, l, duty)
 			}
 		}
-		if !clock.Sleep(ctx, m.pause(period)) {
+		select {
+		case <-ctx.Done():
 			return
+		case <-m.look:
+		case <-time.After(m.pause(period)):
 		}
 	}
 }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -14,10 +14,13 @@
 
 import (
 	"cmp"
+	"maps"
 	"net"
 	"slices"
 	"strings"
 	"time"
+
+	"quaybarrow/internal/capacity"
 )
 
 // Kind says how often a request may run.
@@ -102,6 +105,8 @@
 	Models      []Model
 	ColdFor     time.Duration // after its start an endpoint is cold so long
 	ColdRate    float64       // requests a second that a cold endpoint bears; 0 where it bears as many as others
+	// Scaling is how many endpoints may be ordered; zero where none are.
+	Scaling capacity.Scaling
 }
 
 // Workspace is who calls.
@@ -192,6 +197,11 @@
 	return w, ok
 }
 
+// Services lists all services, by name.
+func (t *Table) Services() []Service {
+	return slices.SortedFunc(maps.Values(t.services), func(a, b Service) int { return cmp.Compare(a.Name, b.Name) })
+}
+
 // Service finds a service by name.
 func (t *Table) Service(name string) (Service, bool) {
 	s, ok := t.services[name]
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -48,6 +48,13 @@
 	// Halls are the regions of all data halls, by hall; an endpoint in any other is not
 	// used. None are known where it is empty.
 	Halls map[string]string `yaml:"halls"`
+	// Duties is the address, ip:port, of the platform's service for what one host does for
+	// all; empty where there are no such duties.
+	Duties string `yaml:"duties"`
+	// DutyTurns is the time in which hosts must not do a duty in turns.
+	DutyTurns time.Duration `yaml:"duty_turns"`
+	// UsageWindow is the length of the windows in which usage is reported; 0 reports none.
+	UsageWindow time.Duration `yaml:"usage_window"`
 	// Grace is how long after the order to stop the host is ended by force.
 	Grace time.Duration `yaml:"grace"`
 }
@@ -108,6 +115,15 @@
 			problems = append(problems, problem{n.field, "must be more than 0"})
 		}
 	}
+	if g.Duties != "" && !isAddress(g.Duties) {
+		problems = append(problems, problem{"$.gateway.duties", fmt.Sprintf("%q is not an address: write ip:port", g.Duties)})
+	}
+	if g.Duties != "" && g.DutyTurns <= 0 {
+		problems = append(problems, problem{"$.gateway.duty_turns", "must be more than 0 where there are duties"})
+	}
+	if g.UsageWindow < 0 {
+		problems = append(problems, problem{"$.gateway.usage_window", "must not be less than 0"})
+	}
 	if g.Exposure < 0 || g.Exposure > 1 {
 		problems = append(problems, problem{"$.gateway.exposure", "must be from 0 to 1"})
 	}
--- a/internal/soak/crashes.go
+++ b/internal/soak/crashes.go
@@ -145,7 +145,8 @@
 	if _, err := io.WriteString(c, q.Text()); err != nil {
 		return
 	}
-	w.history.add(outcome{id: id, path: r.path[:strings.Index(r.path, crashMark)], answer: standin.ReadAnswer(bufio.NewReader(c)), crashes: true}, false)
+	path, _, _ := strings.Cut(r.path, crashMark)
+	w.history.add(outcome{id: id, path: path, answer: standin.ReadAnswer(bufio.NewReader(c)), crashes: true}, false)
 }
 
 // lateSends lists requests under which endpoints crash that hosts went on sending.
--- a/internal/spread/peers.go
+++ b/internal/spread/peers.go
@@ -70,6 +70,7 @@
 	mu     sync.Mutex // guards all below
 	ranked []peer     // in the order in which this host asks; the seeds until the list was read
 	before []string   // addresses of the data hall's hosts that come before this one
+	after  []string   // addresses of those that come after it
 	leads  bool       // this host is listed, and none comes before it
 	all    int
 	halls  int // that have hosts
@@ -88,7 +89,8 @@
 
 // set replaces the list.
 func (p *peers) set(entries map[string]entry) {
-	ranked, before := rankedFor(entries, p.self, p.hall), beforeIn(entries, p.self, p.hall)
+	ranked := rankedFor(entries, p.self, p.hall)
+	before, after := aroundIn(entries, p.self, p.hall)
 	_, listed := entries[p.self]
 	halls := map[string]bool{}
 	for _, e := range entries {
@@ -96,7 +98,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.ranked, p.all, p.before, p.halls = ranked, len(entries), before, len(halls)
+	p.ranked, p.all, p.before, p.after, p.halls = ranked, len(entries), before, after, len(halls)
 	p.leads = listed && len(before) == 0
 }
 
@@ -127,10 +129,10 @@
 	return ranked
 }
 
-// beforeIn lists the addresses of the hosts that come before one of them, those that
+// aroundIn lists the addresses of the hosts that come before and after one of them, those that
 // may use more of a processor first: of all data halls while they are few, of its own
 // one beyond that.
-func beforeIn(entries map[string]entry, self, hall string) []string {
+func aroundIn(entries map[string]entry, self, hall string) (before, after []string) {
 	var members []peer
 	if len(entries) <= togetherMost {
 		hall = ""
@@ -141,14 +143,16 @@
 		}
 	}
 	slices.SortFunc(members, byCoresAndRank)
-	var before []string
-	for _, q := range members {
+	for i, q := range members {
 		if q.name == self {
-			return before
+			for _, q := range members[i+1:] {
+				after = append(after, q.address)
+			}
+			return before, after
 		}
 		before = append(before, q.address)
 	}
-	return nil // this host is not listed yet
+	return nil, nil // this host is not listed yet
 }
 
 func byCoresAndRank(a, b peer) int {
@@ -297,6 +301,13 @@
 	return w.peers.before
 }
 
+// After returns the addresses of those that come after it.
+func (w *Watcher) After() []string {
+	w.peers.mu.Lock()
+	defer w.peers.mu.Unlock()
+	return w.peers.after
+}
+
 // enlist writes this host's row.
 func (w *Watcher) enlist(ctx context.Context) error {
 	data, err := codec.Encode(w.own())
--- a/internal/upgrade/standing.go
+++ b/internal/upgrade/standing.go
@@ -58,6 +58,18 @@
 	return standing
 }
 
+// UnderWay returns the version from which a service is being moved; false if no upgrade of it
+// is under way.
+func (t *Tracker) UnderWay(name string) (from string, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, known := t.services[name]
+	if !known || s.finished() {
+		return "", false
+	}
+	return t.inForce(name, s), true
+}
+
 // begun reports whether the progress of the newest order is known.
 func (s *service) begun() bool {
 	return s.row.Version != 0 && s.progress.Revision == s.order.Revision
--- /dev/null
+++ b/internal/usage/counter.go
@@ -0,0 +1,70 @@
+package usage
+
+import (
+	"maps"
+	"sync"
+	"time"
+
+	"quaybarrow/internal/clock"
+)
+
+const (
+	// grain is how exactly it is known when a request began.
+	grain = 100 * time.Millisecond
+	// rememberFor is how long a host can be asked for what it counted: a window is to be
+	// reported 10 s after its end, and the host that does so may have died meanwhile.
+	rememberFor = 40 * time.Second
+)
+
+// Counter counts the requests that begin on a host; safe for use at once.
+type Counter struct {
+	lifetime string
+	began    clock.Instant
+
+	mu    sync.Mutex // guards all below
+	slots map[int64]Counts
+	swept int64
+}
+
+// NewCounter returns a counter of a life of a host.
+func NewCounter(lifetime string) *Counter {
+	return &Counter{lifetime: lifetime, began: clock.Now(), slots: map[int64]Counts{}}
+}
+
+// Began counts a request that begins now.
+func (c *Counter) Began(workspace string) {
+	slot := int64(clock.Since(c.began) / grain)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.slots[slot] == nil {
+		c.slots[slot] = Counts{}
+	}
+	c.slots[slot][workspace]++
+	c.sweep(slot - int64(rememberFor/grain))
+}
+
+// sweep drops slots before one, at most once in each.
+func (c *Counter) sweep(before int64) {
+	if before <= c.swept {
+		return
+	}
+	c.swept = before
+	maps.DeleteFunc(c.slots, func(slot int64, _ Counts) bool { return slot < before })
+}
+
+// Account is what was counted in windows of a length from one on, if the time of day is now.
+func (c *Counter) Account(now time.Time, length time.Duration, since Window) Account {
+	passed := clock.Since(c.began)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	a := Account{Lifetime: c.lifetime, Windows: map[Window]Counts{}}
+	for slot, counts := range c.slots {
+		middle := time.Duration(slot)*grain + grain/2
+		w := WindowOf(now.Add(middle-passed), length)
+		if w < since {
+			continue
+		}
+		a.Windows[w] = a.Windows[w].plus(counts)
+	}
+	return a
+}
--- /dev/null
+++ b/internal/usage/usage_test.go
@@ -0,0 +1,137 @@
+package usage_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"quaybarrow/internal/clock"
+	"quaybarrow/internal/standin/suite"
+	"quaybarrow/internal/usage"
+)
+
+const window = 5 * time.Second
+
+// day is a time of day at the start of a window.
+var day = time.UnixMilli(353_445_120 * window.Milliseconds())
+
+// first is the window that begins then.
+var first = usage.WindowOf(day, window)
+
+var _ = Describe("usage", func() {
+	It("is counted in the window in which a request begins, whatever the host's time of day", func() {
+		suite.Paused(func() {
+			c := usage.NewCounter("a")
+			for range 12 { // one a second, the first in the middle of a second
+				time.Sleep(500 * time.Millisecond)
+				c.Began("weavers")
+				time.Sleep(500 * time.Millisecond)
+			}
+			a := c.Account(day.Add(12*time.Second), window, 0)
+			Expect(a.Windows).To(Equal(map[usage.Window]usage.Counts{
+				first: {"weavers": 5}, first + 1: {"weavers": 5}, first + 2: {"weavers": 2},
+			}))
+			later := c.Account(day.Add(14*time.Second), window, first+1) // by another time of day
+			Expect(later.Windows).To(Equal(map[usage.Window]usage.Counts{first + 1: {"weavers": 5}, first + 2: {"weavers": 4}}))
+		})
+	})
+
+	It("is remembered for a while only", func() {
+		suite.Paused(func() {
+			c := usage.NewCounter("a")
+			c.Began("weavers")
+			time.Sleep(time.Minute)
+			c.Began("weavers")
+			a := c.Account(day, window, 0)
+			Expect(a.Windows).To(HaveLen(1))
+		})
+	})
+
+	It("is reported once all hosts have answered after a window's end", func() {
+		l := usage.NewLedger(window)
+		l.Reported(first - 1)
+		l.Take("a", usage.Account{Lifetime: "a1", Windows: map[usage.Window]usage.Counts{first: {"weavers": 3}}}, day.Add(4*time.Second))
+		l.Take("b", usage.Account{Lifetime: "b1", Windows: map[usage.Window]usage.Counts{first: {"weavers": 1, "dyers": 2}}}, day.Add(6*time.Second))
+		Expect(l.Due(day.Add(6 * time.Second))).To(BeEmpty())
+		l.Take("a", usage.Account{Lifetime: "a1", Windows: map[usage.Window]usage.Counts{first: {"weavers": 4}}}, day.Add(7*time.Second))
+		Expect(l.Due(day.Add(7 * time.Second))).To(Equal([]usage.Report{{Window: first, Counts: usage.Counts{"weavers": 5, "dyers": 2}}}))
+	})
+
+	It("has what a host counted before it died, and what its next life counts", func() {
+		l := usage.NewLedger(window)
+		l.Reported(first - 1)
+		l.Take("a", usage.Account{Lifetime: "a1", Windows: map[usage.Window]usage.Counts{first: {"weavers": 3}}}, day.Add(2*time.Second))
+		l.Take("a", usage.Account{Lifetime: "a2", Windows: map[usage.Window]usage.Counts{first: {"weavers": 2}}}, day.Add(6*time.Second))
+		Expect(l.Due(day.Add(6 * time.Second))).To(Equal([]usage.Report{{Window: first, Counts: usage.Counts{"weavers": 5}}}))
+	})
+
+	It("has what a host that died had told another", func() {
+		l := usage.NewLedger(window)
+		l.Reported(first - 1)
+		l.Take("a", usage.Account{Lifetime: "a1", Windows: map[usage.Window]usage.Counts{first: {"weavers": 3}}}, day.Add(6*time.Second))
+		l.Add(usage.Account{Lifetime: "b1", Windows: map[usage.Window]usage.Counts{first - 1: {"weavers": 9}, first: {"weavers": 2, "dyers": 1}}})
+		l.Add(usage.Account{Lifetime: "b1", Windows: map[usage.Window]usage.Counts{first: {"weavers": 1, "dyers": 2}}})
+		Expect(l.Due(day.Add(6 * time.Second))).To(Equal([]usage.Report{{Window: first, Counts: usage.Counts{"weavers": 5, "dyers": 2}}}))
+	})
+
+	It("does not wait long for a host that is silent", func() {
+		l := usage.NewLedger(window)
+		l.Reported(first - 1)
+		l.Take("a", usage.Account{Lifetime: "a1", Windows: map[usage.Window]usage.Counts{first: {"weavers": 3}}}, day.Add(2*time.Second))
+		l.Take("b", usage.Account{Lifetime: "b1"}, day.Add(8*time.Second))
+		Expect(l.Due(day.Add(9 * time.Second))).To(BeEmpty())
+		Expect(l.Due(day.Add(10 * time.Second))).To(HaveLen(1))
+	})
+
+	It("is reported of windows without requests too, once there were some", func() {
+		l := usage.NewLedger(window)
+		Expect(l.Due(day)).To(BeEmpty())
+		l.Reported(first)
+		Expect(l.Due(day.Add(20 * time.Second))).To(BeEmpty()) // nobody has told that there were none
+		l.Take("a", usage.Account{Lifetime: "a1"}, day.Add(16*time.Second))
+		Expect(l.Due(day.Add(20 * time.Second))).To(Equal([]usage.Report{
+			{Window: first + 1, Counts: usage.Counts{}}, {Window: first + 2, Counts: usage.Counts{}},
+		}))
+	})
+
+	It("is not reported twice", func() {
+		l := usage.NewLedger(window)
+		l.Take("a", usage.Account{Lifetime: "a1", Windows: map[usage.Window]usage.Counts{first: {"weavers": 3}}}, day.Add(6*time.Second))
+		Expect(l.Due(day.Add(6 * time.Second))).To(HaveLen(1))
+		l.Reported(first)
+		Expect(l.Due(day.Add(6 * time.Second))).To(BeEmpty())
+		Expect(l.Since(day.Add(6 * time.Second))).To(Equal(first + 1))
+	})
+})
+
+var _ = Describe("the time of day", func() {
+	shown := func(ahead ...time.Duration) []usage.Shown {
+		var all []usage.Shown
+		for _, d := range ahead {
+			all = append(all, usage.Shown{At: clock.Now(), Time: day.Add(d)})
+		}
+		return all
+	}
+
+	It("is what most hosts take it to be, and goes on", func() {
+		suite.Paused(func() {
+			t := usage.TimeOfDay{}.With(shown(0, 2400*time.Millisecond, 10*time.Millisecond, 5*time.Millisecond, 2400*time.Millisecond), 5)
+			time.Sleep(time.Second)
+			now, known := t.Now()
+			Expect(known).To(BeTrue())
+			Expect(now).To(Equal(day.Add(1010 * time.Millisecond)))
+		})
+	})
+
+	It("stays what it was where few hosts answer", func() {
+		suite.Paused(func() {
+			t := usage.TimeOfDay{}.With(shown(0, 0, 0), 5)
+			t = t.With(shown(2400*time.Millisecond, 2400*time.Millisecond), 5)
+			now, _ := t.Now()
+			Expect(now).To(Equal(day))
+			_, known := usage.TimeOfDay{}.With(shown(0), 5).Now()
+			Expect(known).To(BeFalse())
+		})
+	})
+})
