What a host knows of an endpoint takes room once it has had to do with it

Cause: each listed endpoint had room for prompts kept, waits of ten ranks and a backlog, with strings of its own, on each host, though a host of a thousand uses a few of ten thousand endpoints.

Change: that room is made at the first request there; words that many entries tell alike are kept once.

--- a/internal/fleet/await.go
+++ b/internal/fleet/await.go
@@ -26,7 +26,7 @@
 	f.tickets++
 	a := awaited{ticket: f.tickets, sent: now, due: now.Add(expected.Head), rank: rank(urgency), work: expected.Work}
 	m.booked = now.Add(m.readsFor(UrgencyLeast, now) + a.work)
-	m.backlog.add(a.rank, 1, a.work)
+	m.deals().backlog.add(a.rank, 1, a.work)
 	m.awaiting = append(m.awaiting, a)
 	return f.tickets
 }
@@ -51,7 +51,7 @@
 		if !drop(a) {
 			return false
 		}
-		m.backlog.add(a.rank, -1, -a.work)
+		m.deals().backlog.add(a.rank, -1, -a.work)
 		return true
 	})
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -59,6 +59,7 @@
 	mu        sync.Mutex               // guards all below
 	members   map[string]*member       // by ID
 	instances map[string]*member       // by what they call themselves
+	words     map[string]string        // what many endpoints tell alike
 	evacuated map[string]clock.Instant // data halls that get nothing, and since when
 	read      bool                     // the list was read whole; who comes after it has just started
 	byService map[string][]*member
@@ -83,10 +84,9 @@
 	crowd    *crowd   // what endpoints of its service say; nil before it is listed
 	saidAt   clock.Instant
 	booked   clock.Instant // until when it should have read all prompts that were sent there
-	backlog  backlog
-	advised  []advised               // requests of other hosts there that have not ended
-	awaiting []awaited               // requests whose answers have not begun, in the order of their sending
-	waits    [urgencies]observedWait // of the last answer of each rank
+	dealings *dealings     // nil before this host has sent there or heard of it
+	advised  []advised     // requests of other hosts there that have not ended
+	awaiting []awaited     // requests whose answers have not begun, in the order of their sending
 	health   health
 	shunned  clock.Instant // it fails other hosts; left alone until then
 	lapsed   clock.Instant // to be dropped then unless it is listed again; zero if listed
@@ -111,7 +111,7 @@
 		options.Random = rand.Float64
 	}
 	return &Fleet{
-		options: options, known: make(chan struct{}), members: map[string]*member{}, instances: map[string]*member{}, evacuated: map[string]clock.Instant{}, byService: map[string][]*member{}, readings: map[string]*reading{},
+		options: options, known: make(chan struct{}), members: map[string]*member{}, instances: map[string]*member{}, words: map[string]string{}, evacuated: map[string]clock.Instant{}, byService: map[string][]*member{}, readings: map[string]*reading{},
 		prices: map[string]price{}, overruns: map[string]Overrun{}, crowds: map[string]*crowd{}, stays: map[string]time.Duration{}, turns: map[string]*admission.Turns{}, memory: memory{holders: map[uint64][]*member{}}, tickets: rand.Int64N(ticketsFrom),
 	}
 }
@@ -133,7 +133,7 @@
 	default:
 		close(f.known)
 	}
-	e.Instance = e.name()
+	e = f.alike(e)
 	old, listed := f.instances[e.Instance]
 	if listed && e.Born == 0 {
 		e.ID, e.Born = old.ID, old.Born // it does not tell this time
@@ -148,7 +148,7 @@
 	}
 	m, ok := f.members[e.ID]
 	if !ok {
-		m = &member{seed: xxhash.Sum64String(e.Instance), kept: newKept()}
+		m = &member{seed: xxhash.Sum64String(e.Instance)}
 		f.members[e.ID], f.instances[e.Instance] = m, m
 	}
 	if ok && m.Service != e.Service {
--- a/internal/fleet/heard.go
+++ b/internal/fleet/heard.go
@@ -51,11 +51,11 @@
 	f.echo(m, h.Load, m.flying)
 	r := f.readingOf(h.Service, h.Model)
 	if rank(h.Urgency) == UrgencyLeast {
-		m.waits[UrgencyLeast] = observedWait{wait: max(0, h.Took-r.head(h.Read)), at: f.options.Now()}
+		m.deals().waits[UrgencyLeast] = observedWait{wait: max(0, h.Took-r.head(h.Read)), at: f.options.Now()}
 		return // it waited for all others on purpose
 	}
 	wait := max(0, h.Took-r.head(h.Read))
-	m.waits[rank(h.Urgency)] = observedWait{wait: wait, at: f.options.Now()}
+	m.deals().waits[rank(h.Urgency)] = observedWait{wait: wait, at: f.options.Now()}
 	f.prices[h.Service] = f.prices[h.Service].with(wait, r.tokens(h.Read))
 	f.overruns[h.Service] = f.overruns[h.Service].with(h.Took, h.Expected)
 	r.add(h)
--- a/internal/fleet/memory.go
+++ b/internal/fleet/memory.go
@@ -32,12 +32,17 @@
 	tokens int
 }
 
-func newKept() kept {
+// ready makes room for parts: most endpoints of a large service never get a prompt from a host,
+// and have none.
+func (k *kept) ready() {
+	if k.parts != nil {
+		return
+	}
 	parts, err := simplelru.NewLRU[uint64, int](memoryEntries, nil)
 	if err != nil {
 		panic(err) // only a size below one is refused
 	}
-	return kept{parts: parts}
+	k.parts = parts
 }
 
 // memory is where parts of prompts are kept; the fleet's lock guards it.
@@ -48,6 +53,7 @@
 
 // note takes in that a prompt is read at an endpoint.
 func (y *memory) note(m *member, parts []Part, budget int) {
+	m.kept.ready()
 	for _, p := range parts {
 		old, known := m.kept.parts.Get(p.ID)
 		m.kept.tokens += p.Tokens - old
@@ -74,6 +80,9 @@
 
 // forget takes in that an endpoint has not read a prompt after all.
 func (y *memory) forget(m *member, parts []Part) {
+	if m.kept.parts == nil {
+		return
+	}
 	for _, p := range parts {
 		tokens, ok := m.kept.parts.Peek(p.ID)
 		if !ok {
@@ -87,10 +96,13 @@
 
 // drop takes in that an endpoint is gone.
 func (y *memory) drop(m *member) {
+	if m.kept.parts == nil {
+		return
+	}
 	for _, id := range m.kept.parts.Keys() {
 		y.release(id, m)
 	}
-	m.kept = newKept()
+	m.kept = kept{}
 }
 
 func (y *memory) release(id uint64, m *member) {
--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -109,7 +109,7 @@
 	case h.begun:
 		h.fleet.stayed(m.Service, now.Sub(h.sent)-h.took)
 	default: // no head came: the wait was at least so long
-		m.waits[rank(h.ask.Urgency)] = observedWait{wait: max(0, now.Sub(h.sent)-h.idle), at: now}
+		m.deals().waits[rank(h.ask.Urgency)] = observedWait{wait: max(0, now.Sub(h.sent)-h.idle), at: now}
 	}
 	m.flying--
 	if r.Outcome == OutcomeRefused || r.Outcome == OutcomeLost {
--- a/internal/fleet/urgency.go
+++ b/internal/fleet/urgency.go
@@ -73,8 +73,11 @@
 // lately waited at an endpoint beyond what their prompts took; it fades as nothing more
 // is heard.
 func (m *member) waiting(rank int, now clock.Instant) time.Duration {
+	if m.dealings == nil {
+		return 0
+	}
 	longest := time.Duration(0)
-	for _, w := range m.waits[:rank+1] {
+	for _, w := range m.dealings.waits[:rank+1] {
 		longest = max(longest, w.faded(now))
 	}
 	return longest
@@ -85,7 +88,10 @@
 // clock alone a host that thought engines slower than they are took them for busy 20 s
 // after four times the usual load had ended.
 func (m *member) readsFor(rank int, now clock.Instant) time.Duration {
-	before, behind := m.backlog.before(rank)
+	if m.dealings == nil {
+		return 0
+	}
+	before, behind := m.dealings.backlog.before(rank)
 	all := max(0, min(m.booked.Sub(now), before+behind))
 	return max(0, all-behind)
 }
@@ -94,7 +100,10 @@
 // over them that don't go behind it end one after the other, each after the usual stay.
 func (m *member) slotWait(rank int, load float64, stay time.Duration) time.Duration {
 	slots := float64(m.slots())
-	over := load*slots - float64(m.backlog.behind(rank)) + 1 - slots
+	over := load*slots + 1 - slots
+	if m.dealings != nil {
+		over -= float64(m.dealings.backlog.behind(rank))
+	}
 	return max(0, time.Duration(over/slots*float64(stay)))
 }
 
