A choice among thousands of endpoints weighs a few of them

Cause: each choice weighed every endpoint of the service and looked at each for the prompt's home: 2.6 ms among 10,000, 7.8 ms among 20,000, several times as long on a fifth of a core, and each answer of an adviser looked at all endpoints for those that fail.

Change: beyond 256 endpoints those are weighed that keep the most of the prompt or its beginning, its homes on a ring that all hosts agree on, and a few drawn by chance, most of them near (power of a few choices). All are weighed where none of these may be used. Endpoints that fail others are kept in a list.

Ruled out: a heap by load, which does not know the prompt; a fixed subset, which has to be sized.

Services of up to 256 endpoints are weighed as before.

--- a/internal/fleet/advise.go
+++ b/internal/fleet/advise.go
@@ -135,10 +135,10 @@
 	}
 	now := f.options.Now()
 	for range min(t.Good, learnMost) {
-		m.health = m.health.with(OutcomeGood, now, f.options.EjectMost)
+		f.judge(m, OutcomeGood, now)
 	}
 	for range min(t.Failed, learnMost) {
-		m.health = m.health.with(OutcomeFailed, now, f.options.EjectMost)
+		f.judge(m, OutcomeFailed, now)
 	}
 	if t.Good > 0 {
 		f.met(m, OutcomeGood, now)
@@ -150,7 +150,7 @@
 		f.met(m, OutcomeLost, now)
 	}
 	if t.Lost > 0 && !now.Before(m.health.until) {
-		m.health = m.health.with(OutcomeLost, now, f.options.EjectMost)
+		f.judge(m, OutcomeLost, now)
 	}
 }
 
@@ -160,14 +160,25 @@
 	defer f.mu.Unlock()
 	now := f.options.Now()
 	var ids []string
-	for id, m := range f.members {
-		if m.health.until.Sub(now) > ejectedLeast && len(ids) < ejectedMost {
+	for id, m := range f.ejected {
+		switch {
+		case !now.Before(m.health.until):
+			delete(f.ejected, id)
+		case m.health.until.Sub(now) > ejectedLeast && len(ids) < ejectedMost:
 			ids = append(ids, id)
 		}
 	}
 	return ids
 }
 
+// judge takes in how an attempt at an endpoint went, for its health.
+func (f *Fleet) judge(m *member, o Outcome, now clock.Instant) {
+	m.health = m.health.with(o, now, f.options.EjectMost)
+	if now.Before(m.health.until) {
+		f.ejected[m.ID] = m
+	}
+}
+
 // Shun leaves endpoints alone that fail other hosts, for a moment and while others
 // are there.
 func (f *Fleet) Shun(ids []string) {
--- a/internal/fleet/evacuate.go
+++ b/internal/fleet/evacuate.go
@@ -58,6 +58,6 @@
 func (f *Fleet) Away(service string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	list := f.byService[service]
+	list := f.endpointsOf(service)
 	return len(list) > 0 && !slices.ContainsFunc(list, func(m *member) bool { return !f.away(m) })
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -62,8 +62,9 @@
 	words     map[string]string        // what many endpoints tell alike
 	evacuated map[string]clock.Instant // data halls that get nothing, and since when
 	read      bool                     // the list was read whole; who comes after it has just started
-	byService map[string][]*member
-	readings  map[string]*reading         // by service and model
+	byService map[string]*pool
+	ejected   map[string]*member // by ID, those that were lately; others may be among them
+	readings  map[serves]*reading
 	prices    map[string]price            // of an engine's second, by service
 	crowds    map[string]*crowd           // by service
 	overruns  map[string]Overrun          // by service
@@ -77,6 +78,8 @@
 type member struct {
 	Endpoint
 	seed     uint64   // hash of the id
+	place    place    // in the pool of its service
+	inHall   string   // by which it stands there
 	models   []string // that it said it has loaded; nil if it did not say
 	leaving  bool     // it said so itself
 	flying   int      // this host's requests there
@@ -111,7 +114,7 @@
 		options.Random = rand.Float64
 	}
 	return &Fleet{
-		options: options, known: make(chan struct{}), members: map[string]*member{}, instances: map[string]*member{}, words: map[string]string{}, evacuated: map[string]clock.Instant{}, byService: map[string][]*member{}, readings: map[string]*reading{},
+		options: options, known: make(chan struct{}), members: map[string]*member{}, instances: map[string]*member{}, words: map[string]string{}, evacuated: map[string]clock.Instant{}, byService: map[string]*pool{}, ejected: map[string]*member{}, readings: map[serves]*reading{},
 		prices: map[string]price{}, overruns: map[string]Overrun{}, crowds: map[string]*crowd{}, stays: map[string]time.Duration{}, turns: map[string]*admission.Turns{}, memory: memory{holders: map[uint64][]*member{}}, tickets: rand.Int64N(ticketsFrom),
 	}
 }
@@ -151,7 +154,7 @@
 		m = &member{seed: xxhash.Sum64String(e.Instance)}
 		f.members[e.ID], f.instances[e.Instance] = m, m
 	}
-	if ok && m.Service != e.Service {
+	if ok && (m.Service != e.Service || m.Hall != e.Hall) {
 		f.unlink(m)
 		ok = false
 	}
@@ -161,7 +164,7 @@
 	m.Endpoint, m.lapsed, m.region = e, clock.Instant{}, f.options.Regions[e.Hall]
 	f.chill(m, !ok)
 	if !ok {
-		f.byService[e.Service] = append(f.byService[e.Service], m)
+		f.poolOf(e.Service).add(m)
 		m.crowd = f.crowdOf(e.Service)
 	}
 	return again
@@ -180,18 +183,35 @@
 		return
 	}
 	delete(f.members, m.ID)
+	delete(f.ejected, m.ID)
 	delete(f.instances, instance)
 	f.unlink(m)
 	f.memory.drop(m)
 }
 
 func (f *Fleet) unlink(m *member) {
-	left := slices.DeleteFunc(f.byService[m.Service], func(other *member) bool { return other == m })
-	if len(left) == 0 {
+	p := f.byService[m.Service]
+	p.remove(m)
+	if len(p.all) == 0 {
 		delete(f.byService, m.Service)
-		return
 	}
-	f.byService[m.Service] = left
+}
+
+func (f *Fleet) poolOf(service string) *pool {
+	p, ok := f.byService[service]
+	if !ok {
+		p = newPool()
+		f.byService[service] = p
+	}
+	return p
+}
+
+// endpointsOf lists the endpoints of a service.
+func (f *Fleet) endpointsOf(service string) []*member {
+	if p, ok := f.byService[service]; ok {
+		return p.all
+	}
+	return nil
 }
 
 // Lapse notes that an endpoint's entry vanished while the store was away: it
@@ -264,7 +284,7 @@
 func (f *Fleet) Count(service string) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return len(f.byService[service])
+	return len(f.endpointsOf(service))
 }
 
 // Versions counts the endpoints of a service that take requests, by version.
@@ -272,7 +292,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	counts := map[string]int{}
-	for _, m := range f.byService[service] {
+	for _, m := range f.endpointsOf(service) {
 		if !m.Draining {
 			counts[m.Version]++
 		}
@@ -305,7 +325,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.options.Now()
-	for _, m := range f.byService[service] {
+	for _, m := range f.endpointsOf(service) {
 		if f.usable(m, Ask{Model: model}) && m.tier(now) < tierEjected {
 			return true
 		}
@@ -361,9 +381,12 @@
 	return list
 }
 
+// serves is a model of a service.
+type serves struct{ service, model string }
+
 // readingOf returns the estimate of reading times for a model.
 func (f *Fleet) readingOf(service, model string) *reading {
-	name := service + "/" + model
+	name := serves{service, model}
 	r, ok := f.readings[name]
 	if !ok {
 		r = newReading()
--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -115,7 +115,7 @@
 	if r.Outcome == OutcomeRefused || r.Outcome == OutcomeLost {
 		h.fleet.memory.forget(m, h.ask.parts())
 	}
-	m.health = m.health.with(r.Outcome, now, h.fleet.options.EjectMost)
+	h.fleet.judge(m, r.Outcome, now)
 	h.fleet.met(m, r.Outcome, now)
 	if r.Load.Slots > 0 {
 		// The answered request itself may still be counted in what it says.
@@ -213,10 +213,32 @@
 // choose finds it; the caller holds mu.
 func (f *Fleet) choose(ask Ask) choice {
 	c := choice{now: f.options.Now()}
+	p, ok := f.byService[ask.Service]
+	if !ok {
+		return c
+	}
 	t := f.terms(ask, c.now)
+	if len(p.all) <= weighAll {
+		f.weigh(&c, p.all, t)
+		return c
+	}
+	n := f.nominate(p, ask, t.near, c.now)
+	f.weigh(&c, n.list[:n.n], t)
+	if c.member == nil || c.member.tier(c.now) > tierWell {
+		// What may be used is rare, as one of a few endpoints of a version.
+		c = choice{now: c.now}
+		f.weigh(&c, p.all, t)
+		return c
+	}
+	c.room = int(float64(c.room) * float64(len(p.all)) / float64(n.n))
+	return c
+}
+
+// weigh finds the best of some endpoints.
+func (f *Fleet) weigh(c *choice, list []*member, t terms) {
 	best := math.Inf(1)
-	for _, m := range f.byService[ask.Service] {
-		if !f.usable(m, ask) || !m.warmth.takes(t.warming, ask, c.now) {
+	for _, m := range list {
+		if !f.usable(m, t.ask) || !m.warmth.takes(t.warming, t.ask, c.now) {
 			continue
 		}
 		load, unread := m.load(c.now, t.sharers), t.unread(m)
@@ -225,7 +247,6 @@
 			c.member, c.unread, best = m, unread, s
 		}
 	}
-	return c
 }
 
 // Pick chooses an endpoint and holds a place there; false if none may be used.
@@ -285,9 +306,15 @@
 	if ask.Key == 0 {
 		return nil
 	}
+	p := f.byService[ask.Service]
+	if len(p.all) > weighAll {
+		var n nominees
+		f.nominateHomes(&n, p, ask, now)
+		return n.list[0]
+	}
 	var home *member
 	least := math.Inf(1)
-	for _, m := range f.byService[ask.Service] {
+	for _, m := range p.all {
 		if !f.usable(m, ask) || m.tier(now) > tierWell {
 			continue
 		}
--- a/internal/fleet/stock.go
+++ b/internal/fleet/stock.go
@@ -13,7 +13,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	stocks := map[string]capacity.Stock{}
-	for _, m := range f.byService[service] {
+	for _, m := range f.endpointsOf(service) {
 		s := stocks[m.Hall]
 		switch {
 		case m.Draining || m.leaving || !m.lapsed.IsZero():
