Changes of long tables are remembered in proportion, and looked up

Cause: a picture remembered 512 removals, so when a seventh of 10,000 endpoints went at once, whoever asked from before took the whole table, all hosts at the same moment; and a reader looked at every row for each question of each host.

Change: as many changes are remembered as half of the rows, at least 512, and found by their version.

Test first on the code before: 512 of 1,428 removals told of 10,000 rows, 512 of 2,857 of 20,000, a removal missed in both; now all.

--- a/internal/spread/known.go
+++ b/internal/spread/known.go
@@ -85,5 +85,6 @@
 	p := pictureOf(k.picture.state())
 	p.removed = slices.Clone(k.picture.removed)
 	p.latest = k.picture.latest
+	p.complete = p.latest
 	return p, k.loaded
 }
--- a/internal/spread/picture.go
+++ b/internal/spread/picture.go
@@ -9,16 +9,29 @@
 	"quaybarrow/internal/store"
 )
 
-// removalsMost bounds the removals that a picture remembers.
-const removalsMost = 512
+// Bounds of the changes that a picture remembers, to tell those who ask what came after a version.
+// They grow with the table: a seventh of its rows may go at the same moment, and who asks from
+// before a removal that is not remembered reads the table whole.
+const (
+	changesLeast = 512
+	changesPart  = 0.5 // of the rows
+)
 
 // picture is a table as of a version, with its latest removals.
 type picture struct {
-	rows    map[string]store.Row
+	rows     map[string]store.Row
+	version  int64
+	latest   int64          // of the rows and removals
+	keys     uint64         // hash over the keys of all rows
+	removed  []store.Change // oldest first
+	written  []written      // rows, oldest first; one that was written again may stand there twice
+	complete int64          // all rows that were written after this version are among these
+}
+
+// written is a row that was written.
+type written struct {
+	key     string
 	version int64
-	latest  int64          // of the rows and removals
-	keys    uint64         // hash over the keys of all rows
-	removed []store.Change // oldest first
 }
 
 func newPicture() picture { return picture{rows: map[string]store.Row{}} }
@@ -30,10 +43,12 @@
 		p.put(row)
 	}
 	p.version = state.Version
+	p.written, p.complete = nil, p.latest
 	return p
 }
 
 func (p *picture) put(row store.Row) {
+	p.note(row)
 	p.latest = max(p.latest, row.Version)
 	if _, ok := p.rows[row.Key]; !ok {
 		p.keys ^= xxhash.Sum64String(row.Key)
@@ -49,8 +64,25 @@
 	p.keys ^= xxhash.Sum64String(c.Key)
 	delete(p.rows, c.Key)
 	p.removed = append(p.removed, c)
-	if over := len(p.removed) - removalsMost; over > 0 {
-		p.removed = append([]store.Change(nil), p.removed[over:]...)
+	if most := p.most(); len(p.removed) > 2*most {
+		p.removed = append([]store.Change(nil), p.removed[len(p.removed)-most:]...)
+	}
+}
+
+// most is how many changes of a kind are remembered at least, and twice as many at most.
+func (p *picture) most() int { return max(changesLeast, int(changesPart*float64(len(p.rows)))) }
+
+// note remembers that a row is written.
+func (p *picture) note(row store.Row) {
+	if row.Version < p.latest {
+		p.written, p.complete = nil, p.latest // out of order: nothing is known of before
+		return
+	}
+	p.written = append(p.written, written{row.Key, row.Version})
+	if most := p.most(); len(p.written) > 2*most {
+		over := len(p.written) - most
+		p.complete = p.written[over-1].version
+		p.written = append([]written(nil), p.written[over:]...)
 	}
 }
 
@@ -73,12 +105,7 @@
 	if after >= p.latest {
 		return nil
 	}
-	var changes []store.Change
-	for _, row := range p.rows {
-		if row.Version > after {
-			changes = append(changes, store.Change{Row: row})
-		}
-	}
+	changes := p.writtenSince(after)
 	for _, c := range p.removed {
 		if _, back := p.rows[c.Key]; after >= 0 && c.Version > after && !back {
 			changes = append(changes, c)
@@ -88,6 +115,27 @@
 	return changes
 }
 
+// writtenSince lists the rows that were written after a version, by what is remembered of it if
+// that reaches so far back: a reader is asked for a few changes many times a second.
+func (p *picture) writtenSince(after int64) []store.Change {
+	var changes []store.Change
+	if after < p.complete {
+		for _, row := range p.rows {
+			if row.Version > after {
+				changes = append(changes, store.Change{Row: row})
+			}
+		}
+		return changes
+	}
+	from, _ := slices.BinarySearchFunc(p.written, after+1, func(w written, version int64) int { return cmp.Compare(w.version, version) })
+	for _, w := range p.written[from:] {
+		if row, ok := p.rows[w.key]; ok && row.Version == w.version {
+			changes = append(changes, store.Change{Row: row})
+		}
+	}
+	return changes
+}
+
 // state returns the table whole.
 func (p *picture) state() store.State {
 	state := store.State{Version: p.version, Rows: make([]store.Row, 0, len(p.rows))}
