A host that has lost its sources asks the store again within seconds at any size

Change: 5 s at most. All of 1,000 hosts then make 200 calls a second while the store and all readers are away, of 16,000 that the store takes; 400 at 2,000.

--- a/internal/spread/sources.go
+++ b/internal/spread/sources.go
@@ -89,7 +89,7 @@
 		n, err = w.readStore(ctx, table, after, wait)
 	}
 	if err != nil && !errors.Is(err, store.ErrCompacted) && ctx.Err() == nil {
-		pause := directEvery * time.Duration(max(1, w.Hosts()/directHosts))
+		pause := min(directEvery*time.Duration(max(1, w.Hosts()/directHosts)), directMost)
 		w.mu.Lock()
 		w.direct = clock.Now().Add(clock.Around(pause))
 		w.mu.Unlock()
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -50,9 +50,11 @@
 	// pollEvery is how often those are asked that do not wait for changes.
 	pollEvery = 400 * time.Millisecond
 	// directEvery is the pause after a direct read of the store that failed, for
-	// each directHosts hosts that there are: most likely it is away for all.
+	// each directHosts hosts that there are: most likely it is away for all. It is directMost
+	// at most: a host whose sources are lost has nothing else, at any number of hosts.
 	directEvery = 2 * time.Second
 	directHosts = 12
+	directMost  = 5 * time.Second
 	// listAfter the first start of all hosts each has listed itself.
 	listAfter = 1500 * time.Millisecond
 	listEvery = 2 * time.Minute
