Readers of the store are as many as the hosts with most of a processor ask for

Cause: one reader for 64 hosts, whatever it may use; in a fleet of 985 hosts 18 to 28 hosts read both tables whole and followed them, most of them larger hosts that were idle otherwise. And the ring of all hosts was sorted at each look at it.

Change: a reader has 320 hosts for each core that it may use, 64 at least; the ring is made when the list of hosts is read.

--- a/internal/spread/peers.go
+++ b/internal/spread/peers.go
@@ -21,11 +21,12 @@
 const Table = "hosts"
 
 const (
-	// groupSize is how many hosts share a reader of the store. One answers some
-	// two and a half questions a second of each, a fifth of a millisecond of a
-	// core for each (measured on gateway hosts). Each reader of two tables makes a call in
-	// 0.9 s for each.
-	groupSize = 64
+	// groupSize is how many hosts share a reader of the store that may use as much of a processor
+	// as the hosts of a large deployment mostly do, and hostsPerCore how many share one that may
+	// use more: a reader answers some two and a half questions a second of each. Each reader of a
+	// table makes a call in a second or two.
+	groupSize    = 64
+	hostsPerCore = 320
 	// hallLeast is from how many hosts on a data hall has readers of its own.
 	hallLeast = groupSize / 2
 	// togetherMost is up to how many hosts one of them advises all data halls. With 91
@@ -75,6 +76,7 @@
 	all    int
 	halls  int // that have hosts
 	stands map[string]standing
+	ring   []Member // all other hosts, from the next one on
 }
 
 func newPeers(o Options) *peers {
@@ -84,6 +86,7 @@
 			p.ranked = append(p.ranked, peer{name: address, address: address})
 		}
 	}
+	p.ring = ringOf(p.ranked, peer{name: p.self, hall: p.hall})
 	return p
 }
 
@@ -100,6 +103,21 @@
 	defer p.mu.Unlock()
 	p.ranked, p.all, p.before, p.after, p.halls = ranked, len(entries), before, after, len(halls)
 	p.leads = listed && len(before) == 0
+	p.ring = ringOf(ranked, peer{name: p.self, hall: p.hall})
+}
+
+// ringOf lists all hosts but one in a ring that is the same for all, from the next one on.
+func ringOf(hosts []peer, self peer) []Member {
+	ring := slices.Clone(hosts)
+	slices.SortFunc(ring, byPlace)
+	next, _ := slices.BinarySearchFunc(ring, self, byPlace)
+	members := make([]Member, 0, len(ring))
+	for _, q := range slices.Concat(ring[next:], ring[:next]) {
+		if q.name != self.name {
+			members = append(members, Member{Name: q.name, Address: q.address})
+		}
+	}
+	return members
 }
 
 // rankedFor lists hosts in the order in which one of them asks. A group of hosts has
@@ -118,7 +136,7 @@
 	if own {
 		members = near
 	}
-	groups := uint64(max(1, (members+groupSize-1)/groupSize))
+	groups := uint64(groupsOf(entries, members, hall, own))
 	group := xxhash.Sum64String(self) % groups
 	ranked := make([]peer, 0, len(entries))
 	for name, e := range entries {
@@ -129,6 +147,23 @@
 	return ranked
 }
 
+// groupsOf is how many groups hosts fall into, each with a reader of its own: as many as the hosts
+// with most of a processor can read for.
+func groupsOf(entries map[string]entry, members int, hall string, own bool) int {
+	var cores []float64
+	for _, e := range entries {
+		if !own || e.Hall == hall {
+			cores = append(cores, e.Cores)
+		}
+	}
+	slices.SortFunc(cores, func(a, b float64) int { return cmp.Compare(b, a) })
+	groups := 0
+	for read := 0; read < members; groups++ {
+		read += max(groupSize, int(hostsPerCore*cores[min(groups, len(cores)-1)]))
+	}
+	return max(groups, 1)
+}
+
 // aroundIn lists the addresses of the hosts that come before and after one of them, those that
 // may use more of a processor first: of all data halls while they are few, of its own
 // one beyond that.
@@ -270,17 +305,7 @@
 func (w *Watcher) Members() []Member {
 	w.peers.mu.Lock()
 	defer w.peers.mu.Unlock()
-	self := peer{name: w.options.Host, hall: w.options.Hall}
-	ring := slices.Clone(w.peers.ranked)
-	slices.SortFunc(ring, byPlace)
-	next, _ := slices.BinarySearchFunc(ring, self, byPlace)
-	var members []Member
-	for _, q := range slices.Concat(ring[next:], ring[:next]) {
-		if q.name != self.name {
-			members = append(members, Member{Name: q.name, Address: q.address})
-		}
-	}
-	return members
+	return slices.Clone(w.peers.ring)
 }
 
 // byPlace compares hosts by their place in the ring.
