A host's heap grows by megabytes between collections, not by multiples

Cause: the heap could triple between collections whatever its size; with a list of 10,000 endpoints that was 28 MB for some 10 in use, on each of 984 hosts, and what reading a whole list takes stayed with the process.

Change: it grows by some 8 MB, between 40 and 200 parts of a hundred, so small deployments collect as before; free memory over 8 MB is given back.

--- a/internal/gatewayd/host.go
+++ b/internal/gatewayd/host.go
@@ -199,9 +199,11 @@
 	}
 }
 
-// sweep closes connections at rest and drops endpoints that stayed away.
+// sweep closes connections at rest, drops endpoints that stayed away and tends the heap.
 func (h *Host) sweep(ctx context.Context) {
+	memory := newHeap()
 	for clock.Sleep(ctx, sweepEvery) {
+		memory.tend()
 		h.Pool.Sweep()
 		for _, id := range h.Fleet.Sweep() {
 			h.Logger.Info("endpoint gone", "endpoint", id, "reason", "not listed again after the store was away")
--- a/internal/gatewayd/module.go
+++ b/internal/gatewayd/module.go
@@ -45,10 +45,6 @@
 // rest is for stacks of threads, socket buffers and the program itself.
 const memoryShare = 0.6
 
-// collectPercent lets the heap grow this much between collections: memory is
-// priced less than processor time, and the heap is a few MB.
-const collectPercent = 200
-
 // Ports are the ways to the outside. What is nil is made from the settings.
 type Ports struct {
 	Store  storeClient
