News of crashes goes through groups, in messages as many as the hosts

Cause: each host that had a request at an endpoint which crashed told all others; what a crash sends grew with those that saw it times the hosts.

Change: hosts fall into groups alike for all; who saw something tells the first of its group, which passes on what it gathers in 100 ms to the first of each other group and to its own. The next host is told after 150 ms of silence.

Test first on the code before: 400 hosts, 200 of which saw each of three crashes, 240,022 messages in 3 s where 11,800 are allowed; now within that, and all know within three seconds.

Next limit, by reading: hosts that compare tell the versions of all rows, one for each host that has seen something.

--- a/internal/quarantine/book.go
+++ b/internal/quarantine/book.go
@@ -63,6 +63,7 @@
 	news     chan struct{} // there is other evidence
 	due      chan struct{} // there is something to tell other hosts
 	save     chan struct{} // there may be something to keep
+	relays   *relays
 
 	mu       sync.Mutex     // guards all below
 	rows     map[string]row // by host; always one of this host
@@ -94,7 +95,7 @@
 	}
 	return &Book{
 		options: options, witness: NewWitness(options.Reach), clock: clock.NewSteady(),
-		news: make(chan struct{}, 1), due: make(chan struct{}, 1), save: make(chan struct{}, 1),
+		news: make(chan struct{}, 1), due: make(chan struct{}, 1), save: make(chan struct{}, 1), relays: newRelays(),
 		rows: map[string]row{options.Host: {record: newRecord()}}, unproven: map[string][]Break{}, ongoing: map[*Ongoing]struct{}{},
 		verdicts: map[Fingerprint]Verdict{},
 	}
--- a/internal/quarantine/book_test.go
+++ b/internal/quarantine/book_test.go
@@ -23,6 +23,13 @@
 // apart is longer than crashes that count as one, and than it takes to tell.
 const apart = time.Second
 
+const (
+	// toldWithin is how soon hosts are to know what others have seen, as the users tell.
+	toldWithin = 3 * time.Second
+	// hears is how often a host of many is told of a crash that many others have seen, at most.
+	hears = 8
+)
+
 var _ = Describe("hosts that see endpoints crash under a request", func() {
 	It("quarantine it all together, however few crashes each has seen", func() {
 		sharing(3, func(h *hosts) {
@@ -322,6 +329,30 @@
 		})
 	})
 
+	// When a seventh of thousands of endpoints crash, hundreds of hosts have had something there. A
+	// request that crashes endpoints is to be known to all within three seconds all the same.
+	It("is told with messages that grow no faster than the hosts, however many have seen it", func() {
+		const count, saw = 400, 200
+		sharing(count, func(h *hosts) {
+			time.Sleep(2 * time.Second)
+			before := h.told()
+			for i := range 3 {
+				for j := range saw {
+					h.crash((2*j+i)%count, fmt.Sprint("e", i), guilty, printOf(uint64(1000*i+j+10)))
+				}
+				time.Sleep(apart)
+			}
+			sent := h.told() - before
+			time.Sleep(toldWithin - apart)
+			for i, held := range h.quarantined(guilty) {
+				Expect(held).To(BeTrue(), "host %d", i)
+			}
+			// For each crash each host hears of it some times, and those that saw it tell one each;
+			// besides, each compares with another one now and then.
+			Expect(sent).To(BeNumerically("<", 3*(saw+hears*count)+2*count*2))
+		})
+	})
+
 	It("is passed over where it can't be read", func() {
 		sharing(3, func(h *hosts) {
 			h.thrice(guilty)
--- a/internal/quarantine/grpc.go
+++ b/internal/quarantine/grpc.go
@@ -57,7 +57,7 @@
 }
 
 func newsToWire(n News) *quarantinepb.News {
-	w := &quarantinepb.News{Versions: n.Versions, Compare: n.Compare, Loaded: n.Loaded, Relay: n.Relay}
+	w := &quarantinepb.News{Versions: n.Versions, Compare: n.Compare, Loaded: n.Loaded, Scope: int32(n.Scope)} //nolint:gosec // one of three
 	for _, r := range n.Rows {
 		w.Rows = append(w.Rows, &quarantinepb.Row{Host: r.Host, Version: r.Version, Value: r.Value})
 	}
@@ -65,7 +65,7 @@
 }
 
 func newsFromWire(w *quarantinepb.News) News {
-	n := News{Versions: w.GetVersions(), Compare: w.GetCompare(), Loaded: w.GetLoaded(), Relay: w.GetRelay()}
+	n := News{Versions: w.GetVersions(), Compare: w.GetCompare(), Loaded: w.GetLoaded(), Scope: Scope(w.GetScope())}
 	for _, r := range w.GetRows() {
 		n.Rows = append(n.Rows, Row{Host: r.GetHost(), Version: r.GetVersion(), Value: r.GetValue()})
 	}
--- a/internal/quarantine/share.go
+++ b/internal/quarantine/share.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"slices"
 	"sync"
 	"time"
@@ -21,9 +20,7 @@
 	// frozen or cut off have three seconds to know what others do.
 	compareEvery = 2 * time.Second
 	compareTries = 3
-	// directMost hosts are told one by one; beyond, some pass news on to others.
-	directMost = 16
-	sweepEvery = 30 * time.Second
+	sweepEvery   = 30 * time.Second
 )
 
 // Member is another host.
@@ -42,7 +39,7 @@
 	Compare  bool             // the receiver is to return what the sender lacks by them
 	Loaded   bool             // the sender knows what hosts have kept
 	Rows     []Row
-	Relay    []string // addresses of hosts that the receiver passes the rows on to
+	Scope    Scope // to which hosts the receiver passes the rows on
 }
 
 // Caller sends news to other hosts.
@@ -56,7 +53,7 @@
 func (b *Book) Run(ctx context.Context) {
 	var working sync.WaitGroup
 	defer working.Wait()
-	for _, work := range []func(context.Context){b.load, b.review, b.push, b.compare, b.keep, b.sweep} {
+	for _, work := range []func(context.Context){b.load, b.review, b.push, b.pass, b.compare, b.keep, b.sweep} {
 		working.Go(func() { work(ctx) })
 	}
 }
@@ -110,16 +107,6 @@
 	}
 }
 
-// spread tells all other hosts.
-func (b *Book) spread(ctx context.Context, rows []Row) {
-	members, n := b.options.Members(), News{Rows: rows, Loaded: b.isLoaded()}
-	if len(members) <= directMost {
-		b.tellAll(ctx, members, n)
-		return
-	}
-	b.tellThrough(ctx, members, n)
-}
-
 // tellAll sends the same to some hosts at once.
 func (b *Book) tellAll(ctx context.Context, members []Member, n News) {
 	var telling sync.WaitGroup
@@ -140,28 +127,6 @@
 	return err == nil
 }
 
-// tellThrough has as many hosts pass news on as each of them tells others: of 295 hosts 17 are
-// told, and tell 17 each. Where one does not answer the next of those that it was to tell does
-// so.
-func (b *Book) tellThrough(ctx context.Context, members []Member, n News) {
-	size := int(math.Ceil(math.Sqrt(float64(len(members)))))
-	var telling sync.WaitGroup
-	for part := range slices.Chunk(members, size) {
-		telling.Go(func() {
-			for i := range min(compareTries, len(part)) {
-				relayed := n
-				for _, m := range part[i+1:] {
-					relayed.Relay = append(relayed.Relay, m.Address)
-				}
-				if b.tellOne(ctx, part[i], relayed) {
-					return
-				}
-			}
-		})
-	}
-	telling.Wait()
-}
-
 // Hear takes in news and returns what the sender lacks; it is a Hear.
 func (b *Book) Hear(_ context.Context, n News) (News, error) {
 	b.mu.Lock()
@@ -171,13 +136,7 @@
 		reply.Rows = b.encoded(b.newerThan(n.Versions))
 	}
 	b.mu.Unlock()
-	if len(n.Relay) > 0 {
-		members := make([]Member, len(n.Relay))
-		for i, address := range n.Relay {
-			members[i] = Member{Name: address, Address: address}
-		}
-		go b.tellAll(context.Background(), members, News{Rows: n.Rows, Loaded: n.Loaded})
-	}
+	b.relays.add(n.Rows, n.Scope)
 	return reply, nil
 }
 
