--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -36,6 +36,14 @@
 // Ordered reports whether operators let endpoints be ordered.
 func (s Scaling) Ordered() bool { return s.Most > 0 }
 
+// Cost is what a second of an endpoint costs.
+func (s Scaling) Cost(hall string, spot bool) float64 {
+	if spot {
+		return s.Prices[hall] * s.SpotPrice
+	}
+	return s.Prices[hall]
+}
+
 // Stock is how many endpoints of a service serve in a data hall.
 type Stock struct {
 	Ordinary, Spot int
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -105,6 +105,7 @@
 	c.Register(&explainCommand{env: env}, groupInspect)
 	c.Register(&endpointsCommand{env: env}, groupInspect)
 	c.Register(&quarantineCommand{env: env}, groupInspect)
+	c.Register(&dutiesCommand{env: env}, groupInspect)
 	c.Register(&lostCommand{env: env}, groupInspect)
 	c.Register(&consoleCommand{env: env}, groupInspect)
 	c.Register(&demoCommand{env: env}, groupTry)
--- a/internal/gatewayd/duties_test.go
+++ b/internal/gatewayd/duties_test.go
@@ -1,6 +1,7 @@
 package gatewayd_test
 
 import (
+	"encoding/json"
 	"math"
 	"net/http"
 	"testing"
@@ -8,6 +9,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"quaybarrow/internal/gatewayd"
 	"quaybarrow/internal/usage"
 )
 
@@ -22,6 +24,24 @@
 	usageDue = 10 * time.Second
 )
 
+// holders asks all hosts which of them have the duties.
+func (r *crashRig) holders() []string {
+	client := &http.Client{Transport: r.net.Transport()}
+	defer client.CloseIdleConnections()
+	var found []string
+	for _, h := range r.hosts {
+		response, err := client.Get("http://" + h.address(82) + gatewayd.PathDuties)
+		Expect(err).NotTo(HaveOccurred())
+		var view gatewayd.DutiesView
+		Expect(json.NewDecoder(response.Body).Decode(&view)).To(Succeed())
+		_ = response.Body.Close()
+		if view.Holds {
+			found = append(found, view.Host)
+		}
+	}
+	return found
+}
+
 // TestDutiesOfOneHost plays a day of hosts with callers: usage is reported as it was, by one host
 // at a time, also where the one that reports is killed.
 func TestDutiesOfOneHost(t *testing.T) {
@@ -30,6 +50,7 @@
 			playCrashes(t, crashDay{duties: true, lasts: 30 * time.Second, killHolderAt: map[bool]time.Duration{true: 12 * time.Second}[killed]}, func(r *crashRig) {
 				time.Sleep(usageDue)
 				Expect(r.duties.Violations()).To(BeEmpty())
+				Expect(r.holders()).To(HaveLen(1))
 				served := map[int64]int64{}
 				first, last := int64(math.MaxInt64), int64(0)
 				for _, o := range r.outcomes {
--- a/internal/gatewayd/host.go
+++ b/internal/gatewayd/host.go
@@ -118,6 +118,7 @@
 	}).Methods(http.MethodGet)
 	router.HandleFunc(PathEndpoints, h.viewEndpoints).Methods(http.MethodGet)
 	router.HandleFunc(PathQuarantine, h.viewQuarantine).Methods(http.MethodGet)
+	router.HandleFunc(PathDuties, h.viewDuties).Methods(http.MethodGet)
 	router.HandleFunc(PathRelease, h.release).Methods(http.MethodPost)
 	return router
 }
