Few hosts look for a free lease, and none before it knows its place

Change: a host looks once it knows its place, the first two at once; the time until the next look follows the place as it is then, so that a host whose forerunners are lost comes first within a third of the lease.

--- a/internal/advice/advice.go
+++ b/internal/advice/advice.go
@@ -235,18 +235,22 @@
 	return "", false
 }
 
-// Place counts the hosts before this one that answer, as far as it knows.
-func (a *Advisor) Place() int {
+// Place counts the hosts before this one that answer, as far as it knows; false while it does not
+// know the list of hosts.
+func (a *Advisor) Place() (place int, known bool) {
 	before := a.options.Before()
+	if len(before) == 0 && !a.Leads() {
+		return 0, false
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	now, place := clock.Now(), 0
+	now := clock.Now()
 	for _, address := range before {
 		if !now.Before(a.pauses[address].until) {
 			place++
 		}
 	}
-	return place
+	return place, true
 }
 
 func (a *Advisor) answered(address string) {
--- a/internal/duty/rig_test.go
+++ b/internal/duty/rig_test.go
@@ -81,7 +81,7 @@
 	n.keeper = duty.New(duty.Options{
 		Host: name, Lifetime: lifetime, Window: window, Tables: n.door, Counter: n.counter, Asker: n,
 		Leases: lease.NewManager(lease.Options{
-			Tables: n.door, Host: name, Incarnation: lifetime, Length: turns * 4 / 3, Turns: turns, Place: func() int { return r.place(name) },
+			Tables: n.door, Host: name, Incarnation: lifetime, Length: turns * 4 / 3, Turns: turns, Place: func() (int, bool) { return r.place(name), true },
 		}),
 		Members: func() []duty.Member { return r.members(name) }, Next: func() []string { return r.next(name) }, Platform: n, Running: func() map[string]int { return map[string]int{"model": 30} },
 		Services: func() []duty.Service {
--- a/internal/lease/run.go
+++ b/internal/lease/run.go
@@ -21,8 +21,10 @@
 // this host is the owner, runs the duty while it holds it, and releases it.
 func (m *Manager) Run(ctx context.Context, name string, duty Duty) {
 	period := m.options.Length / renewDivisor
+	looked, told := clock.Now(), true
 	for ctx.Err() == nil {
-		if m.mine(name) {
+		if m.mine(name) && m.due(looked, told, period) {
+			looked, told = clock.Now(), false
 			if l, err := m.Acquire(ctx, name); err == nil {
 				m.hold(ctx, l, duty)
 			}
@@ -31,18 +33,29 @@
 		case <-ctx.Done():
 			return
 		case <-m.look:
-		case <-time.After(m.pause(period)):
+			told = true
+		case <-time.After(period):
 		}
 	}
 }
 
-// pause is how long it is until the next look at a lease that another holds.
-func (m *Manager) pause(period time.Duration) time.Duration {
+// due reports whether a lease is looked at that another held at the last look. Hosts that
+// come later look less often, with the square of their place, so the looks of all stay few; a host
+// whose forerunners are lost comes first as soon as it knows. One that has just started, or was told
+// that a lease is free, looks at once if it is one of the first. One that does not know its place
+// looks at nothing.
+func (m *Manager) due(looked clock.Instant, told bool, period time.Duration) bool {
 	if m.options.Place == nil {
-		return period
+		return true
 	}
-	before := 1 + m.options.Place()
-	return period * time.Duration(before*before) // the looks of all hosts together stay few
+	place, known := m.options.Place()
+	if !known {
+		return false
+	}
+	if told && place <= 1 {
+		return true
+	}
+	return clock.Since(looked) >= period*time.Duration((1+place)*(1+place))-period/2
 }
 
 // mine reports whether this host is meant to own the duty.
