A reader that sends a long table to hundreds of hosts is waited for

Cause, by reading: a host that starts waits 0.6 s for a whole table of its reader, packed once and sent to all its hosts, 197 in the whole fleet, and then reads it itself: 3.3 MB over 20 Mbit/s, while its callers wait.

Change: beyond 64 hosts each adds 4 ms, up to 1.2 s in all, as long as requests wait at a host that has just started. A reader that is not connected is passed over after 0.2 s as before. Small groups: unchanged.

--- a/internal/spread/peers.go
+++ b/internal/spread/peers.go
@@ -75,6 +75,7 @@
 	leads  bool       // this host is listed, and none comes before it
 	all    int
 	halls  int // that have hosts
+	group  int // hosts that this one's reader may read for
 	stands map[string]standing
 	ring   []Member // all other hosts, from the next one on
 }
@@ -103,6 +104,7 @@
 	defer p.mu.Unlock()
 	p.ranked, p.all, p.before, p.after, p.halls = ranked, len(entries), before, after, len(halls)
 	p.leads = listed && len(before) == 0
+	p.group, _ = membersOf(entries, p.hall)
 	p.ring = ringOf(ranked, peer{name: p.self, hall: p.hall})
 }
 
@@ -126,16 +128,7 @@
 // first: then a reader for each hall costs few calls more, and bytes between halls are
 // dear.
 func rankedFor(entries map[string]entry, self, hall string) []peer {
-	near := 0
-	for _, e := range entries {
-		if e.Hall == hall {
-			near++
-		}
-	}
-	members, own := len(entries), near > hallLeast
-	if own {
-		members = near
-	}
+	members, own := membersOf(entries, hall)
 	groups := uint64(groupsOf(entries, members, hall, own))
 	group := xxhash.Sum64String(self) % groups
 	ranked := make([]peer, 0, len(entries))
@@ -147,6 +140,21 @@
 	return ranked
 }
 
+// membersOf counts the hosts that have readers together, and tells whether they are those of a data
+// hall.
+func membersOf(entries map[string]entry, hall string) (members int, own bool) {
+	near := 0
+	for _, e := range entries {
+		if e.Hall == hall {
+			near++
+		}
+	}
+	if near > hallLeast {
+		return near, true
+	}
+	return len(entries), false
+}
+
 // groupsOf is how many groups hosts fall into, each with a reader of its own: as many as the hosts
 // with most of a processor can read for.
 func groupsOf(entries map[string]entry, members int, hall string, own bool) int {
@@ -271,6 +279,13 @@
 	p.stands[q.name] = s
 }
 
+// near counts the hosts that this one's reader may read for.
+func (p *peers) near() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.group
+}
+
 // Hosts counts the listed hosts, at least this one.
 func (w *Watcher) Hosts() int {
 	w.peers.mu.Lock()
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -99,13 +99,14 @@
 // connected after the time of a short answer is not there: after a loss of power those
 // that started before their reader waited 0.6 s for it and refused requests. At the
 // first start of all hosts there is time, and bytes from the store are dear.
-func (o Options) patient(sources []source) []source {
+func (w *Watcher) patient(sources []source) []source {
+	longest := wholePatienceOf(w.peers.near())
 	for i := range sources {
-		if o.First {
+		if w.options.First {
 			sources[i].patience = wholePatienceFirst
 			continue
 		}
-		sources[i].longer = wholePatience - sources[i].patience
+		sources[i].longer = longest - sources[i].patience
 	}
 	return sources
 }
@@ -113,8 +114,19 @@
 const (
 	wholePatience      = 600 * time.Millisecond
 	wholePatienceFirst = 2 * time.Second
+	// A reader of more than a small group is waited for longer, each of its hosts a moment, up to
+	// wholePatienceMost: a host that reads a table of thousands itself, on a slow link, is
+	// ready no sooner, and hundreds of them take hundreds of MB from the store.
+	wholePatienceEach = 4 * time.Millisecond
+	wholePatienceMost = 1200 * time.Millisecond
 )
 
+// wholePatienceOf is how long a reader that is connected is waited for that sends a whole table to
+// so many hosts.
+func wholePatienceOf(hosts int) time.Duration {
+	return min(wholePatience+time.Duration(max(0, hosts-groupSize))*wholePatienceEach, wholePatienceMost)
+}
+
 // Watcher reads tables from another host, or from the store; safe for use at
 // once.
 type Watcher struct {
@@ -264,7 +276,7 @@
 // nothing yet takes what is old rather than nothing.
 func (w *Watcher) whole(ctx context.Context, table string) (news, error) {
 	old := make(chan news, peersTried+othersTried)
-	sources := w.options.patient(w.peerSources(table, -1, 0))
+	sources := w.patient(w.peerSources(table, -1, 0))
 	sources = append(sources, source{patience: directPatience, read: func(ctx context.Context) (news, error) {
 		return w.readDirectly(ctx, table, -1, 0)
 	}})
