--- a/internal/gatewayd/module.go
+++ b/internal/gatewayd/module.go
@@ -111,11 +111,14 @@
 	store.Watcher
 }
 
-func newStore(s settings.Settings, p Ports) (storeClient, store.Tables) {
+func newStore(s settings.Settings, p Ports, t *telemetry.Telemetry) (storeClient, store.Tables) {
 	if p.Store != nil {
 		return p.Store, p.Store
 	}
 	client := platform.NewStore(s.Gateway.Store, nil)
+	client.Observe(func(kind, table string) {
+		t.Count("store_calls", 1, telemetry.Label("kind", kind), telemetry.Label("table", table))
+	})
 	return client, client
 }
 
