Hosts are listed by a few, and nothing kept is looked for at the first start

And hosts that were listed early did not know the late ones for two minutes.

Change: at the first start a host has a seed list it, which writes up to 90 rows at once; a host whose seeds do not answer within 1.5 s writes its own row. All read the list 2.5 s after their start, when all are listed. What was kept is not looked for at the first start, and later by hosts spread over a second.

Two specs said that 12 hosts make 12 writes, 4 make 4: now at most so many, and a restart adds none, as before. A spec of 200 hosts: under 20 writes, and all know all; it fails on the code before (200 writes).

--- a/internal/gatewayd/module.go
+++ b/internal/gatewayd/module.go
@@ -178,7 +178,7 @@
 func newQuarantine(s settings.Settings, tables store.Tables, w *spread.Watcher, p *conn.Pool, f *fleet.Fleet, l *log.Logger) *quarantine.Book {
 	return quarantine.NewBook(quarantine.Options{
 		Host: s.Host, Reach: p.Reach, Endpoints: f.Count, Members: func() []quarantine.Member { return members(w) }, Leads: w.Leads,
-		Caller: quarantine.NewCaller(w.Conn), Tables: tables, Now: sharedClock(w), Logger: l,
+		Caller: quarantine.NewCaller(w.Conn), First: s.Gateway.First, Tables: tables, Now: sharedClock(w), Logger: l,
 	})
 }
 
--- a/internal/quarantine/book.go
+++ b/internal/quarantine/book.go
@@ -46,6 +46,8 @@
 	// Leads reports whether this host is the first of all, which reads for the others what hosts
 	// have kept; nil for a host alone.
 	Leads func() bool
+	// First tells that all hosts start for the first time: nothing was kept before.
+	First bool
 	// Tables keep what hosts have seen for those that start; Now is the clock that all share,
 	// false while it is not known. Without one what was kept counts as old as it was then.
 	Tables store.Tables
@@ -97,7 +99,7 @@
 		options: options, witness: NewWitness(options.Reach), clock: clock.NewSteady(),
 		news: make(chan struct{}, 1), due: make(chan struct{}, 1), save: make(chan struct{}, 1), relays: newRelays(),
 		rows: map[string]row{options.Host: {record: newRecord()}}, unproven: map[string][]Break{}, ongoing: map[*Ongoing]struct{}{},
-		verdicts: map[Fingerprint]Verdict{},
+		verdicts: map[Fingerprint]Verdict{}, loaded: options.First,
 	}
 }
 
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -28,10 +29,12 @@
 	// that came later.
 	settleAfter = 8 * time.Second
 	// loadEvery is how often a host that has started looks for one that knows what is kept, and
-	// loadAlone for how long before it reads the store itself. It sends again to endpoints three
+	// loadAlone for how long before it reads the store itself, or up to loadSpread longer: of many
+	// that start together the first ones tell the others. It sends again to endpoints three
 	// seconds after its start what others know.
-	loadEvery = 300 * time.Millisecond
-	loadAlone = 1500 * time.Millisecond
+	loadEvery  = 300 * time.Millisecond
+	loadAlone  = 1500 * time.Millisecond
+	loadSpread = time.Second
 )
 
 // errNoClock means that the clock which hosts share is not known yet.
@@ -148,10 +151,10 @@
 // the store. The first of all hosts reads it, and tells the others; they read it themselves if
 // they hear nothing for a while. After all of 295 hosts had lost power it is one call.
 func (b *Book) load(ctx context.Context) {
-	began := clock.Now()
+	began, alone := clock.Now(), loadAlone+rand.N(loadSpread)
 	for clock.Sleep(ctx, clock.Around(loadEvery)) && !b.isLoaded() {
 		b.compareOnce(ctx)
-		if b.isLoaded() || (!b.options.leads() && clock.Since(began) < loadAlone) {
+		if b.isLoaded() || (!b.options.leads() && clock.Since(began) < alone) {
 			continue
 		}
 		b.recall(ctx)
--- a/internal/spread/link.go
+++ b/internal/spread/link.go
@@ -31,6 +31,9 @@
 	readBuffer     = 4 << 10
 )
 
+// waitForReady has a call wait for a connection, as long as its time lasts.
+var waitForReady = grpc.WaitForReady(true)
+
 // Dialer opens connections.
 type Dialer func(ctx context.Context, address string) (net.Conn, error)
 
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -29,6 +29,7 @@
 	"github.com/pkg/errors"
 	"google.golang.org/grpc/credentials"
 
+	"quaybarrow/internal/batch"
 	"quaybarrow/internal/clock"
 	"quaybarrow/internal/store"
 )
@@ -55,8 +56,8 @@
 	directEvery = 2 * time.Second
 	directHosts = 12
 	directMost  = 5 * time.Second
-	// listAfter the first start of all hosts each has listed itself.
-	listAfter = 1500 * time.Millisecond
+	// listAfter the first start of all hosts each has been listed.
+	listAfter = enlistLimit + time.Second
 	listEvery = 2 * time.Minute
 	listRetry = 2 * time.Second
 	// listPatience is how long the first read of a table waits for that list;
@@ -137,6 +138,8 @@
 	cancel  context.CancelFunc
 	working sync.WaitGroup
 	listed  chan struct{} // closed once the other hosts are known
+	// enlistings are of hosts that have this one list them.
+	enlistings *batch.Batcher[listed]
 
 	mu       sync.Mutex // guards all below
 	mirrors  map[string]*mirror
@@ -154,6 +157,7 @@
 		options: options, peers: newPeers(options), link: newLink(options.Credentials, options.Dial),
 		listed: make(chan struct{}), mirrors: map[string]*mirror{}, known: map[string]*known{},
 	}
+	w.enlistings = batch.New(enlistMost, w.enlistGathered)
 	w.ctx, w.cancel = context.WithCancel(context.Background())
 	return w
 }
@@ -164,8 +168,9 @@
 func (w *Watcher) Run(ctx context.Context) {
 	read := w.readPeers
 	if w.options.First {
-		w.update(ctx, w.enlist, "host can't list itself")
-		clock.Sleep(ctx, clock.Around(listAfter))
+		began := clock.Now()
+		w.update(ctx, w.enlistThrough, "host can't list itself")
+		clock.Sleep(ctx, clock.Around(listAfter)-clock.Since(began))
 		read = w.askPeers // there is time, and the seeds have just started too
 	}
 	w.update(ctx, read, "list of hosts can't be read")
