Orders beside an upgrade bear endpoints that are down for a moment, and follow the work

Cause, by reading: an order during an upgrade went by the endpoints of the version in force that served; a crash of some for a few seconds lowered it, and as they came back the new version lost as many. And it never rose with the work.

Tests: two more in capacity; both fail without the change.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -100,17 +100,18 @@
 	ordered map[Lot]int
 	lower   map[Lot]clock.Instant // since when fewer are enough
 	dry     map[Lot]clock.Instant // until when no more are to be had
+	old     map[string]int        // ordinary endpoints of the version in force, by data hall, during an upgrade
 }
 
 // NewPlanner returns a planner that has ordered nothing.
 func NewPlanner() *Planner {
-	return &Planner{ordered: map[Lot]int{}, lower: map[Lot]clock.Instant{}, dry: map[Lot]clock.Instant{}}
+	return &Planner{ordered: map[Lot]int{}, lower: map[Lot]clock.Instant{}, dry: map[Lot]clock.Instant{}, old: map[string]int{}}
 }
 
 // Orders lists what is to be ordered now.
 func (p *Planner) Orders(now clock.Instant, s State) []Order {
 	p.remember(now, s.Running)
-	want := s.want(p.peak)
+	want := p.whole(s).want(p.peak)
 	var orders []Order
 	for _, l := range slices.SortedFunc(maps.Keys(want), Lot.compare) {
 		if count, due := p.due(now, l, want[l], s.Stocks[l.Hall].of(l)); due {
@@ -120,6 +121,24 @@
 	return orders
 }
 
+// whole returns a state in which, during an upgrade, endpoints of the version in force that are down
+// for a moment count as there: an order that was lowered by them would cost the new version as many
+// when they are back.
+func (p *Planner) whole(s State) State {
+	if !s.Upgrading {
+		clear(p.old)
+		return s
+	}
+	stocks := map[string]Stock{}
+	for hall, stock := range s.Stocks {
+		p.old[hall] = max(p.old[hall], stock.Ordinary)
+		stock.Ordinary = p.old[hall]
+		stocks[hall] = stock
+	}
+	s.Stocks = stocks
+	return s
+}
+
 // Ordered takes in that the platform has taken an order.
 func (p *Planner) Ordered(o Order) {
 	p.ordered[o.Lot] = o.Count
@@ -208,11 +227,11 @@
 // beside plans for a data hall in which an upgrade is under way. What an order is lowered by is
 // taken from the endpoints that came last, so those of the version in force are all kept, and of
 // the new ones as many as the work needs once it is moved to them. Before any of them serve,
-// orders stay as they are.
+// orders are not lowered.
 func (s State) beside(want map[Lot]int, hall string, each int) {
 	stock := s.Stocks[hall]
-	if stock.Newer > 0 {
-		want[Lot{Hall: hall}] = min(stock.Ordinary+min(stock.Newer, each), s.Scaling.Most)
+	if stock.Newer > 0 || each > stock.Ordinary {
+		want[Lot{Hall: hall}] = min(max(stock.Ordinary, each)+min(stock.Newer, each), s.Scaling.Most)
 	}
 }
 
--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -220,6 +220,28 @@
 		Expect(orders).To(ContainElement(capacity.Order{Lot: lot("a", false), Count: 11}))
 	})
 
+	It("keep the new version where endpoints of the one in force are down for a moment", func() {
+		planner := capacity.NewPlanner()
+		s := capacity.State{Scaling: scaling, Slots: 64, Running: 280, Stocks: each(capacity.Stock{Ordinary: 30, Newer: 30}), Upgrading: true}
+		for at := range 10 {
+			for _, o := range planner.Orders(dawn.Add(time.Duration(at)*time.Second), s) {
+				planner.Ordered(o)
+			}
+		}
+		s.Stocks = each(capacity.Stock{Ordinary: 20, Newer: 11})
+		for at := range 10 {
+			Expect(planner.Orders(dawn.Add(time.Duration(10+at)*time.Second), s)).To(BeEmpty())
+		}
+	})
+
+	It("follow the work up while an upgrade is under way", func() {
+		planner := capacity.NewPlanner()
+		s := capacity.State{Scaling: scaling, Slots: 64, Running: 280, Stocks: each(capacity.Stock{Ordinary: 4}), Upgrading: true}
+		Expect(planner.Orders(dawn, s)).To(ContainElement(capacity.Order{Lot: lot("a", false), Count: 11}))
+		s.Stocks = each(capacity.Stock{Ordinary: 4, Newer: 4})
+		Expect(planner.Orders(dawn.Add(time.Second), s)).To(ContainElement(capacity.Order{Lot: lot("a", false), Count: 15}))
+	})
+
 	It("leave evacuated data halls alone and have the others bear their work", func() {
 		planner := capacity.NewPlanner()
 		s := capacity.State{Scaling: ordinaryOnly, Slots: 64, Running: 280, Stocks: each(capacity.Stock{Ordinary: 11}), Away: []string{"c"}}
