Nothing is let go by who has seen little of the work

Cause, by reading: a new holder, as after all hosts were killed, plans by the requests that it has seen, few at first, and let endpoints go after 4 s.

Change: 8 s from the first request on.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -89,12 +89,16 @@
 	// lowersBy the least part of them that is let go: each that goes takes prompts with it.
 	lowersAfter = 4 * time.Second
 	lowersBy    = 0.15
+	// learnsFor is how long a planner must have seen work before it lets endpoints go: one that
+	// has just begun, as after all hosts were killed, knows of little.
+	learnsFor = 8 * time.Second
 	// dryFor is how long a lot is not ordered more of after none were to be had.
 	dryFor = 5 * time.Second
 )
 
 // Planner remembers what was ordered; not for use at once.
 type Planner struct {
+	began   clock.Instant // when it first saw work
 	peak    float64
 	peakAt  clock.Instant
 	ordered map[Lot]int
@@ -156,6 +160,9 @@
 		p.peak *= math.Exp2(-now.Sub(p.peakAt).Seconds() / forgets.Seconds())
 	}
 	p.peak, p.peakAt = max(p.peak, running), now
+	if p.began.IsZero() && running > 0 {
+		p.began = now
+	}
 }
 
 // due returns what is to be ordered of a lot, if anything: at once if more are wanted, and after a
@@ -182,7 +189,7 @@
 		p.lower[l] = now
 		return 0, false
 	}
-	return want, now.Sub(since) >= lowersAfter
+	return want, now.Sub(since) >= lowersAfter && now.Sub(p.began) >= learnsFor
 }
 
 // want is how many endpoints there are to be in each lot if so many requests run at once.
