A host alone in its group passes on news of crashes

Found reading the change: where the last group holds one host, as of 31, telling others panicked there. Test over all sizes from 18 to 129: index out of range without the mend.

--- a/internal/quarantine/relay.go
+++ b/internal/quarantine/relay.go
@@ -107,8 +107,8 @@
 		return
 	}
 	own, others := b.groups()
-	if b.options.Host < own[0].Name {
-		b.relays.add(rows, ScopeAll)
+	if len(own) == 0 || b.options.Host < own[0].Name {
+		b.relays.add(rows, ScopeAll) // this host is the first of its group
 		return
 	}
 	n.Scope = ScopeAll
--- /dev/null
+++ b/internal/quarantine/relay_test.go
@@ -0,0 +1,52 @@
+package quarantine
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"testing"
+
+	"github.com/charmbracelet/log"
+)
+
+// deaf is a caller whose messages are lost.
+type deaf struct{}
+
+// Tell implements Caller.
+func (deaf) Tell(context.Context, string, News) (News, error) { return News{}, context.Canceled }
+
+// TestGroupsAreAlikeForAllHosts works out the groups of fleets of all sizes at each host: every other
+// host stands in one of them, and a host alone in its group tells the others all the same.
+func TestGroupsAreAlikeForAllHosts(t *testing.T) {
+	for count := directMost + 2; count < 130; count++ {
+		groupOf := map[string]string{}
+		for i := range count {
+			name := fmt.Sprintf("host-%03d", i)
+			var members []Member
+			for j := 1; j < count; j++ {
+				other := fmt.Sprintf("host-%03d", (i+j)%count)
+				members = append(members, Member{Name: other, Address: other})
+			}
+			b := NewBook(Options{Host: name, Members: func() []Member { return members }, Caller: deaf{}, Logger: log.New(io.Discard)})
+			own, others := b.groups()
+			known := len(own)
+			for _, g := range others {
+				known += len(g)
+			}
+			if known != count-1 {
+				t.Fatalf("%d hosts: %s knows %d others", count, name, known)
+			}
+			first := name
+			if len(own) > 0 {
+				first = min(first, own[0].Name)
+			}
+			groupOf[name] = first
+			for _, m := range own {
+				if g, ok := groupOf[m.Name]; ok && g != first {
+					t.Fatalf("%d hosts: %s and %s disagree on their group", count, name, m.Name)
+				}
+			}
+			b.spread(context.Background(), []Row{{Host: name}})
+		}
+	}
+}
