What a host tells itself goes before what was copied of it

Found by reading: a host's own later word was joined with its earlier one by the larger count, so a tenth of a second at a window's edge that moved with the time of day counted in both. Spec: fails without.

--- a/internal/usage/ledger.go
+++ b/internal/usage/ledger.go
@@ -22,6 +22,7 @@
 type Ledger struct {
 	length   time.Duration
 	accounts map[string]Account   // by lifetime
+	direct   map[string]bool      // lifetimes that have told this ledger themselves
 	answered map[string]time.Time // by host, until when what it has told counts
 	reported Window               // the newest
 	begun    bool                 // some window was reported
@@ -29,7 +30,7 @@
 
 // NewLedger returns a ledger that knows nothing.
 func NewLedger(length time.Duration) *Ledger {
-	return &Ledger{length: length, accounts: map[string]Account{}, answered: map[string]time.Time{}}
+	return &Ledger{length: length, accounts: map[string]Account{}, direct: map[string]bool{}, answered: map[string]time.Time{}}
 }
 
 // Reported takes in that a window was reported, by this host or one before it.
@@ -54,24 +55,37 @@
 // Take takes in what a host has counted until a time of day.
 func (l *Ledger) Take(host string, a Account, until time.Time) {
 	l.answered[host] = until
-	l.Add(a)
+	l.direct[a.Lifetime] = true
+	l.set(Account{Lifetime: a.Lifetime, Windows: l.open(a.Windows)})
 }
 
-// Add takes in what a life of a host had counted, as another one was told. Counts only grow, so
-// the larger ones stand.
+// Add takes in what a life of a host had counted, as another one was told; its own word goes before
+// that. Counts only grow, so the larger ones stand.
 func (l *Ledger) Add(a Account) {
-	known, ok := l.accounts[a.Lifetime]
-	if !ok {
-		known = Account{Lifetime: a.Lifetime, Windows: map[Window]Counts{}}
+	if l.direct[a.Lifetime] {
+		return
 	}
-	for w, counts := range a.Windows {
-		if l.begun && w <= l.reported {
-			continue
-		}
-		known.Windows[w] = known.Windows[w].most(counts)
+	all := Account{Lifetime: a.Lifetime, Windows: maps.Clone(l.accounts[a.Lifetime].Windows)}
+	if all.Windows == nil {
+		all.Windows = map[Window]Counts{}
+	}
+	for w, counts := range l.open(a.Windows) {
+		all.Windows[w] = all.Windows[w].most(counts)
 	}
-	if len(known.Windows) > 0 {
-		l.accounts[a.Lifetime] = known
+	l.set(all)
+}
+
+// open returns the windows that are not reported yet.
+func (l *Ledger) open(windows map[Window]Counts) map[Window]Counts {
+	open := maps.Clone(windows)
+	maps.DeleteFunc(open, func(w Window, _ Counts) bool { return l.begun && w <= l.reported })
+	return open
+}
+
+func (l *Ledger) set(a Account) {
+	delete(l.accounts, a.Lifetime)
+	if len(a.Windows) > 0 {
+		l.accounts[a.Lifetime] = a
 	}
 }
 
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -75,6 +75,17 @@
 		Expect(l.Due(day.Add(6 * time.Second))).To(Equal([]usage.Report{{Window: first, Counts: usage.Counts{"weavers": 5, "dyers": 2}}}))
 	})
 
+	It("is not counted twice where a host takes a request for another window's later", func() {
+		l := usage.NewLedger(window)
+		l.Reported(first - 1)
+		l.Take("a", usage.Account{Lifetime: "a1", Windows: map[usage.Window]usage.Counts{first: {"weavers": 3}}}, day.Add(6*time.Second))
+		l.Take("a", usage.Account{Lifetime: "a1", Windows: map[usage.Window]usage.Counts{first: {"weavers": 2}, first + 1: {"weavers": 1}}}, day.Add(11*time.Second))
+		l.Add(usage.Account{Lifetime: "a1", Windows: map[usage.Window]usage.Counts{first: {"weavers": 3}}})
+		Expect(l.Due(day.Add(11 * time.Second))).To(Equal([]usage.Report{
+			{Window: first, Counts: usage.Counts{"weavers": 2}}, {Window: first + 1, Counts: usage.Counts{"weavers": 1}},
+		}))
+	})
+
 	It("does not wait long for a host that is silent", func() {
 		l := usage.NewLedger(window)
 		l.Reported(first - 1)
