Endpoints that tell how long work takes on their machine are understood

Change: the fourth figure is read, smoothed over some ten words, passed to advisers, and weighs in the choice, as longer reading and waits for prompts and as load for other requests.

--- a/internal/advice/wire.go
+++ b/internal/advice/wire.go
@@ -12,14 +12,14 @@
 func headToWire(h fleet.Heard) *advicepb.Head {
 	return &advicepb.Head{
 		Endpoint: h.Endpoint, Ticket: h.Ticket, Service: h.Service, Model: h.Model, TookMicros: h.Took.Microseconds(), ExpectedMicros: h.Expected.Microseconds(), QueueMicros: h.Queue.Microseconds(), Urgency: int32(h.Urgency), Refused: h.Refused,
-		Read: int32(h.Read), Sure: h.Sure, Running: int32(h.Load.Running), Waiting: int32(h.Load.Waiting), Slots: int32(h.Load.Slots),
+		Read: int32(h.Read), Sure: h.Sure, Running: int32(h.Load.Running), Waiting: int32(h.Load.Waiting), Slots: int32(h.Load.Slots), Pace: h.Load.Pace,
 	}
 }
 
 func headFromWire(w *advicepb.Head) fleet.Heard {
 	return fleet.Heard{
 		Endpoint: w.GetEndpoint(), Ticket: w.GetTicket(), Service: w.GetService(), Model: w.GetModel(), Took: micros(w.GetTookMicros()), Expected: micros(w.GetExpectedMicros()), Queue: micros(w.GetQueueMicros()), Urgency: int(w.GetUrgency()), Refused: w.GetRefused(),
-		Read: int(w.GetRead()), Sure: w.GetSure(), Load: fleet.Load{Running: int(w.GetRunning()), Waiting: int(w.GetWaiting()), Slots: int(w.GetSlots())},
+		Read: int(w.GetRead()), Sure: w.GetSure(), Load: fleet.Load{Running: int(w.GetRunning()), Waiting: int(w.GetWaiting()), Slots: int(w.GetSlots()), Pace: w.GetPace()},
 	}
 }
 
--- a/internal/fleet/endpoint.go
+++ b/internal/fleet/endpoint.go
@@ -80,6 +80,9 @@
 // Load is what an endpoint says of itself in an answer.
 type Load struct {
 	Running, Waiting, Slots int
+	// Pace is how long work takes on its machine now, which it shares with others, 1 as usual; 0
+	// if it does not say.
+	Pace float64
 }
 
 // Outcome is how an attempt went, for judging the endpoint.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -80,6 +80,7 @@
 	seed     uint64   // hash of the id
 	place    place    // in the pool of its service
 	inHall   string   // by which it stands there
+	paced    float64  // how long work takes there, smoothed; 0 before it was heard of
 	models   []string // that it said it has loaded; nil if it did not say
 	leaving  bool     // it said so itself
 	flying   int      // this host's requests there
--- a/internal/fleet/heard.go
+++ b/internal/fleet/heard.go
@@ -67,6 +67,7 @@
 	if l.Slots == 0 {
 		return
 	}
+	m.heardPace(l.Pace)
 	now := f.options.Now()
 	m.others = max(0, l.Running+l.Waiting-own-m.remote(now))
 	m.saidAt = now
--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -272,7 +272,7 @@
 	m, r := c.member, f.readingOf(ask.Service, ask.Model)
 	queue := f.queue(m, ask.Urgency, m.load(c.now, f.sharers(ask.Service)), c.now)
 	return Expectation{
-		Head: queue + r.head(c.unread), Queue: queue, Work: r.tokens(c.unread), Read: c.unread,
+		Head: queue + time.Duration(m.pace()*float64(r.head(c.unread))), Queue: queue, Work: r.tokens(c.unread), Read: c.unread,
 		Sure: c.unread <= ask.Tokens-ask.Shared && f.memory.known(m) >= ask.Shared, Price: f.prices[ask.Service].perSecond(), Overrun: f.overruns[ask.Service],
 	}
 }
--- a/internal/fleet/score.go
+++ b/internal/fleet/score.go
@@ -90,12 +90,13 @@
 	}
 	if t.ask.Key != 0 {
 		again := t.again * float64(max(unread-(t.ask.Tokens-t.ask.Shared), 0))
-		return score + loadSeconds*load + f.queue(m, t.ask.Urgency, load, now).Seconds() + t.work*t.reading.tokens(unread).Seconds() + again
+		own := f.queue(m, t.ask.Urgency, load, now).Seconds() + t.work*t.reading.tokens(unread).Seconds()
+		return score + loadSeconds*load + own*m.pace() + again
 	}
 	if load >= fullLoad {
 		load *= 2
 	}
-	return score + load
+	return score + load + plainPace*(m.pace()-1)
 }
 
 // weight is the rendezvous weight of an endpoint for a key, 0 to 1.
