Requests wait longer for hosts that start together with hundreds

Change: a millisecond more for each host there is, so 1.2 s becomes 2.2 s at 984, and stays where hosts are few. The next limit: callers of plain services have 1.5 s.

Ruled out for now: lists in parts, advice that brings an endpoint's address.

--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -33,7 +33,7 @@
 // body; it returns why the request is refused, nil if it is not.
 func (x *exchange) admit() *refusal {
 	x.ask = x.g.Codec.Request(x.r.Header)
-	if clock.Since(x.g.began) < startPatience {
+	if clock.Since(x.g.began) < x.g.startPatience() {
 		x.awaitStart()
 	}
 	if x.table == nil {
@@ -56,9 +56,21 @@
 // time is over nothing is known to come, and requests are refused at once.
 const startPatience = 1200 * time.Millisecond
 
+// startPatienceEach is added for each host: all start together after a loss of power, and a list of
+// endpoints that grows with the hosts goes through a few of them.
+const startPatienceEach = time.Millisecond
+
+// startPatience is how long that is here.
+func (g *Gateway) startPatience() time.Duration {
+	if g.Hosts == nil {
+		return startPatience
+	}
+	return startPatience + time.Duration(g.Hosts())*startPatienceEach
+}
+
 // awaitStart waits until a host that has just started can serve.
 func (x *exchange) awaitStart() {
-	ctx, cancel := context.WithTimeout(x.ctx, clock.Until(x.g.began.Add(startPatience)))
+	ctx, cancel := context.WithTimeout(x.ctx, clock.Until(x.g.began.Add(x.g.startPatience())))
 	defer cancel()
 	for _, known := range []<-chan struct{}{x.g.Holder.Known(), x.g.Fleet.Known()} {
 		select {
--- a/internal/gatewayd/module.go
+++ b/internal/gatewayd/module.go
@@ -124,7 +124,7 @@
 
 func newWatcher(s settings.Settings, p Ports, c storeClient, files *tlsfiles.Files, l *log.Logger) (*spread.Watcher, store.Watcher) {
 	w := spread.NewWatcher(spread.Options{
-		Host: s.Host, Hall: s.DataHall, Address: s.Gateway.Peers, Cores: s.Gateway.Cores, Seeds: s.Gateway.SeedPeers(), First: s.Gateway.First,
+		Host: s.Host, Hall: s.DataHall, Regions: s.Gateway.Halls, Address: s.Gateway.Peers, Cores: s.Gateway.Cores, Seeds: s.Gateway.SeedPeers(), First: s.Gateway.First,
 		Wait: time.Duration(waitPart * float64(s.Gateway.Bound())), Tables: c, Store: c, Logger: l,
 		Credentials: files.ClientCredentials(), Dial: p.dialPeer(),
 	})
@@ -200,10 +200,10 @@
 }
 
 func newGateway(s settings.Settings, h *route.Holder, f *fleet.Fleet, p *conn.Pool, u *upgrade.Tracker, a *advice.Advisor,
-	q *quarantine.Book, counter *usage.Counter, d *clock.Deadlines, t *telemetry.Telemetry, l *log.Logger,
+	q *quarantine.Book, counter *usage.Counter, w *spread.Watcher, d *clock.Deadlines, t *telemetry.Telemetry, l *log.Logger,
 ) *gateway.Gateway {
 	return gateway.New(gateway.Options{
-		Holder: h, Fleet: f, Pool: p, Upgrades: u, Codec: platform.Heads{}, Advice: a, Quarantine: q, Deadlines: d, Telemetry: t, Logger: l, Usage: counter,
+		Holder: h, Fleet: f, Pool: p, Upgrades: u, Codec: platform.Heads{}, Advice: a, Quarantine: q, Deadlines: d, Telemetry: t, Logger: l, Usage: counter, Hosts: w.Hosts,
 		RetryRatio: retryPart * s.Gateway.RetryRatio,
 	})
 }
