--- a/internal/spread/peers.go
+++ b/internal/spread/peers.go
@@ -13,7 +13,6 @@
 
 	"quaybarrow/internal/clock"
 	"quaybarrow/internal/codec"
-	"quaybarrow/internal/fleet"
 	"quaybarrow/internal/store"
 )
 
@@ -67,21 +66,22 @@
 // peers are the listed hosts; safe for use at once.
 type peers struct {
 	self, hall string
-
-	mu     sync.Mutex // guards all below
-	ranked []peer     // in the order in which this host asks; the seeds until the list was read
-	before []string   // addresses of the data hall's hosts that come before this one
-	after  []string   // addresses of those that come after it
-	leads  bool       // this host is listed, and none comes before it
-	all    int
-	halls  int // that have hosts
-	group  int // hosts that this one's reader may read for
-	stands map[string]standing
-	ring   []Member // all other hosts, from the next one on
+	regions    map[string]string // by data hall
+
+	mu      sync.Mutex // guards all below
+	ranked  []peer     // in the order in which this host asks; the seeds until the list was read
+	before  []string   // addresses of the hosts that choose endpoints with this one and come before it
+	after   []string   // addresses of those that come after it
+	leads   bool       // this host is listed, and none comes before it
+	all     int
+	circles int // of hosts that choose endpoints together
+	group   int // hosts that this one's reader may read for
+	stands  map[string]standing
+	ring    []Member // all other hosts, from the next one on
 }
 
 func newPeers(o Options) *peers {
-	p := &peers{self: o.Host, hall: o.Hall, stands: map[string]standing{}}
+	p := &peers{self: o.Host, hall: o.Hall, regions: o.Regions, stands: map[string]standing{}}
 	for _, address := range o.Seeds {
 		if address != o.Address {
 			p.ranked = append(p.ranked, peer{name: address, address: address})
@@ -94,15 +94,13 @@
 // set replaces the list.
 func (p *peers) set(entries map[string]entry) {
 	ranked := rankedFor(entries, p.self, p.hall)
-	before, after := aroundIn(entries, p.self, p.hall)
+	advising := newAdvising(entries, p.regions)
+	before, after := advising.around(entries, p.self, p.hall)
+	circles := advising.circles(entries)
 	_, listed := entries[p.self]
-	halls := map[string]bool{}
-	for _, e := range entries {
-		halls[e.Hall] = true
-	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.ranked, p.all, p.before, p.after, p.halls = ranked, len(entries), before, after, len(halls)
+	p.ranked, p.all, p.before, p.after, p.circles = ranked, len(entries), before, after, circles
 	p.leads = listed && len(before) == 0
 	p.group, _ = membersOf(entries, p.hall)
 	p.ring = ringOf(ranked, peer{name: p.self, hall: p.hall})
@@ -172,32 +170,6 @@
 	return max(groups, 1)
 }
 
-// aroundIn lists the addresses of the hosts that come before and after one of them, those that
-// may use more of a processor first: of all data halls while they are few, of its own
-// one beyond that.
-func aroundIn(entries map[string]entry, self, hall string) (before, after []string) {
-	var members []peer
-	if len(entries) <= togetherMost {
-		hall = ""
-	}
-	for name, e := range entries {
-		if hall == "" || e.Hall == hall {
-			members = append(members, peer{name: name, address: e.Address, cores: e.Cores, rank: xxhash.Sum64String(hall + "/" + name)})
-		}
-	}
-	slices.SortFunc(members, byCoresAndRank)
-	for i, q := range members {
-		if q.name == self {
-			for _, q := range members[i+1:] {
-				after = append(after, q.address)
-			}
-			return before, after
-		}
-		before = append(before, q.address)
-	}
-	return nil, nil // this host is not listed yet
-}
-
 func byCoresAndRank(a, b peer) int {
 	if a.far != b.far {
 		if a.far {
@@ -293,17 +265,6 @@
 	return max(w.peers.all, 1)
 }
 
-// Choosers counts the hosts that choose endpoints, and those that choose for others.
-func (w *Watcher) Choosers() fleet.Choosers {
-	w.peers.mu.Lock()
-	defer w.peers.mu.Unlock()
-	c := fleet.Choosers{Hosts: w.peers.all, Advisers: 1}
-	if w.peers.all > togetherMost {
-		c.Advisers = w.peers.halls
-	}
-	return c
-}
-
 // Leads reports whether this host is listed and comes before all others.
 func (w *Watcher) Leads() bool {
 	w.peers.mu.Lock()
--- a/internal/spread/peers_test.go
+++ b/internal/spread/peers_test.go
@@ -22,17 +22,21 @@
 		hosts, halls int
 		leaders      int
 		want         fleet.Choosers
+		regions      map[string]string
 	}{
-		"no list yet":            {0, 0, 0, fleet.Choosers{Advisers: 1}},
-		"a small deployment":     {6, 3, 1, fleet.Choosers{Hosts: 6, Advisers: 1}},
-		"as many as one advises": {128, 4, 1, fleet.Choosers{Hosts: 128, Advisers: 1}},
-		"a large deployment":     {295, 5, 5, fleet.Choosers{Hosts: 295, Advisers: 5}},
+		"no list yet":            {0, 0, 0, fleet.Choosers{Advisers: 1}, nil},
+		"a small deployment":     {6, 3, 1, fleet.Choosers{Hosts: 6, Advisers: 1}, nil},
+		"as many as one advises": {128, 4, 1, fleet.Choosers{Hosts: 128, Advisers: 1}, nil},
+		"a large deployment":     {295, 5, 5, fleet.Choosers{Hosts: 295, Advisers: 5}, nil},
+		"one region":             {90, 3, 1, fleet.Choosers{Hosts: 90, Advisers: 1}, map[string]string{"hall-0": "r", "hall-1": "r", "hall-2": "r"}},
+		"a region each":          {90, 3, 3, fleet.Choosers{Hosts: 90, Advisers: 3}, map[string]string{"hall-0": "r", "hall-1": "s", "hall-2": "t"}},
+		"two regions, one large": {300, 2, 2, fleet.Choosers{Hosts: 300, Advisers: 2}, map[string]string{"hall-0": "r", "hall-1": "s"}},
 	}
 	for name, c := range cases {
 		entries := fleetOf(c.hosts, c.halls)
 		leaders := 0
 		for self, e := range entries {
-			p := newPeers(Options{Host: self, Hall: e.Hall, Address: e.Address})
+			p := newPeers(Options{Host: self, Hall: e.Hall, Address: e.Address, Regions: c.regions})
 			if w := (&Watcher{peers: p}); w.Leads() {
 				t.Fatalf("%s: %s leads before it knows any host", name, self)
 			}
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -70,8 +70,9 @@
 type Options struct {
 	Host    string
 	Hall    string
-	Address string  // ip:port for the other hosts
-	Cores   float64 // what this host may use of a processor; those with most read the store
+	Regions map[string]string // of all data halls; empty where they are not known
+	Address string            // ip:port for the other hosts
+	Cores   float64           // what this host may use of a processor; those with most read the store
 	// First tells that all hosts start for the first time.
 	First bool
 	// Wait is the longest wait for changes at the store; what this host passes on
