--- a/internal/peer/rpc/rpc_test.go
+++ b/internal/peer/rpc/rpc_test.go
@@ -148,7 +148,7 @@
 		hold.Known = 1
 		Expect(link.Hold(ctx, address, hold)).To(MatchError(peer.ErrRefused))
 		news := quarantine.News{
-			Versions: map[string]int64{"a": 7}, Compare: true, Loaded: true, Relay: []string{"x", "y"},
+			Versions: map[string]int64{"a": 7}, Compare: true, Loaded: true, Scope: quarantine.ScopeAll,
 			Rows: []quarantine.Row{{Host: "a", Version: 7, Value: []byte("{}")}},
 		}
 		Expect(link.Tell(ctx, address, news)).To(Equal(news))
