--- a/internal/fleet/nominate_test.go
+++ b/internal/fleet/nominate_test.go
@@ -17,8 +17,8 @@
 )
 
 // manyFleet is a fleet with many endpoints in five data halls.
-func manyFleet(count int, seed uint64) *Fleet {
-	random := rand.New(rand.NewPCG(seed, 1))
+func manyFleet(count int) *Fleet {
+	random := rand.New(rand.NewPCG(1, 1))
 	f := New(Options{Hall: "hall-0", Random: random.Float64})
 	list := make([]Endpoint, count)
 	for i := range list {
@@ -64,7 +64,7 @@
 // TestChoiceAmongMany plays a load on a service with many endpoints: where a few are weighed, callers
 // get on average what they would get if all were.
 func TestChoiceAmongMany(t *testing.T) {
-	f, random := manyFleet(manyEndpoints, 1), rand.New(rand.NewPCG(2, 3))
+	f, random := manyFleet(manyEndpoints), rand.New(rand.NewPCG(2, 3))
 	var held []*Hold
 	sum, looks, used := 0.0, 0.0, map[string]bool{}
 	for i := range manySteps {
@@ -96,7 +96,7 @@
 
 // TestChoiceOfARareVersion: of many endpoints few run the version that a request may run on.
 func TestChoiceOfARareVersion(t *testing.T) {
-	f := manyFleet(manyEndpoints, 1)
+	f := manyFleet(manyEndpoints)
 	f.Put(Endpoint{ID: "new", Service: "s", Hall: "hall-3", Slots: 24, Version: "v2"})
 	ask := manyAsk(rand.New(rand.NewPCG(2, 3)))
 	ask.Allowed = func(v string) bool { return v == "v2" }
@@ -108,7 +108,7 @@
 
 // TestPoolOfMany adds and removes endpoints, also while lists are read whole.
 func TestPoolOfMany(t *testing.T) {
-	f, random := manyFleet(1_000, 1), rand.New(rand.NewPCG(4, 5))
+	f, random := manyFleet(1_000), rand.New(rand.NewPCG(4, 5))
 	for i := range 3_000 {
 		switch random.IntN(3) {
 		case 0:
@@ -137,7 +137,7 @@
 }
 
 func benchmarkMany(b *testing.B, count int) {
-	f, random := manyFleet(count, 1), rand.New(rand.NewPCG(2, 3))
+	f, random := manyFleet(count), rand.New(rand.NewPCG(2, 3))
 	asks := make([]Ask, 512)
 	for i := range asks {
 		asks[i] = manyAsk(random)
