--- a/internal/spread/enlist.go
+++ b/internal/spread/enlist.go
@@ -15,9 +15,9 @@
 	"quaybarrow/internal/store"
 )
 
-// At the first start of all hosts each has to be listed, within a second or two, in a table that takes
-// two hundred writes a second: of 984 hosts that wrote for themselves most were refused once and more.
-// So a host has a seed list it, which writes what came to it together.
+// At the first start of all hosts each has to be listed within a second or two, and a table takes a few
+// hundred writes a second: of many hosts that write for themselves most are refused. So a host has a
+// seed list it, which writes what came to it together.
 const (
 	// enlistMost rows are written at once.
 	enlistMost = 90
@@ -88,6 +88,7 @@
 	return w.enlist(ctx)
 }
 
+// askToEnlist has a seed list this host.
 func (w *Watcher) askToEnlist(ctx context.Context, seed string) error {
 	c, err := w.link.conn(seed)
 	if err != nil {
