--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -74,7 +74,7 @@
 		r.rows.Heal()
 	},
 	"a store that turns only it away": func(r *rig) {
-		n := r.hosts[r.holder()]
+		n := r.node(r.holder())
 		n.door.Cut(true)
 		time.Sleep(5 * time.Second)
 		n.door.Cut(false)
@@ -93,12 +93,13 @@
 
 // killAll kills all hosts and starts them again.
 func killAll(r *rig) {
-	for name := range r.hosts {
+	names := r.names()
+	for _, name := range names {
 		r.kill(name)
 	}
 	time.Sleep(time.Second)
-	for i := range len(r.hosts) {
-		r.start(fmt.Sprintf("front-%d", i))
+	for _, name := range names {
+		r.start(name)
 	}
 }
 
@@ -148,8 +149,8 @@
 		for seed := range uint64(200) {
 			playDay(seed, func(r *rig) {
 				for range 3 {
-					troubles[names[r.random.IntN(len(names))]](r)
-					time.Sleep(time.Duration(r.random.IntN(8000)) * time.Millisecond)
+					troubles[names[r.draw(len(names))]](r)
+					time.Sleep(time.Duration(r.draw(8000)) * time.Millisecond)
 				}
 			}, func(r *rig) {
 				Expect(r.calls.Violations()).To(BeEmpty(), "seed %d", seed)
@@ -177,7 +178,7 @@
 		suite.Paused(func() {
 			r := newRig(2, 1)
 			defer r.close()
-			r.stocks = map[string]capacity.Stock{"ikeja": {Ordinary: 4}, "lekki": {Ordinary: 4}, "yaba": {Ordinary: 4}}
+			r.serves(map[string]capacity.Stock{"ikeja": {Ordinary: 4}, "lekki": {Ordinary: 4}, "yaba": {Ordinary: 4}})
 			r.calls.AnswerOrders(http.StatusConflict)
 			time.Sleep(4 * time.Second)
 			refused := len(r.calls.Calls())
--- a/internal/duty/rig_test.go
+++ b/internal/duty/rig_test.go
@@ -6,8 +6,10 @@
 	"fmt"
 	"io"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -40,7 +42,7 @@
 	random  *rand.Rand
 	running sync.WaitGroup
 
-	mu     sync.Mutex // guards all below
+	mu     sync.Mutex // guards all below, and random
 	hosts  map[string]*node
 	began  map[int64]map[string]int64 // what truly began, by window and workspace
 	stocks map[string]capacity.Stock
@@ -76,7 +78,7 @@
 
 // start starts a life of a host.
 func (r *rig) start(name string) {
-	lifetime := fmt.Sprint(name, "-", r.random.Uint64())
+	lifetime := fmt.Sprint(name, "-", r.draw(math.MaxInt))
 	n := &node{rig: r, name: name, door: table.NewDoor(r.rows), counter: usage.NewCounter(lifetime)}
 	n.keeper = duty.New(duty.Options{
 		Host: name, Lifetime: lifetime, Window: window, Tables: n.door, Counter: n.counter, Asker: n,
@@ -102,6 +104,34 @@
 	r.running.Go(func() { n.keeper.Run(ctx) })
 }
 
+// draw is a number below n.
+func (r *rig) draw(n int) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.random.IntN(n)
+}
+
+// node is a host's newest life; nil if it has had none.
+func (r *rig) node(name string) *node {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.hosts[name]
+}
+
+// names are those of all hosts, in order.
+func (r *rig) names() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Sorted(maps.Keys(r.hosts))
+}
+
+// serves sets what serves in the data halls.
+func (r *rig) serves(stocks map[string]capacity.Stock) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stocks = stocks
+}
+
 // kill ends a life at once: from this moment on it reaches nobody, and nobody it.
 func (r *rig) kill(name string) {
 	r.mu.Lock()
@@ -114,7 +144,7 @@
 
 // terminate ends a life as planned: it gives the duties up first, and lives on for a while.
 func (r *rig) terminate(name string) {
-	r.hosts[name].keeper.Leave(context.Background())
+	r.node(name).keeper.Leave(context.Background())
 	time.Sleep(leaves)
 	r.kill(name)
 }
@@ -124,13 +154,7 @@
 
 // next are the hosts after one.
 func (r *rig) next(name string) []string {
-	var names []string
-	for i := range len(r.hosts) {
-		if other := fmt.Sprintf("front-%d", i); other > name {
-			names = append(names, other)
-		}
-	}
-	return names
+	return slices.DeleteFunc(r.names(), func(other string) bool { return other <= name })
 }
 
 // holder is the name of the host that made the newest call; the first host before there is one.
@@ -151,15 +175,8 @@
 // place is how many hosts that live come before one.
 func (r *rig) place(name string) int {
 	place := 0
-	for i := range len(r.hosts) {
-		other := fmt.Sprintf("front-%d", i)
-		if other == name {
-			return place
-		}
-		r.mu.Lock()
-		n := r.hosts[other]
-		r.mu.Unlock()
-		if n != nil && r.alive(n) {
+	for _, other := range r.names() {
+		if other < name && r.alive(r.node(other)) {
 			place++
 		}
 	}
@@ -180,9 +197,7 @@
 
 // Ask implements duty.Asker: it asks a host of the rig by way of what goes over the wire.
 func (n *node) Ask(ctx context.Context, address string, q duty.Question) ([]duty.Answer, error) {
-	n.rig.mu.Lock()
-	other := n.rig.hosts[address]
-	n.rig.mu.Unlock()
+	other := n.rig.node(address)
 	if !n.rig.alive(n) || !n.rig.alive(other) {
 		<-ctx.Done()
 		return nil, errSilent
@@ -210,11 +225,12 @@
 func (r *rig) serve(lasts time.Duration) {
 	workspaces := []string{"weavers", "dyers", "carvers"}
 	for began := time.Now(); time.Since(began) < lasts; time.Sleep(20 * time.Millisecond) {
-		n := r.hosts[fmt.Sprintf("front-%d", r.random.IntN(len(r.hosts)))]
+		names := r.names()
+		n := r.node(names[r.draw(len(names))])
 		if !r.alive(n) {
 			continue
 		}
-		workspace := workspaces[r.random.IntN(len(workspaces))]
+		workspace := workspaces[r.draw(len(workspaces))]
 		n.counter.Began(workspace)
 		w := int64(usage.WindowOf(time.Now(), window))
 		if r.began[w] == nil {
@@ -226,8 +242,8 @@
 
 // close ends all hosts.
 func (r *rig) close() {
-	for _, n := range r.hosts {
-		n.cancel()
+	for _, name := range r.names() {
+		r.node(name).cancel()
 	}
 	r.running.Wait()
 	_ = r.server.Close()
