Spot endpoints bear a lost data hall and a burst together

Change: where spot endpoints do the work, a tenth of their slots is to be in use in place of a fifth; they cost 0.18 of an ordinary one, so that is some 5 of 90 ordinary endpoints' cost. Ordinary ones are let go only once these serve.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -80,6 +80,10 @@
 	// tokens come more slowly the more requests run together, and a prompt that is read holds
 	// up all beside it.
 	fill = 0.2
+	// spotFill is the same where spot endpoints do most of the work. They cost a part, and bear
+	// what comes together: a data hall that is lost, those of the others that are cold and have
+	// no prompts, and a burst.
+	spotFill = 0.1
 	// floorPart of the endpoints that the work needs are ordinary ones; alone they have three
 	// times the usual load.
 	floorPart = 1.0 / 3
@@ -200,35 +204,37 @@
 		return want
 	}
 	needed := math.Ceil(running / (fill * float64(s.Slots)))
-	// All data halls but one have what is needed.
-	each := int(math.Ceil(needed / float64(max(len(halls)-1, 1))))
-	floor := s.floor(needed, each, len(halls))
 	for _, h := range halls {
-		if s.Upgrading {
-			s.beside(want, h, each)
-			continue
-		}
-		ordinary := min(max(floor, s.Scaling.Least), s.Scaling.Most)
-		want[Lot{Hall: h}] = ordinary
-		if s.Scaling.hasSpot() {
-			want[Lot{Hall: h, Spot: true}] = min(max(0, each-ordinary), s.Scaling.Most-ordinary)
+		switch {
+		case s.Upgrading:
+			s.beside(want, h, s.each(needed))
+		case s.Scaling.hasSpot():
+			s.mixed(want, h, needed, math.Ceil(running/(spotFill*float64(s.Slots))))
+		default:
+			want[Lot{Hall: h}] = min(max(s.each(needed), s.Scaling.Least), s.Scaling.Most)
 		}
 	}
 	return want
 }
 
-// floor is how many ordinary endpoints a data hall is to have.
-func (s State) floor(needed float64, each, halls int) int {
-	if !s.Scaling.hasSpot() {
-		return each
-	}
-	floor, serving := math.Ceil(floorPart*needed/float64(halls)), 0
+// each is how many endpoints a data hall is to have, so that all but one have what is needed.
+func (s State) each(needed float64) int {
+	return int(math.Ceil(needed / float64(max(len(s.halls())-1, 1))))
+}
+
+// mixed plans for a data hall with a floor of ordinary endpoints, for what is needed of these, and spot
+// ones beside them, for all that is needed where they do the work.
+func (s State) mixed(want map[Lot]int, hall string, needed, all float64) {
+	halls := float64(len(s.halls()))
+	floor, serving := math.Ceil(floorPart*needed/halls), 0
 	for _, stock := range s.Stocks {
 		serving += stock.Spot
 	}
 	// Until enough spot endpoints serve, ordinary ones do.
-	missing := max(0, needed-float64(serving)-floor*float64(halls))
-	return int(floor + math.Ceil(missing/float64(halls)))
+	missing := max(0, all-float64(serving)-floor*halls)
+	ordinary := min(max(int(floor+math.Ceil(missing/halls)), s.Scaling.Least), s.Scaling.Most)
+	want[Lot{Hall: hall}] = ordinary
+	want[Lot{Hall: hall, Spot: true}] = min(max(0, s.each(all)-int(floor)), s.Scaling.Most-ordinary)
 }
 
 // beside plans for a data hall in which an upgrade is under way. What an order is lowered by is
