The duties are among what goes by the time of day, and say why

Two checks over all files found the package in the whole check: the length of a call went by the runtime's clock, which stands still while the machine is suspended (mended); the time of day that a host shows, and the windows of it that most hosts agree on, are what usage is about (listed with their reasons).

--- a/internal/clock/ages_test.go
+++ b/internal/clock/ages_test.go
@@ -29,6 +29,7 @@
 	"internal/billing/held.go":       "the time of day, as it is kept; a bill that opened before a suspension waits longer",
 	"internal/config/log.go":         "the time of day, as it is kept",
 	"internal/daemon/duties.go":      "a certificate's end is a time of day",
+	"internal/duty/ask.go":           "the time of day that this host shows",
 	"internal/entry/jobs.go":         "the time of day at which a job is due",
 	"internal/entry/sink.go":         "what the runtime waits for while it writes",
 	"internal/job/":                  "the time of day at which jobs are due and end",
--- a/internal/clock/steady_test.go
+++ b/internal/clock/steady_test.go
@@ -23,6 +23,8 @@
 var mayGoByTimeOfDay = map[string]string{
 	"internal/entry/entry.go": "the list of models tells when each was made",
 	"internal/job/job.go":     "jobs are due at a time of day that all hosts share",
+	"internal/usage/usage.go": "windows of the time of day that most hosts agree on, whatever a single one's does",
+	"internal/duty/grpc.go":   "what time of day a host shows, and which one most hosts agree on",
 }
 
 // TestNothingGoesByTheTimeOfDay finds deadlines, windows and ages that would move
--- a/internal/duty/reports.go
+++ b/internal/duty/reports.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"fmt"
-	"time"
 
 	"github.com/pkg/errors"
 
+	"quaybarrow/internal/clock"
 	"quaybarrow/internal/codec"
 	"quaybarrow/internal/store"
 	"quaybarrow/internal/usage"
@@ -122,7 +122,7 @@
 func (t *term) sendReports(ctx context.Context) {
 	for len(t.reports.unsent) > 0 && t.may(ctx) {
 		r := t.reports.unsent[0]
-		began := time.Now()
+		began := clock.Now()
 		limited, cancel := context.WithTimeout(ctx, callLimit)
 		err := t.keeper.options.Platform.Usage(limited, t.holder(), r)
 		cancel()
@@ -131,6 +131,6 @@
 			return
 		}
 		t.reports.unsent = t.reports.unsent[1:]
-		t.keeper.options.Logger.Info("usage reported", "window", r.Window, "workspaces", len(r.Counts), "token", t.lease.Epoch(), "took_ms", time.Since(began).Milliseconds())
+		t.keeper.options.Logger.Info("usage reported", "window", r.Window, "workspaces", len(r.Counts), "token", t.lease.Epoch(), "took_ms", clock.Since(began).Milliseconds())
 	}
 }
