--- a/internal/faults/crash_test.go
+++ b/internal/faults/crash_test.go
@@ -37,6 +37,10 @@
 	crashToldWithin  = 3 * time.Second
 	crashLateMost    = 3
 	crashOthersLeast = 0.99
+
+	// crashJobWithin is how long after the day a job may be between two of its attempts: its
+	// longest wait of 8 s and a look of a host for jobs that wait, of 5 s, begun twice.
+	crashJobWithin = 18 * time.Second
 )
 
 // crashingDays are ways in which it comes.
@@ -64,14 +68,17 @@
 				for i := range 8 {
 					calling.Go(func() { w.ordinary(ctx, i) })
 				}
+				var job string
 				switch {
 				case d.job:
-					id := w.submit(engine.Crashing)
-					defer func() { Expect(w.jobState(id)).To(Equal("failed")) }()
+					job = w.submit(engine.Crashing)
 				default:
 					calling.Go(func() { w.comeAgain(ctx, d.stream, d.key) })
 				}
 				calling.Wait()
+				if d.job {
+					Expect(w.settled(job, crashJobWithin)).To(Equal("failed"))
+				}
 				sends := w.crashingSends()
 				Expect(len(sends)).To(BeNumerically(">=", 3))
 				late := 0
@@ -140,6 +147,19 @@
 	}
 }
 
+// settled is the state of a job once it waits and runs no more, or its state after the time given. What
+// is sent meanwhile counts with the rest.
+func (w *crashWorld) settled(id string, within time.Duration) string {
+	end := time.Now().Add(within)
+	for {
+		state := w.jobState(id)
+		if state != "waiting" && state != "running" || time.Now().After(end) {
+			return state
+		}
+		time.Sleep(time.Second)
+	}
+}
+
 func (w *crashWorld) answered() float64 { return float64(w.good) / float64(max(w.others, 1)) }
 
 // comeAgain sends the completion under which engines crash.
