--- a/internal/duty/reports.go
+++ b/internal/duty/reports.go
@@ -112,7 +112,11 @@
 	case err != nil:
 		return usage.Report{}, fmt.Errorf("keep usage: %w", cause)
 	}
-	return codec.Decode[usage.Report](row.Value)
+	kept, err := codec.Decode[usage.Report](row.Value)
+	if err != nil {
+		return usage.Report{}, fmt.Errorf("read kept usage: %w", err)
+	}
+	return kept, nil
 }
 
 // rowOf is the key of a window's row; keys are in the order of windows.
