Tests of what keeps two hosts from doing the duties at once

Deliberate breaks of the duties that no test saw: no look at the lease before a call, no rest after a release, and a report kept without the condition that its row is absent.

New specs play calls in each round, at ten moments between rounds, and a write that its caller gave up and that has its effect later. No code changes.

--- a/internal/duty/rig_test.go
+++ b/internal/duty/rig_test.go
@@ -29,18 +29,21 @@
 const (
 	window = 5 * time.Second
 	turns  = 3 * time.Second
+	// leaseLength is that of the lease on the duties.
+	leaseLength = turns * 4 / 3
 	// callsAddress is where the platform takes what is one host's duty.
 	callsAddress = "10.9.0.2:80"
 )
 
 // rig is hosts that keep duties, before a store and the platform.
 type rig struct {
-	rows    *table.Store
-	calls   *standin.Duties
-	net     *memnet.Network
-	server  *http.Server
-	random  *rand.Rand
-	running sync.WaitGroup
+	rows     *table.Store
+	calls    *standin.Duties
+	net      *memnet.Network
+	server   *http.Server
+	random   *rand.Rand
+	running  sync.WaitGroup
+	attempts attempts
 
 	mu     sync.Mutex // guards all below, and random
 	hosts  map[string]*node
@@ -53,6 +56,8 @@
 	rig     *rig
 	name    string
 	door    *table.Door
+	rows    *lateRows // what the duties keep goes there
+	beats   *beatRows // and their lease there
 	counter *usage.Counter
 	keeper  *duty.Keeper
 	cancel  context.CancelFunc
@@ -80,10 +85,11 @@
 func (r *rig) start(name string) {
 	lifetime := fmt.Sprint(name, "-", r.draw(math.MaxInt))
 	n := &node{rig: r, name: name, door: table.NewDoor(r.rows), counter: usage.NewCounter(lifetime)}
+	n.rows, n.beats = &lateRows{Tables: n.door}, &beatRows{Tables: n.door}
 	n.keeper = duty.New(duty.Options{
-		Host: name, Lifetime: lifetime, Window: window, Tables: n.door, Counter: n.counter, Asker: n,
+		Host: name, Lifetime: lifetime, Window: window, Tables: n.rows, Counter: n.counter, Asker: n,
 		Leases: lease.NewManager(lease.Options{
-			Tables: n.door, Host: name, Incarnation: lifetime, Length: turns * 4 / 3, Turns: turns, Place: func() (int, bool) { return r.place(name), true },
+			Tables: n.beats, Host: name, Incarnation: lifetime, Length: leaseLength, Turns: turns, Place: func() (int, bool) { return r.place(name), true },
 		}),
 		Members: func() []duty.Member { return r.members(name) }, Next: func() []string { return r.next(name) }, Platform: n, Running: func() map[string]int { return map[string]int{"model": 30} },
 		Services: func() []duty.Service {
@@ -210,6 +216,7 @@
 	if !n.rig.alive(n) {
 		return errSilent
 	}
+	n.rig.attempts.note(n.name)
 	return platform.NewDuties(callsAddress, n.rig.net.Dial).Usage(ctx, h, report)
 }
 
@@ -218,6 +225,7 @@
 	if !n.rig.alive(n) {
 		return errSilent
 	}
+	n.rig.attempts.note(n.name)
 	return platform.NewDuties(callsAddress, n.rig.net.Dial).Scale(ctx, h, service, o)
 }
 
