--- /dev/null
+++ b/internal/quarantine/broke_test.go
@@ -0,0 +1,67 @@
+package quarantine_test
+
+import (
+	"context"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"quaybarrow/internal/quarantine"
+)
+
+var _ = Describe("an endpoint whose connections broke", func() {
+	broke := func(h *hosts, endpoint string) bool {
+		return h.books[0].Broke(context.Background(), quarantine.Break{Endpoint: endpoint, Address: endpoint, Service: "s", Request: guilty, Run: quarantine.Run{Lasted: time.Second}})
+	}
+
+	ctx := context.Background()
+
+	It("has crashed if it is gone from the list a moment later, and nothing listens there", func() {
+		sharing(1, func(h *hosts) {
+			h.up["e0"] = true // its process is not gone yet
+			Expect(broke(h, "e0")).To(BeFalse())
+			Expect(h.books[0].Watching()).To(BeFalse())
+			time.Sleep(4 * time.Second)
+			h.up["e0"] = false
+			h.books[0].Gone(ctx, "e0")
+			Expect(h.books[0].Standing(guilty).Moments).To(Equal(1))
+		})
+	})
+
+	It("has crashed if another start is listed at its address a moment later", func() {
+		sharing(1, func(h *hosts) {
+			h.up["e0"] = true // something listens there again already
+			Expect(broke(h, "e0")).To(BeFalse())
+			h.books[0].Listed("e0", "e0")
+			h.books[0].Listed("e2", "e2")
+			Expect(h.books[0].Watching()).To(BeFalse())
+			time.Sleep(time.Second)
+			h.books[0].Listed("e1", "e0")
+			Expect(h.books[0].Standing(guilty).Moments).To(Equal(1))
+		})
+	})
+
+	It("has not if it leaves without notice and serves on", func() {
+		sharing(1, func(h *hosts) {
+			h.up["e0"] = true
+			Expect(broke(h, "e0")).To(BeFalse())
+			time.Sleep(time.Second)
+			h.books[0].Gone(ctx, "e0")
+			Expect(h.books[0].Watching()).To(BeFalse())
+		})
+	})
+
+	It("has not if it goes long after, or nothing broke there", func() {
+		sharing(1, func(h *hosts) {
+			h.up["e0"] = true
+			Expect(broke(h, "e0")).To(BeFalse())
+			time.Sleep(10 * time.Second)
+			h.up["e0"] = false
+			h.books[0].Gone(ctx, "e0")
+			h.books[0].Gone(ctx, "e1")
+			h.books[0].Listed("e3", "e0")
+			Expect(h.books[0].Watching()).To(BeFalse())
+		})
+	})
+})
--- /dev/null
+++ b/internal/soak/process.go
@@ -0,0 +1,178 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+
+	"github.com/pkg/errors"
+
+	"quaybarrow/platform/standin"
+)
+
+// process is a host's process.
+type process struct {
+	name     string
+	daemon   string
+	settings string
+	logDir   string
+	callers  string
+	readyAt  string
+	store    *proxy
+	ending   sync.Mutex // held by the fault that ends or pauses the process
+
+	mu     sync.Mutex // guards all below
+	cmd    *exec.Cmd
+	starts int
+	exited chan struct{}
+	// troubles are times in which something happened to the host.
+	troubles []trouble
+}
+
+// settingsText is a host's settings file.
+const settingsText = `host: %s
+data_hall: %s
+region: lagos
+gateway:
+  callers: %s
+  ready: %s
+  control: %s
+  peers: %s
+  store: %s
+  memory_mb: 200
+  retry_ratio: 0.9
+  grace: 6s
+  in_force: 2s
+  leaving: 2s
+  cores: 0.4
+  first: true
+  cold_overshoot: 1.5
+  cold_slack: 2
+  halls: {ikeja: lagos, lekki: lagos, yaba: lagos}
+`
+
+func newProcess(o Options, dir string, i int, store string, ports *portBlock) (*process, error) {
+	through, err := newProxy(store)
+	if err != nil {
+		return nil, err
+	}
+	p := &process{
+		name: fmt.Sprint("host-", i), daemon: o.Daemon, logDir: o.LogDir, callers: ports.address(), readyAt: ports.address(), store: through,
+	}
+	p.settings = filepath.Join(dir, p.name+".yaml")
+	text := fmt.Sprintf(settingsText, p.name, halls[i%len(halls)], p.callers, p.readyAt, ports.address(), ports.address(), through.address())
+	if err := os.WriteFile(p.settings, []byte(text), 0o600); err != nil {
+		return nil, fmt.Errorf("write settings: %w", err)
+	}
+	return p, p.start()
+}
+
+// Ports that hosts listen at: below those that the system gives to outgoing
+// connections, which would take them while a host is down, and in blocks, so that
+// soaks that run at the same time do not either.
+const (
+	firstPort  = 15_000
+	blocks     = 80
+	blockPorts = 200
+)
+
+// portBlock is a row of ports that no other soak uses; the first is kept open to
+// show that it is taken.
+type portBlock struct {
+	taken net.Listener
+	next  int
+}
+
+// takePorts takes a block that is free.
+func takePorts() (*portBlock, error) {
+	for _, i := range rand.Perm(blocks) {
+		base := firstPort + i*blockPorts
+		l, err := net.Listen("tcp4", loopback(base))
+		if err == nil {
+			return &portBlock{taken: l, next: base + 1}, nil
+		}
+	}
+	return nil, errors.New("no free ports")
+}
+
+// address returns an address that nobody listens at.
+func (b *portBlock) address() string {
+	b.next++
+	return loopback(b.next - 1)
+}
+
+func loopback(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
+
+// start starts the process.
+func (p *process) start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out, err := logFile(p.logDir, p.name)
+	if err != nil {
+		return err
+	}
+	cmd := exec.Command(p.daemon, "-settings", p.settings)
+	cmd.Stdout, cmd.Stderr = out, out
+	if err := cmd.Start(); err != nil {
+		return fmt.Errorf("start %s: %w", p.name, err)
+	}
+	exited := make(chan struct{})
+	p.cmd, p.exited = cmd, exited
+	p.starts++
+	go func() {
+		_ = cmd.Wait() // how it ended is seen by callers
+		_ = out.Close()
+		close(exited)
+	}()
+	return nil
+}
+
+// signal sends a signal to the process.
+func (p *process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = p.cmd.Process.Signal(s) // it may have ended
+}
+
+// life names the present life of the process.
+func (p *process) life() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return fmt.Sprintf("%s/%d", p.name, p.starts)
+}
+
+// await waits until the process has ended.
+func (p *process) await() {
+	p.mu.Lock()
+	exited := p.exited
+	p.mu.Unlock()
+	<-exited
+}
+
+// ready reports whether the host says that it is ready.
+func (p *process) ready(ctx context.Context) bool {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.readyAt+standin.PathReady, nil)
+	if err != nil {
+		return false
+	}
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// end kills the process, paused or not.
+func (p *process) end() {
+	p.signal(syscall.SIGKILL)
+	p.await()
+	p.store.close()
+}
