Hosts read and log the limits that endpoints name

Now there is a line when an endpoint names one, another one, or none any more (the last only by an answer to a request that was sent after the limit was last heard of), and one for texts that can't be read, one a second at most. Nothing is chosen by it yet.

What can't be read neither begins a limit nor ends one. 0 is taken for one request in ten seconds: without any nobody would hear that it has ended.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -98,6 +98,7 @@
 	found    finding       // what of the prompt that is being placed
 	region   string        // of its data hall
 	warmth   warmth
+	limited  *limitation // nil while it names no limit
 }
 
 // ticketsFrom bounds the first ticket; it leaves as many again to be given out.
--- a/internal/gateway/codec.go
+++ b/internal/gateway/codec.go
@@ -56,6 +56,7 @@
 	Sealed     bool // the endpoint made it
 	NotRun     bool // the request did not run
 	Load       fleet.Load
+	Limit      fleet.Limit
 	Confidence float64 // the model's own of its answer, 0 to 100
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"golang.org/x/time/rate"
 
 	"quaybarrow/internal/advice"
 	"quaybarrow/internal/clock"
@@ -67,6 +68,8 @@
 	draining atomic.Bool
 	inFlight atomic.Int64
 	running  *running
+	unread   *rate.Sometimes // lines about limits that can't be read
+	changed  *rate.Sometimes // lines about limits that have changed
 }
 
 // retryReserve is how many repeats a host may make in the window without any first
@@ -75,7 +78,7 @@
 
 // New returns a gateway.
 func New(options Options) *Gateway {
-	return &Gateway{Options: options, sizes: newSizes(), spans: newMeans(), begins: newBeginnings(), running: newRunning(), began: clock.Now(),
+	return &Gateway{Options: options, sizes: newSizes(), spans: newMeans(), begins: newBeginnings(), running: newRunning(), began: clock.Now(), unread: sometimes(), changed: sometimes(),
 		budgets: retry.NewBudgets(retry.Limits{Ratio: options.RetryRatio, Reserve: retryReserve})}
 }
 
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -229,6 +229,7 @@
 	}
 	a.liftLimit(ctx)
 	a.answer, a.said = answer, x.g.Codec.Answer(answer.Header)
+	a.hearLimit()
 	if a.said.NotRun || answer.StatusCode == http.StatusMisdirectedRequest {
 		x.mayRun = before
 		a.rejected()
