Hosts keep together to the limits that endpoints name

What callers saw: nothing but an endpoint in need that got 38 to 57 requests in 4 s where 16 to 21 are allowed, and could not recover.

Cause: nobody read what it names. Class: a bound for all hosts together, which a host can't keep by itself.

Change: package ratelimit. Each endpoint has one host that lends of its limit, by rendezvous hashing over the list of hosts; whoever chooses endpoints (an adviser, or a host by itself) borrows as it has requests, and a loan ends by itself. The choice passes over a limited endpoint of which nothing is in hand; where all are limited, requests wait for their turn, the urgent ones first, or are refused at once with a time that follows from the rates and from who is before them. Hosts tell each other of limits with questions for advice and with loans; the latest answer counts.

--- a/internal/admission/order.go
+++ b/internal/admission/order.go
@@ -69,7 +69,10 @@
 }
 
 // Refuse has the caller told to come back later; see ComeBack.
-type Refuse struct{}
+type Refuse struct {
+	// After is when there should be room; 0 if that is not known.
+	After time.Duration
+}
 
 func (Send) decision()   {}
 func (Behind) decision() {}
--- a/internal/advice/advice.go
+++ b/internal/advice/advice.go
@@ -102,6 +102,7 @@
 	}
 	return fleet.Advice{
 		Endpoint: reply.GetEndpoint(), Ticket: reply.GetTicket(), Expected: expectationFromWire(reply.GetExpected()), Decision: decisionFromWire(reply),
+		Limited: reply.GetLimited(),
 	}, true
 }
 
@@ -123,6 +124,7 @@
 		Shared: int32(ask.Shared), ObjectiveMicros: ask.Objective.Microseconds(), SlackMicros: ask.Slack.Microseconds(), LeftMicros: ask.Left.Microseconds(), Begun: ask.Begun,
 		WaitedMicros: ask.Waited.Microseconds(), Turn: ask.Turn, Urgency: int32(ask.Urgency), Avoid: ask.Avoid, //nolint:gosec // as above
 		Parts: partsToWire(ask.Parts), Memory: int32(ask.Memory), Hall: a.options.Hall, Regions: ask.Regions, //nolint:gosec // as above
+		WithinMicros: ask.Within.Microseconds(),
 	}
 }
 
@@ -140,6 +142,7 @@
 	}
 	asked := clock.Now()
 	request.Ended, request.Results, request.Heads = a.takeEnded(), a.takeResults(), a.takeHeads()
+	request.Limits = limitsToWire(a.options.Fleet.LimitNews(), asked)
 	wait := max(patience, time.Duration(patiencePart*float64(micros(request.GetObjectiveMicros()))))
 	limited, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
@@ -152,6 +155,7 @@
 	}
 	a.answered(address)
 	a.options.Fleet.Shun(reply.GetEjected())
+	learnLimits(a.options.Fleet, reply.GetLimits())
 	return reply, true
 }
 
@@ -294,15 +298,16 @@
 	for _, t := range r.GetResults() {
 		f.Learn(t.GetEndpoint(), fleet.Tally{Good: t.GetGood(), Failed: t.GetFailed(), Lost: t.GetLost()})
 	}
+	learnLimits(f, r.GetLimits())
 	ask := fleet.Ask{
 		Service: r.GetService(), Model: r.GetModel(), Key: r.GetKey(), Tokens: int(r.GetTokens()), Shared: int(r.GetShared()),
 		Objective: micros(r.GetObjectiveMicros()), Slack: micros(r.GetSlackMicros()), Left: micros(r.GetLeftMicros()), Begun: r.GetBegun(),
 		Waited: micros(r.GetWaitedMicros()), Turn: r.GetTurn(), Urgency: int(r.GetUrgency()), Avoid: r.GetAvoid(),
 		Allowed: s.options.Allowed(r.GetService(), r.GetVersionKey()), Parts: partsFromWire(r.GetParts()), Memory: int(r.GetMemory()), Hall: r.GetHall(),
-		Regions: r.GetRegions(),
+		Regions: r.GetRegions(), Within: micros(r.GetWithinMicros()),
 	}
 	// The reply goes out even if there is no endpoint: it tells which ones fail.
-	reply := &advicepb.ChooseReply{Ejected: f.Ejected()}
+	reply := &advicepb.ChooseReply{Ejected: f.Ejected(), Limits: limitsToWire(f.LimitNews(), clock.Now())}
 	if r.GetWeigh() {
 		if expected, ok := f.Expect(ask); ok {
 			reply.Expected = expectationToWire(expected)
@@ -311,6 +316,7 @@
 	}
 	if advised, ok := f.Advise(ask); ok {
 		reply.Endpoint, reply.Ticket, reply.Expected = advised.Endpoint, advised.Ticket, expectationToWire(advised.Expected)
+		reply.Limited = advised.Limited
 		decisionToWire(advised.Decision, reply)
 	}
 	return reply, nil
--- a/internal/advice/wire.go
+++ b/internal/advice/wire.go
@@ -5,6 +5,7 @@
 
 	"quaybarrow/internal/admission"
 	"quaybarrow/internal/advice/advicepb"
+	"quaybarrow/internal/clock"
 	"quaybarrow/internal/fleet"
 )
 
@@ -31,7 +32,7 @@
 	case admission.Wait:
 		reply.WaitMicros, reply.Turn = v.For.Microseconds(), v.Turn
 	case admission.Refuse:
-		reply.Refused = true
+		reply.Refused, reply.AfterMicros = true, v.After.Microseconds()
 	case admission.Send, nil:
 	}
 }
@@ -39,7 +40,7 @@
 func decisionFromWire(reply *advicepb.ChooseReply) admission.Decision {
 	switch {
 	case reply.GetRefused():
-		return admission.Refuse{}
+		return admission.Refuse{After: micros(reply.GetAfterMicros())}
 	case reply.GetWaitMicros() > 0:
 		return admission.Wait{For: micros(reply.GetWaitMicros()), Turn: reply.GetTurn()}
 	case reply.GetBehind():
@@ -65,6 +66,27 @@
 	}
 }
 
+// limitsToWire encodes what is known of limits; times are relative to the sending.
+func limitsToWire(list []fleet.LimitNews, now clock.Instant) []*advicepb.Limit {
+	var wire []*advicepb.Limit
+	for _, n := range list {
+		wire = append(wire, &advicepb.Limit{
+			Endpoint: n.Endpoint, PerSecond: n.Rate, HeardMicros: now.Sub(n.Heard).Microseconds(), SinceMicros: now.Sub(n.Since).Microseconds(),
+		})
+	}
+	return wire
+}
+
+// learnLimits takes in what another host knows of limits.
+func learnLimits(f *fleet.Fleet, wire []*advicepb.Limit) {
+	now := clock.Now()
+	for _, w := range wire {
+		f.LearnLimit(fleet.LimitNews{
+			Endpoint: w.GetEndpoint(), Rate: w.GetPerSecond(), Heard: now.Add(-micros(w.GetHeardMicros())), Since: now.Add(-micros(w.GetSinceMicros())),
+		})
+	}
+}
+
 func partsToWire(parts []fleet.Part) []*advicepb.Part {
 	wire := make([]*advicepb.Part, len(parts))
 	for i, p := range parts {
--- a/internal/fleet/advise.go
+++ b/internal/fleet/advise.go
@@ -15,6 +15,8 @@
 	Expected Expectation
 	// Decision is what becomes of the request. One that waits or is refused has no endpoint.
 	Decision admission.Decision
+	// Limited tells that the adviser knows of the endpoint's limit, and has counted the request.
+	Limited bool
 }
 
 // advised is a request of another host at an endpoint.
@@ -35,6 +37,9 @@
 	if !ok || m.Service != ask.Service || !f.usable(m, ask) || m.ejected(now) || !m.lapsed.IsZero() {
 		return nil, false
 	}
+	if f.limited(m) && m.limited.holds() && !a.Limited {
+		return nil, false // the adviser has not heard of it
+	}
 	if _, behind := a.Decision.(admission.Behind); behind {
 		ask.Urgency = UrgencyLeast
 	}
@@ -49,15 +54,15 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	p := f.place(ask)
-	if p.member == nil {
-		return Advice{}, false
-	}
 	if !p.goes() {
+		if _, none := p.decision.(admission.Send); none {
+			return Advice{}, false
+		}
 		return Advice{Decision: p.decision}, true
 	}
 	m := p.member
 	f.sends(m, ask, p.now)
-	a := Advice{Endpoint: m.ID, Expected: p.expected, Decision: p.decision}
+	a := Advice{Endpoint: m.ID, Expected: p.expected, Decision: p.decision, Limited: f.limited(m) && m.limited.holds()}
 	f.note(m, ask)
 	a.Ticket = f.await(m, a.Expected, p.ask.Urgency, p.now)
 	m.advised = append(m.advised, advised{ticket: a.Ticket, at: p.now})
--- a/internal/fleet/endpoint.go
+++ b/internal/fleet/endpoint.go
@@ -75,6 +75,7 @@
 	Evacuated bool
 	ColdSince clock.Instant
 	ColdFor   time.Duration
+	Limit     LimitStatus
 }
 
 // Load is what an endpoint says of itself in an answer.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -54,6 +54,7 @@
 	options Options
 	observe func(id string, o Outcome) // nil if nobody minds
 	heard   func(Heard)                // as observe
+	wanted  func()                     // as observe
 	known   chan struct{}              // closed once an endpoint was listed
 
 	mu        sync.Mutex               // guards all below
@@ -71,7 +72,10 @@
 	turns     map[string]*admission.Turns // requests that wait, by service
 	stays     map[string]time.Duration    // how long an answer holds a slot from its head on, by service
 	memory    memory
-	tickets   int64 // the last one given out; it begins by chance, so that those of another adviser mean nothing here
+	limits    map[string]*member // by ID, those that name a limit or lately did
+	wanting   map[string]*member // of these, those that something is to be borrowed of
+	lent      []*member          // of these, those of which something is in hand, and lately was
+	tickets   int64              // the last one given out; it begins by chance, so that those of another adviser mean nothing here
 }
 
 // member is an endpoint with what this host knows of it.
@@ -116,7 +120,7 @@
 		options.Random = rand.Float64
 	}
 	return &Fleet{
-		options: options, known: make(chan struct{}), members: map[string]*member{}, instances: map[string]*member{}, words: map[string]string{}, evacuated: map[string]clock.Instant{}, byService: map[string]*pool{}, ejected: map[string]*member{}, readings: map[serves]*reading{},
+		options: options, known: make(chan struct{}), members: map[string]*member{}, instances: map[string]*member{}, words: map[string]string{}, evacuated: map[string]clock.Instant{}, limits: map[string]*member{}, wanting: map[string]*member{}, byService: map[string]*pool{}, ejected: map[string]*member{}, readings: map[serves]*reading{},
 		prices: map[string]price{}, overruns: map[string]Overrun{}, crowds: map[string]*crowd{}, stays: map[string]time.Duration{}, turns: map[string]*admission.Turns{}, memory: memory{holders: map[uint64][]*member{}}, tickets: rand.Int64N(ticketsFrom),
 	}
 }
@@ -186,6 +190,7 @@
 	}
 	delete(f.members, m.ID)
 	delete(f.ejected, m.ID)
+	f.unlimit(m)
 	delete(f.instances, instance)
 	f.unlink(m)
 	f.memory.drop(m)
@@ -374,6 +379,7 @@
 			s.ColdSince, s.ColdFor = m.warmth.since, max(0, m.warmth.until.Sub(now))
 		}
 		s.Ready = !s.Draining && m.tier(now) < tierEjected
+		s.Limit = m.limitStatus(now)
 		if !m.saidAt.IsZero() {
 			s.Age = now.Sub(m.saidAt)
 		}
--- a/internal/fleet/limit.go
+++ b/internal/fleet/limit.go
@@ -1,6 +1,10 @@
 package fleet
 
-import "quaybarrow/internal/clock"
+import (
+	"time"
+
+	"quaybarrow/internal/clock"
+)
 
 // Limit is what an answer says of how many requests its endpoint takes from all hosts together.
 type Limit struct {
@@ -9,15 +13,56 @@
 	Unread string  // the beginning of what it says instead, if that can't be read
 }
 
-// limitLeast is what an endpoint gets at least that names a smaller limit, 0 included, in requests a
-// second: without any request nobody would hear that its limit has ended.
-const limitLeast = 0.1
+// LimitNews is what a host knows of an endpoint's limit, to be told to others. An immutable value.
+type LimitNews struct {
+	Endpoint string        // its id
+	Rate     float64       // requests a second; 0 once the endpoint names none any more
+	Since    clock.Instant // when it was first heard of
+	Heard    clock.Instant // when an answer last told
+}
+
+// Bounds of what is known of limits.
+const (
+	// limitLeast is what an endpoint gets at least that names a smaller limit, 0 included, in
+	// requests a second: without any request nobody would hear that its limit has ended.
+	limitLeast = 0.1
+	// newsLife is how old news of a limit may be that hosts tell each other.
+	newsLife = 10 * time.Second
+	// newsMost endpoints are told of at a time.
+	newsMost = 32
+)
 
-// limitation is what is known of the limit of an endpoint that names one.
+// limitation is what is known of the limit of an endpoint, and what this host may send there.
 type limitation struct {
-	rate  float64       // requests a second
-	since clock.Instant // when it was first heard of
-	heard clock.Instant // when an answer last named it
+	rate   float64       // requests a second; 0 once the endpoint names none any more
+	since  clock.Instant // when the limit was first heard of
+	heard  clock.Instant // when an answer last told
+	untold bool          // its end was heard by this host, and who lends of it may not know
+
+	loans    []Loan
+	used     int           // loans since the last question
+	wanted   int           // requests that have found none since
+	wantedAt clock.Instant // the last of them
+	asking   bool
+	again    clock.Instant // no question before
+}
+
+// holds reports whether an endpoint has a limit now.
+func (l *limitation) holds() bool { return l != nil && l.rate > 0 }
+
+func (l *limitation) news(endpoint string) LimitNews {
+	return LimitNews{Endpoint: endpoint, Rate: l.rate, Since: l.since, Heard: l.heard}
+}
+
+// hear takes in what an answer, or another host, tells.
+func (l *limitation) hear(n LimitNews) {
+	switch {
+	case n.Rate == 0:
+		l.loans, l.wanted, l.used = nil, 0, 0
+	case l.rate == 0:
+		l.since, l.untold = n.Since, false
+	}
+	l.rate, l.heard = n.Rate, n.Heard
 }
 
 // HearLimit takes in what an answer to a request of this host says of the endpoint's limit, and
@@ -31,20 +76,69 @@
 	if !ok {
 		return 0, 0
 	}
-	now, rate := f.options.Now(), max(l.Rate, limitLeast)
+	now := f.options.Now()
 	if m.limited != nil {
 		before = m.limited.rate
 	}
 	switch {
-	case l.Named && m.limited == nil:
-		m.limited = &limitation{rate: rate, since: now, heard: now}
 	case l.Named:
-		m.limited.rate, m.limited.heard = rate, now
-	case m.limited != nil && l.Unread == "" && sent.After(m.limited.heard):
-		m.limited = nil
+		f.limit(m, LimitNews{Rate: max(l.Rate, limitLeast), Since: now, Heard: now})
+	case before > 0 && l.Unread == "" && sent.After(m.limited.heard):
+		f.limit(m, LimitNews{Heard: now})
+		m.limited.untold = true
+		f.want(m, now)
 	}
 	if m.limited != nil {
 		after = m.limited.rate
 	}
 	return before, after
 }
+
+// LearnLimit takes in what another host knows; the latest answer counts.
+func (f *Fleet) LearnLimit(n LimitNews) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m, ok := f.members[n.Endpoint]
+	if !ok || f.options.Now().Sub(n.Heard) > newsLife || (m.limited != nil && !n.Heard.After(m.limited.heard)) {
+		return
+	}
+	if n.Rate > 0 || m.limited != nil {
+		f.limit(m, n)
+	}
+}
+
+// limit takes in the latest news of an endpoint's limit; the caller holds mu.
+func (f *Fleet) limit(m *member, n LimitNews) {
+	if m.limited == nil {
+		m.limited = &limitation{}
+		f.limits[m.ID] = m
+	}
+	m.limited.hear(n)
+}
+
+// unlimit drops what is known of a member's limit.
+func (f *Fleet) unlimit(m *member) {
+	m.limited = nil
+	delete(f.limits, m.ID)
+	delete(f.wanting, m.ID)
+}
+
+// LimitNews lists some of what this host knows of limits, to be told to another host.
+func (f *Fleet) LimitNews() []LimitNews {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.limits) == 0 {
+		return nil
+	}
+	now := f.options.Now()
+	var list []LimitNews
+	for id, m := range f.limits { // in an order that changes
+		switch old := now.Sub(m.limited.heard) > newsLife; {
+		case old && !m.limited.holds():
+			f.unlimit(m)
+		case !old && len(list) < newsMost:
+			list = append(list, m.limited.news(id))
+		}
+	}
+	return list
+}
--- a/internal/fleet/nominate.go
+++ b/internal/fleet/nominate.go
@@ -28,11 +28,13 @@
 	anyMost  = 4
 	// drawsPer is how many draws one that may be used takes at most.
 	drawsPer = 3
+	// lentMost endpoints are weighed of whose limits this host has something in hand.
+	lentMost = 8
 )
 
 // nominees are the endpoints that are weighed for an attempt.
 type nominees struct {
-	list [keepersMost + beginnersMost + homesMost + nearMost + anyMost]*member
+	list [keepersMost + beginnersMost + homesMost + nearMost + anyMost + lentMost]*member
 	n    int
 }
 
@@ -48,6 +50,7 @@
 // looked up which ones keep the prompt.
 func (f *Fleet) nominate(p *pool, ask Ask, near string, now clock.Instant) nominees {
 	var n nominees
+	f.nominateLent(&n, ask, now)
 	if ask.Key != 0 {
 		f.nominateKeepers(&n, ask, now)
 		f.nominateHomes(&n, p, ask, now)
@@ -57,6 +60,19 @@
 	return n
 }
 
+// nominateLent nominates endpoints that name limits, and of which something is in hand.
+func (f *Fleet) nominateLent(n *nominees, ask Ask, now clock.Instant) {
+	if len(f.lent) == 0 {
+		return
+	}
+	f.lent = slices.DeleteFunc(f.lent, func(m *member) bool { return m.limited == nil || m.limited.inHand(now) == 0 })
+	for _, m := range f.lent {
+		if n.n < lentMost && m.Service == ask.Service && f.usable(m, ask) {
+			n.add(m)
+		}
+	}
+}
+
 // nominateKeepers nominates endpoints that keep a prompt: some of those that keep the most of it,
 // and some that keep its beginning.
 func (f *Fleet) nominateKeepers(n *nominees, ask Ask, now clock.Instant) {
--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -29,6 +29,8 @@
 	Waited      time.Duration // since its caller asked
 	Turn        int64         // of those that wait; 0 for none
 	Regions     []string      // whose endpoints may be used; nil for all
+	// Within is how long it may wait for endpoints whose limits are used up; 0 for not at all.
+	Within time.Duration
 	// Unadvised tells that other hosts choose at the same time without knowing of it.
 	Unadvised bool
 }
@@ -207,6 +209,8 @@
 	member *member // nil if none may be used
 	room   int     // slots of endpoints that are free
 	unread int     // tokens of the prompt that it is expected to read
+	score  float64 // its own
+	limits limits  // of the endpoints that were weighed
 	now    clock.Instant
 }
 
@@ -224,13 +228,15 @@
 	}
 	n := f.nominate(p, ask, t.near, c.now)
 	f.weigh(&c, n.list[:n.n], t)
-	if c.member == nil || c.member.tier(c.now) > tierWell {
+	part := float64(len(p.all)) / float64(max(n.n, 1))
+	c.limits.rate *= part
+	if (c.member == nil && c.limits.rate == 0) || (c.member != nil && c.member.tier(c.now) > tierWell) {
 		// What may be used is rare, as one of a few endpoints of a version.
 		c = choice{now: c.now}
 		f.weigh(&c, p.all, t)
 		return c
 	}
-	c.room = int(float64(c.room) * float64(len(p.all)) / float64(n.n))
+	c.room = int(float64(c.room) * part)
 	return c
 }
 
@@ -242,11 +248,18 @@
 			continue
 		}
 		load, unread := m.load(c.now, t.sharers), t.unread(m)
+		s := f.score(m, t, load, unread, c.now)
+		if !f.limited(m) {
+			c.limits.open = true
+		} else if !c.limits.takes(m, s, c.now) {
+			continue
+		}
 		c.room += m.free(load)
-		if s := f.score(m, t, load, unread, c.now); s < best {
+		if s < best {
 			c.member, c.unread, best = m, unread, s
 		}
 	}
+	c.score = best
 }
 
 // Pick chooses an endpoint and holds a place there; false if none may be used.
@@ -318,7 +331,7 @@
 		if !f.usable(m, ask) || m.tier(now) > tierWell {
 			continue
 		}
-		if w := weight(ask.Key, m.seed); w < least {
+		if w := Weight(ask.Key, m.seed); w < least {
 			home, least = m, w
 		}
 	}
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -37,12 +37,16 @@
 // place decides on a request and finds the endpoint that is best for it; the caller holds
 // mu. One that is not likely to be in time is placed as one behind all others.
 func (f *Fleet) place(ask Ask) placement {
-	p := placement{choice: f.choose(ask), ask: ask, urgency: ask.Urgency, decision: admission.Send{}}
+	p := f.ration(placement{choice: f.choose(ask), ask: ask, urgency: ask.Urgency, decision: admission.Send{}})
+	f.borrow(p.choice)
 	if p.member == nil {
 		return p
 	}
 	p.expected = f.expect(p.choice, ask)
 	if ask.Left == 0 {
+		if ask.Turn != 0 {
+			f.turnsOf(ask.Service).Leave(ask.Turn)
+		}
 		return p
 	}
 	o := admission.Outlook{InTime: p.expected.InTime(ask.Slack), Head: p.expected.Head, Waits: ask.Turn != 0, Left: ask.Left}
--- /dev/null
+++ b/internal/fleet/ration.go
@@ -0,0 +1,108 @@
+package fleet
+
+import (
+	"time"
+
+	"quaybarrow/internal/admission"
+	"quaybarrow/internal/clock"
+)
+
+// laterScore puts endpoints of which nothing can be borrowed yet after all others.
+const laterScore = 1e6
+
+// limits are what a choice has seen of endpoints that name limits.
+type limits struct {
+	passed *member // the best one that was passed over since nothing of its limit is in hand; nil for none
+	score  float64 // its own
+	rate   float64 // requests a second that they take together
+	inHand int     // requests that this host may send there now
+	open   bool    // some endpoint that may be used names none
+}
+
+// takes notes an endpoint of a score and reports whether it takes a request.
+func (l *limits) takes(m *member, score float64, now clock.Instant) bool {
+	if !m.limited.holds() {
+		l.open = true
+		return true
+	}
+	n := m.limited.inHand(now)
+	l.rate += m.limited.rate
+	l.inHand += n
+	if m.limited.asking || now.Before(m.limited.again) {
+		score += laterScore
+	}
+	if n == 0 && (l.passed == nil || score < l.score) {
+		l.passed, l.score = m, score
+	}
+	return n > 0
+}
+
+// limited reports whether an endpoint's limit is kept.
+func (f *Fleet) limited(m *member) bool { return m.limited != nil && f.wanted != nil }
+
+// borrow has a part of the limit asked for of an endpoint that was passed over, if it is better than
+// the one that is chosen.
+func (f *Fleet) borrow(c choice) {
+	if c.limits.passed != nil && (c.member == nil || c.limits.score < c.score) {
+		f.want(c.limits.passed, c.now)
+	}
+}
+
+// ration decides on a request while all endpoints that it may use name limits: with none of them in
+// hand, or with others that wait and go before it, it waits for its turn or is refused.
+func (f *Fleet) ration(p placement) placement {
+	if p.limits.open || p.limits.rate == 0 || (p.member != nil && p.ask.Within == 0) {
+		return p
+	}
+	turns := f.turnsOf(p.ask.Service)
+	asked, urgency := p.now.Add(-p.ask.Waited), rank(p.urgency)
+	ahead, _ := turns.Ahead(p.ask.Turn, urgency, asked, p.now)
+	if p.member != nil && ahead < p.limits.inHand {
+		return p
+	}
+	p.member = nil
+	if p.ask.Within == 0 {
+		return p
+	}
+	turn := seconds(float64(ahead+1) / f.shareOf(p.limits.rate, p.ask))
+	switch d := admission.Ration(turn, p.ask.Within, p.ask.Turn != 0).(type) {
+	case admission.Wait:
+		d.Turn = turns.Wait(p.ask.Turn, urgency, asked, p.now, d.For)
+		p.decision = d
+		if d.Turn == 0 {
+			p.decision = admission.Refuse{After: turn}
+		}
+	default:
+		turns.Leave(p.ask.Turn)
+		p.decision = d
+	}
+	return p
+}
+
+// shareOf is what the hosts that this one chooses for get of a rate that all share.
+func (f *Fleet) shareOf(rate float64, ask Ask) float64 {
+	if f.options.Choosers == nil {
+		return rate
+	}
+	c := f.options.Choosers()
+	if ask.unadvised() {
+		return rate / float64(max(c.Hosts, 1))
+	}
+	return rate / float64(max(c.Advisers, 1))
+}
+
+// LimitStatus is what a host knows of an endpoint's limit, for operators.
+type LimitStatus struct {
+	Rate   float64 // requests a second; 0 where it names none
+	Since  time.Duration
+	InHand int // requests that this host may send there now
+	Wanted int // requests that have lately found none
+}
+
+// limitStatus tells operators of a member's limit.
+func (m *member) limitStatus(now clock.Instant) LimitStatus {
+	if !m.limited.holds() {
+		return LimitStatus{}
+	}
+	return LimitStatus{Rate: m.limited.rate, Since: now.Sub(m.limited.since), InHand: m.limited.inHand(now), Wanted: m.limited.wanted}
+}
--- a/internal/fleet/warm.go
+++ b/internal/fleet/warm.go
@@ -140,8 +140,11 @@
 // unadvised reports whether other hosts may send the like at the same time.
 func (a Ask) unadvised() bool { return a.Unadvised || a.Key == 0 }
 
-// sends notes that an attempt goes to an endpoint.
+// sends notes that an attempt goes to an endpoint, and uses a part of what may be sent there.
 func (f *Fleet) sends(m *member, ask Ask, now clock.Instant) {
+	if f.limited(m) {
+		m.limited.take(now)
+	}
 	limits := f.warming(ask.Service)
 	if limits.most == 0 {
 		return
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -126,10 +126,11 @@
 	key        uint64  // of the prompt that it shares with others
 	versionKey uint64  // of what stays on one version
 
-	advice     string // what came of the last advice
-	rejections int    // of the sends, those that endpoints have not run
-	waits      int    // times that it was told to wait for its turn
-	sends      int    // requests written to endpoints
+	advice     string        // what came of the last advice
+	rejections int           // of the sends, those that endpoints have not run
+	waits      int           // times that it was told to wait for its turn
+	room       time.Duration // until there should be room for it, if it was refused for that
+	sends      int           // requests written to endpoints
 	tried      []string
 	mayRun     bool // some endpoint may have run it, or may yet
 	outcome    string
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -13,6 +13,15 @@
 // sometimes has one of many lines written.
 func sometimes() *rate.Sometimes { return &rate.Sometimes{Interval: limitLines} }
 
+// within is how long the request may wait for endpoints that are at their limits: until its caller
+// leaves, or the answer could not come in time.
+func (x *exchange) within() time.Duration {
+	if x.affinity(x.model) != 0 && x.first == 0 {
+		return x.useful()
+	}
+	return max(x.left()-x.route.Objective, 1)
+}
+
 // hearLimit takes in what the head of an answer says of its endpoint's limit. An answer that the
 // endpoint has not sealed may lack what the endpoint would say, and one that another endpoint gave
 // says nothing of this one.
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -24,6 +24,7 @@
 var (
 	errNoEndpoint = errors.New("no endpoint takes the request")
 	errRefused    = errors.New("engines can't serve it")
+	errLimited    = errors.New("endpoints are at the limits that they name")
 	errAway       = errors.New("all data halls of the service are evacuated")
 	errRejected   = errors.New("the endpoint did not run the request")
 	errUnsound    = errors.New("the answer is not an endpoint's")
@@ -59,7 +60,11 @@
 func (x *exchange) send(ctx context.Context, model, lastEvent string) (*attempt, error) {
 	for range maxDials {
 		hold, decision := x.pick(ctx, model)
-		if _, refused := decision.(admission.Refuse); refused {
+		if refused, ok := decision.(admission.Refuse); ok {
+			x.room = refused.After
+			if refused.After > 0 {
+				return nil, errLimited
+			}
 			return nil, errRefused
 		}
 		if hold == nil {
@@ -127,13 +132,13 @@
 // choose decides on the request. For one with a prompt hosts choose together.
 func (x *exchange) choose(ctx context.Context, model string, turn int64) (*fleet.Hold, admission.Decision) {
 	ask := x.fleetAsk(model)
+	ask.Waited, ask.Turn, ask.Within = clock.Since(x.start), turn, x.within()
 	if ask.Key == 0 {
 		return x.g.Fleet.Place(ask)
 	}
 	ask.Unadvised = x.g.Advice != nil && !x.g.Advice.Leads()
 	if x.first == 0 { // else the caller has a part of the answer, and the rest goes before others
 		ask.Slack, ask.Left, ask.Begun = x.slack(), x.useful(), x.mayRun
-		ask.Waited, ask.Turn = clock.Since(x.start), turn
 	}
 	if x.g.Advice == nil {
 		return x.g.Fleet.Place(ask)
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -112,7 +112,7 @@
 	switch {
 	case clock.Over(x.ctx):
 		return false, "time is over"
-	case errors.Is(err, errRefused):
+	case errors.Is(err, errRefused), errors.Is(err, errLimited):
 		return false, "refused"
 	case errors.Is(err, errAway):
 		return false, "nobody runs it"
@@ -212,6 +212,8 @@
 		return awayComeBack
 	case errors.Is(reason, errQuarantined):
 		return 0
+	case errors.Is(reason, errLimited):
+		return admission.ComeBackAfter(x.room, x.left(), rand.Float64())
 	}
 	full := errors.Is(reason, errRefused) || errors.Is(reason, errRejected)
 	if full && x.affinity(x.model) != 0 && !x.g.draining.Load() {
--- a/internal/gatewayd/host.go
+++ b/internal/gatewayd/host.go
@@ -22,6 +22,7 @@
 	"quaybarrow/internal/follow"
 	"quaybarrow/internal/gateway"
 	"quaybarrow/internal/quarantine"
+	"quaybarrow/internal/ratelimit"
 	"quaybarrow/internal/route"
 	"quaybarrow/internal/settings"
 	"quaybarrow/internal/spread"
@@ -61,6 +62,7 @@
 	Pool       *conn.Pool
 	Upgrades   *upgrade.Tracker
 	Advice     *advice.Advisor
+	Limits     *ratelimit.Desk
 	Quarantine *quarantine.Book
 	Duties     *duty.Keeper
 	Gateway    *gateway.Gateway
@@ -86,6 +88,7 @@
 	h.peers = p.Spread.Server(p.TLS.ServerCredentials())
 	p.Advice.Register(h.peers)
 	quarantine.Register(h.peers, p.Quarantine.Hear)
+	ratelimit.Register(h.peers, p.Limits.Borrow)
 	p.Duties.Register(h.peers)
 	h.control = &http.Server{Handler: h.figures(), ReadHeaderTimeout: headTimeout}
 	return h
@@ -195,7 +198,7 @@
 	return []func(context.Context){
 		table(platform.TableOperator, &operators{holder: h.Holder, fleet: h.Fleet, upgrades: h.Upgrades, logger: h.Logger}),
 		table(platform.TableEndpoints, &endpoints{fleet: h.Fleet, pool: h.Pool, quarantine: h.Quarantine, upgrades: h.Upgrades, halls: h.Settings.Gateway.Halls, logger: h.Logger}),
-		h.Spread.Run, h.Upgrades.Run, h.Quarantine.Run, h.Duties.Run, h.sweep, h.reload,
+		h.Spread.Run, h.Upgrades.Run, h.Quarantine.Run, h.Limits.Run, h.Duties.Run, h.sweep, h.reload,
 		func(ctx context.Context) { telemetry.WatchSuspensions(ctx, h.Deadlines, h.Telemetry, h.Logger) },
 	}
 }
--- a/internal/gatewayd/module.go
+++ b/internal/gatewayd/module.go
@@ -30,6 +30,7 @@
 	"quaybarrow/internal/fleet"
 	"quaybarrow/internal/gateway"
 	"quaybarrow/internal/quarantine"
+	"quaybarrow/internal/ratelimit"
 	"quaybarrow/internal/route"
 	"quaybarrow/internal/settings"
 	"quaybarrow/internal/spread"
@@ -71,7 +72,7 @@
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.Supply(s, ports),
 		fx.Provide(
-			newLines, newLogger, newTelemetry, newTLS, newStore, newWatcher, clock.NewDeadlines, route.NewHolder, newFleet, newPool, newTracker, newAdvisor, newQuarantine, newLifetime, newUsage, newDuties, newGateway, newHost,
+			newLines, newLogger, newTelemetry, newTLS, newStore, newWatcher, clock.NewDeadlines, route.NewHolder, newFleet, newPool, newTracker, newAdvisor, newLimits, newQuarantine, newLifetime, newUsage, newDuties, newGateway, newHost,
 		),
 		fx.Invoke(func(lc fx.Lifecycle, h *Host) {
 			lc.Append(fx.Hook{OnStart: h.Start, OnStop: h.Stop})
@@ -175,6 +176,20 @@
 	return a
 }
 
+func newLimits(s settings.Settings, w *spread.Watcher, f *fleet.Fleet, t *telemetry.Telemetry, l *log.Logger) *ratelimit.Desk {
+	return ratelimit.NewDesk(ratelimit.Options{
+		Host: s.Host, Fleet: f, Caller: ratelimit.NewCaller(w.Conn), Telemetry: t, Logger: l,
+		Known: func() bool { return w.Choosers().Hosts > 0 },
+		Members: func() []ratelimit.Member {
+			var list []ratelimit.Member
+			for _, m := range w.Members() {
+				list = append(list, ratelimit.Member(m))
+			}
+			return list
+		},
+	})
+}
+
 func newQuarantine(s settings.Settings, tables store.Tables, w *spread.Watcher, p *conn.Pool, f *fleet.Fleet, l *log.Logger) *quarantine.Book {
 	return quarantine.NewBook(quarantine.Options{
 		Host: s.Host, Reach: p.Reach, Endpoints: f.Count, Members: func() []quarantine.Member { return members(w) }, Leads: w.Leads,
--- /dev/null
+++ b/internal/ratelimit/ratelimit.go
@@ -0,0 +1,249 @@
+// Package ratelimit keeps hosts together to the limits that endpoints name: how many requests a
+// second an endpoint takes from all of them.
+//
+// # Usage
+//
+//	d := ratelimit.NewDesk(ratelimit.Options{Host: name, Fleet: f, Members: members, Known: known, Caller: caller})
+//	ratelimit.Register(server, d.Borrow)
+//	go d.Run(ctx)
+//
+// Each endpoint has one host that lends of its limit, found by rendezvous hashing over the list of
+// hosts, and the others borrow of it as they have requests. What is lent lasts for a moment, and ends
+// by itself: a host that dies with it costs that much of the limit, and nothing has to be taken back.
+// While the lender does not answer the next host in the endpoint's order lends, at first a part of the
+// limit only. A host that is asked although another comes before it asks that one, so two lend at once
+// only while they don't reach each other. Nothing is agreed or kept: a limit is the endpoint's word of
+// a moment ago, and is known to whoever asks.
+package ratelimit
+
+import (
+	"context"
+	"math"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/charmbracelet/log"
+
+	"quaybarrow/internal/clock"
+	"quaybarrow/internal/fleet"
+	"quaybarrow/internal/telemetry"
+)
+
+// Times of questions between hosts.
+const (
+	askPatience   = 250 * time.Millisecond
+	relayPatience = 100 * time.Millisecond
+	// awayFor is how long a host is passed over that has not answered. It is short, so that all
+	// come back to a lender at nearly the same time.
+	awayFor = time.Second
+	// nobodyPause is after how long a host asks again that has found no lender.
+	nobodyPause = 200 * time.Millisecond
+	// membersFor is how long the list of hosts is kept in the order's form.
+	membersFor = time.Second
+)
+
+// Bounds of questions.
+const (
+	// triesMost hosts are asked for one question.
+	triesMost = 3
+	// asksMost questions are under way at once.
+	asksMost = 16
+)
+
+// Member is another host.
+type Member struct{ Name, Address string }
+
+// Caller asks other hosts.
+type Caller interface {
+	Borrow(ctx context.Context, address string, r Request) (Reply, error)
+}
+
+// Options set up a Desk.
+type Options struct {
+	Host  string // this host's name
+	Fleet *fleet.Fleet
+	// Members lists all other hosts, and Known tells whether the list was read.
+	Members   func() []Member
+	Known     func() bool
+	Caller    Caller
+	Telemetry *telemetry.Telemetry
+	Logger    *log.Logger
+}
+
+// Desk borrows for this host, and lends to others; safe for use at once.
+type Desk struct {
+	options Options
+	lender  *Lender
+	wake    chan struct{}
+	asks    chan struct{} // holds one for each question under way
+
+	mu      sync.Mutex // guards all below
+	hosts   []host     // this one too
+	readAt  clock.Instant
+	away    map[string]clock.Instant // hosts that have not answered, by name, and until when they are passed over
+	failing map[string]bool          // hosts of which a line says that they don't answer
+}
+
+// host is a host in the endpoints' orders.
+type host struct {
+	Member
+	seed uint64
+	self bool
+}
+
+// NewDesk returns a desk.
+func NewDesk(o Options) *Desk {
+	d := &Desk{
+		options: o, lender: NewLender(), wake: make(chan struct{}, 1), asks: make(chan struct{}, asksMost),
+		away: map[string]clock.Instant{}, failing: map[string]bool{},
+	}
+	o.Fleet.OnWanted(d.wanted)
+	return d
+}
+
+// wanted has the desk look what is to be borrowed.
+func (d *Desk) wanted() {
+	select {
+	case d.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run borrows until the context ends.
+func (d *Desk) Run(ctx context.Context) {
+	var working sync.WaitGroup
+	defer working.Wait()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.wake:
+		case <-timer.C:
+		}
+		list, next := d.options.Fleet.Wanted()
+		for _, w := range list {
+			select {
+			case d.asks <- struct{}{}:
+			case <-ctx.Done():
+				return
+			}
+			working.Go(func() {
+				defer func() { <-d.asks }()
+				d.ask(ctx, w)
+			})
+		}
+		if !next.IsZero() {
+			timer.Reset(max(clock.Until(next), 0))
+		}
+	}
+}
+
+// ask borrows of an endpoint's limit.
+func (d *Desk) ask(ctx context.Context, w fleet.Want) {
+	r := Request{Requests: w.Requests, Limit: w.News, From: d.options.Host}
+	asked := clock.Now()
+	reply, ok := d.borrow(ctx, r)
+	if !ok {
+		d.options.Fleet.Lent(w.News.Endpoint, fleet.Loan{Again: clock.Now().Add(nobodyPause)})
+		return
+	}
+	d.options.Telemetry.Count("limit_requests_borrowed", int64(reply.Requests))
+	d.options.Fleet.LearnLimit(reply.Limit)
+	d.options.Fleet.Lent(w.News.Endpoint, fleet.Loan{Requests: reply.Requests, Until: asked.Add(reply.Lasts), Again: clock.Now().Add(reply.Again)})
+}
+
+// borrow asks the host that lends; false if none is found.
+func (d *Desk) borrow(ctx context.Context, r Request) (Reply, bool) {
+	if !d.options.Known() {
+		return Reply{}, false
+	}
+	for range triesMost {
+		h, first := d.lenderOf(r.Limit.Endpoint, "")
+		if h.self {
+			return d.lender.Lend(r, first, clock.Now()), true
+		}
+		reply, err := d.call(ctx, h, r, askPatience)
+		if err == nil {
+			return reply, true
+		}
+		if ctx.Err() != nil {
+			return Reply{}, false
+		}
+	}
+	return Reply{}, false
+}
+
+// call asks a host, and notes whether it answers.
+func (d *Desk) call(ctx context.Context, h host, r Request, patience time.Duration) (Reply, error) {
+	limited, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	reply, err := d.options.Caller.Borrow(limited, h.Address, r)
+	if ctx.Err() != nil {
+		return reply, err
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if err == nil {
+		delete(d.away, h.Name)
+		delete(d.failing, h.Name)
+		return reply, nil
+	}
+	d.away[h.Name] = clock.Now().Add(awayFor)
+	if !d.failing[h.Name] {
+		d.failing[h.Name] = true
+		d.options.Logger.Info("host does not lend of limits; the next one is asked", "from", h.Name, "endpoint", r.Limit.Endpoint, "error", err)
+	}
+	return reply, err
+}
+
+// Borrow answers another host: it lends, or asks the host that comes before it.
+func (d *Desk) Borrow(ctx context.Context, r Request) Reply {
+	d.mu.Lock()
+	delete(d.away, r.From)
+	d.mu.Unlock()
+	h, first := d.lenderOf(r.Limit.Endpoint, r.From)
+	if !h.self && !r.Relayed {
+		relayed := r
+		relayed.From, relayed.Relayed = d.options.Host, true
+		if reply, err := d.call(ctx, h, relayed, relayPatience); err == nil {
+			return reply
+		}
+		first = false
+	}
+	reply := d.lender.Lend(r, first && h.self, clock.Now())
+	d.options.Telemetry.Count("limit_requests_lent", int64(reply.Requests))
+	return reply
+}
+
+// lenderOf returns the host that lends of an endpoint's limit: the first in its order that answers,
+// but one. First tells whether it is the first of all.
+func (d *Desk) lenderOf(endpoint, but string) (found host, first bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.read()
+	now, key := clock.Now(), xxhash.Sum64String(endpoint)
+	best, least := math.Inf(1), math.Inf(1)
+	for _, h := range d.hosts {
+		w := fleet.Weight(key, h.seed)
+		least = min(least, w)
+		if w < best && h.Name != but && !now.Before(d.away[h.Name]) {
+			found, best = h, w
+		}
+	}
+	return found, best == least
+}
+
+// read brings the list of hosts up to date; the caller holds mu.
+func (d *Desk) read() {
+	if len(d.hosts) > 0 && clock.Since(d.readAt) < membersFor {
+		return
+	}
+	d.hosts, d.readAt = d.hosts[:0], clock.Now()
+	d.hosts = append(d.hosts, host{Member: Member{Name: d.options.Host}, seed: xxhash.Sum64String(d.options.Host), self: true})
+	for _, m := range d.options.Members() {
+		d.hosts = append(d.hosts, host{Member: m, seed: xxhash.Sum64String(m.Name)})
+	}
+}
