--- a/internal/admission/ration.go
+++ b/internal/admission/ration.go
@@ -8,8 +8,8 @@
 // Ration decides on a request to endpoints of which all are at the limits that they name: its turn
 // comes after a time, and it may wait for another; waits tells that it does already. It is pure.
 func Ration(turn, within time.Duration, waits bool) Decision {
-	if turn > within || (!waits && turn > within/2) {
-		return Refuse{After: turn}
+	if max(turn, rationLeast) > within || (!waits && turn > within/2) {
+		return Refuse{After: max(turn, rationLeast)}
 	}
 	return Wait{For: min(max(turn/2, rationLeast), askMost)}
 }
--- a/internal/advice/advice.go
+++ b/internal/advice/advice.go
@@ -47,6 +47,8 @@
 	endedMost   = 256
 	resultsMost = 256
 	headsMost   = 64
+	// limitsMost endpoints' limits are told of with a question and its answer.
+	limitsMost = 32
 )
 
 // Options set up an Advisor.
@@ -142,7 +144,7 @@
 	}
 	asked := clock.Now()
 	request.Ended, request.Results, request.Heads = a.takeEnded(), a.takeResults(), a.takeHeads()
-	request.Limits = limitsToWire(a.options.Fleet.LimitNews(), asked)
+	request.Limits = limitsToWire(a.options.Fleet.LimitNews(limitsMost), asked)
 	wait := max(patience, time.Duration(patiencePart*float64(micros(request.GetObjectiveMicros()))))
 	limited, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
@@ -307,7 +309,7 @@
 		Regions: r.GetRegions(), Within: micros(r.GetWithinMicros()),
 	}
 	// The reply goes out even if there is no endpoint: it tells which ones fail.
-	reply := &advicepb.ChooseReply{Ejected: f.Ejected(), Limits: limitsToWire(f.LimitNews(), clock.Now())}
+	reply := &advicepb.ChooseReply{Ejected: f.Ejected(), Limits: limitsToWire(f.LimitNews(limitsMost), clock.Now())}
 	if r.GetWeigh() {
 		if expected, ok := f.Expect(ask); ok {
 			reply.Expected = expectationToWire(expected)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -74,6 +74,7 @@
 	memory    memory
 	limits    map[string]*member // by ID, those that name a limit or lately did
 	wanting   map[string]*member // of these, those that something is to be borrowed of
+	news      map[string]*member // of these, those of which all hosts are to be told
 	lent      []*member          // of these, those of which something is in hand, and lately was
 	tickets   int64              // the last one given out; it begins by chance, so that those of another adviser mean nothing here
 }
@@ -120,7 +121,7 @@
 		options.Random = rand.Float64
 	}
 	return &Fleet{
-		options: options, known: make(chan struct{}), members: map[string]*member{}, instances: map[string]*member{}, words: map[string]string{}, evacuated: map[string]clock.Instant{}, limits: map[string]*member{}, wanting: map[string]*member{}, byService: map[string]*pool{}, ejected: map[string]*member{}, readings: map[serves]*reading{},
+		options: options, known: make(chan struct{}), members: map[string]*member{}, instances: map[string]*member{}, words: map[string]string{}, evacuated: map[string]clock.Instant{}, limits: map[string]*member{}, wanting: map[string]*member{}, news: map[string]*member{}, byService: map[string]*pool{}, ejected: map[string]*member{}, readings: map[serves]*reading{},
 		prices: map[string]price{}, overruns: map[string]Overrun{}, crowds: map[string]*crowd{}, stays: map[string]time.Duration{}, turns: map[string]*admission.Turns{}, memory: memory{holders: map[uint64][]*member{}}, tickets: rand.Int64N(ticketsFrom),
 	}
 }
--- a/internal/fleet/limit.go
+++ b/internal/fleet/limit.go
@@ -28,8 +28,8 @@
 	limitLeast = 0.1
 	// newsLife is how old news of a limit may be that hosts tell each other.
 	newsLife = 10 * time.Second
-	// newsMost endpoints are told of at a time.
-	newsMost = 32
+	// newsFactor is by how much a limit differs from what was told of it before it is told again.
+	newsFactor = 1.25
 )
 
 // limitation is what is known of the limit of an endpoint, and what this host may send there.
@@ -38,6 +38,7 @@
 	since  clock.Instant // when the limit was first heard of
 	heard  clock.Instant // when an answer last told
 	untold bool          // its end was heard by this host, and who lends of it may not know
+	told   float64       // the rate when all were last told
 
 	loans    []Loan
 	used     int           // loans since the last question
@@ -114,6 +115,33 @@
 		f.limits[m.ID] = m
 	}
 	m.limited.hear(n)
+	if m.limited.spreads() && f.wanted != nil {
+		m.limited.told = n.Rate
+		f.news[m.ID] = m
+		f.wanted()
+	}
+}
+
+// spreads reports whether the limit is so unlike what was told of it that all are told again.
+func (l *limitation) spreads() bool {
+	return (l.rate == 0) != (l.told == 0) || l.rate > newsFactor*l.told || l.told > newsFactor*l.rate
+}
+
+// FreshNews returns limits of which all hosts are to be told, since they have begun, ended or changed;
+// each once, and no more than some at a time.
+func (f *Fleet) FreshNews(most int) []LimitNews {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []LimitNews
+	for id, m := range f.news {
+		if len(list) == most {
+			f.wanted()
+			break
+		}
+		delete(f.news, id)
+		list = append(list, m.limited.news(id))
+	}
+	return list
 }
 
 // unlimit drops what is known of a member's limit.
@@ -121,10 +149,11 @@
 	m.limited = nil
 	delete(f.limits, m.ID)
 	delete(f.wanting, m.ID)
+	delete(f.news, m.ID)
 }
 
 // LimitNews lists some of what this host knows of limits, to be told to another host.
-func (f *Fleet) LimitNews() []LimitNews {
+func (f *Fleet) LimitNews(most int) []LimitNews {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if len(f.limits) == 0 {
@@ -136,7 +165,7 @@
 		switch old := now.Sub(m.limited.heard) > newsLife; {
 		case old && !m.limited.holds():
 			f.unlimit(m)
-		case !old && len(list) < newsMost:
+		case !old && len(list) < most:
 			list = append(list, m.limited.news(id))
 		}
 	}
--- a/internal/fleet/ration.go
+++ b/internal/fleet/ration.go
@@ -12,11 +12,12 @@
 
 // limits are what a choice has seen of endpoints that name limits.
 type limits struct {
-	passed *member // the best one that was passed over since nothing of its limit is in hand; nil for none
-	score  float64 // its own
-	rate   float64 // requests a second that they take together
-	inHand int     // requests that this host may send there now
-	open   bool    // some endpoint that may be used names none
+	passed *member       // the best one that was passed over since nothing of its limit is in hand; nil for none
+	score  float64       // its own
+	rate   float64       // requests a second that they take together
+	inHand int           // requests that this host may send there now
+	next   clock.Instant // when something of the first of them can be borrowed
+	open   bool          // some endpoint that may be used names none
 }
 
 // takes notes an endpoint of a score and reports whether it takes a request.
@@ -26,6 +27,9 @@
 		return true
 	}
 	n := m.limited.inHand(now)
+	if again := later(m.limited.again, now); l.rate == 0 || again.Before(l.next) {
+		l.next = again
+	}
 	l.rate += m.limited.rate
 	l.inHand += n
 	if m.limited.asking || now.Before(m.limited.again) {
@@ -56,15 +60,16 @@
 	}
 	turns := f.turnsOf(p.ask.Service)
 	asked, urgency := p.now.Add(-p.ask.Waited), rank(p.urgency)
-	ahead, _ := turns.Ahead(p.ask.Turn, urgency, asked, p.now)
+	ahead, by := turns.Ahead(p.ask.Turn, urgency, asked, p.now)
 	if p.member != nil && ahead < p.limits.inHand {
+		turns.Granted(p.ask.Turn, p.now)
 		return p
 	}
 	p.member = nil
 	if p.ask.Within == 0 {
 		return p
 	}
-	turn := seconds(float64(ahead+1) / f.shareOf(p.limits.rate, p.ask))
+	turn := max(by, p.limits.next.Sub(p.now))
 	switch d := admission.Ration(turn, p.ask.Within, p.ask.Turn != 0).(type) {
 	case admission.Wait:
 		d.Turn = turns.Wait(p.ask.Turn, urgency, asked, p.now, d.For)
@@ -79,18 +84,6 @@
 	return p
 }
 
-// shareOf is what the hosts that this one chooses for get of a rate that all share.
-func (f *Fleet) shareOf(rate float64, ask Ask) float64 {
-	if f.options.Choosers == nil {
-		return rate
-	}
-	c := f.options.Choosers()
-	if ask.unadvised() {
-		return rate / float64(max(c.Hosts, 1))
-	}
-	return rate / float64(max(c.Advisers, 1))
-}
-
 // LimitStatus is what a host knows of an endpoint's limit, for operators.
 type LimitStatus struct {
 	Rate   float64 // requests a second; 0 where it names none
--- a/internal/gatewayd/host.go
+++ b/internal/gatewayd/host.go
@@ -88,7 +88,7 @@
 	h.peers = p.Spread.Server(p.TLS.ServerCredentials())
 	p.Advice.Register(h.peers)
 	quarantine.Register(h.peers, p.Quarantine.Hear)
-	ratelimit.Register(h.peers, p.Limits.Borrow)
+	ratelimit.Register(h.peers, p.Limits)
 	p.Duties.Register(h.peers)
 	h.control = &http.Server{Handler: h.figures(), ReadHeaderTimeout: headTimeout}
 	return h
--- a/internal/ratelimit/grpc.go
+++ b/internal/ratelimit/grpc.go
@@ -13,20 +13,20 @@
 )
 
 // Register has a gRPC server answer other hosts.
-func Register(s grpc.ServiceRegistrar, borrow func(context.Context, Request) Reply) {
-	ratelimitpb.RegisterRateLimitServer(s, &server{borrow: borrow})
+func Register(s grpc.ServiceRegistrar, d *Desk) {
+	ratelimitpb.RegisterRateLimitServer(s, &server{desk: d})
 }
 
 // server answers other hosts.
 type server struct {
 	ratelimitpb.UnimplementedRateLimitServer
-	borrow func(context.Context, Request) Reply
+	desk *Desk
 }
 
 // Borrow implements ratelimitpb.RateLimitServer.
 func (s *server) Borrow(ctx context.Context, w *ratelimitpb.BorrowRequest) (*ratelimitpb.BorrowReply, error) {
 	now := clock.Now()
-	reply := s.borrow(ctx, Request{
+	reply := s.desk.Borrow(ctx, Request{
 		Requests: int(w.GetRequests()), From: w.GetFrom(), Relayed: w.GetRelayed(), Limit: limitFromWire(w.GetEndpoint(), w.GetLimit(), now),
 	})
 	return &ratelimitpb.BorrowReply{
@@ -35,6 +35,15 @@
 	}, nil
 }
 
+// Tell implements ratelimitpb.RateLimitServer.
+func (s *server) Tell(_ context.Context, w *ratelimitpb.TellRequest) (*ratelimitpb.TellReply, error) {
+	s.desk.Hear(newsFromWire(w.GetNews()))
+	if !w.GetAll() {
+		return &ratelimitpb.TellReply{}, nil
+	}
+	return &ratelimitpb.TellReply{News: newsToWire(s.desk.Limits())}, nil
+}
+
 // Connect returns the connection to an address.
 type Connect func(address string) (grpc.ClientConnInterface, error)
 
@@ -63,6 +72,49 @@
 	}, nil
 }
 
+// Tell implements Caller.
+func (c grpcCaller) Tell(ctx context.Context, address string, news []fleet.LimitNews) error {
+	connection, err := c.connect(address)
+	if err != nil {
+		return fmt.Errorf("tell %s: %w", address, err)
+	}
+	if _, err := ratelimitpb.NewRateLimitClient(connection).Tell(ctx, &ratelimitpb.TellRequest{News: newsToWire(news)}); err != nil {
+		return fmt.Errorf("tell %s: %w", address, err)
+	}
+	return nil
+}
+
+// Known implements Caller.
+func (c grpcCaller) Known(ctx context.Context, address string) ([]fleet.LimitNews, error) {
+	connection, err := c.connect(address)
+	if err != nil {
+		return nil, fmt.Errorf("ask %s for limits: %w", address, err)
+	}
+	reply, err := ratelimitpb.NewRateLimitClient(connection).Tell(ctx, &ratelimitpb.TellRequest{All: true})
+	if err != nil {
+		return nil, fmt.Errorf("ask %s for limits: %w", address, err)
+	}
+	return newsFromWire(reply.GetNews()), nil
+}
+
+func newsToWire(news []fleet.LimitNews) []*ratelimitpb.News {
+	now := clock.Now()
+	wire := make([]*ratelimitpb.News, len(news))
+	for i, n := range news {
+		wire[i] = &ratelimitpb.News{Endpoint: n.Endpoint, Limit: limitToWire(n, now)}
+	}
+	return wire
+}
+
+func newsFromWire(wire []*ratelimitpb.News) []fleet.LimitNews {
+	now := clock.Now()
+	news := make([]fleet.LimitNews, len(wire))
+	for i, n := range wire {
+		news[i] = limitFromWire(n.GetEndpoint(), n.GetLimit(), now)
+	}
+	return news
+}
+
 // requestsMost bounds what is asked for at a time.
 const requestsMost = 1 << 20
 
--- a/internal/ratelimit/ratelimit.go
+++ b/internal/ratelimit/ratelimit.go
@@ -4,7 +4,7 @@
 // # Usage
 //
 //	d := ratelimit.NewDesk(ratelimit.Options{Host: name, Fleet: f, Members: members, Known: known, Caller: caller})
-//	ratelimit.Register(server, d.Borrow)
+//	ratelimit.Register(server, d)
 //	go d.Run(ctx)
 //
 // Each endpoint has one host that lends of its limit, found by rendezvous hashing over the list of
@@ -13,12 +13,14 @@
 // While the lender does not answer the next host in the endpoint's order lends, at first a part of the
 // limit only. A host that is asked although another comes before it asks that one, so two lend at once
 // only while they don't reach each other. Nothing is agreed or kept: a limit is the endpoint's word of
-// a moment ago, and is known to whoever asks.
+// a moment ago. Who hears that one begins, ends or changes tells some others, who tell it on.
 package ratelimit
 
 import (
 	"context"
 	"math"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -49,6 +51,12 @@
 	triesMost = 3
 	// asksMost questions are under way at once.
 	asksMost = 16
+	// tellMost hosts are told of a limit that begins, ends or changes, by each that hears of it for
+	// the first time, as rumours spread (Demers et al., "Epidemic algorithms for replicated database
+	// maintenance", 1987): with four, one host in fifty hears of it by its own answers only.
+	tellMost = 4
+	// newsMost limits are told of in a message.
+	newsMost = 256
 )
 
 // Member is another host.
@@ -57,6 +65,9 @@
 // Caller asks other hosts.
 type Caller interface {
 	Borrow(ctx context.Context, address string, r Request) (Reply, error)
+	Tell(ctx context.Context, address string, news []fleet.LimitNews) error
+	// Known asks for the limits that a host knows of.
+	Known(ctx context.Context, address string) ([]fleet.LimitNews, error)
 }
 
 // Options set up a Desk.
@@ -92,6 +103,11 @@
 	self bool
 }
 
+// OrderOf is a host's place in an endpoint's order, 0 to 1; the one with the least lends.
+func OrderOf(endpoint, host string) float64 {
+	return fleet.Weight(xxhash.Sum64String(endpoint), xxhash.Sum64String(host))
+}
+
 // NewDesk returns a desk.
 func NewDesk(o Options) *Desk {
 	d := &Desk{
@@ -114,6 +130,7 @@
 func (d *Desk) Run(ctx context.Context) {
 	var working sync.WaitGroup
 	defer working.Wait()
+	working.Go(func() { d.learn(ctx) })
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -123,6 +140,7 @@
 		case <-d.wake:
 		case <-timer.C:
 		}
+		d.tell(ctx, &working)
 		list, next := d.options.Fleet.Wanted()
 		for _, w := range list {
 			select {
@@ -141,6 +159,74 @@
 	}
 }
 
+// tell spreads what has changed.
+func (d *Desk) tell(ctx context.Context, working *sync.WaitGroup) {
+	news := d.options.Fleet.FreshNews(newsMost)
+	if len(news) == 0 || !d.options.Known() {
+		return
+	}
+	for _, h := range d.some(tellMost) {
+		working.Go(func() {
+			limited, cancel := context.WithTimeout(ctx, askPatience)
+			defer cancel()
+			if err := d.options.Caller.Tell(limited, h.Address, news); err != nil && ctx.Err() == nil {
+				d.options.Logger.Debug("host not told of limits", "to", h.Name, "count", len(news), "error", err)
+			}
+		})
+	}
+}
+
+// some returns other hosts by chance.
+func (d *Desk) some(most int) []host {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.read()
+	now := clock.Now()
+	var found []host
+	for range drawsPer * most {
+		h := d.hosts[rand.IntN(len(d.hosts))]
+		if len(found) < most && !h.self && !now.Before(d.away[h.Name]) && !slices.Contains(found, h) {
+			found = append(found, h)
+		}
+	}
+	return found
+}
+
+// drawsPer is how many draws a host that is told takes at most.
+const drawsPer = 4
+
+// learn asks some hosts, one after the other, what limits there are, as this one starts.
+func (d *Desk) learn(ctx context.Context) {
+	for !d.options.Known() {
+		if !clock.Sleep(ctx, learnPause) {
+			return
+		}
+	}
+	for _, h := range d.some(triesMost) {
+		limited, cancel := context.WithTimeout(ctx, askPatience)
+		news, err := d.options.Caller.Known(limited, h.Address)
+		cancel()
+		if err == nil {
+			d.Hear(news)
+			return
+		}
+		d.options.Logger.Debug("host does not tell of limits", "from", h.Name, "error", err)
+	}
+}
+
+// learnPause is after how long a host that starts looks again whether it knows the list of hosts.
+const learnPause = 20 * time.Millisecond
+
+// Limits lists the limits that this host knows of, for one that starts.
+func (d *Desk) Limits() []fleet.LimitNews { return d.options.Fleet.LimitNews(newsMost) }
+
+// Hear takes in what another host tells.
+func (d *Desk) Hear(news []fleet.LimitNews) {
+	for _, n := range news {
+		d.options.Fleet.LearnLimit(n)
+	}
+}
+
 // ask borrows of an endpoint's limit.
 func (d *Desk) ask(ctx context.Context, w fleet.Want) {
 	r := Request{Requests: w.Requests, Limit: w.News, From: d.options.Host}
--- /dev/null
+++ b/internal/ratelimit/rig_test.go
@@ -0,0 +1,384 @@
+package ratelimit_test
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/pkg/errors"
+
+	"quaybarrow/internal/admission"
+	"quaybarrow/internal/clock"
+	"quaybarrow/internal/fleet"
+	"quaybarrow/internal/ratelimit"
+	"quaybarrow/internal/telemetry"
+)
+
+// Errors of calls between hosts.
+var (
+	errGone   = errors.New("connection refused")
+	errSilent = errors.New("no answer")
+)
+
+// world is hosts that send requests to the endpoints of one service, of which some name limits.
+type world struct {
+	play
+	began clock.Instant
+	all   []*simHost
+
+	mu     sync.Mutex // guards all below
+	random *rand.Rand
+	sends  map[string][]clock.Instant
+	good   int // requests of callers that were sent
+	calls  int // between hosts
+}
+
+// way is how hosts keep limits.
+type way int
+
+// Ways to keep limits.
+const (
+	lending  way = iota // the package's
+	splitted            // each host keeps to its part by itself
+)
+
+// play is what is played.
+type play struct {
+	way     way
+	hosts   int
+	limited int     // of the endpoints
+	rate    float64 // that they name
+	asked   float64 // requests a second, at all hosts
+	hot     float64 // of these, the part at one host
+	kill    time.Duration
+	freeze  time.Duration
+	cut     time.Duration // between moments at which a host is killed, frozen or cut off
+	lender  bool          // the hosts that lend are hit first
+	lasts   time.Duration
+	seed    uint64
+}
+
+// Parameters of worlds.
+const (
+	simEndpoints = 12
+	linkTime     = 2 * time.Millisecond
+	answerTime   = 60 * time.Millisecond
+	harmedFor    = 2 * time.Second
+	simWithin    = 2 * time.Second
+	simService   = "s"
+)
+
+// simHost is a host of a world.
+type simHost struct {
+	world  *world
+	number int
+
+	mu      sync.Mutex // guards all below
+	fleet   *fleet.Fleet
+	desk    *ratelimit.Desk
+	cancel  context.CancelFunc
+	working sync.WaitGroup
+	down    bool
+	cut     bool
+	thawsAt clock.Instant
+}
+
+func newWorld(p play) *world {
+	w := &world{play: p, random: rand.New(rand.NewPCG(p.seed, 7)), began: clock.Now(), sends: map[string][]clock.Instant{}}
+	for i := range p.hosts {
+		h := &simHost{world: w, number: i}
+		h.start()
+		w.all = append(w.all, h)
+	}
+	return w
+}
+
+func (w *world) draw() float64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.random.Float64()
+}
+
+func endpointName(i int) string { return fmt.Sprint("e", i) }
+
+// start starts the host, which knows its list of hosts and endpoints at once.
+func (h *simHost) start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	f := fleet.New(fleet.Options{Choosers: func() fleet.Choosers { return fleet.Choosers{Hosts: h.world.hosts, Advisers: 1} }, Random: h.world.draw})
+	for i := range simEndpoints {
+		f.Put(fleet.Endpoint{ID: endpointName(i), Service: simService, Version: "v1", Slots: 64})
+	}
+	h.mu.Lock()
+	h.fleet, h.cancel, h.down, h.cut = f, cancel, false, false
+	if h.world.way == lending {
+		h.desk = ratelimit.NewDesk(ratelimit.Options{
+			Host: h.name(), Fleet: f, Members: h.members, Known: func() bool { return true }, Caller: h,
+			Telemetry: telemetry.MetricsOnly(), Logger: log.New(io.Discard),
+		})
+	}
+	desk := h.desk
+	h.mu.Unlock()
+	if desk != nil {
+		h.working.Go(func() { desk.Run(ctx) })
+	} else {
+		h.working.Go(func() { h.split(ctx, f) })
+	}
+}
+
+func (h *simHost) name() string { return fmt.Sprint("host-", h.number) }
+
+func (h *simHost) members() []ratelimit.Member {
+	var list []ratelimit.Member
+	for i := range h.world.hosts {
+		if i != h.number {
+			list = append(list, ratelimit.Member{Name: fmt.Sprint("host-", i), Address: fmt.Sprint(i)})
+		}
+	}
+	return list
+}
+
+// split lends this host its part of each limit.
+func (h *simHost) split(ctx context.Context, f *fleet.Fleet) {
+	wake := make(chan struct{}, 1)
+	f.OnWanted(func() {
+		select {
+		case wake <- struct{}{}:
+		default:
+		}
+	})
+	lender := ratelimit.NewLender()
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-wake:
+		case <-timer.C:
+		}
+		list, next := f.Wanted()
+		for _, w := range list {
+			part := w.News
+			part.Rate /= float64(h.world.hosts)
+			now := clock.Now()
+			r := lender.Lend(ratelimit.Request{Requests: w.Requests, Limit: part}, true, now)
+			f.Lent(w.News.Endpoint, fleet.Loan{Requests: r.Requests, Until: now.Add(r.Lasts), Again: now.Add(r.Again)})
+		}
+		if !next.IsZero() {
+			timer.Reset(max(clock.Until(next), 0))
+		}
+	}
+}
+
+// Borrow implements ratelimit.Caller.
+func (h *simHost) Borrow(ctx context.Context, address string, r ratelimit.Request) (ratelimit.Reply, error) {
+	desk, err := h.reach(ctx, address)
+	if err != nil {
+		return ratelimit.Reply{}, err
+	}
+	reply := desk.Borrow(ctx, r)
+	if !clock.Sleep(ctx, linkTime) {
+		return ratelimit.Reply{}, errSilent
+	}
+	if _, _, cut := h.state(); cut {
+		<-ctx.Done()
+		return ratelimit.Reply{}, errSilent
+	}
+	return reply, nil
+}
+
+// Tell implements ratelimit.Caller.
+func (h *simHost) Tell(ctx context.Context, address string, news []fleet.LimitNews) error {
+	desk, err := h.reach(ctx, address)
+	if err == nil {
+		desk.Hear(news)
+	}
+	return err
+}
+
+// Known implements ratelimit.Caller.
+func (h *simHost) Known(ctx context.Context, address string) ([]fleet.LimitNews, error) {
+	desk, err := h.reach(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return desk.Limits(), nil
+}
+
+// reach has a message reach another host.
+func (h *simHost) reach(ctx context.Context, address string) (*ratelimit.Desk, error) {
+	var to int
+	if _, err := fmt.Sscan(address, &to); err != nil {
+		return nil, err
+	}
+	h.world.mu.Lock()
+	h.world.calls++
+	h.world.mu.Unlock()
+	if !clock.Sleep(ctx, linkTime) {
+		return nil, errSilent
+	}
+	desk, down, silent := h.world.all[to].state()
+	if down {
+		return nil, errGone
+	}
+	if _, _, cut := h.state(); cut || silent {
+		<-ctx.Done()
+		return nil, errSilent
+	}
+	return desk, nil
+}
+
+// state tells whether the host is down, or cut off or frozen.
+func (h *simHost) state() (desk *ratelimit.Desk, down, silent bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.desk, h.down, h.cut || clock.Now().Before(h.thawsAt)
+}
+
+// run plays the world.
+func (w *world) run() {
+	ctx, cancel := context.WithTimeout(context.Background(), w.lasts)
+	defer cancel()
+	var working sync.WaitGroup
+	working.Go(func() { w.callers(ctx, &working) })
+	for every, harm := range map[time.Duration]func(*simHost){w.kill: w.killOne, w.freeze: w.freezeOne, w.cut: w.cutOne} {
+		if every > 0 {
+			working.Go(func() {
+				for clock.Sleep(ctx, every) {
+					h := w.victim()
+					working.Go(func() { harm(h) })
+				}
+			})
+		}
+	}
+	working.Wait()
+	for _, h := range w.all {
+		h.cancel()
+		h.working.Wait()
+	}
+}
+
+// victim is the host that is hit next: by chance, or one that others ask for a limit.
+func (w *world) victim() *simHost {
+	if !w.lender {
+		return w.all[int(w.draw()*float64(len(w.all)))]
+	}
+	endpoint := endpointName(int(w.draw() * float64(w.limited)))
+	return slices.MinFunc(w.all, func(a, b *simHost) int {
+		return cmp.Compare(ratelimit.OrderOf(endpoint, a.name()), ratelimit.OrderOf(endpoint, b.name()))
+	})
+}
+
+func (w *world) killOne(h *simHost) {
+	h.mu.Lock()
+	if h.down {
+		h.mu.Unlock()
+		return
+	}
+	h.down = true
+	h.cancel()
+	h.mu.Unlock()
+	h.working.Wait()
+	time.Sleep(harmedFor)
+	h.start()
+}
+
+func (w *world) freezeOne(h *simHost) {
+	h.mu.Lock()
+	h.thawsAt = clock.Now().Add(harmedFor)
+	h.mu.Unlock()
+	time.Sleep(harmedFor)
+}
+
+func (w *world) cutOne(h *simHost) {
+	h.mu.Lock()
+	h.cut = true
+	h.mu.Unlock()
+	time.Sleep(harmedFor)
+	h.mu.Lock()
+	h.cut = false
+	h.mu.Unlock()
+}
+
+// callers send requests at moments by chance.
+func (w *world) callers(ctx context.Context, working *sync.WaitGroup) {
+	for clock.Sleep(ctx, time.Duration(w.exponential()/w.asked*float64(time.Second))) {
+		h := w.all[int(w.draw()*float64(len(w.all)))]
+		if w.draw() < w.hot {
+			h = w.all[0]
+		}
+		if _, down, silent := h.state(); !down && !silent {
+			working.Go(func() { w.serve(h) })
+		}
+	}
+}
+
+func (w *world) exponential() float64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.random.ExpFloat64()
+}
+
+// serve has a host serve a request.
+func (w *world) serve(h *simHost) {
+	h.mu.Lock()
+	f := h.fleet
+	h.mu.Unlock()
+	came, turn := clock.Now(), int64(0)
+	for {
+		waited := clock.Since(came)
+		hold, decision := f.Place(fleet.Ask{Service: simService, Within: max(simWithin-waited, 1), Waited: waited, Turn: turn, Urgency: -1})
+		if hold != nil {
+			w.arrive(h, f, hold)
+			return
+		}
+		wait, ok := decision.(admission.Wait)
+		if !ok {
+			return
+		}
+		time.Sleep(wait.For)
+		turn = wait.Turn
+	}
+}
+
+// arrive notes a request at an endpoint, which answers.
+func (w *world) arrive(_ *simHost, f *fleet.Fleet, hold *fleet.Hold) {
+	id, sent := hold.Endpoint.ID, clock.Now()
+	w.mu.Lock()
+	w.good++
+	w.sends[id] = append(w.sends[id], sent)
+	w.mu.Unlock()
+	time.Sleep(answerTime)
+	var i int
+	_, _ = fmt.Sscanf(id, "e%d", &i)
+	f.HearLimit(id, fleet.Limit{Named: i < w.limited, Rate: w.rate}, sent)
+	hold.Done(fleet.Result{Outcome: fleet.OutcomeGood})
+}
+
+// worst is the most that a limited endpoint got in a window from some seconds on, and got the part of
+// their limits that they got.
+func (w *world) worst(from, window time.Duration) (most int, got float64) {
+	n := 0
+	for i := range w.limited {
+		sends := w.sends[endpointName(i)]
+		slices.SortFunc(sends, clock.Instant.Compare)
+		for first, s := range sends {
+			if s.Sub(w.began) < from {
+				continue
+			}
+			n++
+			last := first
+			for last < len(sends) && sends[last].Sub(s) < window {
+				last++
+			}
+			most = max(most, last-first)
+		}
+	}
+	return most, float64(n) / (w.rate * float64(w.limited) * (w.lasts - from).Seconds())
+}
--- /dev/null
+++ b/internal/ratelimit/suite_test.go
@@ -0,0 +1,9 @@
+package ratelimit_test
+
+import (
+	"testing"
+
+	"quaybarrow/internal/standin/suite"
+)
+
+func TestSuite(t *testing.T) { suite.Run(t, "ratelimit") }
