--- /dev/null
+++ b/internal/fleet/limit_test.go
@@ -0,0 +1,195 @@
+package fleet_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"quaybarrow/internal/admission"
+	"quaybarrow/internal/clock"
+	"quaybarrow/internal/fleet"
+	"quaybarrow/internal/standin/suite"
+)
+
+// limitedFleet is a fleet of two endpoints whose limits are kept, and what it would borrow.
+func limitedFleet() *fleet.Fleet {
+	f := fleet.New(fleet.Options{Hall: "ikeja"})
+	f.OnWanted(func() {})
+	for _, id := range []string{"e0", "e1"} {
+		f.Put(fleet.Endpoint{ID: id, Service: "s", Hall: "ikeja", Version: "v1", Slots: 8})
+	}
+	return f
+}
+
+// named is what an answer says that names a limit.
+func named(rate float64) fleet.Limit { return fleet.Limit{Named: true, Rate: rate} }
+
+// picks counts how many of some plain requests go to an endpoint.
+func picks(f *fleet.Fleet, id string, requests int) int {
+	n := 0
+	for range requests {
+		h, ok := f.Pick(fleet.Ask{Service: "s"})
+		if !ok {
+			continue
+		}
+		if h.Endpoint.ID == id {
+			n++
+		}
+		h.Done(fleet.Result{Outcome: fleet.OutcomeGood})
+	}
+	return n
+}
+
+var _ = Describe("an endpoint that names a limit", func() {
+	It("gets only what was lent, and no longer than that lasts", func() {
+		suite.Paused(func() {
+			f := limitedFleet()
+			f.HearLimit("e0", named(2), clock.Now())
+			Expect(picks(f, "e0", 50)).To(BeZero())
+			f.Lent("e0", fleet.Loan{Requests: 3, Until: clock.Now().Add(time.Second)})
+			Expect(picks(f, "e0", 50)).To(Equal(3))
+			f.Lent("e0", fleet.Loan{Requests: 3, Until: clock.Now().Add(time.Second)})
+			time.Sleep(time.Second)
+			Expect(picks(f, "e0", 50)).To(BeZero())
+		})
+	})
+
+	It("is borrowed of as requests would go there", func() {
+		suite.Paused(func() {
+			f := limitedFleet()
+			f.HearLimit("e0", named(2), clock.Now())
+			list, _ := f.Wanted()
+			Expect(list).To(BeEmpty())
+			picks(f, "e0", 50)
+			list, _ = f.Wanted()
+			Expect(list).To(HaveLen(1))
+			Expect(list[0].News.Rate).To(BeEquivalentTo(2))
+			Expect(list[0].Requests).To(BeNumerically(">", 1))
+			f.Remove("e1") // while others take requests nothing waits for this one
+			again := clock.Now().Add(100 * time.Millisecond)
+			f.Lent("e0", fleet.Loan{Again: again})
+			picks(f, "e0", 50)
+			list, next := f.Wanted()
+			Expect(list).To(BeEmpty(), "before the lender said")
+			Expect(next).To(Equal(again))
+			time.Sleep(time.Second)
+			list, _ = f.Wanted()
+			Expect(list).To(BeEmpty(), "the requests are long gone")
+		})
+	})
+
+	It("is free again once an answer to a later request names none", func() {
+		suite.Paused(func() {
+			f := limitedFleet()
+			early := clock.Now()
+			time.Sleep(time.Second)
+			f.HearLimit("e0", named(2), clock.Now())
+			time.Sleep(time.Second)
+			_, after := f.HearLimit("e0", fleet.Limit{}, early)
+			Expect(after).To(BeEquivalentTo(2), "the answer may have been made before")
+			_, after = f.HearLimit("e0", fleet.Limit{Unread: "abc"}, clock.Now())
+			Expect(after).To(BeEquivalentTo(2), "what can't be read says nothing")
+			_, after = f.HearLimit("e0", fleet.Limit{}, clock.Now())
+			Expect(after).To(BeZero())
+			Expect(picks(f, "e0", 50)).To(BeNumerically(">", 10))
+			list, _ := f.Wanted()
+			Expect(list).To(HaveLen(1), "who lends is told")
+			Expect(list[0].News.Rate).To(BeZero())
+		})
+	})
+
+	It("that names nothing at all is asked now and then", func() {
+		suite.Paused(func() {
+			f := limitedFleet()
+			_, after := f.HearLimit("e0", named(0), clock.Now())
+			Expect(after).To(BeNumerically(">", 0))
+		})
+	})
+
+	It("has no limit at its next start", func() {
+		suite.Paused(func() {
+			f := limitedFleet()
+			e := fleet.Endpoint{ID: "e0", Service: "s", Hall: "ikeja", Version: "v1", Slots: 8}
+			f.HearLimit("e0", named(0), clock.Now())
+			f.Put(e.WithStart(7))
+			Expect(picks(f, "e0@7", 50)).To(BeNumerically(">", 10))
+		})
+	})
+
+	It("is known by what other hosts tell, the latest answer first", func() {
+		suite.Paused(func() {
+			f := limitedFleet()
+			now := clock.Now()
+			f.LearnLimit(fleet.LimitNews{Endpoint: "e0", Rate: 2, Since: now, Heard: now})
+			f.LearnLimit(fleet.LimitNews{Endpoint: "e0", Rate: 0, Heard: now.Add(-time.Second)})
+			f.LearnLimit(fleet.LimitNews{Endpoint: "gone", Rate: 2, Heard: now})
+			Expect(picks(f, "e0", 50)).To(BeZero())
+			Expect(f.FreshNews(8)).To(HaveLen(1), "it is told on")
+			Expect(f.FreshNews(8)).To(BeEmpty(), "once")
+			f.LearnLimit(fleet.LimitNews{Endpoint: "e0", Rate: 0, Heard: now.Add(time.Millisecond)})
+			Expect(picks(f, "e0", 50)).To(BeNumerically(">", 10))
+			time.Sleep(time.Minute)
+			f.LearnLimit(fleet.LimitNews{Endpoint: "e1", Rate: 2, Since: now, Heard: now})
+			Expect(picks(f, "e1", 50)).To(BeNumerically(">", 10), "old news says nothing")
+		})
+	})
+
+	It("is not taken from an adviser that has not heard of it", func() {
+		suite.Paused(func() {
+			f := limitedFleet()
+			f.HearLimit("e0", named(2), clock.Now())
+			_, ok := f.PickAt(fleet.Advice{Endpoint: "e0"}, fleet.Ask{Service: "s"})
+			Expect(ok).To(BeFalse())
+			_, ok = f.PickAt(fleet.Advice{Endpoint: "e0", Limited: true}, fleet.Ask{Service: "s"})
+			Expect(ok).To(BeTrue())
+		})
+	})
+})
+
+var _ = Describe("requests to endpoints that all name limits", func() {
+	ask := func(urgency int) fleet.Ask {
+		return fleet.Ask{Service: "s", Urgency: urgency, Within: 2 * time.Second}
+	}
+	lend := func(f *fleet.Fleet, n int) {
+		f.Lent("e0", fleet.Loan{Requests: n, Until: clock.Now().Add(time.Second)})
+	}
+
+	It("wait, and go in the order of their urgency", func() {
+		suite.Paused(func() {
+			f := limitedFleet()
+			f.HearLimit("e0", named(2), clock.Now())
+			f.HearLimit("e1", named(2), clock.Now())
+			_, d := f.Place(ask(5))
+			later, ok := d.(admission.Wait)
+			Expect(ok).To(BeTrue())
+			_, d = f.Place(ask(1))
+			first, ok := d.(admission.Wait)
+			Expect(ok).To(BeTrue())
+			lend(f, 1)
+			patient := ask(5)
+			patient.Turn = later.Turn
+			h, _ := f.Place(patient)
+			Expect(h).To(BeNil(), "a more urgent one waits")
+			urgent := ask(1)
+			urgent.Turn = first.Turn
+			h, _ = f.Place(urgent)
+			Expect(h).NotTo(BeNil())
+			lend(f, 1)
+			h, _ = f.Place(patient)
+			Expect(h).NotTo(BeNil())
+		})
+	})
+
+	It("are refused at once, and told when there is room, if that is too late for them", func() {
+		suite.Paused(func() {
+			f := limitedFleet()
+			for _, id := range []string{"e0", "e1"} {
+				f.HearLimit(id, named(0.2), clock.Now())
+				f.Lent(id, fleet.Loan{Again: clock.Now().Add(5 * time.Second)})
+			}
+			_, d := f.Place(ask(5))
+			Expect(d).To(Equal(admission.Refuse{After: 5 * time.Second}))
+		})
+	})
+})
--- /dev/null
+++ b/internal/ratelimit/lender_test.go
@@ -0,0 +1,91 @@
+package ratelimit_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"quaybarrow/internal/clock"
+	"quaybarrow/internal/fleet"
+	"quaybarrow/internal/ratelimit"
+	"quaybarrow/internal/standin/suite"
+)
+
+// want asks a lender for requests of an endpoint's limit.
+func want(l *ratelimit.Lender, first bool, since clock.Instant, rate float64, requests int) ratelimit.Reply {
+	now := clock.Now()
+	return l.Lend(ratelimit.Request{Requests: requests, Limit: fleet.LimitNews{Endpoint: "e", Rate: rate, Since: since, Heard: now}}, first, now)
+}
+
+// lentIn is what a lender lends to one that wants as much as there is, over a time.
+func lentIn(l *ratelimit.Lender, first bool, since clock.Instant, rate float64, d time.Duration) int {
+	n, end := 0, clock.Now().Add(d)
+	for clock.Now().Before(end) {
+		r := want(l, first, since, rate, 100)
+		n += r.Requests
+		time.Sleep(max(r.Again, 10*time.Millisecond))
+	}
+	return n
+}
+
+var _ = Describe("a lender", func() {
+	It("lends what the endpoint names", func() {
+		suite.Paused(func() {
+			l := ratelimit.NewLender()
+			time.Sleep(time.Second)
+			Expect(lentIn(l, true, clock.Now(), 2.5, 20*time.Second)).To(BeNumerically("~", 50, 2))
+		})
+	})
+
+	It("lends a part at first where another one may have lent", func() {
+		suite.Paused(func() {
+			old := clock.Now().Add(-time.Minute)
+			for _, first := range []bool{true, false} {
+				l := ratelimit.NewLender()
+				Expect(lentIn(l, first, old, 8, 3*time.Second)).To(BeNumerically("~", 12, 2))
+				Expect(lentIn(l, first, old, 8, 3*time.Second)).To(BeNumerically("~", 24, 2))
+			}
+		})
+	})
+
+	It("begins anew after others may have been asked", func() {
+		suite.Paused(func() {
+			l := ratelimit.NewLender()
+			time.Sleep(time.Second)
+			since := clock.Now()
+			lentIn(l, true, since, 8, 3*time.Second)
+			time.Sleep(5 * time.Second)
+			Expect(want(l, true, since, 8, 100).Requests).To(BeZero(), "nothing is saved up")
+			Expect(lentIn(l, true, since, 8, 3*time.Second)).To(BeNumerically("~", 12, 2))
+		})
+	})
+
+	It("tells those that find nothing different moments", func() {
+		suite.Paused(func() {
+			l := ratelimit.NewLender()
+			time.Sleep(time.Second)
+			since := clock.Now()
+			Expect(want(l, true, since, 2, 1).Requests).To(Equal(1))
+			for i := range 5 {
+				r := want(l, true, since, 2, 1)
+				Expect(r.Requests).To(BeZero())
+				Expect(r.Again).To(BeNumerically("~", time.Duration(i+1)*500*time.Millisecond, 10*time.Millisecond))
+			}
+		})
+	})
+
+	It("lends nothing of a limit that has ended, and says so", func() {
+		suite.Paused(func() {
+			l := ratelimit.NewLender()
+			since := clock.Now()
+			want(l, true, since, 2, 1)
+			time.Sleep(time.Second)
+			want(l, true, clock.Instant{}, 0, 0)
+			old := ratelimit.Request{Requests: 1, Limit: fleet.LimitNews{Endpoint: "e", Rate: 2, Since: since, Heard: since}}
+			r := l.Lend(old, true, clock.Now())
+			Expect(r.Requests).To(BeZero())
+			Expect(r.Limit.Rate).To(BeZero())
+		})
+	})
+})
