The soak's hosts start for the first time once

Settings said first: true at every start, which the platform says only when the whole system starts first; so a soak's restart was one that does not occur. The spec fails on the code before, which wrote the settings once.

--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -21,7 +21,8 @@
 type process struct {
 	name     string
 	daemon   string
-	settings string
+	settings string // path of its settings
+	text     string // of them, without whether the whole system starts for the first time
 	logDir   string
 	callers  string
 	readyAt  string
@@ -52,7 +53,6 @@
   in_force: 2s
   leaving: 2s
   cores: 0.4
-  first: true
   cold_overshoot: 1.5
   cold_slack: 2
   halls: {ikeja: lagos, lekki: lagos, yaba: lagos}
@@ -67,13 +67,20 @@
 		name: fmt.Sprint("host-", i), daemon: o.Daemon, logDir: o.LogDir, callers: ports.address(), readyAt: ports.address(), store: through,
 	}
 	p.settings = filepath.Join(dir, p.name+".yaml")
-	text := fmt.Sprintf(settingsText, p.name, halls[i%len(halls)], p.callers, p.readyAt, ports.address(), ports.address(), through.address())
-	if err := os.WriteFile(p.settings, []byte(text), 0o600); err != nil {
-		return nil, fmt.Errorf("write settings: %w", err)
-	}
+	p.text = fmt.Sprintf(settingsText, p.name, halls[i%len(halls)], p.callers, p.readyAt, ports.address(), ports.address(), through.address())
 	return p, p.start()
 }
 
+// writeSettings writes the settings for the next start; only at a host's first does the whole system
+// start.
+func (p *process) writeSettings() error {
+	text := fmt.Appendf(nil, "%s  first: %t\n", p.text, p.starts == 0)
+	if err := os.WriteFile(p.settings, text, 0o600); err != nil {
+		return fmt.Errorf("write settings: %w", err)
+	}
+	return nil
+}
+
 // Ports that hosts listen at: below those that the system gives to outgoing
 // connections, which would take them while a host is down, and in blocks, so that
 // soaks that run at the same time do not either.
@@ -114,6 +121,9 @@
 func (p *process) start() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if err := p.writeSettings(); err != nil {
+		return err
+	}
 	out, err := logFile(p.logDir, p.name)
 	if err != nil {
 		return err
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -178,6 +178,17 @@
 	return sends
 }
 
+var _ = Describe("a host of a soak", func() {
+	It("that starts again is not told that the whole system starts for the first time", func() {
+		p := &process{settings: filepath.Join(GinkgoT().TempDir(), "host.yaml"), text: settingsText}
+		for starts, says := range []string{"first: true", "first: false", "first: false"} {
+			p.starts = starts
+			Expect(p.writeSettings()).To(Succeed())
+			Expect(os.ReadFile(p.settings)).To(ContainSubstring(says))
+		}
+	})
+})
+
 var _ = Describe("sends of a request under which endpoints crash", func() {
 	for name, c := range sendings {
 		It("count: "+name, func() {
