--- a/internal/cli/endpoints.go
+++ b/internal/cli/endpoints.go
@@ -86,6 +86,8 @@
 		return "ejected"
 	case e.ColdSince != nil:
 		return fmt.Sprintf("cold since %s, for %d ms more", e.ColdSince.Format(time.TimeOnly), e.ColdMs)
+	case e.Limit > 0:
+		return fmt.Sprintf("names a limit of %.3g a second since %d ms, %d in hand, %d wanted", e.Limit, e.LimitSinceMs, e.InHand, e.Wanted)
 	default:
 		return ""
 	}
--- a/internal/fleet/limit_test.go
+++ b/internal/fleet/limit_test.go
@@ -25,10 +25,13 @@
 // named is what an answer says that names a limit.
 func named(rate float64) fleet.Limit { return fleet.Limit{Named: true, Rate: rate} }
 
+// tries are enough requests for each of two endpoints to get some.
+const tries = 50
+
 // picks counts how many of some plain requests go to an endpoint.
-func picks(f *fleet.Fleet, id string, requests int) int {
+func picks(f *fleet.Fleet, id string) int {
 	n := 0
-	for range requests {
+	for range tries {
 		h, ok := f.Pick(fleet.Ask{Service: "s"})
 		if !ok {
 			continue
@@ -46,12 +49,12 @@
 		suite.Paused(func() {
 			f := limitedFleet()
 			f.HearLimit("e0", named(2), clock.Now())
-			Expect(picks(f, "e0", 50)).To(BeZero())
+			Expect(picks(f, "e0")).To(BeZero())
 			f.Lent("e0", fleet.Loan{Requests: 3, Until: clock.Now().Add(time.Second)})
-			Expect(picks(f, "e0", 50)).To(Equal(3))
+			Expect(picks(f, "e0")).To(Equal(3))
 			f.Lent("e0", fleet.Loan{Requests: 3, Until: clock.Now().Add(time.Second)})
 			time.Sleep(time.Second)
-			Expect(picks(f, "e0", 50)).To(BeZero())
+			Expect(picks(f, "e0")).To(BeZero())
 		})
 	})
 
@@ -61,7 +64,7 @@
 			f.HearLimit("e0", named(2), clock.Now())
 			list, _ := f.Wanted()
 			Expect(list).To(BeEmpty())
-			picks(f, "e0", 50)
+			picks(f, "e0")
 			list, _ = f.Wanted()
 			Expect(list).To(HaveLen(1))
 			Expect(list[0].News.Rate).To(BeEquivalentTo(2))
@@ -69,7 +72,7 @@
 			f.Remove("e1") // while others take requests nothing waits for this one
 			again := clock.Now().Add(100 * time.Millisecond)
 			f.Lent("e0", fleet.Loan{Again: again})
-			picks(f, "e0", 50)
+			picks(f, "e0")
 			list, next := f.Wanted()
 			Expect(list).To(BeEmpty(), "before the lender said")
 			Expect(next).To(Equal(again))
@@ -92,7 +95,7 @@
 			Expect(after).To(BeEquivalentTo(2), "what can't be read says nothing")
 			_, after = f.HearLimit("e0", fleet.Limit{}, clock.Now())
 			Expect(after).To(BeZero())
-			Expect(picks(f, "e0", 50)).To(BeNumerically(">", 10))
+			Expect(picks(f, "e0")).To(BeNumerically(">", 10))
 			list, _ := f.Wanted()
 			Expect(list).To(HaveLen(1), "who lends is told")
 			Expect(list[0].News.Rate).To(BeZero())
@@ -113,7 +116,7 @@
 			e := fleet.Endpoint{ID: "e0", Service: "s", Hall: "ikeja", Version: "v1", Slots: 8}
 			f.HearLimit("e0", named(0), clock.Now())
 			f.Put(e.WithStart(7))
-			Expect(picks(f, "e0@7", 50)).To(BeNumerically(">", 10))
+			Expect(picks(f, "e0@7")).To(BeNumerically(">", 10))
 		})
 	})
 
@@ -124,14 +127,14 @@
 			f.LearnLimit(fleet.LimitNews{Endpoint: "e0", Rate: 2, Since: now, Heard: now})
 			f.LearnLimit(fleet.LimitNews{Endpoint: "e0", Rate: 0, Heard: now.Add(-time.Second)})
 			f.LearnLimit(fleet.LimitNews{Endpoint: "gone", Rate: 2, Heard: now})
-			Expect(picks(f, "e0", 50)).To(BeZero())
+			Expect(picks(f, "e0")).To(BeZero())
 			Expect(f.FreshNews(8)).To(HaveLen(1), "it is told on")
 			Expect(f.FreshNews(8)).To(BeEmpty(), "once")
 			f.LearnLimit(fleet.LimitNews{Endpoint: "e0", Rate: 0, Heard: now.Add(time.Millisecond)})
-			Expect(picks(f, "e0", 50)).To(BeNumerically(">", 10))
+			Expect(picks(f, "e0")).To(BeNumerically(">", 10))
 			time.Sleep(time.Minute)
 			f.LearnLimit(fleet.LimitNews{Endpoint: "e1", Rate: 2, Since: now, Heard: now})
-			Expect(picks(f, "e1", 50)).To(BeNumerically(">", 10), "old news says nothing")
+			Expect(picks(f, "e1")).To(BeNumerically(">", 10), "old news says nothing")
 		})
 	})
 
--- a/internal/fleet/ration.go
+++ b/internal/fleet/ration.go
@@ -99,3 +99,16 @@
 	}
 	return LimitStatus{Rate: m.limited.rate, Since: now.Sub(m.limited.since), InHand: m.limited.inHand(now), Wanted: m.limited.wanted}
 }
+
+// Limited counts the endpoints that name limits.
+func (f *Fleet) Limited() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, m := range f.limits {
+		if m.limited.holds() {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/gatewayd/endpointsview.go
+++ b/internal/gatewayd/endpointsview.go
@@ -36,6 +36,12 @@
 	ColdMs    int64      `json:"cold_ms"`              // for how much longer it is taken to be cold
 	ColdSince *time.Time `json:"cold_since,omitempty"` // since when; nil if it is warm
 	Flying    int        `json:"flying"`               // this host's requests there
+	// Limit is how many requests a second it takes from all hosts, by its own word; 0 if it names
+	// none. InHand of them this host may send now, and Wanted have lately found none in hand.
+	Limit        float64 `json:"limit"`
+	LimitSinceMs int64   `json:"limit_since_ms"` // for how long this host has known it
+	InHand       int     `json:"in_hand"`
+	Wanted       int     `json:"wanted"`
 }
 
 // viewEndpoints answers with what the host knows of endpoints.
@@ -57,6 +63,7 @@
 	v := EndpointView{
 		ID: s.ID, Service: s.Service, Hall: s.Hall, Version: s.Version, Ready: s.Ready, Draining: s.Draining,
 		Evacuated: s.Evacuated, ColdMs: s.ColdFor.Milliseconds(), Flying: s.Flying,
+		Limit: s.Limit.Rate, LimitSinceMs: s.Limit.Since.Milliseconds(), InHand: s.Limit.InHand, Wanted: s.Limit.Wanted,
 	}
 	if !s.ColdSince.IsZero() {
 		since := s.ColdSince.Time()
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -59,6 +59,7 @@
 		return w.probe(c, reader, p)
 	}
 	id := fmt.Sprint("r", serial.Add(1))
+	w.sends(id, p)
 	end := id
 	if w.crashing && random.Float64() < sameShare {
 		end = "same"
@@ -85,6 +86,7 @@
 	version := w.version - w.random.IntN(2)
 	w.mu.Unlock()
 	id := fmt.Sprint("p", serial.Add(1))
+	w.sends(id, p)
 	life, sent := p.life(), time.Now()
 	_ = c.SetDeadline(sent.Add(callerPatient))
 	if _, err := io.WriteString(c, standin.NewRequest("POST", standin.VersionPath(version), "x").WithID(id).Text()); err != nil {
--- a/internal/soak/crashes.go
+++ b/internal/soak/crashes.go
@@ -79,8 +79,8 @@
 	w.store.Drop(standin.TableEndpoints, e.ID)
 }
 
-// dice are drawn for requests under which endpoints crash, apart from all else, so that a seed
-// without them stays what it is; safe for use at once.
+// dice are drawn for one kind of trouble, apart from all else, so that a seed without it stays what
+// it is; safe for use at once.
 type dice struct {
 	mu     sync.Mutex // guards random
 	random *rand.Rand
@@ -134,6 +134,7 @@
 	}
 	defer func() { _ = c.Close() }()
 	id := fmt.Sprint("c", serial.Add(1))
+	w.sends(id, p)
 	r.mu.Lock()
 	r.hosts[id] = p
 	r.mu.Unlock()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -11,7 +11,7 @@
 // delay, reset, silence and cut them one way; processes are stopped, killed,
 // paused and restarted by signals; the store's stand-in misbehaves; endpoints start again
 // under their names or crash under a request that comes again and again, data halls are evacuated,
-// others write among the endpoints. Faults
+// others write among the endpoints, endpoints name limits. Faults
 // overlap and are not counted as excuses: what may not happen may not happen
 // under any of them. Only processes that the soak started are signalled.
 package soak
@@ -51,6 +51,8 @@
 	LogDir string // where hosts' logs are kept; empty keeps none
 	// Crashers is how many requests come, each again and again, under which endpoints crash.
 	Crashers int
+	// Limits is how many times endpoints name limits of what they take.
+	Limits int
 }
 
 // Result is what a run saw.
@@ -84,6 +86,7 @@
 	}
 	var crashing sync.WaitGroup
 	crashing.Go(func() { w.sendCrashers(ctx, o) })
+	crashing.Go(func() { w.nameLimits(ctx, o) })
 	faults := w.injectFaults(ctx, o.Length)
 	crashing.Wait()
 	w.healAll()
@@ -98,6 +101,7 @@
 	report := w.history.report(w.runs())
 	report.Violations = append(report.Violations, w.misplaced(evacuated, judged)...)
 	report.Violations = append(report.Violations, w.lateSends()...)
+	report.Violations = append(report.Violations, w.overLimits()...)
 	report.Cold = w.overCold()
 	report.Faults = faults
 	return report, nil
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -105,7 +105,8 @@
 // seeds are runs of the check: one fixed seed, and every seed that ever failed
 // with a line on its cause.
 var seeds = map[string]Options{
-	"a fixed seed": {Seed: 1, Length: 5 * time.Second, Hosts: 4},
+	"a fixed seed":               {Seed: 1, Length: 5 * time.Second, Hosts: 4},
+	"endpoints that name limits": {Seed: 2, Length: 12 * time.Second, Hosts: 6, Limits: 6},
 }
 
 // TestCrashesInTheSoak plays requests under which endpoints crash, long enough for hosts to know of the
@@ -178,6 +179,18 @@
 	return sends
 }
 
+var _ = Describe("a limit in a soak", func() {
+	It("counts what hosts send that nothing has happened to, once they know it", func() {
+		e := &endpoint{Endpoint: standin.NewEndpoint("e-1", nil)}
+		n := naming{endpoint: e, rate: 1, from: dawn, until: secondsOn(20)}
+		most, _ := n.worst(func(string) *process { return nil })
+		Expect(most).To(BeZero())
+		most, at := mostWithin([]time.Time{secondsOn(9), secondsOn(1), secondsOn(7), secondsOn(5.5)}, limitWindow)
+		Expect(most).To(Equal(3))
+		Expect(at).To(Equal(secondsOn(5.5)))
+	})
+})
+
 var _ = Describe("a host of a soak", func() {
 	It("that starts again is not told that the whole system starts for the first time", func() {
 		p := &process{settings: filepath.Join(GinkgoT().TempDir(), "host.yaml"), text: settingsText}
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -36,6 +37,8 @@
 	// crashing tells that requests come under which endpoints crash.
 	crashing  bool
 	crashDice dice
+	limitDice dice
+	carriers  sync.Map // hosts that requests went to, by id
 
 	mu        sync.Mutex // guards all below
 	random    *rand.Rand
@@ -43,6 +46,7 @@
 	all       []*endpoint         // also those that are gone
 	traps     []*standin.Endpoint // that entries of other writers name
 	crashers  []*crasher          // requests under which endpoints crash
+	namings   []naming            // limits that endpoints have named
 	version   int                 // of the newest configuration
 	serial    int
 }
@@ -56,6 +60,7 @@
 	proxy    *proxy
 	gone     chan struct{} // closed once it has ended
 	ending   sync.Once
+	limited  atomic.Bool // it names a limit
 
 	mu     sync.Mutex // guards starts
 	starts []time.Time
@@ -94,6 +99,7 @@
 		store: standin.NewStore(), history: newHistory(), random: rand.New(rand.NewPCG(o.Seed, o.Seed)),
 		endpoints: map[string]*endpoint{}, crashing: o.Crashers > 0,
 		crashDice: dice{random: rand.New(rand.NewPCG(o.Seed, crashStream))},
+		limitDice: dice{random: rand.New(rand.NewPCG(o.Seed, limitStream))},
 	}
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
