A request under which endpoints may crash goes one after the other

What callers saw: after all endpoints of a service had crashed at nearly one moment, the first ones back crashed together again.

Cause: copies that wait while a service has no endpoint are all sent as one is back. Crashes of one moment count once, so the request is suspect and not yet told from what ran beside it. The same class as the limits: each host sent its copies on its own count.

Change: while three endpoints or more have crashed beside a request since it last came to a good end, all hosts together send it once in two seconds, by a turn that its lender gives (ratelimit), right before it is sent. Its next run convicts it or clears it, and then the others go.

--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -13,6 +15,37 @@
 // errQuarantined means that endpoints crash under the request.
 var errQuarantined = errors.New("quarantined: endpoints crash under this request; change it, or ask the operators to let it out")
 
+// errSuspect means that the request has turned suspect since it was its turn.
+var errSuspect = errors.New("endpoints may crash under this request, and it is not its turn")
+
+// suspectRate is how often all hosts together send a request under which endpoints may crash, in a
+// second: its next run tells whether they do.
+const suspectRate = 0.5
+
+// awaitTurn waits until a request under which endpoints may crash may be sent. Copies that wait while a
+// service has no endpoint would otherwise all go as the first one is back, and crash it together.
+func (x *exchange) awaitTurn(ctx context.Context) error {
+	for x.g.Limits != nil && !x.suspectTurn && x.standing().Suspect() {
+		wait, granted := x.g.Limits.Turn(ctx, "suspect/"+x.fingerprint().String(), suspectRate)
+		if granted {
+			x.suspectTurn = true
+			x.g.Logger.Info("suspect request may be sent", "id", x.ask.ID, "fingerprint", x.fingerprint(), "crashed", x.standing().Crashed)
+			break
+		}
+		x.waits++
+		if !clock.Sleep(ctx, min(wait, suspectLook)) {
+			return context.DeadlineExceeded
+		}
+	}
+	if x.standing().Quarantined {
+		return errQuarantined
+	}
+	return nil
+}
+
+// suspectLook is after how long a suspect request that waits looks again what is known of it.
+const suspectLook = 100 * time.Millisecond
+
 // known is the fingerprint, for the log of a request that endpoints crashed under; empty for
 // others, which need not be hashed.
 func (x *exchange) known() string {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -29,6 +29,7 @@
 	"quaybarrow/internal/conn"
 	"quaybarrow/internal/fleet"
 	"quaybarrow/internal/quarantine"
+	"quaybarrow/internal/ratelimit"
 	"quaybarrow/internal/retry"
 	"quaybarrow/internal/route"
 	"quaybarrow/internal/telemetry"
@@ -46,9 +47,11 @@
 	Advice   *advice.Advisor // on endpoints for long prompts; nil for none
 	// Quarantine knows requests under which endpoints crash.
 	Quarantine *quarantine.Book
-	Deadlines  *clock.Deadlines // watched by the host
-	Telemetry  *telemetry.Telemetry
-	Logger     *log.Logger
+	// Limits has suspect requests sent one after the other by all hosts together; nil for no bound.
+	Limits    *ratelimit.Desk
+	Deadlines *clock.Deadlines // watched by the host
+	Telemetry *telemetry.Telemetry
+	Logger    *log.Logger
 	// Hosts counts all hosts, as far as this one knows; nil for this one alone.
 	Hosts func() int
 	// Usage counts the requests that begin; nil where nobody asks.
@@ -147,6 +150,8 @@
 	counted    bool              // it has begun to run, and was counted
 	crashes    int               // of endpoints while it ran there
 	held       bool              // it was refused since endpoints crash under it
+	// suspectTurn tells that it may be sent once though endpoints may crash under it.
+	suspectTurn bool
 	// fingerprint is that by which the request is known when it comes again; it is hashed when
 	// it is first asked for.
 	fingerprint func() quarantine.Fingerprint
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -59,6 +59,9 @@
 // reached are passed over: they have seen nothing.
 func (x *exchange) send(ctx context.Context, model, lastEvent string) (*attempt, error) {
 	for range maxDials {
+		if err := x.awaitTurn(ctx); err != nil {
+			return nil, err
+		}
 		hold, decision := x.pick(ctx, model)
 		if refused, ok := decision.(admission.Refuse); ok {
 			x.room = refused.After
@@ -84,6 +87,9 @@
 		if err := x.stillWanted(ctx); err != nil {
 			c.Release(false)
 			hold.Done(fleet.Result{Outcome: fleet.OutcomeNeutral})
+			if errors.Is(err, errSuspect) {
+				continue
+			}
 			return nil, err
 		}
 		a, err := x.sendOn(ctx, hold, c, model, lastEvent)
@@ -103,6 +109,8 @@
 		return context.DeadlineExceeded
 	case x.standing().Quarantined:
 		return errQuarantined
+	case x.standing().Suspect() && !x.suspectTurn:
+		return errSuspect
 	default:
 		return nil
 	}
@@ -216,6 +224,7 @@
 func (x *exchange) sendOn(ctx context.Context, hold *fleet.Hold, c *conn.Conn, model, lastEvent string) (*attempt, error) {
 	a := &attempt{x: x, hold: hold, conn: c, model: model, sentAt: clock.Now()}
 	x.sends++
+	x.suspectTurn = false
 	x.tried = append(x.tried, hold.Endpoint.ID)
 	x.endpoint, x.version, x.model = hold.Endpoint.ID, hold.Endpoint.Version, model
 	a.stop = context.AfterFunc(ctx, c.Interrupt)
--- a/internal/gatewayd/module.go
+++ b/internal/gatewayd/module.go
@@ -215,10 +215,10 @@
 }
 
 func newGateway(s settings.Settings, h *route.Holder, f *fleet.Fleet, p *conn.Pool, u *upgrade.Tracker, a *advice.Advisor,
-	q *quarantine.Book, counter *usage.Counter, w *spread.Watcher, d *clock.Deadlines, t *telemetry.Telemetry, l *log.Logger,
+	q *quarantine.Book, limits *ratelimit.Desk, counter *usage.Counter, w *spread.Watcher, d *clock.Deadlines, t *telemetry.Telemetry, l *log.Logger,
 ) *gateway.Gateway {
 	return gateway.New(gateway.Options{
-		Holder: h, Fleet: f, Pool: p, Upgrades: u, Codec: platform.Heads{}, Advice: a, Quarantine: q, Deadlines: d, Telemetry: t, Logger: l, Usage: counter, Hosts: w.Hosts,
+		Holder: h, Fleet: f, Pool: p, Upgrades: u, Codec: platform.Heads{}, Advice: a, Quarantine: q, Limits: limits, Deadlines: d, Telemetry: t, Logger: l, Usage: counter, Hosts: w.Hosts,
 		RetryRatio: retryPart * s.Gateway.RetryRatio,
 	})
 }
--- a/internal/quarantine/book.go
+++ b/internal/quarantine/book.go
@@ -254,8 +254,14 @@
 	// likely that was by chance.
 	Moments int
 	Chance  float64
+	// Crashed counts the endpoints that crashed beside it since then, also at the same moment.
+	Crashed int
 }
 
+// Suspect reports whether as many endpoints have crashed beside the request as one has to crash to be
+// told from others, though it is not told from them yet.
+func (s Standing) Suspect() bool { return !s.Quarantined && s.Crashed >= crashesLeast }
+
 // Repeats reports whether a host may repeat the request on its own that so many endpoints have
 // crashed under since it came this time.
 func (s Standing) Repeats(crashes int) bool {
@@ -272,7 +278,7 @@
 	b.judge()
 	_, held := b.verdicts[f]
 	s := b.seen().of(f)
-	return Standing{Quarantined: held, Moments: s.moments, Chance: s.Chance}
+	return Standing{Quarantined: held, Moments: s.moments, Chance: s.Chance, Crashed: len(s.crashed)}
 }
 
 // ago is how long ago a moment of the book's clock was.
--- a/internal/ratelimit/ratelimit.go
+++ b/internal/ratelimit/ratelimit.go
@@ -262,6 +262,17 @@
 	return Reply{}, false
 }
 
+// Turn asks for one of the turns that all hosts together may have of something by its key, so many a
+// second; granted tells whether this host has it, and wait when to ask again if not.
+func (d *Desk) Turn(ctx context.Context, key string, rate float64) (wait time.Duration, granted bool) {
+	now := clock.Now()
+	reply, ok := d.borrow(ctx, Request{Requests: 1, From: d.options.Host, Limit: fleet.LimitNews{Endpoint: key, Rate: rate, Since: now, Heard: now}})
+	if !ok {
+		return nobodyPause, false
+	}
+	return reply.Again, reply.Requests > 0
+}
+
 // call asks a host, and notes whether it answers.
 func (d *Desk) call(ctx context.Context, h host, r Request, patience time.Duration) (Reply, error) {
 	limited, cancel := context.WithTimeout(ctx, patience)
