--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -18,15 +18,16 @@
 // errSuspect means that the request has turned suspect since it was its turn.
 var errSuspect = errors.New("endpoints may crash under this request, and it is not its turn")
 
-// suspectRate is how often all hosts together send a request under which endpoints may crash, in a
-// second: its next run tells whether they do.
-const suspectRate = 0.5
+// suspectRate is how often all hosts together send a service a request under which endpoints may crash,
+// in a second.
+const suspectRate = 1
 
 // awaitTurn waits until a request under which endpoints may crash may be sent. Copies that wait while a
-// service has no endpoint would otherwise all go as the first one is back, and crash it together.
+// service has no endpoint would otherwise all go as the first one is back, and crash it together. One of
+// all suspects runs at a time, so that what it does to its endpoint speaks of no other.
 func (x *exchange) awaitTurn(ctx context.Context) error {
 	for x.g.Limits != nil && !x.suspectTurn && x.standing().Suspect() {
-		wait, granted := x.g.Limits.Turn(ctx, "suspect/"+x.fingerprint().String(), suspectRate)
+		wait, granted := x.g.Limits.Turn(ctx, "suspect/"+x.service, suspectRate)
 		if granted {
 			x.suspectTurn = true
 			x.g.Logger.Info("suspect request may be sent", "id", x.ask.ID, "fingerprint", x.fingerprint(), "crashed", x.standing().Crashed)
