--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -389,17 +389,3 @@
 	slices.SortFunc(list, func(a, b Status) int { return cmp.Compare(a.ID, b.ID) })
 	return list
 }
-
-// serves is a model of a service.
-type serves struct{ service, model string }
-
-// readingOf returns the estimate of reading times for a model.
-func (f *Fleet) readingOf(service, model string) *reading {
-	name := serves{service, model}
-	r, ok := f.readings[name]
-	if !ok {
-		r = newReading()
-		f.readings[name] = r
-	}
-	return r
-}
--- a/internal/fleet/reading.go
+++ b/internal/fleet/reading.go
@@ -106,3 +106,17 @@
 func (r *reading) head(n int) time.Duration { return r.base + r.tokens(n) }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// serves is a model of a service.
+type serves struct{ service, model string }
+
+// readingOf returns the estimate of reading times for a model.
+func (f *Fleet) readingOf(service, model string) *reading {
+	name := serves{service, model}
+	r, ok := f.readings[name]
+	if !ok {
+		r = newReading()
+		f.readings[name] = r
+	}
+	return r
+}
