--- a/internal/explain/lost.go
+++ b/internal/explain/lost.go
@@ -20,6 +20,7 @@
 	CauseCaller   Cause = "the caller left, or was not let in"
 	CauseRefused  Cause = "refused: no endpoint took it"
 	CauseFull     Cause = "refused: engines were full for longer than its caller waits"
+	CauseLimited  Cause = "refused: all endpoints were at the limits that they name"
 	CauseFailed   Cause = "failed at endpoints, or broke off"
 	CausePause    Cause = "late: a pause between events"
 	CauseStuck    Cause = "late: the endpoint began far later than expected"
@@ -43,6 +44,9 @@
 // full.
 const outcomeFull = "engines can't serve it"
 
+// outcomeLimited is what it says of one that is refused because of endpoints' limits.
+const outcomeLimited = "endpoints are at the limits that they name"
+
 // Loss counts the requests with a cause.
 type Loss struct {
 	Cause   Cause
@@ -120,6 +124,8 @@
 		return lateCause(l)
 	case outcome == outcomeFull:
 		return CauseFull
+	case outcome == outcomeLimited:
+		return CauseLimited
 	case l.number("sends") == 0:
 		return CauseRefused
 	default:
--- a/internal/explain/lost_test.go
+++ b/internal/explain/lost_test.go
@@ -20,6 +20,7 @@
 	explain.CauseWaiting:  `"outcome":"streamed","objective_ms":2000,"first_ms":2900,"head_ms":2900,"expected_ms":1800,"work_ms":90,"sends":1`,
 	explain.CauseTurn:     `"outcome":"streamed","objective_ms":2000,"first_ms":2900,"head_ms":400,"expected_ms":300,"work_ms":90,"sends":1,"waits":12`,
 	explain.CauseFull:     `"outcome":"engines can't serve it","sends":0`,
+	explain.CauseLimited:  `"outcome":"endpoints are at the limits that they name","sends":0`,
 	explain.CauseRefused:  `"outcome":"no endpoint takes the request","sends":0`,
 	explain.CauseFailed:   `"outcome":"cut: the stream broke off","sends":2`,
 	explain.CauseCaller:   `"outcome":"caller left","sends":1`,
--- a/internal/fleet/limit_test.go
+++ b/internal/fleet/limit_test.go
@@ -184,6 +184,22 @@
 		})
 	})
 
+	It("do not go to an endpoint that fails instead", func() {
+		suite.Paused(func() {
+			f := limitedFleet()
+			f.HearLimit("e0", named(2), clock.Now())
+			f.Learn("e1", fleet.Tally{Lost: 1})
+			_, d := f.Place(ask(5))
+			wait, ok := d.(admission.Wait)
+			Expect(ok).To(BeTrue())
+			lend(f, 1)
+			again := ask(5)
+			again.Turn = wait.Turn
+			h, _ := f.Place(again)
+			Expect(h.Endpoint.ID).To(Equal("e0"))
+		})
+	})
+
 	It("are refused at once, and told when there is room, if that is too late for them", func() {
 		suite.Paused(func() {
 			f := limitedFleet()
--- a/internal/fleet/loan.go
+++ b/internal/fleet/loan.go
@@ -36,6 +36,14 @@
 	return n
 }
 
+// stillLent lists the endpoints but one of which something is in hand; the caller holds mu.
+func (f *Fleet) stillLent(but *member) []*member {
+	now := f.options.Now()
+	return slices.DeleteFunc(f.lent, func(m *member) bool {
+		return m == but || m.limited == nil || m.limited.inHand(now) == 0
+	})
+}
+
 // take uses a part of what is in hand.
 func (l *limitation) take(now clock.Instant) {
 	if l.inHand(now) > 0 {
@@ -102,9 +110,7 @@
 	m.limited.asking, m.limited.again = false, loan.Again
 	if loan.Requests > 0 && m.limited.holds() {
 		m.limited.loans = append(m.limited.loans, loan)
-		if !slices.Contains(f.lent, m) {
-			f.lent = append(f.lent, m)
-		}
+		f.lent = append(f.stillLent(m), m)
 	}
 	if _, more := f.wanting[id]; more {
 		f.wanted()
--- a/internal/fleet/nominate.go
+++ b/internal/fleet/nominate.go
@@ -62,12 +62,8 @@
 
 // nominateLent nominates endpoints that name limits, and of which something is in hand.
 func (f *Fleet) nominateLent(n *nominees, ask Ask, now clock.Instant) {
-	if len(f.lent) == 0 {
-		return
-	}
-	f.lent = slices.DeleteFunc(f.lent, func(m *member) bool { return m.limited == nil || m.limited.inHand(now) == 0 })
 	for _, m := range f.lent {
-		if n.n < lentMost && m.Service == ask.Service && f.usable(m, ask) {
+		if n.n < lentMost && m.Service == ask.Service && m.limited.holds() && m.limited.inHand(now) > 0 && f.usable(m, ask) {
 			n.add(m)
 		}
 	}
--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -228,15 +228,13 @@
 	}
 	n := f.nominate(p, ask, t.near, c.now)
 	f.weigh(&c, n.list[:n.n], t)
-	part := float64(len(p.all)) / float64(max(n.n, 1))
-	c.limits.rate *= part
-	if (c.member == nil && c.limits.rate == 0) || (c.member != nil && c.member.tier(c.now) > tierWell) {
+	if (c.member == nil && !c.limits.some) || (c.member != nil && c.member.tier(c.now) > tierWell) {
 		// What may be used is rare, as one of a few endpoints of a version.
 		c = choice{now: c.now}
 		f.weigh(&c, p.all, t)
 		return c
 	}
-	c.room = int(float64(c.room) * part)
+	c.room = int(float64(c.room) * float64(len(p.all)) / float64(n.n))
 	return c
 }
 
@@ -250,7 +248,7 @@
 		load, unread := m.load(c.now, t.sharers), t.unread(m)
 		s := f.score(m, t, load, unread, c.now)
 		if !f.limited(m) {
-			c.limits.open = true
+			c.limits.open = c.limits.open || !m.ejected(c.now)
 		} else if !c.limits.takes(m, s, c.now) {
 			continue
 		}
--- a/internal/fleet/ration.go
+++ b/internal/fleet/ration.go
@@ -14,23 +14,23 @@
 type limits struct {
 	passed *member       // the best one that was passed over since nothing of its limit is in hand; nil for none
 	score  float64       // its own
-	rate   float64       // requests a second that they take together
+	some   bool          // there are such
 	inHand int           // requests that this host may send there now
 	next   clock.Instant // when something of the first of them can be borrowed
-	open   bool          // some endpoint that may be used names none
+	open   bool          // some endpoint that may be used names none, and is not ejected
 }
 
 // takes notes an endpoint of a score and reports whether it takes a request.
 func (l *limits) takes(m *member, score float64, now clock.Instant) bool {
 	if !m.limited.holds() {
-		l.open = true
+		l.open = l.open || !m.ejected(now)
 		return true
 	}
 	n := m.limited.inHand(now)
-	if again := later(m.limited.again, now); l.rate == 0 || again.Before(l.next) {
+	if again := later(m.limited.again, now); !l.some || again.Before(l.next) {
 		l.next = again
 	}
-	l.rate += m.limited.rate
+	l.some = true
 	l.inHand += n
 	if m.limited.asking || now.Before(m.limited.again) {
 		score += laterScore
@@ -55,7 +55,7 @@
 // ration decides on a request while all endpoints that it may use name limits: with none of them in
 // hand, or with others that wait and go before it, it waits for its turn or is refused.
 func (f *Fleet) ration(p placement) placement {
-	if p.limits.open || p.limits.rate == 0 || (p.member != nil && p.ask.Within == 0) {
+	if p.limits.open || !p.limits.some || (p.member != nil && p.ask.Within == 0) {
 		return p
 	}
 	turns := f.turnsOf(p.ask.Service)
--- a/internal/ratelimit/ratelimit.go
+++ b/internal/ratelimit/ratelimit.go
@@ -161,8 +161,11 @@
 
 // tell spreads what has changed.
 func (d *Desk) tell(ctx context.Context, working *sync.WaitGroup) {
+	if !d.options.Known() {
+		return // it is told with the next news, or by others
+	}
 	news := d.options.Fleet.FreshNews(newsMost)
-	if len(news) == 0 || !d.options.Known() {
+	if len(news) == 0 {
 		return
 	}
 	for _, h := range d.some(tellMost) {
