--- a/internal/advice/advice.go
+++ b/internal/advice/advice.go
@@ -145,7 +145,7 @@
 	asked := clock.Now()
 	request.Ended, request.Results, request.Heads = a.takeEnded(), a.takeResults(), a.takeHeads()
 	request.Limits = limitsToWire(a.options.Fleet.LimitNews(limitsMost), asked)
-	wait := max(patience, time.Duration(patiencePart*float64(micros(request.GetObjectiveMicros()))))
+	wait := max(patience, time.Duration(patiencePart*float64(clock.Micros(request.GetObjectiveMicros()))))
 	limited, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	reply, err := advicepb.NewAdviceClient(connection).Choose(limited, request)
@@ -303,10 +303,10 @@
 	learnLimits(f, r.GetLimits())
 	ask := fleet.Ask{
 		Service: r.GetService(), Model: r.GetModel(), Key: r.GetKey(), Tokens: int(r.GetTokens()), Shared: int(r.GetShared()),
-		Objective: micros(r.GetObjectiveMicros()), Slack: micros(r.GetSlackMicros()), Left: micros(r.GetLeftMicros()), Begun: r.GetBegun(),
-		Waited: micros(r.GetWaitedMicros()), Turn: r.GetTurn(), Urgency: int(r.GetUrgency()), Avoid: r.GetAvoid(),
+		Objective: clock.Micros(r.GetObjectiveMicros()), Slack: clock.Micros(r.GetSlackMicros()), Left: clock.Micros(r.GetLeftMicros()), Begun: r.GetBegun(),
+		Waited: clock.Micros(r.GetWaitedMicros()), Turn: r.GetTurn(), Urgency: int(r.GetUrgency()), Avoid: r.GetAvoid(),
 		Allowed: s.options.Allowed(r.GetService(), r.GetVersionKey()), Parts: partsFromWire(r.GetParts()), Memory: int(r.GetMemory()), Hall: r.GetHall(),
-		Regions: r.GetRegions(), Within: micros(r.GetWithinMicros()),
+		Regions: r.GetRegions(), Within: clock.Micros(r.GetWithinMicros()),
 	}
 	// The reply goes out even if there is no endpoint: it tells which ones fail.
 	reply := &advicepb.ChooseReply{Ejected: f.Ejected(), Limits: limitsToWire(f.LimitNews(limitsMost), clock.Now())}
--- a/internal/advice/wire.go
+++ b/internal/advice/wire.go
@@ -1,8 +1,6 @@
 package advice
 
 import (
-	"time"
-
 	"quaybarrow/internal/admission"
 	"quaybarrow/internal/advice/advicepb"
 	"quaybarrow/internal/clock"
@@ -19,7 +17,7 @@
 
 func headFromWire(w *advicepb.Head) fleet.Heard {
 	return fleet.Heard{
-		Endpoint: w.GetEndpoint(), Ticket: w.GetTicket(), Service: w.GetService(), Model: w.GetModel(), Took: micros(w.GetTookMicros()), Expected: micros(w.GetExpectedMicros()), Queue: micros(w.GetQueueMicros()), Urgency: int(w.GetUrgency()), Refused: w.GetRefused(),
+		Endpoint: w.GetEndpoint(), Ticket: w.GetTicket(), Service: w.GetService(), Model: w.GetModel(), Took: clock.Micros(w.GetTookMicros()), Expected: clock.Micros(w.GetExpectedMicros()), Queue: clock.Micros(w.GetQueueMicros()), Urgency: int(w.GetUrgency()), Refused: w.GetRefused(),
 		Read: int(w.GetRead()), Sure: w.GetSure(), Load: fleet.Load{Running: int(w.GetRunning()), Waiting: int(w.GetWaiting()), Slots: int(w.GetSlots()), Pace: w.GetPace()},
 	}
 }
@@ -40,9 +38,9 @@
 func decisionFromWire(reply *advicepb.ChooseReply) admission.Decision {
 	switch {
 	case reply.GetRefused():
-		return admission.Refuse{After: micros(reply.GetAfterMicros())}
+		return admission.Refuse{After: clock.Micros(reply.GetAfterMicros())}
 	case reply.GetWaitMicros() > 0:
-		return admission.Wait{For: micros(reply.GetWaitMicros()), Turn: reply.GetTurn()}
+		return admission.Wait{For: clock.Micros(reply.GetWaitMicros()), Turn: reply.GetTurn()}
 	case reply.GetBehind():
 		return admission.Behind{}
 	default:
@@ -50,8 +48,6 @@
 	}
 }
 
-func micros(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
-
 func expectationToWire(e fleet.Expectation) *advicepb.Expectation {
 	return &advicepb.Expectation{
 		HeadMicros: e.Head.Microseconds(), QueueMicros: e.Queue.Microseconds(), WorkMicros: e.Work.Microseconds(), Read: int32(e.Read), Sure: e.Sure, Price: e.Price, //nolint:gosec // prompts are far shorter
@@ -61,7 +57,7 @@
 
 func expectationFromWire(w *advicepb.Expectation) fleet.Expectation {
 	return fleet.Expectation{
-		Head: micros(w.GetHeadMicros()), Queue: micros(w.GetQueueMicros()), Work: micros(w.GetWorkMicros()),
+		Head: clock.Micros(w.GetHeadMicros()), Queue: clock.Micros(w.GetQueueMicros()), Work: clock.Micros(w.GetWorkMicros()),
 		Read: int(w.GetRead()), Sure: w.GetSure(), Price: w.GetPrice(), Overrun: fleet.Overrun{Mean: w.GetOverrunMean(), Variance: w.GetOverrunVariance()},
 	}
 }
@@ -70,8 +66,9 @@
 func limitsToWire(list []fleet.LimitNews, now clock.Instant) []*advicepb.Limit {
 	var wire []*advicepb.Limit
 	for _, n := range list {
+		heard, since := n.Ages(now)
 		wire = append(wire, &advicepb.Limit{
-			Endpoint: n.Endpoint, PerSecond: n.Rate, HeardMicros: now.Sub(n.Heard).Microseconds(), SinceMicros: now.Sub(n.Since).Microseconds(),
+			Endpoint: n.Endpoint, PerSecond: n.Rate, HeardMicros: heard.Microseconds(), SinceMicros: since.Microseconds(),
 		})
 	}
 	return wire
@@ -81,9 +78,7 @@
 func learnLimits(f *fleet.Fleet, wire []*advicepb.Limit) {
 	now := clock.Now()
 	for _, w := range wire {
-		f.LearnLimit(fleet.LimitNews{
-			Endpoint: w.GetEndpoint(), Rate: w.GetPerSecond(), Heard: now.Add(-micros(w.GetHeardMicros())), Since: now.Add(-micros(w.GetSinceMicros())),
-		})
+		f.LearnLimit(fleet.LimitOf(w.GetEndpoint(), w.GetPerSecond(), clock.Micros(w.GetHeardMicros()), clock.Micros(w.GetSinceMicros()), now))
 	}
 }
 
--- a/internal/fleet/limit.go
+++ b/internal/fleet/limit.go
@@ -21,6 +21,16 @@
 	Heard    clock.Instant // when an answer last told
 }
 
+// LimitOf returns news of so long ago, as messages between hosts tell it.
+func LimitOf(endpoint string, rate float64, heard, since time.Duration, now clock.Instant) LimitNews {
+	return LimitNews{Endpoint: endpoint, Rate: rate, Heard: now.Add(-heard), Since: now.Add(-since)}
+}
+
+// Ages are how long ago an answer last told, and the limit was first heard of.
+func (n LimitNews) Ages(now clock.Instant) (heard, since time.Duration) {
+	return now.Sub(n.Heard), now.Sub(n.Since)
+}
+
 // Bounds of what is known of limits.
 const (
 	// limitLeast is what an endpoint gets at least that names a smaller limit, 0 included, in
--- a/internal/fleet/reading.go
+++ b/internal/fleet/reading.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"quaybarrow/internal/clock"
 	"quaybarrow/internal/recent"
 )
 
@@ -69,7 +70,7 @@
 	tokens, sure, took := h.Read, h.Sure, h.Took
 	if tokens < readingShort {
 		r.short.Add(max(took.Seconds()-float64(tokens)*r.perToken, 0))
-		r.base = seconds(r.short.Quantile(readingQuantile))
+		r.base = clock.Seconds(r.short.Quantile(readingQuantile))
 		return
 	}
 	perToken := max(took-r.base, 0).Seconds() / float64(tokens)
@@ -100,13 +101,11 @@
 }
 
 // tokens returns the time that tokens take to be read.
-func (r *reading) tokens(n int) time.Duration { return seconds(float64(n) * r.perToken) }
+func (r *reading) tokens(n int) time.Duration { return clock.Seconds(float64(n) * r.perToken) }
 
 // head returns the time until an answer's head when n tokens have to be read.
 func (r *reading) head(n int) time.Duration { return r.base + r.tokens(n) }
 
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
-
 // serves is a model of a service.
 type serves struct{ service, model string }
 
--- a/internal/fleet/warm.go
+++ b/internal/fleet/warm.go
@@ -80,7 +80,7 @@
 		c.Hosts = hostsUnsaid
 	}
 	advisers := float64(max(c.Advisers, 1))
-	each := func(part float64) time.Duration { return seconds(float64(c.Hosts) / (part * w.Most)) }
+	each := func(part float64) time.Duration { return clock.Seconds(float64(c.Hosts) / (part * w.Most)) }
 	return warming{
 		lasts: w.Lasts, most: max(1, int(advisedPart*w.Most/advisers)), busy: max(1, int(busyPart*w.Most/advisers)),
 		pause: each(unadvisedPart), pausing: each(plainPart),
--- a/internal/gatewayd/module.go
+++ b/internal/gatewayd/module.go
@@ -179,29 +179,23 @@
 func newLimits(s settings.Settings, w *spread.Watcher, f *fleet.Fleet, t *telemetry.Telemetry, l *log.Logger) *ratelimit.Desk {
 	return ratelimit.NewDesk(ratelimit.Options{
 		Host: s.Host, Fleet: f, Caller: ratelimit.NewCaller(w.Conn), Telemetry: t, Logger: l,
-		Known: func() bool { return w.Choosers().Hosts > 0 },
-		Members: func() []ratelimit.Member {
-			var list []ratelimit.Member
-			for _, m := range w.Members() {
-				list = append(list, ratelimit.Member(m))
-			}
-			return list
-		},
+		Known:   func() bool { return w.Choosers().Hosts > 0 },
+		Members: func() []ratelimit.Member { return members[ratelimit.Member](w) },
 	})
 }
 
 func newQuarantine(s settings.Settings, tables store.Tables, w *spread.Watcher, p *conn.Pool, f *fleet.Fleet, l *log.Logger) *quarantine.Book {
 	return quarantine.NewBook(quarantine.Options{
-		Host: s.Host, Reach: p.Reach, Endpoints: f.Count, Members: func() []quarantine.Member { return members(w) }, Leads: w.Leads,
+		Host: s.Host, Reach: p.Reach, Endpoints: f.Count, Members: func() []quarantine.Member { return members[quarantine.Member](w) }, Leads: w.Leads,
 		Caller: quarantine.NewCaller(w.Conn), First: s.Gateway.First, Tables: tables, Now: sharedClock(w), Logger: l,
 	})
 }
 
-// members are the other hosts, to be told of crashes.
-func members(w *spread.Watcher) []quarantine.Member {
-	var list []quarantine.Member
+// members are the other hosts, as a package knows them.
+func members[M quarantine.Member | ratelimit.Member](w *spread.Watcher) []M {
+	var list []M
 	for _, m := range w.Members() {
-		list = append(list, quarantine.Member(m))
+		list = append(list, M(m))
 	}
 	return list
 }
--- a/internal/ratelimit/grpc.go
+++ b/internal/ratelimit/grpc.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"time"
 
 	"google.golang.org/grpc"
 
@@ -67,7 +66,7 @@
 		return Reply{}, fmt.Errorf("borrow from %s: %w", address, err)
 	}
 	return Reply{
-		Requests: int(w.GetRequests()), Lasts: micros(w.GetLastsMicros()), Again: micros(w.GetAgainMicros()),
+		Requests: int(w.GetRequests()), Lasts: clock.Micros(w.GetLastsMicros()), Again: clock.Micros(w.GetAgainMicros()),
 		Limit: limitFromWire(r.Limit.Endpoint, w.GetLimit(), clock.Now()),
 	}, nil
 }
@@ -120,13 +119,10 @@
 
 // limitToWire encodes what is known of a limit; times are relative to the sending.
 func limitToWire(n fleet.LimitNews, now clock.Instant) *ratelimitpb.Limit {
-	return &ratelimitpb.Limit{PerSecond: n.Rate, HeardMicros: now.Sub(n.Heard).Microseconds(), SinceMicros: now.Sub(n.Since).Microseconds()}
+	heard, since := n.Ages(now)
+	return &ratelimitpb.Limit{PerSecond: n.Rate, HeardMicros: heard.Microseconds(), SinceMicros: since.Microseconds()}
 }
 
 func limitFromWire(endpoint string, w *ratelimitpb.Limit, now clock.Instant) fleet.LimitNews {
-	return fleet.LimitNews{
-		Endpoint: endpoint, Rate: w.GetPerSecond(), Heard: now.Add(-micros(w.GetHeardMicros())), Since: now.Add(-micros(w.GetSinceMicros())),
-	}
+	return fleet.LimitOf(endpoint, w.GetPerSecond(), clock.Micros(w.GetHeardMicros()), clock.Micros(w.GetSinceMicros()), now)
 }
-
-func micros(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
--- a/internal/ratelimit/lender.go
+++ b/internal/ratelimit/lender.go
@@ -22,7 +22,8 @@
 	// question a host begins anew: others may have been asked meanwhile.
 	quietLeast    = 2 * time.Second
 	quietRequests = 2
-	// saved is for how long a limit is saved up while nobody asks, savedLeast requests at least.
+	// saved is for how long a limit is saved up while nobody asks; of limits under eight a second
+	// savedLeast requests are, or a second's if that is less, and one at least.
 	saved      = 250 * time.Millisecond
 	savedLeast = 2
 	// lastsLeast and lastsMost bound for how long a loan lasts; between them as long as one
@@ -91,7 +92,7 @@
 	if a.limit.Rate <= 0 || r.Requests <= 0 {
 		return Reply{Limit: a.limit, Again: againLeast}
 	}
-	if quiet := max(quietLeast, seconds(quietRequests/a.limit.Rate)); now.Sub(a.last) > quiet {
+	if quiet := max(quietLeast, clock.Seconds(quietRequests/a.limit.Rate)); now.Sub(a.last) > quiet {
 		a.begin(now, first && a.limit.Since.After(l.began) && now.Sub(a.limit.Since) < freshFor)
 	}
 	return a.lend(r.Requests, now)
@@ -112,7 +113,8 @@
 		rate *= carefully
 	}
 	come := rate * now.Sub(a.at).Seconds()
-	a.level = min(max(savedLeast, rate*saved.Seconds()), a.level+come)
+	most := max(1, min(savedLeast, rate), rate*saved.Seconds())
+	a.level = min(most, a.level+come)
 	a.queue = max(0, a.queue-come)
 	a.at, a.last = now, now
 	n := min(requests, int(a.level))
@@ -120,10 +122,10 @@
 	if n == 0 {
 		a.queue++
 	}
-	next := seconds((max(a.queue, 1) - a.level) / rate)
+	next := clock.Seconds((max(a.queue, 1) - a.level) / rate)
 	return Reply{
 		Requests: n, Limit: a.limit, Again: min(max(next, againLeast), againMost),
-		Lasts: min(max(seconds(1/a.limit.Rate), lastsLeast), lastsMost),
+		Lasts: min(max(clock.Seconds(1/a.limit.Rate), lastsLeast), lastsMost),
 	}
 }
 
@@ -135,5 +137,3 @@
 		}
 	}
 }
-
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/ratelimit/lender_test.go
+++ b/internal/ratelimit/lender_test.go
@@ -61,6 +61,18 @@
 		})
 	})
 
+	It("never lends two of a limit of one a second together", func() {
+		suite.Paused(func() {
+			l := ratelimit.NewLender()
+			time.Sleep(time.Second)
+			since := clock.Now()
+			for range 10 {
+				time.Sleep(3500 * time.Millisecond)
+				Expect(want(l, true, since, 1, 5).Requests).To(BeNumerically("<=", 1))
+			}
+		})
+	})
+
 	It("tells those that find nothing different moments", func() {
 		suite.Paused(func() {
 			l := ratelimit.NewLender()
--- a/internal/spread/link.go
+++ b/internal/spread/link.go
@@ -132,9 +132,9 @@
 	if err != nil {
 		return news{}, errorOf(p, err)
 	}
-	hear(clock.Bounds{Earliest: micros(reply.GetEarliestMicros()), Latest: micros(reply.GetLatestMicros())}, sent)
+	hear(clock.Bounds{Earliest: clock.Micros(reply.GetEarliestMicros()), Latest: clock.Micros(reply.GetLatestMicros())}, sent)
 	n := news{
-		version: reply.GetVersion(), age: micros(reply.GetAgeMicros()),
+		version: reply.GetVersion(), age: clock.Micros(reply.GetAgeMicros()),
 		keys: reply.GetKeys(), checked: true,
 	}
 	rows := reply.GetRows()
@@ -149,8 +149,6 @@
 	return n, nil
 }
 
-func micros(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
-
 // errorOf makes a store's error of a gRPC one.
 func errorOf(p peer, err error) error {
 	switch status.Code(err) {
