A host that starts again does not take back what it told of crashes

What callers saw: endpoints crashed again under a request that was in quarantine.

Trace: was quarantined at all hosts at 32.5 s, by crashes that host-3 had seen. Host-3 was stopped, started at 36.55 s, saw another crash at 36.68 s, before it had heard what its earlier life had told (0.3 s after its start at the soonest), and told a row with that crash only, under a higher version. All hosts put it in place of the old row, and 24 ms later let both guilty requests out.

Change: a host tells and keeps nothing of its own until it knows what its earlier lives told: by a comparison with a host that knows, by the rows of one that has read the store, or by the store; for 4 s at most. Loaded now means just that: a push of a few rows does not make its receiver loaded any more, as it did.

--- a/internal/gatewayd/crashes_test.go
+++ b/internal/gatewayd/crashes_test.go
@@ -25,11 +25,13 @@
 
 // crashDays are days on which a request crashes the endpoints that run it.
 var crashDays = map[string]crashDay{
-	"a stream, again and again":                     {path: "/stream/", every: 250 * time.Millisecond},
-	"a stream that crashes after its head":          {path: "/stream/", every: 250 * time.Millisecond, head: true},
-	"at several hosts at once":                      {path: "/stream/", every: 700 * time.Millisecond, once: 3},
-	"at more endpoints than there are, at once":     {path: "/stream/", every: 400 * time.Millisecond, once: 24},
-	"calls at more endpoints than there are":        {path: "/again/", every: 400 * time.Millisecond, once: 24},
+	"a stream, again and again":                 {path: "/stream/", every: 250 * time.Millisecond},
+	"a stream that crashes after its head":      {path: "/stream/", every: 250 * time.Millisecond, head: true},
+	"at several hosts at once":                  {path: "/stream/", every: 700 * time.Millisecond, once: 3},
+	"at more endpoints than there are, at once": {path: "/stream/", every: 400 * time.Millisecond, once: 24},
+	"calls at more endpoints than there are":    {path: "/again/", every: 400 * time.Millisecond, once: 24},
+	"many at once, beside crashes by chance":    {path: "/again/", every: 400 * time.Millisecond, once: 24, by: 700 * time.Millisecond},
+	"many streams at once, beside such crashes": {path: "/stream/", every: 400 * time.Millisecond, once: 24, by: 400 * time.Millisecond},
 	"now and then":                                  {path: "/stream/", every: 1500 * time.Millisecond},
 	"a call that may be repeated":                   {path: "/again/", every: 250 * time.Millisecond},
 	"a call that runs once":                         {path: "/once/", every: 250 * time.Millisecond},
--- a/internal/quarantine/book.go
+++ b/internal/quarantine/book.go
@@ -75,7 +75,10 @@
 	verdicts map[Fingerprint]Verdict
 	judged   bool // verdicts stand on the view
 	kept     bool // the store has a row of this host
-	loaded   bool // what hosts have kept is known
+	// loaded tells that what hosts have told and kept is known, this one's earlier lives included.
+	// Until then it tells and keeps nothing of its own: that would take the place of what it told
+	// before.
+	loaded bool
 }
 
 // row is what a host has seen.
--- a/internal/quarantine/book_test.go
+++ b/internal/quarantine/book_test.go
@@ -262,6 +262,30 @@
 		})
 	})
 
+	for name, away := range map[string]bool{"": false, ", while the store is away": true} {
+		It("outlasts a host that starts again and sees a crash before it has heard of its earlier life"+name, func() {
+			sharing(3, func(h *hosts) {
+				for i := range 3 {
+					h.crash(0, fmt.Sprint("e", i), guilty)
+					time.Sleep(apart)
+				}
+				Expect(h.quarantined(guilty)).To(Equal(all))
+				if away {
+					h.store.Break(standin.Silent)
+				}
+				h.kill(0)
+				h.start(0)
+				h.crash(0, "e9", beside)
+				for range 50 {
+					time.Sleep(100 * time.Millisecond)
+					Expect(h.quarantined(guilty)[1:]).To(Equal(all[1:]), "at the other hosts")
+				}
+				Expect(h.quarantined(guilty)).To(Equal(all))
+				h.store.Break(standin.Healthy)
+			})
+		})
+	}
+
 	It("does not come back with a host's earlier life once it was cleared", func() {
 		sharing(3, func(h *hosts) {
 			h.thrice(guilty)
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -35,6 +35,9 @@
 	loadEvery  = 300 * time.Millisecond
 	loadAlone  = 1500 * time.Millisecond
 	loadSpread = time.Second
+	// loadMost is for how long a host that has started tells nothing of its own while neither
+	// another host nor the store tells what it told before.
+	loadMost = 4 * time.Second
 )
 
 // errNoClock means that the clock which hosts share is not known yet.
@@ -43,6 +46,9 @@
 // keep keeps what this host has seen in the store.
 func (b *Book) keep(ctx context.Context) {
 	for await(ctx, b.save) {
+		if !b.isLoaded() {
+			continue // it is kept then
+		}
 		if !b.awaitGrave(ctx) {
 			return
 		}
@@ -157,10 +163,16 @@
 		if b.isLoaded() || (!b.options.leads() && clock.Since(began) < alone) {
 			continue
 		}
-		b.recall(ctx)
+		b.readKept(ctx)
+		if clock.Since(began) > loadMost {
+			b.mu.Lock()
+			b.learned()
+			b.mu.Unlock()
+		}
 	}
 }
 
+// isLoaded reports whether what hosts have told and kept is known.
 func (b *Book) isLoaded() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -170,9 +182,9 @@
 // leads reports whether this host is the first of all.
 func (o Options) leads() bool { return o.Leads == nil || o.Leads() }
 
-// recall reads what hosts have kept, and tells all others, who may have just started too. Rows of
+// readKept reads what hosts have kept, and tells all others, who may have just started too. Rows of
 // which nothing counts any more are removed: their hosts may be gone.
-func (b *Book) recall(ctx context.Context) {
+func (b *Book) readKept(ctx context.Context) {
 	if b.options.Tables == nil {
 		return
 	}
@@ -187,7 +199,7 @@
 	b.mu.Lock()
 	all := b.encoded(slices.Sorted(maps.Keys(b.versions())))
 	b.mu.Unlock()
-	b.spread(ctx, all)
+	b.spread(ctx, all, true)
 	for _, kept := range old {
 		txn := store.Transaction{Conditions: []store.Condition{store.AtVersion(Table, kept)}, Writes: []store.Write{store.Delete(Table, kept.Key)}}
 		if err := b.options.Tables.Commit(ctx, txn); err != nil {
@@ -219,7 +231,7 @@
 			b.takeRow(kept.Key, r)
 		}
 	}
-	b.loaded = true
+	b.learned()
 	b.judge()
 	b.options.Logger.Info("crashes read", "rows", len(rows), "quarantined", len(b.verdicts))
 	return old
--- a/internal/quarantine/relay.go
+++ b/internal/quarantine/relay.go
@@ -43,13 +43,15 @@
 
 	mu   sync.Mutex       // guards rows
 	rows map[string]Scope // by host that they are of
+	// whole is to which hosts it is passed on that the rows are all that hosts have told and kept.
+	whole Scope
 }
 
 func newRelays() *relays { return &relays{due: make(chan struct{}, 1), rows: map[string]Scope{}} }
 
 // add has rows passed on.
-func (r *relays) add(rows []Row, scope Scope) {
-	if scope == ScopeNone || len(rows) == 0 {
+func (r *relays) add(rows []Row, scope Scope, whole bool) {
+	if scope == ScopeNone || (len(rows) == 0 && !whole) {
 		return
 	}
 	r.mu.Lock()
@@ -57,11 +59,15 @@
 	for _, row := range rows {
 		r.rows[row.Host] = max(r.rows[row.Host], scope)
 	}
+	if whole {
+		r.whole = max(r.whole, scope)
+	}
 	poke(r.due)
 }
 
-// take returns the hosts whose rows are to be passed on to the group, and of them those for all.
-func (r *relays) take() (group, all []string) {
+// take returns the hosts whose rows are to be passed on to the group, and of them those for all hosts,
+// and to which hosts they are all that hosts have told and kept.
+func (r *relays) take() (group, all []string, whole Scope) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for host, scope := range r.rows {
@@ -73,7 +79,8 @@
 	clear(r.rows)
 	slices.Sort(group)
 	slices.Sort(all)
-	return group, all
+	whole, r.whole = r.whole, ScopeNone
+	return group, all, whole
 }
 
 // pass passes on what this host is to, as long as the context lasts.
@@ -81,17 +88,17 @@
 	for await(ctx, b.relays.due) {
 		clock.Sleep(ctx, relayGather)
 		drain(b.relays.due)
-		group, all := b.relays.take()
+		group, all, whole := b.relays.take()
 		b.mu.Lock()
 		near, far := b.encoded(group), b.encoded(all)
 		b.mu.Unlock()
 		own, others := b.groups()
 		var telling sync.WaitGroup
-		telling.Go(func() { b.tellAll(ctx, own, News{Rows: near, Loaded: b.isLoaded()}) })
-		if len(far) > 0 {
+		telling.Go(func() { b.tellAll(ctx, own, News{Rows: near, Loaded: whole >= ScopeGroup}) })
+		if len(far) > 0 || whole == ScopeAll {
 			for _, g := range others {
 				telling.Go(func() {
-					b.tellFirst(ctx, g[:min(relayTries, len(g))], News{Rows: far, Loaded: b.isLoaded(), Scope: ScopeGroup})
+					b.tellFirst(ctx, g[:min(relayTries, len(g))], News{Rows: far, Loaded: whole == ScopeAll, Scope: ScopeGroup})
 				})
 			}
 		}
@@ -99,16 +106,16 @@
 	}
 }
 
-// spread tells all other hosts.
-func (b *Book) spread(ctx context.Context, rows []Row) {
-	members, n := b.options.Members(), News{Rows: rows, Loaded: b.isLoaded()}
+// spread tells all other hosts; whole tells that the rows are all that hosts have told and kept.
+func (b *Book) spread(ctx context.Context, rows []Row, whole bool) {
+	members, n := b.options.Members(), News{Rows: rows, Loaded: whole}
 	if len(members) <= directMost {
 		b.tellAll(ctx, members, n)
 		return
 	}
 	own, others := b.groups()
 	if len(own) == 0 || b.options.Host < own[0].Name {
-		b.relays.add(rows, ScopeAll) // this host is the first of its group
+		b.relays.add(rows, ScopeAll, whole) // this host is the first of its group
 		return
 	}
 	n.Scope = ScopeAll
--- a/internal/quarantine/relay_test.go
+++ b/internal/quarantine/relay_test.go
@@ -46,7 +46,7 @@
 					t.Fatalf("%d hosts: %s and %s disagree on their group", count, name, m.Name)
 				}
 			}
-			b.spread(context.Background(), []Row{{Host: name}})
+			b.spread(context.Background(), []Row{{Host: name}}, false)
 		}
 	}
 }
--- a/internal/quarantine/share.go
+++ b/internal/quarantine/share.go
@@ -37,9 +37,10 @@
 type News struct {
 	Versions map[string]int64 // of the rows that the sender has
 	Compare  bool             // the receiver is to return what the sender lacks by them
-	Loaded   bool             // the sender knows what hosts have kept
-	Rows     []Row
-	Scope    Scope // to which hosts the receiver passes the rows on
+	// Loaded tells that with the rows the receiver knows all that hosts have told and kept.
+	Loaded bool
+	Rows   []Row
+	Scope  Scope // to which hosts the receiver passes the rows on
 }
 
 // Caller sends news to other hosts.
@@ -98,12 +99,15 @@
 // push tells all other hosts what this one has seen, as soon as there is something.
 func (b *Book) push(ctx context.Context) {
 	for await(ctx, b.due) {
+		if !b.isLoaded() {
+			continue // it is told then
+		}
 		clock.Sleep(ctx, gather)
 		drain(b.due)
 		b.mu.Lock()
 		rows := b.encoded([]string{b.options.Host})
 		b.mu.Unlock()
-		b.spread(ctx, rows)
+		b.spread(ctx, rows, false)
 	}
 }
 
@@ -136,7 +140,7 @@
 		reply.Rows = b.encoded(b.newerThan(n.Versions))
 	}
 	b.mu.Unlock()
-	b.relays.add(n.Rows, n.Scope)
+	b.relays.add(n.Rows, n.Scope, n.Loaded)
 	return reply, nil
 }
 
@@ -161,7 +165,7 @@
 	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
 	defer cancel()
 	b.mu.Lock()
-	n := News{Versions: b.versions(), Compare: true, Loaded: b.loaded}
+	n := News{Versions: b.versions(), Compare: true}
 	b.mu.Unlock()
 	reply, err := b.options.Caller.Tell(ctx, m.Address, n)
 	if err != nil {
@@ -174,7 +178,7 @@
 	if len(lacking) == 0 {
 		return nil
 	}
-	_, err = b.options.Caller.Tell(ctx, m.Address, News{Rows: lacking, Loaded: n.Loaded})
+	_, err = b.options.Caller.Tell(ctx, m.Address, News{Rows: lacking, Loaded: b.isLoaded()})
 	return err
 }
 
@@ -185,11 +189,12 @@
 	}
 }
 
-// take takes in rows that are newer than those that are known; the caller holds mu.
+// take takes in rows that are newer than those that are known, and what this host told in an earlier
+// life; the caller holds mu.
 func (b *Book) take(n News) {
-	b.loaded = b.loaded || n.Loaded
 	for _, told := range n.Rows {
-		if told.Version <= b.rows[told.Host].version {
+		earlier := told.Host == b.options.Host && !b.loaded
+		if told.Version <= b.rows[told.Host].version && !earlier {
 			continue
 		}
 		r, err := decodeRecord(told.Value, -b.clock.Now())
@@ -199,6 +204,20 @@
 		}
 		b.takeRow(told.Host, row{r, told.Version})
 	}
+	if n.Loaded {
+		b.learned()
+	}
+}
+
+// learned notes that what hosts have told and kept is known; the caller holds mu.
+func (b *Book) learned() {
+	if b.loaded {
+		return
+	}
+	b.loaded = true
+	if !b.own().isEmpty() {
+		b.tell()
+	}
 }
 
 // takeRow takes in a host's row. One of this host is from an earlier life: what it saw counts
@@ -216,11 +235,11 @@
 	b.tell()
 }
 
-// versions are those of the rows that have something.
+// versions are those of the rows that have something, and may be told.
 func (b *Book) versions() map[string]int64 {
 	versions := map[string]int64{}
 	for host, r := range b.rows {
-		if !r.isEmpty() {
+		if !r.isEmpty() && (b.loaded || host != b.options.Host) {
 			versions[host] = r.version
 		}
 	}
