Limits under two a second are used whole again; only turns are never saved up

Cause: had lenders save up no more than a second's requests of every limit, so that two turns of one a second never come together. Of a limit of one a second every delay of a borrower was lost then.

--- a/internal/ratelimit/grpc.go
+++ b/internal/ratelimit/grpc.go
@@ -26,7 +26,8 @@
 func (s *server) Borrow(ctx context.Context, w *ratelimitpb.BorrowRequest) (*ratelimitpb.BorrowReply, error) {
 	now := clock.Now()
 	reply := s.desk.Borrow(ctx, Request{
-		Requests: int(w.GetRequests()), From: w.GetFrom(), Relayed: w.GetRelayed(), Limit: limitFromWire(w.GetEndpoint(), w.GetLimit(), now),
+		Requests: int(w.GetRequests()), From: w.GetFrom(), Relayed: w.GetRelayed(), Unsaved: w.GetUnsaved(),
+		Limit: limitFromWire(w.GetEndpoint(), w.GetLimit(), now),
 	})
 	return &ratelimitpb.BorrowReply{
 		Requests: int32(reply.Requests), //nolint:gosec // no more than was asked for
@@ -60,7 +61,7 @@
 	}
 	w, err := ratelimitpb.NewRateLimitClient(connection).Borrow(ctx, &ratelimitpb.BorrowRequest{
 		Endpoint: r.Limit.Endpoint, Requests: int32(min(r.Requests, requestsMost)), From: r.From, Relayed: r.Relayed, //nolint:gosec // bounded
-		Limit: limitToWire(r.Limit, clock.Now()),
+		Unsaved: r.Unsaved, Limit: limitToWire(r.Limit, clock.Now()),
 	})
 	if err != nil {
 		return Reply{}, fmt.Errorf("borrow from %s: %w", address, err)
--- a/internal/ratelimit/lender.go
+++ b/internal/ratelimit/lender.go
@@ -22,8 +22,7 @@
 	// question a host begins anew: others may have been asked meanwhile.
 	quietLeast    = 2 * time.Second
 	quietRequests = 2
-	// saved is for how long a limit is saved up while nobody asks; of limits under eight a second
-	// savedLeast requests are, or a second's if that is less, and one at least.
+	// saved is for how long a limit is saved up while nobody asks, savedLeast requests at least.
 	saved      = 250 * time.Millisecond
 	savedLeast = 2
 	// lastsLeast and lastsMost bound for how long a loan lasts; between them as long as one
@@ -43,6 +42,7 @@
 	Limit    fleet.LimitNews
 	From     string // name of the host that asks
 	Relayed  bool   // by a host that was asked
+	Unsaved  bool   // nothing is saved up while nobody asks, but one request
 }
 
 // Reply is what is lent.
@@ -95,7 +95,7 @@
 	if quiet := max(quietLeast, clock.Seconds(quietRequests/a.limit.Rate)); now.Sub(a.last) > quiet {
 		a.begin(now, first && a.limit.Since.After(l.began) && now.Sub(a.limit.Since) < freshFor)
 	}
-	return a.lend(r.Requests, now)
+	return a.lend(r, now)
 }
 
 // begin starts to lend.
@@ -107,17 +107,20 @@
 }
 
 // lend lends as much as there is of what is asked for.
-func (a *account) lend(requests int, now clock.Instant) Reply {
+func (a *account) lend(r Request, now clock.Instant) Reply {
 	rate := a.limit.Rate
 	if now.Before(a.steady) {
 		rate *= carefully
 	}
 	come := rate * now.Sub(a.at).Seconds()
-	most := max(1, min(savedLeast, rate), rate*saved.Seconds())
+	most := max(savedLeast, rate*saved.Seconds())
+	if r.Unsaved {
+		most = 1
+	}
 	a.level = min(most, a.level+come)
 	a.queue = max(0, a.queue-come)
 	a.at, a.last = now, now
-	n := min(requests, int(a.level))
+	n := min(r.Requests, int(a.level))
 	a.level -= float64(n)
 	if n == 0 {
 		a.queue++
