Timer of the lender's desk as a function's: no crash of the runtime in paused clocks

Cause: the desk waited for a timer's channel that was due at its making or setting. The runtime then runs it on the goroutine that waits, and in a paused clock's bubble all of those share one context of the race detector, unlocked (runtime.maybeRunChan, unlockAndRun), as clock.Sleep says.

Outside of bubbles and the race detector nothing changes.

--- a/internal/ratelimit/ratelimit.go
+++ b/internal/ratelimit/ratelimit.go
@@ -131,14 +131,14 @@
 	var working sync.WaitGroup
 	defer working.Wait()
 	working.Go(func() { d.learn(ctx) })
-	timer := time.NewTimer(0)
-	defer timer.Stop()
+	// As a function's, the timer may be due at its setting; see clock.Sleep.
+	later := time.AfterFunc(0, d.wanted)
+	defer later.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-d.wake:
-		case <-timer.C:
 		}
 		d.tell(ctx, &working)
 		list, next := d.options.Fleet.Wanted()
@@ -154,7 +154,7 @@
 			})
 		}
 		if !next.IsZero() {
-			timer.Reset(max(clock.Until(next), 0))
+			later.Reset(max(clock.Until(next), 0))
 		}
 	}
 }
--- a/internal/ratelimit/rig_test.go
+++ b/internal/ratelimit/rig_test.go
@@ -129,13 +129,14 @@
 		h.working.Go(func() { desk.Run(ctx) })
 	} else {
 		wake := make(chan struct{}, 1)
-		f.OnWanted(func() {
+		wanted := func() {
 			select {
 			case wake <- struct{}{}:
 			default:
 			}
-		})
-		h.working.Go(func() { h.split(ctx, f, wake) })
+		}
+		f.OnWanted(wanted)
+		h.working.Go(func() { h.split(ctx, f, wake, wanted) })
 	}
 }
 
@@ -152,16 +153,15 @@
 }
 
 // split lends this host its part of each limit.
-func (h *simHost) split(ctx context.Context, f *fleet.Fleet, wake <-chan struct{}) {
+func (h *simHost) split(ctx context.Context, f *fleet.Fleet, wake <-chan struct{}, wanted func()) {
 	lender := ratelimit.NewLender()
-	timer := time.NewTimer(time.Hour)
-	defer timer.Stop()
+	later := time.AfterFunc(0, wanted)
+	defer later.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-wake:
-		case <-timer.C:
 		}
 		list, next := f.Wanted()
 		for _, w := range list {
@@ -172,7 +172,7 @@
 			f.Lent(w.News.Endpoint, fleet.Loan{Requests: r.Requests, Until: now.Add(r.Lasts), Again: now.Add(r.Again)})
 		}
 		if !next.IsZero() {
-			timer.Reset(max(clock.Until(next), 0))
+			later.Reset(max(clock.Until(next), 0))
 		}
 	}
 }
