--- a/internal/ratelimit/limits_test.go
+++ b/internal/ratelimit/limits_test.go
@@ -6,6 +6,9 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"quaybarrow/internal/clock"
+	"quaybarrow/internal/fleet"
 )
 
 // seeds is how many plays there are of each; CI plays few.
@@ -96,3 +99,23 @@
 		}
 	}
 }
+
+func TestHostThatStartsLearnsOfLimitsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(play{hosts: 5})
+		time.Sleep(time.Second)
+		w.all[0].fleet.LearnLimit(fleet.LimitNews{Endpoint: endpointName(0), Rate: 2, Since: clock.Now(), Heard: clock.Now()})
+		time.Sleep(time.Second)
+		w.killOne(w.all[1])
+		time.Sleep(learnedWithin)
+		for _, h := range w.all {
+			if n := h.fleet.Limited(); n != 1 {
+				t.Errorf("%s knows of %d limits", h.name(), n)
+			}
+		}
+		w.stop()
+	})
+}
+
+// learnedWithin is how long after its start a host knows what limits there are.
+const learnedWithin = 100 * time.Millisecond
--- a/internal/ratelimit/rig_test.go
+++ b/internal/ratelimit/rig_test.go
@@ -260,6 +260,10 @@
 		}
 	}
 	working.Wait()
+	w.stop()
+}
+
+func (w *world) stop() {
 	for _, h := range w.all {
 		h.cancel()
 		h.working.Wait()
