--- /dev/null
+++ b/internal/ratelimit/desk_test.go
@@ -0,0 +1,84 @@
+package ratelimit_test
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"io"
+	"slices"
+
+	"github.com/charmbracelet/log"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"quaybarrow/internal/clock"
+	"quaybarrow/internal/fleet"
+	"quaybarrow/internal/ratelimit"
+	"quaybarrow/internal/standin/suite"
+	"quaybarrow/internal/telemetry"
+)
+
+// asked is a host's connections to others, of which one answers to questions.
+type asked struct {
+	ratelimit.Caller
+	answers  string // its address
+	requests []ratelimit.Request
+}
+
+// Borrow implements ratelimit.Caller.
+func (a *asked) Borrow(_ context.Context, address string, r ratelimit.Request) (ratelimit.Reply, error) {
+	if address != a.answers {
+		return ratelimit.Reply{}, errGone
+	}
+	a.requests = append(a.requests, r)
+	return ratelimit.Reply{Requests: 1, Limit: r.Limit}, nil
+}
+
+// lentBy returns an endpoint of which hosts lend in an order.
+func lentBy(hosts ...string) string {
+	for i := 0; ; i++ {
+		endpoint := endpointName(i)
+		order := func(a, b string) int {
+			return cmp.Compare(ratelimit.OrderOf(endpoint, a), ratelimit.OrderOf(endpoint, b))
+		}
+		if slices.IsSortedFunc(hosts, order) {
+			return endpoint
+		}
+	}
+}
+
+var _ = Describe("a host that is asked for a limit though another one comes before it", func() {
+	// ask has host-1 asked by host-2 for a limit of which host-0 lends.
+	ask := func(caller *asked, relayed bool) ratelimit.Reply {
+		d := ratelimit.NewDesk(ratelimit.Options{
+			Host: "host-1", Fleet: fleet.New(fleet.Options{}), Caller: caller, Known: func() bool { return true },
+			Members: func() []ratelimit.Member {
+				return []ratelimit.Member{{Name: "host-0", Address: "0"}, {Name: "host-2", Address: "2"}}
+			},
+			Telemetry: telemetry.MetricsOnly(), Logger: log.New(io.Discard),
+		})
+		now := clock.Now()
+		limit := fleet.LimitNews{Endpoint: lentBy("host-0", "host-1", "host-2"), Rate: 2, Since: now, Heard: now}
+		return d.Borrow(context.Background(), ratelimit.Request{Requests: 1, From: "host-2", Relayed: relayed, Limit: limit})
+	}
+
+	It("asks that one, which lends", func() {
+		suite.Paused(func() {
+			caller := &asked{answers: "0"}
+			Expect(ask(caller, false).Requests).To(Equal(1))
+			Expect(caller.requests).To(HaveLen(1))
+			Expect(caller.requests[0].Relayed).To(BeTrue())
+			Expect(caller.requests[0].From).To(Equal("host-1"))
+		})
+	})
+
+	for name, answers := range map[string]string{"it does not answer": "", "another host has asked that one": "0"} {
+		It("lends itself, nothing at first, if "+name, func() {
+			suite.Paused(func() {
+				caller := &asked{answers: answers}
+				Expect(ask(caller, answers != "").Requests).To(BeZero(), fmt.Sprint(caller.requests))
+				Expect(caller.requests).To(BeEmpty())
+			})
+		})
+	}
+})
