What well endpoints fail is told by the best in a hundred, not in twenty

Not to be called bad beside the others, it is to be taken back if it would be bad with endpoints as well as the best of them. The best were those within the first 0.05 of the fitted distribution: three of sixty, so by chance a rate of 0.3, beside which 0.43 is no failure of the version's.

Ruled out: untold answers (2 of 85 hosts silent), counts of few endpoints (13 of 13 tried failed).

--- a/internal/upgrade/excess.go
+++ b/internal/upgrade/excess.go
@@ -113,7 +113,7 @@
 
 // wellPart is the part of endpoints that tell what the service's endpoints fail when they are
 // well: the best ones of those seen.
-const wellPart = 0.05
+const wellPart = 0.01
 
 // well returns the mixture as if all endpoints were as well as the best ones.
 func (m mixture) well() mixture {
--- a/internal/upgrade/failingothers_test.go
+++ b/internal/upgrade/failingothers_test.go
@@ -51,6 +51,8 @@
 var (
 	grown = service{hosts: 91, endpoints: 140, perSecond: 290, within: 16 * time.Second}
 	small = service{hosts: 6, endpoints: 18, perSecond: 100, within: 24 * time.Second}
+	// middle has as many endpoints of which nearly all fail as a played day that was lost.
+	middle = service{hosts: 40, endpoints: 60, perSecond: 300, within: 15 * time.Second}
 )
 
 func (s service) withIll(part, rate float64) service {
@@ -130,6 +132,23 @@
 	}
 }
 
+// nearlyAll are the seeds of the plays beside old endpoints of which nearly all fail.
+const nearlyAll = 6
+
+func TestBadVersionBesideOldEndpointsOfWhichNearlyAllFail(t *testing.T) {
+	old := middle.withIllOld(0.97, 0.375)
+	for what, s := range map[string]service{"bad": old.withBad(0.43), "good": old} {
+		for seed := range uint64(nearlyAll) {
+			t.Run(fmt.Sprint(what, ", seed ", seed+1), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					RegisterTestingT(t)
+					s.play(seed + 1).judge(s)
+				})
+			})
+		}
+	}
+}
+
 // outcome is what callers and operators saw of an upgrade.
 type outcome struct {
 	all, exposed, late int    // requests until the end of the time; of them the new version's; those sent too late
