--- a/internal/ratelimit/ratelimit.go
+++ b/internal/ratelimit/ratelimit.go
@@ -53,7 +53,7 @@
 	asksMost = 16
 	// tellMost hosts are told of a limit that begins, ends or changes, by each that hears of it for
 	// the first time, as rumours spread (Demers et al., "Epidemic algorithms for replicated database
-	// maintenance", 1987): with four, one host in fifty hears of it by its own answers only.
+	// maintenance", 1987).
 	tellMost = 4
 	// newsMost limits are told of in a message.
 	newsMost = 256
--- a/internal/upgrade/excess.go
+++ b/internal/upgrade/excess.go
@@ -11,12 +11,6 @@
 // version that fails half of its answers is seen beside endpoints that fail 0.45 of theirs,
 // where no version can fail more than twice as often; and a few endpoints that fail all
 // they get, of many that are well, are no fault of the version's.
-//
-// Compared in simulations with 3 to 140 endpoints a version, of which none to nine in ten
-// fail 0.3 to 0.5 of their answers, each judged 75 times in 300 answers: with a bound of
-// twice the others' part good versions were called bad in up to 22 of 100 upgrades, and
-// those that fail half besides in 0 to 20 of 100 where nine in ten of 12 to 140
-// endpoints fail 0.45; this way in up to 4 of 100, and in all 100.
 
 // rates are the parts of failures that an endpoint may show for reasons of its own.
 var rates = [...]float64{0.002, 0.02, 0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.6, 0.7, 0.8, 0.9, 0.98}
@@ -42,9 +36,8 @@
 const (
 	fitRounds = 25 // after which the weights change by less than the answers' noise
 	// strangers is how many endpoints of any rate are taken to have been seen besides those
-	// that were: the chance that a version's endpoints fail as no other one did. Simulated
-	// as above: with 1 a version of three endpoints is found after 36 answers in place of
-	// 12, with 0.1 good ones are called bad twice as often.
+	// that were: the chance that a version's endpoints fail as no other one did. With more, bad
+	// versions of few endpoints are found later; with less, good ones are called bad more often.
 	strangers = 0.3
 )
 
