One signal that wakes a worker

Five packages had a channel with room for one and a function that leaves something in it, ratelimit's rig a sixth; quarantine's also waited and took it back. Now wake.Signal.

--- a/internal/billing/flush.go
+++ b/internal/billing/flush.go
@@ -53,7 +53,7 @@
 		}
 		if err := l.Flush(ctx); err != nil {
 			backoff = min(max(backoff*2, minBackoff), maxBackoff)
-			l.nudge()
+			l.wake.Poke()
 			continue
 		}
 		backoff = 0
--- a/internal/billing/ledger.go
+++ b/internal/billing/ledger.go
@@ -13,6 +13,7 @@
 	"quaybarrow/internal/membership"
 	"quaybarrow/internal/peer"
 	"quaybarrow/internal/store"
+	"quaybarrow/internal/wake"
 )
 
 // copies is how many other hosts hold an open bill.
@@ -42,7 +43,7 @@
 	strays  []string        // intents to delete: their request did not run
 	holders map[string]*holder
 	held    map[ownerKey]*heldBills
-	wake    chan struct{} // tells Run that a bill is pending
+	wake    wake.Signal // tells Run that a bill is pending
 }
 
 // New returns an empty ledger.
@@ -53,7 +54,7 @@
 		pending: map[string]Bill{},
 		holders: map[string]*holder{},
 		held:    map[ownerKey]*heldBills{},
-		wake:    make(chan struct{}, 1),
+		wake:    wake.NewSignal(),
 	}
 	l.intents = batch.New(maxBatch, l.writeIntents)
 	return l
@@ -147,10 +148,3 @@
 
 // sizeLocked counts everything kept; the caller holds mu.
 func (l *Ledger) sizeLocked() int { return len(l.open) + len(l.pending) + l.heldLocked() }
-
-func (l *Ledger) nudge() {
-	select {
-	case l.wake <- struct{}{}:
-	default:
-	}
-}
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -32,6 +32,7 @@
 	"quaybarrow/internal/clock"
 	"quaybarrow/internal/codec"
 	"quaybarrow/internal/store"
+	"quaybarrow/internal/wake"
 )
 
 // Tables of the leases.
@@ -124,7 +125,7 @@
 type Manager struct {
 	options Options
 
-	look chan struct{} // a signal to look at leases at once
+	look wake.Signal // a signal to look at leases at once
 
 	mu   sync.Mutex // guards seen
 	seen map[string]sighting
@@ -132,16 +133,11 @@
 
 // NewManager returns a manager that holds nothing.
 func NewManager(options Options) *Manager {
-	return &Manager{options: options, look: make(chan struct{}, 1), seen: map[string]sighting{}}
+	return &Manager{options: options, look: wake.NewSignal(), seen: map[string]sighting{}}
 }
 
 // Look has the host look at its leases at once: one was released.
-func (m *Manager) Look() {
-	select {
-	case m.look <- struct{}{}:
-	default:
-	}
-}
+func (m *Manager) Look() { m.look.Poke() }
 
 // Acquire takes a lease, or returns ErrHeld.
 func (m *Manager) Acquire(ctx context.Context, name string) (*Lease, error) {
--- a/internal/quarantine/book.go
+++ b/internal/quarantine/book.go
@@ -12,6 +12,7 @@
 
 	"quaybarrow/internal/clock"
 	"quaybarrow/internal/store"
+	"quaybarrow/internal/wake"
 )
 
 // Times of what a host knows.
@@ -61,10 +62,10 @@
 	options  Options
 	witness  *Witness
 	clock    clock.Steady
-	watching atomic.Bool   // something has crashed lately
-	news     chan struct{} // there is other evidence
-	due      chan struct{} // there is something to tell other hosts
-	save     chan struct{} // there may be something to keep
+	watching atomic.Bool // something has crashed lately
+	news     wake.Signal // there is other evidence
+	due      wake.Signal // there is something to tell other hosts
+	save     wake.Signal // there may be something to keep
 	relays   *relays
 
 	mu       sync.Mutex     // guards all below
@@ -100,7 +101,7 @@
 	}
 	return &Book{
 		options: options, witness: NewWitness(options.Reach), clock: clock.NewSteady(),
-		news: make(chan struct{}, 1), due: make(chan struct{}, 1), save: make(chan struct{}, 1), relays: newRelays(),
+		news: wake.NewSignal(), due: wake.NewSignal(), save: wake.NewSignal(), relays: newRelays(),
 		rows: map[string]row{options.Host: {record: newRecord()}}, unproven: map[string][]Break{}, ongoing: map[*Ongoing]struct{}{},
 		verdicts: map[Fingerprint]Verdict{}, loaded: options.First,
 	}
@@ -190,7 +191,7 @@
 func (b *Book) changed() {
 	b.view, b.judged = nil, false
 	b.watching.Store(slices.ContainsFunc(slices.Collect(maps.Values(b.rows)), func(r row) bool { return !r.isEmpty() }))
-	poke(b.news)
+	b.news.Poke()
 }
 
 // tell notes that there is other evidence which others have to know.
@@ -202,8 +203,8 @@
 	}
 	b.rows[b.options.Host] = mine
 	b.changed()
-	poke(b.due)
-	poke(b.save)
+	b.due.Poke()
+	b.save.Poke()
 }
 
 // now is the clock that all hosts share.
@@ -318,7 +319,7 @@
 	}
 	b.forget()
 	b.outlast()
-	drain(b.news)
+	b.news.Drain()
 	before := b.verdicts
 	v := b.seen()
 	b.verdicts, b.judged = Judge(v.Evidence), true
@@ -347,7 +348,7 @@
 	}
 	b.changed()
 	if b.kept && b.own().isEmpty() {
-		poke(b.save) // the row goes
+		b.save.Poke() // the row goes
 	}
 }
 
--- a/internal/quarantine/relay.go
+++ b/internal/quarantine/relay.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"quaybarrow/internal/clock"
+	"quaybarrow/internal/wake"
 )
 
 // Where there are many hosts, each belongs to one of as many groups as a group has hosts, which all
@@ -39,7 +40,7 @@
 
 // relays are the rows that this host is to pass on.
 type relays struct {
-	due chan struct{} // there are some
+	due wake.Signal // there are some
 
 	mu   sync.Mutex       // guards rows
 	rows map[string]Scope // by host that they are of
@@ -47,7 +48,7 @@
 	whole Scope
 }
 
-func newRelays() *relays { return &relays{due: make(chan struct{}, 1), rows: map[string]Scope{}} }
+func newRelays() *relays { return &relays{due: wake.NewSignal(), rows: map[string]Scope{}} }
 
 // add has rows passed on.
 func (r *relays) add(rows []Row, scope Scope, whole bool) {
@@ -62,7 +63,7 @@
 	if whole {
 		r.whole = max(r.whole, scope)
 	}
-	poke(r.due)
+	r.due.Poke()
 }
 
 // take returns the hosts whose rows are to be passed on to the group, and of them those for all hosts,
@@ -85,9 +86,9 @@
 
 // pass passes on what this host is to, as long as the context lasts.
 func (b *Book) pass(ctx context.Context) {
-	for await(ctx, b.relays.due) {
+	for b.relays.due.Await(ctx) {
 		clock.Sleep(ctx, relayGather)
-		drain(b.relays.due)
+		b.relays.due.Drain()
 		group, all, whole := b.relays.take()
 		b.mu.Lock()
 		near, far := b.encoded(group), b.encoded(all)
--- a/internal/quarantine/share.go
+++ b/internal/quarantine/share.go
@@ -62,7 +62,7 @@
 // review brings the verdicts up to date though no request asks: an answer that goes on here may
 // clear a request that others take for guilty.
 func (b *Book) review(ctx context.Context) {
-	for await(ctx, b.news) {
+	for b.news.Await(ctx) {
 		clock.Sleep(ctx, gather)
 		b.mu.Lock()
 		b.judge()
@@ -70,40 +70,14 @@
 	}
 }
 
-// await waits for a signal; false if the context ends first.
-func await(ctx context.Context, signal chan struct{}) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-signal:
-		return true
-	}
-}
-
-// poke leaves a signal in a channel with room for one.
-func poke(signal chan struct{}) {
-	select {
-	case signal <- struct{}{}:
-	default:
-	}
-}
-
-// drain takes a signal out of a channel, if there is one.
-func drain(signal chan struct{}) {
-	select {
-	case <-signal:
-	default:
-	}
-}
-
 // push tells all other hosts what this one has seen, as soon as there is something.
 func (b *Book) push(ctx context.Context) {
-	for await(ctx, b.due) {
+	for b.due.Await(ctx) {
 		if !b.isLoaded() {
 			continue // it is told then
 		}
 		clock.Sleep(ctx, gather)
-		drain(b.due)
+		b.due.Drain()
 		b.mu.Lock()
 		rows := b.encoded([]string{b.options.Host})
 		b.mu.Unlock()
--- a/internal/ratelimit/ratelimit.go
+++ b/internal/ratelimit/ratelimit.go
@@ -30,6 +30,7 @@
 	"quaybarrow/internal/clock"
 	"quaybarrow/internal/fleet"
 	"quaybarrow/internal/telemetry"
+	"quaybarrow/internal/wake"
 )
 
 // Times of questions between hosts.
@@ -86,7 +87,7 @@
 type Desk struct {
 	options Options
 	lender  *Lender
-	wake    chan struct{}
+	wake    wake.Signal
 	asks    chan struct{} // holds one for each question under way
 
 	mu      sync.Mutex // guards all below
@@ -111,28 +112,20 @@
 // NewDesk returns a desk.
 func NewDesk(o Options) *Desk {
 	d := &Desk{
-		options: o, lender: NewLender(), wake: make(chan struct{}, 1), asks: make(chan struct{}, asksMost),
+		options: o, lender: NewLender(), wake: wake.NewSignal(), asks: make(chan struct{}, asksMost),
 		away: map[string]clock.Instant{}, failing: map[string]bool{},
 	}
-	o.Fleet.OnWanted(d.wanted)
+	o.Fleet.OnWanted(d.wake.Poke)
 	return d
 }
 
-// wanted has the desk look what is to be borrowed.
-func (d *Desk) wanted() {
-	select {
-	case d.wake <- struct{}{}:
-	default:
-	}
-}
-
 // Run borrows until the context ends.
 func (d *Desk) Run(ctx context.Context) {
 	var working sync.WaitGroup
 	defer working.Wait()
 	working.Go(func() { d.learn(ctx) })
 	// As a function's, the timer may be due at its setting; see clock.Sleep.
-	later := time.AfterFunc(0, d.wanted)
+	later := time.AfterFunc(0, d.wake.Poke)
 	defer later.Stop()
 	for {
 		select {
--- a/internal/ratelimit/rig_test.go
+++ b/internal/ratelimit/rig_test.go
@@ -17,6 +17,7 @@
 	"quaybarrow/internal/fleet"
 	"quaybarrow/internal/ratelimit"
 	"quaybarrow/internal/telemetry"
+	"quaybarrow/internal/wake"
 )
 
 // Errors of calls between hosts.
@@ -128,15 +129,9 @@
 	if desk != nil {
 		h.working.Go(func() { desk.Run(ctx) })
 	} else {
-		wake := make(chan struct{}, 1)
-		wanted := func() {
-			select {
-			case wake <- struct{}{}:
-			default:
-			}
-		}
-		f.OnWanted(wanted)
-		h.working.Go(func() { h.split(ctx, f, wake, wanted) })
+		signal := wake.NewSignal()
+		f.OnWanted(signal.Poke)
+		h.working.Go(func() { h.split(ctx, f, signal) })
 	}
 }
 
@@ -153,15 +148,15 @@
 }
 
 // split lends this host its part of each limit.
-func (h *simHost) split(ctx context.Context, f *fleet.Fleet, wake <-chan struct{}, wanted func()) {
+func (h *simHost) split(ctx context.Context, f *fleet.Fleet, signal wake.Signal) {
 	lender := ratelimit.NewLender()
-	later := time.AfterFunc(0, wanted)
+	later := time.AfterFunc(0, signal.Poke)
 	defer later.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-wake:
+		case <-signal:
 		}
 		list, next := f.Wanted()
 		for _, w := range list {
--- a/internal/upgrade/tracker.go
+++ b/internal/upgrade/tracker.go
@@ -8,6 +8,7 @@
 	"quaybarrow/internal/clock"
 	"quaybarrow/internal/fleet"
 	"quaybarrow/internal/store"
+	"quaybarrow/internal/wake"
 )
 
 // Table is where progress and evidence are kept: a row named after the service
@@ -33,7 +34,7 @@
 // Tracker follows the upgrades of all services on a host; safe for use at once.
 type Tracker struct {
 	options Options
-	wake    chan struct{}
+	wake    wake.Signal
 
 	mu       sync.Mutex // guards all below
 	services map[string]*service
@@ -78,7 +79,7 @@
 // NewTracker returns a tracker that knows of no upgrade.
 func NewTracker(options Options) *Tracker {
 	return &Tracker{
-		options: options, wake: make(chan struct{}, 1),
+		options: options, wake: wake.NewSignal(),
 		services: map[string]*service{}, settled: map[string]string{}, listed: map[string]map[string]int{}, rows: map[string]store.Change{}, paces: map[paceName]*paces{},
 	}
 }
@@ -101,15 +102,7 @@
 	t.services[o.Service] = s
 	t.recall(s)
 	t.options.Logger.Info("upgrade ordered", "service", o.Service, "target", o.Target, "within", o.Within.String(), "revision", o.Revision)
-	t.poke()
-}
-
-// poke starts the next step of Run at once.
-func (t *Tracker) poke() {
-	select {
-	case t.wake <- struct{}{}:
-	default:
-	}
+	t.wake.Poke()
 }
 
 // Report is what an answer told of a version.
@@ -163,7 +156,7 @@
 		s.own.blame(r.Endpoint)
 	}
 	if count.Bad > 0 && !s.othersFail() {
-		t.poke() // others should know at once
+		t.wake.Poke() // others should know at once
 	}
 	t.judge(s)
 }
@@ -282,5 +275,5 @@
 	s.condemned = j.Reason
 	fields := []any{"service", s.order.Service, "target", s.order.Target, "hosts", len(s.others) + 1}
 	t.options.Logger.Warn("version found bad; it gets nothing more from this host", append(fields, j.fields()...)...)
-	t.poke()
+	t.wake.Poke()
 }
