--- a/internal/gatewayd/limits_test.go
+++ b/internal/gatewayd/limits_test.go
@@ -40,22 +40,15 @@
 	"a limit that is taken back, plain":       {service: "plain", limited: 6, rate: 0.25, backAt: 10 * time.Second, least: 0.99},
 }
 
-// Times of a limit day and bounds of the rule, as the users tell.
+// Times of a limit day, and its callers.
 const (
 	limitsAt     = 2 * time.Second
 	limitsLast   = 20 * time.Second
-	limitKnown   = 3 * time.Second // after a limit was first named hosts keep to it
-	limitWindow  = 4 * time.Second
-	limitPart    = 1.5
-	limitReserve = 5
 	limitCallers = 32
 	// usedAgain is how long after a limit was taken back its endpoint gets its usual share.
 	usedAgain = 3 * time.Second
 )
 
-// limitMost is how many requests an endpoint may get in a window.
-func limitMost(rate float64) int { return int(limitPart*rate*limitWindow.Seconds()) + limitReserve }
-
 func TestEndpointsGetNoMoreThanTheLimitTheyName(t *testing.T) {
 	for name, d := range limitDays {
 		t.Run(name, func(t *testing.T) {
@@ -98,26 +91,26 @@
 	}
 	worst, got := 0, 0
 	for _, e := range limited {
-		worst = max(worst, e.Most(began.Add(limitsAt+limitKnown), end.Add(-limitWindow), limitWindow))
+		worst = max(worst, e.Most(began.Add(limitsAt+standin.LimitKnown), end.Add(-standin.LimitWindow), standin.LimitWindow))
 		for _, s := range e.Seen() {
-			if s.At.After(began.Add(limitsAt+limitKnown)) && s.At.Before(end) {
+			if s.At.After(began.Add(limitsAt+standin.LimitKnown)) && s.At.Before(end) {
 				got++
 			}
 		}
 	}
-	span := end.Sub(began) - limitsAt - limitKnown
+	span := end.Sub(began) - limitsAt - standin.LimitKnown
 	used := float64(got) / max(d.rate*float64(len(limited))*span.Seconds(), 1)
 	served := r.servedOf(d.service)
-	t.Logf("worst %d in %s, %d allowed; %.2f of the limits used; %.3f served", worst, limitWindow, limitMost(d.rate), used, served)
-	Expect(worst).To(BeNumerically("<=", limitMost(d.rate)))
+	t.Logf("worst %d in %s, %d allowed; %.2f of the limits used; %.3f served", worst, standin.LimitWindow, standin.LimitMost(d.rate), used, served)
+	Expect(worst).To(BeNumerically("<=", standin.LimitMost(d.rate)))
 	Expect(served).To(BeNumerically(">=", d.least))
 	if d.backAt > 0 {
-		above, again := limitPart*d.rate*limitWindow.Seconds(), 0
+		above, again := standin.LimitPart*d.rate*standin.LimitWindow.Seconds(), 0
 		for _, e := range limited {
-			most := e.Most(end.Add(usedAgain), began.Add(limitsLast), limitWindow)
+			most := e.Most(end.Add(usedAgain), began.Add(limitsLast), standin.LimitWindow)
 			again += most
 			// Prompts go to as few endpoints as the load asks for, those that keep their beginning.
-			Expect(d.service == "model" || float64(most) > above).To(BeTrue(), "used again: %d in %s", most, limitWindow)
+			Expect(d.service == "model" || float64(most) > above).To(BeTrue(), "used again: %d in %s", most, standin.LimitWindow)
 		}
 		Expect(again).To(BeNumerically(">", above*float64(len(limited))), "used again, all together")
 	}
--- a/internal/ratelimit/callers_test.go
+++ b/internal/ratelimit/callers_test.go
@@ -10,6 +10,7 @@
 	"quaybarrow/internal/admission"
 	"quaybarrow/internal/clock"
 	"quaybarrow/internal/fleet"
+	"quaybarrow/platform/standin"
 )
 
 // arrival is a request at an endpoint.
@@ -22,7 +23,7 @@
 func (h *simHost) wasWell() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.harmed.IsZero() || clock.Since(h.harmed) > knownAfter
+	return h.harmed.IsZero() || clock.Since(h.harmed) > standin.LimitKnown
 }
 
 // harm notes that something happens to the host until a moment.
--- a/internal/ratelimit/limits_test.go
+++ b/internal/ratelimit/limits_test.go
@@ -9,19 +9,12 @@
 
 	"quaybarrow/internal/clock"
 	"quaybarrow/internal/fleet"
+	"quaybarrow/platform/standin"
 )
 
 // seeds is how many plays there are of each; CI plays few.
 var seeds = flag.Int("limit.seeds", 1, "plays of each kind of trouble and size; with more than one all are played with 300 hosts")
 
-// Bounds of the rule, as the users tell.
-const (
-	knownAfter  = 3 * time.Second
-	ruleWindow  = 4 * time.Second
-	rulePart    = 1.5
-	ruleReserve = 5
-)
-
 // troubles are what happens to hosts; times are between two of them.
 var troubles = map[string]play{
 	"calm":                       {},
@@ -58,18 +51,18 @@
 							p.kill, p.freeze, p.cut = 0, 0, 0
 						}
 						most, well, got, _ := playOne(t, p)
-						worst = max(worst, float64(most)/(rate*ruleWindow.Seconds()))
+						worst = max(worst, float64(most)/(rate*standin.LimitWindow.Seconds()))
 						if least, ok := used[limited]; !ok || got < least {
 							used[limited] = got
 						}
-						if allowed := int(rulePart*rate*ruleWindow.Seconds()) + ruleReserve; well > allowed {
-							t.Errorf("seed %d, %d endpoints with %v a second: %d in %s, %d of hosts that were well, %d allowed", seed, limited, rate, most, ruleWindow, well, allowed)
+						if allowed := standin.LimitMost(rate); well > allowed {
+							t.Errorf("seed %d, %d endpoints with %v a second: %d in %s, %d of hosts that were well, %d allowed", seed, limited, rate, most, standin.LimitWindow, well, allowed)
 						} else if most > allowed {
-							t.Logf("seed %d, %d endpoints with %v a second: %d in %s, %d of hosts that were well, %d allowed", seed, limited, rate, most, ruleWindow, well, allowed)
+							t.Logf("seed %d, %d endpoints with %v a second: %d in %s, %d of hosts that were well, %d allowed", seed, limited, rate, most, standin.LimitWindow, well, allowed)
 						}
 					}
 				}
-				t.Logf("worst %.2f of the limit in %s; least used, by the endpoints that name one: %.3v", worst, ruleWindow, used)
+				t.Logf("worst %.2f of the limit in %s; least used, by the endpoints that name one: %.3v", worst, standin.LimitWindow, used)
 			})
 		}
 	}
@@ -80,7 +73,7 @@
 	synctest.Test(t, func(*testing.T) {
 		w := newWorld(p)
 		w.run()
-		most, well, got = w.worst(knownAfter, ruleWindow)
+		most, well, got = w.worst(standin.LimitKnown, standin.LimitWindow)
 		calls = w.calls
 	})
 	return most, well, got, calls
@@ -94,7 +87,7 @@
 		for _, by := range []way{lending, splitted} {
 			p := play{way: by, hosts: hosts, limited: 12, rate: 5, asked: 120, hot: 0.9, lasts: 20 * time.Second}
 			most, _, got, calls := playOne(t, p)
-			t.Logf("%d hosts, way %d: worst %d in %s, %.2f of the limits used, %d calls between hosts", hosts, by, most, ruleWindow, got, calls)
+			t.Logf("%d hosts, way %d: worst %d in %s, %.2f of the limits used, %d calls between hosts", hosts, by, most, standin.LimitWindow, got, calls)
 			used[by] = got
 		}
 		if used[lending] < 0.8 || used[splitted] > 0.6*used[lending] {
--- a/internal/soak/limits.go
+++ b/internal/soak/limits.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"quaybarrow/platform/standin"
 )
 
 // Parameters of endpoints that name limits.
@@ -17,12 +19,6 @@
 	limitLeast, limitSpan = 5, 60
 	// limitFor is how long one is named.
 	limitFor = 9 * time.Second
-	// In limitWindow, from limitKnown after a limit was named, hosts that nothing has happened to may send
-	// limitPart of it and limitReserve more, as the users tell.
-	limitWindow  = 4 * time.Second
-	limitKnown   = 3 * time.Second
-	limitPart    = 1.5
-	limitReserve = 5
 )
 
 // naming is a limit that an endpoint named for a time.
@@ -78,10 +74,10 @@
 	defer w.mu.Unlock()
 	var found []string
 	for _, n := range w.namings {
-		most := int(limitPart*n.rate*limitWindow.Seconds()) + limitReserve
+		most := standin.LimitMost(n.rate)
 		if worst, at := n.worst(w.sentBy); worst > most {
 			found = append(found, fmt.Sprintf("%s named a limit of %.1f a second and got %d requests within %s from %s on, %d allowed",
-				n.endpoint.ID, n.rate, worst, limitWindow, at.Format(time.StampMilli), most))
+				n.endpoint.ID, n.rate, worst, standin.LimitWindow, at.Format(time.StampMilli), most))
 		}
 	}
 	return found
@@ -92,12 +88,12 @@
 func (n naming) worst(sentBy func(id string) *process) (most int, at time.Time) {
 	var times []time.Time
 	for _, s := range n.endpoint.Seen() {
-		inTime := s.At.After(n.from.Add(limitKnown)) && s.At.Before(n.until)
-		if p := sentBy(s.ID()); inTime && (p == nil || p.wasWell(s.At.Add(-limitKnown), s.At)) {
+		inTime := s.At.After(n.from.Add(standin.LimitKnown)) && s.At.Before(n.until)
+		if p := sentBy(s.ID()); inTime && (p == nil || p.wasWell(s.At.Add(-standin.LimitKnown), s.At)) {
 			times = append(times, s.At)
 		}
 	}
-	return mostWithin(times, limitWindow)
+	return mostWithin(times, standin.LimitWindow)
 }
 
 // mostWithin is the most moments that lie within a window, and when that begins.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -185,7 +185,7 @@
 		n := naming{endpoint: e, rate: 1, from: dawn, until: secondsOn(20)}
 		most, _ := n.worst(func(string) *process { return nil })
 		Expect(most).To(BeZero())
-		most, at := mostWithin([]time.Time{secondsOn(9), secondsOn(1), secondsOn(7), secondsOn(5.5)}, limitWindow)
+		most, at := mostWithin([]time.Time{secondsOn(9), secondsOn(1), secondsOn(7), secondsOn(5.5)}, standin.LimitWindow)
 		Expect(most).To(Equal(3))
 		Expect(at).To(Equal(secondsOn(5.5)))
 	})
