Soak: what endpoints got of a request whose promise was broken, and the hosts' logs of a broken run

Sight before the change of logic: a violation said that a request had run twice, and nothing told where, when and by whom the second was sent, so a request that a host sends twice, one that another soak's host sends, and one that an endpoint counts twice looked the same. The hosts' logs of a broken run are kept without -logs, and -logs makes its folder.

--- a/internal/cli/soak.go
+++ b/internal/cli/soak.go
@@ -52,7 +52,7 @@
 	f.IntVar(&c.options.Crashers, "crashers", soakCrashers, "how many requests come again and again under which endpoints crash")
 	f.IntVar(&c.options.Limits, "limits", soakLimits, "how many times endpoints name limits of what they take")
 	f.StringVar(&c.options.Daemon, "daemon", "", "`program` of the daemon")
-	f.StringVar(&c.options.LogDir, "logs", "", "`folder` for the hosts' logs")
+	f.StringVar(&c.options.LogDir, "logs", "", "`folder` for the hosts' logs; without it those of a broken run are kept in one of its own")
 }
 
 // Execute implements subcommands.Command.
@@ -79,6 +79,12 @@
 		for _, v := range violations {
 			_, _ = fmt.Fprintln(c.env.Stdout, "  ", v)
 		}
+		for _, a := range r.Arrivals {
+			_, _ = fmt.Fprintln(c.env.Stdout, "     ", a)
+		}
+		if r.Logs != "" {
+			_, _ = fmt.Fprintln(c.env.Stdout, "   the hosts' logs:", r.Logs)
+		}
 		broken += len(violations)
 		c.options.Seed++
 	}
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -35,6 +35,7 @@
 	served     int
 	versions   map[string]seenVersion // by host and process
 	violations []string
+	broken     []string // ids of the requests whose promises were broken
 }
 
 // seenVersion is the newest configuration that a process has shown.
@@ -49,6 +50,12 @@
 	h.violations = append(h.violations, fmt.Sprintf(format, args...))
 }
 
+// violateOf notes a broken promise of a request.
+func (h *history) violateOf(o outcome, format string, args ...any) {
+	h.broken = append(h.broken, o.id)
+	h.violate("%s%s: %s", o.path, o.id, fmt.Sprintf(format, args...))
+}
+
 // startJudging makes the requests from now on count for the served part.
 func (h *history) startJudging() {
 	h.mu.Lock()
@@ -62,7 +69,7 @@
 	defer h.mu.Unlock()
 	h.outcomes = append(h.outcomes, o)
 	if !o.crashes && strings.Contains(o.answer.Body, "quarantined") {
-		h.violate("%s%s: taken for a request under which endpoints crash", o.path, o.id)
+		h.violateOf(o, "taken for a request under which endpoints crash")
 	}
 	good := o.answer.Status == 200 && o.answer.Err == nil
 	if sentWhileJudging {
@@ -82,23 +89,23 @@
 // checkAnswer checks that a good answer is whole and the request's own.
 func (h *history) checkAnswer(o outcome) {
 	if o.answer.SealedBy() == "" {
-		h.violate("%s%s: a success without an endpoint's seal", o.path, o.id)
+		h.violateOf(o, "a success without an endpoint's seal")
 	}
 	if o.path != pathStream {
 		if o.answer.Body != bodyOf(o.id) {
-			h.violate("%s%s: the body is %q", o.path, o.id, o.answer.Body)
+			h.violateOf(o, "the body is %q", o.answer.Body)
 		}
 		return
 	}
 	ids := eventIDs.FindAllStringSubmatch(o.answer.Body, -1)
 	for i, id := range ids {
 		if id[1] != fmt.Sprint(i+1) {
-			h.violate("%s%s: event %d has id %s", o.path, o.id, i+1, id[1])
+			h.violateOf(o, "event %d has id %s", i+1, id[1])
 			return
 		}
 	}
 	if len(ids) != streamEvents {
-		h.violate("%s%s: a whole stream of %d events", o.path, o.id, len(ids))
+		h.violateOf(o, "a whole stream of %d events", len(ids))
 	}
 }
 
@@ -133,18 +140,18 @@
 		case o.answer.Status == 200 && o.answer.Err == nil:
 			r.Served++
 			if n == 0 {
-				h.violate("%s%s: answered although no endpoint ran it", o.path, o.id)
+				h.violateOf(o, "answered although no endpoint ran it")
 			}
 		case o.answer.Status == 503 || o.answer.Status == 429:
 			r.Refused++
 			if n > 0 {
-				h.violate("%s%s: told that it did not run, and it ran", o.path, o.id)
+				h.violateOf(o, "told that it did not run, and it ran")
 			}
 		default:
 			r.Failed++
 		}
 		if o.path == pathOnce && n > 1 {
-			h.violate("%s%s: ran %d times", o.path, o.id, n)
+			h.violateOf(o, "ran %d times", n)
 		}
 	}
 	if float64(h.served) < servedLeast*float64(h.judged) || h.judged == 0 {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -48,7 +48,7 @@
 	Length time.Duration // with faults
 	Hosts  int
 	Daemon string // path of the daemon's program
-	LogDir string // where hosts' logs are kept; empty keeps none
+	LogDir string // where hosts' logs are kept, made if it is not there; empty keeps those of a broken run
 	// Crashers is how many requests come, each again and again, under which endpoints crash.
 	Crashers int
 	// Limits is how many times endpoints name limits of what they take.
@@ -62,8 +62,15 @@
 	Violations                        []string
 	// Cold are seconds in which a cold endpoint got more requests than it may.
 	Cold []string
+	// Arrivals are what endpoints got of the requests whose promises were broken.
+	Arrivals []string
+	// Logs is the folder with the hosts' logs of a broken run.
+	Logs string
 }
 
+// Broken reports whether a promise was broken.
+func (r Result) Broken() bool { return len(r.Violations)+len(r.Cold) > 0 }
+
 // Run plays one run.
 func Run(ctx context.Context, o Options) (Result, error) {
 	dir, err := os.MkdirTemp("", "quaybarrow-soak-")
@@ -71,6 +78,36 @@
 		return Result{}, fmt.Errorf("make folder: %w", err)
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
+	named := o.LogDir != ""
+	if o.LogDir, err = logFolder(o); err != nil {
+		return Result{}, err
+	}
+	r, err := play(ctx, o, dir)
+	if r.Broken() || err != nil {
+		r.Logs = o.LogDir
+	} else if !named {
+		_ = os.RemoveAll(o.LogDir)
+	}
+	return r, err
+}
+
+// logFolder makes the folder for the hosts' logs.
+func logFolder(o Options) (string, error) {
+	if o.LogDir == "" {
+		dir, err := os.MkdirTemp("", fmt.Sprintf("quaybarrow-soak-logs-%d-", o.Seed))
+		if err != nil {
+			return "", fmt.Errorf("make folder for logs: %w", err)
+		}
+		return dir, nil
+	}
+	if err := os.MkdirAll(o.LogDir, 0o755); err != nil {
+		return "", fmt.Errorf("make folder for logs: %w", err)
+	}
+	return o.LogDir, nil
+}
+
+// play plays one run with its settings in a folder.
+func play(ctx context.Context, o Options, dir string) (Result, error) {
 	w, err := newWorld(o, dir)
 	if err != nil {
 		return Result{}, err
@@ -104,6 +141,9 @@
 	report.Violations = append(report.Violations, w.overLimits()...)
 	report.Cold = w.overCold()
 	report.Faults = faults
+	for _, a := range w.arrivals(w.history.broken) {
+		report.Arrivals = append(report.Arrivals, a.String())
+	}
 	return report, nil
 }
 
@@ -121,18 +161,9 @@
 
 // logFile opens a host's log.
 func logFile(dir, name string) (io.WriteCloser, error) {
-	if dir == "" {
-		return nopCloser{io.Discard}, nil
-	}
 	f, err := os.OpenFile(filepath.Join(dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
 		return nil, fmt.Errorf("open log: %w", err)
 	}
 	return f, nil
 }
-
-// nopCloser is a writer that need not be closed.
-type nopCloser struct{ io.Writer }
-
-// Close implements io.Closer.
-func (nopCloser) Close() error { return nil }
