Soak: ports and ids of requests of its own; what an endpoint rejected is no run

Cause: all soaks of a seed gave their requests the same ids, and took the system's ports, so that hosts of one reached endpoints of another at a port that was free again; and an arrival that the endpoint had rejected, since it was meant for another one, counted as a run. Ruled out so far as the lines tell: one host sending twice, two arrivals of one connection.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -58,7 +57,7 @@
 	if path == "" {
 		return w.probe(c, reader, p)
 	}
-	id := fmt.Sprint("r", serial.Add(1))
+	id := w.name("r")
 	w.sends(id, p)
 	end := id
 	if w.crashing && random.Float64() < sameShare {
@@ -85,7 +84,7 @@
 	w.mu.Lock()
 	version := w.version - w.random.IntN(2)
 	w.mu.Unlock()
-	id := fmt.Sprint("p", serial.Add(1))
+	id := w.name("p")
 	w.sends(id, p)
 	life, sent := p.life(), time.Now()
 	_ = c.SetDeadline(sent.Add(callerPatient))
--- a/internal/soak/crashes.go
+++ b/internal/soak/crashes.go
@@ -133,7 +133,7 @@
 		return
 	}
 	defer func() { _ = c.Close() }()
-	id := fmt.Sprint("c", serial.Add(1))
+	id := w.name("c")
 	w.sends(id, p)
 	r.mu.Lock()
 	r.hosts[id] = p
--- a/internal/soak/endpoints.go
+++ b/internal/soak/endpoints.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"time"
 
@@ -69,7 +68,7 @@
 // strangeEntry has another writer name an address among the endpoints, where nothing may
 // arrive.
 func strangeEntry(ctx context.Context, w *world, lasts time.Duration) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	l, err := w.ports.listen()
 	if err != nil {
 		return // out of ports; other faults go on
 	}
--- /dev/null
+++ b/internal/soak/ports_test.go
@@ -0,0 +1,80 @@
+package soak
+
+import (
+	"bufio"
+	"io"
+	"net"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"quaybarrow/platform/standin"
+)
+
+var _ = Describe("soaks beside each other", func() {
+	// A host that still knew an address of another soak's endpoint sent requests of the same ids there.
+	It("have no ports and no ids of requests in common", func() {
+		seen := map[string]bool{}
+		for range 3 {
+			ports, err := takePorts()
+			Expect(err).NotTo(HaveOccurred())
+			defer func() { _ = ports.taken.Close() }()
+			id := (&world{ports: ports}).name("r")
+			Expect(seen).NotTo(HaveKey(id))
+			seen[id] = true
+			for range 20 {
+				l, err := ports.listen()
+				Expect(err).NotTo(HaveOccurred())
+				defer func() { _ = l.Close() }()
+				address, err := ports.hostAddress()
+				Expect(err).NotTo(HaveOccurred())
+				for _, a := range []string{l.Addr().String(), address} {
+					Expect(seen).NotTo(HaveKey(a))
+					seen[a] = true
+				}
+			}
+		}
+	})
+
+	It("use a port again only after all others", func() {
+		ports, err := takePorts()
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = ports.taken.Close() }()
+		seen := map[string]int{}
+		for range 2 * (blockPorts - hostPorts) {
+			l, err := ports.listen()
+			Expect(err).NotTo(HaveOccurred())
+			seen[l.Addr().String()]++
+			Expect(l.Close()).To(Succeed())
+		}
+		Expect(seen).To(HaveLen(blockPorts - hostPorts))
+		Expect(seen).To(HaveEach(2))
+	})
+
+	// An arrival that an endpoint had rejected, since it was meant for another one, counted as a run.
+	It("do not take what an endpoint rejected for a run, and show it", func() {
+		ports, err := takePorts()
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = ports.taken.Close() }()
+		l, err := ports.listen()
+		Expect(err).NotTo(HaveOccurred())
+		e := &endpoint{Endpoint: standin.NewEndpoint("plain-18", standin.Always(standin.Reply{Status: 200, Body: "ok"})), listener: l}
+		go e.Serve(l)
+		defer func() { _ = l.Close() }()
+		w := &world{ports: ports, all: []*endpoint{e}}
+		c, err := net.Dial("tcp4", l.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = c.Close() }()
+		reader := bufio.NewReader(c)
+		for _, meant := range []string{"plain-1", "plain-18"} {
+			_, err = io.WriteString(c, standin.NewRequest("POST", pathOnce+"same", "body").For(meant).Text())
+			Expect(err).NotTo(HaveOccurred())
+			Expect(standin.ReadAnswer(reader).Err).NotTo(HaveOccurred())
+		}
+		Expect(w.runs()).To(HaveKeyWithValue("id-1", 1))
+		arrivals := w.arrivals([]string{"id-1"})
+		Expect(arrivals).To(HaveLen(2))
+		Expect(arrivals[0].String()).To(And(ContainSubstring(`meant for "plain-1"`), HaveSuffix("rejected")))
+		Expect(arrivals[1].String()).NotTo(HaveSuffix("rejected"))
+	})
+})
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -12,8 +10,6 @@
 	"sync"
 	"syscall"
 
-	"github.com/pkg/errors"
-
 	"quaybarrow/platform/standin"
 )
 
@@ -59,15 +55,21 @@
 `
 
 func newProcess(o Options, dir string, i int, store string, ports *portBlock) (*process, error) {
-	through, err := newProxy(store)
+	through, err := newProxy(ports, store)
 	if err != nil {
 		return nil, err
 	}
+	var addresses [4]string // for callers, questions of readiness, operators and peers
+	for i := range addresses {
+		if addresses[i], err = ports.hostAddress(); err != nil {
+			return nil, fmt.Errorf("give addresses: %w", err)
+		}
+	}
 	p := &process{
-		name: fmt.Sprint("host-", i), daemon: o.Daemon, logDir: o.LogDir, callers: ports.address(), readyAt: ports.address(), store: through,
+		name: fmt.Sprint("host-", i), daemon: o.Daemon, logDir: o.LogDir, callers: addresses[0], readyAt: addresses[1], store: through,
 	}
 	p.settings = filepath.Join(dir, p.name+".yaml")
-	p.text = fmt.Sprintf(settingsText, p.name, halls[i%len(halls)], p.callers, p.readyAt, ports.address(), ports.address(), through.address())
+	p.text = fmt.Sprintf(settingsText, p.name, halls[i%len(halls)], p.callers, p.readyAt, addresses[2], addresses[3], through.address())
 	return p, p.start()
 }
 
@@ -81,42 +83,6 @@
 	return nil
 }
 
-// Ports that hosts listen at: below those that the system gives to outgoing
-// connections, which would take them while a host is down, and in blocks, so that
-// soaks that run at the same time do not either.
-const (
-	firstPort  = 15_000
-	blocks     = 80
-	blockPorts = 200
-)
-
-// portBlock is a row of ports that no other soak uses; the first is kept open to
-// show that it is taken.
-type portBlock struct {
-	taken net.Listener
-	next  int
-}
-
-// takePorts takes a block that is free.
-func takePorts() (*portBlock, error) {
-	for _, i := range rand.Perm(blocks) {
-		base := firstPort + i*blockPorts
-		l, err := net.Listen("tcp4", loopback(base))
-		if err == nil {
-			return &portBlock{taken: l, next: base + 1}, nil
-		}
-	}
-	return nil, errors.New("no free ports")
-}
-
-// address returns an address that nobody listens at.
-func (b *portBlock) address() string {
-	b.next++
-	return loopback(b.next - 1)
-}
-
-func loopback(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
-
 // start starts the process.
 func (p *process) start() error {
 	p.mu.Lock()
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -35,8 +35,8 @@
 }
 
 // newProxy starts a proxy to an address.
-func newProxy(target string) (*proxy, error) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+func newProxy(ports *portBlock, target string) (*proxy, error) {
+	l, err := ports.listen()
 	if err != nil {
 		return nil, fmt.Errorf("start proxy: %w", err)
 	}
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -101,14 +101,16 @@
 		crashDice: dice{random: rand.New(rand.NewPCG(o.Seed, crashStream))},
 		limitDice: dice{random: rand.New(rand.NewPCG(o.Seed, limitStream))},
 	}
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	ports, err := takePorts()
+	if err != nil {
+		return nil, fmt.Errorf("take ports: %w", err)
+	}
+	w.ports = ports
+	l, err := ports.listen()
 	if err != nil {
 		return nil, fmt.Errorf("start store: %w", err)
 	}
 	w.server = &http.Server{Handler: w.store}
-	if w.ports, err = takePorts(); err != nil {
-		return nil, err
-	}
 	go func() { _ = w.server.Serve(l) }()
 	w.configure()
 	services := slices.Concat(slices.Repeat([]string{"plain"}, plainEndpoints), slices.Repeat([]string{"model"}, modelEndpoints))
@@ -141,11 +143,11 @@
 
 // addEndpoint starts an endpoint and lists it.
 func (w *world) addEndpoint(service string) error {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	l, err := w.ports.listen()
 	if err != nil {
 		return fmt.Errorf("start endpoint: %w", err)
 	}
-	p, err := newProxy(l.Addr().String())
+	p, err := newProxy(w.ports, l.Addr().String())
 	if err != nil {
 		return err
 	}
@@ -201,14 +203,19 @@
 	}
 }
 
-// runs counts how often endpoints got each id.
+// name is an id of this soak for a request or the like; no other soak has the same.
+func (w *world) name(kind string) string { return fmt.Sprint(w.ports.name(), kind, serial.Add(1)) }
+
+// runs counts how often endpoints ran each id; what an endpoint rejects it does not run.
 func (w *world) runs() map[string]int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	counts := map[string]int{}
 	for _, e := range w.all {
 		for _, s := range e.Seen() {
-			counts[s.ID()]++
+			if !s.Rejected {
+				counts[s.ID()]++
+			}
 		}
 	}
 	return counts
