--- a/internal/soak/limits.go
+++ b/internal/soak/limits.go
@@ -52,6 +52,10 @@
 		ids = append(ids, id)
 	}
 	slices.Sort(ids)
+	if len(ids) == 0 {
+		w.mu.Unlock()
+		return // all have crashed
+	}
 	e := w.endpoints[ids[draw%len(ids)]]
 	w.mu.Unlock()
 	if !e.limited.CompareAndSwap(false, true) {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -180,6 +180,12 @@
 }
 
 var _ = Describe("a limit in a soak", func() {
+	It("is named by nobody while all endpoints have crashed", func() {
+		w := &world{endpoints: map[string]*endpoint{}}
+		Expect(func() { w.nameLimit(context.Background(), 1, 5) }).NotTo(Panic())
+		Expect(w.namings).To(BeEmpty())
+	})
+
 	It("counts what hosts send that nothing has happened to, once they know it", func() {
 		e := &endpoint{Endpoint: standin.NewEndpoint("e-1", nil)}
 		n := naming{endpoint: e, rate: 1, from: dawn, until: secondsOn(20)}
--- a/internal/upgrade/failingothers_test.go
+++ b/internal/upgrade/failingothers_test.go
@@ -190,23 +190,11 @@
 			r, failed := s.answer(t, random, ill)
 			r.Finding = upgrade.Answered{Failed: failed}
 			t.Note(r)
-			if passed < s.within {
-				o.all++
-			}
-			if r.Version != "v2" {
-				continue
-			}
-			if passed < s.within {
-				o.exposed++
-			}
-			if passed > badAt+lateAfter {
-				o.late++
-			}
-			if failed {
-				bad++
-			}
-			if failed && bad == badMost {
-				badAt = passed
+			o.count(r, passed, s.within, badAt)
+			if failed && r.Version == "v2" {
+				if bad++; bad == badMost {
+					badAt = passed
+				}
 			}
 		}
 		time.Sleep(tick)
@@ -217,6 +205,21 @@
 	return o
 }
 
+// count takes in a request that was sent after a time, of an upgrade of a length, whose version had
+// shown enough failures at a moment.
+func (o *outcome) count(r upgrade.Report, passed, within, badAt time.Duration) {
+	target := r.Version == "v2"
+	if passed < within {
+		o.all++
+	}
+	if passed < within && target {
+		o.exposed++
+	}
+	if passed > badAt+lateAfter && target {
+		o.late++
+	}
+}
+
 // draw draws the endpoints that fail for reasons of their own, as many of each version: drawn
 // from all, nine in ten were 132 of one version and 120 of the other, which is no good version.
 func (s service) draw(random *rand.Rand) map[string]bool {
@@ -234,8 +237,13 @@
 
 // answer is one request's, on the version that a host allows it.
 func (s service) answer(t *upgrade.Tracker, random *rand.Rand, ill map[string]bool) (upgrade.Report, bool) {
+	return s.answerTo(t, random.Uint64(), random, ill)
+}
+
+// answerTo is that of a request with a key.
+func (s service) answerTo(t *upgrade.Tracker, key uint64, random *rand.Rand, ill map[string]bool) (upgrade.Report, bool) {
 	version, badRate := "v1", 0.0
-	if allowed := t.Allowed("s", random.Uint64()); allowed != nil && allowed("v2") {
+	if allowed := t.Allowed("s", key); allowed != nil && allowed("v2") {
 		version, badRate = "v2", s.badRate
 	}
 	id := fmt.Sprintf("%s-%d", version, random.IntN(s.endpoints))
--- a/internal/upgrade/run.go
+++ b/internal/upgrade/run.go
@@ -230,7 +230,8 @@
 	}
 	s := t.services[name]
 	j := t.judgement(s)
-	if j.Verdict == VerdictClear && !j.Doubtful() {
+	if j.Verdict == VerdictClear && !j.Doubtful() && !j.MayBeItsOwn() {
+		t.options.Logger.Info("upgrade is still clear", append([]any{"service", name}, j.fields()...)...)
 		return true
 	}
 	t.believe(s, j)
--- a/internal/upgrade/writes.go
+++ b/internal/upgrade/writes.go
@@ -137,15 +137,18 @@
 	}
 	elapsed := s.progress.elapsedAt(shown)
 	done := s.progress.Due(shown.Minus(s.schedule.turn(turn, t.longestTurn())), s.schedule)
-	if !done && !s.progress.Rises(elapsed-turn, s.schedule) {
+	rises := s.progress.Rises(elapsed-turn, s.schedule)
+	if !done && !rises && s.progress.Stage < lastStage {
 		return write{}, nil
 	}
 	j := t.judgement(s)
 	switch {
-	case (done || s.progress.Stage+1 == lastStage) && j.MayBeItsOwn():
+	case s.progress.Stage+1 >= lastStage && j.MayBeItsOwn():
 		// Before all keys go to it, or it gets more than its bound by requests that come again:
 		// 368 of 2,169 where 355 are allowed (played day, 6 hosts).
 		return t.finish(s, OutcomeRolledBack, "failures that may be its own, beside endpoints that fail")
+	case !done && !rises:
+		return write{}, nil
 	case j.Verdict != VerdictClear || (done && (s.answeredLast == 0 || j.Doubtful())):
 		return write{}, nil
 	case done:
