Failures that may be a version's own are looked at again in the last stage, and in the last look of a completion

Class: time of check, time of use, once more. Ruled out: load (nothing beside it), keys in place of sends as the only cause (the last share should not have begun). Now each host stops the use of such a version as soon as it finds so while the last share is written or begun, and the last look asks the same as the decision and guesses nothing. Both specs of lastlook_test.go failed before.

--- /dev/null
+++ b/internal/upgrade/lastlook_test.go
@@ -0,0 +1,94 @@
+package upgrade_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"quaybarrow/internal/codec"
+	"quaybarrow/internal/standin/suite"
+	"quaybarrow/internal/upgrade"
+)
+
+// failingOld has each host see answers of the old version for a time, of which one in three fails at all
+// of its endpoints but one; each tenth of a second a body runs.
+func (h *hosts) failingOld(d time.Duration, body func()) {
+	for n := range int(d / (100 * time.Millisecond)) {
+		time.Sleep(100 * time.Millisecond)
+		for i, t := range h.trackers {
+			t.Note(upgrade.Report{
+				Service: "s", Version: "v1", Endpoint: fmt.Sprint("v1", n%4), Route: "r", Finding: upgrade.Answered{Failed: n%4 > 0 && (n/4+i)%3 == 0},
+			})
+		}
+		body()
+	}
+}
+
+// target has a host see answers of the target, of which the first ones fail, on its endpoints in turn.
+func (h *hosts) target(host, n, failing int) {
+	for i := range n {
+		h.trackers[host].Note(upgrade.Report{
+			Service: "s", Version: "v2", Endpoint: fmt.Sprint("v2", (host+i)%4), Route: "r", Finding: upgrade.Answered{Failed: i < failing},
+		})
+	}
+}
+
+// stage is the one that is written in the upgrade's row.
+func (h *hosts) stage() int {
+	p, err := codec.Decode[upgrade.Progress](h.store.Value(upgrade.Table, "s"))
+	Expect(err).NotTo(HaveOccurred())
+	return p.Stage
+}
+
+var _ = Describe("a version beside endpoints that fail", func() {
+	const within = 24 * time.Second // of an order
+	idle := func() {}
+
+	// The last share was written on what was known a second before it began, and nothing looked again until the completion.
+	It("gets no last share once it fails as they do", func() {
+		suite.Paused(func() {
+			h := newHosts(4)
+			defer h.stop()
+			h.order(7)
+			h.failingOld(within/2+time.Second, idle)
+			for i := range h.trackers {
+				h.target(i, 2, 0)
+			}
+			for h.stage() < 2 {
+				h.failingOld(100*time.Millisecond, idle)
+			}
+			h.failingOld(500*time.Millisecond, idle) // all hosts know
+			Expect(h.share()).To(BeNumerically("<", 0.5), "the last share is written ahead")
+			for i := range h.trackers {
+				h.target(i, 4, 2)
+			}
+			h.failingOld(4*time.Second, func() { Expect(h.share()).To(BeNumerically("<", 0.5)) })
+			Expect(h.status()).To(MatchJSON(`{"state":"rolled_back","target_version":"v2"}`))
+		})
+	})
+
+	// The completion took a last look at what hosts had told, and asked less of it than the look before.
+	It("does not come into force if a last look shows that it fails as they do", func() {
+		suite.Paused(func() {
+			h := newHosts(4)
+			defer h.stop()
+			h.order(7)
+			h.failingOld(within/2+time.Second, idle)
+			for i := range h.trackers {
+				h.target(i, 2, 0)
+			}
+			for h.share() < 0.9 {
+				h.failingOld(100*time.Millisecond, idle)
+			}
+			for _, w := range h.watches {
+				w.deaf.Store(true)
+			}
+			for i := range h.trackers {
+				h.target(i, 5, 2)
+			}
+			h.failingOld(3*time.Second, func() { Expect(h.status()).NotTo(MatchJSON(completed)) })
+		})
+	})
+})
--- a/internal/upgrade/run.go
+++ b/internal/upgrade/run.go
@@ -229,7 +229,7 @@
 		t.applyRow(c)
 	}
 	s := t.services[name]
-	j := t.judgement(s)
+	j := s.judgement(Untold{Known: true}) // no good answers are guessed for a step that can't be taken back
 	if j.Verdict == VerdictClear && !j.Doubtful() && !j.MayBeItsOwn() {
 		t.options.Logger.Info("upgrade is still clear", append([]any{"service", name}, j.fields()...)...)
 		return true
--- a/internal/upgrade/tracker.go
+++ b/internal/upgrade/tracker.go
@@ -237,6 +237,11 @@
 // judgement weighs what all hosts have told. What a host told as recent is so for a
 // while; one that tells nothing new has seen nothing worse.
 func (t *Tracker) judgement(s *service) Judgement {
+	return s.judgement(t.untold(s, clock.Now()))
+}
+
+// judgement weighs it with what nobody has told.
+func (s *service) judgement(u Untold) Judgement {
 	now := clock.Now()
 	others := make([]Evidence, 0, len(s.others))
 	for _, o := range s.others {
@@ -246,7 +251,7 @@
 		}
 		others = append(others, e)
 	}
-	return Judge(s.evidence(now), others, t.untold(s, now))
+	return Judge(s.evidence(now), others, u)
 }
 
 // evidence is what this host has seen.
@@ -269,11 +274,30 @@
 		s.failsSince = s.judgedAt
 	}
 	t.believe(s, j)
-	if s.condemned != "" || s.finished() || j.Verdict != VerdictBad {
+	if s.condemned != "" || s.finished() {
+		return
+	}
+	if s.condemned = s.faultIn(j); s.condemned == "" {
 		return
 	}
-	s.condemned = j.Reason
 	fields := []any{"service", s.order.Service, "target", s.order.Target, "hosts", len(s.others) + 1}
-	t.options.Logger.Warn("version found bad; it gets nothing more from this host", append(fields, j.fields()...)...)
+	t.options.Logger.Warn("version found bad; it gets nothing more from this host", append(append(fields, "cause", s.condemned), j.fields()...)...)
 	t.wake.Poke()
 }
+
+// mayBeItsOwn is why a version is taken back that can't be told from a bad one.
+const mayBeItsOwn = "failures that may be its own, beside endpoints that fail"
+
+// faultIn returns why a judgement has this host stop using the target; "" if it does not. Once the
+// last share is written, which goes by what was known a second before it begins, nothing else looks
+// again at failures that may be its own until the completion.
+func (s *service) faultIn(j Judgement) string {
+	switch {
+	case j.Verdict == VerdictBad:
+		return j.Reason
+	case s.begun() && s.progress.Stage == lastStage && j.MayBeItsOwn():
+		return mayBeItsOwn
+	default:
+		return ""
+	}
+}
