A host that has just begun to advise lets a smaller part through to cold endpoints

Cause: each adviser counts what itself let through, 8 of 20; the parts allow for two that advise within a second, not for three beside the hosts that get no advice. The spec failed before at 4 hosts (23) and passes at 4, 7, 60 and 345.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -72,6 +72,7 @@
 	turns     map[string]*admission.Turns // requests that wait, by service
 	stays     map[string]time.Duration    // how long an answer holds a slot from its head on, by service
 	memory    memory
+	advises   tenure             // with prompts of which other hosts' choices are known
 	limits    map[string]*member // by ID, those that name a limit or lately did
 	wanting   map[string]*member // of these, those that something is to be borrowed of
 	news      map[string]*member // of these, those of which all hosts are to be told
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -37,6 +37,9 @@
 // place decides on a request and finds the endpoint that is best for it; the caller holds
 // mu. One that is not likely to be in time is placed as one behind all others.
 func (f *Fleet) place(ask Ask) placement {
+	if !ask.unadvised() {
+		f.advises = f.advises.at(f.options.Now())
+	}
 	p := f.ration(placement{choice: f.choose(ask), ask: ask, urgency: ask.Urgency, decision: admission.Send{}})
 	f.borrow(p.choice)
 	if p.member == nil {
--- a/internal/fleet/warm.go
+++ b/internal/fleet/warm.go
@@ -42,6 +42,26 @@
 	busyPart = 0.6
 )
 
+// tenure is since when a host chooses for others too, without a break.
+type tenure struct{ since, last clock.Instant }
+
+// at returns the tenure with a choice at a moment; one long after the last begins anew.
+func (t tenure) at(now clock.Instant) tenure {
+	if t.last.IsZero() || now.Sub(t.last) >= sendSpan {
+		t.since = now
+	}
+	t.last = now
+	return t
+}
+
+// isNew reports whether another host may have chosen in the last sendSpan, of whose choices this one
+// knows nothing.
+func (t tenure) isNew(now clock.Instant) bool { return now.Sub(t.since) < sendSpan }
+
+// newPart is for requests on which a host advises that has just begun to: the one before it may have let all
+// its part through, and a third one may follow.
+const newPart = 0.1
+
 // alone reports whether one host chooses the endpoints of all prompts.
 func (f *Fleet) alone() bool { return f.options.Choosers != nil && f.options.Choosers().Advisers == 1 }
 
@@ -79,10 +99,13 @@
 	if c.Hosts == 0 {
 		c.Hosts = hostsUnsaid
 	}
-	advisers := float64(max(c.Advisers, 1))
+	advisers, advised := float64(max(c.Advisers, 1)), advisedPart
+	if c.Hosts > 1 && f.advises.isNew(f.options.Now()) {
+		advised = newPart
+	}
 	each := func(part float64) time.Duration { return clock.Seconds(float64(c.Hosts) / (part * w.Most)) }
 	return warming{
-		lasts: w.Lasts, most: max(1, int(advisedPart*w.Most/advisers)), busy: max(1, int(busyPart*w.Most/advisers)),
+		lasts: w.Lasts, most: max(1, int(advised*w.Most/advisers)), busy: max(1, int(busyPart*w.Most/advisers)),
 		pause: each(unadvisedPart), pausing: each(plainPart),
 	}
 }
--- a/internal/fleet/warm_test.go
+++ b/internal/fleet/warm_test.go
@@ -31,13 +31,14 @@
 type crew struct {
 	hosts  []*fleet.Fleet
 	deaf   func(host int) bool // it gets no advice now
+	asked  func(host int) int  // whom it asks for advice
 	random *rand.Rand
 	got    map[string][]time.Time // by endpoint
 	none   int                    // requests for which there was no endpoint
 }
 
 func newCrew(hosts, advisers, endpoints int) *crew {
-	c := &crew{random: rand.New(rand.NewPCG(1, uint64(hosts))), got: map[string][]time.Time{}, deaf: func(int) bool { return false }}
+	c := &crew{random: rand.New(rand.NewPCG(1, uint64(hosts))), got: map[string][]time.Time{}, deaf: func(int) bool { return false }, asked: func(int) int { return 0 }}
 	for range hosts {
 		f := fleet.New(fleet.Options{
 			Hall:     "ikeja",
@@ -93,18 +94,19 @@
 
 func (c *crew) pick(host int, ask fleet.Ask) *fleet.Hold {
 	f := c.hosts[host]
-	if ask.Key == 0 || host == 0 {
+	adviser := c.asked(host)
+	if ask.Key == 0 || host == adviser {
 		h, _ := f.Pick(ask)
 		return h
 	}
 	if !c.deaf(host) {
-		advised, ok := c.hosts[0].Advise(ask)
+		advised, ok := c.hosts[adviser].Advise(ask)
 		if !ok {
 			return nil
 		}
 		h, ok := f.PickAt(advised, ask)
 		Expect(ok).To(BeTrue())
-		h.Ended = func() { c.hosts[0].Ended(advised) }
+		h.Ended = func() { c.hosts[adviser].Ended(advised) }
 		return h
 	}
 	ask.Unadvised = true
@@ -175,6 +177,26 @@
 		}
 	}
 
+	// A cold endpoint got more than it may within a second in which three hosts advised one after the other.
+	for _, hosts := range []int{4, 7, 60, 345} {
+		It(fmt.Sprintf("gets no more than it may while advisers are lost one after the other: %d hosts", hosts), func() {
+			paused(func() {
+				c := newCrew(hosts, 1, 60)
+				c.play(time.Second, 600, c.fresh)
+				c.each(chill)
+				clear(c.got)
+				began := time.Now()
+				c.asked = func(int) int { return min(int(time.Since(began)/(300*time.Millisecond)), 2) }
+				c.deaf = func(host int) bool {
+					return host%3 == 0 && time.Since(began)%(300*time.Millisecond) < 100*time.Millisecond
+				}
+				c.play(2900*time.Millisecond, 600, c.fresh)
+				Expect(c.worstOf(some)).To(BeNumerically("<=", int(coldMost)))
+				Expect(c.none).To(BeZero(), "warm ones had room")
+			})
+		})
+	}
+
 	It("is used meanwhile, and as others once it is warm", func() {
 		paused(func() {
 			c := newCrew(61, 1, 60)
