Soak: no ports at which hosts of another soak still listen; hosts end with their soak

Cause: a soak that had ended itself had left four hosts, which held the ports of its block; the next ones' hosts could not listen (their kept logs: address already in use), and callers were answered by the old hosts. The first port of a block tells that a soak holds it, and that soak was gone. The spec of ports failed before (the block was taken). A host that ends though nobody asked is a violation now, which the soak did not see before.

--- a/internal/soak/ports.go
+++ b/internal/soak/ports.go
@@ -37,13 +37,30 @@
 	for _, i := range rand.Perm(blocks) {
 		base := firstPort + i*blockPorts
 		l, err := net.Listen("tcp4", loopback(base))
-		if err == nil {
+		if err != nil {
+			continue
+		}
+		if hostsFree(base) {
 			return &portBlock{taken: l, base: base}, nil
 		}
+		_ = l.Close()
 	}
 	return nil, errors.New("no free ports")
 }
 
+// hostsFree reports whether nobody listens at the ports for hosts: those of a soak that was killed may
+// live on, and would answer this one's callers.
+func hostsFree(base int) bool {
+	for port := base + 1; port < base+hostPorts; port++ {
+		l, err := net.Listen("tcp4", loopback(port))
+		if err != nil {
+			return false
+		}
+		_ = l.Close()
+	}
+	return true
+}
+
 // name names the block; no two soaks that run at the same time have the same.
 func (b *portBlock) name() string { return fmt.Sprint("s", (b.base-firstPort)/blockPorts) }
 
--- a/internal/soak/ports_test.go
+++ b/internal/soak/ports_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"io"
 	"net"
+	"path/filepath"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -36,6 +37,25 @@
 		}
 	})
 
+	// Hosts of a soak that had been killed held the ports, and answered callers of the next one.
+	It("pass over ports at which somebody still listens", func() {
+		ports, err := takePorts()
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = ports.taken.Close() }()
+		Expect(hostsFree(ports.base)).To(BeTrue())
+		l, err := net.Listen("tcp4", loopback(ports.base+hostPorts-1))
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = l.Close() }()
+		Expect(hostsFree(ports.base)).To(BeFalse())
+	})
+
+	It("tell of a host that ends though nobody asked it to", func() {
+		p := &process{name: "host-0", daemon: "false", logDir: GinkgoT().TempDir(), settings: filepath.Join(GinkgoT().TempDir(), "host.yaml")}
+		Expect(p.start()).To(Succeed())
+		p.await()
+		Expect(p.ownEnds()).To(ConsistOf(ContainSubstring("host-0/1 ended by itself: exit status 1")))
+	})
+
 	It("use a port again only after all others", func() {
 		ports, err := takePorts()
 		Expect(err).NotTo(HaveOccurred())
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 
@@ -28,6 +29,8 @@
 	mu     sync.Mutex // guards all below
 	cmd    *exec.Cmd
 	starts int
+	asked  bool     // to end, in its present life
+	ends   []string // that nobody asked for
 	exited chan struct{}
 	// troubles are times in which something happened to the host.
 	troubles []trouble
@@ -96,24 +99,44 @@
 	}
 	cmd := exec.Command(p.daemon, "-settings", p.settings)
 	cmd.Stdout, cmd.Stderr = out, out
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // hosts of a soak that is killed end with it
 	if err := cmd.Start(); err != nil {
 		return fmt.Errorf("start %s: %w", p.name, err)
 	}
 	exited := make(chan struct{})
-	p.cmd, p.exited = cmd, exited
+	p.cmd, p.exited, p.asked = cmd, exited, false
 	p.starts++
+	life := fmt.Sprintf("%s/%d", p.name, p.starts)
 	go func() {
-		_ = cmd.Wait() // how it ended is seen by callers
+		err := cmd.Wait()
 		_ = out.Close()
+		p.noteEnd(life, err)
 		close(exited)
 	}()
 	return nil
 }
 
+// noteEnd notes how a life of the process ended, if nobody asked for it.
+func (p *process) noteEnd(life string, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.asked {
+		p.ends = append(p.ends, fmt.Sprintf("%s ended by itself: %v", life, err))
+	}
+}
+
+// ownEnds lists ends of the process that nobody asked for.
+func (p *process) ownEnds() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.ends)
+}
+
 // signal sends a signal to the process.
 func (p *process) signal(s syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.asked = p.asked || s == syscall.SIGKILL || s == syscall.SIGTERM
 	_ = p.cmd.Process.Signal(s) // it may have ended
 }
 
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -139,6 +139,9 @@
 	report.Violations = append(report.Violations, w.misplaced(evacuated, judged)...)
 	report.Violations = append(report.Violations, w.lateSends()...)
 	report.Violations = append(report.Violations, w.overLimits()...)
+	for _, p := range w.hosts {
+		report.Violations = append(report.Violations, p.ownEnds()...)
+	}
 	report.Cold = w.overCold()
 	report.Faults = faults
 	for _, a := range w.arrivals(w.history.broken) {
