--- a/internal/fleet/urgency.go
+++ b/internal/fleet/urgency.go
@@ -84,9 +84,9 @@
 }
 
 // readsFor is how long an endpoint reads prompts that go before a newcomer of a rank:
-// until it should be done with all, but no more than what has not begun takes. By the
-// clock alone a host that thought engines slower than they are took them for busy 20 s
-// after four times the usual load had ended.
+// until it should be done with all, but no more than what has not begun takes: by the
+// clock alone a host that thinks engines slower than they are would take them for busy long after
+// a load.
 func (m *member) readsFor(rank int, now clock.Instant) time.Duration {
 	if m.dealings == nil {
 		return 0
--- a/internal/fleet/warm.go
+++ b/internal/fleet/warm.go
@@ -20,25 +20,20 @@
 	Advisers int // of these, hosts that choose for others
 }
 
-// Parts of what a cold endpoint may get in a second. They add up to less than all of it
+// Parts of what a cold endpoint may get in a second. They add up to no more than all of it
 // where two hosts take themselves for the adviser, which lasts for about a second after one
-// is lost.
+// is lost; see newPart for a third.
 const (
-	// advisedPart is for requests on which one host advises all others, which counts them:
-	// 8 a second where 20 are allowed, and 6 to 8 are an endpoint's usual. Without any bound
-	// endpoints of a data hall that came back got 22 and more in a second, and four of seven
-	// played days of 61 hosts broke it; with it none of 43, and 345 hosts keep it in the specs.
+	// advisedPart is for requests on which one host advises all others, which counts them.
 	advisedPart = 0.4
 	// unadvisedPart is for requests with a prompt of hosts that get no advice, all together;
 	// each knows only its own.
 	unadvisedPart = 0.2
 	// plainPart is for requests without a prompt, on which nobody advises. They come at
-	// times by chance; at 9 a second on average more than 20 come once in 400 seconds.
+	// times by chance, so it is well below all.
 	plainPart = 0.45
 	// busyPart is what an endpoint gets from an adviser before others are preferred that
 	// have got less, also if nobody says that it is cold: word of that takes a second or two.
-	// Beside hosts' parts alone, which have no such preference and broke the bound in a burst
-	// of three times the load, it costs 0.018 of worth in bursts of 1.7.
 	busyPart = 0.6
 )
 
--- a/internal/quarantine/book.go
+++ b/internal/quarantine/book.go
@@ -26,9 +26,6 @@
 	unprovenFor = 6 * time.Second
 	// From so many crashes on, of its own and of all its copies, hosts do not repeat a request
 	// any more if it is as unlikely as this to have been beside them by chance; its caller may.
-	// One that comes four times a second crashes 6.3 endpoints for it in place of 7.1, and 0.014
-	// of the others are lost in place of 0.033. Beside 43 crashes by chance in 30 s it costs: 0.021
-	// in place of 0.016; without the second bound 0.058.
 	leftAt     = 2
 	leftChance = 1e-3
 )
--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -29,20 +29,16 @@
 	return Run{Lasted: max(r.Lasted, o.Lasted), Answered: max(r.Answered, o.Answered), Copies: max(r.Copies, o.Copies), Of: cmp.Or(r.Of, o.Of)}
 }
 
-// Parameters of the judgement. Their figures are from days of the package's own pool (its
-// tests): 9 endpoints with 8 requests each.
+// Parameters of the judgement.
 const (
 	// crashesLeast is at how many crashes a request is told from those that were beside it
-	// by chance; the users allow three. At two, 4 to 5 requests a day were taken for one that
-	// crashes endpoints and only stood beside it; at three and by this judgement one in 30 days.
+	// by chance; the users allow three.
 	crashesLeast = 3
 	// crashesSure is from how many on one of several that can't be told apart is taken: those
 	// that share a caller and a prompt go to the same endpoints again and again. A request that
 	// gets so far without one good end has been sent by its caller twice at least.
 	crashesSure = 5
-	// chanceMost is how likely a request may have been beside all of its crashes by chance. Of
-	// a thousand requests beside 43 crashes by chance in 30 s, 1.6 are taken for guilty; at ten
-	// times as much 4.7, at a tenth 0.5, and then a guilty one beside such crashes has one more.
+	// chanceMost is how likely a request may have been beside all of its crashes by chance.
 	chanceMost = 1e-4
 	// together is how far apart crashes are at least that speak for themselves: endpoints of a
 	// rack end at one moment. A request that is sent on after a crash crashes the next endpoint
--- a/internal/upgrade/allowed.go
+++ b/internal/upgrade/allowed.go
@@ -51,8 +51,7 @@
 
 // inForce is the version that requests run on which do not go to the target; empty if it
 // is not known. Any other than the target's would be wrong: while one order follows
-// another, endpoints of a version that was rolled back are still there, and ten requests of
-// sessions ran on them within 0.3 s (played day).
+// another, endpoints of a version that was rolled back are still there.
 func (t *Tracker) inForce(name string, s *service) string {
 	switch {
 	case s.begun():
--- a/internal/upgrade/judge.go
+++ b/internal/upgrade/judge.go
@@ -9,15 +9,12 @@
 	// badAround is the part of the target's endpoints that answered which failed some, where
 	// the target fails far more than the others: one of which half of all answers fail
 	// shows it after one or two answers of each. Endpoints of a good version that fail for
-	// reasons of their own do not: five of 18 that fail half of theirs rolled it back in 6 of
-	// 6 upgrades without this, and in 3 of 100 with it (simulated, 6 hosts).
+	// reasons of their own do not.
 	badAround     = 0.5
 	badRate       = 0.12 // part of bad answers above badRateFactor times what the others show
 	badRateFactor = 2.0
 	// badDoubt is the chance, as a logarithm, to see so many failures of a version that
-	// has badRateFactor times the others', or badUsual. Without it four of fewer than
-	// 20 answers, where 4 in 100 of all fail, rolled a good version back in 3 of 190
-	// upgrades (spec), in 1 of 190 with 3.0, in none of 190 with this.
+	// has badRateFactor times the others', or badUsual: a few of few answers say little.
 	badDoubt = 4.6
 	badUsual = 0.02 // part of failures that is chance
 	// excessDoubt is how much likelier it has to be that a version fails a part of its answers
@@ -25,8 +22,7 @@
 	// times, at answers most of which were there before.
 	excessDoubt = 6.9
 	// referenceLeast is of how many answers of the other versions their endpoints' failures are
-	// taken, and no fewer than the target's. A second after a trial began 12 endpoints
-	// had told one failure, where 0.37 of all answers failed (log of a played day).
+	// taken, and no fewer than the target's: few are told in the first second of a trial.
 	referenceLeast = 50
 )
 
@@ -39,9 +35,7 @@
 	// slowDoubt is the chance to call a version slow that is not, as the logarithm
 	// of 1 to 10,000: an upgrade is judged a few hundred times.
 	slowDoubt = 9.2
-	// recentDoubt is the same for recent answers, which are new ones each time: with 9.2 a
-	// good version among 60 hosts, a third of whose streams are slow by chance, was rolled
-	// back in 3 of 400 upgrades (spec).
+	// recentDoubt is the same for recent answers, which are new ones each time.
 	recentDoubt = 12.0
 	// recentUsual is the part of recent failures that is chance: hosts tell of failures as they
 	// come, and what is told of recent answers shows up to twice as many as there are.
@@ -142,10 +136,8 @@
 
 // MayBeItsOwn reports whether the target fails so much that it would be bad if its endpoints
 // were as well as the best of the others. Where most of those fail, a version that fails as
-// often can't be told from one whose endpoints do: one that failed 0.35 of its answers beside
-// old endpoints that failed 0.45 was completed, and got 8,439 requests too late (played day,
-// 91 hosts). It is taken back before it gets all keys, or at the end of its time: a good
-// one can be ordered again, the endpoints of the old one can't be had back.
+// often can't be told from one whose endpoints do. It is taken back before it gets all keys, or at
+// the end of its time: a good one can be ordered again, the endpoints of the old one can't be had back.
 func (j Judgement) MayBeItsOwn() bool {
 	if j.Weighed.Target.Bad < clearFailures {
 		return false
--- a/internal/upgrade/recently.go
+++ b/internal/upgrade/recently.go
@@ -7,10 +7,8 @@
 )
 
 // recentSpan is for how long answers count as recent, two halves of it at most. Counts of
-// all answers since the order hide a version that turns bad: with 846 good answers before, 63
-// failures in 1.2 s left it at 7 in 100, and it was completed (log of a played day). Of
-// 104 requests/s, half of which fail, the failures of 1.5 s are a quarter of what is
-// recent; where a version has few requests, all since the order are few.
+// all answers since the order hide a version that turns bad behind the good ones of before; where a
+// version has few requests, all since the order are few.
 const recentSpan = 2 * time.Second
 
 // recently counts answers of the last moments by route, in halves of recentSpan.
--- a/internal/upgrade/run.go
+++ b/internal/upgrade/run.go
@@ -21,9 +21,7 @@
 	writeEveryPart = 1.0 / 24
 	// Evidence is written once in half a second at most, and only when some count of it
 	// has grown by publishGrowth: what a host has seen is known within that factor by all,
-	// with a number of writes that grows with its logarithm. With turns spread evenly and
-	// evidence at set times an upgrade among 300 hosts took 494 to 513 writes, with these 49
-	// (spec).
+	// with a number of writes that grows with its logarithm.
 	publishEvery = 500 * time.Millisecond
 	// publishEveryLast is the same in the last stage of a version that fails some answers.
 	publishEveryLast = 250 * time.Millisecond
@@ -35,19 +33,16 @@
 	failuresEvery = 100 * time.Millisecond
 	publishGrowth = 2
 	// Shared rows are read once in a quarter of a second at most, by many hosts at a
-	// rate that their reader answers with 0.03 of a core (0.2 ms each).
+	// rate that their reader can answer.
 	readEvery   = 250 * time.Millisecond
 	readPerHost = time.Millisecond
-	// judgeEvery is how often a host weighs what all have told at most: where many fail, that
-	// takes 2.5 ms of a core for 91 hosts (profile of the benchmark), each of which tells
-	// several times a second.
+	// judgeEvery is how often a host weighs what all have told at most: where many fail, each
+	// tells several times a second.
 	judgeEvery = 100 * time.Millisecond
 	watchWait  = 5 * time.Second        // one waiting read of the shared table
 	watchRetry = 500 * time.Millisecond // after a failed read
 	// turnDoubles is the time in which twice as many hosts have had a turn, so that one
-	// writes, the others see it, and a few follow if that one can't. A write is seen by 295
-	// hosts in 0.17 to 0.25 s (log of a played day), 0.7 s at most, so two to four write for
-	// nothing.
+	// writes, the others see it, and a few follow if that one can't.
 	turnDoubles = 350 * time.Millisecond
 	// clockWidth is how far the bounds of the store's clock may be apart where an upgrade
 	// is begun: that much of its time is lost.
--- a/internal/upgrade/schedule.go
+++ b/internal/upgrade/schedule.go
@@ -22,10 +22,8 @@
 // the end of its time. What the last stage costs is its length, what the second one costs
 // is secondShare of it, and the trial has the rest.
 const (
-	// exposureUsed is the part of the bound that is planned for. Requests that fail come again,
-	// and a load may peak at the end: a version of which a tenth of the answers failed
-	// late, which is too little to find it bad, got 0.159 of the requests where 0.1425 were
-	// planned (day played on 6 hosts).
+	// exposureUsed is the part of the bound that is planned for: requests that fail come again,
+	// and a load may peak at the end.
 	exposureUsed = 0.87
 	exposureMost = 0.25 // used, whatever the bound: with more the stages would not fit in the second half
 	lastPart     = 2.0 / 3
@@ -43,9 +41,7 @@
 
 // Schedule says when a target gets which share of the keys. All that a version has had by
 // the end of its time stays within the bound on exposure, so the bound holds at whatever
-// moment it turns bad: shares of 0.2, 0.5 and 1 from 0.50, 0.60 and 0.72 of the time on
-// added up to 0.36 of the requests, and versions that turned bad in the last third got up to
-// 0.39 where 0.15 is allowed (days played on 6 hosts, 104 requests/s).
+// moment it turns bad.
 type Schedule struct {
 	within   time.Duration
 	exposure float64 // that may be used
@@ -82,9 +78,7 @@
 
 // raiseLead is how long before its beginning a larger share is written, so that all hosts
 // know of it by then: what a host hears later it does later, and a session that goes to
-// the target on one host comes back on another. The change reached 295 hosts in 0.17 and
-// 0.25 s (log of a played day), and takes 0.7 s at most: 0.4 s at its reader, 0.3 s until
-// hosts ask again.
+// the target on one host comes back on another.
 const raiseLead = time.Second
 
 // raiseLeadPart of an upgrade's time bounds that lead.
--- a/internal/upgrade/untold.go
+++ b/internal/upgrade/untold.go
@@ -7,11 +7,9 @@
 )
 
 // Untold is what is known of answers that nobody has told of. Hosts tell of failures at
-// once, so what is untold is good. Silent hosts were taken to have seen as many of the
-// target's answers as those that told, who told because they had seen some: 34 answers of 17
-// hosts made 147 good ones of 74 others, where some five had come (log of a played day).
-// With nothing untold a good version beside endpoints that fail 0.45 showed 0.58 (176 of 302
-// answers, spec).
+// once, so what is untold is good. Silent hosts have seen fewer of the target's answers than those
+// that told, who told because they had seen some; with nothing untold a good version beside
+// endpoints that fail would look worse than it is.
 type Untold struct {
 	Silent int // hosts that have told nothing
 	// Known tells that HostSeconds is, the time that hosts have not told of, added up and
@@ -23,8 +21,7 @@
 // untoldFor is how long it takes at most until all hosts tell all that they see, once one has
 // seen a failure of the target: 0.35 s until it is told and read, half a second until
 // hosts tell again, and as long until that is read. A host that tells nothing after that has
-// seen nothing: taken to have had as many good answers as others, such hosts completed bad
-// versions beside endpoints that fail 0.45 in 7 of 12 upgrades (spec with seeds 1 to 6).
+// seen nothing.
 const untoldFor = 1200 * time.Millisecond
 
 // answers returns how many answers of the target, of which some hosts told, nobody has; all
--- a/internal/upgrade/writes.go
+++ b/internal/upgrade/writes.go
@@ -104,8 +104,8 @@
 }
 
 // othersFail reports whether this host has seen failures of other versions. Then those of the
-// target are told no earlier than its good answers: a good version beside endpoints that fail
-// 0.45 showed 0.51 (127 of 250 answers, spec) where they were told a quarter of a second earlier.
+// target are told no earlier than its good answers, or a good version beside endpoints that fail
+// would look worse than it is.
 func (s *service) othersFail() bool {
 	for _, p := range s.own.Routes {
 		if p.OtherBy.failing() > 0 {
