--- a/internal/gatewayd/crashes_test.go
+++ b/internal/gatewayd/crashes_test.go
@@ -32,6 +32,8 @@
 	"calls at more endpoints than there are":    {path: "/again/", every: 400 * time.Millisecond, once: 24},
 	"many at once, beside crashes by chance":    {path: "/again/", every: 400 * time.Millisecond, once: 24, by: 700 * time.Millisecond},
 	"many streams at once, beside such crashes": {path: "/stream/", every: 400 * time.Millisecond, once: 24, by: 400 * time.Millisecond},
+	"at 2 hosts":                                    {path: "/stream/", every: 250 * time.Millisecond, once: 2, hosts: 2},
+	"at 16 hosts, a copy at each":                   {path: "/stream/", every: 700 * time.Millisecond, once: 16, hosts: 16},
 	"now and then":                                  {path: "/stream/", every: 1500 * time.Millisecond},
 	"a call that may be repeated":                   {path: "/again/", every: 250 * time.Millisecond},
 	"a call that runs once":                         {path: "/once/", every: 250 * time.Millisecond},
--- a/internal/gatewayd/crashrig_test.go
+++ b/internal/gatewayd/crashrig_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -86,6 +87,7 @@
 	// killHolderAt is when the host is killed that has the duties; 0 for never.
 	killHolderAt time.Duration
 	lasts        time.Duration
+	hosts        int // as many as usual if it is 0
 }
 
 // playCrashes plays a day.
@@ -139,7 +141,7 @@
 			r.running.Go(m.Run)
 		}
 	}
-	for i := range crashHosts {
+	for i := range cmp.Or(d.hosts, crashHosts) {
 		h := &crashHost{rig: r, number: i}
 		h.start()
 		r.hosts = append(r.hosts, h)
@@ -275,7 +277,7 @@
 			path, body = "/stream/x", "the same"
 		}
 		asked := time.Now()
-		status := r.ask(ctx, r.draw(crashHosts), path, body)
+		status := r.ask(ctx, r.draw(len(r.hosts)), path, body)
 		if ctx.Err() == nil { // else the day has ended in the middle of it
 			r.note(asked, path, status, time.Since(began) > d.lasts/2)
 		}
@@ -288,9 +290,11 @@
 	var under sync.WaitGroup
 	defer under.Wait()
 	for ctx.Err() == nil {
-		first := r.draw(crashHosts)
+		first := r.draw(len(r.hosts))
 		for i := range max(d.once, 1) {
-			under.Go(func() { r.note(time.Now(), crashBody, r.ask(ctx, (first+i)%crashHosts, d.path+"x", crashBody), false) })
+			under.Go(func() {
+				r.note(time.Now(), crashBody, r.ask(ctx, (first+i)%len(r.hosts), d.path+"x", crashBody), false)
+			})
 		}
 		sleepFor(ctx, d.every)
 	}
