--- a/internal/fleet/warm.go
+++ b/internal/fleet/warm.go
@@ -37,10 +37,11 @@
 	busyPart = 0.6
 )
 
-// tenure is since when a host chooses for others too, without a break.
+// tenure is for how long a host has chosen endpoints with knowledge of all requests, its own and those that it
+// advises others on; an immutable value.
 type tenure struct{ since, last clock.Instant }
 
-// at returns the tenure with a choice at a moment; one long after the last begins anew.
+// at returns the tenure after a choice; one that comes long after the last begins a new tenure.
 func (t tenure) at(now clock.Instant) tenure {
 	if t.last.IsZero() || now.Sub(t.last) >= sendSpan {
 		t.since = now
@@ -49,12 +50,12 @@
 	return t
 }
 
-// isNew reports whether another host may have chosen in the last sendSpan, of whose choices this one
-// knows nothing.
+// isNew reports whether another host may have advised within the last sendSpan: this one does not know what
+// that host let through.
 func (t tenure) isNew(now clock.Instant) bool { return now.Sub(t.since) < sendSpan }
 
-// newPart is for requests on which a host advises that has just begun to: the one before it may have let all
-// its part through, and a third one may follow.
+// newPart takes the place of advisedPart at a host that has just begun to advise: the adviser before it may have
+// let its whole part through, and a third one may follow within the second.
 const newPart = 0.1
 
 // alone reports whether one host chooses the endpoints of all prompts.
--- a/internal/quarantine/book.go
+++ b/internal/quarantine/book.go
@@ -72,8 +72,8 @@
 	ongoing  map[*Ongoing]struct{}
 	verdicts map[Fingerprint]Verdict
 	judged   bool // verdicts stand on the view
-	// heard tells of each crash, by the endpoint's start, what ran there as far as was known and since
-	// when that is so; settles is when the next crash counts that does not yet.
+	// heard has each crash, by the endpoint's start, as it was known last, and since when; settles is when the
+	// next one settles.
 	heard   map[string]Crash
 	settles time.Duration
 	kept    bool // the store has a row of this host
@@ -306,8 +306,8 @@
 	return b.view
 }
 
-// hear notes since when as much is known of crashes as now. What a host that starts learns of those before
-// its start is all that there is.
+// hear notes in crashes since when as much is known of each. What a host learns as it starts is taken to be
+// complete.
 func (b *Book) hear(crashes []Crash) {
 	now, heard := b.clock.Now(), make(map[string]Crash, len(crashes))
 	for i, c := range crashes {
--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -101,7 +101,8 @@
 	lateFrom = time.Second
 )
 
-// settles is when a crash counts that nothing more is heard of.
+// settles returns when the crash begins to count against requests that are not in quarantine yet, unless
+// more is heard of it before.
 func (c Crash) settles() time.Duration {
 	if c.Heard-c.At >= lateFrom {
 		return c.Heard + settleLate
@@ -122,7 +123,7 @@
 // never is later than all moments of a steady clock.
 const never = time.Duration(math.MaxInt64)
 
-// nextSettled is when the next crash counts that does not yet.
+// nextSettled returns when the next crash settles; never if all have.
 func (e Evidence) nextSettled() time.Duration {
 	next := never
 	for _, c := range e.Crashes {
@@ -133,15 +134,14 @@
 	return next
 }
 
-// settled is the evidence of crashes of which nothing new is likely to come.
+// settled returns the evidence without crashes of which more may come to be known.
 func (e Evidence) settled() Evidence {
 	e.Crashes = slices.DeleteFunc(slices.Clone(e.Crashes), func(c Crash) bool { return c.settles() > e.Now })
 	return e
 }
 
-// Review finds the requests that crash what runs them as Judge does, and does not go to and fro while
-// news come in parts: a request comes into quarantine if it would without the news of the last moment too, and
-// stays there while it would with them or without them.
+// Review judges evidence that comes in parts. A request that is not in quarantine comes there if Judge finds it
+// guilty by all crashes and by the settled ones alone; one that is there stays if either does.
 func Review(e Evidence) map[Fingerprint]Verdict {
 	all := Judge(e)
 	settled := e.settled()
