--- a/internal/soak/arrivals.go
+++ b/internal/soak/arrivals.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -48,7 +47,7 @@
 			found = append(found, a)
 		}
 	}
-	slices.SortFunc(found, func(a, b arrival) int { return cmp.Compare(a.At.UnixNano(), b.At.UnixNano()) })
+	slices.SortFunc(found, func(a, b arrival) int { return a.At.Compare(b.At) })
 	return found
 }
 
