--- a/internal/upgrade/lastlook_test.go
+++ b/internal/upgrade/lastlook_test.go
@@ -42,20 +42,28 @@
 	return p.Stage
 }
 
-var _ = Describe("a version beside endpoints that fail", func() {
+// idle is nothing to do meanwhile.
+func idle() {}
+
+// onTrial returns hosts that have seen good answers of a target since its first share, beside an old version
+// whose endpoints fail.
+func onTrial() *hosts {
 	const within = 24 * time.Second // of an order
-	idle := func() {}
+	h := newHosts(4)
+	h.order(7)
+	h.failingOld(within/2+time.Second, idle)
+	for i := range h.trackers {
+		h.target(i, 2, 0)
+	}
+	return h
+}
 
+var _ = Describe("a version beside endpoints that fail", func() {
 	// The last share was written on what was known a second before it began, and nothing looked again until the completion.
 	It("gets no last share once it fails as they do", func() {
 		suite.Paused(func() {
-			h := newHosts(4)
+			h := onTrial()
 			defer h.stop()
-			h.order(7)
-			h.failingOld(within/2+time.Second, idle)
-			for i := range h.trackers {
-				h.target(i, 2, 0)
-			}
 			for h.stage() < 2 {
 				h.failingOld(100*time.Millisecond, idle)
 			}
@@ -72,13 +80,8 @@
 	// The completion took a last look at what hosts had told, and asked less of it than the look before.
 	It("does not come into force if a last look shows that it fails as they do", func() {
 		suite.Paused(func() {
-			h := newHosts(4)
+			h := onTrial()
 			defer h.stop()
-			h.order(7)
-			h.failingOld(within/2+time.Second, idle)
-			for i := range h.trackers {
-				h.target(i, 2, 0)
-			}
 			for h.share() < 0.9 {
 				h.failingOld(100*time.Millisecond, idle)
 			}
