A version that may be bad is taken back within the bound after many failures

A share that is due late is a look that is late, whatever has been seen; ruled out by the same lines: news that came late (all hosts had it within half a second), and load. Mend: a host that has known of 50 failures for 3 s stops the use of a version that may be bad, at whatever share; users allow 5 s after the 50th, and hosts know of them up to a second late. The spec "gets nothing more within the bound after many failures that may be its own" failed before (share 0.07 after 5 s) and passes.

--- a/internal/upgrade/lastlook_test.go
+++ b/internal/upgrade/lastlook_test.go
@@ -77,6 +77,22 @@
 		})
 	})
 
+	// Its failures were weighed only as the next share was due, which may be later than the bound.
+	It("gets nothing more within the bound after many failures that may be its own", func() {
+		suite.Paused(func() {
+			h := onTrial()
+			defer h.stop()
+			for i := range h.trackers {
+				h.target(i, 40, 14)
+			}
+			h.failingOld(2*time.Second, idle)
+			Expect(h.share()).To(BeNumerically(">", 0), "it is on trial")
+			h.failingOld(lateAfter-2*time.Second, idle)
+			Expect(h.share()).To(BeZero())
+			Expect(h.status()).To(MatchJSON(`{"state":"rolled_back","target_version":"v2"}`))
+		})
+	})
+
 	// The completion took a last look at what hosts had told, and asked less of it than the look before.
 	It("does not come into force if a last look shows that it fails as they do", func() {
 		suite.Paused(func() {
--- a/internal/upgrade/tracker.go
+++ b/internal/upgrade/tracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/charmbracelet/log"
 
@@ -64,6 +65,7 @@
 	writeAt      clock.Instant   // progress is not written before
 	publishedAt  clock.Instant   // when evidence was written last
 	failsSince   clock.Instant   // when this host first knew of a failure of the target
+	manySince    clock.Instant   // the same of as many as show a bad version
 	others       map[string]told // by host
 	judgedAt     clock.Instant
 	unjudged     bool // there is evidence that came after it
@@ -273,6 +275,9 @@
 	if s.failsSince.IsZero() && j.Seen.Target.Bad > 0 {
 		s.failsSince = s.judgedAt
 	}
+	if s.manySince.IsZero() && j.Seen.Target.Bad >= manyFailures {
+		s.manySince = s.judgedAt
+	}
 	t.believe(s, j)
 	if s.condemned != "" || s.finished() {
 		return
@@ -288,16 +293,33 @@
 // mayBeItsOwn is why a version is taken back that can't be told from a bad one.
 const mayBeItsOwn = "failures that may be its own, beside endpoints that fail"
 
-// faultIn returns why a judgement has this host stop using the target; "" if it does not. Once the
-// last share is written, which goes by what was known a second before it begins, nothing else looks
-// again at failures that may be its own until the completion.
+// Bounds on how long a version is used that may be bad: users allow nothing sent to a bad one 5 s
+// after so many of its answers have failed, and hosts know of these up to a second late.
+const (
+	manyFailures = 50
+	decideWithin = 3 * time.Second
+)
+
+// faultIn returns why a judgement has this host stop using the target; "" if it does not. Failures that
+// may be its own are weighed as larger shares are written; nothing else looks at them again once the last
+// one is, which goes by what was known a second before it begins, or while the next share is not due.
 func (s *service) faultIn(j Judgement) string {
 	switch {
 	case j.Verdict == VerdictBad:
 		return j.Reason
-	case s.begun() && s.progress.Stage == lastStage && j.MayBeItsOwn():
+	case s.mustDecide() && j.MayBeItsOwn():
 		return mayBeItsOwn
 	default:
 		return ""
 	}
 }
+
+// mustDecide reports whether a version that may be bad has to be taken back now.
+func (s *service) mustDecide() bool {
+	return s.begun() && (s.progress.Stage == lastStage || s.overdue(s.judgedAt))
+}
+
+// overdue reports whether this host has known of many failures for long, and still uses the version.
+func (s *service) overdue(now clock.Instant) bool {
+	return s.condemned == "" && !s.manySince.IsZero() && now.Sub(s.manySince) >= decideWithin
+}
--- a/internal/upgrade/writes.go
+++ b/internal/upgrade/writes.go
@@ -28,7 +28,7 @@
 	var writes []write
 	now := clock.Now()
 	for name, s := range t.services {
-		if s.unjudged {
+		if s.unjudged || s.overdue(now) {
 			t.judge(s)
 		}
 		if s.finished() {
