Copies that waited for a service without endpoints go by turns if their request may have emptied it

Each crash cut off what else ran there. With two known a request is no suspect, so as the service came back copies that had waited at three hosts were sent at once, and crashed three more endpoints. Turns were asked only from three known crashes on. Mend: a request that has waited for a service without endpoints goes by turns from two known crashes on, if it was at half or more of those that happened meanwhile. What loses its endpoints to a power cut was at few of the crashes and goes on as before; so does what did not wait. Ruled out: turns for all from two crashes on (a request that met two chance crashes would wait a second for each other one), and the chance that is worked out (it goes by how many endpoints a service has, which is none then).

--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -22,11 +22,17 @@
 // in a second.
 const suspectRate = 1
 
+// suspect reports whether endpoints may crash under the request, so that it has to wait for its turn.
+func (x *exchange) suspect() bool {
+	s := x.standing()
+	return s.Suspect() || (x.stranded && s.MayHaveEmptied())
+}
+
 // awaitTurn waits until a request under which endpoints may crash may be sent. Copies that wait while a
 // service has no endpoint would otherwise all go as the first one is back, and crash it together. One of
 // all suspects runs at a time, so that what it does to its endpoint speaks of no other.
 func (x *exchange) awaitTurn(ctx context.Context) error {
-	for x.g.Limits != nil && !x.suspectTurn && x.standing().Suspect() {
+	for x.g.Limits != nil && !x.suspectTurn && x.suspect() {
 		wait, granted := x.g.Limits.Turn(ctx, "suspect/"+x.service, suspectRate)
 		if granted {
 			x.suspectTurn = true
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -150,6 +150,7 @@
 	counted    bool              // it has begun to run, and was counted
 	crashes    int               // of endpoints while it ran there
 	held       bool              // it was refused since endpoints crash under it
+	stranded   bool              // no endpoint took it
 	// suspectTurn tells that it may be sent once though endpoints may crash under it.
 	suspectTurn bool
 	// fingerprint is that by which the request is known when it comes again; it is hashed when
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -115,6 +115,33 @@
 		})
 	})
 
+	// Two crashes are known of those that emptied the service, a third not yet; all copies that waited were sent together.
+	It("is sent one copy at a time to a service that it may have emptied", func() {
+		suite.Paused(func() {
+			r := crashRig()
+			defer r.stop()
+			r.lending()
+			later := []string{"plain-3", "plain-4", "plain-5", "plain-6"}
+			for _, id := range later {
+				r.fleet.Remove(id)
+			}
+			r.asking("/again/1", "bad", "a")
+			Expect(r.runs()).To(Equal(2), "both that were there crashed")
+			r.fleet.Remove("plain-1")
+			r.fleet.Remove("plain-2")
+			asked := make(chan standin.Answer, 8)
+			for _, id := range []string{"b", "c", "d", "e", "f"} {
+				go func() { asked <- r.asking("/again/1", "bad", id) }()
+			}
+			time.Sleep(30 * time.Millisecond)
+			r.relist(later...)
+			for range 5 {
+				Expect((<-asked).Status).NotTo(Equal(http.StatusOK))
+			}
+			Expect(r.runs()).To(BeNumerically("<=", 3), "the third tells it")
+		})
+	})
+
 	It("is let out by an answer of its own that comes to a good end", func() {
 		suite.Paused(func() {
 			r := crashRig()
--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -20,6 +20,7 @@
 	"quaybarrow/internal/fleet"
 	"quaybarrow/internal/gateway"
 	"quaybarrow/internal/quarantine"
+	"quaybarrow/internal/ratelimit"
 	"quaybarrow/internal/route"
 	"quaybarrow/internal/standin/memnet"
 	"quaybarrow/internal/store"
@@ -135,6 +136,13 @@
 	return r
 }
 
+// lending has the gateway's host, alone, give turns to suspect requests.
+func (r *rig) lending() {
+	r.gateway.Limits = ratelimit.NewDesk(ratelimit.Options{
+		Host: "h", Fleet: r.fleet, Known: func() bool { return true }, Members: func() []ratelimit.Member { return nil }, Logger: log.New(r.log),
+	})
+}
+
 // relist lists endpoints, also again.
 func (r *rig) relist(ids ...string) {
 	for _, id := range ids {
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -74,6 +74,7 @@
 			if x.g.Fleet.Away(x.service) {
 				return nil, errAway
 			}
+			x.stranded = true
 			return nil, errNoEndpoint
 		}
 		c, err := x.g.Pool.Get(ctx, hold.Endpoint.Address, x.connLimit())
@@ -109,7 +110,7 @@
 		return context.DeadlineExceeded
 	case x.standing().Quarantined:
 		return errQuarantined
-	case x.standing().Suspect() && !x.suspectTurn:
+	case x.suspect() && !x.suspectTurn:
 		return errSuspect
 	default:
 		return nil
--- a/internal/quarantine/book.go
+++ b/internal/quarantine/book.go
@@ -24,10 +24,6 @@
 	// unprovenFor is how long a broken connection waits for a proof by the list that its
 	// endpoint has crashed: three heartbeats, and two hops.
 	unprovenFor = 6 * time.Second
-	// From so many crashes on, of its own and of all its copies, hosts do not repeat a request
-	// any more if it is as unlikely as this to have been beside them by chance; its caller may.
-	leftAt     = 2
-	leftChance = 1e-3
 )
 
 // Options set up a Book.
@@ -251,28 +247,6 @@
 	}
 }
 
-// Standing is what is known of a request; an immutable value.
-type Standing struct {
-	// Quarantined tells that endpoints crash under it: it is not sent to any.
-	Quarantined bool
-	// Moments at which endpoints crashed beside it since it last came to a good end, and how
-	// likely that was by chance.
-	Moments int
-	Chance  float64
-	// Crashed counts the endpoints that crashed beside it since then, also at the same moment.
-	Crashed int
-}
-
-// Suspect reports whether as many endpoints have crashed beside the request as one has to crash to be
-// told from others, though it is not told from them yet.
-func (s Standing) Suspect() bool { return !s.Quarantined && s.Crashed >= crashesLeast }
-
-// Repeats reports whether a host may repeat the request on its own that so many endpoints have
-// crashed under since it came this time.
-func (s Standing) Repeats(crashes int) bool {
-	return !s.Quarantined && (min(crashes, s.Moments) < leftAt || s.Chance > leftChance)
-}
-
 // Standing returns what is known of a request.
 func (b *Book) Standing(f Fingerprint) Standing {
 	if !b.Watching() {
@@ -283,7 +257,7 @@
 	b.judge()
 	_, held := b.verdicts[f]
 	s := b.seen().of(f)
-	return Standing{Quarantined: held, Moments: s.moments, Chance: s.Chance, Crashed: len(s.crashed)}
+	return Standing{Quarantined: held, Moments: s.moments, Chance: s.Chance, Crashed: len(s.crashed), Beside: s.beside}
 }
 
 // ago is how long ago a moment of the book's clock was.
--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -170,6 +170,7 @@
 	request Fingerprint
 	moments int      // at which endpoints crashed
 	crashed []string // their starts
+	beside  int      // endpoints of the same services that crashed meanwhile without it
 }
 
 // strongest returns what speaks against the request against which most does, if that is
@@ -243,9 +244,23 @@
 		s.moments++
 	}
 	s.Chance *= chance
+	s.beside = besides(f, open, against)
 	return s
 }
 
+// besides counts the endpoints that crashed without a request while others of their services crashed beside it.
+func besides(f Fingerprint, open, against []Crash) int {
+	from, to := against[0].At-together, against[len(against)-1].At+together
+	n := 0
+	for _, c := range open {
+		_, under := c.Under[f]
+		if !under && c.At >= from && c.At <= to && slices.ContainsFunc(against, func(o Crash) bool { return o.Service == c.Service }) {
+			n++
+		}
+	}
+	return n
+}
+
 // rateBeside is how many endpoints a second crashed in a time without a request.
 func rateBeside(f Fingerprint, crashes []Crash, from, to time.Duration) float64 {
 	others := unseen
