What an answer waited says nothing of an endpoint that is idle by its own word

Answers that silent links had held up came as the links were back, and each counts as a wait at its endpoint, fading over two seconds; refused requests bring no other answer. Ruled out: the overrun of a service, whose answers are bounded to e^2.5, and what is worked out of prompts and slots, which was nothing. Mend: where the endpoint's own word, as old as a wait may be, and what was sent there since leave less than one request, the wait is none. Endpoints that say nothing of their load are kept away from as before (spec "keeps away from an endpoint whose answers wait"). The spec "are no wait of what comes once they are there and nothing else is" failed before (refused) and passes; so do fleet, gateway and admission.

--- a/internal/fleet/await_test.go
+++ b/internal/fleet/await_test.go
@@ -6,6 +6,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"quaybarrow/internal/admission"
 	"quaybarrow/internal/fleet"
 	"quaybarrow/internal/standin/suite"
 )
@@ -79,6 +80,23 @@
 		})
 	})
 
+	// Answers that a silent link held up for seconds had requests refused at endpoints with nothing to do.
+	It("are no wait of what comes once they are there and nothing else is", func() {
+		suite.Paused(func() {
+			f := fleet.New(fleet.Options{Hall: "ikeja"})
+			f.Put(fleet.Endpoint{ID: "only", Service: "s", Hall: "ikeja", Slots: 8})
+			held, _ := f.Pick(note(1))
+			time.Sleep(6 * time.Second)
+			held.Head(fleet.Load{Running: 1, Slots: 8})
+			held.Done(fleet.Result{Outcome: fleet.OutcomeGood})
+			ask := note(2)
+			ask.Slack, ask.Left = 2*time.Second, 3*time.Second
+			h, d := f.Place(ask)
+			Expect(d).To(Equal(admission.Send{}))
+			Expect(h).NotTo(BeNil())
+		})
+	})
+
 	It("are known by what other hosts were advised to send there", func() {
 		suite.Paused(func() {
 			f := newFleet()
--- a/internal/fleet/urgency.go
+++ b/internal/fleet/urgency.go
@@ -70,10 +70,12 @@
 }
 
 // waiting is how long requests that go before a newcomer of a rank, or with it, have
-// lately waited at an endpoint beyond what their prompts took; it fades as nothing more
-// is heard.
-func (m *member) waiting(rank int, now clock.Instant) time.Duration {
-	if m.dealings == nil {
+// lately waited at an endpoint of a load beyond what their prompts took; it fades as nothing more
+// is heard. Where by the endpoint's own word nothing runs there is nobody to wait for: those were held up
+// on their way.
+func (m *member) waiting(rank int, load float64, now clock.Instant) time.Duration {
+	idle := now.Sub(m.saidAt) < echoLife && load*float64(m.slots()) < 1
+	if m.dealings == nil || idle {
 		return 0
 	}
 	longest := time.Duration(0)
@@ -112,7 +114,7 @@
 func (f *Fleet) queue(m *member, urgency int, load float64, now clock.Instant) time.Duration {
 	r := rank(urgency)
 	full := m.slotWait(r, load, f.stay(m.Service))
-	return max(m.readsFor(r, now), full, m.waiting(r, now), m.overdue(now))
+	return max(m.readsFor(r, now), full, m.waiting(r, load, now), m.overdue(now))
 }
 
 // Parameters of the time that requests hold a slot, from the answer's head on.
