--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -183,7 +183,7 @@
 		}
 	}
 	slices.SortFunc(found, func(a, b suspicion) int {
-		return cmp.Or(cmp.Compare(b.moments, a.moments), e.heldFirst(a.request, b.request), cmp.Compare(a.Chance, b.Chance), slices.Compare(a.request[:], b.request[:]))
+		return cmp.Or(cmp.Compare(b.moments, a.moments), cmp.Compare(a.Chance, b.Chance), slices.Compare(a.request[:], b.request[:]))
 	})
 	for i, s := range found {
 		if s.moments >= crashesSure || !slices.ContainsFunc(found[i+1:], s.alike) {
@@ -193,20 +193,6 @@
 	return suspicion{}, false
 }
 
-// heldFirst orders a request in quarantine before one that is not.
-func (e Evidence) heldFirst(a, b Fingerprint) int {
-	_, first := e.Held[a]
-	_, second := e.Held[b]
-	switch {
-	case first && !second:
-		return -1
-	case second && !first:
-		return 1
-	default:
-		return 0
-	}
-}
-
 // alike reports whether another request was at the same crashes.
 func (s suspicion) alike(other suspicion) bool { return slices.Equal(s.crashed, other.crashed) }
 
