--- a/internal/admission/order.go
+++ b/internal/admission/order.go
@@ -2,9 +2,8 @@
 
 import "time"
 
-// Thresholds of the order among requests to engines. They answer loads that engines can't
-// serve in time: four times the usual for eight seconds, with two fifths of the engines
-// gone for six of them.
+// Thresholds of the order among requests to engines, for loads that engines can't serve in
+// time.
 const (
 	// likelyInTime is the least chance to begin in time with which a request goes at its
 	// own urgency. Others take no place of one that can be in time.
@@ -16,8 +15,7 @@
 	// waits are kept here, where they end when engines are idle elsewhere.
 	roomWait = 150 * time.Millisecond
 	// lastCall times what an answer is expected to take is left when a request that was let
-	// wait is sent in any case: it is served late rather than held in vain. Without it
-	// those that waited through a load were refused as their callers left.
+	// wait is sent in any case: it is served late rather than held in vain.
 	lastCall = 1.5
 	// askLeast and askMost bound the time until a request that waits asks again.
 	askLeast = 50 * time.Millisecond
--- a/internal/advice/advice.go
+++ b/internal/advice/advice.go
@@ -35,8 +35,7 @@
 	// a data hall, and little beside the reading of a long prompt.
 	patience = 25 * time.Millisecond
 	// patiencePart of the objective it is waited for where that is longer: an adviser that
-	// hundreds ask at once, as when two fifths of the engines die, is late and knows more
-	// than a host alone.
+	// hundreds ask at once is late, and knows more than a host alone.
 	patiencePart = 0.04
 	// pauseFirst and pauseMost bound the time for which a host is not asked after
 	// its advice did not come; the next one in order is asked meanwhile.
@@ -266,8 +265,8 @@
 }
 
 // failed notes that a question which was asked at a moment went unanswered. Of many that
-// were under way together one counts: when each did, 393 questions in the 10 ms after two
-// fifths of the engines had died kept 59 hosts from asking any other for 8 s.
+// were under way together one counts, or a busy moment would keep a host from asking for as
+// long as pauseMost.
 func (a *Advisor) failed(address string, asked clock.Instant, err error) {
 	a.mu.Lock()
 	p := a.pauses[address]
--- a/internal/cascade/cascade.go
+++ b/internal/cascade/cascade.go
@@ -71,10 +71,9 @@
 	return o.Value() - (o.Use*o.Size+o.Delay*(1-valueLate))/Worth(o.Size)
 }
 
-// rightness is the measured chance that a small model's answer is right, by the
-// confidence it gives: pairs in rising order. It is a prior, for nothing on the
-// way tells which answers were right. Measured on two users' calm days by moving
-// the threshold of a fixed rule from 0 to 80 and counting what was gained.
+// rightness is the chance that a small model's answer is right, by the confidence it
+// gives: pairs in rising order. It is a prior, for nothing on the way tells which answers
+// were right.
 var rightness = []struct{ confidence, chance float64 }{
 	{0, 0.02}, {20, 0.05}, {30, 0.12}, {40, 0.3}, {50, 0.55}, {60, 0.65}, {80, 0.85}, {100, 1},
 }
--- a/internal/fleet/expect.go
+++ b/internal/fleet/expect.go
@@ -37,7 +37,7 @@
 const (
 	overrunStep = 0.02 // weight of an answer: some fifty count
 	// Priors: heads take half as long again as expected at the median, and three
-	// times as long once in seven, as measured on days from calm to full.
+	// times as long once in seven.
 	overrunMean     = 0.4
 	overrunVariance = 0.6
 	// overrunMost bounds what one answer says: one that waited for a stuck endpoint
--- a/internal/fleet/heard.go
+++ b/internal/fleet/heard.go
@@ -31,9 +31,8 @@
 	switch {
 	case !ok:
 	case h.Refused:
-		// Full endpoints of other data halls are known by this alone: with what began
-		// there only, an adviser took them for empty, and under four times the usual load
-		// six of ten requests were refused by endpoints.
+		// Full endpoints of other data halls are known by this alone: by what began there
+		// an adviser would take them for empty.
 		m.forgo(h.Ticket)
 		f.echo(m, h.Load, m.flying)
 	default:
--- a/internal/fleet/reading.go
+++ b/internal/fleet/reading.go
@@ -13,24 +13,20 @@
 	// oldest ones count as much as the newest.
 	readingKept = 32
 	// readingQuantile of the answers is taken for an engine that does nothing else:
-	// what is above it was spent waiting. Of prompts whose kept parts are known, the
-	// lowest tenth and quarter differ by 5 to 20 parts in 100, the median by half
-	// under load.
+	// what is above it was spent waiting.
 	readingQuantile = 0.2
 	readingShort    = 1000 // prompts of fewer tokens tell the time that any answer takes
 	// freeQueue and freePart of a prompt's own time are the longest expected waits with
-	// which an answer tells how long reading takes. Under four times the usual load the
-	// lowest fifth of all answers told eight times what an idle engine takes, and larger
-	// models were asked for a third of their usual answers for the ten seconds after it.
+	// which an answer tells how long reading takes: under a load even the fastest answers
+	// waited, and the larger models would be taken for slow long after it.
 	freeQueue = 30 * time.Millisecond
 	freePart  = 0.25
 	// readingSure such answers stand for themselves; until then the median of the
 	// others does, with the prior as its least.
 	readingSure     = 4
 	guessedQuantile = 0.5
-	// Priors: an engine answers a short prompt in some 60 ms and reads about a
-	// hundred tokens in a millisecond, as measured on two users' calm days. They stand
-	// until the first answer.
+	// Priors, which stand until the first answers: what a short prompt takes, and the
+	// reading of a token.
 	readingBase     = 60 * time.Millisecond
 	readingPerToken = 10 * time.Microsecond
 )
--- a/internal/fleet/score.go
+++ b/internal/fleet/score.go
@@ -20,9 +20,7 @@
 	sharedPart = 0.05
 	// homeUnread is the part of a shared prompt that its home is expected to read
 	// where others choose endpoints too and this host has not seen it sent there: they most
-	// likely have. Where one host advises all it knows what was sent, and goes by that alone:
-	// on four days of 61 hosts that is worth 0.004 of all answers' worth, most of it for
-	// fewer bytes between data halls.
+	// likely have. Where one host advises all it knows what was sent, and goes by that alone.
 	homeUnread = 0.25
 	// plainHall is the load that a request without a prompt passes by to stay in
 	// its data hall.
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -49,11 +49,8 @@
 }
 
 // startPatience is for how long after a host's start requests wait for what it does
-// not know yet; a caller that is told to come back has one try less. Where the store
-// answers, configuration and endpoints are known after 20 to 150 ms, and after a loss of
-// power of 91 hosts with 1,800 routes, on 0.19 of a core and 10 Mbit/s, after 0.5 to 1.0 s:
-// when each request waited 0.4 s, 313 to 475 callers were refused for good then. Once the
-// time is over nothing is known to come, and requests are refused at once.
+// not know yet, as after a loss of power; a caller that is told to come back has one try
+// less. Once the time is over nothing is known to come, and requests are refused at once.
 const startPatience = 1200 * time.Millisecond
 
 // startPatienceEach is added for each host: all start together after a loss of power, and a list of
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -176,8 +176,7 @@
 func (x *exchange) slack() time.Duration { return x.route.Objective - clock.Since(x.start) }
 
 // Callers leave a stream of which nothing has come for the longest of leaveLeast,
-// leaveObjectives objectives and leaveGaps of the longest pauses that count as in time, as
-// the users tell.
+// leaveObjectives objectives and leaveGaps of the longest pauses that count as in time.
 const (
 	leaveLeast      = 2 * time.Second
 	leaveObjectives = 4
@@ -261,9 +260,8 @@
 
 // stuckPart of the objective is how long a plain repeatable request waits for an
 // answer before it is offered to another endpoint: an answer is likely to come
-// sooner, unless it never does. Streams are left to wait: they were offered
-// elsewhere after 0.4 of the objective in a trial, which took the attempt that a
-// larger model needs and lost 0.02 of the worth on the adire site.
+// sooner, unless it never does. Streams are left to wait: another attempt may be what a
+// larger model needs.
 const stuckPart = 0.75
 
 // limitHead bounds the wait for the answer's head if the request may go to
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -149,10 +149,8 @@
 }
 
 // silentPart of the time after which callers leave a silent stream is how long one is
-// waited for that may go on elsewhere: 3.6 s where they leave after 9.6 s. Engines lose
-// answers and leave the connection open, and such a stream waited for its caller's time
-// budget: 128 of 54,000 requests of the large site's incident. Engines that read long
-// prompts beside it pause for 2 s.
+// waited for that may go on elsewhere: engines lose answers and leave the connection open.
+// Those that read long prompts beside it pause for seconds.
 const silentPart = 0.375
 
 // limitSilence bounds the wait for a stream's next event if it may go on elsewhere.
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -155,7 +155,7 @@
 
 // load learns what hosts have kept, once: from another host that knows, and if none does from
 // the store. The first of all hosts reads it, and tells the others; they read it themselves if
-// they hear nothing for a while. After all of 295 hosts had lost power it is one call.
+// they hear nothing for a while, so after a loss of power it is one call.
 func (b *Book) load(ctx context.Context) {
 	began, alone := clock.Now(), loadAlone+rand.N(loadSpread)
 	for clock.Sleep(ctx, clock.Around(loadEvery)) && !b.isLoaded() {
--- a/internal/spread/peers.go
+++ b/internal/spread/peers.go
@@ -28,11 +28,8 @@
 	hostsPerCore = 320
 	// hallLeast is from how many hosts on a data hall has readers of its own.
 	hallLeast = groupSize / 2
-	// togetherMost is up to how many hosts one of them advises all data halls. With 91
-	// hosts, 140 endpoints and 300 prompts a second that is worth 0.025 to 0.035 of all
-	// answers' worth more than one for each data hall: it sees all that waits and is
-	// kept at an endpoint. That host uses 0.057 of a core,
-	// the others 0.007 on average.
+	// togetherMost is up to how many hosts one of them advises all data halls: it sees all that
+	// waits and is kept at an endpoint, where one for each data hall sees a part.
 	togetherMost = 128
 	// pauseFirst and pauseMost bound the time before a host that failed is asked
 	// again; it doubles each time, since a host that is gone for good stays listed.
--- a/internal/upgrade/judge.go
+++ b/internal/upgrade/judge.go
@@ -124,10 +124,8 @@
 }
 
 const (
-	// doubtful is how much likelier, as a logarithm: e times. Asked the other way round, that
-	// good is e times likelier, and with the failures that badUsual takes for chance, good
-	// versions were late in 2 of 24 upgrades among 91 hosts (spec, seeds 1 to 6); that this
-	// bound is better than none was not shown.
+	// doubtful is how much likelier, as a logarithm: e times. To ask that good is as much
+	// likelier would hold up good versions.
 	doubtful = 1.0
 	// doubtUsual is the part of failures that is chance at a completion: failures are told a
 	// little earlier than good answers.
--- a/internal/upgrade/writes.go
+++ b/internal/upgrade/writes.go
@@ -65,8 +65,7 @@
 
 // reporters is about how many hosts tell all that they see while nothing fails; more tell
 // little new, and each write is read by all. The others tell of failures only. They do not
-// tell of slow answers, since the unlucky hosts' would look like everyone's (91 hosts rolled
-// a good version back by it).
+// tell of slow answers, since the unlucky hosts' would look like everyone's.
 const reporters = 24
 
 // news reports whether this host has evidence that others need.
