--- a/internal/admission/turns.go
+++ b/internal/admission/turns.go
@@ -12,16 +12,15 @@
 
 // Parameters of the turns of requests that wait.
 const (
-	// turnsMost bounds the requests that wait for one who decides: with half a second
-	// until each asks again that is a thousand questions a second, 0.1 of a core.
+	// turnsMost bounds the requests that wait for one who decides: each asks again every
+	// askMost at least.
 	turnsMost = 512
 	// turnLapse is how much later than it was told a request may ask again and still have
 	// its turn; those whose callers have left ask no more.
 	turnLapse = 300 * time.Millisecond
 	// grantWindow is over how long the rate is taken at which requests that wait go, and
 	// grantPrior how many are taken to have gone in it besides: with none seen, as many
-	// wait here as go at one a second in half of what their callers can use. With eight in
-	// place of two 209 were in time and not 253 at eight times what engines serve (spec).
+	// wait here as go at one a second in half of what their callers can use.
 	grantWindow = 2 * time.Second
 	grantPrior  = 2
 )
--- a/internal/clock/remote.go
+++ b/internal/clock/remote.go
@@ -27,8 +27,8 @@
 // Marzullo's intersection; safe for use at once.
 //
 // A single estimate, taken as of the arrival, is behind by as long as the answer was
-// on its way. On hosts of 0.19 of a core that start together that was 0.5 s, and
-// sessions were moved so much before half of an upgrade's time was over.
+// on its way, and on hosts that start together sessions would be moved so much before
+// half of an upgrade's time is over.
 type Remote struct {
 	mu     sync.Mutex // guards all below
 	known  bool
--- a/internal/clock/suspension.go
+++ b/internal/clock/suspension.go
@@ -12,9 +12,9 @@
 // runtime's clock stands still meanwhile; the kernel has one that does not, CLOCK_BOOTTIME.
 //
 // The time of day goes on too, so as long as it and the runtime's clock keep their distance
-// the machine was not suspended, and nothing is asked of the kernel: an Instant takes 130 ns
-// instead of 810 (BenchmarkNow, BenchmarkSuspended). That a step of the time of day hides a suspension of the same
-// length is left to Watch, which asks in any case.
+// the machine was not suspended, and nothing is asked of the kernel, which takes several times
+// as long (BenchmarkNow, BenchmarkSuspended). That a step of the time of day hides a suspension
+// of the same length is left to Watch, which asks in any case.
 type suspension struct {
 	total    atomic.Int64 // ns
 	distance atomic.Int64 // ns, of the time of day from the runtime's clock when the kernel was asked
--- a/internal/upgrade/pace.go
+++ b/internal/upgrade/pace.go
@@ -16,9 +16,8 @@
 func (w Whole) took() time.Duration { return time.Duration(w) }
 
 // Shortest is the shortest pause between events of a stream. Prompts that an engine
-// reads and places that are taken lengthen most pauses, but leave some as they are:
-// at endpoints from idle to full the lowest tenth of streams had 9.3 to 13.7 ms, at
-// such whose version was four times as slow on half of its requests 23.4 to 24.8 ms.
+// reads and places that are taken lengthen most pauses, but leave some as they are; a
+// slow version lengthens all.
 type Shortest time.Duration
 
 func (s Shortest) took() time.Duration { return time.Duration(s) }
