--- a/internal/ratelimit/limits_test.go
+++ b/internal/ratelimit/limits_test.go
@@ -34,9 +34,6 @@
 func TestLimitsOfEndpointsWhileHostsAreLost(t *testing.T) {
 	for name, trouble := range troubles {
 		for _, hosts := range sizes {
-			if hosts > hostsMost {
-				continue
-			}
 			if hosts > 100 && *seeds == 1 && name != "calm" && name != "lenders lost one by one" {
 				continue
 			}
