Test of which requests may have emptied a service

Nothing saw it if turns were asked for all that had met two crashes, as after a power cut: without the comparison with what crashed beside it the package passed. Now TestRequestsThatMayHaveEmptiedAService fails then.

--- /dev/null
+++ b/internal/quarantine/standing_test.go
@@ -0,0 +1,43 @@
+package quarantine
+
+import (
+	"testing"
+	"time"
+)
+
+// crashesAt are crashes of endpoints of a service, at moments in milliseconds, under a request or none.
+func crashesAt(service string, under map[Fingerprint]Run, moments ...int) []Crash {
+	crashes := make([]Crash, 0, len(moments))
+	for _, at := range moments {
+		crashes = append(crashes, Crash{Service: service, At: time.Duration(at) * time.Millisecond, Under: under})
+	}
+	return crashes
+}
+
+// emptied are crashes, two of them under a request that waits for their service, and whether it may be why.
+var emptied = map[string]struct {
+	beside []Crash
+	may    bool
+}{
+	"nothing else crashed":         {nil, true},
+	"as many crashed beside it":    {crashesAt("s", nil, 1010, 1020), true},
+	"many crashed at that moment":  {crashesAt("s", nil, 1000, 1010, 1020), false},
+	"many of another service did":  {crashesAt("other", nil, 1000, 1010, 1020), true},
+	"many crashed some time later": {crashesAt("s", nil, 2000, 2010, 2020), true},
+}
+
+// TestRequestsThatMayHaveEmptiedAService guards against turns for all that ran where endpoints lost power.
+func TestRequestsThatMayHaveEmptiedAService(t *testing.T) {
+	request := printOf(1)
+	under := map[Fingerprint]Run{request: {Lasted: 50 * time.Millisecond}}
+	for what, c := range emptied {
+		t.Run(what, func(t *testing.T) {
+			crashes := append(crashesAt("s", under, 1000, 1020), c.beside...)
+			s := Evidence{Endpoints: func(string) int { return 12 }}.suspect(request, crashes)
+			standing := Standing{Crashed: len(s.crashed), Beside: s.beside}
+			if standing.MayHaveEmptied() != c.may {
+				t.Errorf("%+v, want %v", standing, c.may)
+			}
+		})
+	}
+}
