--- a/internal/fleet/advise.go
+++ b/internal/fleet/advise.go
@@ -141,10 +141,10 @@
 	}
 	now := f.options.Now()
 	for range min(t.Good, maxTallied) {
-		f.recordHealth(m, OutcomeGood, now)
+		f.recordHealth(m, OutcomeGood, EjectedByTally, now)
 	}
 	for range min(t.Failed, maxTallied) {
-		f.recordHealth(m, OutcomeFailed, now)
+		f.recordHealth(m, OutcomeFailed, EjectedByTally, now)
 	}
 	if t.Good > 0 {
 		f.trackWarmUp(m, OutcomeGood, now)
@@ -156,7 +156,7 @@
 		f.trackWarmUp(m, OutcomeLost, now)
 	}
 	if t.Lost > 0 && !now.Before(m.health.ejectedUntil) {
-		f.recordHealth(m, OutcomeLost, now)
+		f.recordHealth(m, OutcomeLost, EjectedByTally, now)
 	}
 }
 
@@ -178,8 +178,10 @@
 }
 
 // recordHealth records the outcome of an attempt in the health of an endpoint.
-func (f *Fleet) recordHealth(m *member, o Outcome, now clock.Instant) {
+func (f *Fleet) recordHealth(m *member, o Outcome, s EjectionSource, now clock.Instant) {
+	before := m.ejected(now)
 	m.health = m.health.with(o, now, f.options.MaxEjection)
+	f.noteEjected(m, before, s, o, m.health.ejectedUntil, now)
 	if now.Before(m.health.ejectedUntil) {
 		f.ejected[m.ID] = m
 	}
@@ -190,10 +192,13 @@
 func (f *Fleet) ApplyEjections(ids []string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	until := f.options.Now().Add(peerEjection)
+	now := f.options.Now()
+	until := now.Add(peerEjection)
 	for _, id := range ids {
 		if m, ok := f.members[id]; ok {
+			before := m.ejected(now)
 			m.peerEjectedUntil = until
+			f.noteEjected(m, before, EjectedByAdvisor, OutcomeNeutral, until, now)
 		}
 	}
 }
--- /dev/null
+++ b/internal/fleet/ejection_test.go
@@ -0,0 +1,33 @@
+package fleet_test
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"quaybarrow/internal/fleet"
+	"quaybarrow/internal/standin/suite"
+)
+
+var _ = Describe("ejections", func() {
+	It("are reported once each, with their source", func() {
+		suite.Paused(func() {
+			f := fleet.New(fleet.Options{})
+			f.Put(fleet.Endpoint{ID: "e1", Service: "s"})
+			f.Put(fleet.Endpoint{ID: "e2", Service: "s"})
+			f.Put(fleet.Endpoint{ID: "e3", Service: "s"})
+			var seen []string
+			f.OnEjected(func(e fleet.Ejection) { seen = append(seen, e.Endpoint+": "+e.Outcome.String()+", "+string(e.Source)) })
+			h, ok := f.Pick(fleet.Request{Service: "s", Avoid: []string{"e2", "e3"}})
+			Expect(ok).To(BeTrue())
+			h.Done(fleet.Result{Outcome: fleet.OutcomeLost})
+			f.AddTally("e2", fleet.Tally{Lost: 1})
+			f.ApplyEjections([]string{"e2", "e3"})
+			f.ApplyEjections([]string{"e3"})
+			Expect(seen).To(Equal([]string{
+				"e1: not reached, attempts of this host",
+				"e2: not reached, attempts of a host that asks for advice",
+				"e3: neutral, the host that advises",
+			}))
+		})
+	})
+})
--- a/internal/fleet/endpoint.go
+++ b/internal/fleet/endpoint.go
@@ -98,6 +98,22 @@
 	OutcomeLost    // it could not be reached
 )
 
+// String returns the outcome in a few words, for log lines.
+func (o Outcome) String() string {
+	switch o {
+	case OutcomeGood:
+		return "good"
+	case OutcomeFailed:
+		return "failed"
+	case OutcomeRefused:
+		return "refused"
+	case OutcomeLost:
+		return "not reached"
+	default:
+		return "neutral"
+	}
+}
+
 // Result is the result of an attempt at an endpoint.
 type Result struct {
 	Outcome Outcome
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -55,6 +55,7 @@
 	onOutcome    func(id string, o Outcome) // nil if not set
 	onHead       func(HeadReport)           // nil if not set
 	onLoanNeeded func()                     // nil if not set
+	onEjected    func(Ejection)             // nil if not set
 	populated    chan struct{}              // closed once an endpoint was listed
 
 	mu            sync.Mutex               // guards all fields below
--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -118,7 +118,7 @@
 	if r.Outcome == OutcomeRefused || r.Outcome == OutcomeLost {
 		h.fleet.prefixes.forget(m, h.req.parts())
 	}
-	h.fleet.recordHealth(m, r.Outcome, now)
+	h.fleet.recordHealth(m, r.Outcome, EjectedByAttempts, now)
 	h.fleet.trackWarmUp(m, r.Outcome, now)
 	if r.Load.Slots > 0 {
 		// The load report may still count the answered request itself.
--- a/internal/gatewayd/module.go
+++ b/internal/gatewayd/module.go
@@ -173,6 +173,9 @@
 	a := advice.New(advice.Options{Hall: s.DataHall, Fleet: f, Allowed: u.Allowed, PrecedingHosts: w.PrecedingHosts, Leads: w.Leads, Conn: w.Conn, Logger: l})
 	f.OnOutcome(a.AddOutcome)
 	f.OnHead(a.ObserveHead)
+	f.OnEjected(func(e fleet.Ejection) {
+		l.Info("endpoint ejected", "endpoint", e.Endpoint, "service", e.Service, "source", e.Source, "outcome", e.Outcome, "for_ms", e.For.Milliseconds())
+	})
 	return a
 }
 
