A failing test of RECOVER: callers of hosts whose links to endpoints are cut

Seven real hosts in virtual time, three or five of them cut from all or some endpoints: dials and connections hang, are reset, live on while new ones are refused, or carry one direction only. 9 of 10 cases fail: of 315 first tries at cut hosts 1 to 54 are served, 414 to 435 of 435 elsewhere; with resets harmless requests are quarantined.

--- a/internal/gatewayd/crashrig_test.go
+++ b/internal/gatewayd/crashrig_test.go
@@ -63,6 +63,7 @@
 	number int
 	app    *fx.App
 	conns  *hostConns
+	link   hostLink
 }
 
 // crashOutcome is the outcome of a request.
@@ -187,7 +188,7 @@
 		s.Gateway.Duties, s.Gateway.DutyTurns, s.Gateway.UsageWindow = dutiesAddress, dutyTurns, usageWindow
 	}
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
-		return conns.track(h.rig.net.Dial(ctx, network, address))
+		return conns.track(h.link.dialer(h.rig.net.Dial)(ctx, network, address))
 	}
 	h.conns = conns
 	h.app = fx.New(gatewayd.Module(s, gatewayd.Ports{
