Relay connections through hosts that reach the endpoint while this host's own way is lost

Package reach asks another host to connect before it takes an endpoint for down. If that host succeeds, the own way is lost, the connection's bytes go through it, and nothing is held against the endpoint (outcomes 'way lost' and 'not reached by this host').

--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -28,7 +28,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"golang.org/x/sys/unix"
 
 	"quaybarrow/internal/clock"
 )
@@ -49,13 +48,6 @@
 	// dialTimeout is sufficient for connections to another data hall: they take a few
 	// milliseconds, and a lost packet is retransmitted after a second.
 	dialTimeout = 1500 * time.Millisecond
-	// userTimeout closes a connection whose sent data stays unacknowledged.
-	userTimeout = 2 * time.Second
-	// keepAliveIdle, keepAliveInterval and keepAliveCount detect an unresponsive peer on an idle
-	// connection in about three seconds; the kernel counts in whole seconds.
-	keepAliveIdle     = time.Second
-	keepAliveInterval = time.Second
-	keepAliveCount    = 2
 	// idleTimeoutMargin is subtracted from the idle timeout that an endpoint states, so that the
 	// endpoint does not close a connection while a request is sent on it.
 	idleTimeoutMargin = 800 * time.Millisecond
@@ -94,36 +86,11 @@
 // NewPool returns a pool without connections.
 func NewPool(options Options) *Pool {
 	if options.Dial == nil {
-		options.Dial = dial
+		options.Dial = Dial
 	}
 	return &Pool{options: options, peers: map[string]*peer{}}
 }
 
-// dial connects with short keep-alive intervals, so that an unreachable peer is detected.
-func dial(ctx context.Context, address string) (net.Conn, error) {
-	d := net.Dialer{
-		Timeout:         dialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
-		Control:         SetUserTimeout,
-	}
-	return d.DialContext(ctx, "tcp4", address)
-}
-
-// SetUserTimeout bounds how long sent data may stay unacknowledged on a socket.
-func SetUserTimeout(_, _ string, raw syscall.RawConn) error {
-	var setErr error
-	err := raw.Control(func(fd uintptr) {
-		setErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
-	})
-	if err != nil {
-		return fmt.Errorf("access socket: %w", err)
-	}
-	if setErr != nil {
-		return fmt.Errorf("set user timeout: %w", setErr)
-	}
-	return nil
-}
-
 // Get returns a connection to an address: an idle one that its peer has not closed, or else a new
 // one. It returns ErrConnLimit if limit connections are open already (0 means no limit), and
 // ErrNotSent if connecting fails.
@@ -175,7 +142,7 @@
 	if p.options.OnOpen != nil {
 		p.options.OnOpen(address)
 	}
-	return &Conn{pool: p, address: address, netConn: raw, reader: bufio.NewReaderSize(raw, readBuffer)}, nil
+	return p.newConn(address, raw), nil
 }
 
 // uncount removes a closed connection from the count of open ones.
@@ -251,28 +218,80 @@
 	pool      *Pool
 	address   string
 	netConn   net.Conn
+	watch     watched // nil if the way to the endpoint is not watched
 	reader    *bufio.Reader
 	idleUntil clock.Instant // when its idle timeout passes
 	closeOnce sync.Once
 	response  *http.Response
 }
 
+// watched is a connection whose way to the endpoint is watched; see package reach.
+type watched interface {
+	// Unwrap returns the connection below.
+	Unwrap() net.Conn
+	// Usable reports whether an idle connection may be used for a request.
+	Usable() bool
+	// Expect sets whether data is awaited.
+	Expect(on bool)
+	// SetAbandonable sets whether reads are to fail once the way is lost.
+	SetAbandonable(on bool)
+	// WayLost reports whether the way is lost, after a check if that is wanted.
+	WayLost(ctx context.Context, check bool) bool
+	// Host returns the address of the host that relays the connection; empty for none.
+	Host() string
+}
+
+// SetAbandonable sets whether the connection is interrupted once its way to the endpoint is lost.
+func (c *Conn) SetAbandonable(on bool) {
+	if c.watch != nil {
+		c.watch.SetAbandonable(on)
+	}
+}
+
+// WayLost reports whether the way to the endpoint is lost, so that the end of the exchange tells
+// nothing about the endpoint. If that is not known, it checks the way first, if check is set.
+func (c *Conn) WayLost(ctx context.Context, check bool) bool {
+	return c.watch != nil && c.watch.WayLost(ctx, check)
+}
+
+// RelayedBy returns the address of the host that relays the connection; empty for none.
+func (c *Conn) RelayedBy() string {
+	if c.watch == nil {
+		return ""
+	}
+	return c.watch.Host()
+}
+
+// newConn returns a connection of the pool.
+func (p *Pool) newConn(address string, raw net.Conn) *Conn {
+	c := &Conn{pool: p, address: address, netConn: raw, reader: bufio.NewReaderSize(raw, readBuffer)}
+	c.watch, _ = raw.(watched)
+	return c
+}
+
 // alive reports whether an idle connection can be used: its idle timeout has not passed, its peer
 // has not closed it, and no unexpected data has arrived.
 func (c *Conn) alive() bool {
 	if !clock.Now().Before(c.idleUntil) || c.reader.Buffered() > 0 {
 		return false
 	}
-	s, ok := c.netConn.(syscall.Conn)
+	raw := c.netConn
+	if c.watch != nil {
+		if !c.watch.Usable() {
+			return false
+		}
+		raw = c.watch.Unwrap()
+	}
+	s, ok := raw.(syscall.Conn)
 	if !ok {
 		return true
 	}
-	raw, err := s.SyscallConn()
+	socket, err := s.SyscallConn()
 	if err != nil {
 		return false
 	}
 	noData := false
-	err = raw.Read(func(fd uintptr) bool {
+	err = socket.Read(func(fd uintptr) bool {
 		var b [1]byte
 		_, _, readErr := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		noData = errors.Is(readErr, syscall.EAGAIN)
@@ -286,6 +305,9 @@
 
 // Send writes a request and reads the head of its response. It skips responses to earlier requests.
 func (c *Conn) Send(request *http.Request, accept Accept) (*http.Response, error) {
+	if c.watch != nil {
+		c.watch.Expect(true)
+	}
 	counter := &countingWriter{writer: c.netConn}
 	buffered := bufio.NewWriterSize(counter, readBuffer)
 	err := request.Write(buffered)
@@ -343,6 +365,10 @@
 // Release ends the use of a connection. The connection becomes idle if the response was read to its
 // end and the peer keeps the connection open too; otherwise it is closed.
 func (c *Conn) Release(readToEnd bool) {
+	if c.watch != nil {
+		c.watch.Expect(false)
+		c.watch.SetAbandonable(false)
+	}
 	if readToEnd && c.reusable() {
 		c.response = nil
 		c.SetDeadline(time.Time{})
--- a/internal/conn/reach.go
+++ b/internal/conn/reach.go
@@ -1,7 +1,6 @@
 package conn
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -21,7 +20,8 @@
 	if err != nil {
 		return false, fmt.Errorf("probe %s: %w", address, err)
 	}
-	c := &Conn{pool: p, address: address, netConn: raw, reader: bufio.NewReaderSize(raw, readBuffer), idleUntil: clock.Now().Add(defaultIdleTimeout)}
+	c := p.newConn(address, raw)
+	c.idleUntil = clock.Now().Add(defaultIdleTimeout)
 	p.count(address)
 	clock.Sleep(ctx, wait)
 	if !c.alive() {
--- a/internal/fleet/advise.go
+++ b/internal/fleet/advise.go
@@ -113,7 +113,7 @@
 		t.Failed++
 	case OutcomeLost:
 		t.Lost++
-	case OutcomeNeutral, OutcomeRefused:
+	case OutcomeNeutral, OutcomeRefused, OutcomeUnreached, OutcomeWayLost:
 	}
 	return t
 }
--- a/internal/fleet/endpoint.go
+++ b/internal/fleet/endpoint.go
@@ -95,7 +95,11 @@
 	OutcomeGood
 	OutcomeFailed  // it responded with a failure or an invalid response, or not at all
 	OutcomeRefused // it refused the request before any work
-	OutcomeLost    // it could not be reached
+	OutcomeLost    // neither this host nor another could reach it
+	// OutcomeUnreached and OutcomeWayLost tell nothing about the endpoint: this host could not reach
+	// it though others may, or lost the connection because of a link or another host.
+	OutcomeUnreached
+	OutcomeWayLost
 )
 
 // String returns the outcome in a few words, for log lines.
@@ -109,6 +113,10 @@
 		return "refused"
 	case OutcomeLost:
 		return "not reached"
+	case OutcomeUnreached:
+		return "not reached by this host"
+	case OutcomeWayLost:
+		return "way lost"
 	default:
 		return "neutral"
 	}
@@ -129,6 +137,8 @@
 	defaultMaxEjection  = 8 * time.Second
 	unreachableEjection = 1 * time.Second // an endpoint that can't be reached is ejected at once
 	fullPause           = 150 * time.Millisecond
+	// unreachedPause is how long an endpoint is avoided that only this host can't reach.
+	unreachedPause = 500 * time.Millisecond
 )
 
 // health is derived from the outcomes of attempts. It is immutable.
@@ -157,7 +167,7 @@
 		h = h.ejected(now, unreachableEjection, maxEjection)
 	case OutcomeRefused:
 		h.fullUntil = later(h.fullUntil, now.Add(fullPause))
-	case OutcomeNeutral:
+	case OutcomeNeutral, OutcomeUnreached, OutcomeWayLost:
 	}
 	return h
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -61,6 +61,7 @@
 	mu            sync.Mutex               // guards all fields below
 	members       map[string]*member       // by ID
 	instances     map[string]*member       // by instance name
+	addresses     map[string][]*member     // listed endpoints, by address
 	interned      map[string]string        // strings that many endpoints have in common
 	evacuated     map[string]clock.Instant // data halls that get no new requests, and since when
 	listRead      bool                     // the list was read in full; endpoints added later have just started
@@ -100,6 +101,7 @@
 	awaiting         []awaited     // requests without a response head, in the order in which they were sent
 	health           health
 	peerEjectedUntil clock.Instant // ejected until then because it fails other hosts
+	unreachedUntil   clock.Instant // ejected until then because this host does not reach it; other hosts may
 	lapsesAt         clock.Instant // removed then unless it is listed again; zero if listed
 	cache            prefixCache   // prompt parts that it is assumed to have cached
 	match            prefixMatch   // its cached parts of the prompt that is being placed
@@ -123,7 +125,7 @@
 		options.Random = rand.Float64
 	}
 	return &Fleet{
-		options: options, populated: make(chan struct{}), members: map[string]*member{}, instances: map[string]*member{}, interned: map[string]string{}, evacuated: map[string]clock.Instant{}, limits: map[string]*member{}, needLoans: map[string]*member{}, changedLimits: map[string]*member{}, byService: map[string]*pool{}, ejected: map[string]*member{}, prefillModels: map[modelKey]*prefillModel{},
+		options: options, populated: make(chan struct{}), members: map[string]*member{}, instances: map[string]*member{}, interned: map[string]string{}, addresses: map[string][]*member{}, evacuated: map[string]clock.Instant{}, limits: map[string]*member{}, needLoans: map[string]*member{}, changedLimits: map[string]*member{}, byService: map[string]*pool{}, ejected: map[string]*member{}, prefillModels: map[modelKey]*prefillModel{},
 		prices: map[string]price{}, overruns: map[string]Overrun{}, remoteLoads: map[string]*remoteLoad{}, slotTimes: map[string]time.Duration{}, waitingLists: map[string]*admission.WaitingList{}, prefixes: prefixIndex{holders: map[uint64][]*member{}}, lastTicket: rand.Int64N(maxFirstTicket),
 	}
 }
@@ -170,7 +172,9 @@
 	if e.Slots == 0 {
 		e.Slots = m.Slots // the slots that the endpoint reported
 	}
+	f.unlistAddress(m)
 	m.Endpoint, m.lapsesAt, m.region = e, clock.Instant{}, f.options.Regions[e.Hall]
+	f.addresses[m.Address] = append(f.addresses[m.Address], m)
 	f.applyCold(m, !ok)
 	if !ok {
 		f.poolOf(e.Service).add(m)
@@ -191,6 +195,7 @@
 	if !ok {
 		return
 	}
+	f.unlistAddress(m)
 	delete(f.members, m.ID)
 	delete(f.ejected, m.ID)
 	f.dropLimit(m)
@@ -390,3 +395,26 @@
 	slices.SortFunc(list, func(a, b Status) int { return cmp.Compare(a.ID, b.ID) })
 	return list
 }
+
+// At returns the service and the data hall of the endpoint that is listed at an address; empty if there
+// is none.
+func (f *Fleet) At(address string) (service, hall string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	at := f.addresses[address]
+	if len(at) == 0 {
+		return "", ""
+	}
+	m := at[len(at)-1]
+	return m.Service, m.Hall
+}
+
+// unlistAddress removes a member from the list of its address; the caller holds mu.
+func (f *Fleet) unlistAddress(m *member) {
+	at := slices.DeleteFunc(f.addresses[m.Address], func(o *member) bool { return o == m })
+	if len(at) == 0 {
+		delete(f.addresses, m.Address)
+		return
+	}
+	f.addresses[m.Address] = at
+}
--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -108,13 +108,16 @@
 	m := h.member
 	m.stopAwaiting(h.ticket)
 	switch {
-	case h.req.Key == 0:
+	case h.req.Key == 0, r.Outcome == OutcomeUnreached, r.Outcome == OutcomeWayLost:
 	case h.headArrived:
 		h.fleet.recordSlotTime(m.Service, now.Sub(h.sent)-h.untilHead)
 	default: // no head arrived: the wait was at least this long
 		m.ensureQueue().waits[rank(h.req.Urgency)] = observedWait{wait: max(0, now.Sub(h.sent)-h.idleHead), at: now}
 	}
 	m.inFlight--
+	if r.Outcome == OutcomeUnreached {
+		m.unreachedUntil = now.Add(unreachedPause)
+	}
 	if r.Outcome == OutcomeRefused || r.Outcome == OutcomeLost {
 		h.fleet.prefixes.forget(m, h.req.parts())
 	}
@@ -189,9 +192,10 @@
 	tierEjected
 )
 
-// ejected reports whether an endpoint has recently failed this host or other hosts.
+// ejected reports whether an endpoint has recently failed this host or other hosts, or was not reached
+// by this host.
 func (m *member) ejected(now clock.Instant) bool {
-	return now.Before(m.health.ejectedUntil) || now.Before(m.peerEjectedUntil)
+	return now.Before(m.health.ejectedUntil) || now.Before(m.peerEjectedUntil) || now.Before(m.unreachedUntil)
 }
 
 func (m *member) tier(now clock.Instant) int {
--- a/internal/fleet/warm.go
+++ b/internal/fleet/warm.go
@@ -229,6 +229,6 @@
 			m.warmUp.unanswered = false
 			m.warmUp.coldUntil = later(m.warmUp.coldUntil, now.Add(duration))
 		}
-	case OutcomeNeutral, OutcomeRefused:
+	case OutcomeNeutral, OutcomeRefused, OutcomeUnreached, OutcomeWayLost:
 	}
 }
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -3,13 +3,16 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"quaybarrow/internal/clock"
 	"quaybarrow/internal/conn"
+	"quaybarrow/internal/fleet"
 	"quaybarrow/internal/quarantine"
+	"quaybarrow/internal/reach"
 )
 
 // errQuarantined means that the request makes endpoints crash.
@@ -88,6 +91,15 @@
 	return &refusal{status: http.StatusServiceUnavailable, reason: errQuarantined.Error()}
 }
 
+// wayLost reports whether the response could not be read because the way to the endpoint was lost,
+// and not because of the endpoint.
+func (a *attempt) wayLost(err error) bool {
+	if a.x.ctx.Err() != nil {
+		return false
+	}
+	return errors.Is(err, reach.ErrWayLost) || a.conn.WayLost(a.x.ctx, conn.IsDisconnect(err))
+}
+
 // endBroken ends an attempt whose response could not be read, and records whether its endpoint has
 // crashed.
 func (a *attempt) endBroken(err error) {
@@ -95,8 +107,16 @@
 	if !a.headerAt.IsZero() {
 		run.ResponseLasted = clock.Since(a.headerAt)
 	}
-	a.endFailed()
 	x := a.x
+	if a.wayLost(err) {
+		a.end(fleet.OutcomeWayLost, false)
+		// The endpoint itself may be the best one to try again: it has the prompt cached.
+		x.tried = slices.DeleteFunc(x.tried, func(id string) bool { return id == a.hold.Endpoint.ID })
+		x.g.Logger.Info("way to an endpoint lost under a request", "id", x.header.ID, "endpoint", a.hold.Endpoint.ID, "address", a.hold.Endpoint.Address,
+			"relayed_by", a.conn.RelayedBy(), "ran_ms", run.Lasted.Milliseconds(), "error", err)
+		return
+	}
+	a.endFailed()
 	e := a.hold.Endpoint
 	if !conn.IsDisconnect(err) || x.ctx.Err() != nil || !x.g.Fleet.Serves(e.ID) {
 		return
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -138,6 +138,7 @@
 	mayHaveRun           bool // some endpoint may have run it, or may still do so
 	outcome              string
 	endpoint             string
+	relayedBy            string // host that relayed the last attempt; empty if none did
 	model                string
 	events               int
 	headerDelay          time.Duration     // until the header of the response that the caller got; 0 if none
@@ -211,7 +212,7 @@
 	x.g.Logger.Info("request",
 		"id", x.header.ID, "route", x.route.Name, "service", x.service, "workspace", x.workspace,
 		"config", version, "config_age_ms", age.Milliseconds(),
-		"endpoint", x.endpoint, "version", x.version, "upgrade", x.g.Upgrades.State(x.service).String(), "model", x.model, "larger", x.escalated, "urgency", x.urgency,
+		"endpoint", x.endpoint, "relayed_by", x.relayedBy, "version", x.version, "upgrade", x.g.Upgrades.State(x.service).String(), "model", x.model, "larger", x.escalated, "urgency", x.urgency,
 		"sends", x.sends, "rejections", x.rejections, "crashes", x.crashes, "fingerprint", x.loggedFingerprint(), "waits", x.waits, "advice", x.adviceOutcome,
 		"tokens", x.header.TokensIn, "read", x.expected.PrefillTokens, "work_ms", x.expected.PrefillTime.Milliseconds(), "price", x.expected.Price,
 		"first_ms", x.headerDelay.Milliseconds(), "objective_ms", x.route.Objective.Milliseconds(),
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -15,6 +15,7 @@
 	"quaybarrow/internal/conn"
 	"quaybarrow/internal/fleet"
 	"quaybarrow/internal/quarantine"
+	"quaybarrow/internal/reach"
 	"quaybarrow/internal/route"
 	"quaybarrow/internal/telemetry"
 	"quaybarrow/internal/upgrade"
@@ -218,8 +219,11 @@
 func (x *exchange) recordUnreachable(hold *fleet.Hold, err error) {
 	x.tried = append(x.tried, hold.Endpoint.ID)
 	outcome := fleet.OutcomeLost
-	if errors.Is(err, conn.ErrConnLimit) || x.ctx.Err() != nil {
+	switch {
+	case errors.Is(err, conn.ErrConnLimit), x.ctx.Err() != nil:
 		outcome = fleet.OutcomeNeutral
+	case errors.Is(err, reach.ErrNoWay):
+		outcome = fleet.OutcomeUnreached
 	}
 	hold.Done(fleet.Result{Outcome: outcome})
 	x.g.Logger.Warn("endpoint not reached", "id", x.header.ID, "endpoint", hold.Endpoint.ID, "address", hold.Endpoint.Address, "error", err)
@@ -232,7 +236,9 @@
 	x.maySendSuspect = false
 	x.tried = append(x.tried, hold.Endpoint.ID)
 	x.endpoint, x.version, x.model = hold.Endpoint.ID, hold.Endpoint.Version, model
+	x.relayedBy = c.RelayedBy()
 	a.stopInterrupt = context.AfterFunc(ctx, c.Interrupt)
+	c.SetAbandonable(x.route.Repeatable() && x.sends < x.route.Attempts)
 	a.boundHeaderWait(ctx)
 	resp, err := c.Send(x.outgoingRequest(a, lastEventID), x.acceptsResponse) //nolint:bodyclose // a closed connection ends its body
 	if errors.Is(err, conn.ErrNotSent) {
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -16,9 +16,6 @@
 const (
 	headerTimeout      = 5 * time.Second // to read a header, once its first byte has arrived
 	defaultIdleTimeout = 5 * time.Minute // where operators declare none
-	keepAliveIdle      = 2 * time.Second // vanished callers are detected in about five seconds
-	keepAliveInterval  = time.Second
-	keepAliveProbes    = 3
 )
 
 // Server returns an HTTP server for routed requests, to be run on a listener made by Wrap.
@@ -38,8 +35,8 @@
 // Listen listens on an address, with timeouts and keep-alive probes that detect vanished callers.
 func Listen(ctx context.Context, address string) (net.Listener, error) {
 	config := net.ListenConfig{
-		Control:         conn.SetUserTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveProbes},
+		Control:         conn.CallerLiveness.Control,
+		KeepAliveConfig: conn.CallerLiveness.KeepAlive(),
 	}
 	inner, err := config.Listen(ctx, "tcp4", address)
 	if err != nil {
--- a/internal/gatewayd/host.go
+++ b/internal/gatewayd/host.go
@@ -23,6 +23,7 @@
 	"quaybarrow/internal/gateway"
 	"quaybarrow/internal/quarantine"
 	"quaybarrow/internal/ratelimit"
+	"quaybarrow/internal/reach"
 	"quaybarrow/internal/route"
 	"quaybarrow/internal/settings"
 	"quaybarrow/internal/spread"
@@ -60,6 +61,7 @@
 	Holder     *route.Holder
 	Fleet      *fleet.Fleet
 	Pool       *conn.Pool
+	Reach      *reach.Tracker
 	Upgrades   *upgrade.Tracker
 	Advice     *advice.Advisor
 	Limits     *ratelimit.Limiter
@@ -89,6 +91,7 @@
 	p.Advice.Register(h.peers)
 	quarantine.Register(h.peers, p.Quarantine.HandleUpdate)
 	ratelimit.Register(h.peers, p.Limits)
+	reach.Register(h.peers, p.Reach)
 	p.Duties.Register(h.peers)
 	h.control = &http.Server{Handler: h.controlHandler(), ReadHeaderTimeout: headerTimeout}
 	return h
@@ -129,6 +132,8 @@
 func (h *Host) updateGauges() {
 	h.Telemetry.Gauge("requests_in_flight", float64(h.Gateway.InFlight()))
 	h.Telemetry.Gauge("endpoints", float64(h.Fleet.Size()))
+	h.Telemetry.Gauge("endpoint_ways_lost", float64(h.Reach.LostCount()))
+	h.Telemetry.Gauge("connections_relayed", float64(h.Reach.RelayedCount()))
 	h.Telemetry.Gauge("endpoints_limited", float64(h.Fleet.LimitedCount()))
 	h.Telemetry.Gauge("requests_quarantined", float64(h.Quarantine.QuarantinedCount()))
 	h.Telemetry.Gauge("log_lines_dropped", float64(h.Lines.Dropped()))
@@ -225,6 +230,7 @@
 	h.Gateway.Drain()
 	h.Logger.Info("draining", "in_flight", h.Gateway.InFlight())
 	h.Spread.Stop()
+	h.Reach.Drain()
 	h.background.Go(func() { h.Duties.Resign(ctx) })
 	clock.Sleep(ctx, drainDelay-clock.Since(started))
 	h.shutdownCallers(ctx, started.Add(h.current.Load().Gateway.Grace-stopMargin))
--- a/internal/gatewayd/module.go
+++ b/internal/gatewayd/module.go
@@ -31,6 +31,7 @@
 	"quaybarrow/internal/gateway"
 	"quaybarrow/internal/quarantine"
 	"quaybarrow/internal/ratelimit"
+	"quaybarrow/internal/reach"
 	"quaybarrow/internal/route"
 	"quaybarrow/internal/settings"
 	"quaybarrow/internal/spread"
@@ -72,7 +73,7 @@
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.Supply(s, ports),
 		fx.Provide(
-			newLines, newLogger, newTelemetry, newTLS, newStore, newWatcher, clock.NewDeadlines, route.NewHolder, newFleet, newPool, newUpgradeTracker, newAdvisor, newLimits, newQuarantine, newIncarnation, newUsage, newDuties, newGateway, newHost,
+			newLines, newLogger, newTelemetry, newTLS, newStore, newWatcher, clock.NewDeadlines, route.NewHolder, newFleet, newReach, newPool, newUpgradeTracker, newAdvisor, newLimits, newQuarantine, newIncarnation, newUsage, newDuties, newGateway, newHost,
 		),
 		fx.Invoke(func(lc fx.Lifecycle, h *Host) {
 			lc.Append(fx.Hook{OnStart: h.Start, OnStop: h.Stop})
@@ -156,9 +157,30 @@
 	return fleet.WarmUp{Duration: declared.ColdDuration, MaxRate: s.ColdRateLimit(declared.ColdRate)}
 }
 
-func newPool(p Ports, t *telemetry.Telemetry) *conn.Pool {
+// relayedPerMB bounds how many connections a host relays for others, for each MB of its memory. A
+// relayed connection takes some tens of KB.
+const relayedPerMB = 4
+
+func newReach(s settings.Settings, p Ports, w *spread.Watcher, f *fleet.Fleet, t *telemetry.Telemetry, l *log.Logger) *reach.Tracker {
+	return reach.NewTracker(reach.Options{
+		Dial: p.dialPeer(), Hall: s.DataHall, Helpers: func() []reach.Helper { return helpers(w) }, Connect: w.Conn,
+		Endpoint:   f.At,
+		MaxRelayed: relayedPerMB * s.Gateway.MemoryMB, Telemetry: t, Logger: l,
+	})
+}
+
+// helpers returns the other hosts, as those that may relay connections.
+func helpers(w *spread.Watcher) []reach.Helper {
+	var list []reach.Helper
+	for _, m := range w.LocatedMembers() {
+		list = append(list, reach.Helper(m))
+	}
+	return list
+}
+
+func newPool(r *reach.Tracker, t *telemetry.Telemetry) *conn.Pool {
 	return conn.NewPool(conn.Options{
-		OnOpen: func(string) { t.Count("endpoint_connections", 1) }, Dial: p.dialPeer(),
+		OnOpen: func(string) { t.Count("endpoint_connections", 1) }, Dial: r.Dial,
 	})
 }
 
--- /dev/null
+++ b/internal/reach/helpers.go
@@ -0,0 +1,298 @@
+package reach
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"quaybarrow/internal/reach/reachpb"
+)
+
+// Errors of connections through other hosts.
+var (
+	// errNoHelper means that no host that was asked could tell anything.
+	errNoHelper = errors.New("no other host can be asked")
+	// errUnreachedByHelper means that a host that reaches other endpoints does not reach this one.
+	errUnreachedByHelper = errors.New("another host does not reach it either")
+	// errHelpersCutOff means that hosts that were asked may be cut off too.
+	errHelpersCutOff = errors.New("other hosts may be cut off too")
+)
+
+// Bounds of asking other hosts.
+const (
+	// maxAsked is how many hosts are asked for one connection.
+	maxAsked = 4
+	// maxAskedInHall is how many hosts of one data hall are considered that have not lately connected.
+	maxAskedInHall = 2
+	// askNextDelay is how long one host may take before the next one is asked too.
+	askNextDelay = 60 * time.Millisecond
+	// provenTime is how long a host that has connected counts as one that reaches endpoints.
+	provenTime = 10 * time.Second
+	// failedPause, cutOffPause and busyPause are how long a host is not asked after it gave no
+	// answer, proved to be cut off itself, or could relay no more.
+	failedPause = time.Second
+	cutOffPause = 2 * time.Second
+	busyPause   = 300 * time.Millisecond
+)
+
+// helper is another host, as one that relays connections. Its fields are guarded by the tracker's
+// mutex.
+type helper struct {
+	address    string
+	provenAt   time.Duration // when it last connected; 0 for never
+	retryAt    time.Duration // it is not asked before then
+	tunnels    map[*tunnel]struct{}
+	heardAt    time.Duration // when anything last arrived from it
+	monitoring bool          // a monitor runs
+}
+
+// proven reports whether the host has lately connected.
+func (h *helper) proven(now time.Duration) bool { return h.provenAt > 0 && now-h.provenAt < provenTime }
+
+// helper returns the helper with an address; the caller holds mu.
+func (t *Tracker) helper(address string) *helper {
+	h, ok := t.helpers[address]
+	if !ok {
+		h = &helper{address: address, tunnels: map[*tunnel]struct{}{}}
+		t.helpers[address] = h
+	}
+	return h
+}
+
+// Helper is another host that may relay connections.
+type Helper struct{ Address, Hall string }
+
+// helpersMaxAge is how long the list of hosts is used before it is read again.
+const helpersMaxAge = time.Second
+
+// listHelpers returns the other hosts in the order in which they are tried; the caller holds mu.
+func (t *Tracker) listHelpers() []Helper {
+	now := t.clock.Now()
+	if t.listed != nil && now-t.listedAt < helpersMaxAge {
+		return t.listed
+	}
+	all := t.options.Helpers()
+	t.listed, t.listedAt = make([]Helper, 0, len(all)), now
+	for _, i := range spreadOrder(len(all)) {
+		t.listed = append(t.listed, all[i])
+	}
+	return t.listed
+}
+
+// option is a host that may be asked for a connection.
+type option struct {
+	helper    *helper
+	hall      string
+	proven    bool
+	crossings int // how often data passes from one data hall to another
+}
+
+// candidates returns the hosts to ask for a connection to an endpoint. Those by which data crosses
+// fewest data halls come first, and among them those that have lately connected, in random order,
+// which spreads the load. Of the rest, the hosts of one hall and those close to each other may be cut
+// off together, so the next ones are from different halls.
+func (t *Tracker) candidates(l *link, except Way) []*helper {
+	_, endpointHall := t.options.Endpoint(l.address)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.clock.Now()
+	var options []option
+	halls := map[string]int{} // number of unproven options, by hall
+	for _, listed := range t.listHelpers() {
+		h, known := t.helpers[listed.Address]
+		proven := known && h.proven(now)
+		if Way(listed.Address) == except || (known && now < h.retryAt) || (!proven && halls[listed.Hall] >= maxAskedInHall) {
+			continue
+		}
+		if !proven {
+			halls[listed.Hall]++
+		}
+		o := option{helper: t.helper(listed.Address), hall: listed.Hall, proven: proven}
+		if listed.Hall != t.options.Hall {
+			o.crossings++
+		}
+		if endpointHall != "" && listed.Hall != endpointHall {
+			o.crossings++
+		}
+		options = append(options, o)
+	}
+	rand.Shuffle(len(options), func(i, j int) {
+		if options[i].proven && options[j].proven {
+			options[i], options[j] = options[j], options[i]
+		}
+	})
+	slices.SortStableFunc(options, func(a, b option) int {
+		return cmp.Or(cmp.Compare(a.crossings, b.crossings), cmp.Compare(rankOf(a), rankOf(b)))
+	})
+	return alternateHalls(options)
+}
+
+// rankOf returns 0 for a proven host and 1 for another.
+func rankOf(o option) int {
+	if o.proven {
+		return 0
+	}
+	return 1
+}
+
+// alternateHalls returns the first hosts of a list, where the second one is from another data hall
+// than the first if any is, and a proven one if there is one.
+func alternateHalls(options []option) []*helper {
+	if len(options) > 1 {
+		second := slices.IndexFunc(options[1:], func(o option) bool { return o.proven })
+		if second < 0 {
+			second = slices.IndexFunc(options[1:], func(o option) bool { return o.hall != options[0].hall })
+		}
+		if second > 0 {
+			o := options[second+1]
+			options = slices.Insert(slices.Delete(options, second+1, second+2), 1, o)
+		}
+	}
+	found := make([]*helper, 0, maxAsked)
+	for _, o := range options[:min(len(options), maxAsked)] {
+		found = append(found, o.helper)
+	}
+	return found
+}
+
+// spreadOrder returns the numbers from 0 to n-1: the first ones are far apart from each other.
+func spreadOrder(n int) []int {
+	order, seen := make([]int, 0, n), make([]bool, n)
+	for step := max(n, 1); len(order) < n; step = (step + 1) / 2 {
+		for i := 0; i < n; i += step {
+			if !seen[i] {
+				seen[i] = true
+				order = append(order, i)
+			}
+		}
+	}
+	return order
+}
+
+// asked is the result of asking one host for a connection.
+type asked struct {
+	helper *helper
+	proven bool // it was proven when it was asked
+	tunnel *tunnel
+	result reachpb.Result
+	err    error // the host could not be asked
+}
+
+// dialRelayed connects to an endpoint through another host, other than the one of a given way.
+func (t *Tracker) dialRelayed(ctx context.Context, l *link, except Way) (*Conn, error) {
+	candidates := t.candidates(l, except)
+	if len(candidates) == 0 {
+		t.countRelayed("no host to ask")
+		return nil, fmt.Errorf("connect through another host: %w", errNoHelper)
+	}
+	results := make(chan asked, len(candidates))
+	next := time.NewTimer(0)
+	defer next.Stop()
+	var failures []asked
+	for sent := 0; len(failures) < len(candidates); {
+		select {
+		case <-next.C:
+			if sent < len(candidates) {
+				h := candidates[sent]
+				go func() { results <- t.ask(ctx, h, l.address) }()
+				sent++
+				next.Reset(askNextDelay)
+			}
+		case a := <-results:
+			if a.tunnel == nil {
+				failures = append(failures, a)
+				next.Reset(0)
+				continue
+			}
+			go closeTunnels(results, sent-len(failures)-1)
+			t.recordConnected(a.helper, failures)
+			t.countRelayed("connected")
+			return t.newConn(l, Way(a.helper.address), a.tunnel), nil
+		case <-ctx.Done():
+			go closeTunnels(results, sent-len(failures))
+			return nil, fmt.Errorf("connect through another host: %w", ctx.Err())
+		}
+	}
+	err := t.judge(failures)
+	t.countRelayed("failed")
+	return nil, fmt.Errorf("connect through another host: %w", err)
+}
+
+// closeTunnels closes the tunnels of hosts that were asked in vain.
+func closeTunnels(results <-chan asked, n int) {
+	for range n {
+		if a := <-results; a.tunnel != nil {
+			_ = a.tunnel.Close()
+		}
+	}
+}
+
+// ask asks a host for a connection.
+func (t *Tracker) ask(ctx context.Context, h *helper, address string) asked {
+	t.mu.Lock()
+	a := asked{helper: h, proven: h.proven(t.clock.Now())}
+	t.mu.Unlock()
+	a.tunnel, a.result, a.err = t.openTunnel(ctx, h, address)
+	pause := time.Duration(0)
+	switch {
+	case ctx.Err() != nil:
+	case a.err != nil:
+		pause = failedPause
+	case a.result == reachpb.Result_CUT_OFF:
+		pause = cutOffPause
+	case a.result == reachpb.Result_BUSY, a.result == reachpb.Result_DRAINING:
+		pause = busyPause
+	}
+	if pause > 0 {
+		t.mu.Lock()
+		h.retryAt = t.clock.Now() + pause
+		t.mu.Unlock()
+	}
+	return a
+}
+
+// recordConnected records that a host has connected where others have failed.
+func (t *Tracker) recordConnected(h *helper, failures []asked) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.clock.Now()
+	h.provenAt = now
+	for _, f := range failures {
+		if f.result == reachpb.Result_REFUSED || f.result == reachpb.Result_SILENT {
+			f.helper.retryAt, f.helper.provenAt = now+cutOffPause, 0
+		}
+	}
+}
+
+// judge returns what it means that all hosts that were asked have failed.
+func (t *Tracker) judge(failures []asked) error {
+	cutOff := t.isCutOff()
+	unreached, refused, doubtful := false, false, false
+	for _, f := range failures {
+		switch f.result {
+		case reachpb.Result_REFUSED, reachpb.Result_SILENT:
+			credible := f.proven || !cutOff
+			unreached = unreached || credible
+			refused = refused || (credible && f.result == reachpb.Result_REFUSED)
+			doubtful = doubtful || !credible
+		case reachpb.Result_CUT_OFF:
+			doubtful = true
+		}
+	}
+	switch {
+	case refused && !doubtful:
+		return fmt.Errorf("%w: %w", errUnreachedByHelper, syscall.ECONNREFUSED)
+	case unreached && !doubtful:
+		return errUnreachedByHelper
+	case doubtful:
+		return errHelpersCutOff
+	default:
+		return errNoHelper
+	}
+}
--- a/internal/spread/connpool.go
+++ b/internal/spread/connpool.go
@@ -17,6 +17,7 @@
 	"github.com/pkg/errors"
 
 	"quaybarrow/internal/clock"
+	"quaybarrow/internal/conn"
 	"quaybarrow/internal/spread/spreadpb"
 	"quaybarrow/internal/store"
 )
@@ -66,6 +67,12 @@
 }
 
 func newConnPool(c credentials.TransportCredentials, dial Dialer) *connPool {
+	if dial == nil {
+		dialer := conn.CallerLiveness.Dialer(connectTimeout)
+		dial = func(ctx context.Context, address string) (net.Conn, error) {
+			return dialer.DialContext(ctx, "tcp4", address)
+		}
+	}
 	return &connPool{credentials: c, dial: dial, conns: map[string]*grpc.ClientConn{}, timeoutsSince: map[string]clock.Instant{}}
 }
 
@@ -98,9 +105,7 @@
 			Backoff:           backoff.Config{BaseDelay: minBackoff, Multiplier: 2, Jitter: 0.2, MaxDelay: maxBackoff},
 			MinConnectTimeout: connectTimeout,
 		}),
-	}
-	if pool.dial != nil {
-		options = append(options, grpc.WithContextDialer(pool.dial))
+		grpc.WithContextDialer(pool.dial),
 	}
 	c, err := grpc.NewClient("passthrough:///"+address, options...)
 	if err != nil {
--- a/internal/spread/peers.go
+++ b/internal/spread/peers.go
@@ -283,6 +283,24 @@
 	return slices.Clone(w.peers.ring)
 }
 
+// LocatedMember is another host with its data hall; the hall is empty until the list has been read.
+type LocatedMember struct{ Address, Hall string }
+
+// LocatedMembers returns all other hosts with their data halls, in the order of Members.
+func (w *Watcher) LocatedMembers() []LocatedMember {
+	w.peers.mu.Lock()
+	defer w.peers.mu.Unlock()
+	halls := make(map[string]string, len(w.peers.ranked))
+	for _, q := range w.peers.ranked {
+		halls[q.address] = q.hall
+	}
+	located := make([]LocatedMember, 0, len(w.peers.ring))
+	for _, m := range w.peers.ring {
+		located = append(located, LocatedMember{Address: m.Address, Hall: halls[m.Address]})
+	}
+	return located
+}
+
 // byRingOrder compares hosts by their position in the ring.
 func byRingOrder(a, b peer) int {
 	return cmp.Or(cmp.Compare(a.hall, b.hall), cmp.Compare(xxhash.Sum64String(a.name), xxhash.Sum64String(b.name)), cmp.Compare(a.name, b.name))
--- a/internal/spread/server.go
+++ b/internal/spread/server.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/pkg/errors"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/status"
 
 	"quaybarrow/internal/spread/spreadpb"
@@ -18,9 +20,16 @@
 // host on 10 Mbit/s receives in a third of a second.
 const maxWholeRows = 20_000
 
+// noPings turns off the pings of the gRPC library, with which it would replace the user timeout that the
+// listener sets on its connections by one of its own.
+const noPings time.Duration = math.MaxInt64
+
 // Server returns a gRPC server that serves to other hosts what this host reads.
 func (w *Watcher) Server(c credentials.TransportCredentials) *grpc.Server {
-	s := grpc.NewServer(grpc.Creds(c), grpc.WriteBufferSize(writeBuffer), grpc.ReadBufferSize(readBuffer))
+	s := grpc.NewServer(
+		grpc.Creds(c), grpc.WriteBufferSize(writeBuffer), grpc.ReadBufferSize(readBuffer),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: noPings}),
+	)
 	spreadpb.RegisterSpreadServer(s, &server{watcher: w, packer: newPacker()})
 	return s
 }
