Reach: ask up to six hosts before an endpoint counts as down, and don't accuse from a cut host

With five of seven hosts cut, the four hosts that were asked could all be cut themselves and not know it yet.

--- a/internal/reach/helpers.go
+++ b/internal/reach/helpers.go
@@ -26,10 +26,13 @@
 
 // Bounds of asking other hosts.
 const (
-	// maxAsked is how many hosts are asked for one connection.
-	maxAsked = 4
+	// maxAsked is how many hosts are asked for one connection. Several hosts may be cut off together,
+	// and an endpoint must not be taken for down on the word of these.
+	maxAsked = 6
+	// maxAskedInTurn is how many of them are asked one after the other; the rest are asked together.
+	maxAskedInTurn = 2
 	// maxAskedInHall is how many hosts of one data hall are considered that have not lately connected.
-	maxAskedInHall = 2
+	maxAskedInHall = maxAsked
 	// askNextDelay is how long one host may take before the next one is asked too.
 	askNextDelay = 60 * time.Millisecond
 	// provenTime is how long a host that has connected counts as one that reaches endpoints.
@@ -141,8 +144,8 @@
 	return 1
 }
 
-// alternateHalls returns the first hosts of a list, where the second one is from another data hall
-// than the first if any is, and a proven one if there is one.
+// alternateHalls returns the hosts to ask from an ordered list. The second one is a proven one, or else
+// from another data hall than the first, and the rest take turns between the halls.
 func alternateHalls(options []option) []*helper {
 	if len(options) > 1 {
 		second := slices.IndexFunc(options[1:], func(o option) bool { return o.proven })
@@ -155,8 +158,16 @@
 		}
 	}
 	found := make([]*helper, 0, maxAsked)
-	for _, o := range options[:min(len(options), maxAsked)] {
-		found = append(found, o.helper)
+	taken := map[string]int{}
+	for round := 1; len(found) < min(len(options), maxAsked); round++ {
+		for i, o := range options {
+			if o.helper == nil || len(found) == maxAsked || (len(found) >= maxAskedInTurn && taken[o.hall] >= round) {
+				continue
+			}
+			taken[o.hall]++
+			found = append(found, o.helper)
+			options[i].helper = nil
+		}
 	}
 	return found
 }
@@ -198,12 +209,15 @@
 	for sent := 0; len(failures) < len(candidates); {
 		select {
 		case <-next.C:
-			if sent < len(candidates) {
+			upTo := sent + 1
+			if sent >= maxAskedInTurn {
+				upTo = len(candidates)
+			}
+			for ; sent < min(upTo, len(candidates)); sent++ {
 				h := candidates[sent]
 				go func() { results <- t.ask(ctx, h, l.address) }()
-				sent++
-				next.Reset(askNextDelay)
 			}
+			next.Reset(askNextDelay)
 		case a := <-results:
 			if a.tunnel == nil {
 				failures = append(failures, a)
@@ -244,7 +258,7 @@
 	case ctx.Err() != nil:
 	case a.err != nil:
 		pause = failedPause
-	case a.result == reachpb.Result_CUT_OFF:
+	case a.result == reachpb.Result_CUT_OFF, a.result == reachpb.Result_UNSURE:
 		pause = cutOffPause
 	case a.result == reachpb.Result_BUSY, a.result == reachpb.Result_DRAINING:
 		pause = busyPause
--- a/internal/reach/server.go
+++ b/internal/reach/server.go
@@ -103,6 +103,9 @@
 	}
 	// The other host found the endpoint unreachable too, but this host may be cut off itself.
 	t.checkSoon(l, Direct)
+	if t.isCutOff() {
+		return nil, reachpb.Result_UNSURE
+	}
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		return nil, reachpb.Result_REFUSED
 	}
