Share the room of brittle endpoints between hosts, so that they don't fall over

Server-Brittle was read by nobody: hosts send on to full endpoints and are rejected at once, and a brittle endpoint that rejects more than it says in a second falls over (LIMIT).

While a service says that its endpoints are brittle each host keeps to its share of the slots, or to what a fresh report shows free; the host that advises counts all prompts itself; a host whose request was rejected leaves the endpoint alone, the longer the more hosts there are and the fewer rejections it survives. Nothing is kept by one host, and no call is made.

--- /dev/null
+++ b/internal/fleet/brittle.go
@@ -0,0 +1,106 @@
+package fleet
+
+import (
+	"time"
+
+	"quaybarrow/internal/clock"
+)
+
+// Brittle is what a response says about its service: endpoints that reject too many requests for lack
+// of room fall over.
+type Brittle struct {
+	Named      bool
+	Rejections int // that an endpoint survives in a second
+}
+
+// brittleState is what is known of a brittle service.
+type brittleState struct {
+	rejections  int           // that an endpoint survives in a second
+	confirmedAt clock.Instant // when a response last said so
+}
+
+// Bounds of what hosts send to brittle endpoints. The hosts share the slots of each endpoint, so that
+// they need not know of each other's requests to stay within them.
+const (
+	// assumedHosts is the number of hosts while the list of hosts is not known.
+	assumedHosts = 8
+	// entitledShare is the part of the slots that is shared out where there are more hosts than slots.
+	entitledShare = 0.75
+	// spareReportAge is the age up to which a load report shows that more than this host's share is
+	// free.
+	spareReportAge = 300 * time.Millisecond
+	// rejectionShare is the part of the survived rejections that all hosts together risk.
+	rejectionShare = 0.5
+	// minBrittlePause and maxBrittlePause bound how long a host sends nothing to an endpoint that has
+	// rejected a request of it.
+	minBrittlePause = 500 * time.Millisecond
+	maxBrittlePause = 10 * time.Second
+)
+
+// ObserveBrittle records what a response of an endpoint says, and returns the survived rejections known
+// before and after; 0 means that the service is not brittle. A response that does not say so ends the
+// time only if its request was sent after the last one that did.
+func (f *Fleet) ObserveBrittle(id string, b Brittle, sent clock.Instant) (before, after int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m, ok := f.members[id]
+	if !ok {
+		return 0, 0
+	}
+	s, brittle := f.brittle[m.Service]
+	switch {
+	case b.Named:
+		f.brittle[m.Service] = brittleState{rejections: max(b.Rejections, 1), confirmedAt: f.options.Now()}
+	case brittle && sent.After(s.confirmedAt):
+		delete(f.brittle, m.Service)
+	}
+	return s.rejections, f.brittle[m.Service].rejections
+}
+
+// hosts returns the number of hosts that send to an endpoint.
+func (f *Fleet) hosts() int {
+	if f.options.Choosers == nil {
+		return 1
+	}
+	if n := f.options.Choosers().Hosts; n > 0 {
+		return n
+	}
+	return assumedHosts
+}
+
+// crowded reports whether a brittle endpoint might have no room for another request; the caller holds
+// mu.
+func (f *Fleet) crowded(m *member, req Request, now clock.Instant) bool {
+	if _, brittle := f.brittle[m.Service]; !brittle {
+		return false
+	}
+	if now.Before(m.brittleUntil) {
+		return true
+	}
+	known := m.inFlight + m.remote(now)
+	if req.Key != 0 && !req.Unadvised {
+		return known >= m.slots() // this host knows of the requests of all hosts
+	}
+	hosts := f.hosts()
+	share := m.slots() / hosts
+	if share == 0 && RendezvousWeight(m.seed, f.hostSeed) < entitledShare*float64(m.slots())/float64(hosts) {
+		share = 1
+	}
+	if m.inFlight < share {
+		return false
+	}
+	spare := m.slots() - known - m.others
+	return now.Sub(m.loadAt) > spareReportAge || spare < hosts
+}
+
+// noteRejected makes this host send nothing to a brittle endpoint for a while after it has rejected a
+// request, so that all hosts together stay within the rejections that it survives.
+func (f *Fleet) noteRejected(m *member, now clock.Instant) {
+	s, brittle := f.brittle[m.Service]
+	if !brittle {
+		return
+	}
+	pause := clock.Seconds(float64(f.hosts()) / (rejectionShare * float64(s.rejections)))
+	pause = min(max(pause, minBrittlePause), maxBrittlePause)
+	m.brittleUntil = later(m.brittleUntil, now.Add(time.Duration((1+f.options.Random())*float64(pause))))
+}
--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -121,6 +121,9 @@
 	if r.Outcome == OutcomeRefused || r.Outcome == OutcomeLost {
 		h.fleet.prefixes.forget(m, h.req.parts())
 	}
+	if r.Outcome == OutcomeRefused {
+		h.fleet.noteRejected(m, now)
+	}
 	h.fleet.recordHealth(m, r.Outcome, EjectedByAttempts, now)
 	h.fleet.trackWarmUp(m, r.Outcome, now)
 	if r.Load.Slots > 0 {
@@ -168,6 +171,11 @@
 
 // usable reports whether an endpoint may get the attempt at all.
 func (f *Fleet) usable(m *member, req Request) bool {
+	return f.allowed(m, req) && !f.crowded(m, req, f.options.Now())
+}
+
+// allowed reports whether an endpoint may get the attempt if there is room.
+func (f *Fleet) allowed(m *member, req Request) bool {
 	if m.Draining || m.reportedDraining || f.inEvacuatedHall(m) || (req.Allowed != nil && !req.Allowed(m.Version)) {
 		return false
 	}
--- a/internal/gateway/codec.go
+++ b/internal/gateway/codec.go
@@ -57,6 +57,7 @@
 	NotRun     bool // the request did not run
 	Load       fleet.Load
 	Limit      fleet.Limit
+	Brittle    fleet.Brittle
 	Confidence float64 // the model's confidence in its answer, 0 to 100
 }
 
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -49,3 +49,20 @@
 		})
 	}
 }
+
+// recordBrittle records whether a response says that its service is brittle. A response that the
+// endpoint neither sealed nor sent to reject the request does not tell.
+func (a *attempt) recordBrittle() {
+	b := a.header.Brittle
+	if a.response.StatusCode == http.StatusMisdirectedRequest || (!b.Named && !a.header.Sealed && !a.header.NotRun) {
+		return
+	}
+	g := a.x.g
+	before, after := g.Fleet.ObserveBrittle(a.hold.Endpoint.ID, b, a.sentAt)
+	switch {
+	case before == 0 && after > 0:
+		g.Logger.Info("endpoints of a service are brittle", "id", a.x.header.ID, "endpoint", a.hold.Endpoint.ID, "service", a.x.service, "rejections_per_second", after)
+	case before > 0 && after == 0:
+		g.Logger.Info("endpoints of a service are brittle no more", "id", a.x.header.ID, "endpoint", a.hold.Endpoint.ID, "service", a.x.service)
+	}
+}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -255,6 +255,7 @@
 	a.clearReadDeadline(ctx)
 	a.response, a.header = resp, x.g.Codec.ParseResponse(resp.Header)
 	a.recordLimit()
+	a.recordBrittle()
 	if a.header.NotRun || resp.StatusCode == http.StatusMisdirectedRequest {
 		x.mayHaveRun = before
 		a.endRejected()
