Reach: tests of both ends; a stopping host waits for what it relays; bounded log lines

A host that stops used to cut the connections that it relays as soon as its own callers were done. It now refuses further ones, tells the others not to reuse theirs, and waits for those in use until the end of its grace.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -73,6 +73,7 @@
 	running            *runningCounter
 	unreadableLimitLog *rate.Sometimes // limits logging of limits that can't be parsed
 	changedLimitLog    *rate.Sometimes // limits logging of limits that have changed
+	unreachedLog       *rate.Sometimes // limits logging of endpoints that are not reached
 }
 
 // retryReserve is how many retries a host may make in the window without any first sends: the
@@ -81,7 +82,7 @@
 
 // New returns a gateway.
 func New(options Options) *Gateway {
-	return &Gateway{Options: options, sizes: newRequestSizes(), streamSpans: newRouteMeans(), firstModels: newFirstModels(), running: newRunningCounter(), startedAt: clock.Now(), unreadableLimitLog: newLogSampler(), changedLimitLog: newLogSampler(),
+	return &Gateway{Options: options, sizes: newRequestSizes(), streamSpans: newRouteMeans(), firstModels: newFirstModels(), running: newRunningCounter(), startedAt: clock.Now(), unreadableLimitLog: newLogSampler(), changedLimitLog: newLogSampler(), unreachedLog: &rate.Sometimes{Interval: unreachedLogInterval},
 		retryBudgets: retry.NewBudgets(retry.Limits{Ratio: options.RetryRatio, Reserve: retryReserve})}
 }
 
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -11,6 +11,10 @@
 // those about limits that can't be parsed.
 const limitLogInterval = time.Second
 
+// unreachedLogInterval is the minimum interval between log lines about endpoints that are not reached: a
+// host without any way to endpoints would write thousands.
+const unreachedLogInterval = 50 * time.Millisecond
+
 // newLogSampler returns a sampler that passes at most one log line per limitLogInterval.
 func newLogSampler() *rate.Sometimes { return &rate.Sometimes{Interval: limitLogInterval} }
 
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -226,7 +226,10 @@
 		outcome = fleet.OutcomeUnreached
 	}
 	hold.Done(fleet.Result{Outcome: outcome})
-	x.g.Logger.Warn("endpoint not reached", "id", x.header.ID, "endpoint", hold.Endpoint.ID, "address", hold.Endpoint.Address, "error", err)
+	x.g.Telemetry.Count("endpoints_not_reached", 1, telemetry.Label("outcome", outcome.String()))
+	x.g.unreachedLog.Do(func() {
+		x.g.Logger.Warn("endpoint not reached", "id", x.header.ID, "endpoint", hold.Endpoint.ID, "address", hold.Endpoint.Address, "meaning", outcome, "error", err)
+	})
 }
 
 // sendOnConn sends the request on a connection and reads the response header.
--- a/internal/gatewayd/host.go
+++ b/internal/gatewayd/host.go
@@ -234,6 +234,7 @@
 	h.background.Go(func() { h.Duties.Resign(ctx) })
 	clock.Sleep(ctx, drainDelay-clock.Since(started))
 	h.shutdownCallers(ctx, started.Add(h.current.Load().Gateway.Grace-stopMargin))
+	h.awaitRelayed(ctx, started.Add(h.current.Load().Gateway.Grace-stopMargin))
 	h.cancel()
 	h.peers.Stop()
 	h.Spread.Close()
@@ -246,6 +247,13 @@
 	return nil
 }
 
+// awaitRelayed waits for the connections that this host relays for others, until end at the latest.
+func (h *Host) awaitRelayed(ctx context.Context, end clock.Instant) {
+	ctx, cancel := h.Deadlines.WithDeadline(ctx, end)
+	defer cancel()
+	h.Reach.AwaitRelayed(ctx)
+}
+
 // shutdownCallers closes idle connections and waits for requests in flight, until end at the latest.
 func (h *Host) shutdownCallers(ctx context.Context, end clock.Instant) {
 	ctx, cancel := h.Deadlines.WithDeadline(ctx, end)
--- a/internal/reach/check.go
+++ b/internal/reach/check.go
@@ -25,7 +25,7 @@
 func (t *Tracker) startCheck(l *link, w Way) *check {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := t.clock.Now()
+	now := t.now()
 	if k, ok := l.checks[w]; ok {
 		return k
 	}
@@ -65,7 +65,7 @@
 	t.mu.Unlock()
 	this := inBackground(func() (*Conn, error) { return t.dialThrough(ctx, l, h) })
 	other := inBackground(func() (*Conn, error) { return t.dialOther(ctx, l, w) })
-	lost := false
+	var lost bool
 	select {
 	case d := <-this:
 		lost = d.err != nil && (<-other).closed()
@@ -82,7 +82,7 @@
 	}
 	if lost {
 		t.mu.Lock()
-		h.provenAt, h.retryAt = 0, t.clock.Now()+cutOffPause
+		h.provenAt, h.retryAt = 0, t.now()+cutOffPause
 		t.mu.Unlock()
 		t.lose(l, w, began, "the host that relays does not reach it")
 	}
--- a/internal/reach/conn.go
+++ b/internal/reach/conn.go
@@ -26,7 +26,7 @@
 // newConn wraps a connection that has just been opened.
 func (t *Tracker) newConn(l *link, w Way, c net.Conn) *Conn {
 	wrapped := &Conn{Conn: c, tracker: t, link: l, way: w}
-	wrapped.lastRead.Store(int64(t.clock.Now()))
+	wrapped.lastRead.Store(int64(t.now()))
 	wrapped.timer = time.AfterFunc(time.Hour, wrapped.checkStall)
 	wrapped.timer.Stop()
 	t.mu.Lock()
@@ -42,7 +42,7 @@
 func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if n > 0 {
-		now := int64(c.tracker.clock.Now())
+		now := int64(c.tracker.now())
 		c.lastRead.Store(now)
 		if c.way == Direct {
 			c.link.heardAt.Store(now)
@@ -101,7 +101,7 @@
 		c.timer.Stop()
 		return
 	}
-	c.expectedAt.Store(int64(c.tracker.clock.Now()))
+	c.expectedAt.Store(int64(c.tracker.now()))
 	c.timer.Reset(stallTime)
 }
 
@@ -112,6 +112,14 @@
 // Lost reports whether the connection was interrupted because its way is lost.
 func (c *Conn) Lost() bool { return c.lost.Load() }
 
+// quietFor returns for how long no data has arrived; 0 while the user waits for some.
+func (c *Conn) quietFor() time.Duration {
+	if c.expectedAt.Load() != 0 {
+		return 0
+	}
+	return c.tracker.now() - time.Duration(c.lastRead.Load())
+}
+
 // checkStall checks the way if nothing has arrived for stallTime while the user waits.
 func (c *Conn) checkStall() {
 	expected := c.expectedAt.Load()
@@ -122,7 +130,7 @@
 	if c.way == Direct {
 		last = max(last, c.link.heardAt.Load())
 	}
-	if silent := c.tracker.clock.Now() - time.Duration(last); silent < stallTime {
+	if silent := c.tracker.now() - time.Duration(last); silent < stallTime {
 		c.timer.Reset(stallTime - silent)
 		return
 	}
--- a/internal/reach/dial.go
+++ b/internal/reach/dial.go
@@ -98,7 +98,7 @@
 func (t *Tracker) dialHedged(ctx context.Context, l *link, doubtful bool) (*Conn, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	began := t.clock.Now()
+	began := t.now()
 	direct := inBackground(func() (*Conn, error) { return t.dialDirect(ctx, l) })
 	delay := hedgeDelay
 	if doubtful {
@@ -198,7 +198,7 @@
 	err := fmt.Errorf("dial %s: %w: %w; through others: %w", l.address, ErrDown, direct, relayed)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	l.downUntil, l.downErr = t.clock.Now()+downTime, err
+	l.downUntil, l.downErr = t.now()+downTime, err
 	return err
 }
 
--- a/internal/reach/helpers.go
+++ b/internal/reach/helpers.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -51,8 +52,8 @@
 	provenAt   time.Duration // when it last connected; 0 for never
 	retryAt    time.Duration // it is not asked before then
 	tunnels    map[*tunnel]struct{}
-	heardAt    time.Duration // when anything last arrived from it
-	monitoring bool          // a monitor runs
+	heardAt    atomic.Int64 // when anything last arrived from it, in ns of the tracker's clock; not guarded
+	monitoring bool         // a monitor runs
 }
 
 // proven reports whether the host has lately connected.
@@ -76,7 +77,7 @@
 
 // listHelpers returns the other hosts in the order in which they are tried; the caller holds mu.
 func (t *Tracker) listHelpers() []Helper {
-	now := t.clock.Now()
+	now := t.now()
 	if t.listed != nil && now-t.listedAt < helpersMaxAge {
 		return t.listed
 	}
@@ -104,7 +105,7 @@
 	_, endpointHall := t.options.Endpoint(l.address)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := t.clock.Now()
+	now := t.now()
 	var options []option
 	halls := map[string]int{} // number of unproven options, by hall
 	for _, listed := range t.listHelpers() {
@@ -250,7 +251,7 @@
 // ask asks a host for a connection.
 func (t *Tracker) ask(ctx context.Context, h *helper, address string) asked {
 	t.mu.Lock()
-	a := asked{helper: h, proven: h.proven(t.clock.Now())}
+	a := asked{helper: h, proven: h.proven(t.now())}
 	t.mu.Unlock()
 	a.tunnel, a.result, a.err = t.openTunnel(ctx, h, address)
 	pause := time.Duration(0)
@@ -265,7 +266,7 @@
 	}
 	if pause > 0 {
 		t.mu.Lock()
-		h.retryAt = t.clock.Now() + pause
+		h.retryAt = t.now() + pause
 		t.mu.Unlock()
 	}
 	return a
@@ -275,7 +276,7 @@
 func (t *Tracker) recordConnected(h *helper, failures []asked) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := t.clock.Now()
+	now := t.now()
 	h.provenAt = now
 	for _, f := range failures {
 		if f.result == reachpb.Result_REFUSED || f.result == reachpb.Result_SILENT {
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -142,6 +142,9 @@
 	return t
 }
 
+// now reads the tracker's clock. It is never 0, which stands for no time.
+func (t *Tracker) now() time.Duration { return t.clock.Now() + 1 }
+
 // maxIdleLinks is the number of links above which those without connections are dropped.
 const maxIdleLinks = 1024
 
@@ -185,8 +188,8 @@
 	if newly {
 		l.lost = true
 		t.lostCount++
-		t.doubtedAt = t.clock.Now()
-		l.retryAt = t.clock.Now() + retryInterval
+		t.doubtedAt = t.now()
+		l.retryAt = t.now() + retryInterval
 	}
 	var stalled []*Conn
 	for c := range l.conns {
@@ -205,7 +208,7 @@
 
 // heard records that an address answered directly.
 func (t *Tracker) heard(l *link) {
-	l.heardAt.Store(int64(t.clock.Now()))
+	l.heardAt.Store(int64(t.now()))
 	t.mu.Lock()
 	back := l.lost
 	if back {
@@ -231,7 +234,7 @@
 func (t *Tracker) stateOf(l *link) state {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := t.clock.Now()
+	now := t.now()
 	s := state{lost: l.lost, doubtful: t.doubts(l, now)}
 	if now < l.downUntil {
 		s.downErr = l.downErr
@@ -256,7 +259,7 @@
 	if w != Direct {
 		return l.lost
 	}
-	return !l.lost && !t.doubts(l, t.clock.Now())
+	return !l.lost && !t.doubts(l, t.now())
 }
 
 // isCutOff reports whether this host has lost any of its direct ways.
--- /dev/null
+++ b/internal/reach/rig_test.go
@@ -0,0 +1,181 @@
+package reach_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/charmbracelet/log"
+	. "github.com/onsi/gomega"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"quaybarrow/internal/reach"
+	"quaybarrow/internal/standin/memnet"
+	"quaybarrow/internal/standin/suite"
+	"quaybarrow/internal/telemetry"
+)
+
+// endpointAddress is the address of the only endpoint.
+const endpointAddress = "10.1.0.1:80"
+
+// link is the state of a host's link to the endpoint.
+type link int
+
+const (
+	up link = iota
+	refuses
+	hangs
+)
+
+// host is a host with its tracker.
+type host struct {
+	*reach.Tracker
+	address string
+	server  *grpc.Server
+	conns   map[string]*grpc.ClientConn
+
+	mu    sync.Mutex // guards the fields below
+	link  link
+	dials int
+}
+
+func (h *host) set(l link) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.link = l
+}
+
+// rig is a number of hosts and an endpoint that echoes what it receives.
+type rig struct {
+	net      *memnet.Network
+	hosts    []*host
+	listener net.Listener
+	ended    chan time.Time // receives the times at which connections to the endpoint ended
+	maxRelay int
+}
+
+// withHosts runs body with hosts under a paused clock.
+func withHosts(n int, body func(r *rig)) { withBusyHosts(n, 10, body) }
+
+func withBusyHosts(n, maxRelay int, body func(r *rig)) {
+	suite.Paused(func() {
+		r := &rig{net: memnet.New(), ended: make(chan time.Time, 100), maxRelay: maxRelay}
+		r.startEndpoint()
+		for i := range n {
+			r.hosts = append(r.hosts, r.newHost(fmt.Sprintf("10.0.0.%d:83", i+1)))
+		}
+		body(r)
+		time.Sleep(2 * time.Second) // checks in the background end
+		for _, h := range r.hosts {
+			for _, c := range h.conns {
+				_ = c.Close()
+			}
+			h.server.Stop()
+		}
+		r.stopEndpoint()
+		time.Sleep(time.Minute)
+	})
+}
+
+func (r *rig) newHost(address string) *host {
+	h := &host{address: address, server: grpc.NewServer(), conns: map[string]*grpc.ClientConn{}}
+	h.Tracker = reach.NewTracker(reach.Options{
+		Hall: "ikeja", MaxRelayed: r.maxRelay, Telemetry: telemetry.MetricsOnly(), Logger: log.New(io.Discard),
+		Dial: func(ctx context.Context, address string) (net.Conn, error) { return h.dial(ctx, r.net, address) },
+		Endpoint: func(address string) (service, hall string) {
+			if address == endpointAddress {
+				return "plain", "ikeja"
+			}
+			return "", ""
+		},
+		Helpers: func() []reach.Helper {
+			var list []reach.Helper
+			for _, o := range r.hosts {
+				if o != h {
+					list = append(list, reach.Helper{Address: o.address, Hall: "ikeja"})
+				}
+			}
+			return list
+		},
+		Connect: func(address string) (grpc.ClientConnInterface, error) { return h.conn(r.net, address), nil },
+	})
+	reach.Register(h.server, h.Tracker)
+	l := r.net.Listen(address)
+	go func() { _ = h.server.Serve(l) }()
+	return h
+}
+
+func (h *host) dial(ctx context.Context, n *memnet.Network, address string) (net.Conn, error) {
+	h.mu.Lock()
+	h.dials++
+	state := h.link
+	h.mu.Unlock()
+	switch state {
+	case refuses:
+		return nil, &net.OpError{Op: "dial", Net: "mem", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
+	case hangs:
+		ctx, cancel := context.WithTimeout(ctx, 1500*time.Millisecond)
+		defer cancel()
+		<-ctx.Done()
+		return nil, ctx.Err()
+	default:
+		return n.Dial(ctx, "tcp", address)
+	}
+}
+
+func (h *host) conn(n *memnet.Network, address string) *grpc.ClientConn {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.conns[address] == nil {
+		c, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(insecure.NewCredentials()),
+			grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) { return n.Dial(ctx, "tcp", address) }))
+		Expect(err).NotTo(HaveOccurred())
+		h.conns[address] = c
+	}
+	return h.conns[address]
+}
+
+// startEndpoint makes the endpoint accept connections and echo what it receives.
+func (r *rig) startEndpoint() {
+	l := r.net.Listen(endpointAddress)
+	r.listener = l
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				_, _ = io.Copy(c, c)
+				_ = c.Close()
+				r.ended <- time.Now()
+			}()
+		}
+	}()
+}
+
+// stopEndpoint makes the endpoint refuse connections and ends the open ones.
+func (r *rig) stopEndpoint() {
+	_ = r.listener.Close()
+	r.net.Cut(endpointAddress, true)
+	r.net.Cut(endpointAddress, false)
+}
+
+// echo sends a text and returns what comes back.
+func echo(c net.Conn, text string) (string, error) {
+	if _, err := io.WriteString(c, text); err != nil {
+		return "", err
+	}
+	buffer := make([]byte, len(text))
+	_, err := io.ReadFull(c, buffer)
+	return string(buffer), err
+}
+
+// lineOf returns the connection as one whose way is watched.
+func lineOf(c net.Conn) *reach.Conn { return c.(*reach.Conn) }
--- a/internal/reach/server.go
+++ b/internal/reach/server.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"google.golang.org/grpc"
 
+	"quaybarrow/internal/clock"
 	"quaybarrow/internal/conn"
 	"quaybarrow/internal/reach/reachpb"
 	"quaybarrow/internal/telemetry"
@@ -194,6 +195,37 @@
 	return len(s.relayed)
 }
 
+// Times of waiting for relayed connections to end.
+const (
+	// quietTime is how long a connection on which no request waits may carry no data before it is
+	// taken for idle; streams of events pause for less.
+	quietTime = 2500 * time.Millisecond
+	// waitInterval is the time between looks at the connections.
+	waitInterval = 100 * time.Millisecond
+)
+
+// AwaitRelayed waits, after Drain, until this host relays no connection that is in use, or the context
+// ends.
+func (t *Tracker) AwaitRelayed(ctx context.Context) {
+	for t.server.closeIdle() > 0 && clock.Sleep(ctx, waitInterval) {
+	}
+}
+
+// closeIdle ends the idle connections and returns the number of the others.
+func (s *server) closeIdle() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	inUse := 0
+	for r := range s.relayed {
+		if r.conn.quietFor() < quietTime {
+			inUse++
+			continue
+		}
+		go func() { _ = r.conn.Close() }()
+	}
+	return inUse
+}
+
 // drain refuses new connections and tells the hosts whose connections are relayed not to reuse them.
 func (s *server) drain() {
 	s.draining.Store(true)
--- a/internal/reach/tunnel.go
+++ b/internal/reach/tunnel.go
@@ -206,8 +206,8 @@
 func (t *Tracker) addTunnel(n *tunnel) {
 	t.mu.Lock()
 	n.helper.tunnels[n] = struct{}{}
-	n.helper.heardAt = t.clock.Now()
 	t.mu.Unlock()
+	t.heardHelper(n.helper)
 	t.monitor(n.helper)
 }
 
@@ -217,11 +217,7 @@
 	delete(n.helper.tunnels, n)
 }
 
-func (t *Tracker) heardHelper(h *helper) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	h.heardAt = t.clock.Now()
-}
+func (t *Tracker) heardHelper(h *helper) { h.heardAt.Store(int64(t.now())) }
 
 // monitor watches a host for as long as it relays connections, unless it is watched already.
 func (t *Tracker) monitor(h *helper) {
@@ -254,10 +250,7 @@
 
 // pingHelper reports whether anything has lately arrived from a host, or it answers a call.
 func (t *Tracker) pingHelper(h *helper) bool {
-	t.mu.Lock()
-	heard := h.heardAt > 0 && t.clock.Now()-h.heardAt < pingAfter
-	t.mu.Unlock()
-	if heard {
+	if heard := h.heardAt.Load(); heard > 0 && t.now()-time.Duration(heard) < pingAfter {
 		return true
 	}
 	connection, err := t.options.Connect(h.address)
@@ -276,7 +269,7 @@
 // failHelper ends the tunnels of a host that does not answer.
 func (t *Tracker) failHelper(h *helper) {
 	t.mu.Lock()
-	h.retryAt, h.provenAt = t.clock.Now()+failedPause, 0
+	h.retryAt, h.provenAt = t.now()+failedPause, 0
 	tunnels := make([]*tunnel, 0, len(h.tunnels))
 	for n := range h.tunnels {
 		tunnels = append(tunnels, n)
