--- a/internal/reach/check.go
+++ b/internal/reach/check.go
@@ -163,16 +163,20 @@
 }
 
 // WayLost reports whether the way of a connection is lost, so that what happened on the connection
-// tells nothing about the endpoint. If that is not known, it checks the way first, if check is set.
+// tells nothing about the endpoint. If that is not known, it has the way checked, and waits for the
+// result if check is set.
 func (c *Conn) WayLost(ctx context.Context, check bool) bool {
 	t := c.tracker
 	t.mu.Lock()
 	known := c.way == Direct && c.link.lost
 	t.mu.Unlock()
-	if known || c.Lost() || !check {
-		return known || c.Lost()
+	if known || c.Lost() {
+		return true
 	}
 	k := t.startCheck(c.link, c.way)
+	if !check {
+		return false
+	}
 	select {
 	case <-k.done:
 	case <-ctx.Done():
--- a/internal/reach/conn.go
+++ b/internal/reach/conn.go
@@ -102,7 +102,7 @@
 		return
 	}
 	c.expectedAt.Store(int64(c.tracker.now()))
-	c.timer.Reset(stallTime)
+	c.timer.Reset(firstStallTime)
 }
 
 // SetAbandonable sets whether the connection is to be interrupted if its way is lost: the user can
@@ -126,15 +126,18 @@
 	if expected == 0 {
 		return
 	}
-	last := max(expected, c.lastRead.Load())
+	last, limit := max(expected, c.lastRead.Load()), stallTime
+	if last == expected {
+		limit = firstStallTime // the response has not begun
+	}
 	if c.way == Direct {
 		last = max(last, c.link.heardAt.Load())
 	}
-	if silent := c.tracker.now() - time.Duration(last); silent < stallTime {
-		c.timer.Reset(stallTime - silent)
+	if silent := c.tracker.now() - time.Duration(last); silent < limit {
+		c.timer.Reset(limit - silent)
 		return
 	}
-	c.timer.Reset(stallTime)
+	c.timer.Reset(limit)
 	c.tracker.checkSoon(c.link, c.way)
 }
 
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -69,9 +69,11 @@
 	doubtfulHedgeDelay = 30 * time.Millisecond
 	// settleTime is how long a direct dial may still succeed after a helper has connected.
 	settleTime = 50 * time.Millisecond
-	// stallTime is how long an endpoint may send nothing on a connection that waits for it, and on
-	// all others of the same way, before the way is checked.
-	stallTime = 150 * time.Millisecond
+	// stallTime is how long an endpoint may pause in a response, and firstStallTime how long it may
+	// take to begin one, with nothing arriving on any other connection of the same way, before the way
+	// is checked. Engines process long prompts before they respond.
+	stallTime      = 150 * time.Millisecond
+	firstStallTime = 400 * time.Millisecond
 	// doubtTime is how long connections that have been idle since before another way was lost are
 	// not trusted.
 	doubtTime = 15 * time.Second
