Reach: forget lost ways that nothing uses

A direct way stayed lost until a dial of a request found it back. To an endpoint that is gone nothing is sent any more, so the host counted as cut off for good: it told others that it was not sure, and no crash was recorded on its word. Found by reading. A way counts as lost for 5 s after a dial has shown it; the spec 'forgets a lost way that nothing uses any more' needs it.

--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -225,50 +225,6 @@
 	response  *http.Response
 }
 
-// watched is a connection whose way to the endpoint is watched; see package reach.
-type watched interface {
-	// Unwrap returns the connection below.
-	Unwrap() net.Conn
-	// Usable reports whether an idle connection may be used for a request.
-	Usable() bool
-	// Expect sets whether data is awaited.
-	Expect(on bool)
-	// SetAbandonable sets whether reads are to fail once the way is lost.
-	SetAbandonable(on bool)
-	// WayLost reports whether the way is lost, after a check if that is wanted.
-	WayLost(ctx context.Context, check bool) bool
-	// Host returns the address of the host that relays the connection; empty for none.
-	Host() string
-}
-
-// SetAbandonable sets whether the connection is interrupted once its way to the endpoint is lost.
-func (c *Conn) SetAbandonable(on bool) {
-	if c.watch != nil {
-		c.watch.SetAbandonable(on)
-	}
-}
-
-// WayLost reports whether the way to the endpoint is lost, so that the end of the exchange tells
-// nothing about the endpoint. If that is not known, it checks the way first, if check is set.
-func (c *Conn) WayLost(ctx context.Context, check bool) bool {
-	return c.watch != nil && c.watch.WayLost(ctx, check)
-}
-
-// RelayedBy returns the address of the host that relays the connection; empty for none.
-func (c *Conn) RelayedBy() string {
-	if c.watch == nil {
-		return ""
-	}
-	return c.watch.Host()
-}
-
-// newConn returns a connection of the pool.
-func (p *Pool) newConn(address string, raw net.Conn) *Conn {
-	c := &Conn{pool: p, address: address, netConn: raw, reader: bufio.NewReaderSize(raw, readBuffer)}
-	c.watch, _ = raw.(watched)
-	return c
-}
-
 // alive reports whether an idle connection can be used: its idle timeout has not passed, its peer
 // has not closed it, and no unexpected data has arrived.
 func (c *Conn) alive() bool {
--- a/internal/reach/check.go
+++ b/internal/reach/check.go
@@ -18,10 +18,8 @@
 // checkTimeout bounds a check.
 const checkTimeout = 500 * time.Millisecond
 
-// checkSoon checks a way in the background, unless it is checked already or was checked a moment ago.
-func (t *Tracker) checkSoon(l *link, w Way) { t.startCheck(l, w) }
-
-// startCheck returns the check of a way that runs or has just run, or starts one.
+// startCheck checks a way in the background, unless a check of it runs or has just run, and returns the
+// check.
 func (t *Tracker) startCheck(l *link, w Way) *check {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/reach/dial.go
+++ b/internal/reach/dial.go
@@ -68,14 +68,7 @@
 	return c, nil
 }
 
-// DialDirect connects to an endpoint directly.
-func (t *Tracker) DialDirect(ctx context.Context, address string) (*Conn, error) {
-	t.mu.Lock()
-	l := t.link(address)
-	t.mu.Unlock()
-	return t.dialDirect(ctx, l)
-}
-
+// dialDirect connects to an endpoint directly.
 func (t *Tracker) dialDirect(ctx context.Context, l *link) (*Conn, error) {
 	raw, err := t.options.Dial(ctx, l.address)
 	if err != nil {
@@ -89,9 +82,14 @@
 func (t *Tracker) retryDirect(l *link) {
 	ctx, cancel := context.WithTimeout(context.Background(), retryInterval)
 	defer cancel()
-	if c, err := t.dialDirect(ctx, l); err == nil {
+	c, err := t.dialDirect(ctx, l)
+	if err == nil {
 		_ = c.Close()
+		return
 	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	l.shownAt = t.now()
 }
 
 // dialHedged dials directly, and asks other hosts to connect if that fails or takes long.
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -79,6 +79,9 @@
 	doubtTime = 15 * time.Second
 	// retryInterval is the time between direct dials to an address whose direct way is lost.
 	retryInterval = time.Second
+	// lostTime is how long a direct way counts as lost after a dial has last shown it. Nothing is sent
+	// any more to an endpoint that is gone, so nobody would find out that its way is back.
+	lostTime = 5 * time.Second
 	// downTime is how long an endpoint that was found down is not dialed again.
 	downTime = 200 * time.Millisecond
 	// checkInterval is how long the result of a check of a way is used.
@@ -122,8 +125,9 @@
 // unless they are atomic.
 type link struct {
 	address   string
-	heardAt   atomic.Int64 // when data last arrived on a direct connection, in ns of the tracker's clock
-	lost      bool         // the direct way is lost
+	heardAt   atomic.Int64  // when data last arrived on a direct connection, in ns of the tracker's clock
+	lost      bool          // the direct way is lost
+	shownAt   time.Duration // when a dial last showed that it is lost
 	retryAt   time.Duration
 	downUntil time.Duration // downErr is in force until then
 	downErr   error
@@ -172,9 +176,24 @@
 func (t *Tracker) LostCount() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.expireLost()
 	return t.lostCount
 }
 
+// expireLost forgets lost ways that nothing has shown for lostTime; the caller holds mu.
+func (t *Tracker) expireLost() {
+	if t.lostCount == 0 {
+		return
+	}
+	now := t.now()
+	for _, l := range t.links {
+		if l.lost && now-l.shownAt > lostTime {
+			l.lost = false
+			t.lostCount--
+		}
+	}
+}
+
 // RelayedCount returns the number of connections that this host relays for other hosts.
 func (t *Tracker) RelayedCount() int { return t.server.count() }
 
@@ -187,6 +206,9 @@
 func (t *Tracker) lose(l *link, w Way, since time.Duration, reason string) {
 	t.mu.Lock()
 	newly := w == Direct && !l.lost
+	if w == Direct {
+		l.shownAt = t.now()
+	}
 	if newly {
 		l.lost = true
 		t.lostCount++
@@ -236,6 +258,7 @@
 func (t *Tracker) stateOf(l *link) state {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.expireLost()
 	now := t.now()
 	s := state{lost: l.lost, doubtful: t.doubts(l, now)}
 	if now < l.downUntil {
@@ -265,8 +288,4 @@
 }
 
 // isCutOff reports whether this host has lost any of its direct ways.
-func (t *Tracker) isCutOff() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.lostCount > 0
-}
+func (t *Tracker) isCutOff() bool { return t.LostCount() > 0 }
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -54,6 +54,16 @@
 		})
 	})
 
+	It("forgets a lost way that nothing uses any more", func() {
+		withHosts(2, func(r *rig) {
+			r.hosts[0].set(refuses)
+			_ = dial(r.hosts[0]).Close()
+			Expect(r.hosts[0].LostCount()).To(Equal(1))
+			time.Sleep(6 * time.Second)
+			Expect(r.hosts[0].LostCount()).To(BeZero())
+		})
+	})
+
 	It("finds hosts that reach the endpoint though most are cut, and takes it for up", func() {
 		withHosts(7, func(r *rig) {
 			for _, h := range r.hosts[:5] {
--- a/internal/reach/server.go
+++ b/internal/reach/server.go
@@ -103,7 +103,7 @@
 		return c, reachpb.Result_CONNECTED
 	}
 	// The other host found the endpoint unreachable too, but this host may be cut off itself.
-	t.checkSoon(l, Direct)
+	t.startCheck(l, Direct)
 	if t.isCutOff() {
 		return nil, reachpb.Result_UNSURE
 	}
