Brittle endpoints: each host shares at least one of a service's endpoints

With more hosts than slots a host was let to an endpoint by chance; with 61 hosts and few endpoints most hosts were let to none, and refused all requests of the service. Found by reading; the spec 'leave each host at least one to send to, however many hosts there are' failed before.

--- a/internal/fleet/brittle.go
+++ b/internal/fleet/brittle.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"time"
 
 	"quaybarrow/internal/clock"
@@ -17,6 +18,33 @@
 type brittleState struct {
 	rejections  int           // that an endpoint survives in a second
 	confirmedAt clock.Instant // when a response last said so
+
+	// entitled is the weight up to which this host may send to endpoints of which the hosts' shares are
+	// less than one slot. It was determined at entitledAt.
+	entitled   float64
+	entitledAt clock.Instant
+}
+
+// entitlementMaxAge is how long a host uses the same endpoints, as long as there are as many.
+const entitlementMaxAge = time.Second
+
+// mayUse reports whether this host is among those that share the slots of an endpoint, where there are
+// more hosts than slots. Each host is among those of one endpoint at least; the caller holds mu.
+func (f *Fleet) mayUse(m *member, hosts int, now clock.Instant) bool {
+	s := f.brittle[m.Service]
+	if s.entitledAt.IsZero() || now.Sub(s.entitledAt) > entitlementMaxAge {
+		var weights []float64
+		slots := 0
+		for _, o := range f.endpointsOf(m.Service) {
+			weights = append(weights, RendezvousWeight(o.seed, f.hostSeed))
+			slots += o.slots()
+		}
+		slices.Sort(weights)
+		n := max(1, int(entitledShare*float64(slots)/float64(hosts)))
+		s.entitled, s.entitledAt = weights[min(n, len(weights))-1], now
+		f.brittle[m.Service] = s
+	}
+	return RendezvousWeight(m.seed, f.hostSeed) <= s.entitled
 }
 
 // Bounds of what hosts send to brittle endpoints. The hosts share the slots of each endpoint, so that
@@ -48,13 +76,15 @@
 		return 0, 0
 	}
 	s, brittle := f.brittle[m.Service]
+	before = s.rejections
 	switch {
 	case b.Named:
-		f.brittle[m.Service] = brittleState{rejections: max(b.Rejections, 1), confirmedAt: f.options.Now()}
+		s.rejections, s.confirmedAt = max(b.Rejections, 1), f.options.Now()
+		f.brittle[m.Service] = s
 	case brittle && sent.After(s.confirmedAt):
 		delete(f.brittle, m.Service)
 	}
-	return s.rejections, f.brittle[m.Service].rejections
+	return before, f.brittle[m.Service].rejections
 }
 
 // hosts returns the number of hosts that send to an endpoint.
@@ -83,7 +113,7 @@
 	}
 	hosts := f.hosts()
 	share := m.slots() / hosts
-	if share == 0 && RendezvousWeight(m.seed, f.hostSeed) < entitledShare*float64(m.slots())/float64(hosts) {
+	if share == 0 && f.mayUse(m, hosts, now) {
 		share = 1
 	}
 	if m.inFlight < share {
