--- a/internal/gatewayd/cuthosts_test.go
+++ b/internal/gatewayd/cuthosts_test.go
@@ -183,7 +183,7 @@
 	for _, m := range r.machines {
 		for _, e := range m.Starts() {
 			for _, s := range e.Requests() {
-				received[s.Head.Get("Attempt-Id")]++
+				received[s.ID()]++
 			}
 		}
 	}
