Reach: judge broken connections by a fresh check, and leave live connections alone

A check that found a way well was used for a second: connections that were reset within it counted as the endpoint's failures. And where new connections are refused while open ones live on, repeatable requests were taken off connections that worked. Two specs that failed before: 'explains what breaks, though a check a moment before found it well' and 'leaves connections alone that live on while new ones are refused'. A direct way now gets a second dial in all cases, so that one lost packet loses no way. Buffers are not reused after a frame was handed to gRPC, which may still read it.

--- a/internal/reach/check.go
+++ b/internal/reach/check.go
@@ -7,10 +7,11 @@
 	"github.com/pkg/errors"
 )
 
-// check is a check of a way that runs or has lately run. Its fields are guarded by the tracker's
+// check is a check of a way. Its fields are guarded by the tracker's
 // mutex, but for done.
 type check struct {
 	startedAt time.Duration
+	endedAt   time.Duration // 0 while it runs
 	lost      bool
 	done      chan struct{} // closed when the check has ended
 }
@@ -18,13 +19,13 @@
 // checkTimeout bounds a check.
 const checkTimeout = 500 * time.Millisecond
 
-// startCheck checks a way in the background, unless a check of it runs or has just run, and returns the
-// check.
-func (t *Tracker) startCheck(l *link, w Way) *check {
+// startCheck checks a way in the background and returns the check. If one of the way runs, or has ended
+// no longer than maxAge ago, it returns that one.
+func (t *Tracker) startCheck(l *link, w Way, maxAge time.Duration) *check {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
-	if k, ok := l.checks[w]; ok {
+	if k, ok := l.checks[w]; ok && (k.endedAt == 0 || now-k.endedAt <= maxAge) {
 		return k
 	}
 	k := &check{startedAt: now, done: make(chan struct{})}
@@ -39,18 +40,9 @@
 	defer cancel()
 	lost := t.isLost(ctx, l, w, k.startedAt)
 	t.mu.Lock()
-	k.lost = lost
+	k.lost, k.endedAt = lost, t.now()
 	t.mu.Unlock()
 	close(k.done)
-	time.AfterFunc(checkInterval, func() { t.forgetCheck(l, w, k) })
-}
-
-func (t *Tracker) forgetCheck(l *link, w Way, k *check) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if l.checks[w] == k {
-		delete(l.checks, w)
-	}
 }
 
 // isLost dials an address over a way and over another one.
@@ -82,11 +74,14 @@
 		t.mu.Lock()
 		h.provenAt, h.retryAt = 0, t.now()+cutOffPause
 		t.mu.Unlock()
-		t.lose(l, w, began, "the host that relays does not reach it")
+		t.lose(l, w, began, errLostByHelper)
 	}
 	return lost
 }
 
+// errLostByHelper means that the host that relays connections does not reach the endpoint any more.
+var errLostByHelper = errors.New("the host that relays does not reach it")
+
 // closed closes the connection of a dial that succeeded, and reports whether it did.
 func (d dialed) closed() bool {
 	if d.err != nil {
@@ -131,13 +126,13 @@
 	}
 	_ = c.Close()
 	if !errors.Is(reason, errNoAnswer) {
-		// An endpoint that has just started refuses the first dial and accepts the second.
-		direct = inBackground(func() (*Conn, error) { return t.dialDirect(ctx, l) })
+		direct = nil // it has failed
 	}
-	if t.succeedsWithin(direct, settleTime) {
+	if again, err := t.dialAgain(l, direct); err == nil {
+		_ = again.Close()
 		return false
 	}
-	t.lose(l, Direct, began, reason.Error())
+	t.lose(l, Direct, began, reason)
 	return true
 }
 
@@ -172,10 +167,11 @@
 	if known || c.Lost() {
 		return true
 	}
-	k := t.startCheck(c.link, c.way)
 	if !check {
+		t.startCheck(c.link, c.way, stallCheckAge)
 		return false
 	}
+	k := t.startCheck(c.link, c.way, brokenCheckAge)
 	select {
 	case <-k.done:
 	case <-ctx.Done():
--- a/internal/reach/conn.go
+++ b/internal/reach/conn.go
@@ -138,7 +138,7 @@
 		return
 	}
 	c.timer.Reset(limit)
-	c.tracker.startCheck(c.link, c.way)
+	c.tracker.startCheck(c.link, c.way, stallCheckAge)
 }
 
 // stalledSince reports whether the user has waited for data since before a time, would rather do
--- a/internal/reach/dial.go
+++ b/internal/reach/dial.go
@@ -28,8 +28,12 @@
 	return result
 }
 
-// discard closes the connection of a dial that is not needed any more. The result may have been read.
+// discard closes the connection of a dial that is not needed any more. The result may have been read,
+// or the channel may be nil.
 func discard(result <-chan dialed) {
+	if result == nil {
+		return
+	}
 	go func() {
 		if d := <-result; d.conn != nil {
 			_ = d.conn.Close()
@@ -154,34 +158,60 @@
 	if d.err != nil {
 		return nil, t.explain(ctx, l, r.directErr, d.err)
 	}
-	// An endpoint that has just started refuses the first dial and accepts the second.
-	r.direct = inBackground(func() (*Conn, error) { return t.dialDirect(ctx, l) })
 	return t.awaitDirect(l, r, d.conn), nil
 }
 
 // errNoAnswer means that a direct dial had no result when another host's had.
 var errNoAnswer = errors.New("no answer")
 
-// awaitDirect gives the direct dial a little more time once a helper has connected, and returns the
+// awaitDirect gives the direct way a last chance once a helper has connected, and returns the
 // connection to use.
 func (t *Tracker) awaitDirect(l *link, r race, relayed *Conn) *Conn {
-	settled := time.NewTimer(settleTime)
-	defer settled.Stop()
-	reason := errNoAnswer
-	select {
-	case d := <-r.direct:
-		if d.err == nil {
-			_ = relayed.Close()
-			return d.conn
-		}
-		reason = d.err
-	case <-settled.C:
-		discard(r.direct)
+	c, err := t.dialAgain(l, r.direct)
+	if err == nil {
+		_ = relayed.Close()
+		return c
+	}
+	if r.directErr != nil {
+		err = r.directErr
 	}
-	t.lose(l, Direct, r.began, reason.Error())
+	t.lose(l, Direct, r.began, err)
 	return relayed
 }
 
+// dialAgain dials directly once more, for settleTime, while the first dial goes on. The endpoint may
+// have started just after it refused the first dial, or the first dial's packet may be lost, which is
+// sent again only after a second.
+func (t *Tracker) dialAgain(l *link, first <-chan dialed) (*Conn, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), settleTime)
+	defer cancel()
+	second := inBackground(func() (*Conn, error) { return t.dialDirect(ctx, l) })
+	err := errNoAnswer
+	for range 2 {
+		var d dialed
+		select {
+		case d = <-first:
+			first = nil
+		case d = <-second:
+			second = nil
+		case <-ctx.Done():
+		}
+		switch {
+		case d.conn != nil:
+			discard(first)
+			discard(second)
+			return d.conn, nil
+		case ctx.Err() != nil:
+			discard(first)
+			discard(second)
+			return nil, err
+		case d.err != nil:
+			err = d.err
+		}
+	}
+	return nil, err
+}
+
 // explain returns the error of a dial that failed directly and through other hosts.
 func (t *Tracker) explain(ctx context.Context, l *link, direct, relayed error) error {
 	if relayed == nil {
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	t := reach.NewTracker(reach.Options{Helpers: addresses, Connect: connect, Listed: listed, ...})
+//	t := reach.NewTracker(reach.Options{Helpers: helpers, Connect: connect, Endpoint: f.At, ...})
 //	reach.Register(server, t)
 //	c, err := t.Dial(ctx, "10.0.0.7:8080")
 //	switch {
@@ -31,6 +31,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -84,8 +85,10 @@
 	lostTime = 5 * time.Second
 	// downTime is how long an endpoint that was found down is not dialed again.
 	downTime = 200 * time.Millisecond
-	// checkInterval is how long the result of a check of a way is used.
-	checkInterval = time.Second
+	// stallCheckAge and brokenCheckAge are how long the result of a check is used for other
+	// connections that stall, and for others that break: those of a way break together.
+	stallCheckAge  = time.Second
+	brokenCheckAge = 50 * time.Millisecond
 )
 
 // Options configure a Tracker.
@@ -132,7 +135,7 @@
 	downUntil time.Duration // downErr is in force until then
 	downErr   error
 	conns     map[*Conn]struct{} // open connections
-	checks    map[Way]*check
+	checks    map[Way]*check     // the last one of each way
 }
 
 // NewTracker returns a tracker that takes all direct ways to work.
@@ -162,7 +165,7 @@
 	}
 	if len(t.links) >= maxIdleLinks {
 		for other, idle := range t.links {
-			if len(idle.conns) == 0 && !idle.lost && len(idle.checks) == 0 {
+			if len(idle.conns) == 0 && !idle.lost {
 				delete(t.links, other)
 			}
 		}
@@ -201,9 +204,11 @@
 // it relays not to reuse them.
 func (t *Tracker) Drain() { t.server.drain() }
 
-// lose records that a way to an address is lost, and abandons the connections that stalled on it.
-// Since is when the way was last known to be tried.
-func (t *Tracker) lose(l *link, w Way, since time.Duration, reason string) {
+// lose records that a way to an address is lost. If it is silent, it abandons the connections on which
+// nothing has arrived since the dial that showed it began; where dials are refused, open connections
+// may live on.
+func (t *Tracker) lose(l *link, w Way, since time.Duration, reason error) {
+	silent := w != Direct || !errors.Is(reason, syscall.ECONNREFUSED)
 	t.mu.Lock()
 	newly := w == Direct && !l.lost
 	if w == Direct {
@@ -217,7 +222,7 @@
 	}
 	var stalled []*Conn
 	for c := range l.conns {
-		if c.way == w && c.stalledSince(since) {
+		if silent && c.way == w && c.stalledSince(since) {
 			stalled = append(stalled, c)
 		}
 	}
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -128,6 +128,38 @@
 	})
 })
 
+var _ = Describe("a way that is lost", func() {
+	ctx := context.Background()
+
+	It("leaves connections alone that live on while new ones are refused", func() {
+		withHosts(3, func(r *rig) {
+			c, err := r.hosts[0].Dial(ctx, endpointAddress)
+			Expect(err).NotTo(HaveOccurred())
+			lineOf(c).SetAbandonable(true)
+			lineOf(c).Expect(true)
+			r.hosts[0].set(refuses)
+			time.Sleep(10 * time.Millisecond)
+			Expect(dialSoon(r.hosts[0])).To(Succeed())
+			Expect(r.hosts[0].LostCount()).To(Equal(1))
+			Expect(lineOf(c).Lost()).To(BeFalse())
+			Expect(echo(c, "x")).To(Equal("x"))
+			_ = c.Close()
+		})
+	})
+
+	It("explains what breaks, though a check a moment before found it well", func() {
+		withHosts(3, func(r *rig) {
+			c, err := r.hosts[0].Dial(ctx, endpointAddress)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(lineOf(c).WayLost(ctx, true)).To(BeFalse())
+			time.Sleep(300 * time.Millisecond)
+			r.hosts[0].set(refuses)
+			Expect(lineOf(c).WayLost(ctx, true)).To(BeTrue())
+			_ = c.Close()
+		})
+	})
+})
+
 // dialSoon dials without an interest in the result.
 func dialSoon(h *host) error {
 	c, err := h.Dial(context.Background(), endpointAddress)
--- a/internal/reach/server.go
+++ b/internal/reach/server.go
@@ -1,6 +1,7 @@
 package reach
 
 import (
+	"bytes"
 	"context"
 	"strings"
 	"sync"
@@ -103,7 +104,7 @@
 		return c, reachpb.Result_CONNECTED
 	}
 	// The other host found the endpoint unreachable too, but this host may be cut off itself.
-	t.startCheck(l, Direct)
+	t.startCheck(l, Direct, stallCheckAge)
 	if t.isCutOff() {
 		return nil, reachpb.Result_UNSURE
 	}
@@ -135,7 +136,7 @@
 		n, err := r.conn.Read(buffer)
 		r.conn.Expect(false)
 		if n > 0 {
-			if sendErr := r.send(&reachpb.Frame{Data: buffer[:n]}); sendErr != nil {
+			if sendErr := r.send(&reachpb.Frame{Data: bytes.Clone(buffer[:n])}); sendErr != nil {
 				return reachpb.End_LOST
 			}
 		}
--- a/internal/reach/tunnel.go
+++ b/internal/reach/tunnel.go
@@ -1,6 +1,7 @@
 package reach
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -100,7 +101,7 @@
 	for {
 		read, err := n.inner.Read(buffer)
 		if err == nil {
-			err = n.stream.Send(&reachpb.Frame{Data: buffer[:read]})
+			err = n.stream.Send(&reachpb.Frame{Data: bytes.Clone(buffer[:read])})
 		}
 		if err != nil {
 			// The user has closed its side, or pumpDown finds out why the stream ended.
