Reach: hosts to ask in random order, halls in turn

The order was made in three steps (far apart on the ring, proven hosts shuffled, the second one picked by itself) where two do: random, then sorted by halls crossed and lately connected.

--- a/internal/reach/helpers.go
+++ b/internal/reach/helpers.go
@@ -79,17 +79,14 @@
 // helpersMaxAge is how long the list of hosts is used before it is read again.
 const helpersMaxAge = time.Second
 
-// listHelpers returns the other hosts in the order in which they are tried; the caller holds mu.
+// listHelpers returns the other hosts in random order, which spreads the load; the caller holds mu.
 func (t *Tracker) listHelpers() []Helper {
 	now := t.now()
 	if t.listed != nil && now-t.listedAt < helpersMaxAge {
 		return t.listed
 	}
-	all := t.options.Helpers()
-	t.listed, t.listedAt = make([]Helper, 0, len(all)), now
-	for _, i := range spreadOrder(len(all)) {
-		t.listed = append(t.listed, all[i])
-	}
+	t.listed, t.listedAt = t.options.Helpers(), now
+	rand.Shuffle(len(t.listed), func(i, j int) { t.listed[i], t.listed[j] = t.listed[j], t.listed[i] })
 	return t.listed
 }
 
@@ -102,9 +99,8 @@
 }
 
 // candidates returns the hosts to ask for a connection to an endpoint. Those by which data crosses
-// fewest data halls come first, and among them those that have lately connected, in random order,
-// which spreads the load. Of the rest, the hosts of one hall and those close to each other may be cut
-// off together, so the next ones are from different halls.
+// fewest data halls come first, and among them those that have lately connected. As the hosts of one
+// hall may be cut off together, the halls take turns.
 func (t *Tracker) candidates(l *link, except Way) []*helper {
 	_, endpointHall := t.options.Endpoint(l.address)
 	t.mu.Lock()
@@ -130,11 +126,6 @@
 		}
 		options = append(options, o)
 	}
-	rand.Shuffle(len(options), func(i, j int) {
-		if options[i].proven && options[j].proven {
-			options[i], options[j] = options[j], options[i]
-		}
-	})
 	slices.SortStableFunc(options, func(a, b option) int {
 		return cmp.Or(cmp.Compare(a.crossings, b.crossings), cmp.Compare(rankOf(a), rankOf(b)))
 	})
@@ -149,48 +140,23 @@
 	return 1
 }
 
-// alternateHalls returns the hosts to ask from an ordered list. The second one is a proven one, or else
-// from another data hall than the first, and the rest take turns between the halls.
+// alternateHalls returns the hosts to ask from an ordered list: the first of each data hall, then the
+// second of each, and so on.
 func alternateHalls(options []option) []*helper {
-	if len(options) > 1 {
-		second := slices.IndexFunc(options[1:], func(o option) bool { return o.proven })
-		if second < 0 {
-			second = slices.IndexFunc(options[1:], func(o option) bool { return o.hall != options[0].hall })
-		}
-		if second > 0 {
-			o := options[second+1]
-			options = slices.Insert(slices.Delete(options, second+1, second+2), 1, o)
-		}
-	}
-	found := make([]*helper, 0, maxAsked)
-	taken := map[string]int{}
-	for round := 1; len(found) < min(len(options), maxAsked); round++ {
+	var found []*helper
+	taken := make([]bool, len(options))
+	for len(found) < min(len(options), maxAsked) {
+		halls := map[string]bool{} // that have had their turn
 		for i, o := range options {
-			if o.helper == nil || len(found) == maxAsked || (len(found) >= maxAskedInTurn && taken[o.hall] >= round) {
-				continue
+			if !taken[i] && !halls[o.hall] && len(found) < maxAsked {
+				taken[i], halls[o.hall] = true, true
+				found = append(found, o.helper)
 			}
-			taken[o.hall]++
-			found = append(found, o.helper)
-			options[i].helper = nil
 		}
 	}
 	return found
 }
 
-// spreadOrder returns the numbers from 0 to n-1: the first ones are far apart from each other.
-func spreadOrder(n int) []int {
-	order, seen := make([]int, 0, n), make([]bool, n)
-	for step := max(n, 1); len(order) < n; step = (step + 1) / 2 {
-		for i := 0; i < n; i += step {
-			if !seen[i] {
-				seen[i] = true
-				order = append(order, i)
-			}
-		}
-	}
-	return order
-}
-
 // asked is the result of asking one host for a connection.
 type asked struct {
 	helper *helper
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -96,7 +96,7 @@
 	// Dial connects directly; nil means TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	Hall string // the host's own data hall
-	// Helpers lists the other hosts, in an order that differs between hosts. Nil for a host alone.
+	// Helpers lists the other hosts; the list may be changed. Nil for a host alone.
 	Helpers func() []Helper
 	// Endpoint returns the service and the data hall of the endpoint at an address; empty if there is
 	// none.
