--- a/internal/fleet/advise.go
+++ b/internal/fleet/advise.go
@@ -54,6 +54,7 @@
 func (f *Fleet) Advise(req Request) (Advice, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	req.ForOther = true
 	p := f.place(req)
 	if !p.sent() {
 		if _, none := p.decision.(admission.Send); none {
--- a/internal/fleet/candidates.go
+++ b/internal/fleet/candidates.go
@@ -111,7 +111,7 @@
 	drawn := 0
 	for range drawsPerCandidate * most {
 		m := from[int(f.options.Random()*float64(len(from)))%len(from)]
-		if m.Service != req.Service || !f.usable(m, req) || m.tier(now) > tierHealthy {
+		if m.Service != req.Service || !f.usable(m, req) || m.tierFor(req, now) > tierHealthy {
 			continue
 		}
 		n.add(m)
@@ -128,7 +128,7 @@
 	homes := 0
 	for i := range min(drawsPerCandidate*maxHomes, len(p.ring)) {
 		m := p.ring[(at+i)%len(p.ring)]
-		if !f.usable(m, req) || m.tier(now) > tierHealthy {
+		if !f.usable(m, req) || m.tierFor(req, now) > tierHealthy {
 			continue
 		}
 		n.add(m)
--- a/internal/fleet/ejection_test.go
+++ b/internal/fleet/ejection_test.go
@@ -1,6 +1,8 @@
 package fleet_test
 
 import (
+	"time"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -30,4 +32,24 @@
 			}))
 		})
 	})
+
+	It("of an endpoint that only this host can't reach don't keep the hosts from it that this one advises", func() {
+		suite.Paused(func() {
+			f := fleet.New(fleet.Options{Hall: "ikeja"})
+			f.Put(fleet.Endpoint{ID: "near", Service: "s", Hall: "ikeja"})
+			f.Put(fleet.Endpoint{ID: "far", Service: "s", Hall: "lekki"})
+			request := fleet.Request{Service: "s", Key: 1, Objective: time.Second}
+			h, ok := f.Pick(request)
+			Expect(ok).To(BeTrue())
+			Expect(h.Endpoint.ID).To(Equal("near"))
+			h.Done(fleet.Result{Outcome: fleet.OutcomeUnreached})
+			h, ok = f.Pick(request)
+			Expect(ok).To(BeTrue())
+			Expect(h.Endpoint.ID).To(Equal("far"))
+			h.Done(fleet.Result{Outcome: fleet.OutcomeNeutral})
+			advised, ok := f.Advise(request)
+			Expect(ok).To(BeTrue())
+			Expect(advised.Endpoint).To(Equal("near"))
+		})
+	})
 })
--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -32,6 +32,8 @@
 	// MaxLimitWait is how long the request may wait for endpoints whose limits are used up; 0 means
 	// no wait.
 	MaxLimitWait time.Duration
+	// ForOther means that another host asked for advice on the request.
+	ForOther bool
 	// Unadvised means that other hosts choose at the same time without knowing of this request.
 	Unadvised bool
 }
@@ -200,15 +202,24 @@
 	tierEjected
 )
 
-// ejected reports whether an endpoint has recently failed this host or other hosts, or was not reached
-// by this host.
+// ejected reports whether this host avoids an endpoint.
 func (m *member) ejected(now clock.Instant) bool {
-	return now.Before(m.health.ejectedUntil) || now.Before(m.peerEjectedUntil) || now.Before(m.unreachedUntil)
+	return m.failing(now) || now.Before(m.unreachedUntil)
 }
 
-func (m *member) tier(now clock.Instant) int {
+// failing reports whether an endpoint has recently failed this host or other hosts.
+func (m *member) failing(now clock.Instant) bool {
+	return now.Before(m.health.ejectedUntil) || now.Before(m.peerEjectedUntil)
+}
+
+// tier returns the tier of an endpoint for this host.
+func (m *member) tier(now clock.Instant) int { return m.tierFor(Request{}, now) }
+
+// tierFor returns the tier of an endpoint for a request. That only this host can't reach the endpoint
+// does not matter to a host that it advises.
+func (m *member) tierFor(req Request, now clock.Instant) int {
 	switch {
-	case m.ejected(now), now.Before(m.health.fullUntil):
+	case m.failing(now), now.Before(m.health.fullUntil), !req.ForOther && now.Before(m.unreachedUntil):
 		return tierEjected
 	case !m.lapsesAt.IsZero():
 		return tierLapsed
@@ -241,7 +252,7 @@
 	}
 	n := f.candidates(p, req, t.localHall, c.now)
 	f.scoreAll(&c, n.list[:n.count], t)
-	if (c.member == nil && !c.limits.anyLimited) || (c.member != nil && c.member.tier(c.now) > tierHealthy) {
+	if (c.member == nil && !c.limits.anyLimited) || (c.member != nil && c.member.tierFor(req, c.now) > tierHealthy) {
 		// Few endpoints may be used, for instance since only a few run an allowed version.
 		c = choice{now: c.now}
 		f.scoreAll(&c, p.all, t)
@@ -338,7 +349,7 @@
 	var home *member
 	least := math.Inf(1)
 	for _, m := range p.all {
-		if !f.usable(m, req) || m.tier(now) > tierHealthy {
+		if !f.usable(m, req) || m.tierFor(req, now) > tierHealthy {
 			continue
 		}
 		if w := RendezvousWeight(req.Key, m.seed); w < least {
--- a/internal/fleet/score.go
+++ b/internal/fleet/score.go
@@ -80,7 +80,7 @@
 
 // score ranks an endpoint with a load for an attempt; the lowest score is chosen.
 func (f *Fleet) score(m *member, t scoreTerms, load float64, prefillTokens int, now clock.Instant) float64 {
-	score := float64(m.tier(now))*tierSeconds + tieBreak*f.options.Random()
+	score := float64(m.tierFor(t.req, now))*tierSeconds + tieBreak*f.options.Random()
 	if m.warmUp.busy(t.coldLimits, t.req, now) {
 		score += busySeconds
 	}
