--- a/internal/gatewayd/crashrig_test.go
+++ b/internal/gatewayd/crashrig_test.go
@@ -63,7 +63,7 @@
 	number int
 	app    *fx.App
 	conns  *hostConns
-	link   hostLink
+	link   *memnet.Link
 }
 
 // crashOutcome is the outcome of a request.
@@ -144,7 +144,7 @@
 		}
 	}
 	for i := range cmp.Or(d.hosts, crashHosts) {
-		h := &crashHost{rig: r, number: i}
+		h := &crashHost{rig: r, number: i, link: &memnet.Link{Network: r.net}}
 		h.start()
 		r.hosts = append(r.hosts, h)
 	}
@@ -188,7 +188,7 @@
 		s.Gateway.Duties, s.Gateway.DutyTurns, s.Gateway.UsageWindow = dutiesAddress, dutyTurns, usageWindow
 	}
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
-		return conns.track(h.link.dialer(h.rig.net.Dial)(ctx, network, address))
+		return conns.track(h.link.Dial(ctx, network, address))
 	}
 	h.conns = conns
 	h.app = fx.New(gatewayd.Module(s, gatewayd.Ports{
--- a/internal/gatewayd/cuthosts_test.go
+++ b/internal/gatewayd/cuthosts_test.go
@@ -14,12 +14,13 @@
 
 	. "github.com/onsi/gomega"
 
+	"quaybarrow/internal/standin/memnet"
 	"quaybarrow/platform/standin"
 )
 
 // cutScenario describes a run in which some hosts can't reach endpoints for a while.
 type cutScenario struct {
-	state    linkState
+	state    memnet.LinkState
 	cutHosts int    // of cutScenarioHosts
 	cuts     string // prefix of the addresses of the endpoints that they can't reach
 }
@@ -34,16 +35,16 @@
 )
 
 var cutScenarios = map[string]cutScenario{
-	"connections hang":                       {state: linkSilent, cutHosts: 3, cuts: allEndpoints},
-	"connections are reset":                  {state: linkReset, cutHosts: 3, cuts: allEndpoints},
-	"new connections are refused":            {state: linkRefuses, cutHosts: 3, cuts: allEndpoints},
-	"nothing arrives from endpoints":         {state: linkOneWay, cutHosts: 3, cuts: allEndpoints},
-	"most hosts, connections hang":           {state: linkSilent, cutHosts: 5, cuts: allEndpoints},
-	"most hosts, connections are reset":      {state: linkReset, cutHosts: 5, cuts: allEndpoints},
-	"the plain service, connections hang":    {state: linkSilent, cutHosts: 3, cuts: plainEndpoints},
-	"the model service, connections reset":   {state: linkReset, cutHosts: 3, cuts: modelEndpoints},
-	"some endpoints only, connections hang":  {state: linkSilent, cutHosts: 3, cuts: halfOfEndpoints},
-	"some endpoints only, connections reset": {state: linkReset, cutHosts: 3, cuts: halfOfEndpoints},
+	"connections hang":                       {state: memnet.LinkSilent, cutHosts: 3, cuts: allEndpoints},
+	"connections are reset":                  {state: memnet.LinkReset, cutHosts: 3, cuts: allEndpoints},
+	"new connections are refused":            {state: memnet.LinkRefuses, cutHosts: 3, cuts: allEndpoints},
+	"nothing arrives from endpoints":         {state: memnet.LinkOneWay, cutHosts: 3, cuts: allEndpoints},
+	"most hosts, connections hang":           {state: memnet.LinkSilent, cutHosts: 5, cuts: allEndpoints},
+	"most hosts, connections are reset":      {state: memnet.LinkReset, cutHosts: 5, cuts: allEndpoints},
+	"the plain service, connections hang":    {state: memnet.LinkSilent, cutHosts: 3, cuts: plainEndpoints},
+	"the model service, connections reset":   {state: memnet.LinkReset, cutHosts: 3, cuts: modelEndpoints},
+	"some endpoints only, connections hang":  {state: memnet.LinkSilent, cutHosts: 3, cuts: halfOfEndpoints},
+	"some endpoints only, connections reset": {state: memnet.LinkReset, cutHosts: 3, cuts: halfOfEndpoints},
 }
 
 // Sizes, times and bounds of cut scenarios. The users' rule counts first tries from contactTime after
@@ -113,11 +114,11 @@
 			return strings.HasPrefix(address, d.cuts) && !strings.HasPrefix(address, hostAddresses) && address != storeAddress
 		}
 		for _, h := range r.hosts[:d.cutHosts] {
-			h.link.set(d.state, cuts)
+			h.link.Set(d.state, cuts)
 		}
 		time.Sleep(cutEnd - cutStart)
 		for _, h := range r.hosts[:d.cutHosts] {
-			h.link.set(linkUp, cuts)
+			h.link.Set(memnet.LinkUp, cuts)
 		}
 	})
 	r.calling.Wait()
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -13,6 +13,7 @@
 	"google.golang.org/grpc"
 
 	"quaybarrow/internal/reach"
+	"quaybarrow/internal/standin/memnet"
 )
 
 var _ = Describe("a host whose link to an endpoint is cut", func() {
@@ -23,7 +24,7 @@
 		return c
 	}
 
-	for name, state := range map[string]link{"dials are refused": refuses, "dials hang": hangs} {
+	for name, state := range map[string]memnet.LinkState{"dials are refused": memnet.LinkRefuses, "dials hang": memnet.LinkSilent} {
 		It("connects through another host where "+name, func() {
 			withHosts(3, func(r *rig) {
 				r.hosts[0].set(state)
@@ -40,10 +41,10 @@
 
 	It("connects directly again once its link is back, and no longer reuses relayed connections", func() {
 		withHosts(3, func(r *rig) {
-			r.hosts[0].set(refuses)
+			r.hosts[0].set(memnet.LinkRefuses)
 			relayed := dial(r.hosts[0])
 			Expect(lineOf(relayed).Usable()).To(BeTrue())
-			r.hosts[0].set(up)
+			r.hosts[0].set(memnet.LinkUp)
 			time.Sleep(1100 * time.Millisecond)
 			_ = dial(r.hosts[0]).Close() // has the direct way tried
 			time.Sleep(10 * time.Millisecond)
@@ -56,7 +57,7 @@
 
 	It("forgets a lost way that nothing uses any more", func() {
 		withHosts(2, func(r *rig) {
-			r.hosts[0].set(refuses)
+			r.hosts[0].set(memnet.LinkRefuses)
 			_ = dial(r.hosts[0]).Close()
 			Expect(r.hosts[0].LostCount()).To(Equal(1))
 			time.Sleep(6 * time.Second)
@@ -67,7 +68,7 @@
 	It("finds hosts that reach the endpoint though most are cut, and takes it for up", func() {
 		withHosts(7, func(r *rig) {
 			for _, h := range r.hosts[:5] {
-				h.set(refuses)
+				h.set(memnet.LinkRefuses)
 			}
 			for _, h := range r.hosts[:5] {
 				c := dial(h)
@@ -79,7 +80,7 @@
 
 	It("passes over hosts that don't know the call, relay too many connections or stop", func() {
 		withBusyHosts(4, 1, func(r *rig) {
-			r.hosts[0].set(refuses)
+			r.hosts[0].set(memnet.LinkRefuses)
 			r.hosts[1].server.Stop()
 			l := r.net.Listen(r.hosts[1].address)
 			old := grpc.NewServer() // of a version without the service
@@ -96,10 +97,10 @@
 
 	It("says that it has no way, not that the endpoint is down, if all hosts are cut", func() {
 		withHosts(3, func(r *rig) {
-			r.hosts[0].set(refuses)
+			r.hosts[0].set(memnet.LinkRefuses)
 			_ = dial(r.hosts[0]).Close()
 			for _, h := range r.hosts[1:] {
-				h.set(refuses)
+				h.set(memnet.LinkRefuses)
 				_ = dialSoon(h)
 			}
 			_, err := r.hosts[0].Dial(ctx, endpointAddress)
@@ -113,7 +114,7 @@
 			repeatable, once := dial(r.hosts[0]), dial(r.hosts[0])
 			lineOf(repeatable).SetAbandonable(true)
 			r.net.Silence(endpointAddress)
-			r.hosts[0].set(hangs)
+			r.hosts[0].set(memnet.LinkSilent)
 			lineOf(repeatable).Expect(true)
 			lineOf(once).Expect(true)
 			began := time.Now()
@@ -137,7 +138,7 @@
 			Expect(err).NotTo(HaveOccurred())
 			lineOf(c).SetAbandonable(true)
 			lineOf(c).Expect(true)
-			r.hosts[0].set(refuses)
+			r.hosts[0].set(memnet.LinkRefuses)
 			time.Sleep(10 * time.Millisecond)
 			Expect(dialSoon(r.hosts[0])).To(Succeed())
 			Expect(r.hosts[0].LostCount()).To(Equal(1))
@@ -153,7 +154,7 @@
 			Expect(err).NotTo(HaveOccurred())
 			Expect(lineOf(c).WayLost(ctx, true)).To(BeFalse())
 			time.Sleep(300 * time.Millisecond)
-			r.hosts[0].set(refuses)
+			r.hosts[0].set(memnet.LinkRefuses)
 			Expect(lineOf(c).WayLost(ctx, true)).To(BeTrue())
 			_ = c.Close()
 		})
@@ -185,11 +186,11 @@
 	It("finds out within 0.1 s that an endpoint is down though one of the others does not answer", func() {
 		withHosts(5, func(r *rig) {
 			for _, h := range r.hosts[1:] { // the connections between hosts are open
-				r.hosts[0].set(refuses)
+				r.hosts[0].set(memnet.LinkRefuses)
 				_ = dialSoon(r.hosts[0])
 				_ = dialSoon(h)
 			}
-			r.hosts[0].set(up)
+			r.hosts[0].set(memnet.LinkUp)
 			time.Sleep(6 * time.Second) // the lost way is forgotten
 			r.stopEndpoint()
 			r.net.Silence(r.hosts[1].address)
@@ -204,7 +205,7 @@
 
 	It("takes the only host's word if there is no other", func() {
 		withHosts(1, func(r *rig) {
-			r.hosts[0].set(refuses)
+			r.hosts[0].set(memnet.LinkRefuses)
 			_, err := r.hosts[0].Dial(ctx, endpointAddress)
 			Expect(err).To(MatchError(reach.ErrDown))
 		})
@@ -212,15 +213,15 @@
 
 	It("does not take its way for lost if an endpoint starts between its dial and another host's", func() {
 		withHosts(2, func(r *rig) {
-			r.hosts[0].set(refuses) // the first dial
+			r.hosts[0].set(memnet.LinkRefuses) // the first dial
 			go func() {
 				time.Sleep(time.Millisecond)
-				r.hosts[0].set(up)
+				r.hosts[0].set(memnet.LinkUp)
 			}()
-			r.hosts[1].set(hangs)
+			r.hosts[1].set(memnet.LinkSilent)
 			go func() {
 				time.Sleep(20 * time.Millisecond)
-				r.hosts[1].set(up)
+				r.hosts[1].set(memnet.LinkUp)
 			}()
 			time.Sleep(0)
 			c, err := r.hosts[0].Dial(ctx, endpointAddress)
@@ -251,7 +252,7 @@
 var _ = Describe("a relayed connection", func() {
 	ctx := context.Background()
 	relayed := func(r *rig) net.Conn {
-		r.hosts[0].set(refuses)
+		r.hosts[0].set(memnet.LinkRefuses)
 		c, err := r.hosts[0].Dial(ctx, endpointAddress)
 		Expect(err).NotTo(HaveOccurred())
 		return c
@@ -320,7 +321,7 @@
 
 	It("is given to endpoints only", func() {
 		withHosts(2, func(r *rig) {
-			r.hosts[0].set(refuses)
+			r.hosts[0].link.Set(memnet.LinkRefuses, func(string) bool { return true })
 			_, err := r.hosts[0].Dial(ctx, r.hosts[1].address)
 			Expect(err).To(HaveOccurred())
 			Expect(r.hosts[1].RelayedCount()).To(BeZero())
--- a/internal/reach/rig_test.go
+++ b/internal/reach/rig_test.go
@@ -5,9 +5,7 @@
 	"fmt"
 	"io"
 	"net"
-	"os"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -24,31 +22,20 @@
 // endpointAddress is the address of the only endpoint.
 const endpointAddress = "10.1.0.1:80"
 
-// link is the state of a host's link to the endpoint.
-type link int
-
-const (
-	up link = iota
-	refuses
-	hangs
-)
-
 // host is a host with its tracker.
 type host struct {
 	*reach.Tracker
 	address string
 	server  *grpc.Server
-	conns   map[string]*grpc.ClientConn
+	link    *memnet.Link
 
-	mu    sync.Mutex // guards the fields below
-	link  link
-	dials int
+	mu    sync.Mutex // guards conns
+	conns map[string]*grpc.ClientConn
 }
 
-func (h *host) set(l link) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.link = l
+// set changes the state of the host's link to the endpoint.
+func (h *host) set(s memnet.LinkState) {
+	h.link.Set(s, func(address string) bool { return address == endpointAddress })
 }
 
 // rig is a number of hosts and an endpoint that echoes what it receives.
@@ -84,10 +71,10 @@
 }
 
 func (r *rig) newHost(address string) *host {
-	h := &host{address: address, server: grpc.NewServer(), conns: map[string]*grpc.ClientConn{}}
+	h := &host{address: address, server: grpc.NewServer(), link: &memnet.Link{Network: r.net}, conns: map[string]*grpc.ClientConn{}}
 	h.Tracker = reach.NewTracker(reach.Options{
 		Hall: "ikeja", MaxRelayed: r.maxRelay, Telemetry: telemetry.MetricsOnly(), Logger: log.New(io.Discard),
-		Dial: func(ctx context.Context, address string) (net.Conn, error) { return h.dial(ctx, r.net, address) },
+		Dial: func(ctx context.Context, address string) (net.Conn, error) { return h.link.Dial(ctx, "tcp", address) },
 		Endpoint: func(address string) (service, hall string) {
 			if address == endpointAddress {
 				return "plain", "ikeja"
@@ -111,24 +98,6 @@
 	return h
 }
 
-func (h *host) dial(ctx context.Context, n *memnet.Network, address string) (net.Conn, error) {
-	h.mu.Lock()
-	h.dials++
-	state := h.link
-	h.mu.Unlock()
-	switch state {
-	case refuses:
-		return nil, &net.OpError{Op: "dial", Net: "mem", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
-	case hangs:
-		ctx, cancel := context.WithTimeout(ctx, 1500*time.Millisecond)
-		defer cancel()
-		<-ctx.Done()
-		return nil, ctx.Err()
-	default:
-		return n.Dial(ctx, "tcp", address)
-	}
-}
-
 func (h *host) conn(n *memnet.Network, address string) *grpc.ClientConn {
 	h.mu.Lock()
 	defer h.mu.Unlock()
