Rejections tell by which count the endpoint was taken to have room

The lines could not tell the hypotheses on falling endpoints apart: own share, load report, advice, the count of all prompts, or not counted at all. Each hold keeps what it went by, with its age and the hosts counted; 'endpoint rejected' and the metric endpoint_rejections say it. No decision changed.

--- a/internal/fleet/advise.go
+++ b/internal/fleet/advise.go
@@ -46,6 +46,9 @@
 	}
 	h := f.hold(m, a.Expected, req, now)
 	h.advice = a
+	if f.costly(m.Service, now) {
+		h.Room = RoomBasis{By: RoomAdvised}
+	}
 	return h, true
 }
 
--- a/internal/fleet/brittle.go
+++ b/internal/fleet/brittle.go
@@ -112,18 +112,43 @@
 	return now.Before(f.costlyUntil[service])
 }
 
+// RoomSource is the count by which a host takes an endpoint to have room for a request.
+type RoomSource string
+
+// Sources of room.
+const (
+	RoomNotCounted RoomSource = "not counted" // rejections of the service are not known to be costly
+	RoomAdvised    RoomSource = "advice"
+	RoomAllPrompts RoomSource = "own count of all prompts"
+	RoomShare      RoomSource = "own share of the slots"
+	RoomReport     RoomSource = "load report"
+)
+
+// RoomBasis is what a request went by that was sent to an endpoint.
+type RoomBasis struct {
+	By    RoomSource
+	Age   time.Duration // of the load report, or since this host has begun to count all prompts
+	Hosts int           // that share the slots, as this host knows
+}
+
 // crowded reports whether an endpoint whose rejections are costly might have no room for another request;
 // the caller holds mu.
 func (f *Fleet) crowded(m *member, req Request, now clock.Instant) bool {
+	_, room := f.room(m, req, now)
+	return !room
+}
+
+// room reports whether an endpoint has room for a request, and by which count; the caller holds mu.
+func (f *Fleet) room(m *member, req Request, now clock.Instant) (RoomBasis, bool) {
 	if !f.costly(m.Service, now) {
-		return false
+		return RoomBasis{By: RoomNotCounted}, true
 	}
 	if now.Before(m.brittleUntil) {
-		return true
+		return RoomBasis{}, false
 	}
 	known := m.inFlight + m.remote(now)
 	if req.Key != 0 && !req.Unadvised {
-		return known >= m.slots() // this host knows of the requests of all hosts
+		return RoomBasis{By: RoomAllPrompts, Age: now.Sub(f.advisorTenure.since)}, known < m.slots()
 	}
 	hosts := f.hosts()
 	share := m.slots() / hosts
@@ -131,10 +156,10 @@
 		share = 1
 	}
 	if m.inFlight < share {
-		return false
+		return RoomBasis{By: RoomShare, Hosts: hosts}, true
 	}
-	spare := m.slots() - known - m.others
-	return now.Sub(m.loadAt) > spareReportAge || spare < hosts
+	age, spare := now.Sub(m.loadAt), m.slots()-known-m.others
+	return RoomBasis{By: RoomReport, Age: age, Hosts: hosts}, age <= spareReportAge && spare >= hosts
 }
 
 // noteRejected makes this host send nothing to a brittle endpoint for a while after it has rejected a
--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -60,6 +60,7 @@
 	untilHead   time.Duration // time until the response head
 	ticket      int64         // of the awaited response head
 	advice      Advice        // that was followed, if any
+	Room        RoomBasis     // by which the endpoint was taken to have room
 	headArrived bool          // the response head has arrived
 	slowStart   bool          // it counts for the slow start after a pause
 	loanUntil   clock.Instant // end of the loan from which it takes a request; zero if it takes none
@@ -346,7 +347,8 @@
 
 // hold takes a slot at an endpoint.
 func (f *Fleet) hold(m *member, expected Expectation, req Request, now clock.Instant) *Hold {
-	h := &Hold{Endpoint: m.Endpoint, Expected: expected, fleet: f, member: m, req: req, sent: now, slowStart: m.countSlowStart(now)}
+	basis, _ := f.room(m, req, now)
+	h := &Hold{Endpoint: m.Endpoint, Expected: expected, Room: basis, fleet: f, member: m, req: req, sent: now, slowStart: m.countSlowStart(now)}
 	m.inFlight++
 	if req.Key == 0 {
 		return h
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -257,8 +257,12 @@
 	}
 	_, err := io.Copy(io.Discard, io.LimitReader(a.response.Body, maxDrainBytes))
 	a.end(outcome, err == nil)
+	if outcome == fleet.OutcomeRefused {
+		a.x.g.Telemetry.Count("endpoint_rejections", 1, telemetry.Label("room_by", string(a.hold.Room.By)))
+	}
 	a.x.g.Logger.Info("endpoint rejected", "id", a.x.header.ID, "endpoint", a.hold.Endpoint.ID, "status", a.response.StatusCode,
-		"running", a.header.Load.Running, "waiting", a.header.Load.Waiting, "pause_ms", a.header.Pause.For.Milliseconds(), "sent_ms_ago", clock.Since(a.sentAt).Milliseconds())
+		"running", a.header.Load.Running, "waiting", a.header.Load.Waiting, "pause_ms", a.header.Pause.For.Milliseconds(), "sent_ms_ago", clock.Since(a.sentAt).Milliseconds(),
+		"room_by", a.hold.Room.By, "count_age_ms", a.hold.Room.Age.Milliseconds(), "hosts_counted", a.hold.Room.Hosts)
 }
 
 // maxDrainBytes bounds how much of an unneeded response is read.
