--- a/internal/gatewayd/crashrig_test.go
+++ b/internal/gatewayd/crashrig_test.go
@@ -92,6 +92,8 @@
 	killHolderAt time.Duration
 	duration     time.Duration
 	hosts        int // crashHosts if 0
+	// machines is the number of machines, crashMachines if 0, and slots what each runs at the same time.
+	machines, slots int
 }
 
 // runCrashScenario runs a scenario under a fake clock and then calls check.
@@ -138,9 +140,10 @@
 		go func() { _ = r.dutiesServer.Serve(calls) }()
 	}
 	r.store.Put(standin.TableOperator, standin.KeyDeclaration, standin.Declaration(1))
-	for i := range crashMachines {
+	for i := range cmp.Or(d.machines, crashMachines) {
 		for n, service := range []string{"plain", "model"} {
 			m := standin.NewMachine(service, "ikeja", fmt.Sprintf("10.%d.1.%d:80", n+1, i+1), r.store, r.net.Listen, endpointScript(service, d))
+			m.Slots = d.slots
 			r.machines = append(r.machines, m)
 			r.running.Go(m.Run)
 		}
--- a/internal/gatewayd/cuthosts_test.go
+++ b/internal/gatewayd/cuthosts_test.go
@@ -129,7 +129,12 @@
 
 // callOnce sends one request to a random host.
 func (r *crashRig) callOnce(ctx context.Context, path string) cutCall {
-	call := cutCall{host: r.randomInt(len(r.hosts)), path: path, began: time.Now()}
+	return r.callHost(ctx, r.randomInt(len(r.hosts)), path)
+}
+
+// callHost sends one request to a host.
+func (r *crashRig) callHost(ctx context.Context, host int, path string) cutCall {
+	call := cutCall{host: host, path: path, began: time.Now()}
 	defer func() { call.took = time.Since(call.began) }()
 	r.mu.Lock()
 	r.lastID++
--- /dev/null
+++ b/internal/gatewayd/falls_test.go
@@ -0,0 +1,346 @@
+package gatewayd_test
+
+import (
+	"cmp"
+	"context"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"quaybarrow/internal/standin/memnet"
+	"quaybarrow/platform/standin"
+)
+
+// fallScenario describes a run in which the endpoints of a service are brittle while hosts and endpoints
+// are lost. Sizes are those of a deployment.
+type fallScenario struct {
+	hosts, endpoints, slots int
+	prompts                 bool          // the service runs models
+	work                    time.Duration // that a request takes; plainWork or engineWork if 0
+	load                    float64       // of what the endpoints take
+	burst                   float64       // load in two of every four seconds; 0 for none
+	oneHost                 bool          // what a burst adds comes to one host
+	survives                int           // rejections a second that an endpoint survives; fallSurvives if 0
+	loss                    hostLoss
+	lostHosts               int
+	lostEndpoints           int  // that crash together, and are back some seconds later
+	crashes                 bool // an endpoint crashes each second
+}
+
+// hostLoss is what happens to the hosts that are lost.
+type hostLoss int
+
+const (
+	hostsKilled hostLoss = iota // together, and started again later
+	hostsInTurn                 // killed one each second, and started again at once
+	hostsCut                    // from all others, callers excepted
+	hostsApart                  // from the other hosts; they reach endpoints and the store
+)
+
+var fallScenarios = map[string]fallScenario{
+	"small":                       {hosts: 6, endpoints: 3, slots: 6, load: 2},
+	"small, hosts killed":         {hosts: 6, endpoints: 3, slots: 6, load: 2, lostHosts: 3},
+	"small, hosts killed in turn": {hosts: 6, endpoints: 3, slots: 6, load: 2, loss: hostsInTurn, lostHosts: 6},
+	"small, hosts cut off":        {hosts: 6, endpoints: 3, slots: 6, load: 2, loss: hostsCut, lostHosts: 3},
+	"small, hosts apart":          {hosts: 6, endpoints: 3, slots: 6, load: 2, loss: hostsApart, lostHosts: 3},
+	"small, an endpoint lost":     {hosts: 6, endpoints: 3, slots: 6, load: 2, lostEndpoints: 1},
+	"small, bursts":               {hosts: 7, endpoints: 3, slots: 6, load: 0.5, burst: 2.5},
+	"small, bursts at one host":   {hosts: 7, endpoints: 3, slots: 6, load: 0.5, burst: 2.5, oneHost: true},
+	"small, with room":            {hosts: 6, endpoints: 3, slots: 6, load: 0.4},
+
+	"engines":                       {hosts: 6, endpoints: 18, slots: 32, prompts: true, load: 1.5},
+	"engines, hosts killed":         {hosts: 6, endpoints: 18, slots: 32, prompts: true, load: 1.5, lostHosts: 3},
+	"engines, hosts killed in turn": {hosts: 6, endpoints: 18, slots: 32, prompts: true, load: 0.5, burst: 2.5, loss: hostsInTurn, lostHosts: 6},
+	"engines, hosts cut off":        {hosts: 6, endpoints: 18, slots: 32, prompts: true, load: 1.5, loss: hostsCut, lostHosts: 3},
+	"engines, hosts apart":          {hosts: 6, endpoints: 18, slots: 32, prompts: true, load: 1.5, loss: hostsApart, lostHosts: 3},
+	"engines, half of them lost":    {hosts: 6, endpoints: 18, slots: 32, prompts: true, load: 1.5, lostEndpoints: 9},
+	"engines, one crashes a second": {hosts: 6, endpoints: 12, slots: 32, prompts: true, load: 0.5, burst: 2.5, crashes: true},
+	"engines that survive one":      {hosts: 6, endpoints: 12, slots: 32, prompts: true, load: 0.5, burst: 2.5, survives: 1},
+	"engines, with room":            {hosts: 6, endpoints: 12, slots: 32, prompts: true, load: 0.4},
+
+	"long requests, endpoints run on": {hosts: 6, endpoints: 12, slots: 32, work: 10 * time.Second, load: 2},
+
+	"many hosts":                             {hosts: 61, endpoints: 6, slots: 6, load: 2},
+	"many hosts, with room":                  {hosts: 61, endpoints: 6, slots: 6, load: 0.4},
+	"many hosts, most killed":                {hosts: 61, endpoints: 6, slots: 6, load: 2, lostHosts: 40},
+	"many hosts, some cut off":               {hosts: 61, endpoints: 6, slots: 6, load: 2, loss: hostsCut, lostHosts: 20},
+	"many hosts, some apart, with room":      {hosts: 61, endpoints: 6, slots: 6, load: 0.4, loss: hostsApart, lostHosts: 6},
+	"many hosts, half of the endpoints lost": {hosts: 61, endpoints: 6, slots: 6, load: 2, lostEndpoints: 3},
+	"many hosts and engines, most killed":    {hosts: 61, endpoints: 112, slots: 12, work: 4 * time.Second, prompts: true, load: 1.5, lostHosts: 40},
+	"many hosts and engines, many lost":      {hosts: 61, endpoints: 112, slots: 12, work: 4 * time.Second, prompts: true, load: 1.5, lostEndpoints: 37},
+}
+
+// Times and sizes of fall scenarios.
+const (
+	fallSpeak    = 2 * time.Second // endpoints say that they are brittle
+	fallStart    = 5 * time.Second // from then on they let fewer wait, and fall over
+	fallLoss     = 6 * time.Second // hosts and endpoints are lost
+	fallReturn   = 10 * time.Second
+	fallRunEnd   = 14 * time.Second
+	burstPeriod  = 4 * time.Second
+	burstLength  = 2 * time.Second
+	fallSurvives = 3
+	fallWaiting  = 2
+	plainWork    = 60 * time.Millisecond
+	engineWork   = 2 * time.Second
+	engineEvents = 5
+	// routeTime is the time that a route of the rig allows for a request; endpoints run on after it.
+	routeTime = 4 * time.Second
+	// minServedShare is how much of what the endpoints can serve is served at least.
+	minServedShare = 0.5
+	// minServedWithRoom is how much is served at least where endpoints have room for all, which is up to
+	// loadWithRoom.
+	minServedWithRoom = 0.95
+	loadWithRoom      = 0.45
+)
+
+func TestBrittleEndpointsFallOverNoMoreOftenThanAllowed(t *testing.T) {
+	for name, d := range fallScenarios {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				RegisterTestingT(t)
+				r := newCrashRig(crashScenario{hosts: d.hosts, machines: d.endpoints, slots: d.slots})
+				defer r.stop()
+				began := time.Now()
+				calls := runFalls(r, d)
+				falls, rejections := r.countFalls(d.service(), began)
+				served, possible := d.countServed(calls, began)
+				t.Logf("%d falls, %d allowed, at %v; %d rejections; %d served of %.0f, %.2f", len(falls), standin.MaxFalls(d.endpoints), falls, rejections, served, possible, float64(served)/possible)
+				Expect(len(falls)).To(BeNumerically("<=", standin.MaxFalls(d.endpoints)))
+				if d.workTime() > routeTime {
+					return
+				}
+				least := minServedShare
+				if d.load <= loadWithRoom {
+					least = minServedWithRoom
+				}
+				Expect(float64(served)).To(BeNumerically(">=", least*possible))
+			})
+		})
+	}
+}
+
+func (d fallScenario) service() string {
+	if d.prompts {
+		return "model"
+	}
+	return "plain"
+}
+
+func (d fallScenario) path() string {
+	if d.prompts {
+		return "/stream/x"
+	}
+	return "/once/x"
+}
+
+func (d fallScenario) workTime() time.Duration {
+	if d.prompts {
+		return cmp.Or(d.work, engineWork)
+	}
+	return cmp.Or(d.work, plainWork)
+}
+
+// capacity returns how many requests a second a number of endpoints serve.
+func (d fallScenario) capacity(endpoints int) float64 {
+	return float64(endpoints*d.slots) / d.workTime().Seconds()
+}
+
+// loadAt returns the load at a time of the run.
+func (d fallScenario) loadAt(at time.Duration) float64 {
+	if at%burstPeriod < burstLength {
+		return max(d.load, d.burst)
+	}
+	return d.load
+}
+
+// running returns how many endpoints run at a time of the run.
+func (d fallScenario) running(at time.Duration) int {
+	switch {
+	case d.crashes && at >= fallLoss:
+		return d.endpoints - int(standin.RestartDelay/time.Second) - 1
+	case at >= fallLoss && at < fallLoss+standin.RestartDelay+time.Second:
+		return d.endpoints - d.lostEndpoints
+	default:
+		return d.endpoints
+	}
+}
+
+// runFalls has callers send requests to all hosts while endpoints are brittle and hosts and endpoints
+// are lost, and returns the outcomes.
+func runFalls(r *crashRig, d fallScenario) []cutCall {
+	room := standin.Room{Slots: d.slots, Waiting: 3 * d.slots, Work: d.workTime()}
+	if d.prompts {
+		room.Events = engineEvents
+	}
+	r.setRoom(d, room)
+	ctx, cancel := context.WithTimeout(context.Background(), fallRunEnd)
+	defer cancel()
+	var mu sync.Mutex
+	var calls []cutCall
+	r.calling.Go(func() {
+		began := time.Now()
+		for ctx.Err() == nil {
+			load := d.loadAt(time.Since(began))
+			r.calling.Go(func() {
+				c := r.callTwice(ctx, d, load)
+				mu.Lock()
+				defer mu.Unlock()
+				calls = append(calls, c)
+			})
+			sleepFor(ctx, time.Duration(float64(time.Second)/(load*d.capacity(d.endpoints))))
+		}
+	})
+	r.calling.Go(func() {
+		time.Sleep(fallSpeak)
+		room.Survives = cmp.Or(d.survives, fallSurvives)
+		r.setRoom(d, room)
+		time.Sleep(fallStart - fallSpeak)
+		room.Waiting, room.Falls = fallWaiting, true
+		r.setRoom(d, room)
+		time.Sleep(fallLoss - fallStart)
+		r.lose(d)
+	})
+	r.calling.Wait()
+	return calls
+}
+
+// setRoom sets how the endpoints of a scenario's service handle requests.
+func (r *crashRig) setRoom(d fallScenario, room standin.Room) {
+	for _, m := range r.machinesOf(d.service()) {
+		m.SetScript(func(int, *http.Request) standin.Script { return room })
+	}
+}
+
+func (r *crashRig) machinesOf(service string) []*standin.Machine {
+	return slices.DeleteFunc(slices.Clone(r.machines), func(m *standin.Machine) bool { return m.Service != service })
+}
+
+// callTwice sends a request, and once more if the response says when to come again.
+func (r *crashRig) callTwice(ctx context.Context, d fallScenario, load float64) cutCall {
+	host := r.randomInt(len(r.hosts))
+	if d.oneHost && load > d.load && r.randomInt(int(100*load)) >= int(100*d.load) {
+		host = 0
+	}
+	c := r.callHost(ctx, host, d.path())
+	after, err := strconv.ParseFloat(c.retryAfter, 64)
+	if c.status != http.StatusServiceUnavailable || err != nil || !sleepFor(ctx, time.Duration(after*float64(time.Second))) {
+		return c
+	}
+	again := r.callHost(ctx, host, d.path())
+	again.began = c.began
+	return again
+}
+
+// lose has hosts and endpoints of a scenario be lost, and hosts come back.
+func (r *crashRig) lose(d fallScenario) {
+	machines := r.machinesOf(d.service())
+	for _, m := range machines[:d.lostEndpoints] {
+		m.Crash()
+	}
+	if d.loss != hostsInTurn && !d.crashes {
+		r.loseHosts(d, true)
+		time.Sleep(fallReturn - fallLoss)
+		r.loseHosts(d, false)
+		return
+	}
+	for i := range int((fallRunEnd - fallLoss) / time.Second) {
+		if d.crashes {
+			machines[i%len(machines)].Crash()
+		}
+		if d.lostHosts > 0 {
+			h := r.hosts[i%d.lostHosts]
+			h.kill()
+			time.Sleep(time.Second)
+			h.start()
+			continue
+		}
+		time.Sleep(time.Second)
+	}
+}
+
+// loseHosts has the first hosts of a scenario be lost, or come back.
+func (r *crashRig) loseHosts(d fallScenario, lost bool) {
+	for _, h := range r.hosts[:d.lostHosts] {
+		switch {
+		case d.loss == hostsKilled && lost:
+			h.kill()
+		case d.loss == hostsKilled:
+			h.start()
+		default:
+			h.cut(lost, d.loss == hostsCut)
+		}
+	}
+}
+
+// cut cuts the host from the other hosts, or joins it again; if all is set, also from endpoints and the
+// store.
+func (h *crashHost) cut(cut, all bool) {
+	state := memnet.LinkUp
+	if cut {
+		state = memnet.LinkSilent
+	}
+	h.link.Set(state, func(address string) bool { return all || strings.HasPrefix(address, hostAddresses) })
+	for _, port := range []int{81, 82, 83} {
+		h.rig.net.Darken(h.address(port), cut)
+		if cut {
+			h.rig.net.Silence(h.address(port))
+		}
+	}
+}
+
+// countFalls returns when endpoints of a service have fallen over, counted from a time, and how many
+// requests they have rejected.
+func (r *crashRig) countFalls(service string, since time.Time) (falls []time.Duration, rejections int) {
+	for _, m := range r.machinesOf(service) {
+		for _, e := range m.Starts() {
+			rejections += e.Rejections()
+			if e.Fell() {
+				falls = append(falls, e.CrashedAt().Sub(since).Round(10*time.Millisecond))
+			}
+		}
+	}
+	slices.Sort(falls)
+	return falls, rejections
+}
+
+// isLost reports whether a host is lost at a time of the run, or while a request lasts that was sent
+// then, or has only just come back.
+func (d fallScenario) isLost(host int, at time.Duration) bool {
+	if d.loss != hostsInTurn || d.lostHosts == 0 {
+		return host < d.lostHosts && at > fallLoss-d.workTime() && at < fallReturn+time.Second
+	}
+	for lostAt := fallLoss + time.Duration(host)*time.Second; lostAt < fallRunEnd; lostAt += time.Duration(d.lostHosts) * time.Second {
+		if at > lostAt-d.workTime() && at < lostAt+2*time.Second {
+			return true
+		}
+	}
+	return false
+}
+
+// countServed returns how many requests were served that were sent while endpoints let few wait, and
+// how many could have been. Requests to hosts while these are lost don't count.
+func (d fallScenario) countServed(calls []cutCall, began time.Time) (served int, possible float64) {
+	offered := map[time.Duration]int{}
+	for _, c := range calls {
+		at := c.began.Sub(began)
+		if at < fallStart || at > fallRunEnd-d.workTime()-time.Second || d.isLost(c.host, at) {
+			continue
+		}
+		offered[at.Truncate(time.Second)]++
+		if c.status == http.StatusOK {
+			served++
+		}
+	}
+	for at, n := range offered {
+		possible += min(float64(n), d.capacity(d.running(at)))
+	}
+	return served, max(possible, 1)
+}
