Places at endpoints whose rejections are costly are counted by one host for all

Callers saw brittle endpoints fall over again and again while hosts or endpoints were lost, and small brittle services serve a third of what they can.

Cause: a bound for all hosts together that each host kept by a count of its own: shares of the slots (rounded up where hosts are more than slots), load reports that all hosts used at the same moment, the advising host's count of prompts. Requests that hosts had given up, that lost hosts had sent or that another advisor had let through were in none of them, and a host that had just started counted nothing.

Now a request to such an endpoint needs a place there. For each endpoint one host (the one that would lend of its limit) counts the places, the requests that were given up and, by the reports of responses, those of others; it knows what it doesn't know and then gives little, a probe at a time. Which services are brittle is told from host to host, and fetched by a host before it serves. Answers that don't say that a service is brittle count only a second after one that does.

--- a/internal/fleet/advise.go
+++ b/internal/fleet/advise.go
@@ -35,7 +35,7 @@
 	defer f.mu.Unlock()
 	now := f.options.Now()
 	m, ok := f.members[a.Endpoint]
-	if !ok || m.Service != req.Service || !f.allowed(m, req) || now.Before(m.brittleUntil) || m.ejected(now) || m.inSlowStart(req, now) || !m.lapsesAt.IsZero() {
+	if !ok || m.Service != req.Service || !f.allowed(m, req) || now.Before(m.noPlaceUntil) || m.ejected(now) || m.inSlowStart(req, now) || !m.lapsesAt.IsZero() {
 		return nil, false
 	}
 	if f.enforcesLimit(m) && m.limit.active() && !a.LimitCounted {
@@ -46,9 +46,6 @@
 	}
 	h := f.hold(m, a.Expected, req, now)
 	h.advice = a
-	if f.costly(m.Service, now) {
-		h.Room = RoomBasis{By: RoomAdvised}
-	}
 	return h, true
 }
 
--- a/internal/fleet/brittle.go
+++ b/internal/fleet/brittle.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"slices"
 	"time"
 
 	"quaybarrow/internal/clock"
@@ -14,60 +13,33 @@
 	Rejections int // that an endpoint survives in a second
 }
 
-// brittleState is what is known of a brittle service.
-type brittleState struct {
-	rejections  int           // that an endpoint survives in a second
+// costlyState is what is known of a service of which rejections cost more than the attempt: its endpoints
+// are brittle, or want pauses when they are full. Requests are sent there only with a place.
+type costlyState struct {
+	survives    int           // rejections that an endpoint survives in a second; 0 if it is not brittle
 	confirmedAt clock.Instant // when a response last said so
-
-	// entitled is the weight up to which this host may send to endpoints of which the hosts' shares are
-	// less than one slot. It was determined at entitledAt.
-	entitled   float64
-	entitledAt clock.Instant
+	untold      bool          // other hosts are to be told
 }
 
-// entitlementMaxAge is how long a host uses the same endpoints, as long as there are as many.
-const entitlementMaxAge = time.Second
-
-// mayUse reports whether this host is among those that share the slots of an endpoint, where there are
-// more hosts than slots. Each host is among those of one endpoint at least; the caller holds mu.
-func (f *Fleet) mayUse(m *member, hosts int, now clock.Instant) bool {
-	s := f.brittle[m.Service]
-	if s.entitledAt.IsZero() || now.Sub(s.entitledAt) > entitlementMaxAge {
-		var weights []float64
-		slots := 0
-		for _, o := range f.endpointsOf(m.Service) {
-			weights = append(weights, RendezvousWeight(o.seed, f.hostSeed))
-			slots += o.slots()
-		}
-		slices.Sort(weights)
-		n := max(1, int(entitledShare*float64(slots)/float64(hosts)))
-		s.entitled, s.entitledAt = weights[min(n, len(weights))-1], now
-		f.brittle[m.Service] = s
-	}
-	return RendezvousWeight(m.seed, f.hostSeed) <= s.entitled
+// CostlyService is what a host tells others of a service of which rejections are costly. It is immutable.
+type CostlyService struct {
+	Service      string
+	Survives     int           // rejections that an endpoint survives in a second; 0 if it is not brittle
+	ConfirmedAgo time.Duration // since a response last said so
 }
 
-// Bounds of what hosts send to brittle endpoints. The hosts share the slots of each endpoint, so that
-// they need not know of each other's requests to stay within them.
+// Bounds of what is known of costly rejections.
 const (
-	// assumedHosts is the number of hosts while the list of hosts is not known.
-	assumedHosts = 8
-	// entitledShare is the part of the slots that is shared out where there are more hosts than slots.
-	entitledShare = 0.75
-	// spareReportAge is the age up to which a load report shows that more than this host's share is
-	// free.
-	spareReportAge = 300 * time.Millisecond
-	// rejectionShare is the part of the survived rejections that all hosts together risk.
-	rejectionShare = 0.5
-	// minBrittlePause and maxBrittlePause bound how long a host sends nothing to an endpoint that has
-	// rejected a request of it.
-	minBrittlePause = 500 * time.Millisecond
-	maxBrittlePause = 10 * time.Second
+	// costlyFor is how long rejections count as costly after a response has said so.
+	costlyFor = 30 * time.Second
+	// brittleConfirmedFor is how long responses that do not say that a service is brittle are not believed
+	// after one that does: an endpoint that has just started may not say so yet.
+	brittleConfirmedFor = time.Second
 )
 
 // ObserveBrittle records what a response of an endpoint says, and returns the survived rejections known
 // before and after; 0 means that the service is not brittle. A response that does not say so ends the
-// time only if its request was sent after the last one that did.
+// time only if its request was sent a while after the last one that did.
 func (f *Fleet) ObserveBrittle(id string, b Brittle, sent clock.Instant) (before, after int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -75,101 +47,126 @@
 	if !ok {
 		return 0, 0
 	}
-	s, brittle := f.brittle[m.Service]
-	before = s.rejections
+	s := f.costlyServices[m.Service]
+	before = s.survives
 	switch {
 	case b.Named:
-		s.rejections, s.confirmedAt = max(b.Rejections, 1), f.options.Now()
-		f.brittle[m.Service] = s
-	case brittle && sent.After(s.confirmedAt):
-		delete(f.brittle, m.Service)
+		f.noteCostly(m.Service, max(b.Rejections, 1), f.options.Now())
+	case before > 0 && sent.Sub(s.confirmedAt) > brittleConfirmedFor:
+		delete(f.costlyServices, m.Service)
 	}
-	return before, f.brittle[m.Service].rejections
+	return before, f.costlyServices[m.Service].survives
 }
 
-// hosts returns the number of hosts that send to an endpoint.
-func (f *Fleet) hosts() int {
-	if f.options.Choosers == nil {
-		return 1
+// noteCostly records that rejections of a service are costly; the caller holds mu.
+func (f *Fleet) noteCostly(service string, survives int, at clock.Instant) {
+	s := f.costlyServices[service]
+	if f.options.Now().Sub(s.confirmedAt) > costlyFor || s.survives != survives {
+		s.untold = true
 	}
-	if n := f.options.Choosers().Hosts; n > 0 {
-		return n
+	s.survives, s.confirmedAt = survives, later(s.confirmedAt, at)
+	f.costlyServices[service] = s
+	if s.untold && f.onLoanNeeded != nil {
+		f.onLoanNeeded()
 	}
-	return assumedHosts
 }
 
-// costlyFor is how long rejections count as costly after a full endpoint of the service has asked for a
-// pause.
-const costlyFor = 30 * time.Second
-
-// costly reports whether rejections of a service's endpoints cost more than the attempt: the endpoints
-// are brittle, or want pauses when they are full. If hosts went on trying, they would lose endpoints for
-// seconds that have room again in a moment.
-func (f *Fleet) costly(service string, now clock.Instant) bool {
-	if _, brittle := f.brittle[service]; brittle {
-		return true
+// MergeCostly records what another host knows of a service.
+func (f *Fleet) MergeCostly(n CostlyService) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	at := f.options.Now().Add(-n.ConfirmedAgo)
+	if n.ConfirmedAgo < costlyFor && at.After(f.costlyServices[n.Service].confirmedAt) {
+		f.noteCostly(n.Service, n.Survives, at)
 	}
-	return now.Before(f.costlyUntil[service])
 }
 
-// RoomSource is the count by which a host takes an endpoint to have room for a request.
-type RoomSource string
+// TakeCostly returns services whose rejections have become costly, to be told to other hosts. It returns
+// each once.
+func (f *Fleet) TakeCostly() []CostlyService {
+	return f.costlyWhere(func(s costlyState) bool { return s.untold })
+}
 
-// Sources of room.
-const (
-	RoomNotCounted RoomSource = "not counted" // rejections of the service are not known to be costly
-	RoomAdvised    RoomSource = "advice"
-	RoomAllPrompts RoomSource = "own count of all prompts"
-	RoomShare      RoomSource = "own share of the slots"
-	RoomReport     RoomSource = "load report"
-)
+// CostlyServices lists the services whose rejections are costly, for a host that has just started.
+func (f *Fleet) CostlyServices() []CostlyService {
+	return f.costlyWhere(func(costlyState) bool { return true })
+}
 
-// RoomBasis is what a request went by that was sent to an endpoint.
-type RoomBasis struct {
-	By    RoomSource
-	Age   time.Duration // of the load report, or since this host has begun to count all prompts
-	Hosts int           // that share the slots, as this host knows
+func (f *Fleet) costlyWhere(selects func(costlyState) bool) []CostlyService {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.options.Now()
+	var list []CostlyService
+	for service, s := range f.costlyServices {
+		if !f.costly(service, now) || !selects(s) {
+			continue
+		}
+		list = append(list, CostlyService{Service: service, Survives: s.survives, ConfirmedAgo: now.Sub(s.confirmedAt)})
+		s.untold = false
+		f.costlyServices[service] = s
+	}
+	return list
 }
 
-// crowded reports whether an endpoint whose rejections are costly might have no room for another request;
-// the caller holds mu.
-func (f *Fleet) crowded(m *member, req Request, now clock.Instant) bool {
-	_, room := f.room(m, req, now)
-	return !room
+// costly reports whether rejections of a service's endpoints cost more than the attempt; the caller holds
+// mu.
+func (f *Fleet) costly(service string, now clock.Instant) bool {
+	s, ok := f.costlyServices[service]
+	return ok && now.Sub(s.confirmedAt) < costlyFor
 }
 
-// room reports whether an endpoint has room for a request, and by which count; the caller holds mu.
-func (f *Fleet) room(m *member, req Request, now clock.Instant) (RoomBasis, bool) {
+// crowded reports whether an endpoint whose rejections are costly has no room for another request, as
+// far as this host knows; the caller holds mu.
+func (f *Fleet) crowded(m *member, req Request, now clock.Instant) bool {
 	if !f.costly(m.Service, now) {
-		return RoomBasis{By: RoomNotCounted}, true
-	}
-	if now.Before(m.brittleUntil) {
-		return RoomBasis{}, false
-	}
-	known := m.inFlight + m.remote(now)
-	if req.Key != 0 && !req.Unadvised {
-		return RoomBasis{By: RoomAllPrompts, Age: now.Sub(f.advisorTenure.since)}, known < m.slots()
+		return false
 	}
-	hosts := f.hosts()
-	share := m.slots() / hosts
-	if share == 0 && f.mayUse(m, hosts, now) {
-		share = 1
+	if now.Before(m.noPlaceUntil) {
+		return true
 	}
-	if m.inFlight < share {
-		return RoomBasis{By: RoomShare, Hosts: hosts}, true
+	knowsAll := req.Key != 0 && !req.Unadvised
+	return knowsAll && m.inFlight+m.remote(now) >= m.slots()
+}
+
+// PlaceNeed is what a request needs a place for.
+type PlaceNeed struct {
+	Endpoint string // its ID
+	Survives int    // rejections a second that the endpoint survives
+	Slots    int
+	// Occupied is the number of requests at the endpoint by its latest report, and ReportSlots its slots by
+	// that report; 0 slots if there is none.
+	Occupied, ReportSlots int
+	ReportAge             time.Duration
+}
+
+// NeedsPlace reports whether the request may be sent only with a place at the endpoint, and returns what
+// the place is needed for.
+func (h *Hold) NeedsPlace() (PlaceNeed, bool) {
+	f, m := h.fleet, h.member
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.options.Now()
+	if !f.costly(m.Service, now) {
+		return PlaceNeed{}, false
 	}
-	age, spare := now.Sub(m.loadAt), m.slots()-known-m.others
-	return RoomBasis{By: RoomReport, Age: age, Hosts: hosts}, age <= spareReportAge && spare >= hosts
+	return PlaceNeed{
+		Endpoint: m.ID, Survives: f.costlyServices[m.Service].survives, Slots: m.slots(),
+		Occupied: m.reported.Running + m.reported.Waiting, ReportSlots: m.reported.Slots, ReportAge: now.Sub(m.reportedAt),
+	}, true
+}
+
+// NoPlace records that the endpoint has no place for this host for a while. The hold is to be ended with
+// OutcomeNotSent.
+func (h *Hold) NoPlace(lasts time.Duration) {
+	f := h.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	h.member.noPlaceUntil = f.options.Now().Add(lasts)
 }
 
-// noteRejected makes this host send nothing to a brittle endpoint for a while after it has rejected a
-// request, so that all hosts together stay within the rejections that it survives.
-func (f *Fleet) noteRejected(m *member, now clock.Instant) {
-	s, brittle := f.brittle[m.Service]
-	if !brittle {
-		return
+// noteReport records an endpoint's report of its load that has just arrived; the caller holds mu.
+func (m *member) noteReport(l Load, now clock.Instant) {
+	if l.Slots > 0 {
+		m.reported, m.reportedAt = l, now
 	}
-	pause := clock.Seconds(float64(f.hosts()) / (rejectionShare * float64(s.rejections)))
-	pause = min(max(pause, minBrittlePause), maxBrittlePause)
-	m.brittleUntil = later(m.brittleUntil, now.Add(time.Duration((1+f.options.Random())*float64(pause))))
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -75,15 +75,14 @@
 	waitingLists  map[string]*admission.WaitingList // waiting requests, by service
 	slotTimes     map[string]time.Duration          // how long a response holds a slot from its head on, by service
 	prefixes      prefixIndex
-	advisorTenure tenure                   // of choosing endpoints for prompts with knowledge of other hosts' choices
-	limits        map[string]*member       // by ID, endpoints that announce a limit or recently did
-	needLoans     map[string]*member       // subset of limits: loans are to be requested
-	changedLimits map[string]*member       // subset of limits: to be published to all hosts
-	brittle       map[string]brittleState  // by service
-	costlyUntil   map[string]clock.Instant // by service; until then endpoints that are full want pauses
-	hostSeed      uint64                   // differs between hosts
-	withLoans     []*member                // subset of limits: loans are available, or recently were
-	lastTicket    int64                    // starts at a random number, so that tickets of another advisor match nothing here
+	advisorTenure tenure             // of choosing endpoints for prompts with knowledge of other hosts' choices
+	limits        map[string]*member // by ID, endpoints that announce a limit or recently did
+	needLoans     map[string]*member // subset of limits: loans are to be requested
+	changedLimits map[string]*member // subset of limits: to be published to all hosts
+	// costlyServices holds, by service, what is known of costly rejections.
+	costlyServices map[string]costlyState
+	withLoans      []*member // subset of limits: loans are available, or recently were
+	lastTicket     int64     // starts at a random number, so that tickets of another advisor match nothing here
 }
 
 // member is an endpoint with this host's knowledge of it.
@@ -106,7 +105,9 @@
 	health           health
 	peerEjectedUntil clock.Instant // ejected until then because it fails other hosts
 	unreachedUntil   clock.Instant // ejected until then because this host does not reach it; other hosts may
-	brittleUntil     clock.Instant // it is brittle and has rejected a request: nothing is sent there before then
+	noPlaceUntil     clock.Instant // it has no place for another request of this host before then
+	reported         Load          // its latest report; zero Slots if there is none
+	reportedAt       clock.Instant // when that arrived
 	lapsesAt         clock.Instant // removed then unless it is listed again; zero if listed
 	cache            prefixCache   // prompt parts that it is assumed to have cached
 	match            prefixMatch   // its cached parts of the prompt that is being placed
@@ -131,7 +132,7 @@
 		options.Random = rand.Float64
 	}
 	return &Fleet{
-		options: options, populated: make(chan struct{}), members: map[string]*member{}, notices: map[string]*notices{}, untoldLeaving: map[string]struct{}{}, instances: map[string]*member{}, interned: map[string]string{}, addresses: map[string][]*member{}, brittle: map[string]brittleState{}, costlyUntil: map[string]clock.Instant{}, hostSeed: rand.Uint64(), evacuated: map[string]clock.Instant{}, limits: map[string]*member{}, needLoans: map[string]*member{}, changedLimits: map[string]*member{}, byService: map[string]*pool{}, ejected: map[string]*member{}, prefillModels: map[modelKey]*prefillModel{},
+		options: options, populated: make(chan struct{}), members: map[string]*member{}, notices: map[string]*notices{}, untoldLeaving: map[string]struct{}{}, instances: map[string]*member{}, interned: map[string]string{}, addresses: map[string][]*member{}, costlyServices: map[string]costlyState{}, evacuated: map[string]clock.Instant{}, limits: map[string]*member{}, needLoans: map[string]*member{}, changedLimits: map[string]*member{}, byService: map[string]*pool{}, ejected: map[string]*member{}, prefillModels: map[modelKey]*prefillModel{},
 		prices: map[string]price{}, overruns: map[string]Overrun{}, remoteLoads: map[string]*remoteLoad{}, slotTimes: map[string]time.Duration{}, waitingLists: map[string]*admission.WaitingList{}, prefixes: prefixIndex{holders: map[uint64][]*member{}}, lastTicket: rand.Int64N(maxFirstTicket),
 	}
 }
--- a/internal/fleet/head.go
+++ b/internal/fleet/head.go
@@ -34,7 +34,6 @@
 		// Only refusals reveal full endpoints of other data halls: going by the responses that
 		// began there, an advisor would take them for empty.
 		m.stopAwaiting(h.Ticket)
-		f.noteRejected(m, f.options.Now())
 		f.updateLoad(m, h.Load, m.inFlight)
 	default:
 		m.answered(h.Ticket)
--- a/internal/fleet/notice.go
+++ b/internal/fleet/notice.go
@@ -223,7 +223,7 @@
 	told := f.noticeFor(id, NoticePause, s)
 	told.Full = l.full()
 	if told.Full {
-		f.costlyUntil[told.Service] = now.Add(costlyFor)
+		f.noteCostly(told.Service, f.costlyServices[told.Service].survives, now)
 	}
 	told.Asked, told.Extended = asked, n.paused(now)
 	until := now.Add(min(asked, maxPause))
--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -60,7 +60,6 @@
 	untilHead   time.Duration // time until the response head
 	ticket      int64         // of the awaited response head
 	advice      Advice        // that was followed, if any
-	Room        RoomBasis     // by which the endpoint was taken to have room
 	headArrived bool          // the response head has arrived
 	slowStart   bool          // it counts for the slow start after a pause
 	loanUntil   clock.Instant // end of the loan from which it takes a request; zero if it takes none
@@ -74,6 +73,7 @@
 	h.fleet.mu.Lock()
 	defer h.fleet.mu.Unlock()
 	h.headArrived = true
+	h.member.noteReport(l, h.fleet.options.Now())
 	h.endSlowStart(true)
 	h.untilHead = h.fleet.options.Now().Sub(h.sent)
 	if h.req.Key == 0 {
@@ -128,8 +128,8 @@
 	if r.Outcome == OutcomeRefused || r.Outcome == OutcomeLost || r.Outcome == OutcomeNotSent {
 		h.fleet.prefixes.forget(m, h.req.parts())
 	}
-	if r.Outcome == OutcomeRefused {
-		h.fleet.noteRejected(m, now)
+	if !h.headArrived {
+		m.noteReport(r.Load, now)
 	}
 	if r.Outcome == OutcomeNotSent {
 		h.fleet.giveBackLoan(m, h.loanUntil, now)
@@ -347,8 +347,7 @@
 
 // hold takes a slot at an endpoint.
 func (f *Fleet) hold(m *member, expected Expectation, req Request, now clock.Instant) *Hold {
-	basis, _ := f.room(m, req, now)
-	h := &Hold{Endpoint: m.Endpoint, Expected: expected, Room: basis, fleet: f, member: m, req: req, sent: now, slowStart: m.countSlowStart(now)}
+	h := &Hold{Endpoint: m.Endpoint, Expected: expected, fleet: f, member: m, req: req, sent: now, slowStart: m.countSlowStart(now)}
 	m.inFlight++
 	if req.Key == 0 {
 		return h
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -69,7 +69,11 @@
 func (x *exchange) awaitStartup() {
 	ctx, cancel := context.WithTimeout(x.ctx, clock.Until(x.g.startedAt.Add(x.g.startupWait())))
 	defer cancel()
-	for _, known := range []<-chan struct{}{x.g.Holder.Loaded(), x.g.Fleet.Populated()} {
+	known := []<-chan struct{}{x.g.Holder.Loaded(), x.g.Fleet.Populated()}
+	if x.g.RateLimits != nil {
+		known = append(known, x.g.RateLimits.Fetched())
+	}
+	for _, known := range known {
 		select {
 		case <-known:
 		case <-ctx.Done():
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -137,6 +137,7 @@
 
 	adviceOutcome        string        // outcome of the last advice
 	rejections           int           // sends that endpoints have not run
+	placesDenied         int           // how often an endpoint that was chosen had no place
 	waits                int           // how often it was told to wait for its turn
 	roomIn               time.Duration // until there should be capacity, if it was refused for lack of it
 	sends                int           // how often it was written to an endpoint
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -14,6 +14,7 @@
 	"quaybarrow/internal/conn"
 	"quaybarrow/internal/fleet"
 	"quaybarrow/internal/quarantine"
+	"quaybarrow/internal/ratelimit"
 	"quaybarrow/internal/reach"
 	"quaybarrow/internal/route"
 	"quaybarrow/internal/telemetry"
@@ -32,6 +33,8 @@
 	errTakesNothing = errors.New("the endpoint takes no request any more")
 	errAllLeaving   = errors.New("all endpoints of the service leave")
 	errAllPaused    = errors.New("all endpoints of the service want a pause from this host")
+	// errNoPlace means that an endpoint that was chosen has no place for the request now.
+	errNoPlace = errors.New("the endpoint has no place for the request")
 )
 
 // Bounds of attempts.
@@ -48,11 +51,13 @@
 type attempt struct {
 	x             *exchange
 	hold          *fleet.Hold
+	place         *ratelimit.Place // nil where none is needed
 	conn          *conn.Conn
 	model         string
 	sentAt        clock.Instant
 	response      *http.Response
 	header        ResponseHeader
+	receivedAt    clock.Instant // when response had been received
 	headerAt      clock.Instant // when the response header had been read; zero before
 	ongoingRun    *quarantine.OngoingResponse
 	stopInterrupt func() bool // stops interrupting conn at the end of the context
@@ -70,29 +75,49 @@
 		if hold == nil {
 			return nil, x.whyNoEndpoint(decision)
 		}
-		c, err := x.g.Pool.Get(ctx, hold.Endpoint.Address, x.connLimit())
-		if err != nil {
-			x.recordUnreachable(hold, err)
-			if ctx.Err() != nil {
-				return nil, ctx.Err()
-			}
-			continue
+		a, err := x.sendTo(ctx, hold, model, lastEventID)
+		if !errors.Is(err, errChooseAgain) {
+			return a, err
 		}
-		if err := x.checkBeforeSend(ctx, hold); err != nil {
-			c.Release(false)
-			hold.Done(fleet.Result{Outcome: fleet.OutcomeNotSent})
-			if errors.Is(err, errBecameSuspect) || errors.Is(err, errTakesNothing) {
-				continue
-			}
-			return nil, err
+	}
+	return nil, errNoEndpoint
+}
+
+// errChooseAgain means that the request was not sent to the endpoint that was chosen, and may go to
+// another.
+var errChooseAgain = errors.New("the request was not sent there")
+
+// sendTo sends the request to the endpoint of a hold, if that has a place for it, is reached and still
+// takes it.
+func (x *exchange) sendTo(ctx context.Context, hold *fleet.Hold, model, lastEventID string) (*attempt, error) {
+	place, err := x.takePlace(ctx, hold)
+	if err != nil {
+		hold.Done(fleet.Result{Outcome: fleet.OutcomeNotSent})
+		return nil, errChooseAgain
+	}
+	c, err := x.g.Pool.Get(ctx, hold.Endpoint.Address, x.connLimit())
+	if err != nil {
+		place.Return(ratelimit.PlaceNotSent, ratelimit.PlaceReport{})
+		x.recordUnreachable(hold, err)
+		if ctx.Err() != nil {
+			return nil, ctx.Err()
 		}
-		a, err := x.sendOnConn(ctx, hold, c, model, lastEventID)
-		if errors.Is(err, conn.ErrNotSent) {
-			continue
+		return nil, errChooseAgain
+	}
+	if err := x.checkBeforeSend(ctx, hold); err != nil {
+		c.Release(false)
+		place.Return(ratelimit.PlaceNotSent, ratelimit.PlaceReport{})
+		hold.Done(fleet.Result{Outcome: fleet.OutcomeNotSent})
+		if errors.Is(err, errBecameSuspect) || errors.Is(err, errTakesNothing) {
+			return nil, errChooseAgain
 		}
-		return a, err
+		return nil, err
 	}
-	return nil, errNoEndpoint
+	a, err := x.sendOnConn(ctx, hold, place, c, model, lastEventID)
+	if errors.Is(err, conn.ErrNotSent) {
+		return nil, errChooseAgain
+	}
+	return a, err
 }
 
 // checkBeforeSend repeats, right before a request is sent, the checks whose results may be out of
@@ -141,8 +166,8 @@
 }
 
 // sendOnConn sends the request on a connection and reads the response header.
-func (x *exchange) sendOnConn(ctx context.Context, hold *fleet.Hold, c *conn.Conn, model, lastEventID string) (*attempt, error) {
-	a := &attempt{x: x, hold: hold, conn: c, model: model, sentAt: clock.Now()}
+func (x *exchange) sendOnConn(ctx context.Context, hold *fleet.Hold, place *ratelimit.Place, c *conn.Conn, model, lastEventID string) (*attempt, error) {
+	a := &attempt{x: x, hold: hold, place: place, conn: c, model: model, sentAt: clock.Now()}
 	x.sends++
 	x.maySendSuspect = false
 	x.tried = append(x.tried, hold.Endpoint.ID)
@@ -154,6 +179,7 @@
 	resp, err := c.Send(x.outgoingRequest(a, lastEventID), a.accepts) //nolint:bodyclose // a closed connection ends its body
 	if errors.Is(err, conn.ErrNotSent) {
 		x.sends--
+		a.place.Return(ratelimit.PlaceNotSent, ratelimit.PlaceReport{})
 		a.end(fleet.OutcomeLost, false)
 		return nil, err
 	}
@@ -164,7 +190,7 @@
 		return nil, err
 	}
 	a.clearReadDeadline(ctx)
-	a.response = resp
+	a.response, a.receivedAt = resp, clock.Now()
 	a.recordStatement(resp, a.header, a.sentAt)
 	if a.header.NotRun || resp.StatusCode == http.StatusMisdirectedRequest {
 		x.mayHaveRun = before
@@ -174,6 +200,7 @@
 	// A rejection arrives at once. Taken for the start of a response, it would suggest that full
 	// endpoints process prompts instantly and have no requests waiting.
 	a.hold.Head(a.header.Load)
+	a.reportHead()
 	x.countUsage()
 	a.headerAt, a.ongoingRun = clock.Now(), x.g.Quarantine.BeginResponse(x.fingerprint)
 	x.lastHeaderDelay, x.expected = clock.Since(a.sentAt), hold.Expected
@@ -256,13 +283,11 @@
 		outcome = fleet.OutcomeLost // another endpoint has the address now
 	}
 	_, err := io.Copy(io.Discard, io.LimitReader(a.response.Body, maxDrainBytes))
+	a.returnRejected(outcome)
 	a.end(outcome, err == nil)
-	if outcome == fleet.OutcomeRefused {
-		a.x.g.Telemetry.Count("endpoint_rejections", 1, telemetry.Label("room_by", string(a.hold.Room.By)))
-	}
 	a.x.g.Logger.Info("endpoint rejected", "id", a.x.header.ID, "endpoint", a.hold.Endpoint.ID, "status", a.response.StatusCode,
 		"running", a.header.Load.Running, "waiting", a.header.Load.Waiting, "pause_ms", a.header.Pause.For.Milliseconds(), "sent_ms_ago", clock.Since(a.sentAt).Milliseconds(),
-		"room_by", a.hold.Room.By, "count_age_ms", a.hold.Room.Age.Milliseconds(), "hosts_counted", a.hold.Room.Hosts)
+		"counted", a.place.Counted(), "count_owner", a.place.Owner(), "count_age_ms", a.place.CountAge().Milliseconds(), "occupied", a.place.Occupied())
 }
 
 // maxDrainBytes bounds how much of an unneeded response is read.
@@ -284,6 +309,7 @@
 		return
 	}
 	a.ended = true
+	a.returnPlace(complete)
 	if a.ongoingRun != nil {
 		x := a.x
 		x.g.Quarantine.EndResponse(a.ongoingRun)
--- a/internal/gatewayd/falls_test.go
+++ b/internal/gatewayd/falls_test.go
@@ -314,6 +314,9 @@
 // isLost reports whether a host is lost at a time of the run, or while a request lasts that was sent
 // then, or has only just come back.
 func (d fallScenario) isLost(host int, at time.Duration) bool {
+	if d.loss == hostsApart {
+		return false
+	}
 	if d.loss != hostsInTurn || d.lostHosts == 0 {
 		return host < d.lostHosts && at > fallLoss-d.workTime() && at < fallReturn+time.Second
 	}
@@ -325,13 +328,13 @@
 	return false
 }
 
-// countServed returns how many requests were served that were sent while endpoints let few wait, and
-// how many could have been. Requests to hosts while these are lost don't count.
+// countServed returns how many requests were served that were sent while endpoints were brittle, and how
+// many could have been. Requests to hosts while these are lost don't count.
 func (d fallScenario) countServed(calls []cutCall, began time.Time) (served int, possible float64) {
 	offered := map[time.Duration]int{}
 	for _, c := range calls {
 		at := c.began.Sub(began)
-		if at < fallStart || at > fallRunEnd-d.workTime()-time.Second || d.isLost(c.host, at) {
+		if at < fallSpeak || at > fallRunEnd-d.workTime()-time.Second || d.isLost(c.host, at) {
 			continue
 		}
 		offered[at.Truncate(time.Second)]++
--- a/internal/ratelimit/grpc.go
+++ b/internal/ratelimit/grpc.go
@@ -37,12 +37,12 @@
 
 // Tell implements ratelimitpb.RateLimitServer.
 func (s *server) Tell(_ context.Context, w *ratelimitpb.TellRequest) (*ratelimitpb.TellReply, error) {
-	s.limiter.ApplyNews(News{Limits: limitsFromWire(w.GetNews()), Leaving: w.GetLeaving()})
+	s.limiter.ApplyNews(News{Limits: limitsFromWire(w.GetNews()), Leaving: w.GetLeaving(), Costly: costlyFromWire(w.GetCostly())})
 	if !w.GetAll() {
 		return &ratelimitpb.TellReply{}, nil
 	}
 	known := s.limiter.KnownNews()
-	return &ratelimitpb.TellReply{News: limitsToWire(known.Limits), Leaving: known.Leaving}, nil
+	return &ratelimitpb.TellReply{News: limitsToWire(known.Limits), Leaving: known.Leaving, Costly: costlyToWire(known.Costly)}, nil
 }
 
 // Connect returns the connection to an address.
@@ -51,8 +51,13 @@
 // grpcClient calls other hosts over gRPC.
 type grpcClient struct{ connect Connect }
 
-// NewPeerClient returns a PeerClient over connections that it shares with other services.
-func NewPeerClient(connect Connect) PeerClient { return grpcClient{connect} }
+// NewPeerClient returns a client over connections that it shares with other services.
+func NewPeerClient(connect Connect) interface {
+	PeerClient
+	PlaceClient
+} {
+	return grpcClient{connect}
+}
 
 // Borrow implements PeerClient.
 func (c grpcClient) Borrow(ctx context.Context, address string, r Request) (Reply, error) {
@@ -79,7 +84,7 @@
 	if err != nil {
 		return fmt.Errorf("tell %s: %w", address, err)
 	}
-	if _, err := ratelimitpb.NewRateLimitClient(connection).Tell(ctx, &ratelimitpb.TellRequest{News: limitsToWire(n.Limits), Leaving: n.Leaving}); err != nil {
+	if _, err := ratelimitpb.NewRateLimitClient(connection).Tell(ctx, &ratelimitpb.TellRequest{News: limitsToWire(n.Limits), Leaving: n.Leaving, Costly: costlyToWire(n.Costly)}); err != nil {
 		return fmt.Errorf("tell %s: %w", address, err)
 	}
 	return nil
@@ -95,7 +100,7 @@
 	if err != nil {
 		return News{}, fmt.Errorf("fetch news from %s: %w", address, err)
 	}
-	return News{Limits: limitsFromWire(reply.GetNews()), Leaving: reply.GetLeaving()}, nil
+	return News{Limits: limitsFromWire(reply.GetNews()), Leaving: reply.GetLeaving(), Costly: costlyFromWire(reply.GetCostly())}, nil
 }
 
 func limitsToWire(limits []fleet.LimitUpdate) []*ratelimitpb.News {
--- /dev/null
+++ b/internal/ratelimit/places.go
@@ -0,0 +1,255 @@
+package ratelimit
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"quaybarrow/internal/clock"
+)
+
+// placeTimeout is how long a host is waited for that is asked for a place: a few times what the question
+// takes between data halls.
+const placeTimeout = 50 * time.Millisecond
+
+// placeRelayTimeout bounds the same question if it is forwarded.
+const placeRelayTimeout = 25 * time.Millisecond
+
+// PlaceRequest asks for a place for one request at an endpoint.
+type PlaceRequest struct {
+	Endpoint string
+	Ticket   int64 // chosen by the host that asks; names the place until it is returned
+	Survives int   // rejections a second that the endpoint survives
+	Slots    int   // of the endpoint, as the host that asks knows them
+	Report   PlaceReport
+	From     string // name of the host that sends the message
+	Relayed  bool   // forwarded by a host that was asked first
+}
+
+// PlaceReply is the answer to a PlaceRequest.
+type PlaceReply struct {
+	Granted    bool
+	RetryAfter time.Duration // delay before the host may ask again, if the place was not granted
+	Basis      PlaceBasis
+}
+
+// PlaceReturn tells how a request for which a place was taken fares.
+type PlaceReturn struct {
+	Endpoint string
+	Ticket   int64
+	End      PlaceEnd
+	Report   PlaceReport
+}
+
+// PlaceClient asks other hosts for places.
+type PlaceClient interface {
+	TakePlace(ctx context.Context, address string, r PlaceRequest) (PlaceReply, error)
+	ReturnPlace(ctx context.Context, address string, r PlaceReturn) error
+}
+
+// placeCounts holds the counts of the endpoints for which this host gives places. It is safe for
+// concurrent use.
+type placeCounts struct {
+	owner string
+
+	mu     sync.Mutex             // guards counts
+	counts map[string]*placeCount // by endpoint ID
+}
+
+func newPlaceCounts(owner string) *placeCounts {
+	return &placeCounts{owner: owner, counts: map[string]*placeCount{}}
+}
+
+func (p *placeCounts) take(r PlaceRequest, first bool, now clock.Instant) PlaceReply {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c, ok := p.counts[r.Endpoint]
+	if !ok {
+		p.dropIdle(now)
+		c = newPlaceCount(now)
+		p.counts[r.Endpoint] = c
+	}
+	basis, granted := c.take(r, first, now)
+	basis.Owner = p.owner
+	reply := PlaceReply{Granted: granted, Basis: basis}
+	if !granted {
+		reply.RetryAfter = c.retryDelay(r.From, basis, now)
+	}
+	return reply
+}
+
+func (p *placeCounts) giveBack(r PlaceReturn, now clock.Instant) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c, ok := p.counts[r.Endpoint]; ok {
+		c.giveBack(r.Ticket, r.End, r.Report, now)
+	}
+}
+
+// dropIdle deletes the counts of endpoints of which no place was asked for a long time.
+func (p *placeCounts) dropIdle(now clock.Instant) {
+	for id, c := range p.counts {
+		if now.Sub(c.askedAt) > maxTaken {
+			delete(p.counts, id)
+		}
+	}
+}
+
+// Place is a place that was taken for a request at an endpoint. A nil Place counts nothing.
+type Place struct {
+	Basis    PlaceBasis
+	limiter  *Limiter
+	owner    host
+	endpoint string
+	ticket   int64
+	returned bool
+}
+
+// Return tells the host that counts how the request fares, in the background. After an end other than
+// PlaceRunning it does nothing more.
+func (p *Place) Return(end PlaceEnd, report PlaceReport) {
+	if p == nil || p.returned {
+		return
+	}
+	p.returned = end != PlaceRunning
+	r := PlaceReturn{Endpoint: p.endpoint, Ticket: p.ticket, End: end, Report: report}
+	if p.owner.self {
+		p.limiter.places.giveBack(r, clock.Now())
+		return
+	}
+	p.limiter.returnTo(p.owner, r)
+}
+
+// Counted tells what a place was given by; "not counted" if none was needed.
+func (p *Place) Counted() string {
+	switch {
+	case p == nil:
+		return "not counted"
+	case p.Basis.Probe:
+		return string(p.Basis.State) + ", probe"
+	default:
+		return string(p.Basis.State)
+	}
+}
+
+// Owner returns the name of the host that gave the place; empty if none was needed.
+func (p *Place) Owner() string {
+	if p == nil {
+		return ""
+	}
+	return p.Basis.Owner
+}
+
+// Occupied returns how many requests were counted at the endpoint before this one.
+func (p *Place) Occupied() int {
+	if p == nil {
+		return 0
+	}
+	return p.Basis.Occupied
+}
+
+// CountAge returns the age that the latest report had by which the place was given; negative if there was
+// none.
+func (p *Place) CountAge() time.Duration {
+	if p == nil {
+		return 0
+	}
+	return p.Basis.Age
+}
+
+// returnTo sends a PlaceReturn to another host, in the background. One that is lost is made up for by
+// later reports.
+func (l *Limiter) returnTo(to host, r PlaceReturn) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+		defer cancel()
+		if err := l.options.Places.ReturnPlace(ctx, to.Address, r); err != nil {
+			l.options.Logger.Debug("place was not returned", "to", to.Name, "endpoint", r.Endpoint, "error", err)
+		}
+	}()
+}
+
+// TakePlace asks for a place at an endpoint; r needs no ticket. It returns nil and when to ask again if
+// there is none.
+func (l *Limiter) TakePlace(ctx context.Context, r PlaceRequest) (place *Place, retryAfter time.Duration, basis PlaceBasis) {
+	r.From, r.Ticket = l.options.Host, rand.Int64()
+	owner, reply := l.askForPlace(ctx, r)
+	l.options.Telemetry.Count("places_asked", 1)
+	if !reply.Granted {
+		l.options.Telemetry.Count("places_denied", 1)
+		return nil, reply.RetryAfter, reply.Basis
+	}
+	return &Place{Basis: reply.Basis, limiter: l, owner: owner, endpoint: r.Endpoint, ticket: r.Ticket}, 0, reply.Basis
+}
+
+// askForPlace asks the hosts in the endpoint's order until one answers. This host counts by itself,
+// carefully, if none does.
+func (l *Limiter) askForPlace(ctx context.Context, r PlaceRequest) (host, PlaceReply) {
+	self := host{Member: Member{Name: l.options.Host}, self: true}
+	if l.options.Places == nil {
+		return self, l.places.take(r, true, clock.Now())
+	}
+	for try := 0; try < maxTries && l.options.MembersKnown(); try++ {
+		h, first := l.lenderOf(r.Endpoint, "")
+		if h.self {
+			return self, l.places.take(r, first, clock.Now())
+		}
+		reply, err := l.askHostForPlace(ctx, h, r, placeTimeout)
+		if err == nil {
+			return l.ownerOf(h, reply), reply
+		}
+		l.returnTo(h, PlaceReturn{Endpoint: r.Endpoint, Ticket: r.Ticket, End: PlaceNotSent})
+		if ctx.Err() != nil {
+			return self, PlaceReply{}
+		}
+	}
+	return self, l.places.take(r, false, clock.Now())
+}
+
+// ownerOf returns the host that gave a place: the one that was asked, or another that it asked.
+func (l *Limiter) ownerOf(asked host, reply PlaceReply) host {
+	if reply.Basis.Owner == asked.Name {
+		return asked
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, h := range l.hosts {
+		if h.Name == reply.Basis.Owner {
+			return h
+		}
+	}
+	return asked
+}
+
+// askHostForPlace asks a host, and records whether it answers.
+func (l *Limiter) askHostForPlace(ctx context.Context, h host, r PlaceRequest, timeout time.Duration) (PlaceReply, error) {
+	callCtx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	reply, err := l.options.Places.TakePlace(callCtx, h.Address, r)
+	if ctx.Err() == nil {
+		l.noteAnswer(h, r.Endpoint, err)
+	}
+	return reply, err
+}
+
+// HandleTakePlace handles a question of another host: it forwards it to a host that precedes this one in the
+// order, or counts by itself.
+func (l *Limiter) HandleTakePlace(ctx context.Context, r PlaceRequest) PlaceReply {
+	l.mu.Lock()
+	delete(l.skippedUntil, r.From)
+	l.mu.Unlock()
+	h, first := l.lenderOf(r.Endpoint, r.From)
+	if !h.self && !r.Relayed {
+		relayed := r
+		relayed.From, relayed.Relayed = l.options.Host, true
+		if reply, err := l.askHostForPlace(ctx, h, relayed, placeRelayTimeout); err == nil {
+			return reply
+		}
+		first = false
+	}
+	return l.places.take(r, first && h.self, clock.Now())
+}
+
+// HandleReturnPlace handles the return of a place that this host gave.
+func (l *Limiter) HandleReturnPlace(r PlaceReturn) { l.places.giveBack(r, clock.Now()) }
--- a/internal/ratelimit/ratelimit.go
+++ b/internal/ratelimit/ratelimit.go
@@ -1,5 +1,6 @@
 // Package ratelimit makes all hosts together respect the rate limits that endpoints announce: how
-// many requests a second an endpoint accepts from all hosts in total.
+// many requests a second an endpoint accepts from all hosts in total. Where rejections are costly, it also
+// makes them send an endpoint no more requests at a time than it has places.
 //
 // # Usage
 //
@@ -16,6 +17,10 @@
 // each other. There is no consensus and no persistent state: a limit is what the endpoint announced
 // moments ago. A host that learns that a limit begins, ends or changes, or that an endpoint leaves,
 // tells a few random hosts, which tell others in turn (gossip).
+//
+// Places are counted by the same host, the owner. A host takes a place right before it sends a request
+// and returns it with the load that the response reports. An owner that does not know what was sent
+// before it began goes by reports, and gives little at first.
 package ratelimit
 
 import (
@@ -79,9 +84,10 @@
 type News struct {
 	Limits  []fleet.LimitUpdate
 	Leaving []string // IDs of endpoints that have said that they leave
+	Costly  []fleet.CostlyService
 }
 
-func (n News) empty() bool { return len(n.Limits) == 0 && len(n.Leaving) == 0 }
+func (n News) empty() bool { return len(n.Limits) == 0 && len(n.Leaving) == 0 && len(n.Costly) == 0 }
 
 // Options configure a Limiter.
 type Options struct {
@@ -91,6 +97,7 @@
 	Members      func() []Member
 	MembersKnown func() bool
 	Peers        PeerClient
+	Places       PlaceClient // nil if this host counts places alone
 	Telemetry    *telemetry.Telemetry
 	Logger       *log.Logger
 }
@@ -99,6 +106,8 @@
 type Limiter struct {
 	options     Options
 	lender      *Lender
+	places      *placeCounts
+	fetched     chan struct{} // closed once this host has asked for news, or found nobody to ask
 	wake        wake.Signal
 	borrowSlots chan struct{} // semaphore; holds one element for each borrow request in flight
 
@@ -125,7 +134,7 @@
 // NewLimiter returns a Limiter that Fleet wakes when there is something to borrow or to tell.
 func NewLimiter(o Options) *Limiter {
 	l := &Limiter{
-		options: o, lender: NewLender(), wake: wake.NewSignal(), borrowSlots: make(chan struct{}, maxConcurrentBorrows),
+		options: o, lender: NewLender(), places: newPlaceCounts(o.Host), fetched: make(chan struct{}), wake: wake.NewSignal(), borrowSlots: make(chan struct{}, maxConcurrentBorrows),
 		skippedUntil: map[string]clock.Instant{}, logged: map[string]bool{},
 	}
 	o.Fleet.OnLoanNeeded(l.wake.Notify)
@@ -171,7 +180,7 @@
 	if !l.options.MembersKnown() {
 		return // all is sent with the next change, or by other hosts
 	}
-	news := News{Limits: l.options.Fleet.TakeLimitUpdates(maxLimitsPerMessage), Leaving: l.options.Fleet.TakeLeaving(maxLeavingPerMessage)}
+	news := News{Limits: l.options.Fleet.TakeLimitUpdates(maxLimitsPerMessage), Leaving: l.options.Fleet.TakeLeaving(maxLeavingPerMessage), Costly: l.options.Fleet.TakeCostly()}
 	if news.empty() {
 		return
 	}
@@ -208,6 +217,7 @@
 // fetchNews runs at startup: it asks a few hosts, one after the other, for what they know of endpoints,
 // until one answers.
 func (l *Limiter) fetchNews(ctx context.Context) {
+	defer close(l.fetched)
 	for !l.options.MembersKnown() {
 		if !clock.Sleep(ctx, membersPollInterval) {
 			return
@@ -225,12 +235,16 @@
 	}
 }
 
+// Fetched returns a channel that is closed once this host has learned what others know of endpoints, or
+// has found nobody who tells it.
+func (l *Limiter) Fetched() <-chan struct{} { return l.fetched }
+
 // membersPollInterval is how often a starting host checks whether the list of hosts has been read.
 const membersPollInterval = 20 * time.Millisecond
 
 // KnownNews returns what this host knows of endpoints, for a host that has just started.
 func (l *Limiter) KnownNews() News {
-	return News{Limits: l.options.Fleet.LimitUpdates(maxLimitsPerMessage), Leaving: l.options.Fleet.Leaving(maxLeavingPerMessage)}
+	return News{Limits: l.options.Fleet.LimitUpdates(maxLimitsPerMessage), Leaving: l.options.Fleet.Leaving(maxLeavingPerMessage), Costly: l.options.Fleet.CostlyServices()}
 }
 
 // ApplyNews records what another host tells.
@@ -241,6 +255,9 @@
 	for _, id := range n.Leaving {
 		l.options.Fleet.NoteLeaving(id, fleet.NoticeSource{By: fleet.NoticeFromPeer})
 	}
+	for _, s := range n.Costly {
+		l.options.Fleet.MergeCostly(s)
+	}
 }
 
 // borrowWanted borrows a part of one endpoint's limit and passes the loan to the fleet.
@@ -295,22 +312,26 @@
 	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	reply, err := l.options.Peers.Borrow(callCtx, h.Address, r)
-	if ctx.Err() != nil {
-		return reply, err
+	if ctx.Err() == nil {
+		l.noteAnswer(h, r.Limit.Endpoint, err)
 	}
+	return reply, err
+}
+
+// noteAnswer records whether a host answered a question about an endpoint.
+func (l *Limiter) noteAnswer(h host, endpoint string, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if err == nil {
 		delete(l.skippedUntil, h.Name)
 		delete(l.logged, h.Name)
-		return reply, nil
+		return
 	}
 	l.skippedUntil[h.Name] = clock.Now().Add(skipTime)
 	if !l.logged[h.Name] {
 		l.logged[h.Name] = true
-		l.options.Logger.Info("host does not lend of limits; the next one is asked", "from", h.Name, "endpoint", r.Limit.Endpoint, "error", err)
+		l.options.Logger.Info("host does not lend of limits; the next one is asked", "from", h.Name, "endpoint", endpoint, "error", err)
 	}
-	return reply, err
 }
 
 // Borrow handles a request from another host: it forwards the request to a host that precedes this one
