An ejected endpoint is not tried because the others have no place just now

Callers of a brittle service waited on connections to an endpoint that was gone: with no place at the others it was the best one left, and each waiting request came back to it every 25 ms.

The spec fails without the change.

--- a/internal/fleet/brittle_test.go
+++ b/internal/fleet/brittle_test.go
@@ -65,6 +65,18 @@
 		})
 	})
 
+	It("that are ejected get no request only because the others have no place", func() {
+		suite.Paused(func() {
+			f := brittleFleet(2)
+			f.ApplyEjections([]string{"e0"})
+			full := pick(f)
+			Expect(full.Endpoint.ID).To(Equal("e1"))
+			full.NoPlace(100 * time.Millisecond)
+			_, ok := f.Pick(request)
+			Expect(ok).To(BeFalse())
+		})
+	})
+
 	It("are taken as usual once they say no more, but not by a response beside others that do", func() {
 		suite.Paused(func() {
 			f := brittleFleet(2)
--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -243,6 +243,7 @@
 	prefillTokens int           // tokens of the prompt that the endpoint is expected to prefill
 	score         float64       // of member
 	limits        limitScan     // of the endpoints that were scored
+	anyFull       bool          // some endpoint has no place for the request now, and is not ejected
 	anyUnpaused   bool          // some endpoint that suits the request wants no pause
 	pauseEnd      clock.Instant // earliest end of the pauses of those that do; zero if there are none
 	now           clock.Instant
@@ -280,6 +281,7 @@
 			continue
 		}
 		c.notePause(m, t.req)
+		c.anyFull = c.anyFull || (c.now.Before(m.noPlaceUntil) && !m.ejected(c.now))
 		if !f.usable(m, t.req) || !m.warmUp.admits(t.coldLimits, t.req, c.now) {
 			continue
 		}
@@ -296,6 +298,9 @@
 		}
 	}
 	c.score = best
+	if c.anyFull && c.member != nil && c.member.ejected(c.now) {
+		c.member = nil // others are there and will have a place sooner
+	}
 }
 
 // notePause records whether an endpoint that suits a request wants a pause.
