Soak: endpoints of a service are brittle for a time, beside all its other faults

It had nothing of the kind: brittle endpoints were played in virtual time only. Falls count as the users count them: not those most of whose rejections came from hosts that something had happened to.

The test of falls also expects that no more requests are unanswered half a second after their route's time than the users allow.

--- a/internal/cli/soak.go
+++ b/internal/cli/soak.go
@@ -28,7 +28,7 @@
 
 // Usage implements subcommands.Command.
 func (*soakCommand) Usage() string {
-	return `soak -daemon PROGRAM [-seed N] [-seeds COUNT] [-for TIME] [-hosts COUNT] [-crashers COUNT] [-limits COUNT] [-notices COUNT] [-logs FOLDER]
+	return `soak -daemon PROGRAM [-seed N] [-seeds COUNT] [-for TIME] [-hosts COUNT] [-crashers COUNT] [-limits COUNT] [-notices COUNT] [-brittle COUNT] [-logs FOLDER]
   Runs daemons as separate processes on this machine, with stand-ins for the store and
   endpoints, injects faults at random from the seed and checks the router's promises from
   what callers and endpoints see. Exits with 1 if one is broken.
@@ -41,6 +41,7 @@
 	soakCrashers = 3
 	soakLimits   = 6
 	soakNotices  = 6
+	soakBrittle  = 2
 	soakLength   = 20 * time.Second
 )
 
@@ -53,6 +54,7 @@
 	f.IntVar(&c.options.Crashers, "crashers", soakCrashers, "how many requests come again and again under which endpoints crash")
 	f.IntVar(&c.options.Limits, "limits", soakLimits, "how many times endpoints name limits of what they take")
 	f.IntVar(&c.options.Notices, "notices", soakNotices, "how many times endpoints leave, or turn requests away, by their answers alone")
+	f.IntVar(&c.options.Brittle, "brittle", soakBrittle, "how many times the endpoints of a service are brittle")
 	f.StringVar(&c.options.Daemon, "daemon", "", "`program` of the daemon")
 	f.StringVar(&c.options.LogDir, "logs", "", "`folder` for the hosts' logs; without it those of a broken run are kept in one of its own")
 }
--- a/internal/gatewayd/falls_test.go
+++ b/internal/gatewayd/falls_test.go
@@ -93,6 +93,12 @@
 	engineEvents = 5
 	// routeTime is the time that a route of the rig allows for a request; endpoints run on after it.
 	routeTime = 4 * time.Second
+	// streamRouteTime is the same for streams.
+	streamRouteTime = 8 * time.Second
+	// lateAnswer is how long after its route's time a request may still be unanswered, and maxAnsweredLate
+	// how many may be longer. Both are the users' rule.
+	lateAnswer      = 500 * time.Millisecond
+	maxAnsweredLate = 7
 	// minServedShare is how much of what the endpoints can serve is served at least.
 	minServedShare = 0.5
 	// minServedWithRoom is how much is served at least where endpoints have room for all, which is up to
@@ -113,6 +119,7 @@
 				falls, rejections := r.countFalls(d.service(), began)
 				served, possible := d.countServed(calls, began)
 				t.Logf("%d falls, %d allowed, at %v; %d rejections; %d served of %.0f, %.2f", len(falls), standin.MaxFalls(d.endpoints), falls, rejections, served, possible, float64(served)/possible)
+				Expect(d.answeredLate(calls)).To(BeNumerically("<=", maxAnsweredLate))
 				Expect(len(falls)).To(BeNumerically("<=", standin.MaxFalls(d.endpoints)))
 				if d.workTime() > routeTime {
 					return
@@ -311,6 +318,20 @@
 	return falls, rejections
 }
 
+// answeredLate returns how many requests were unanswered long after their route's time.
+func (d fallScenario) answeredLate(calls []cutCall) int {
+	limit, late := routeTime, 0
+	if d.prompts {
+		limit = streamRouteTime
+	}
+	for _, c := range calls {
+		if c.took > limit+lateAnswer {
+			late++
+		}
+	}
+	return late
+}
+
 // isLost reports whether a host is lost at a time of the run, or while a request lasts that was sent
 // then, or has only just come back.
 func (d fallScenario) isLost(host int, at time.Duration) bool {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -12,7 +12,7 @@
 // paused and restarted by signals; the store's stand-in misbehaves; endpoints start again
 // under their names or crash under a request that comes again and again, data halls are evacuated,
 // others write among the endpoints, endpoints name limits, leave or turn requests away by their answers
-// alone. Faults
+// alone, or are brittle. Faults
 // overlap and are not counted as excuses: what may not happen may not happen
 // under any of them. Only processes that the soak started are signalled.
 package soak
@@ -56,6 +56,8 @@
 	Limits int
 	// Notices is how many times endpoints leave, or turn requests away, by their answers alone.
 	Notices int
+	// Brittle is how many times the endpoints of a service are brittle.
+	Brittle int
 }
 
 // Result is what a run saw.
@@ -128,6 +130,7 @@
 	crashing.Go(func() { w.sendCrashers(ctx, o) })
 	crashing.Go(func() { w.nameLimits(ctx, o) })
 	crashing.Go(func() { w.giveNotices(ctx, o) })
+	crashing.Go(func() { w.makeBrittle(ctx, o) })
 	faults := w.injectFaults(ctx, o.Length)
 	crashing.Wait()
 	w.healAll()
@@ -145,6 +148,7 @@
 	report.Violations = append(report.Violations, w.overLimits()...)
 	report.Violations = append(report.Violations, w.lateAfterLeaving()...)
 	report.Violations = append(report.Violations, w.overPauses()...)
+	report.Violations = append(report.Violations, w.overFalls()...)
 	for _, p := range w.hosts {
 		report.Violations = append(report.Violations, p.ownEnds()...)
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -110,6 +110,7 @@
 var seeds = map[string]Options{
 	"a fixed seed":                                {Seed: 1, Length: 5 * time.Second, Hosts: 4},
 	"endpoints that name limits":                  {Seed: 2, Length: 12 * time.Second, Hosts: 6, Limits: 6},
+	"brittle endpoints":                           {Seed: 5, Length: 14 * time.Second, Hosts: 6, Brittle: 4},
 	"endpoints that leave and turn requests away": {Seed: 3, Length: 12 * time.Second, Hosts: 6, Notices: 8},
 }
 
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -35,22 +35,25 @@
 	hosts   []*process
 	ports   *portBlock
 	// crashing tells that requests come under which endpoints crash.
-	crashing   bool
-	crashDice  dice
-	limitDice  dice
-	noticeDice dice
-	carriers   sync.Map // of requests, by id
+	crashing    bool
+	crashDice   dice
+	limitDice   dice
+	noticeDice  dice
+	brittleDice dice
+	carriers    sync.Map // of requests, by id
 
-	mu        sync.Mutex // guards all below
-	random    *rand.Rand
-	endpoints map[string]*endpoint
-	all       []*endpoint         // also those that are gone
-	traps     []*standin.Endpoint // that entries of other writers name
-	crashers  []*crasher          // requests under which endpoints crash
-	namings   []naming            // limits that endpoints have named
-	passedOn  []passedOn          // answers that say that their endpoints leave
-	version   int                 // of the newest configuration
-	serial    int
+	mu           sync.Mutex // guards all below
+	random       *rand.Rand
+	endpoints    map[string]*endpoint
+	all          []*endpoint             // also those that are gone
+	traps        []*standin.Endpoint     // that entries of other writers name
+	crashers     []*crasher              // requests under which endpoints crash
+	namings      []naming                // limits that endpoints have named
+	brittleNow   map[string]*brittleTime // by service
+	brittleTimes []*brittleTime          // also those that are over
+	passedOn     []passedOn              // answers that say that their endpoints leave
+	version      int                     // of the newest configuration
+	serial       int
 }
 
 // endpoint is an endpoint behind a proxy.
@@ -101,9 +104,10 @@
 	w := &world{
 		store: standin.NewStore(), history: newHistory(), random: rand.New(rand.NewPCG(o.Seed, o.Seed)),
 		endpoints: map[string]*endpoint{}, crashing: o.Crashers > 0,
-		crashDice:  dice{random: rand.New(rand.NewPCG(o.Seed, crashStream))},
-		limitDice:  dice{random: rand.New(rand.NewPCG(o.Seed, limitStream))},
-		noticeDice: dice{random: rand.New(rand.NewPCG(o.Seed, noticeStream))},
+		crashDice:   dice{random: rand.New(rand.NewPCG(o.Seed, crashStream))},
+		limitDice:   dice{random: rand.New(rand.NewPCG(o.Seed, limitStream))},
+		noticeDice:  dice{random: rand.New(rand.NewPCG(o.Seed, noticeStream))},
+		brittleDice: dice{random: rand.New(rand.NewPCG(o.Seed, brittleStream))}, brittleNow: map[string]*brittleTime{},
 	}
 	ports, err := takePorts()
 	if err != nil {
@@ -164,7 +168,12 @@
 		Endpoint: standin.NewEndpoint(id, usual), service: service, hall: halls[w.serial%len(halls)], listener: l, proxy: p, gone: make(chan struct{}),
 	}
 	e.turnsAway.Store("")
-	e.SetScript(e.answers(usual))
+	e.SetScript(e.answers(func(n int, r *http.Request) standin.Script {
+		if s, ok := w.brittleScript(service, r); ok {
+			return s
+		}
+		return usual(n, r)
+	}))
 	w.endpoints[id] = e
 	w.all = append(w.all, e)
 	go e.Serve(l)
