Worst second of rejections, simulated with 1 to 984 hosts; a Room names the limit of its endpoint

Six endpoints of six slots that survive four rejections, 1.5 times what they take asked for, the host that counts killed or cut from the others each second.

--- a/internal/ratelimit/simulation_test.go
+++ b/internal/ratelimit/simulation_test.go
@@ -122,7 +122,7 @@
 	h.fleet, h.cancel, h.down, h.cut = f, cancel, false, false
 	if h.sim.strategy == lending {
 		h.limiter = ratelimit.NewLimiter(ratelimit.Options{
-			Host: h.name(), Fleet: f, Members: h.members, MembersKnown: func() bool { return true }, Peers: h,
+			Host: h.name(), Fleet: f, Members: h.members, MembersKnown: func() bool { return true }, Peers: h, Places: h,
 			Telemetry: telemetry.MetricsOnly(), Logger: log.New(io.Discard),
 		})
 	}
