--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -220,7 +220,7 @@
 		"id", x.header.ID, "route", x.route.Name, "service", x.service, "workspace", x.workspace,
 		"config", version, "config_age_ms", age.Milliseconds(),
 		"endpoint", x.endpoint, "relayed_by", x.relayedBy, "version", x.version, "upgrade", x.g.Upgrades.State(x.service).String(), "model", x.model, "larger", x.escalated, "urgency", x.urgency,
-		"sends", x.sends, "rejections", x.rejections, "crashes", x.crashes, "fingerprint", x.loggedFingerprint(), "waits", x.waits, "room_in_ms", x.roomIn.Milliseconds(), "advice", x.adviceOutcome,
+		"sends", x.sends, "rejections", x.rejections, "places_denied", x.placesDenied, "crashes", x.crashes, "fingerprint", x.loggedFingerprint(), "waits", x.waits, "room_in_ms", x.roomIn.Milliseconds(), "advice", x.adviceOutcome,
 		"tokens", x.header.TokensIn, "read", x.expected.PrefillTokens, "work_ms", x.expected.PrefillTime.Milliseconds(), "price", x.expected.Price,
 		"first_ms", x.headerDelay.Milliseconds(), "objective_ms", x.route.Objective.Milliseconds(),
 		"head_ms", x.lastHeaderDelay.Milliseconds(), "expected_ms", x.expected.Head.Milliseconds(), "queue_ms", x.expected.Queue.Milliseconds(),
--- a/internal/ratelimit/places.go
+++ b/internal/ratelimit/places.go
@@ -79,12 +79,22 @@
 	return reply
 }
 
-func (p *placeCounts) giveBack(r PlaceReturn, now clock.Instant) {
+// giveBack records how a request fares, and returns the count of its endpoint after it.
+func (p *placeCounts) giveBack(r PlaceReturn, now clock.Instant) countSummary {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if c, ok := p.counts[r.Endpoint]; ok {
-		c.giveBack(r.Ticket, r.End, r.Report, now)
+	c, ok := p.counts[r.Endpoint]
+	if !ok {
+		return countSummary{}
 	}
+	c.giveBack(r.Ticket, r.End, r.Report, now)
+	return countSummary{taken: len(c.taken), others: c.others, rejected: len(c.rejectedAt)}
+}
+
+// countSummary is what a log line tells of a count.
+type countSummary struct {
+	taken, others int
+	rejected      int // within the last second or a little more
 }
 
 // dropIdle deletes the counts of endpoints of which no place was asked for a long time.
@@ -115,7 +125,7 @@
 	p.returned = end != PlaceRunning
 	r := PlaceReturn{Endpoint: p.endpoint, Ticket: p.ticket, End: end, Report: report}
 	if p.owner.self {
-		p.limiter.places.giveBack(r, clock.Now())
+		p.limiter.HandleReturnPlace(r)
 		return
 	}
 	p.limiter.returnTo(p.owner, r)
@@ -177,7 +187,6 @@
 	owner, reply := l.askForPlace(ctx, r)
 	l.options.Telemetry.Count("places_asked", 1)
 	if !reply.Granted {
-		l.options.Telemetry.Count("places_denied", 1)
 		return nil, reply.RetryAfter, reply.Basis
 	}
 	return &Place{Basis: reply.Basis, limiter: l, owner: owner, endpoint: r.Endpoint, ticket: r.Ticket}, 0, reply.Basis
@@ -252,4 +261,10 @@
 }
 
 // HandleReturnPlace handles the return of a place that this host gave.
-func (l *Limiter) HandleReturnPlace(r PlaceReturn) { l.places.giveBack(r, clock.Now()) }
+func (l *Limiter) HandleReturnPlace(r PlaceReturn) {
+	c := l.places.giveBack(r, clock.Now())
+	if r.End == PlaceRejected {
+		l.options.Logger.Info("endpoint rejected a request that had a place", "endpoint", r.Endpoint, "rejections", c.rejected,
+			"taken", c.taken, "others", c.others, "reported", r.Report.Occupied, "slots", r.Report.Slots)
+	}
+}
