A rejection with most slots free does not tell how much an endpoint takes

Callers of an endpoint that rejected one request for another reason (of 32 slots one taken, say) had one place there and one more a second, so half a minute of an endpoint that stood empty. Found by reading: learnRoom believed any rejection with a free slot. Now half of the slots must be taken; a rejection still counts against what the endpoint survives, so the backstop (half of it in a second) bounds those to come.

The new spec failed before (no place given, five of six expected). The spec beside it now says when the one more place is free; it had let a report come between.

--- a/internal/ratelimit/placecount.go
+++ b/internal/ratelimit/placecount.go
@@ -32,6 +32,9 @@
 	// second old.
 	stopPart      = 0.5
 	rejectionSpan = time.Second
+	// lackOfRoom is the part of the slots that must be occupied for a rejection to tell how much the
+	// endpoint takes.
+	lackOfRoom = 0.5
 	// roomGrowth is by how many places a second an endpoint that rejected a request though it had free
 	// slots is tried with more.
 	roomGrowth = 1.0
@@ -287,9 +290,10 @@
 	return delay
 }
 
-// learnRoom records how much an endpoint had when it rejected a request.
+// learnRoom records how much an endpoint had when it rejected a request. With most slots free it did not
+// lack room.
 func (c *placeCount) learnRoom(r PlaceReport, now clock.Instant) {
-	if r.Slots > 0 && r.Occupied < r.Slots {
+	if r.Occupied < r.Slots && float64(r.Occupied) >= lackOfRoom*float64(r.Slots) {
 		c.room, c.roomAt = float64(max(1, r.Occupied)), now
 	}
 }
--- a/internal/ratelimit/places_test.go
+++ b/internal/ratelimit/places_test.go
@@ -138,25 +138,40 @@
 		})
 	})
 
+	// rejectAt has a request be rejected with a number of others at the endpoint, and returns their tickets.
+	rejectAt := func(h *countingHost, occupied int) []int64 {
+		h.becomeSure()
+		tickets := h.takeAll()
+		time.Sleep(50 * time.Millisecond)
+		for _, ticket := range tickets[occupied:] {
+			h.end(ticket, ratelimit.PlaceFreed, occupied)
+		}
+		ticket, _ := h.take()
+		h.end(ticket, ratelimit.PlaceRejected, occupied)
+		return tickets[:occupied]
+	}
+
 	It("are as few as the endpoint had when it rejected a request, and grow again", func() {
 		suite.Paused(func() {
 			h := newCountingHost()
-			h.becomeSure()
-			tickets := h.takeAll()
-			for _, ticket := range tickets[:4] {
-				h.end(ticket, ratelimit.PlaceFreed, 2)
-			}
-			ticket, _ := h.take()
-			h.end(ticket, ratelimit.PlaceRejected, 2)
+			tickets := rejectAt(h, 4)
 			Expect(h.takeAll()).To(BeEmpty())
-			time.Sleep(950 * time.Millisecond)
-			h.end(tickets[4], ratelimit.PlaceFreed, 1)
+			time.Sleep(500 * time.Millisecond)
+			h.end(tickets[0], ratelimit.PlaceFreed, 3)
 			Expect(h.takeAll()).To(HaveLen(1))
-			time.Sleep(60 * time.Millisecond)
+			time.Sleep(500 * time.Millisecond)
 			Expect(h.takeAll()).To(HaveLen(1))
 		})
 	})
 
+	It("are as many as before after a rejection of another cause, with most slots free", func() {
+		suite.Paused(func() {
+			h := newCountingHost()
+			rejectAt(h, 1)
+			Expect(h.takeAll()).To(HaveLen(5))
+		})
+	})
+
 	It("that are denied are to be asked for again when as many have come free as hosts wait", func() {
 		suite.Paused(func() {
 			h := newCountingHost()
