Hosts that miss others give out only the slots of those they reach

While hosts did not reach each other, brittle endpoints fell over more often than allowed again: each group has a host that counts, and all saw the same free places.

A careful count gave half of what is free, which is right for two counts; with k groups the sum is k/2 times what is free, and the first host in an endpoint's order gave all. Ruled out by the lines and a trace of one endpoint's places: probes alone (they added to it), stale reports alone.

Now slots belong to hosts by their rank, and a host that counts asks those that have slots or places each 0.2 s whether they are there. If one is silent it gives out the slots of the hosts it reaches only; these parts sum to what the endpoint has whatever the number of groups. Until what was given before has ended it takes its part of what is free, and sends no probes. Places of hosts it misses count as given up, else their owner saw no requests of others and took itself for the only one. A host whose address refuses connections is dead, and its slots are the others'.

What it costs: a host that is silent costs its slots until it is clear that it sends nothing.

--- a/internal/gatewayd/module.go
+++ b/internal/gatewayd/module.go
@@ -205,7 +205,7 @@
 func newLimits(s settings.Settings, w *spread.Watcher, f *fleet.Fleet, t *telemetry.Telemetry, l *log.Logger) *ratelimit.Limiter {
 	peers := ratelimit.NewPeerClient(w.Conn)
 	return ratelimit.NewLimiter(ratelimit.Options{
-		Host: s.Host, Fleet: f, Peers: peers, Places: peers, Telemetry: t, Logger: l,
+		Host: s.Host, Fleet: f, Peers: peers, Places: peers, Refuses: w.Refuses, Telemetry: t, Logger: l,
 		MembersKnown: func() bool { return w.Choosers().Hosts > 0 },
 		Members:      func() []ratelimit.Member { return members[ratelimit.Member](w) },
 	})
--- a/internal/ratelimit/placecount.go
+++ b/internal/ratelimit/placecount.go
@@ -61,6 +61,7 @@
 	CountFull    CountState = "full"    // nothing is free
 	CountCareful CountState = "careful" // another host may count too
 	CountSure    CountState = "sure"
+	CountApart   CountState = "apart"   // hosts that have slots of the endpoint do not answer
 	CountStopped CountState = "stopped" // the endpoint has rejected too many requests within a second
 )
 
@@ -96,10 +97,10 @@
 type placeCount struct {
 	began   clock.Instant // when this count began
 	askedAt clock.Instant
-	known   bool                    // a response or a report has come since it began
-	taken   map[int64]clock.Instant // by ticket: places that are not returned, and when they were taken
-	others  int                     // further requests that are taken to be there
-	gaveUp  int                     // those of others that were given up since the latest report
+	known   bool                 // a response or a report has come since it began
+	taken   map[int64]takenPlace // by ticket: places that are not returned
+	others  int                  // further requests that are taken to be there
+	gaveUp  int                  // those of others that were given up since the latest report
 
 	reported   int           // requests at the endpoint by the latest report
 	reportedAt clock.Instant // zero if there is none
@@ -112,12 +113,19 @@
 	probedAt   clock.Instant // when the last probe was sent
 	rejectedAt []clock.Instant
 
+	part    slotPart
 	lasts   time.Duration            // smoothed time for which a place is taken
 	waiting map[string]clock.Instant // by host: those that got no place and were told to ask again by then
 }
 
+// takenPlace is a place that is not returned.
+type takenPlace struct {
+	at   clock.Instant
+	from string // name of the host that took it
+}
+
 func newPlaceCount(now clock.Instant) *placeCount {
-	return &placeCount{began: now, askedAt: now, taken: map[int64]clock.Instant{}, waiting: map[string]clock.Instant{}, room: math.Inf(1)}
+	return &placeCount{began: now, askedAt: now, taken: map[int64]takenPlace{}, waiting: map[string]clock.Instant{}, room: math.Inf(1)}
 }
 
 // take takes a place for a ticket if there is one, and returns what it went by. First means that no host
@@ -130,7 +138,8 @@
 	if !c.reportedAt.IsZero() {
 		b.Age = now.Sub(c.reportedAt)
 	}
-	free := c.roomFor(r.Slots, now) - b.Occupied
+	room := c.roomFor(r.Slots, now)
+	free := room - b.Occupied
 	b.State = c.state(free, first, survives, now)
 	granted := false
 	switch b.State {
@@ -139,13 +148,15 @@
 	case CountCareful:
 		unanswered := c.takenSince(c.reportedAt.Add(-travelTime))
 		granted = unanswered < int(math.Ceil(carefulPart*float64(free+unanswered)))
+	case CountApart:
+		granted = c.ofPart(free, room, now)
 	case CountClosed, CountFull:
 		b.Probe = c.mayProbe(survives, now)
 		granted = b.Probe
 	case CountStopped:
 	}
 	if granted {
-		c.taken[r.Ticket] = now
+		c.taken[r.Ticket] = takenPlace{at: now, from: r.From}
 		delete(c.waiting, r.From)
 	}
 	if b.Probe {
@@ -157,7 +168,7 @@
 // refresh forgets what is out of date, and begins anew after a time without questions.
 func (c *placeCount) refresh(r PlaceRequest, now clock.Instant) {
 	if now.Sub(c.askedAt) > countIdle {
-		c.began, c.known = now, false
+		c.began, c.known, c.part.known = now, false, false
 	}
 	c.askedAt = now
 	for from, until := range c.waiting {
@@ -165,8 +176,8 @@
 			delete(c.waiting, from)
 		}
 	}
-	for ticket, at := range c.taken {
-		if now.Sub(at) > maxTaken {
+	for ticket, t := range c.taken {
+		if now.Sub(t.at) > maxTaken {
 			delete(c.taken, ticket)
 		}
 	}
@@ -181,10 +192,16 @@
 	switch {
 	case len(c.rejectedAt) >= int(math.Ceil(stopPart*float64(survives))):
 		return CountStopped
+	case !c.part.known:
+		return CountClosed
+	case c.keepsToPart(now) && c.drained(now) && now.Sub(c.reportedAt) >= noticeFor:
+		return CountApart // the parts of all counts have room together, whatever else is known
 	case !c.known:
 		return CountClosed
 	case free <= 0:
 		return CountFull
+	case c.keepsToPart(now):
+		return CountApart
 	case first && now.Sub(c.began) >= carefulFor, c.alone(now):
 		return CountSure
 	default:
@@ -209,8 +226,8 @@
 // takenSince returns how many of the places that are not returned were taken after a time.
 func (c *placeCount) takenSince(at clock.Instant) int {
 	n := 0
-	for _, taken := range c.taken {
-		if taken.After(at) {
+	for _, t := range c.taken {
+		if t.at.After(at) {
 			n++
 		}
 	}
@@ -219,19 +236,26 @@
 
 // roomFor returns how many requests the endpoint takes.
 func (c *placeCount) roomFor(slots int, now clock.Instant) int {
-	switch {
-	case c.slots > 0:
-		slots = c.slots
-	case slots <= 0:
+	if slots <= 0 {
 		slots = defaultRoom
 	}
-	return int(min(float64(slots), c.room+roomGrowth*now.Sub(c.roomAt).Seconds()))
+	return int(min(float64(c.slotsOr(slots)), c.room+roomGrowth*now.Sub(c.roomAt).Seconds()))
+}
+
+// slotsOr returns the endpoint's slots, or a number if it has not reported them.
+func (c *placeCount) slotsOr(unknown int) int {
+	if c.slots > 0 {
+		return c.slots
+	}
+	return unknown
 }
 
 // mayProbe reports whether a request may be sent to find out whether there is room.
 func (c *placeCount) mayProbe(survives int, now clock.Instant) bool {
 	_, running := c.taken[c.probe]
 	switch {
+	case !c.part.known, c.keepsToPart(now):
+		return false // other counts may send theirs
 	case running && !c.reportedAt.After(c.probedAt) && now.Sub(c.probedAt) < maxProbePause:
 		return false // it has not found out yet
 	case c.known && now.Sub(c.reportedAt) < reportLife:
@@ -242,16 +266,16 @@
 
 // giveBack records how the request with a ticket fares, with the report of its response.
 func (c *placeCount) giveBack(ticket int64, end PlaceEnd, report PlaceReport, now clock.Instant) {
-	if _, ok := c.taken[ticket]; !ok {
+	t, ok := c.taken[ticket]
+	if !ok {
 		return // it was taken before this count began, or too long ago
 	}
-	at := c.taken[ticket]
 	if end != PlaceRunning {
 		delete(c.taken, ticket)
 	}
 	switch end {
 	case PlaceFreed:
-		c.noteLasted(now.Sub(at))
+		c.noteLasted(now.Sub(t.at))
 	case PlaceGivenUp:
 		c.others++
 		c.gaveUp++
@@ -269,10 +293,15 @@
 
 // noteLasted records for how long a place was taken.
 func (c *placeCount) noteLasted(d time.Duration) {
-	if c.lasts == 0 {
-		c.lasts = d
+	c.lasts = smooth(c.lasts, d)
+}
+
+// smooth returns a smoothed duration after a further value; it is 0 before the first.
+func smooth(before, d time.Duration) time.Duration {
+	if before == 0 {
+		return d
 	}
-	c.lasts += time.Duration(lastsWeight * float64(d-c.lasts))
+	return before + time.Duration(lastsWeight*float64(d-before))
 }
 
 // retryDelay returns when a host that got no place should ask again: when as many places as hosts wait
@@ -313,6 +342,7 @@
 		return
 	}
 	c.reported, c.reportedAt, c.slots, c.gaveUp = r.Occupied, at, r.Slots, 0
+	c.drawRounding()
 	arrived := len(c.taken) - c.takenSince(at.Add(-travelTime))
 	mostOthers := max(0, r.Occupied-arrived)
 	leastOthers := max(0, r.Occupied-len(c.taken))
--- /dev/null
+++ b/internal/ratelimit/placeparts.go
@@ -0,0 +1,130 @@
+package ratelimit
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"quaybarrow/internal/clock"
+)
+
+// Parameters of counts that miss hosts.
+const (
+	// rejoinFor is how long a count keeps to its part after all hosts answer again: until then their
+	// requests may be counted by others.
+	rejoinFor = 1200 * time.Millisecond
+	// noticeFor is the time in which all counts miss each other's hosts.
+	noticeFor = 500 * time.Millisecond
+	// drainFactor times the usual time of a request is the time in which most of what was given out has ended.
+	drainFactor = 1.5
+	// nobodyElseFor is how long reports must have shown no requests of others before hosts that are missed
+	// are taken to send nothing.
+	nobodyElseFor = time.Second
+)
+
+// contact tells which of the hosts that have slots or places of an endpoint answer this host.
+type contact struct {
+	missed map[string]bool // names of those that do not answer
+	lost   int             // how many of these have slots and may be alive
+	slots  int             // that belong to this host, to those that answer and to dead ones
+}
+
+// slotPart is the part of an endpoint's slots that a count may give out while hosts are missed.
+type slotPart struct {
+	known     bool    // the hosts with slots have been asked since the count began
+	contact   contact // when hosts were last missed
+	lostSince clock.Instant
+	lostAt    clock.Instant // zero if none has been missed
+	smallAt   clock.Instant // when this host last had no more slots than these
+	rounding  float64       // from 0 to 1; drawn for each report
+}
+
+// slotsOfRank returns how many of an endpoint's slots belong to the host of a rank, from 0, in its order.
+func slotsOfRank(rank, slots, hosts int) int {
+	n := slots / hosts
+	if rank < slots%hosts {
+		n++
+	}
+	return n
+}
+
+// noteContact records which hosts answer, and reports whether the count begins to miss some. Slots of a host
+// that answers again are this count's after a while only, as another may still count its requests.
+func (c *placeCount) noteContact(n contact, now clock.Instant) (begins bool) {
+	c.part.known = true
+	for ticket, t := range c.taken {
+		if n.missed[t.from] {
+			c.giveBack(ticket, PlaceGivenUp, PlaceReport{}, now) // the host can't tell how the request fares
+		}
+	}
+	if n.lost == 0 {
+		return false
+	}
+	if begins = !c.missesHosts(now); begins {
+		c.part.lostSince = now
+	}
+	c.part.lostAt = now
+	if begins || n.slots <= c.part.contact.slots {
+		c.part.smallAt = now
+	}
+	if grown := now.Sub(c.part.smallAt) >= rejoinFor; grown || now == c.part.smallAt {
+		c.part.contact, c.part.smallAt = n, now
+	}
+	return begins
+}
+
+// missesHosts reports whether hosts are missed, or were until a moment ago.
+func (c *placeCount) missesHosts(now clock.Instant) bool {
+	return !c.part.lostAt.IsZero() && now.Sub(c.part.lostAt) < rejoinFor
+}
+
+// keepsToPart reports whether hosts that are missed may send to the endpoint. If they live, reports show their
+// requests once all counts have come down to their parts.
+func (c *placeCount) keepsToPart(now clock.Instant) bool {
+	if !c.missesHosts(now) {
+		return false
+	}
+	drained := now.Sub(c.part.lostSince) - c.drainTime()
+	nobodyElse := c.alone(now) && now.Sub(c.foreignAt) >= nobodyElseFor && drained >= nobodyElseFor
+	return !nobodyElse
+}
+
+// drainTime is the time after hosts were missed in which all counts have come down to their parts.
+func (c *placeCount) drainTime() time.Duration {
+	if c.lasts == 0 {
+		return carefulFor
+	}
+	return noticeFor + time.Duration(drainFactor*float64(c.lasts))
+}
+
+// drained reports whether all counts have come down to their parts.
+func (c *placeCount) drained(now clock.Instant) bool {
+	return now.Sub(c.part.lostSince) >= c.drainTime()
+}
+
+// own returns how many of the requests at the endpoint may be this count's.
+func (c *placeCount) own() int { return min(len(c.taken), c.occupied()) }
+
+// ofPart reports whether another place may be given of this count's part of the slots. While others may
+// hold more than their parts, only its part of what a report shows free is given.
+func (c *placeCount) ofPart(free, room int, now clock.Instant) bool {
+	if c.own() >= c.part.contact.slots {
+		return false
+	}
+	if c.drained(now) || c.othersHoldLittle(now) {
+		return true
+	}
+	unanswered := c.takenSince(c.reportedAt.Add(-travelTime))
+	part := float64(c.part.contact.slots) / float64(room)
+	return float64(unanswered+1) <= part*float64(free+unanswered)+c.part.rounding
+}
+
+// othersHoldLittle reports whether all others, who know that they miss hosts, hold no more than this count may.
+func (c *placeCount) othersHoldLittle(now clock.Instant) bool {
+	arrived := len(c.taken) - c.takenSince(c.reportedAt.Add(-travelTime))
+	return now.Sub(c.part.lostSince) >= noticeFor && c.reported-arrived <= c.part.contact.slots
+}
+
+// drawRounding draws by what the part of a new report's free slots is rounded.
+func (c *placeCount) drawRounding() {
+	c.part.rounding = rand.Float64() //nolint:gosec // no secret
+}
--- a/internal/ratelimit/places.go
+++ b/internal/ratelimit/places.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	lru "github.com/hashicorp/golang-lru/v2"
+
 	"quaybarrow/internal/clock"
 )
 
@@ -53,30 +55,87 @@
 type placeCounts struct {
 	owner string
 
-	mu     sync.Mutex             // guards counts
-	counts map[string]*placeCount // by endpoint ID
+	mu     sync.Mutex                        // guards all below
+	counts map[string]*placeCount            // by endpoint ID
+	lasted *lru.Cache[string, time.Duration] // by endpoint ID: smoothed time for which this host's requests took a place
 }
 
+// maxLasted is of how many endpoints it is remembered how long requests take.
+const maxLasted = 4096
+
 func newPlaceCounts(owner string) *placeCounts {
-	return &placeCounts{owner: owner, counts: map[string]*placeCount{}}
+	lasted, err := lru.New[string, time.Duration](maxLasted)
+	if err != nil {
+		panic(err) // the size is not positive
+	}
+	return &placeCounts{owner: owner, counts: map[string]*placeCount{}, lasted: lasted}
 }
 
-func (p *placeCounts) take(r PlaceRequest, first bool, now clock.Instant) PlaceReply {
+// noteLasted records for how long a request of this host took a place.
+func (p *placeCounts) noteLasted(endpoint string, d time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	c, ok := p.counts[r.Endpoint]
-	if !ok {
-		p.dropIdle(now)
-		c = newPlaceCount(now)
-		p.counts[r.Endpoint] = c
-	}
+	before, _ := p.lasted.Get(endpoint)
+	p.lasted.Add(endpoint, smooth(before, d))
+}
+
+// take takes a place. It also reports whether the hosts that have slots of the endpoint are to be asked
+// first whether they are there.
+func (p *placeCounts) take(r PlaceRequest, first bool, now clock.Instant) (PlaceReply, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c := p.countOf(r.Endpoint, now)
 	basis, granted := c.take(r, first, now)
 	basis.Owner = p.owner
 	reply := PlaceReply{Granted: granted, Basis: basis}
 	if !granted {
 		reply.RetryAfter = c.retryDelay(r.From, basis, now)
 	}
-	return reply
+	return reply, !c.part.known
+}
+
+// countOf returns the count of an endpoint, a new one if there is none; the caller holds mu.
+func (p *placeCounts) countOf(endpoint string, now clock.Instant) *placeCount {
+	c, ok := p.counts[endpoint]
+	if !ok {
+		p.dropIdle(now)
+		c = newPlaceCount(now)
+		c.lasts, _ = p.lasted.Get(endpoint)
+		p.counts[endpoint] = c
+	}
+	return c
+}
+
+// countedEndpoint is an endpoint of which places have been asked for lately.
+type countedEndpoint struct {
+	slots   int
+	holders map[string]bool // names of the hosts that have places
+}
+
+// counted returns the endpoints of which places have been asked for lately, by ID.
+func (p *placeCounts) counted(now clock.Instant) map[string]countedEndpoint {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	counted := map[string]countedEndpoint{}
+	for id, c := range p.counts {
+		if now.Sub(c.askedAt) > countIdle {
+			continue
+		}
+		e := countedEndpoint{slots: c.slotsOr(defaultRoom), holders: map[string]bool{}}
+		for _, t := range c.taken {
+			e.holders[t.from] = true
+		}
+		counted[id] = e
+	}
+	return counted
+}
+
+// noteContact records which hosts that have slots of an endpoint answer, and reports whether its count
+// begins to miss some.
+func (p *placeCounts) noteContact(endpoint string, n contact, now clock.Instant) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.countOf(endpoint, now).noteContact(n, now)
 }
 
 // giveBack records how a request fares, and returns the count of its endpoint after it.
@@ -113,6 +172,7 @@
 	owner    host
 	endpoint string
 	ticket   int64
+	takenAt  clock.Instant
 	returned bool
 }
 
@@ -123,6 +183,9 @@
 		return
 	}
 	p.returned = end != PlaceRunning
+	if end == PlaceFreed {
+		p.limiter.places.noteLasted(p.endpoint, clock.Since(p.takenAt))
+	}
 	r := PlaceReturn{Endpoint: p.endpoint, Ticket: p.ticket, End: end, Report: report}
 	if p.owner.self {
 		p.limiter.HandleReturnPlace(r)
@@ -189,7 +252,7 @@
 	if !reply.Granted {
 		return nil, reply.RetryAfter, reply.Basis
 	}
-	return &Place{Basis: reply.Basis, limiter: l, owner: owner, endpoint: r.Endpoint, ticket: r.Ticket}, 0, reply.Basis
+	return &Place{Basis: reply.Basis, limiter: l, owner: owner, endpoint: r.Endpoint, ticket: r.Ticket, takenAt: clock.Now()}, 0, reply.Basis
 }
 
 // askForPlace asks the hosts in the endpoint's order until one answers. This host counts by itself,
@@ -197,12 +260,12 @@
 func (l *Limiter) askForPlace(ctx context.Context, r PlaceRequest) (host, PlaceReply) {
 	self := host{Member: Member{Name: l.options.Host}, self: true}
 	if l.options.Places == nil {
-		return self, l.places.take(r, true, clock.Now())
+		return self, l.count(r, true)
 	}
 	for try := 0; try < maxTries && l.options.MembersKnown(); try++ {
 		h, first := l.lenderOf(r.Endpoint, "")
 		if h.self {
-			return self, l.places.take(r, first, clock.Now())
+			return self, l.count(r, first)
 		}
 		reply, err := l.askHostForPlace(ctx, h, r, placeTimeout)
 		if err == nil {
@@ -213,7 +276,7 @@
 			return self, PlaceReply{}
 		}
 	}
-	return self, l.places.take(r, false, clock.Now())
+	return self, l.count(r, false)
 }
 
 // ownerOf returns the host that gave a place: the one that was asked, or another that it asked.
@@ -257,7 +320,7 @@
 		}
 		first = false
 	}
-	return l.places.take(r, first && h.self, clock.Now())
+	return l.count(r, first && h.self)
 }
 
 // HandleReturnPlace handles the return of a place that this host gave.
--- a/internal/ratelimit/placesim_test.go
+++ b/internal/ratelimit/placesim_test.go
@@ -167,8 +167,17 @@
 	return worst, share
 }
 
-// injectPlaceFaults kills, or cuts off, the owner of an endpoint each second.
+// injectPlaceFaults kills, or cuts off, the owner of an endpoint each second; or cuts off all hosts at once.
 func (s *placeSim) injectPlaceFaults(work *sync.WaitGroup) {
+	if s.cutAll {
+		for _, h := range s.simHosts {
+			work.Go(func() {
+				time.Sleep(placeFaultStart)
+				s.cutOne(h)
+			})
+		}
+		return
+	}
 	for at := placeFaultStart; at < placeSimLength; at += time.Second {
 		h := s.nextTarget()
 		work.Go(func() {
@@ -190,6 +199,7 @@
 				"calm":          {},
 				"owners killed": {killEvery: time.Second},
 				"owners apart":  {cutEvery: time.Second},
+				"all apart":     {cutAll: true},
 			} {
 				suite.Paused(func() {
 					p.strategy, p.hosts, p.seed, p.targetLenders, p.limitedEndpoints = lending, hosts, 11, true, placeEndpoints
--- a/internal/ratelimit/ratelimit.go
+++ b/internal/ratelimit/ratelimit.go
@@ -97,7 +97,8 @@
 	Members      func() []Member
 	MembersKnown func() bool
 	Peers        PeerClient
-	Places       PlaceClient // nil if this host counts places alone
+	Places       PlaceClient               // nil if this host counts places alone
+	Refuses      func(address string) bool // whether no process listens there; nil if that is never known
 	Telemetry    *telemetry.Telemetry
 	Logger       *log.Logger
 }
@@ -107,6 +108,7 @@
 	options     Options
 	lender      *Lender
 	places      *placeCounts
+	contactDue  wake.Signal
 	fetched     chan struct{} // closed once this host has asked for news, or found nobody to ask
 	wake        wake.Signal
 	borrowSlots chan struct{} // semaphore; holds one element for each borrow request in flight
@@ -134,7 +136,7 @@
 // NewLimiter returns a Limiter that Fleet wakes when there is something to borrow or to tell.
 func NewLimiter(o Options) *Limiter {
 	l := &Limiter{
-		options: o, lender: NewLender(), places: newPlaceCounts(o.Host), fetched: make(chan struct{}), wake: wake.NewSignal(), borrowSlots: make(chan struct{}, maxConcurrentBorrows),
+		options: o, lender: NewLender(), places: newPlaceCounts(o.Host), contactDue: wake.NewSignal(), fetched: make(chan struct{}), wake: wake.NewSignal(), borrowSlots: make(chan struct{}, maxConcurrentBorrows),
 		skippedUntil: map[string]clock.Instant{}, logged: map[string]bool{},
 	}
 	o.Fleet.OnLoanNeeded(l.wake.Notify)
@@ -146,6 +148,7 @@
 	var working sync.WaitGroup
 	defer working.Wait()
 	working.Go(func() { l.fetchNews(ctx) })
+	working.Go(func() { l.keepContact(ctx) })
 	// A timer that calls a function may safely be due when it is set; a timer with a channel may not, see
 	// clock.Sleep.
 	timer := time.AfterFunc(0, l.wake.Notify)
--- a/internal/spread/connpool.go
+++ b/internal/spread/connpool.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"google.golang.org/grpc"
@@ -63,6 +64,7 @@
 	mu            sync.Mutex // guards the fields below
 	conns         map[string]*grpc.ClientConn
 	timeoutsSince map[string]clock.Instant // by address; time of the first timeout since the last answer
+	refused       map[string]bool          // by address: whether the last attempt to connect was refused
 	closed        bool
 }
 
@@ -73,7 +75,7 @@
 			return dialer.DialContext(ctx, "tcp4", address)
 		}
 	}
-	return &connPool{credentials: c, dial: dial, conns: map[string]*grpc.ClientConn{}, timeoutsSince: map[string]clock.Instant{}}
+	return &connPool{credentials: c, dial: dial, conns: map[string]*grpc.ClientConn{}, timeoutsSince: map[string]clock.Instant{}, refused: map[string]bool{}}
 }
 
 // close closes all connections.
@@ -105,7 +107,7 @@
 			Backoff:           backoff.Config{BaseDelay: minBackoff, Multiplier: 2, Jitter: 0.2, MaxDelay: maxBackoff},
 			MinConnectTimeout: connectTimeout,
 		}),
-		grpc.WithContextDialer(pool.dial),
+		grpc.WithContextDialer(pool.dialAndNote),
 	}
 	c, err := grpc.NewClient("passthrough:///"+address, options...)
 	if err != nil {
@@ -116,6 +118,26 @@
 	return c, nil
 }
 
+// dialAndNote opens a connection, and notes whether it was refused.
+func (pool *connPool) dialAndNote(ctx context.Context, address string) (net.Conn, error) {
+	c, err := pool.dial(ctx, address)
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		pool.refused[address] = true
+	} else {
+		delete(pool.refused, address)
+	}
+	return c, err
+}
+
+// Refuses reports whether the last attempt to connect to another host was refused: no process listens there.
+func (w *Watcher) Refuses(address string) bool {
+	w.pool.mu.Lock()
+	defer w.pool.mu.Unlock()
+	return w.pool.refused[address]
+}
+
 // connected reports whether there is a connection to an address.
 func (pool *connPool) connected(address string) bool {
 	pool.mu.Lock()
