Slots of hosts that have gone silent for good are found out by a host that has none

With more hosts than slots, all that have slots of an endpoint may lose power together; whoever counts then had no part, sent nothing and so heard of no report: callers would get nothing from the endpoint. Such a host sends a probe once others must have shown themselves, the missed hosts' number times rarer than one that misses none.

--- a/internal/ratelimit/contact.go
+++ b/internal/ratelimit/contact.go
@@ -119,7 +119,7 @@
 // precedes it answers.
 func contactIn(order []host, slots int, found map[string]presence) contact {
 	c := contact{missed: map[string]bool{}}
-	preceded, passed := false, false
+	passed := false
 	for rank, h := range order {
 		n := slotsOfRank(rank, slots, len(order))
 		switch p := found[h.Name]; {
@@ -127,7 +127,7 @@
 			passed = true
 			c.slots += n
 		case p == answers:
-			preceded = preceded || !passed
+			c.preceded = c.preceded || !passed
 			c.slots += n
 		case p == dead:
 			c.missed[h.Name] = true
@@ -137,7 +137,7 @@
 			c.lost += min(n, 1)
 		}
 	}
-	if preceded {
+	if c.preceded {
 		c.slots = 0
 	}
 	return c
--- a/internal/ratelimit/placecount.go
+++ b/internal/ratelimit/placecount.go
@@ -149,7 +149,8 @@
 		unanswered := c.takenSince(c.reportedAt.Add(-travelTime))
 		granted = unanswered < int(math.Ceil(carefulPart*float64(free+unanswered)))
 	case CountApart:
-		granted = c.ofPart(free, room, now)
+		b.Probe = c.part.contact.slots == 0 && c.mayProbe(survives, now)
+		granted = b.Probe || c.ofPart(free, room, now)
 	case CountClosed, CountFull:
 		b.Probe = c.mayProbe(survives, now)
 		granted = b.Probe
@@ -253,15 +254,22 @@
 // mayProbe reports whether a request may be sent to find out whether there is room.
 func (c *placeCount) mayProbe(survives int, now clock.Instant) bool {
 	_, running := c.taken[c.probe]
+	pause := min(clock.Seconds(1/(probePart*float64(survives))), maxProbePause)
+	if c.keepsToPart(now) {
+		if !c.mayProbeForOthers(now) {
+			return false
+		}
+		pause *= time.Duration(c.part.contact.lost + 1) // the lost hosts may send probes too
+	}
 	switch {
-	case !c.part.known, c.keepsToPart(now):
-		return false // other counts may send theirs
+	case !c.part.known:
+		return false
 	case running && !c.reportedAt.After(c.probedAt) && now.Sub(c.probedAt) < maxProbePause:
 		return false // it has not found out yet
 	case c.known && now.Sub(c.reportedAt) < reportLife:
 		return false // reports tell
 	}
-	return c.probedAt.IsZero() || now.Sub(c.probedAt) >= min(clock.Seconds(1/(probePart*float64(survives))), maxProbePause)
+	return c.probedAt.IsZero() || now.Sub(c.probedAt) >= pause
 }
 
 // giveBack records how the request with a ticket fares, with the report of its response.
--- a/internal/ratelimit/placeparts.go
+++ b/internal/ratelimit/placeparts.go
@@ -23,9 +23,10 @@
 
 // contact tells which of the hosts that have slots or places of an endpoint answer this host.
 type contact struct {
-	missed map[string]bool // names of those that do not answer
-	lost   int             // how many of these have slots and may be alive
-	slots  int             // that belong to this host, to those that answer and to dead ones
+	missed   map[string]bool // names of those that do not answer
+	lost     int             // how many of these have slots and may be alive
+	slots    int             // that belong to this host, to those that answer and to dead ones
+	preceded bool            // a host that precedes this one in the endpoint's order answers, and should count
 }
 
 // slotPart is the part of an endpoint's slots that a count may give out while hosts are missed.
@@ -34,7 +35,7 @@
 	contact   contact // when hosts were last missed
 	lostSince clock.Instant
 	lostAt    clock.Instant // zero if none has been missed
-	smallAt   clock.Instant // when this host last had no more slots than these
+	smallAt   clock.Instant // when the hosts that answered last had no more slots than in contact
 	rounding  float64       // from 0 to 1; drawn for each report
 }
 
@@ -63,10 +64,7 @@
 		c.part.lostSince = now
 	}
 	c.part.lostAt = now
-	if begins || n.slots <= c.part.contact.slots {
-		c.part.smallAt = now
-	}
-	if grown := now.Sub(c.part.smallAt) >= rejoinFor; grown || now == c.part.smallAt {
+	if begins || n.slots <= c.part.contact.slots || now.Sub(c.part.smallAt) >= rejoinFor {
 		c.part.contact, c.part.smallAt = n, now
 	}
 	return begins
@@ -124,6 +122,13 @@
 	return now.Sub(c.part.lostSince) >= noticeFor && c.reported-arrived <= c.part.contact.slots
 }
 
+// mayProbeForOthers reports whether the hosts that are missed may have left slots that this count has none of: only
+// a request finds out, as no report comes.
+func (c *placeCount) mayProbeForOthers(now clock.Instant) bool {
+	n := c.part.contact
+	return n.slots == 0 && !n.preceded && now.Sub(c.part.lostSince) >= c.drainTime()+nobodyElseFor
+}
+
 // drawRounding draws by what the part of a new report's free slots is rounded.
 func (c *placeCount) drawRounding() {
 	c.part.rounding = rand.Float64() //nolint:gosec // no secret
--- a/internal/ratelimit/places_test.go
+++ b/internal/ratelimit/places_test.go
@@ -61,6 +61,61 @@
 	}
 }
 
+// silentPeers is a host's connection to other hosts, none of which answers.
+type silentPeers struct {
+	ratelimit.PeerClient
+	ratelimit.PlaceClient
+}
+
+// SendNews implements ratelimit.PeerClient.
+func (silentPeers) SendNews(ctx context.Context, _ string, _ ratelimit.News) error {
+	<-ctx.Done()
+	return errSilent
+}
+
+// TakePlace implements ratelimit.PlaceClient.
+func (silentPeers) TakePlace(ctx context.Context, _ string, _ ratelimit.PlaceRequest) (ratelimit.PlaceReply, error) {
+	<-ctx.Done()
+	return ratelimit.PlaceReply{}, errSilent
+}
+
+// FetchNews implements ratelimit.PeerClient.
+func (silentPeers) FetchNews(context.Context, string) (ratelimit.News, error) {
+	return ratelimit.News{}, errSilent
+}
+
+var _ = Describe("places at an endpoint of whose hosts none answers", func() {
+	It("are found to be free by a host without slots once the others must have gone", func() {
+		suite.Paused(func() {
+			limiter := ratelimit.NewLimiter(ratelimit.Options{
+				Host: "host-2", Fleet: fleet.New(fleet.Options{}), Peers: silentPeers{}, Places: silentPeers{}, MembersKnown: func() bool { return true },
+				Members: func() []ratelimit.Member {
+					return []ratelimit.Member{{Name: "host-0", Address: "0"}, {Name: "host-1", Address: "1"}}
+				},
+				Telemetry: telemetry.MetricsOnly(), Logger: log.New(io.Discard),
+			})
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			go limiter.Run(ctx)
+			endpoint, ticket := endpointWithOrder("host-0", "host-1", "host-2"), int64(0)
+			take := func() ratelimit.PlaceReply {
+				ticket++
+				return limiter.HandleTakePlace(ctx, ratelimit.PlaceRequest{
+					Endpoint: endpoint, Ticket: ticket, Survives: 4, From: "asking", Report: ratelimit.PlaceReport{Occupied: 2, Slots: 2, Age: time.Hour},
+				})
+			}
+			for began := time.Now(); time.Since(began) < 3900*time.Millisecond; time.Sleep(100 * time.Millisecond) {
+				Expect(take().Granted).To(BeFalse(), "others may hold all slots")
+			}
+			Eventually(func() bool { time.Sleep(100 * time.Millisecond); return take().Granted }).WithTimeout(2 * time.Second).Should(BeTrue())
+			limiter.HandleReturnPlace(ratelimit.PlaceReturn{Endpoint: endpoint, Ticket: ticket, End: ratelimit.PlaceFreed, Report: ratelimit.PlaceReport{Occupied: 0, Slots: 2}})
+			Expect(take().Granted).To(BeTrue())
+			Expect(take().Granted).To(BeTrue())
+			Expect(take().Granted).To(BeFalse())
+		})
+	})
+})
+
 var _ = Describe("places at an endpoint", func() {
 	It("are given one by one to find out, by a host that knows nothing of others' requests", func() {
 		suite.Paused(func() {
