A host lost while others are missed begins the wait for its requests anew

Read from the places given: an owner that was itself cut off while it already missed another host took itself for the only one after 0.8 s, as the wait had begun with the first loss, and gave out all slots beside the others'.

--- a/internal/ratelimit/contact.go
+++ b/internal/ratelimit/contact.go
@@ -51,7 +51,7 @@
 		c := contactIn(orders[endpoint], e.slots, found)
 		if l.places.noteContact(endpoint, c, clock.Now()) {
 			l.options.Logger.Info("hosts that have slots of an endpoint do not answer; places are given of the others' slots only",
-				"endpoint", endpoint, "lost", c.lost, "slots", c.slots, "of", e.slots)
+				"endpoint", endpoint, "lost", len(c.lost), "slots", c.slots, "of", e.slots)
 		}
 	}
 	return len(counted) > 0
@@ -118,7 +118,7 @@
 // that were asked. Dead hosts leave their slots to the others. This host has none to give while a host that
 // precedes it answers.
 func contactIn(order []host, slots int, found map[string]presence) contact {
-	c := contact{missed: map[string]bool{}}
+	c := contact{missed: map[string]bool{}, lost: map[string]bool{}}
 	passed := false
 	for rank, h := range order {
 		n := slotsOfRank(rank, slots, len(order))
@@ -134,7 +134,9 @@
 			c.slots += n
 		case p == silent:
 			c.missed[h.Name] = true
-			c.lost += min(n, 1)
+			if n > 0 {
+				c.lost[h.Name] = true
+			}
 		}
 	}
 	if c.preceded {
--- a/internal/ratelimit/placecount.go
+++ b/internal/ratelimit/placecount.go
@@ -259,7 +259,7 @@
 		if !c.mayProbeForOthers(now) {
 			return false
 		}
-		pause *= time.Duration(c.part.contact.lost + 1) // the lost hosts may send probes too
+		pause *= time.Duration(len(c.part.lost) + 1) // the lost hosts may send probes too
 	}
 	switch {
 	case !c.part.known:
--- a/internal/ratelimit/placeparts.go
+++ b/internal/ratelimit/placeparts.go
@@ -24,19 +24,20 @@
 // contact tells which of the hosts that have slots or places of an endpoint answer this host.
 type contact struct {
 	missed   map[string]bool // names of those that do not answer
-	lost     int             // how many of these have slots and may be alive
+	lost     map[string]bool // those of them that have slots and may be alive
 	slots    int             // that belong to this host, to those that answer and to dead ones
 	preceded bool            // a host that precedes this one in the endpoint's order answers, and should count
 }
 
 // slotPart is the part of an endpoint's slots that a count may give out while hosts are missed.
 type slotPart struct {
-	known     bool    // the hosts with slots have been asked since the count began
-	contact   contact // when hosts were last missed
-	lostSince clock.Instant
-	lostAt    clock.Instant // zero if none has been missed
-	smallAt   clock.Instant // when the hosts that answered last had no more slots than in contact
-	rounding  float64       // from 0 to 1; drawn for each report
+	known     bool            // the hosts with slots have been asked since the count began
+	contact   contact         // when hosts were last missed
+	lost      map[string]bool // names of the hosts that were last lost
+	lostSince clock.Instant   // when the latest of them was
+	lostAt    clock.Instant   // zero if none has been lost
+	smallAt   clock.Instant   // when the hosts that answered last had no more slots than in contact
+	rounding  float64         // from 0 to 1; drawn for each report
 }
 
 // slotsOfRank returns how many of an endpoint's slots belong to the host of a rank, from 0, in its order.
@@ -57,13 +58,16 @@
 			c.giveBack(ticket, PlaceGivenUp, PlaceReport{}, now) // the host can't tell how the request fares
 		}
 	}
-	if n.lost == 0 {
+	if len(n.lost) == 0 {
 		return false
 	}
-	if begins = !c.missesHosts(now); begins {
-		c.part.lostSince = now
+	begins = !c.missesHosts(now)
+	for name := range n.lost {
+		if begins || !c.part.lost[name] {
+			c.part.lostSince = now
+		}
 	}
-	c.part.lostAt = now
+	c.part.lost, c.part.lostAt = n.lost, now
 	if begins || n.slots <= c.part.contact.slots || now.Sub(c.part.smallAt) >= rejoinFor {
 		c.part.contact, c.part.smallAt = n, now
 	}
