Hosts without slots probe by turns while all that have slots are silent

Read from the code: a host that reaches none of those with slots probes 1.6 s after it missed them, and so did up to 55 hosts in one moment, as the pause between probes only knew the number of hosts with slots. Now each waits for its turn by its rank in the endpoint's order, one probe each 1/(N/4) s for all, and the lowest rank that lives goes first.

--- a/internal/ratelimit/contact.go
+++ b/internal/ratelimit/contact.go
@@ -118,7 +118,7 @@
 // that were asked. Dead hosts leave their slots to the others. This host has none to give while a host that
 // precedes it answers.
 func contactIn(order []host, slots int, found map[string]presence) contact {
-	c := contact{missed: map[string]bool{}, lost: map[string]bool{}}
+	c := contact{missed: map[string]bool{}, lost: map[string]bool{}, hosts: len(order)}
 	passed := false
 	for rank, h := range order {
 		n := slotsOfRank(rank, slots, len(order))
@@ -126,6 +126,7 @@
 		case h.self:
 			passed = true
 			c.slots += n
+			c.after = max(0, rank-slots)
 		case p == answers:
 			c.preceded = c.preceded || !passed
 			c.slots += n
--- a/internal/ratelimit/placecount.go
+++ b/internal/ratelimit/placecount.go
@@ -256,10 +256,10 @@
 	_, running := c.taken[c.probe]
 	pause := min(clock.Seconds(1/(probePart*float64(survives))), maxProbePause)
 	if c.keepsToPart(now) {
-		if !c.mayProbeForOthers(now) {
+		var due bool
+		if pause, due = c.probesApart(pause, now); !due {
 			return false
 		}
-		pause *= time.Duration(len(c.part.lost) + 1) // the lost hosts may send probes too
 	}
 	switch {
 	case !c.part.known:
--- a/internal/ratelimit/placeparts.go
+++ b/internal/ratelimit/placeparts.go
@@ -27,6 +27,8 @@
 	lost     map[string]bool // those of them that have slots and may be alive
 	slots    int             // that belong to this host, to those that answer and to dead ones
 	preceded bool            // a host that precedes this one in the endpoint's order answers, and should count
+	after    int             // how many hosts without slots precede this one
+	hosts    int             // how many there are
 }
 
 // slotPart is the part of an endpoint's slots that a count may give out while hosts are missed.
@@ -126,11 +128,13 @@
 	return now.Sub(c.part.lostSince) >= noticeFor && c.reported-arrived <= c.part.contact.slots
 }
 
-// mayProbeForOthers reports whether the hosts that are missed may have left slots that this count has none of: only
-// a request finds out, as no report comes.
-func (c *placeCount) mayProbeForOthers(now clock.Instant) bool {
+// probesApart returns the time between two probes while hosts are missed that have all the slots, and whether one
+// is due: they may have left the slots, and no report comes. All hosts may be in this state, so each has its turn by
+// its rank.
+func (c *placeCount) probesApart(pause time.Duration, now clock.Instant) (time.Duration, bool) {
 	n := c.part.contact
-	return n.slots == 0 && !n.preceded && now.Sub(c.part.lostSince) >= c.drainTime()+nobodyElseFor
+	turn := c.drainTime() + nobodyElseFor + time.Duration(n.after)*pause
+	return time.Duration(n.hosts) * pause, n.slots == 0 && !n.preceded && now.Sub(c.part.lostSince) >= turn
 }
 
 // drawRounding draws by what the part of a new report's free slots is rounded.
