--- a/internal/ratelimit/places.go
+++ b/internal/ratelimit/places.go
@@ -308,9 +308,7 @@
 // HandleTakePlace handles a question of another host: it forwards it to a host that precedes this one in the
 // order, or counts by itself.
 func (l *Limiter) HandleTakePlace(ctx context.Context, r PlaceRequest) PlaceReply {
-	l.mu.Lock()
-	delete(l.skippedUntil, r.From)
-	l.mu.Unlock()
+	l.noteHeard(r.From)
 	h, first := l.lenderOf(r.Endpoint, r.From)
 	if !h.self && !r.Relayed {
 		relayed := r
