--- a/internal/ratelimit/contact.go
+++ b/internal/ratelimit/contact.go
@@ -18,9 +18,6 @@
 	// whether they are there, and contactTimeout for how long an answer is waited for.
 	contactPeriod  = 200 * time.Millisecond
 	contactTimeout = 150 * time.Millisecond
-	// reconnectTime is the time after a host was last silent by which it has connected to this one again, if
-	// this one reaches it: an attempt to connect and the pause before it.
-	reconnectTime = 2500 * time.Millisecond
 )
 
 // keepContact finds out, while this host counts places, which of the hosts that have slots or places of the
@@ -81,40 +78,19 @@
 	answers
 	dead // no process listens there
 	silent
-	oneWay // messages arrive from it, or at it, but not known to do both
 )
 
-// presenceOf returns the presence of a host that was asked, and records it. One that was silent answers only when
-// it also reaches this host: until then it counts places itself.
 func (l *Limiter) presenceOf(h host, err error) presence {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	silentAt, wasSilent := l.silentAt[h.Name]
 	switch {
-	case err != nil && l.options.Refuses != nil && l.options.Refuses(h.Address):
+	case err == nil:
+		return answers
+	case l.options.Refuses != nil && l.options.Refuses(h.Address):
 		return dead
-	case err != nil:
-		l.silentAt[h.Name] = clock.Now()
-		if clock.Since(l.heardAt[h.Name]) < noticeFor {
-			return oneWay
-		}
-		return silent
-	case wasSilent && !l.heardAt[h.Name].After(silentAt) && clock.Since(silentAt) < reconnectTime:
-		return oneWay
 	default:
-		delete(l.silentAt, h.Name)
-		return answers
+		return silent
 	}
 }
 
-// noteHeard records that a host reaches this one.
-func (l *Limiter) noteHeard(name string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	delete(l.skippedUntil, name)
-	l.heardAt[name] = clock.Now()
-}
-
 // whoAnswers asks other hosts, all at once, whether they are there, and returns by name what it found.
 func (l *Limiter) whoAnswers(ctx context.Context, hosts map[string]host) map[string]presence {
 	callCtx, cancel := context.WithTimeout(ctx, contactTimeout)
@@ -124,7 +100,7 @@
 	var asking sync.WaitGroup
 	for name, h := range hosts {
 		asking.Go(func() {
-			err := l.options.Peers.SendNews(callCtx, h.Address, News{From: l.options.Host})
+			err := l.options.Peers.SendNews(callCtx, h.Address, News{})
 			if ctx.Err() != nil {
 				return
 			}
@@ -157,13 +133,11 @@
 		case p == dead:
 			c.missed[h.Name] = true
 			c.slots += n
-		case p == silent, p == oneWay:
+		case p == silent:
+			c.missed[h.Name] = true
 			if n > 0 {
 				c.lost[h.Name] = true
 			}
-			if p == silent {
-				c.missed[h.Name] = true
-			}
 		}
 	}
 	if c.preceded {
--- a/internal/ratelimit/grpc.go
+++ b/internal/ratelimit/grpc.go
@@ -37,7 +37,7 @@
 
 // Tell implements ratelimitpb.RateLimitServer.
 func (s *server) Tell(_ context.Context, w *ratelimitpb.TellRequest) (*ratelimitpb.TellReply, error) {
-	s.limiter.ApplyNews(News{From: w.GetFrom(), Limits: limitsFromWire(w.GetNews()), Leaving: w.GetLeaving(), Costly: costlyFromWire(w.GetCostly())})
+	s.limiter.ApplyNews(News{Limits: limitsFromWire(w.GetNews()), Leaving: w.GetLeaving(), Costly: costlyFromWire(w.GetCostly())})
 	if !w.GetAll() {
 		return &ratelimitpb.TellReply{}, nil
 	}
@@ -84,7 +84,7 @@
 	if err != nil {
 		return fmt.Errorf("tell %s: %w", address, err)
 	}
-	if _, err := ratelimitpb.NewRateLimitClient(connection).Tell(ctx, &ratelimitpb.TellRequest{From: n.From, News: limitsToWire(n.Limits), Leaving: n.Leaving, Costly: costlyToWire(n.Costly)}); err != nil {
+	if _, err := ratelimitpb.NewRateLimitClient(connection).Tell(ctx, &ratelimitpb.TellRequest{News: limitsToWire(n.Limits), Leaving: n.Leaving, Costly: costlyToWire(n.Costly)}); err != nil {
 		return fmt.Errorf("tell %s: %w", address, err)
 	}
 	return nil
--- a/internal/ratelimit/placeparts.go
+++ b/internal/ratelimit/placeparts.go
@@ -9,8 +9,8 @@
 
 // Parameters of counts that miss hosts.
 const (
-	// rejoinFor is how long a count keeps to its part after all hosts answer again: until then reports may not
-	// show all requests that were counted by others. It is longer than a round of questions takes.
+	// rejoinFor is how long a count keeps to its part after all hosts answer again: until then their
+	// requests may be counted by others.
 	rejoinFor = 1200 * time.Millisecond
 	// noticeFor is the time in which all counts miss each other's hosts.
 	noticeFor = 500 * time.Millisecond
@@ -23,8 +23,8 @@
 
 // contact tells which of the hosts that have slots or places of an endpoint answer this host.
 type contact struct {
-	missed   map[string]bool // names of those from which nothing arrives
-	lost     map[string]bool // names of those that have slots and may give places themselves
+	missed   map[string]bool // names of those that do not answer
+	lost     map[string]bool // those of them that have slots and may be alive
 	slots    int             // that belong to this host, to those that answer and to dead ones
 	preceded bool            // a host that precedes this one in the endpoint's order answers, and should count
 	after    int             // how many hosts without slots precede this one
--- a/internal/ratelimit/places.go
+++ b/internal/ratelimit/places.go
@@ -308,7 +308,9 @@
 // HandleTakePlace handles a question of another host: it forwards it to a host that precedes this one in the
 // order, or counts by itself.
 func (l *Limiter) HandleTakePlace(ctx context.Context, r PlaceRequest) PlaceReply {
-	l.noteHeard(r.From)
+	l.mu.Lock()
+	delete(l.skippedUntil, r.From)
+	l.mu.Unlock()
 	h, first := l.lenderOf(r.Endpoint, r.From)
 	if !h.self && !r.Relayed {
 		relayed := r
--- a/internal/ratelimit/ratelimit.go
+++ b/internal/ratelimit/ratelimit.go
@@ -82,7 +82,6 @@
 
 // News is what hosts tell each other of endpoints. It is immutable.
 type News struct {
-	From    string // name of the host that tells; empty if it is not known
 	Limits  []fleet.LimitUpdate
 	Leaving []string // IDs of endpoints that have said that they leave
 	Costly  []fleet.CostlyService
@@ -119,8 +118,6 @@
 	hostsReadAt  clock.Instant
 	skippedUntil map[string]clock.Instant // by name: hosts that did not answer, and until when they are skipped
 	logged       map[string]bool          // hosts whose failure to answer has been logged
-	silentAt     map[string]clock.Instant // by name: when a host that did not answer was last asked
-	heardAt      map[string]clock.Instant // by name: when a host last sent this one a message
 }
 
 // host is a host in the rendezvous order, with the hash of its name.
@@ -140,7 +137,7 @@
 func NewLimiter(o Options) *Limiter {
 	l := &Limiter{
 		options: o, lender: NewLender(), places: newPlaceCounts(o.Host), contactDue: wake.NewSignal(), fetched: make(chan struct{}), wake: wake.NewSignal(), borrowSlots: make(chan struct{}, maxConcurrentBorrows),
-		skippedUntil: map[string]clock.Instant{}, logged: map[string]bool{}, silentAt: map[string]clock.Instant{}, heardAt: map[string]clock.Instant{},
+		skippedUntil: map[string]clock.Instant{}, logged: map[string]bool{},
 	}
 	o.Fleet.OnLoanNeeded(l.wake.Notify)
 	return l
@@ -186,7 +183,7 @@
 	if !l.options.MembersKnown() {
 		return // all is sent with the next change, or by other hosts
 	}
-	news := News{From: l.options.Host, Limits: l.options.Fleet.TakeLimitUpdates(maxLimitsPerMessage), Leaving: l.options.Fleet.TakeLeaving(maxLeavingPerMessage), Costly: l.options.Fleet.TakeCostly()}
+	news := News{Limits: l.options.Fleet.TakeLimitUpdates(maxLimitsPerMessage), Leaving: l.options.Fleet.TakeLeaving(maxLeavingPerMessage), Costly: l.options.Fleet.TakeCostly()}
 	if news.empty() {
 		return
 	}
@@ -255,7 +252,6 @@
 
 // ApplyNews records what another host tells.
 func (l *Limiter) ApplyNews(n News) {
-	l.noteHeard(n.From)
 	for _, limit := range n.Limits {
 		l.options.Fleet.MergeLimit(limit)
 	}
