Simulation of limits: a host killed at the instant of its restart raced with it

Cause: start() marked the host as running, released its lock, and only then added the workers to the WaitGroup for which killOne waits. Faults last 2 s and kills come each second, so a host may be killed at the very instant at which it is back; then the kill waits for a group to which the restart adds at the same time. A fault of the test's harness, none of the product.

Evidence: the trace of a play of the same spec (5 processors, 10 plays side by side) names killOne's Wait and the fault's workers.Go.

Now the workers are added with the lock held.

--- a/internal/ratelimit/placesim_test.go
+++ b/internal/ratelimit/placesim_test.go
@@ -211,3 +211,22 @@
 		})
 	}
 })
+
+var _ = Describe("a simulation of hosts", func() {
+	It("may kill a host at the instant at which it is started again", func() {
+		suite.Paused(func() {
+			for range 100 {
+				s := newSimulation(scenario{strategy: lending, hosts: 1})
+				var work sync.WaitGroup
+				for kills := range 3 {
+					work.Go(func() {
+						time.Sleep(time.Duration(kills) * faultDuration)
+						s.killOne(s.simHosts[0])
+					})
+				}
+				work.Wait()
+				s.stop()
+			}
+		})
+	})
+})
--- a/internal/ratelimit/simulation_test.go
+++ b/internal/ratelimit/simulation_test.go
@@ -120,6 +120,7 @@
 		f.Put(fleet.Endpoint{ID: endpointName(i), Service: simService, Version: "v1", Slots: 64})
 	}
 	h.mu.Lock()
+	defer h.mu.Unlock()
 	h.fleet, h.cancel, h.down, h.cut = f, cancel, false, false
 	if h.sim.strategy == lending {
 		h.limiter = ratelimit.NewLimiter(ratelimit.Options{
@@ -127,9 +128,8 @@
 			Telemetry: telemetry.MetricsOnly(), Logger: log.New(io.Discard),
 		})
 	}
-	limiter := h.limiter
-	h.mu.Unlock()
-	if limiter != nil {
+	// The workers are added with the lock held: whoever kills the host waits for them.
+	if limiter := h.limiter; limiter != nil {
 		h.workers.Go(func() { limiter.Run(ctx) })
 	} else {
 		signal := wake.NewSignal()
