Limits: a host that counts places keeps the hosts' order per endpoint

Cause: every 0.2 s, for each endpoint whose places a host counts, all hosts were copied and sorted, their rendezvous weights computed in the comparison, and the hosts that do not answer were collected anew for each endpoint. A host that is cut off from the others counts every endpoint that it sends to.

Orders are dropped when the list of hosts changes or the endpoint is no longer counted.

--- a/internal/ratelimit/contact.go
+++ b/internal/ratelimit/contact.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -36,8 +37,9 @@
 // false if there are no such endpoints.
 func (l *Limiter) checkContact(ctx context.Context) bool {
 	counted := l.places.counted(clock.Now())
-	orders := make(map[string][]host, len(counted))
-	ask := map[string]host{}
+	l.dropOrders(counted)
+	orders := make(map[string][]*host, len(counted))
+	ask := map[string]*host{}
 	for endpoint, e := range counted {
 		orders[endpoint] = l.order(endpoint)
 		for rank, h := range orders[endpoint] {
@@ -47,8 +49,9 @@
 		}
 	}
 	found := l.whoAnswers(ctx, ask)
+	missed := missedOf(found)
 	for endpoint, e := range counted {
-		c := contactIn(orders[endpoint], e.slots, found)
+		c := contactIn(orders[endpoint], e.slots, found, missed)
 		if l.places.noteContact(endpoint, c, clock.Now()) {
 			l.options.Logger.Info("hosts that have slots of an endpoint do not answer; places are given of the others' slots only",
 				"endpoint", endpoint, "lost", len(c.lost), "slots", c.slots, "of", e.slots)
@@ -57,17 +60,41 @@
 	return len(counted) > 0
 }
 
-// order returns all hosts in the order of an endpoint.
-func (l *Limiter) order(endpoint string) []host {
+// order returns all hosts in the order of an endpoint. Orders are kept until checkContact drops them.
+func (l *Limiter) order(endpoint string) []*host {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.refreshHosts()
+	if order, ok := l.orders[endpoint]; ok {
+		return order
+	}
 	key := xxhash.Sum64String(endpoint)
-	hosts := slices.Clone(l.hosts)
-	slices.SortFunc(hosts, func(a, b host) int {
-		return cmp.Compare(fleet.RendezvousWeight(key, a.hash), fleet.RendezvousWeight(key, b.hash))
+	type weighted struct {
+		*host
+		weight float64
+	}
+	ranked := make([]weighted, 0, len(l.hosts))
+	for i := range l.hosts {
+		h := &l.hosts[i]
+		ranked = append(ranked, weighted{host: h, weight: fleet.RendezvousWeight(key, h.hash)})
+	}
+	slices.SortFunc(ranked, func(a, b weighted) int { return cmp.Compare(a.weight, b.weight) })
+	order := make([]*host, 0, len(ranked))
+	for _, r := range ranked {
+		order = append(order, r.host)
+	}
+	l.orders[endpoint] = order
+	return order
+}
+
+// dropOrders forgets the orders of endpoints whose places this host does not count.
+func (l *Limiter) dropOrders(counted map[string]countedEndpoint) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	maps.DeleteFunc(l.orders, func(endpoint string, _ []*host) bool {
+		_, ok := counted[endpoint]
+		return !ok
 	})
-	return hosts
 }
 
 // presence is what is known of a host that was asked whether it is there.
@@ -92,7 +119,7 @@
 }
 
 // whoAnswers asks other hosts, all at once, whether they are there, and returns by name what it found.
-func (l *Limiter) whoAnswers(ctx context.Context, hosts map[string]host) map[string]presence {
+func (l *Limiter) whoAnswers(ctx context.Context, hosts map[string]*host) map[string]presence {
 	callCtx, cancel := context.WithTimeout(ctx, contactTimeout)
 	defer cancel()
 	var mu sync.Mutex
@@ -104,23 +131,37 @@
 			if ctx.Err() != nil {
 				return
 			}
-			l.noteAnswer(h, "", err)
+			l.noteAnswer(*h, "", err)
 			mu.Lock()
 			defer mu.Unlock()
-			found[name] = l.presenceOf(h, err)
+			found[name] = l.presenceOf(*h, err)
 		})
 	}
 	asking.Wait()
 	return found
 }
 
-// contactIn returns the contact of this host, given all hosts in an endpoint's order and what was found of those
-// that were asked. Dead hosts leave their slots to the others. This host has none to give while a host that
-// precedes it answers.
-func contactIn(order []host, slots int, found map[string]presence) contact {
-	c := contact{missed: map[string]bool{}, lost: map[string]bool{}, hosts: len(order)}
+// missedOf returns the names of the hosts that do not answer.
+func missedOf(found map[string]presence) map[string]bool {
+	missed := map[string]bool{}
+	for name, p := range found {
+		if p == dead || p == silent {
+			missed[name] = true
+		}
+	}
+	return missed
+}
+
+// contactIn returns the contact of this host, given all hosts in an endpoint's order, what was found of those
+// that were asked and which of them are missed. Dead hosts leave their slots to the others. This host has none to
+// give while a host that precedes it answers.
+func contactIn(order []*host, slots int, found map[string]presence, missed map[string]bool) contact {
+	c := contact{missed: missed, lost: map[string]bool{}, hosts: len(order)}
 	passed := false
 	for rank, h := range order {
+		if passed && rank >= slots {
+			break // none of the hosts that follow has slots
+		}
 		n := slotsOfRank(rank, slots, len(order))
 		switch p := found[h.Name]; {
 		case h.self:
@@ -131,13 +172,9 @@
 			c.preceded = c.preceded || !passed
 			c.slots += n
 		case p == dead:
-			c.missed[h.Name] = true
 			c.slots += n
-		case p == silent:
-			c.missed[h.Name] = true
-			if n > 0 {
-				c.lost[h.Name] = true
-			}
+		case p == silent && n > 0:
+			c.lost[h.Name] = true
 		}
 	}
 	if c.preceded {
--- a/internal/ratelimit/placeparts.go
+++ b/internal/ratelimit/placeparts.go
@@ -23,7 +23,7 @@
 
 // contact tells which of the hosts that have slots or places of an endpoint answer this host.
 type contact struct {
-	missed   map[string]bool // names of those that do not answer
+	missed   map[string]bool // names of those that do not answer, of any endpoint
 	lost     map[string]bool // those of them that have slots and may be alive
 	slots    int             // that belong to this host, to those that answer and to dead ones
 	preceded bool            // a host that precedes this one in the endpoint's order answers, and should count
--- a/internal/ratelimit/ratelimit.go
+++ b/internal/ratelimit/ratelimit.go
@@ -114,8 +114,9 @@
 	borrowSlots chan struct{} // semaphore; holds one element for each borrow request in flight
 
 	mu           sync.Mutex // guards all below
-	hosts        []host     // includes this host
+	hosts        []host     // includes this host; replaced when it changes
 	hostsReadAt  clock.Instant
+	orders       map[string][]*host       // by endpoint ID: hosts in the endpoint's order
 	skippedUntil map[string]clock.Instant // by name: hosts that did not answer, and until when they are skipped
 	logged       map[string]bool          // hosts whose failure to answer has been logged
 }
@@ -137,7 +138,7 @@
 func NewLimiter(o Options) *Limiter {
 	l := &Limiter{
 		options: o, lender: NewLender(), places: newPlaceCounts(o.Host), contactDue: wake.NewSignal(), fetched: make(chan struct{}), wake: wake.NewSignal(), borrowSlots: make(chan struct{}, maxConcurrentBorrows),
-		skippedUntil: map[string]clock.Instant{}, logged: map[string]bool{},
+		orders: map[string][]*host{}, skippedUntil: map[string]clock.Instant{}, logged: map[string]bool{},
 	}
 	o.Fleet.OnLoanNeeded(l.wake.Notify)
 	return l
@@ -380,9 +381,13 @@
 	if len(l.hosts) > 0 && clock.Since(l.hostsReadAt) < hostsMaxAge {
 		return
 	}
-	l.hosts, l.hostsReadAt = l.hosts[:0], clock.Now()
-	l.hosts = append(l.hosts, host{Member: Member{Name: l.options.Host}, hash: xxhash.Sum64String(l.options.Host), self: true})
+	l.hostsReadAt = clock.Now()
+	hosts := []host{{Member: Member{Name: l.options.Host}, hash: xxhash.Sum64String(l.options.Host), self: true}}
 	for _, m := range l.options.Members() {
-		l.hosts = append(l.hosts, host{Member: m, hash: xxhash.Sum64String(m.Name)})
+		hosts = append(hosts, host{Member: m, hash: xxhash.Sum64String(m.Name)})
+	}
+	if !slices.Equal(hosts, l.hosts) {
+		l.hosts = hosts
+		clear(l.orders)
 	}
 }
