--- a/internal/advice/advice_test.go
+++ b/internal/advice/advice_test.go
@@ -107,6 +107,34 @@
 		})
 	})
 
+	It("report ended requests again when the query that told of them was lost", func() {
+		suite.Paused(func() {
+			p := newHostPair()
+			defer p.stop()
+			counts := map[string][]fleet.Advice{}
+			for i := range 16 {
+				a, ok := p.next.Choose(ctx, ask(uint64(i)<<8|1), 0)
+				Expect(ok).To(BeTrue())
+				counts[a.Endpoint] = append(counts[a.Endpoint], a)
+			}
+			p.net.Cut(firstAddress, true)
+			for _, a := range counts["e2"] {
+				p.next.EndAdvised(a)
+			}
+			_, ok := p.next.Choose(ctx, ask(1), 0)
+			Expect(ok).To(BeFalse())
+			Expect(p.conns[firstAddress].Close()).To(Succeed())
+			delete(p.conns, firstAddress)
+			p.net.Cut(firstAddress, false)
+			time.Sleep(time.Second)
+			for i := range uint64(4) {
+				a, ok := p.next.Choose(ctx, ask(i), 0) // the first one reports the ended requests
+				Expect(ok).To(BeTrue())
+				Expect(a.Endpoint).To(Equal("e2"))
+			}
+		})
+	})
+
 	It("are advised on endpoints of the regions that they ask for", func() {
 		suite.Paused(func() {
 			p := newHostPair()
--- a/internal/fleet/await_test.go
+++ b/internal/fleet/await_test.go
@@ -113,4 +113,18 @@
 			Expect(again.Endpoint).To(Equal(stuck.Endpoint), "the request has ended otherwise, and the prompt is cached there")
 		})
 	})
+
+	It("are not those of which other hosts report nothing for longer than reports count", func() {
+		suite.Paused(func() {
+			f := fleet.New(fleet.Options{Hall: "ikeja"})
+			f.Put(fleet.Endpoint{ID: "only", Service: "s", Hall: "ikeja", Slots: 8})
+			_, _ = f.Advise(shortPrompt(1)) // the report that its response has begun is lost
+			time.Sleep(4 * time.Second)
+			req := shortPrompt(2)
+			req.Slack, req.Remaining = 2*time.Second, 3*time.Second
+			a, ok := f.Advise(req)
+			Expect(ok).To(BeTrue())
+			Expect(a.Decision).To(Equal(admission.Send{}))
+		})
+	})
 })
