--- a/internal/gatewayd/falls_test.go
+++ b/internal/gatewayd/falls_test.go
@@ -7,7 +7,6 @@
 	"os"
 	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -15,7 +14,6 @@
 
 	. "github.com/onsi/gomega"
 
-	"quaybarrow/internal/standin/memnet"
 	"quaybarrow/platform/standin"
 )
 
@@ -39,16 +37,6 @@
 // allFallScenarios is the environment variable with which all scenarios run.
 const allFallScenarios = "QUAYBARROW_ALL_FALLS"
 
-// hostLoss is what happens to the hosts that are lost.
-type hostLoss int
-
-const (
-	hostsKilled hostLoss = iota // together, and started again later
-	hostsInTurn                 // killed one each second, and started again at once
-	hostsCut                    // from all others, callers excepted
-	hostsApart                  // from the other hosts; they reach endpoints and the store
-)
-
 var fallScenarios = map[string]fallScenario{
 	"small":                       {hosts: 6, endpoints: 3, slots: 6, load: 2, byHand: true},
 	"small, hosts killed":         {hosts: 6, endpoints: 3, slots: 6, load: 2, lostHosts: 3},
@@ -82,6 +70,12 @@
 	"engines that survive one":                  {hosts: 6, endpoints: 12, slots: 32, prompts: true, load: 0.5, burst: 2.5, survives: 1, byHand: true},
 	"engines, with room":                        {hosts: 6, endpoints: 12, slots: 32, prompts: true, load: 0.4},
 
+	"small with all hosts apart by resets":                  {hosts: 6, endpoints: 3, slots: 6, load: 2, loss: hostsReset, lostHosts: 6, byHand: true},
+	"small that survive one with all hosts apart by resets": {hosts: 6, endpoints: 3, slots: 6, load: 2, survives: 1, loss: hostsReset, lostHosts: 6, byHand: true},
+	"engines with all hosts apart by resets":                {hosts: 6, endpoints: 18, slots: 32, prompts: true, load: 1.5, loss: hostsReset, lostHosts: 6, byHand: true},
+	"engines with hosts apart by resets":                    {hosts: 6, endpoints: 18, slots: 32, prompts: true, load: 1.5, loss: hostsReset, lostHosts: 3, byHand: true},
+	"many hosts half of them apart by resets":               {hosts: 61, endpoints: 6, slots: 6, load: 2, loss: hostsReset, lostHosts: 30, byHand: true},
+
 	"long requests, endpoints run on": {hosts: 6, endpoints: 12, slots: 32, work: 10 * time.Second, load: 2},
 
 	"many hosts":                             {hosts: 61, endpoints: 6, slots: 6, load: 2, byHand: true},
@@ -266,63 +260,6 @@
 	return again
 }
 
-// lose has hosts and endpoints of a scenario be lost, and hosts come back.
-func (r *crashRig) lose(d fallScenario) {
-	machines := r.machinesOf(d.service())
-	for _, m := range machines[:d.lostEndpoints] {
-		m.Crash()
-	}
-	if d.loss != hostsInTurn && !d.crashes {
-		r.loseHosts(d, true)
-		time.Sleep(fallReturn - fallLoss)
-		r.loseHosts(d, false)
-		return
-	}
-	for i := range int((fallRunEnd - fallLoss) / time.Second) {
-		if d.crashes {
-			machines[i%len(machines)].Crash()
-		}
-		if d.lostHosts > 0 {
-			h := r.hosts[i%d.lostHosts]
-			h.kill()
-			time.Sleep(time.Second)
-			h.start()
-			continue
-		}
-		time.Sleep(time.Second)
-	}
-}
-
-// loseHosts has the first hosts of a scenario be lost, or come back.
-func (r *crashRig) loseHosts(d fallScenario, lost bool) {
-	for _, h := range r.hosts[:d.lostHosts] {
-		switch {
-		case d.loss == hostsKilled && lost:
-			h.kill()
-		case d.loss == hostsKilled:
-			h.start()
-		default:
-			h.cut(lost, d.loss == hostsCut)
-		}
-	}
-}
-
-// cut cuts the host from the other hosts, or joins it again; if all is set, also from endpoints and the
-// store.
-func (h *crashHost) cut(cut, all bool) {
-	state := memnet.LinkUp
-	if cut {
-		state = memnet.LinkSilent
-	}
-	h.link.Set(state, func(address string) bool { return all || strings.HasPrefix(address, hostAddresses) })
-	for _, port := range []int{81, 82, 83} {
-		h.rig.net.Darken(h.address(port), cut)
-		if cut {
-			h.rig.net.Silence(h.address(port))
-		}
-	}
-}
-
 // countFalls returns when endpoints of a service have fallen over, counted from a time, and how many
 // requests they have rejected.
 func (r *crashRig) countFalls(service string, since time.Time) (falls []time.Duration, rejections int) {
@@ -355,7 +292,7 @@
 // isLost reports whether a host is lost at a time of the run, or while a request lasts that was sent
 // then, or has only just come back.
 func (d fallScenario) isLost(host int, at time.Duration) bool {
-	if d.loss == hostsApart {
+	if d.loss == hostsApart || d.loss == hostsReset {
 		return false
 	}
 	if d.loss != hostsInTurn || d.lostHosts == 0 {
