--- a/internal/ratelimit/contact.go
+++ b/internal/ratelimit/contact.go
@@ -103,7 +103,7 @@
 const (
 	notAsked presence = iota
 	answers
-	dead // no process listens there, or the way to it refuses connections
+	dead // no process listens there
 	silent
 )
 
@@ -153,8 +153,8 @@
 }
 
 // contactIn returns the contact of this host, given all hosts in an endpoint's order, what was found of those
-// that were asked and which of them are missed. This host has no slots to give while a host that precedes it
-// answers.
+// that were asked and which of them are missed. Dead hosts leave their slots to the others. This host has none to
+// give while a host that precedes it answers.
 func contactIn(order []*host, slots int, found map[string]presence, missed map[string]bool) contact {
 	c := contact{missed: missed, lost: map[string]bool{}, hosts: len(order)}
 	passed := false
@@ -171,9 +171,10 @@
 		case p == answers:
 			c.preceded = c.preceded || !passed
 			c.slots += n
-		case (p == dead || p == silent) && n > 0:
+		case p == dead:
+			c.slots += n
+		case p == silent && n > 0:
 			c.lost[h.Name] = true
-			c.silent = c.silent || p == silent
 		}
 	}
 	if c.preceded {
--- a/internal/ratelimit/placeparts.go
+++ b/internal/ratelimit/placeparts.go
@@ -24,9 +24,8 @@
 // contact tells which of the hosts that have slots or places of an endpoint answer this host.
 type contact struct {
 	missed   map[string]bool // names of those that do not answer, of any endpoint
-	lost     map[string]bool // those of them that have slots
-	silent   bool            // some of the lost hosts are silent
-	slots    int             // that belong to this host and to those that answer
+	lost     map[string]bool // those of them that have slots and may be alive
+	slots    int             // that belong to this host, to those that answer and to dead ones
 	preceded bool            // a host that precedes this one in the endpoint's order answers, and should count
 	after    int             // how many hosts without slots precede this one
 	hosts    int             // how many there are
@@ -37,7 +36,6 @@
 	known     bool            // the hosts with slots have been asked since the count began
 	contact   contact         // when hosts were last missed
 	lost      map[string]bool // names of the hosts that were last lost
-	silent    bool            // some of them were silent
 	lostSince clock.Instant   // when the latest of them was
 	lostAt    clock.Instant   // zero if none has been lost
 	smallAt   clock.Instant   // when the hosts that answered last had no more slots than in contact
@@ -71,7 +69,7 @@
 			c.part.lostSince = now
 		}
 	}
-	c.part.lost, c.part.silent, c.part.lostAt = n.lost, n.silent, now
+	c.part.lost, c.part.lostAt = n.lost, now
 	if begins || n.slots <= c.part.contact.slots || now.Sub(c.part.smallAt) >= rejoinFor {
 		c.part.contact, c.part.smallAt = n, now
 	}
@@ -84,17 +82,13 @@
 }
 
 // keepsToPart reports whether hosts that are missed may send to the endpoint. If they live, reports show their
-// requests, those of silent hosts at the latest once all counts have come down to their parts. Hosts that refuse
-// connections have most likely died.
+// requests once all counts have come down to their parts.
 func (c *placeCount) keepsToPart(now clock.Instant) bool {
 	if !c.missesHosts(now) {
 		return false
 	}
-	watched := now.Sub(c.part.lostSince)
-	if c.part.silent {
-		watched -= c.drainTime()
-	}
-	nobodyElse := c.alone(now) && now.Sub(c.foreignAt) >= nobodyElseFor && watched >= nobodyElseFor
+	drained := now.Sub(c.part.lostSince) - c.drainTime()
+	nobodyElse := c.alone(now) && now.Sub(c.foreignAt) >= nobodyElseFor && drained >= nobodyElseFor
 	return !nobodyElse
 }
 
