--- a/internal/advice/advice_test.go
+++ b/internal/advice/advice_test.go
@@ -70,6 +70,17 @@
 	return p.conns[address]
 }
 
+// fillEndpoints has the next host ask for as many endpoints as there are slots, and returns the advice by endpoint.
+func (p *hostPair) fillEndpoints() map[string][]fleet.Advice {
+	counts := map[string][]fleet.Advice{}
+	for i := range 16 {
+		a, ok := p.next.Choose(context.Background(), ask(uint64(i)<<8|1), 0)
+		Expect(ok).To(BeTrue())
+		counts[a.Endpoint] = append(counts[a.Endpoint], a)
+	}
+	return counts
+}
+
 func (p *hostPair) stop() {
 	for _, c := range p.conns {
 		_ = c.Close()
@@ -89,12 +100,7 @@
 		suite.Paused(func() {
 			p := newHostPair()
 			defer p.stop()
-			counts := map[string][]fleet.Advice{}
-			for i := range 16 {
-				a, ok := p.next.Choose(ctx, ask(uint64(i)<<8|1), 0)
-				Expect(ok).To(BeTrue())
-				counts[a.Endpoint] = append(counts[a.Endpoint], a)
-			}
+			counts := p.fillEndpoints()
 			Expect(counts).To(HaveLen(4))
 			for _, a := range counts["e2"] {
 				p.next.EndAdvised(a)
@@ -111,12 +117,7 @@
 		suite.Paused(func() {
 			p := newHostPair()
 			defer p.stop()
-			counts := map[string][]fleet.Advice{}
-			for i := range 16 {
-				a, ok := p.next.Choose(ctx, ask(uint64(i)<<8|1), 0)
-				Expect(ok).To(BeTrue())
-				counts[a.Endpoint] = append(counts[a.Endpoint], a)
-			}
+			counts := p.fillEndpoints()
 			p.net.Cut(firstAddress, true)
 			for _, a := range counts["e2"] {
 				p.next.EndAdvised(a)
--- a/internal/ratelimit/contact.go
+++ b/internal/ratelimit/contact.go
@@ -60,7 +60,8 @@
 	return len(counted) > 0
 }
 
-// order returns all hosts in the order of an endpoint. Orders are kept until checkContact drops them.
+// order returns all hosts in the order of an endpoint. An order is kept while the list of hosts stays the same
+// and places of the endpoint are counted.
 func (l *Limiter) order(endpoint string) []*host {
 	l.mu.Lock()
 	defer l.mu.Unlock()
