Logs: the parts of a prompt under which an endpoint crashed, and the quarantine rule of each request

The line of a crash now names the parts of the prompt but the last; the line of a request the rule by which it was let through or refused.

No change of logic. go test ./internal/quarantine ./internal/gateway: ok.

--- a/internal/gateway/codec.go
+++ b/internal/gateway/codec.go
@@ -31,12 +31,15 @@
 	Parts       []PromptPart
 }
 
-// sharedTokens counts the prompt's tokens that other requests have too: those of all parts but the
-// last.
+// SharedParts returns the parts of the prompt that other requests may have too: all but the last,
+// which is the request's or its session's own.
+func (h RequestHeader) SharedParts() []PromptPart { return h.Parts[:max(len(h.Parts)-1, 0)] }
+
+// sharedTokens counts the prompt's tokens that other requests have too.
 func (h RequestHeader) sharedTokens() int {
 	n := 0
-	for i := range len(h.Parts) - 1 {
-		n += h.Parts[i].Tokens
+	for _, p := range h.SharedParts() {
+		n += p.Tokens
 	}
 	return n
 }
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -77,7 +77,19 @@
 	if !x.g.Quarantine.HasEvidence() {
 		return quarantine.Status{}
 	}
-	return x.g.Quarantine.Status(x.fingerprint())
+	status := x.g.Quarantine.Status(x.fingerprint())
+	x.quarantineRule = status.Rule()
+	return status
+}
+
+// sharedPartIDs returns the IDs of the parts of the prompt that other requests may have too.
+func (x *exchange) sharedPartIDs() []string {
+	shared := x.header.SharedParts()
+	ids := make([]string, len(shared))
+	for i, p := range shared {
+		ids[i] = p.ID
+	}
+	return ids
 }
 
 // checkQuarantine refuses a request that makes endpoints crash. It has not run and will not, and
@@ -128,5 +140,5 @@
 	x.g.Telemetry.Count("endpoint_crashes_met", 1)
 	x.g.Logger.Warn("endpoint crashed under a request", "id", x.header.ID, "fingerprint", x.fingerprint(), "workspace", x.workspace,
 		"endpoint", e.ID, "address", e.Address, "service", x.service, "ran_ms", run.Lasted.Milliseconds(),
-		"answered_ms", run.ResponseLasted.Milliseconds(), "crashes", x.crashes)
+		"answered_ms", run.ResponseLasted.Milliseconds(), "crashes", x.crashes, "parts", x.sharedPartIDs())
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -158,6 +158,7 @@
 	counted              bool              // it has started to run, and was counted
 	crashes              int               // number of endpoints that crashed while they ran it
 	refusedAsQuarantined bool              // it was refused because it makes endpoints crash
+	quarantineRule       quarantine.Rule   // by which it was last let through or refused
 	foundNoEndpoint      bool              // no endpoint took it
 	// maySendSuspect permits one send of the request, though it may make endpoints crash.
 	maySendSuspect bool
@@ -220,7 +221,7 @@
 		"id", x.header.ID, "route", x.route.Name, "service", x.service, "workspace", x.workspace,
 		"config", version, "config_age_ms", age.Milliseconds(),
 		"endpoint", x.endpoint, "relayed_by", x.relayedBy, "version", x.version, "upgrade", x.g.Upgrades.State(x.service).String(), "model", x.model, "larger", x.escalated, "urgency", x.urgency,
-		"sends", x.sends, "rejections", x.rejections, "places_denied", x.placesDenied, "crashes", x.crashes, "fingerprint", x.loggedFingerprint(), "waits", x.waits, "room_in_ms", x.roomIn.Milliseconds(), "advice", x.adviceOutcome,
+		"sends", x.sends, "rejections", x.rejections, "places_denied", x.placesDenied, "crashes", x.crashes, "fingerprint", x.loggedFingerprint(), "quarantine_rule", x.quarantineRule, "waits", x.waits, "room_in_ms", x.roomIn.Milliseconds(), "advice", x.adviceOutcome,
 		"tokens", x.header.TokensIn, "read", x.expected.PrefillTokens, "work_ms", x.expected.PrefillTime.Milliseconds(), "price", x.expected.Price,
 		"first_ms", x.headerDelay.Milliseconds(), "objective_ms", x.route.Objective.Milliseconds(),
 		"head_ms", x.lastHeaderDelay.Milliseconds(), "expected_ms", x.expected.Head.Milliseconds(), "queue_ms", x.expected.Queue.Milliseconds(),
--- a/internal/quarantine/status.go
+++ b/internal/quarantine/status.go
@@ -44,3 +44,28 @@
 func (s Status) HostMayRetry(crashes int) bool {
 	return !s.Quarantined && (min(crashes, s.Moments) < callerRetryMoments || s.Chance > callerRetryChance)
 }
+
+// Rule names, for logs, the rule by which a request is sent to endpoints or not.
+type Rule string
+
+// Values of Rule.
+const (
+	RuleNone        Rule = ""            // no endpoint has crashed under the request
+	RuleBelow       Rule = "below"       // too few have
+	RuleSuspect     Rule = "suspect"     // it waits for its turn
+	RuleQuarantined Rule = "quarantined" // it is refused
+)
+
+// Rule returns the rule by which the request is sent to endpoints or not.
+func (s Status) Rule() Rule {
+	switch {
+	case s.Quarantined:
+		return RuleQuarantined
+	case s.IsSuspect():
+		return RuleSuspect
+	case s.Crashed > 0:
+		return RuleBelow
+	default:
+		return RuleNone
+	}
+}
