Failing test: requests with one part in their prompts, no two alike, crash endpoint after endpoint; listed

Hosts with callers and endpoints in virtual time; requests with one part in common, else all different, at random hosts; sound callers share their key, their first part and others. 18 cases: place of the part, a sound part always beside it, random crashes, rarely, many at once, repeated by callers, 1 to 30 hosts, hosts killed, late or cut off, a silent store.

--- a/internal/gatewayd/crashrig_test.go
+++ b/internal/gatewayd/crashrig_test.go
@@ -157,9 +157,11 @@
 	return r
 }
 
-// Request bodies that make endpoints crash, or not answer while a test runs.
+// Request bodies that make endpoints crash, or not answer while a test runs, and the part of a prompt
+// that makes them crash.
 const (
 	crashBody      = "crash"
+	crashPart      = "dead"
 	unansweredBody = "mute"
 )
 
@@ -167,7 +169,7 @@
 func endpointScript(service string, d crashScenario) func(int, *http.Request) standin.Script {
 	return func(_ int, r *http.Request) standin.Script {
 		switch {
-		case r.Header.Get("X-Body") == crashBody:
+		case r.Header.Get("X-Body") == crashBody, standin.HasPart(r.Header, crashPart):
 			return standin.Crash{After: crashDelay, Head: d.afterHead && service == "model"}
 		case r.Header.Get("X-Body") == unansweredBody:
 			return standin.Reply{Status: http.StatusOK, Delay: time.Minute}
