Quarantine: crashes count against the parts of prompts too, and answers clear them

Callers saw: requests with one part in common, no two alike, crashed endpoint after endpoint, and with each all that ran there.

Cause: evidence was kept by whole request (workspace, target, body). Class: evidence under a key that is narrower than what recurs.

Change: a crash also names the parts, but the last, of the requests whose answers had not been arriving for half a second; hosts exchange and store them with their rows. Five crashes at three moments under three requests, none answered since: requests with the part are refused. Parts that can't be told apart are refused together only; requests with some of them go by turns. Crashes that parts explain count against no request.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -16,7 +16,7 @@
 	if !d.options.Quarantine.HasEvidence() {
 		return quarantine.Status{}
 	}
-	return d.options.Quarantine.Status(fingerprint())
+	return d.options.Quarantine.Status(quarantine.Request{Fingerprint: fingerprint()})
 }
 
 // QuarantinedProblem returns the problem for a request that crashes endpoints.
@@ -43,7 +43,7 @@
 	if !conn.IsDisconnect(err) || ctx.Err() != nil || !d.options.Fleet.Serves(e.ID) {
 		return false
 	}
-	return d.options.Quarantine.ConnectionBroke(ctx, quarantine.BrokenAttempt{Endpoint: e.ID, Address: e.Address, Service: e.Service, Request: request.fingerprint(), Run: run})
+	return d.options.Quarantine.ConnectionBroke(ctx, quarantine.BrokenAttempt{Endpoint: e.ID, Address: e.Address, Service: e.Service, Request: quarantine.Request{Fingerprint: request.fingerprint()}, Run: run})
 }
 
 // recordCompleted tells the quarantine tracker that a request completed.
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -261,7 +261,7 @@
 	}
 	s.released = true
 	if s.ongoing != nil {
-		s.dispatcher.options.Quarantine.EndResponse(s.ongoing)
+		s.dispatcher.options.Quarantine.EndResponse(s.ongoing, false)
 	}
 	if s.response != nil {
 		s.response.release(readToEnd)
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"slices"
 	"time"
@@ -49,8 +50,8 @@
 			return context.DeadlineExceeded
 		}
 	}
-	if x.quarantineStatus().Quarantined {
-		return errQuarantined
+	if s := x.quarantineStatus(); s.Quarantined {
+		return quarantineError(s)
 	}
 	return nil
 }
@@ -72,12 +73,22 @@
 	return quarantine.Identity{Workspace: x.workspace, Target: x.r.Method + " " + x.r.Host + " " + x.r.RequestURI, Body: x.body}.Fingerprint()
 }
 
+// computeIdentity computes all by which the request is known when it, or its parts, come again.
+func (x *exchange) computeIdentity() quarantine.Request {
+	shared := x.header.SharedParts()
+	r := quarantine.Request{Fingerprint: x.fingerprint(), Workspace: x.workspace, Parts: make([]quarantine.Part, len(shared))}
+	for i, p := range shared {
+		r.Parts[i] = quarantine.NewPart(x.service, p.ID)
+	}
+	return r
+}
+
 // quarantineStatus returns what is known of the request from earlier times that it came.
 func (x *exchange) quarantineStatus() quarantine.Status {
 	if !x.g.Quarantine.HasEvidence() {
 		return quarantine.Status{}
 	}
-	status := x.g.Quarantine.Status(x.fingerprint())
+	status := x.g.Quarantine.Status(x.identity())
 	x.quarantineRule = status.Rule()
 	return status
 }
@@ -95,12 +106,21 @@
 // checkQuarantine refuses a request that makes endpoints crash. It has not run and will not, and
 // retrying does not help.
 func (x *exchange) checkQuarantine() *refusal {
-	if !x.quarantineStatus().Quarantined {
+	status := x.quarantineStatus()
+	if !status.Quarantined {
 		return nil
 	}
 	x.refusedAsQuarantined = true
 	x.g.Telemetry.Count("quarantine_refusals", 1)
-	return &refusal{status: http.StatusServiceUnavailable, reason: errQuarantined.Error()}
+	return &refusal{status: http.StatusServiceUnavailable, reason: quarantineError(status).Error()}
+}
+
+// quarantineError returns the error for a request that is quarantined.
+func quarantineError(s quarantine.Status) error {
+	if s.Part == "" {
+		return errQuarantined
+	}
+	return fmt.Errorf("%w: the cause is %s", errQuarantined, s.Part)
 }
 
 // wayLost reports whether the response could not be read because the way to the endpoint was lost,
@@ -133,7 +153,10 @@
 	if !conn.IsDisconnect(err) || x.ctx.Err() != nil || !x.g.Fleet.Serves(e.ID) {
 		return
 	}
-	if !x.g.Quarantine.ConnectionBroke(x.ctx, quarantine.BrokenAttempt{Endpoint: e.ID, Address: e.Address, Service: x.service, Request: x.fingerprint(), Run: run}) {
+	broken := quarantine.BrokenAttempt{
+		Endpoint: e.ID, Address: e.Address, Service: x.service, Request: x.identity(), Begun: a.ongoingRun != nil && a.ongoingRun.Lived(), Run: run,
+	}
+	if !x.g.Quarantine.ConnectionBroke(x.ctx, broken) {
 		return
 	}
 	x.crashes++
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -165,6 +165,9 @@
 	// fingerprint identifies the request when it comes again. It is computed when it is first
 	// needed.
 	fingerprint func() quarantine.Fingerprint
+	// identity has all by which the request is known when endpoints crash under it or under parts of its
+	// prompt. It is computed when it is first needed.
+	identity func() quarantine.Request
 }
 
 // ServeHTTP implements http.Handler.
@@ -172,7 +175,7 @@
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
 	x := &exchange{g: g, w: w, r: r, ctx: r.Context(), start: clock.Now(), table: g.Holder.Table(), urgency: noUrgency}
-	x.fingerprint = sync.OnceValue(x.computeFingerprint)
+	x.fingerprint, x.identity = sync.OnceValue(x.computeFingerprint), sync.OnceValue(x.computeIdentity)
 	defer x.logRequest()
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -127,7 +127,7 @@
 	case clock.Expired(ctx):
 		return context.DeadlineExceeded
 	case x.quarantineStatus().Quarantined:
-		return errQuarantined
+		return quarantineError(x.quarantineStatus())
 	case x.isSuspect() && !x.maySendSuspect:
 		return errBecameSuspect
 	case !hold.StillTakes():
@@ -202,7 +202,7 @@
 	a.hold.Head(a.header.Load)
 	a.reportHead()
 	x.countUsage()
-	a.headerAt, a.ongoingRun = clock.Now(), x.g.Quarantine.BeginResponse(x.fingerprint)
+	a.headerAt, a.ongoingRun = clock.Now(), x.g.Quarantine.BeginResponse(hold.Endpoint.ID, x.identity)
 	x.lastHeaderDelay, x.expected = clock.Since(a.sentAt), hold.Expected
 	return a, nil
 }
@@ -312,7 +312,7 @@
 	a.returnPlace(complete)
 	if a.ongoingRun != nil {
 		x := a.x
-		x.g.Quarantine.EndResponse(a.ongoingRun)
+		x.g.Quarantine.EndResponse(a.ongoingRun, complete && a.response.StatusCode == http.StatusOK)
 		if complete && x.g.Quarantine.HasEvidence() {
 			x.g.Quarantine.RequestCompleted(x.fingerprint())
 		}
--- a/internal/pipeline/quarantine.go
+++ b/internal/pipeline/quarantine.go
@@ -28,7 +28,7 @@
 // checkQuarantine rejects a request that crashes endpoints. The request did not run, and retrying it
 // has no effect; a job with this request ends as failed.
 func (p *Pipeline) checkQuarantine(_ context.Context, a parsedRequest) (parsedRequest, error) {
-	if !p.options.Quarantine.HasEvidence() || !p.options.Quarantine.Status(a.fingerprint()).Quarantined {
+	if !p.options.Quarantine.HasEvidence() || !p.options.Quarantine.Status(quarantine.Request{Fingerprint: a.fingerprint()}).Quarantined {
 		return a, nil
 	}
 	return parsedRequest{}, dispatch.QuarantinedProblem(problem.NotRun)
--- a/internal/quarantine/attribution.go
+++ b/internal/quarantine/attribution.go
@@ -14,6 +14,8 @@
 	At        time.Duration // on a steady clock
 	UpdatedAt time.Duration // when this host last learned of a request that ran there
 	Runs      map[Fingerprint]Run
+	Parts     map[Fingerprint]PartRun // parts of the prompts of requests that had only just begun, or had not
+	Trimmed   bool                    // Runs are not all known any more
 }
 
 // Run is the run of a request at an endpoint that ended with the endpoint's crash; an immutable
@@ -66,8 +68,12 @@
 	// before that.
 	Completed map[Fingerprint]time.Duration
 	// CountEndpoints returns the number of endpoints of a service.
+	// Cleared has the time at which an answer on each part of prompts last showed that its endpoint
+	// does not crash.
+	Cleared        map[Fingerprint]time.Duration
 	CountEndpoints func(service string) int
 	Quarantined    map[Fingerprint]Attribution // the previous attributions
+	Parts          PartVerdict                 // crashes that it explains count against no request
 	Now            time.Duration
 }
 
@@ -84,7 +90,7 @@
 // other.
 func Attribute(e Evidence) map[Fingerprint]Attribution {
 	attributions := map[Fingerprint]Attribution{}
-	unexplained := slices.Clone(e.Crashes)
+	unexplained := slices.DeleteFunc(slices.Clone(e.Crashes), e.Parts.explains)
 	slices.SortFunc(unexplained, byTime)
 	for {
 		s, ok := e.strongestSuspect(unexplained)
@@ -117,13 +123,18 @@
 	return c.At + settleDelay
 }
 
-// addsTo reports whether the crash has requests that another report of it lacks.
+// addsTo reports whether the crash has requests or parts that another report of it lacks.
 func (c Crash) addsTo(other Crash) bool {
 	for f := range c.Runs {
 		if _, known := other.Runs[f]; !known {
 			return true
 		}
 	}
+	for key := range c.Parts {
+		if _, known := other.Parts[key]; !known {
+			return true
+		}
+	}
 	return false
 }
 
@@ -274,7 +285,7 @@
 	n := 0
 	for _, c := range crashes {
 		_, under := c.Runs[f]
-		if !under && c.At >= from && c.At <= to && slices.ContainsFunc(relevant, func(o Crash) bool { return o.Service == c.Service }) {
+		if !under && !c.Trimmed && c.At >= from && c.At <= to && slices.ContainsFunc(relevant, func(o Crash) bool { return o.Service == c.Service }) {
 			n++
 		}
 	}
@@ -286,7 +297,7 @@
 func otherCrashRate(f Fingerprint, crashes []Crash, from, to time.Duration) float64 {
 	others := priorCrashes
 	for _, c := range crashes {
-		if _, under := c.Runs[f]; !under && c.At >= from && c.At <= to {
+		if _, under := c.Runs[f]; !under && !c.Trimmed && c.At >= from && c.At <= to {
 			others++
 		}
 	}
--- a/internal/quarantine/cluster_test.go
+++ b/internal/quarantine/cluster_test.go
@@ -198,7 +198,7 @@
 // crash reports to a host that an endpoint crashed while it ran the requests.
 func (h *testHosts) crash(host int, endpoint string, requests ...quarantine.Fingerprint) {
 	for _, f := range requests {
-		Expect(h.trackers[host].ConnectionBroke(context.Background(), quarantine.BrokenAttempt{Endpoint: endpoint, Address: endpoint, Service: "s", Request: f, Run: quarantine.Run{Lasted: 80 * time.Millisecond}})).To(BeTrue())
+		Expect(h.trackers[host].ConnectionBroke(context.Background(), quarantine.BrokenAttempt{Endpoint: endpoint, Address: endpoint, Service: "s", Request: quarantine.Request{Fingerprint: f}, Run: quarantine.Run{Lasted: 80 * time.Millisecond}})).To(BeTrue())
 	}
 }
 
@@ -215,7 +215,7 @@
 func (h *testHosts) quarantined(f quarantine.Fingerprint) []bool {
 	var quarantined []bool
 	for _, b := range h.trackers {
-		quarantined = append(quarantined, b.Status(f).Quarantined)
+		quarantined = append(quarantined, b.Status(quarantine.Request{Fingerprint: f}).Quarantined)
 	}
 	return quarantined
 }
--- a/internal/quarantine/detection_test.go
+++ b/internal/quarantine/detection_test.go
@@ -12,7 +12,7 @@
 
 var _ = Describe("an endpoint whose connections broke", func() {
 	connectionBroke := func(h *testHosts, endpoint string) bool {
-		return h.trackers[0].ConnectionBroke(context.Background(), quarantine.BrokenAttempt{Endpoint: endpoint, Address: endpoint, Service: "s", Request: crashing, Run: quarantine.Run{Lasted: time.Second}})
+		return h.trackers[0].ConnectionBroke(context.Background(), quarantine.BrokenAttempt{Endpoint: endpoint, Address: endpoint, Service: "s", Request: quarantine.Request{Fingerprint: crashing}, Run: quarantine.Run{Lasted: time.Second}})
 	}
 
 	ctx := context.Background()
@@ -25,7 +25,7 @@
 			time.Sleep(4 * time.Second)
 			h.listening["e0"] = false
 			h.trackers[0].EndpointGone(ctx, "e0")
-			Expect(h.trackers[0].Status(crashing).Moments).To(Equal(1))
+			Expect(h.trackers[0].Status(quarantine.Request{Fingerprint: crashing}).Moments).To(Equal(1))
 		})
 	})
 
@@ -38,7 +38,7 @@
 			Expect(h.trackers[0].HasEvidence()).To(BeFalse())
 			time.Sleep(time.Second)
 			h.trackers[0].EndpointListed("e1", "e0")
-			Expect(h.trackers[0].Status(crashing).Moments).To(Equal(1))
+			Expect(h.trackers[0].Status(quarantine.Request{Fingerprint: crashing}).Moments).To(Equal(1))
 		})
 	})
 
@@ -58,9 +58,9 @@
 					proves()
 					time.Sleep(200 * time.Millisecond)
 				}
-				Expect(h.trackers[0].Status(crashing).Moments).To(Equal(1))
+				Expect(h.trackers[0].Status(quarantine.Request{Fingerprint: crashing}).Moments).To(Equal(1))
 				time.Sleep(time.Second)
-				Expect(h.trackers[1].Status(crashing).Moments).To(Equal(1))
+				Expect(h.trackers[1].Status(quarantine.Request{Fingerprint: crashing}).Moments).To(Equal(1))
 			})
 		})
 	}
@@ -73,7 +73,7 @@
 			h.listening["e0"] = false
 			h.crash(1, "e0", harmless)
 			time.Sleep(time.Second)
-			Expect(h.trackers[0].Status(crashing).Moments).To(Equal(0))
+			Expect(h.trackers[0].Status(quarantine.Request{Fingerprint: crashing}).Moments).To(Equal(0))
 		})
 	})
 
--- a/internal/quarantine/exchange.go
+++ b/internal/quarantine/exchange.go
@@ -54,7 +54,7 @@
 func (t *Tracker) Run(ctx context.Context) {
 	var running sync.WaitGroup
 	defer running.Wait()
-	for _, loop := range []func(context.Context){t.load, t.refreshLoop, t.publishLoop, t.relayLoop, t.syncLoop, t.persistLoop, t.sweepLoop} {
+	for _, loop := range []func(context.Context){t.load, t.refreshLoop, t.publishLoop, t.relayLoop, t.syncLoop, t.persistLoop, t.sweepLoop, t.clearLoop} {
 		running.Go(func() { loop(ctx) })
 	}
 }
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -10,7 +10,7 @@
 // value.
 type ListEntry struct {
 	Request     Fingerprint
-	Label       string // workspace and route
+	Label       string // workspace and route, or the parts of prompts that the entry is of
 	Quarantined bool
 	Crashes     int           // endpoints that crashed while they ran it, since it last completed
 	Chance      float64       // probability that it ran at all of them by coincidence
@@ -40,18 +40,21 @@
 			Request: f, Label: v.label(f), Quarantined: quarantined, Crashes: s.Crashes, Chance: s.Chance, First: now - s.First, Last: now - s.Last,
 		})
 	}
+	for _, g := range t.parts.Groups {
+		list = append(list, ListEntry{Request: g.Parts[0].Key, Label: g.label(), Quarantined: true, Crashes: g.Crashes, First: now - g.First, Last: now - g.Last})
+	}
 	slices.SortFunc(list, func(a, b ListEntry) int {
 		return cmp.Or(cmp.Compare(a.Last, b.Last), slices.Compare(a.Request[:], b.Request[:]))
 	})
 	return list
 }
 
-// QuarantinedCount returns the number of requests in quarantine.
+// QuarantinedCount returns the number of requests and sets of parts in quarantine.
 func (t *Tracker) QuarantinedCount() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.refresh()
-	return len(t.quarantined)
+	return len(t.quarantined) + len(t.parts.Groups)
 }
 
 // label returns a request's workspace and route, or "" if no host reported them.
--- a/internal/quarantine/ongoing.go
+++ b/internal/quarantine/ongoing.go
@@ -13,9 +13,13 @@
 
 // OngoingResponse is a response that has begun to arrive.
 type OngoingResponse struct {
-	request     func() Fingerprint
+	tracker     *Tracker
+	request     func() Request
+	endpoint    string // the endpoint instance
 	began       clock.Instant
 	receivedFor atomic.Int64 // ns from began until the latest data arrived
+	livedFor    atomic.Int64 // the same in ns, of which each pause counts maxCountedPause at most
+	clearedFor  int64        // receivedFor when its parts were last checked; used by the reader of the data only
 }
 
 // DataArrived notes that more of the response has arrived. The evidence is the time for which the
@@ -23,24 +27,35 @@
 // learns of crashes before it has read that its own connection ended with one of them, and would
 // release the request on all hosts.
 func (o *OngoingResponse) DataArrived(now clock.Instant) {
-	o.receivedFor.Store(int64(now.Sub(o.began)))
+	received := int64(now.Sub(o.began))
+	pause := received - o.receivedFor.Swap(received)
+	o.livedFor.Add(min(pause, int64(maxCountedPause)))
+	if o.Lived() && o.tracker.partsWanted.Load() && received-o.clearedFor >= int64(clearInterval) {
+		o.clearedFor = received
+		o.tracker.answerLived(o)
+	}
 }
 
-// BeginResponse notes that a response to a request has begun; the caller must call EndResponse once
-// it has ended.
-func (t *Tracker) BeginResponse(request func() Fingerprint) *OngoingResponse {
-	o := &OngoingResponse{request: request, began: clock.Now()}
+// BeginResponse notes that a response to a request has begun at an endpoint instance; the caller must
+// call EndResponse once it has ended.
+func (t *Tracker) BeginResponse(endpoint string, request func() Request) *OngoingResponse {
+	o := &OngoingResponse{tracker: t, request: request, endpoint: endpoint, began: clock.Now()}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.ongoing[o] = struct{}{}
 	return o
 }
 
-// EndResponse notes that a response has ended, whether it succeeded or not.
-func (t *Tracker) EndResponse(o *OngoingResponse) {
+// EndResponse notes that a response has ended, and whether it did so whole and successfully.
+func (t *Tracker) EndResponse(o *OngoingResponse, whole bool) {
+	var answered Request
+	if whole && t.HasEvidence() {
+		answered = o.request()
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	delete(t.ongoing, o)
+	t.answerEnded(o, answered)
 }
 
 // clearOutlasting clears requests that have an ongoing response which has run for longer than
@@ -65,7 +80,7 @@
 		}
 	}
 	for o := range t.ongoing {
-		f := o.request()
+		f := o.request().Fingerprint
 		longestRun, suspected := longest[f]
 		if suspected && time.Duration(o.receivedFor.Load()) > 2*longestRun+clearMargin {
 			t.clearRequest(f, t.clock.Now(), "an answer to it is still arriving elsewhere")
@@ -77,7 +92,7 @@
 func (t *Tracker) countOngoing(f Fingerprint) int {
 	n := 0
 	for o := range t.ongoing {
-		if o.request() == f {
+		if o.request().Fingerprint == f {
 			n++
 		}
 	}
--- a/internal/quarantine/partial_test.go
+++ b/internal/quarantine/partial_test.go
@@ -18,7 +18,7 @@
 		withHosts(2, func(h *testHosts) {
 			connectionBroke := func(host int, endpoint string, f quarantine.Fingerprint, lasted time.Duration) {
 				Expect(h.trackers[host].ConnectionBroke(context.Background(), quarantine.BrokenAttempt{
-					Endpoint: endpoint, Address: endpoint, Service: "s", Request: f, Run: quarantine.Run{Lasted: lasted},
+					Endpoint: endpoint, Address: endpoint, Service: "s", Request: quarantine.Request{Fingerprint: f}, Run: quarantine.Run{Lasted: lasted},
 				})).To(Equal(!h.listening[endpoint]))
 			}
 			h.listening["e0"] = true // a new process already listens there
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -15,29 +15,35 @@
 	maxCrashes   = 64
 	maxRuns      = 256 // of all crashes together
 	maxCompleted = 128
+	maxParts     = 256 // of all crashes together
 )
 
 // record is what a host has seen, with times on its own steady clock.
 type record struct {
 	crashes   map[string]Crash // by endpoint instance
 	completed map[Fingerprint]time.Duration
+	cleared   map[Fingerprint]time.Duration // when parts of prompts were last seen to be answered
 }
 
 func newRecord() record {
-	return record{crashes: map[string]Crash{}, completed: map[Fingerprint]time.Duration{}}
+	return record{crashes: map[string]Crash{}, completed: map[Fingerprint]time.Duration{}, cleared: map[Fingerprint]time.Duration{}}
 }
 
 // isEmpty reports whether the host has seen nothing.
-func (r record) isEmpty() bool { return len(r.crashes) == 0 && len(r.completed) == 0 }
+func (r record) isEmpty() bool {
+	return len(r.crashes) == 0 && len(r.completed) == 0 && len(r.cleared) == 0
+}
 
 // add adds a crash, or more of one that is known.
 func (r record) add(c Crash) {
 	known, ok := r.crashes[c.Endpoint]
 	if !ok {
-		r.crashes[c.Endpoint] = Crash{Endpoint: c.Endpoint, Service: c.Service, At: c.At, Runs: maps.Clone(c.Runs)}
+		c.UpdatedAt, c.Runs = 0, maps.Clone(c.Runs)
+		r.crashes[c.Endpoint] = c
 		return
 	}
-	known.At = min(known.At, c.At)
+	known.At, known.Trimmed = min(known.At, c.At), known.Trimmed || c.Trimmed
+	known.Parts = mergeParts(known.Parts, c.Parts)
 	for f, run := range c.Runs {
 		known.Runs[f] = known.Runs[f].Max(run)
 	}
@@ -59,23 +65,35 @@
 	for f, at := range o.completed {
 		r.complete(f, at)
 	}
+	for key, at := range o.cleared {
+		r.noteCleared(key, at)
+	}
 }
 
 // trim drops entries older than a time, and entries beyond the limits: the oldest crashes first,
-// except those of requests for which keep returns true.
+// except those of requests and parts for which keep returns true.
 func (r record) trim(oldest time.Duration, keep func(f Fingerprint) bool) {
 	maps.DeleteFunc(r.crashes, func(_ string, c Crash) bool { return c.At < oldest })
 	maps.DeleteFunc(r.completed, func(_ Fingerprint, at time.Duration) bool { return at < oldest })
 	crashes := slices.SortedFunc(maps.Values(r.crashes), func(a, b Crash) int {
 		return cmp.Or(-compareBool(a.hasAny(keep), b.hasAny(keep)), cmp.Compare(b.At, a.At))
 	})
-	runs := 0
+	runs, parts := 0, 0
 	for i, c := range crashes {
-		runs += len(c.Runs)
-		if i >= maxCrashes || runs > maxRuns {
+		runs, parts = runs+len(c.Runs), parts+len(c.Parts)
+		if runs > maxRuns {
+			c.Runs, c.Trimmed = map[Fingerprint]Run{}, true
+		}
+		if parts > maxParts {
+			c.Parts = nil
+		}
+		if i >= maxCrashes || (c.Trimmed && len(c.Runs) == 0 && len(c.Parts) == 0) {
 			delete(r.crashes, c.Endpoint)
+			continue
 		}
+		r.crashes[c.Endpoint] = c
 	}
+	r.trimCleared(oldest)
 	latest := slices.SortedFunc(maps.Keys(r.completed), func(a, b Fingerprint) int {
 		return cmp.Or(cmp.Compare(r.completed[b], r.completed[a]), slices.Compare(a[:], b[:]))
 	})
@@ -84,13 +102,19 @@
 	}
 }
 
-// hasAny reports whether a request for which wanted returns true ran at the crash.
+// hasAny reports whether a request, or one with a part, for which wanted returns true ran at the
+// crash.
 func (c Crash) hasAny(wanted func(f Fingerprint) bool) bool {
 	for f := range c.Runs {
 		if wanted(f) {
 			return true
 		}
 	}
+	for key := range c.Parts {
+		if wanted(key) {
+			return true
+		}
+	}
 	return false
 }
 
@@ -113,17 +137,23 @@
 // sortedCrashes returns the crashes in order of time.
 func sortedCrashes(r record) []Crash { return slices.SortedFunc(maps.Values(r.crashes), byTime) }
 
-// unresolved returns the part of the record that still counts against some request.
-func (r record) unresolved() record {
+// unresolved returns what of the record still counts against some request, and against the parts for
+// which wanted returns true.
+func (r record) unresolved(wanted func(part Fingerprint) bool) record {
 	o := newRecord()
 	for _, c := range r.crashes {
-		unresolvedCrash := Crash{Endpoint: c.Endpoint, Service: c.Service, At: c.At, Runs: map[Fingerprint]Run{}}
+		unresolvedCrash := Crash{Endpoint: c.Endpoint, Service: c.Service, At: c.At, Trimmed: c.Trimmed, Runs: map[Fingerprint]Run{}, Parts: map[Fingerprint]PartRun{}}
+		for key, part := range c.Parts {
+			if wanted(key) {
+				unresolvedCrash.Parts[key] = part
+			}
+		}
 		for f, run := range c.Runs {
 			if end, ok := r.completed[f]; !ok || end < c.At {
 				unresolvedCrash.Runs[f] = run
 			}
 		}
-		if len(unresolvedCrash.Runs) > 0 {
+		if len(unresolvedCrash.Runs) > 0 || len(unresolvedCrash.Parts) > 0 {
 			o.add(unresolvedCrash)
 		}
 	}
@@ -140,12 +170,22 @@
 	rowJSON struct {
 		Crashes  []crashJSON     `json:"crashes,omitempty"`
 		Finished []completedJSON `json:"finished,omitempty"`
+		Cleared  []completedJSON `json:"cleared,omitempty"`
 	}
 	crashJSON struct {
-		Endpoint string    `json:"endpoint"`
-		Service  string    `json:"service"`
-		AtMs     int64     `json:"at_ms"`
-		Runs     []runJSON `json:"under,omitempty"`
+		Endpoint string     `json:"endpoint"`
+		Service  string     `json:"service"`
+		AtMs     int64      `json:"at_ms"`
+		Runs     []runJSON  `json:"under,omitempty"`
+		Parts    []partJSON `json:"parts,omitempty"`
+		Trimmed  bool       `json:"trimmed,omitempty"`
+	}
+	partJSON struct {
+		Part      Fingerprint `json:"part"`
+		ID        string      `json:"id,omitempty"`
+		Workspace string      `json:"of,omitempty"`
+		Several   bool        `json:"several,omitempty"`
+		Requests  []uint32    `json:"requests,omitempty"`
 	}
 	runJSON struct {
 		Request    Fingerprint `json:"request"`
@@ -166,7 +206,11 @@
 	var w rowJSON
 	at := func(d time.Duration) int64 { return (d + offset).Milliseconds() }
 	for _, c := range sortedCrashes(r) {
-		crash := crashJSON{Endpoint: c.Endpoint, Service: c.Service, AtMs: at(c.At)}
+		crash := crashJSON{Endpoint: c.Endpoint, Service: c.Service, AtMs: at(c.At), Trimmed: c.Trimmed}
+		for _, key := range sortedFingerprints(c.Parts) {
+			p := c.Parts[key]
+			crash.Parts = append(crash.Parts, partJSON{Part: key, ID: p.Label, Workspace: p.Workspace, Several: p.Several, Requests: p.Requests})
+		}
 		for _, f := range sortedFingerprints(c.Runs) {
 			if end, ok := r.completed[f]; ok && end >= c.At {
 				continue
@@ -181,6 +225,9 @@
 	for _, f := range sortedFingerprints(r.completed) {
 		w.Finished = append(w.Finished, completedJSON{Request: f, AtMs: at(r.completed[f])})
 	}
+	for _, key := range sortedFingerprints(r.cleared) {
+		w.Cleared = append(w.Cleared, completedJSON{Request: key, AtMs: at(r.cleared[key])})
+	}
 	return w
 }
 
@@ -194,7 +241,10 @@
 	r := newRecord()
 	at := func(ms int64) time.Duration { return time.Duration(ms)*time.Millisecond - offset }
 	for _, c := range w.Crashes {
-		crash := Crash{Endpoint: c.Endpoint, Service: c.Service, At: at(c.AtMs), Runs: map[Fingerprint]Run{}}
+		crash := Crash{Endpoint: c.Endpoint, Service: c.Service, At: at(c.AtMs), Trimmed: c.Trimmed, Runs: map[Fingerprint]Run{}, Parts: map[Fingerprint]PartRun{}}
+		for _, p := range c.Parts {
+			crash.Parts[p.Part] = PartRun{Label: p.ID, Workspace: p.Workspace, Several: p.Several, Requests: p.Requests}
+		}
 		for _, run := range c.Runs {
 			crash.Runs[run.Request] = Run{
 				Lasted: time.Duration(run.LastedMs) * time.Millisecond, ResponseLasted: time.Duration(run.AnsweredMs) * time.Millisecond, Copies: run.Copies, Label: run.Of,
@@ -205,6 +255,9 @@
 	for _, f := range w.Finished {
 		r.complete(f.Request, at(f.AtMs))
 	}
+	for _, f := range w.Cleared {
+		r.noteCleared(f.Request, at(f.AtMs))
+	}
 	return r
 }
 
--- a/internal/quarantine/status.go
+++ b/internal/quarantine/status.go
@@ -26,6 +26,10 @@
 	// Beside is the number of endpoints of the same services that crashed in that time without
 	// running it.
 	Beside int
+	// Part names the parts of its prompt for which it is quarantined; empty if it is so by itself.
+	Part string
+	// PartSuspect means that it has a part under which endpoints may crash.
+	PartSuspect bool
 }
 
 // MayHaveEmptiedService reports whether the request, which has waited for a service without
@@ -36,8 +40,11 @@
 }
 
 // IsSuspect reports whether as many endpoints have crashed under the request as attribution needs,
-// though it can't be told from other requests yet.
-func (s Status) IsSuspect() bool { return !s.Quarantined && s.Crashed >= minMoments }
+// though it can't be told from other requests yet, or under a part of its prompt that can't be told from
+// others.
+func (s Status) IsSuspect() bool {
+	return !s.Quarantined && (s.Crashed >= minMoments || s.PartSuspect)
+}
 
 // HostMayRetry reports whether a host may retry the request itself, given the number of endpoints
 // that have crashed under it since its caller sent it this time.
@@ -50,17 +57,23 @@
 
 // Values of Rule.
 const (
-	RuleNone        Rule = ""            // no endpoint has crashed under the request
-	RuleBelow       Rule = "below"       // too few have
-	RuleSuspect     Rule = "suspect"     // it waits for its turn
-	RuleQuarantined Rule = "quarantined" // it is refused
+	RuleNone        Rule = ""             // no endpoint has crashed under the request
+	RuleBelow       Rule = "below"        // too few have
+	RuleSuspect     Rule = "suspect"      // it waits for its turn
+	RuleQuarantined Rule = "quarantined"  // it is refused
+	RulePart        Rule = "part"         // it is refused for parts of its prompt
+	RuleSuspectPart Rule = "suspect part" // it waits for its turn, for a part
 )
 
 // Rule returns the rule by which the request is sent to endpoints or not.
 func (s Status) Rule() Rule {
 	switch {
+	case s.Part != "":
+		return RulePart
 	case s.Quarantined:
 		return RuleQuarantined
+	case s.PartSuspect:
+		return RuleSuspectPart
 	case s.IsSuspect():
 		return RuleSuspect
 	case s.Crashed > 0:
--- a/internal/quarantine/storage.go
+++ b/internal/quarantine/storage.go
@@ -86,6 +86,9 @@
 	t.refresh()
 	v := t.view()
 	for _, c := range t.ownRow().crashes {
+		if t.partsUrgent(v, c) {
+			return true
+		}
 		for f := range c.Runs {
 			if _, quarantined := t.quarantined[f]; quarantined || v.assessRequest(f).moments >= minMoments-1 {
 				return true
@@ -122,12 +125,12 @@
 	if t.options.Tables == nil {
 		return store.Transaction{}, nil
 	}
-	unresolved := t.ownRow().unresolved()
+	unresolved := t.ownRow().unresolved(t.storesPart)
 	if unresolved.isEmpty() {
 		if !t.stored {
 			return store.Transaction{}, nil
 		}
-		t.stored = false
+		t.stored, t.storedParts = false, nil
 		return store.Transaction{Writes: []store.Write{store.Delete(Table, t.options.Host)}}, nil
 	}
 	offset, err := t.sharedClockOffset()
@@ -138,7 +141,7 @@
 	if err != nil {
 		return store.Transaction{}, fmt.Errorf("encode crash evidence: %w", err)
 	}
-	t.stored = true
+	t.stored, t.storedParts = true, unresolved.partKeys()
 	return store.Transaction{Writes: []store.Write{store.Put(Table, t.options.Host, data)}}, nil
 }
 
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -52,6 +52,8 @@
 	hasEvidence     atomic.Bool // there is evidence of recent crashes
 	evidenceChanged wake.Signal // poked when the evidence changes
 	sendDue         wake.Signal // poked when there is something to send to other hosts
+	endedDue        wake.Signal // poked when there is an answer in ended
+	partsWanted     atomic.Bool // answers may clear parts of prompts that matter
 	persistDue      wake.Signal // poked when there may be something to store
 	relayQueue      *relayQueue
 
@@ -61,7 +63,13 @@
 	unconfirmed map[string][]BrokenAttempt
 	ongoing     map[*OngoingResponse]struct{}
 	quarantined map[Fingerprint]Attribution
-	upToDate    bool // quarantined reflects merged
+	parts       PartVerdict
+	upToDate    bool // quarantined and parts reflect merged
+	// untold has the parts that this host has cleared without telling others.
+	untold map[Fingerprint]struct{}
+	ended  []endedAnswer
+	// storedParts are the parts of which the stored row has crashes.
+	storedParts map[Fingerprint]struct{}
 	// lastKnown has, by endpoint instance, each crash as it was last known, and since when;
 	// nextSettles is when the next crash settles.
 	lastKnown   map[string]Crash
@@ -83,6 +91,9 @@
 type mergedView struct {
 	Evidence
 	crashCounts map[Fingerprint]int // number of crashes by the requests that ran at them
+	partCounts  map[Fingerprint]int // number of crashes by part, since it was cleared
+	// unexplained are the crashes that no part in quarantine explains.
+	unexplained []Crash
 }
 
 // NewTracker returns the tracker of a host that has seen nothing.
@@ -92,7 +103,7 @@
 	}
 	return &Tracker{
 		options: options, detector: NewCrashDetector(options.Probe), clock: clock.NewSteady(),
-		evidenceChanged: wake.NewSignal(), sendDue: wake.NewSignal(), persistDue: wake.NewSignal(), relayQueue: newRelayQueue(),
+		evidenceChanged: wake.NewSignal(), sendDue: wake.NewSignal(), endedDue: wake.NewSignal(), untold: map[Fingerprint]struct{}{}, persistDue: wake.NewSignal(), relayQueue: newRelayQueue(),
 		rows: map[string]row{options.Host: {record: newRecord()}}, unconfirmed: map[string][]BrokenAttempt{}, ongoing: map[*OngoingResponse]struct{}{},
 		quarantined: map[Fingerprint]Attribution{}, lastKnown: map[string]Crash{}, nextSettles: never, loaded: options.FreshStart,
 	}
@@ -107,6 +118,7 @@
 
 // recordCrash records a crash that this host saw.
 func (t *Tracker) recordCrash(c Crash) {
+	c.Parts = mergeParts(c.Parts, t.endedAt(c.Endpoint))
 	t.ownRow().add(c)
 	t.publish()
 }
@@ -147,12 +159,17 @@
 	t.clearRequest(f, t.clock.Now(), "the request completed")
 }
 
-// Release takes a request out of quarantine by order of an operator; it returns false if the request
-// is not quarantined.
+// Release takes a request, or a part of prompts with those that can't be told from it, out of
+// quarantine by order of an operator; it returns false if it is not quarantined.
 func (t *Tracker) Release(f Fingerprint) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.refresh()
+	if g, refused := t.parts.groupOf(f); refused {
+		t.clearParts(g.Parts, t.clock.Now(), "released by an operator")
+		t.refresh()
+		return true
+	}
 	if _, quarantined := t.quarantined[f]; !quarantined {
 		return false
 	}
@@ -177,16 +194,21 @@
 }
 
 // Status returns what is known of a request.
-func (t *Tracker) Status(f Fingerprint) Status {
+func (t *Tracker) Status(r Request) Status {
 	if !t.HasEvidence() {
 		return Status{}
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.refresh()
-	_, quarantined := t.quarantined[f]
-	s := t.view().assessRequest(f)
-	return Status{Quarantined: quarantined, Moments: s.moments, Chance: s.Chance, Crashed: len(s.crashed), Beside: s.otherCrashes}
+	_, quarantined := t.quarantined[r.Fingerprint]
+	s := t.view().assessRequest(r.Fingerprint)
+	status := Status{Quarantined: quarantined, Moments: s.moments, Chance: s.Chance, Crashed: len(s.crashed), Beside: s.otherCrashes}
+	if g, refused := t.parts.refusing(r); refused {
+		status.Quarantined, status.Part = true, g.label()
+	}
+	status.PartSuspect = t.parts.suspects(r)
+	return status
 }
 
 // since returns the time since a reading of the tracker's clock.
@@ -204,8 +226,10 @@
 	crashes := sortedCrashes(all)
 	t.stampUpdates(crashes)
 	t.merged = &mergedView{
-		Evidence: Evidence{Crashes: crashes, Completed: all.completed, CountEndpoints: t.options.CountEndpoints}, crashCounts: countCrashes(crashes, 1),
+		Evidence: Evidence{Crashes: crashes, Completed: all.completed, Cleared: all.cleared, CountEndpoints: t.options.CountEndpoints}, crashCounts: countCrashes(crashes, 1),
+		partCounts: countParts(crashes, all.cleared), unexplained: crashes,
 	}
+	t.partsWanted.Store(t.merged.hasPartAt(minStoredCrashes))
 	return t.merged
 }
 
@@ -233,7 +257,17 @@
 	if v.crashCounts[f] == 0 {
 		return assessment{}
 	}
-	return v.assess(f, v.Crashes)
+	return v.assess(f, v.unexplained)
+}
+
+// hasPartAt reports whether a part is at n crashes or more.
+func (v *mergedView) hasPartAt(n int) bool {
+	for _, crashes := range v.partCounts {
+		if crashes >= n {
+			return true
+		}
+	}
+	return false
 }
 
 // refresh brings the quarantine up to date.
@@ -248,6 +282,8 @@
 	v := t.view()
 	e := v.Evidence
 	e.Quarantined, e.Now = previous, t.clock.Now()
+	t.refreshParts(v, e)
+	e.Parts = t.parts
 	t.quarantined, t.upToDate, t.nextSettles = AttributePartial(e), true, e.nextSettles()
 	for f, attribution := range t.quarantined {
 		if _, known := previous[f]; !known {
@@ -265,7 +301,11 @@
 // dropExpired drops evidence that is too old to count.
 func (t *Tracker) dropExpired() {
 	oldest := t.clock.Now() - crashTTL
-	isQuarantined := func(f Fingerprint) bool { _, ok := t.quarantined[f]; return ok }
+	isQuarantined := func(f Fingerprint) bool {
+		_, request := t.quarantined[f]
+		_, part := t.parts.groupOf(f)
+		return request || part
+	}
 	for host, r := range t.rows {
 		r.trim(oldest, isQuarantined)
 		if r.isEmpty() && host != t.options.Host {
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -108,12 +108,12 @@
 
 	It("clear a request whose response is still arriving elsewhere after longer than endpoints took to crash", func() {
 		withHosts(3, func(h *testHosts) {
-			ongoing := h.trackers[1].BeginResponse(func() quarantine.Fingerprint { return harmless })
+			ongoing := h.trackers[1].BeginResponse("", func() quarantine.Request { return quarantine.Request{Fingerprint: harmless} })
 			time.Sleep(crashSpacing)
 			ongoing.DataArrived(clock.Now())
 			h.crashThrice(harmless)
 			Expect(h.quarantined(harmless)).To(Equal(noHost))
-			h.trackers[1].EndResponse(ongoing)
+			h.trackers[1].EndResponse(ongoing, false)
 			h.crashThrice(crashing)
 			Expect(h.quarantined(crashing)).To(Equal(everyHost))
 		})
@@ -124,24 +124,24 @@
 	// all along, and the host released, for all hosts, a request that crashes endpoints.
 	It("do not count a response as ongoing if no more of it has arrived", func() {
 		withHosts(3, func(h *testHosts) {
-			ongoing := h.trackers[1].BeginResponse(func() quarantine.Fingerprint { return crashing })
+			ongoing := h.trackers[1].BeginResponse("", func() quarantine.Request { return quarantine.Request{Fingerprint: crashing} })
 			ongoing.DataArrived(clock.Now())
 			time.Sleep(crashSpacing)
 			h.crashThrice(crashing)
 			Expect(h.quarantined(crashing)).To(Equal(everyHost))
-			h.trackers[1].EndResponse(ongoing)
+			h.trackers[1].EndResponse(ongoing, false)
 		})
 	})
 
 	It("leave retries to its caller after two crashes, and retry a request that was at one of them", func() {
 		withHosts(3, func(h *testHosts) {
 			h.crash(0, "e0", crashing, harmless)
-			Expect(h.trackers[0].Status(crashing).HostMayRetry(1)).To(BeTrue())
+			Expect(h.trackers[0].Status(quarantine.Request{Fingerprint: crashing}).HostMayRetry(1)).To(BeTrue())
 			time.Sleep(crashSpacing)
 			h.crash(0, "e1", crashing)
-			Expect(h.trackers[0].Status(crashing).HostMayRetry(2)).To(BeFalse())
-			Expect(h.trackers[0].Status(crashing).HostMayRetry(1)).To(BeTrue(), "another copy")
-			Expect(h.trackers[0].Status(harmless).HostMayRetry(1)).To(BeTrue())
+			Expect(h.trackers[0].Status(quarantine.Request{Fingerprint: crashing}).HostMayRetry(2)).To(BeFalse())
+			Expect(h.trackers[0].Status(quarantine.Request{Fingerprint: crashing}).HostMayRetry(1)).To(BeTrue(), "another copy")
+			Expect(h.trackers[0].Status(quarantine.Request{Fingerprint: harmless}).HostMayRetry(1)).To(BeTrue())
 		})
 	})
 
@@ -234,5 +234,5 @@
 
 // crashAfterLongRun reports an endpoint's crash under a request that had run there for long.
 func (h *testHosts) crashAfterLongRun(host int, endpoint string, f quarantine.Fingerprint) {
-	h.trackers[host].ConnectionBroke(context.Background(), quarantine.BrokenAttempt{Endpoint: endpoint, Address: endpoint, Service: "s", Request: f, Run: quarantine.Run{Lasted: 3 * time.Second}})
+	h.trackers[host].ConnectionBroke(context.Background(), quarantine.BrokenAttempt{Endpoint: endpoint, Address: endpoint, Service: "s", Request: quarantine.Request{Fingerprint: f}, Run: quarantine.Run{Lasted: 3 * time.Second}})
 }
--- a/internal/quarantine/unconfirmed.go
+++ b/internal/quarantine/unconfirmed.go
@@ -20,15 +20,22 @@
 	Endpoint string // the endpoint instance, that is one start of the endpoint
 	Address  string
 	Service  string
-	Request  Fingerprint
-	Run      Run
+	Request  Request
+	// Begun means that its answer had begun so long before that the endpoint crashed under none of its
+	// parts.
+	Begun bool
+	Run   Run
 
 	reportedAt time.Duration // when the attempt was reported; used while it is not known whether the endpoint crashed
 }
 
 // crash returns the crash of the attempt's endpoint, on the assumption that it crashed.
 func (a BrokenAttempt) crash(at time.Duration) Crash {
-	return Crash{Endpoint: a.Endpoint, Service: a.Service, At: at, Runs: map[Fingerprint]Run{a.Request: a.Run}}
+	c := Crash{Endpoint: a.Endpoint, Service: a.Service, At: at, Runs: map[Fingerprint]Run{a.Request.Fingerprint: a.Run}}
+	if !a.Begun {
+		c.Parts = partRuns(a.Request, a.Request.Parts)
+	}
+	return c
 }
 
 // ConnectionBroke finds out whether the endpoint has crashed and, if so, records the crash. It waits
@@ -43,7 +50,7 @@
 		t.unconfirmed[a.Endpoint] = append(t.unconfirmed[a.Endpoint], a)
 		return false
 	}
-	a.Run.Copies = t.countOngoing(a.Request)
+	a.Run.Copies = t.countOngoing(a.Request.Fingerprint)
 	t.recordCrash(a.crash(a.reportedAt))
 	return true
 }
