--- a/internal/quarantine/partattribution.go
+++ b/internal/quarantine/partattribution.go
@@ -186,7 +186,7 @@
 	slices.SortFunc(unexplained, byTime)
 	for {
 		assessments := e.assessParts(unexplained)
-		guilty := strongestPart(assessments)
+		guilty := e.strongestPart(assessments, unexplained)
 		if guilty == nil {
 			for key, a := range assessments {
 				if a.isSuspect() {
@@ -201,17 +201,37 @@
 	}
 }
 
-// strongestPart returns the guilty part with most crashes, or nil if there is none.
-func strongestPart(assessments map[Fingerprint]*partAssessment) *partAssessment {
+// strongestPart returns the guilty part with most crashes, or nil if there is none. One request that ran
+// at all of its crashes but one, with the part or without it, is the more likely cause.
+func (e Evidence) strongestPart(assessments map[Fingerprint]*partAssessment, crashes []Crash) *partAssessment {
 	var strongest *partAssessment
 	for _, a := range assessments {
-		if a.isGuilty() && (strongest == nil || a.compare(strongest) < 0) {
+		if a.isGuilty() && (strongest == nil || a.compare(strongest) < 0) && !e.requestAtAll(a, crashes) {
 			strongest = a
 		}
 	}
 	return strongest
 }
 
+// requestAtAll reports whether one request ran at all crashes of a part but one.
+func (e Evidence) requestAtAll(a *partAssessment, crashes []Crash) bool {
+	counts := map[Fingerprint]int{}
+	for _, c := range crashes {
+		if !slices.Contains(a.crashed, c.Endpoint) {
+			continue
+		}
+		for f := range c.Runs {
+			if e.completedSince(f, c.At) {
+				continue
+			}
+			if counts[f]++; counts[f] >= len(a.crashed)-1 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // compare puts the part with more evidence against it first.
 func (a *partAssessment) compare(o *partAssessment) int {
 	return cmp.Or(cmp.Compare(len(o.crashed), len(a.crashed)), cmp.Compare(o.moments, a.moments), slices.Compare(a.part.Key[:], o.part.Key[:]))
--- a/internal/quarantine/partclearing.go
+++ b/internal/quarantine/partclearing.go
@@ -162,17 +162,25 @@
 			left = append(left, a)
 			continue
 		}
-		if !t.view().crashed(a.endpoint) {
-			t.clearParts(a.request.Parts, a.due, "an answer on it has ended")
+		if c, crashed := t.view().crash(a.endpoint); crashed {
+			c.Runs = map[Fingerprint]Run{}
+			c.Parts = partRuns(a.request, a.request.Parts)
+			t.recordCrash(c)
+			continue
 		}
+		t.clearParts(a.request.Parts, a.due, "an answer on it has ended")
 	}
 	t.ended = left
 	return len(left)
 }
 
-// crashed reports whether an endpoint is known to have crashed.
-func (v *mergedView) crashed(endpoint string) bool {
-	return slices.ContainsFunc(v.Crashes, func(c Crash) bool { return c.Endpoint == endpoint })
+// crash returns the crash of an endpoint; false if it is not known to have crashed.
+func (v *mergedView) crash(endpoint string) (Crash, bool) {
+	i := slices.IndexFunc(v.Crashes, func(c Crash) bool { return c.Endpoint == endpoint })
+	if i < 0 {
+		return Crash{}, false
+	}
+	return v.Crashes[i], true
 }
 
 // endedAt returns what is known of the parts of answers that had only just ended at an endpoint that
