Answers that state no end: one that ends as its endpoint crashes is not whole

Callers saw: a stream without length or chunks whose endpoint crashed between two events looked complete, with events missing. Cause: the end of the connection is the end of such an answer, and a process that crashes closes its connections in order.

Cause of a second kind, met by the same test: the look at an endpoint was reused for a second, also where it had found the endpoint alive, which may have crashed since. A result is reused now only if it proves a crash or is not known yet.

--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"net/url"
@@ -327,6 +328,18 @@
 	return a.response.ContentLength >= 0 || len(a.response.TransferEncoding) > 0
 }
 
+// errEndedByCrash means that a response that states no end ended as its endpoint crashed.
+var errEndedByCrash = fmt.Errorf("the endpoint crashed as the answer ended: %w", io.ErrUnexpectedEOF)
+
+// checkEnd returns an error if a response that states no end may have ended before its time.
+func (a *attempt) checkEnd() error {
+	e := a.hold.Endpoint
+	if a.endsItself() || !a.x.g.Quarantine.EndpointCrashed(a.x.ctx, e.ID, e.Address) {
+		return nil
+	}
+	return errEndedByCrash
+}
+
 // fromEndpoint reports whether the endpoint itself produced the response.
 func (a *attempt) fromEndpoint() bool {
 	return a.header.Sealed && a.response.Header.Get("Content-Encoding") == ""
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -138,6 +138,10 @@
 		}
 		switch {
 		case errors.Is(err, errStreamEnd):
+			if err := a.checkEnd(); err != nil {
+				a.endBroken(err)
+				return err
+			}
 			a.end(fleet.OutcomeGood, true)
 			return nil
 		case err != nil:
--- a/internal/gateway/unary.go
+++ b/internal/gateway/unary.go
@@ -78,6 +78,9 @@
 		return nil, err
 	}
 	body, err := io.ReadAll(io.LimitReader(a.response.Body, maxBufferedBytes))
+	if err == nil {
+		err = a.checkEnd()
+	}
 	if err != nil {
 		a.endBroken(err)
 		return nil, errors.WithMessage(err, "the answer broke off")
--- a/internal/gatewayd/crashrig_test.go
+++ b/internal/gatewayd/crashrig_test.go
@@ -92,6 +92,8 @@
 	killHolderAt time.Duration
 	duration     time.Duration
 	hosts        int // crashHosts if 0
+	// script returns how endpoints of a service respond, or nil for the usual response.
+	script func(service string, r *http.Request) standin.Script
 	// machines is the number of machines, crashMachines if 0, and slots what each runs at the same time.
 	machines, slots int
 }
@@ -168,6 +170,11 @@
 // endpointScript returns how endpoints of a service respond.
 func endpointScript(service string, d crashScenario) func(int, *http.Request) standin.Script {
 	return func(_ int, r *http.Request) standin.Script {
+		if d.script != nil {
+			if s := d.script(service, r); s != nil {
+				return s
+			}
+		}
 		switch {
 		case r.Header.Get("X-Body") == crashBody, standin.HasPart(r.Header, crashPart):
 			return standin.Crash{After: crashDelay, Head: d.afterHead && service == "model"}
--- a/internal/quarantine/detector.go
+++ b/internal/quarantine/detector.go
@@ -19,8 +19,8 @@
 	// reprobeDelay is how long after a successful connection the endpoint is probed once more: a
 	// process that is exiting may still have accepted the first one.
 	reprobeDelay = 25 * time.Millisecond
-	// probeTTL is how long a result is used for other requests that broke at the same endpoint: its
-	// connections all break within milliseconds.
+	// probeTTL is how long the proof of a crash is used for other requests that broke at the same
+	// endpoint.
 	probeTTL = time.Second
 )
 
@@ -72,7 +72,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := clock.Now()
-	if recent, ok := d.probes[id]; ok && now.Sub(recent.at) < probeTTL {
+	if recent, ok := d.probes[id]; ok && recent.holds(now) {
 		return recent, false
 	}
 	for staleID, stale := range d.probes {
@@ -85,6 +85,17 @@
 	return result, true
 }
 
+// holds reports whether the result counts for a connection that breaks now. One that is not known yet
+// does, since the probe looks a second time; an endpoint that was still alive may have crashed since.
+func (p *probeResult) holds(now clock.Instant) bool {
+	select {
+	case <-p.done:
+		return p.crashed && now.Sub(p.at) < probeTTL
+	default:
+		return true
+	}
+}
+
 // refusesConnections reports whether nothing listens at an address.
 func (d *CrashDetector) refusesConnections(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
--- a/internal/quarantine/unconfirmed.go
+++ b/internal/quarantine/unconfirmed.go
@@ -38,6 +38,12 @@
 	return c
 }
 
+// EndpointCrashed finds out whether an endpoint has crashed whose connection has ended where a response
+// may end too. It waits briefly for the detector's result.
+func (t *Tracker) EndpointCrashed(ctx context.Context, endpoint, address string) bool {
+	return t.detector.Crashed(ctx, endpoint, address)
+}
+
 // ConnectionBroke finds out whether the endpoint has crashed and, if so, records the crash. It waits
 // briefly for the detector's result, and returns false also if that is not known yet. A host whose
 // links are in doubt can't prove a crash; then another host's proof counts.
