Quarantine: parts that were answered before are the last to be suspected; one look at an endpoint counts only if it began after the break

All endpoints had crashed under several parts within a second, nothing was left that could answer on it, and it was at more crashes than any of the others; refused, it could not be answered any more.

A request that all crashes of a part have in common is told from it only at five crashes.

Soak: such parts (-parts), one response in eight without a stated end; a brittle endpoint still crashes under such a part (it answered: two wrong clearings were the soak's own).

--- a/internal/cli/soak.go
+++ b/internal/cli/soak.go
@@ -28,7 +28,7 @@
 
 // Usage implements subcommands.Command.
 func (*soakCommand) Usage() string {
-	return `soak -daemon PROGRAM [-seed N] [-seeds COUNT] [-for TIME] [-hosts COUNT] [-crashers COUNT] [-limits COUNT] [-notices COUNT] [-brittle COUNT] [-logs FOLDER]
+	return `soak -daemon PROGRAM [-seed N] [-seeds COUNT] [-for TIME] [-hosts COUNT] [-crashers COUNT] [-parts COUNT] [-limits COUNT] [-notices COUNT] [-brittle COUNT] [-logs FOLDER]
   Runs daemons as separate processes on this machine, with stand-ins for the store and
   endpoints, injects faults at random from the seed and checks the router's promises from
   what callers and endpoints see. Exits with 1 if one is broken.
@@ -39,6 +39,7 @@
 const (
 	soakHosts    = 6
 	soakCrashers = 3
+	soakParts    = 2
 	soakLimits   = 6
 	soakNotices  = 6
 	soakBrittle  = 2
@@ -52,6 +53,7 @@
 	f.DurationVar(&c.options.Length, "for", soakLength, "how long faults are injected, for each seed")
 	f.IntVar(&c.options.Hosts, "hosts", soakHosts, "how many hosts")
 	f.IntVar(&c.options.Crashers, "crashers", soakCrashers, "how many requests come again and again under which endpoints crash")
+	f.IntVar(&c.options.Parts, "parts", soakParts, "how many parts of prompts there are under which endpoints crash")
 	f.IntVar(&c.options.Limits, "limits", soakLimits, "how many times endpoints name limits of what they take")
 	f.IntVar(&c.options.Notices, "notices", soakNotices, "how many times endpoints leave, or turn requests away, by their answers alone")
 	f.IntVar(&c.options.Brittle, "brittle", soakBrittle, "how many times the endpoints of a service are brittle")
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -250,7 +250,7 @@
 	}
 	hold.Head(fleet.Load{})
 	s.sentAt, s.responseStarted = sent, clock.Now()
-	s.ongoing = d.options.Quarantine.BeginResponse(s.hold.Endpoint.ID, request.Identity)
+	s.ongoing = d.options.Quarantine.BeginResponse(s.hold.Endpoint.ID, request.Identity, nil)
 	return s, nil
 }
 
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -75,12 +75,18 @@
 
 // computeIdentity computes all by which the request is known when it, or its parts, come again.
 func (x *exchange) computeIdentity() quarantine.Request {
+	return quarantine.Request{Fingerprint: x.fingerprint(), Workspace: x.workspace, Parts: x.sharedParts()}
+}
+
+// computeParts computes by what the parts of the prompt are known that other requests may have too.
+func (x *exchange) computeParts() []quarantine.Part {
 	shared := x.header.SharedParts()
-	r := quarantine.Request{Fingerprint: x.fingerprint(), Workspace: x.workspace, Parts: make([]quarantine.Part, len(shared))}
+	shared = shared[:min(len(shared), quarantine.MaxRequestParts)]
+	parts := make([]quarantine.Part, len(shared))
 	for i, p := range shared {
-		r.Parts[i] = quarantine.NewPart(x.service, p.ID)
+		parts[i] = quarantine.NewPart(x.service, p.ID)
 	}
-	return r.WithPartLimit()
+	return parts
 }
 
 // quarantineStatus returns what is known of the request from earlier times that it came.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -167,7 +167,8 @@
 	fingerprint func() quarantine.Fingerprint
 	// identity has all by which the request is known when endpoints crash under it or under parts of its
 	// prompt. It is computed when it is first needed.
-	identity func() quarantine.Request
+	identity    func() quarantine.Request
+	sharedParts func() []quarantine.Part // the parts of identity
 }
 
 // ServeHTTP implements http.Handler.
@@ -176,6 +177,7 @@
 	defer g.inFlight.Add(-1)
 	x := &exchange{g: g, w: w, r: r, ctx: r.Context(), start: clock.Now(), table: g.Holder.Table(), urgency: noUrgency}
 	x.fingerprint, x.identity = sync.OnceValue(x.computeFingerprint), sync.OnceValue(x.computeIdentity)
+	x.sharedParts = sync.OnceValue(x.computeParts)
 	defer x.logRequest()
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -203,7 +203,7 @@
 	a.hold.Head(a.header.Load)
 	a.reportHead()
 	x.countUsage()
-	a.headerAt, a.ongoingRun = clock.Now(), x.g.Quarantine.BeginResponse(hold.Endpoint.ID, x.identity)
+	a.headerAt, a.ongoingRun = clock.Now(), x.g.Quarantine.BeginResponse(hold.Endpoint.ID, x.identity, x.sharedParts)
 	x.lastHeaderDelay, x.expected = clock.Since(a.sentAt), hold.Expected
 	return a, nil
 }
--- a/internal/pipeline/quarantine.go
+++ b/internal/pipeline/quarantine.go
@@ -21,11 +21,12 @@
 // messages that it shares with others: all but its last.
 func (a parsedRequest) computeKnownAs() quarantine.Request {
 	r := quarantine.Request{Fingerprint: a.identity().Fingerprint(), Workspace: a.workspace.Name}
-	for _, m := range a.chat.Messages[:max(len(a.chat.Messages)-1, 0)] {
+	shared := a.chat.Messages[:min(max(len(a.chat.Messages)-1, 0), quarantine.MaxRequestParts)]
+	for _, m := range shared {
 		sum := sha256.Sum256(append([]byte(m.Role+"\x00"), m.Content...))
 		r.Parts = append(r.Parts, quarantine.NewPart(endpoint.EngineService, "message "+hex.EncodeToString(sum[:16])))
 	}
-	return r.WithPartLimit()
+	return r
 }
 
 // target returns what the request is sent to: "chat", or the service and call.
--- a/internal/quarantine/attribution.go
+++ b/internal/quarantine/attribution.go
@@ -70,7 +70,9 @@
 	// CountEndpoints returns the number of endpoints of a service.
 	// Cleared has the time at which an answer on each part of prompts last showed that its endpoint
 	// does not crash.
-	Cleared        map[Fingerprint]time.Duration
+	Cleared map[Fingerprint]time.Duration
+	// Answered reports whether answers on a part ended whole in the minutes before.
+	Answered       func(part Fingerprint) bool
 	CountEndpoints func(service string) int
 	Quarantined    map[Fingerprint]Attribution // the previous attributions
 	Parts          PartVerdict                 // crashes that it explains count against no request
@@ -205,7 +207,7 @@
 		return cmp.Or(cmp.Compare(b.moments, a.moments), cmp.Compare(a.Chance, b.Chance), slices.Compare(a.request[:], b.request[:]))
 	})
 	for i, s := range found {
-		if s.moments >= certainMoments || !slices.ContainsFunc(found[i+1:], s.sameCrashes) {
+		if s.moments >= certainMoments || (!slices.ContainsFunc(found[i+1:], s.sameCrashes) && !e.partAtAll(s, unexplained)) {
 			return s, true
 		}
 	}
--- a/internal/quarantine/detector.go
+++ b/internal/quarantine/detector.go
@@ -53,17 +53,23 @@
 // Crashed reports whether the endpoint that was at an address has crashed, that is whether nothing
 // listens there any more. The id names the endpoint instance.
 func (d *CrashDetector) Crashed(ctx context.Context, id, address string) bool {
-	result, first := d.probeFor(id)
-	if first {
-		// Others wait for the result too, so the probe continues if the first caller leaves.
-		result.crashed = d.refusesConnections(context.WithoutCancel(ctx), address)
-		close(result.done)
-	}
-	select {
-	case <-result.done:
-		return result.crashed
-	case <-ctx.Done():
-		return false
+	broke := clock.Now()
+	for {
+		result, first := d.probeFor(id)
+		if first {
+			// Others wait for the result too, so the probe continues if the first caller leaves.
+			result.crashed = d.refusesConnections(context.WithoutCancel(ctx), address)
+			close(result.done)
+		}
+		select {
+		case <-result.done:
+		case <-ctx.Done():
+			return false
+		}
+		// A probe that began before the connection broke may have looked for the last time before, too.
+		if result.crashed || first || result.at.Sub(broke) >= 0 {
+			return result.crashed
+		}
 	}
 }
 
@@ -85,8 +91,8 @@
 	return result, true
 }
 
-// holds reports whether the result counts for a connection that breaks now. One that is not known yet
-// does, since the probe looks a second time; an endpoint that was still alive may have crashed since.
+// holds reports whether the result may count for a connection that breaks now. An endpoint that was
+// found alive may have crashed since.
 func (p *probeResult) holds(now clock.Instant) bool {
 	select {
 	case <-p.done:
--- a/internal/quarantine/ongoing.go
+++ b/internal/quarantine/ongoing.go
@@ -15,6 +15,7 @@
 type OngoingResponse struct {
 	tracker     *Tracker
 	request     func() Request
+	parts       func() []Part
 	endpoint    string // the endpoint instance
 	began       clock.Instant
 	receivedFor atomic.Int64 // ns from began until the latest data arrived
@@ -37,9 +38,10 @@
 }
 
 // BeginResponse notes that a response to a request has begun at an endpoint instance; the caller must
-// call EndResponse once it has ended.
-func (t *Tracker) BeginResponse(endpoint string, request func() Request) *OngoingResponse {
-	o := &OngoingResponse{tracker: t, request: request, endpoint: endpoint, began: clock.Now()}
+// call EndResponse once it has ended. The parts are those of the request, which costs more to compute;
+// nil for a request without.
+func (t *Tracker) BeginResponse(endpoint string, request func() Request, parts func() []Part) *OngoingResponse {
+	o := &OngoingResponse{tracker: t, request: request, parts: parts, endpoint: endpoint, began: clock.Now()}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.ongoing[o] = struct{}{}
@@ -48,6 +50,9 @@
 
 // EndResponse notes that a response has ended, and whether it did so whole and successfully.
 func (t *Tracker) EndResponse(o *OngoingResponse, whole bool) {
+	if whole && o.parts != nil {
+		t.answered.note(o.parts(), t.clock.Now())
+	}
 	var answered Request
 	if whole && t.HasEvidence() {
 		answered = o.request()
--- a/internal/quarantine/part.go
+++ b/internal/quarantine/part.go
@@ -30,14 +30,8 @@
 	Parts       []Part // of its prompt, but for the last, which is its own
 }
 
-// maxRequestParts is the number of parts by which one request is known.
-const maxRequestParts = 32
-
-// WithPartLimit returns the request with its first maxRequestParts parts.
-func (r Request) WithPartLimit() Request {
-	r.Parts = r.Parts[:min(len(r.Parts), maxRequestParts)]
-	return r
-}
+// MaxRequestParts is the number of parts by which one request is known, the first ones.
+const MaxRequestParts = 32
 
 // tag returns a short name of the request, by which requests with the same part are counted.
 func (r Request) tag() uint32 { return binary.BigEndian.Uint32(r.Fingerprint[:]) }
--- a/internal/quarantine/partattribution.go
+++ b/internal/quarantine/partattribution.go
@@ -11,6 +11,12 @@
 	// minPartCrashes is the number of crashes at which a part is refused; the user requirements allow
 	// five.
 	minPartCrashes = 5
+	// minAnsweredMoments is the number of moments, answeredMoment apart at least, at which endpoints have
+	// to crash under a part on which answers ended whole in the minutes before: several parts under which
+	// endpoints crash may come with it, and leave no endpoint that answers. From minPartCrashes on,
+	// requests with it go by turns, one a second.
+	minAnsweredMoments = 5
+	answeredMoment     = 500 * time.Millisecond
 	// minPartRequests is the number of different requests with the part among them: a request that
 	// hosts and its caller repeat is at several crashes by itself.
 	minPartRequests = 3
@@ -101,13 +107,17 @@
 // partAssessment is the evidence against a part since the last answer on it.
 type partAssessment struct {
 	part      Part
+	answered  bool // answers on it ended whole in the minutes before
 	workspace string
 	several   bool
 	crashed   []string // the instances that crashed, in order of time
 	first     time.Duration
 	last      time.Duration
 	moments   int
-	requests  map[uint32]int // crashes by request
+	// slowMoments are those that are answeredMoment apart, and lastSlow is the last of them.
+	slowMoments int
+	lastSlow    time.Duration
+	requests    map[uint32]int // crashes by request
 }
 
 // add adds a crash later than all before.
@@ -121,6 +131,10 @@
 	if len(a.crashed) == 0 || c.At-a.last >= sameMoment {
 		a.moments++
 	}
+	if len(a.crashed) == 0 || c.At-a.lastSlow >= answeredMoment {
+		a.slowMoments++
+		a.lastSlow = c.At
+	}
 	a.crashed, a.last = append(a.crashed, c.Endpoint), c.At
 	for _, tag := range run.Requests {
 		a.requests[tag]++
@@ -145,6 +159,9 @@
 
 // isGuilty reports whether the evidence suffices.
 func (a *partAssessment) isGuilty() bool {
+	if a.answered && a.slowMoments < minAnsweredMoments {
+		return false
+	}
 	return a.isSuspect() && a.moments >= minMoments && len(a.requests) >= minPartRequests
 }
 
@@ -169,7 +186,7 @@
 			}
 			a := assessments[key]
 			if a == nil {
-				a = &partAssessment{part: Part{Key: key, Label: run.Label}}
+				a = &partAssessment{part: Part{Key: key, Label: run.Label}, answered: e.answered(key)}
 				assessments[key] = a
 			}
 			a.add(c, run)
@@ -178,6 +195,9 @@
 	return assessments
 }
 
+// answered reports whether answers on a part ended whole in the minutes before.
+func (e Evidence) answered(key Fingerprint) bool { return e.Answered != nil && e.Answered(key) }
+
 // AttributeParts finds the parts under which endpoints crash, those at most crashes first; the crashes
 // that they explain no longer count against any other part.
 func AttributeParts(e Evidence) PartVerdict {
@@ -201,8 +221,9 @@
 	}
 }
 
-// strongestPart returns the guilty part with most crashes, or nil if there is none. One request that ran
-// at all of its crashes but one, with the part or without it, is the more likely cause.
+// strongestPart returns the guilty part with the strongest evidence, or nil if there is none. One
+// request that ran at all of its crashes but one, with the part or without it, is the more likely cause,
+// but for a part that came in another request each time and was not answered before.
 func (e Evidence) strongestPart(assessments map[Fingerprint]*partAssessment, crashes []Crash) *partAssessment {
 	var strongest *partAssessment
 	for _, a := range assessments {
@@ -215,6 +236,9 @@
 
 // requestAtAll reports whether one request ran at all crashes of a part but one.
 func (e Evidence) requestAtAll(a *partAssessment, crashes []Crash) bool {
+	if !a.answered && len(a.requests) >= minPartCrashes {
+		return false
+	}
 	counts := map[Fingerprint]int{}
 	for _, c := range crashes {
 		if !slices.Contains(a.crashed, c.Endpoint) {
@@ -232,18 +256,38 @@
 	return false
 }
 
-// compare puts the part with more evidence against it first.
+// partAtAll reports whether a part that was not answered before was at all crashes of a request, in
+// other requests: then that may be the cause.
+func (e Evidence) partAtAll(s assessment, crashes []Crash) bool {
+	tag := Request{Fingerprint: s.request}.tag()
+	for key, a := range e.assessParts(crashes) {
+		others := len(a.requests)
+		if _, own := a.requests[tag]; own {
+			others--
+		}
+		if others >= 2 && !e.answered(key) && !slices.ContainsFunc(s.crashed, func(endpoint string) bool { return !slices.Contains(a.crashed, endpoint) }) {
+			return true
+		}
+	}
+	return false
+}
+
+// compare puts the part with more evidence against it first, and those that were answered before last.
 func (a *partAssessment) compare(o *partAssessment) int {
-	return cmp.Or(cmp.Compare(len(o.crashed), len(a.crashed)), cmp.Compare(o.moments, a.moments), slices.Compare(a.part.Key[:], o.part.Key[:]))
+	return cmp.Or(compareBool(a.answered, o.answered), cmp.Compare(len(o.crashed), len(a.crashed)), cmp.Compare(o.moments, a.moments), slices.Compare(a.part.Key[:], o.part.Key[:]))
 }
 
-// group returns the part with those that can't be told from it.
+// group returns the part with those that can't be told from it. Those that were answered before can, if
+// it was not, and those that came in one request only.
 func (a *partAssessment) group(assessments map[Fingerprint]*partAssessment) PartGroup {
 	g := PartGroup{
 		Attribution: Attribution{Crashes: len(a.crashed), First: a.first, Last: a.last}, Parts: []Part{a.part}, Workspace: a.workspace, Several: a.several,
 	}
 	for _, key := range sortedFingerprints(assessments) {
 		o := assessments[key]
+		if (o.answered && !a.answered) || o.explainedByOneRequest() {
+			continue
+		}
 		if o != a && a.lacks(o) <= maxPartDifference && o.lacks(a) <= maxPartDifference {
 			g.Parts = append(g.Parts, o.part)
 		}
--- a/internal/quarantine/partclearing.go
+++ b/internal/quarantine/partclearing.go
@@ -24,7 +24,8 @@
 	minToldCrashes = 3
 	// minStoredCrashes is the number of crashes from which on a part is stored.
 	minStoredCrashes = 2
-	// maxCleared bounds the clearings that a host keeps, the latest ones.
+	// maxCleared bounds the clearings that a host keeps, and the parts that were answered before, the
+	// latest ones.
 	maxCleared = 256
 )
 
@@ -75,6 +76,22 @@
 	t.publish()
 }
 
+// tellAnswered tells other hosts of parts at crashes that they were answered here before, unless one of
+// them has told so; the caller holds mu.
+func (t *Tracker) tellAnswered() {
+	v, now := t.view(), t.clock.Now()
+	told := false
+	for key, crashes := range v.partCounts {
+		if _, known := v.answered[key]; !known && crashes >= minToldCrashes && t.answered.has(key, now) {
+			t.ownRow().answered[key] = now
+			told = true
+		}
+	}
+	if told {
+		t.publish()
+	}
+}
+
 // tellIfWanted tells other hosts that a part was answered here if it is at so many crashes elsewhere
 // that it matters; the caller holds mu.
 func (t *Tracker) tellIfWanted() {
@@ -216,11 +233,13 @@
 
 // trimCleared drops clearings beyond the limit, and those that are too old to count.
 func (r record) trimCleared(oldest time.Duration) {
-	maps.DeleteFunc(r.cleared, func(_ Fingerprint, at time.Duration) bool { return at < oldest })
-	latest := slices.SortedFunc(maps.Keys(r.cleared), func(a, b Fingerprint) int {
-		return cmp.Or(cmp.Compare(r.cleared[b], r.cleared[a]), slices.Compare(a[:], b[:]))
-	})
-	for _, key := range latest[min(len(latest), maxCleared):] {
-		delete(r.cleared, key)
+	for _, times := range []map[Fingerprint]time.Duration{r.cleared, r.answered} {
+		maps.DeleteFunc(times, func(_ Fingerprint, at time.Duration) bool { return at < oldest })
+		latest := slices.SortedFunc(maps.Keys(times), func(a, b Fingerprint) int {
+			return cmp.Or(cmp.Compare(times[b], times[a]), slices.Compare(a[:], b[:]))
+		})
+		for _, key := range latest[min(len(latest), maxCleared):] {
+			delete(times, key)
+		}
 	}
 }
--- a/internal/quarantine/partquarantine.go
+++ b/internal/quarantine/partquarantine.go
@@ -17,7 +17,6 @@
 
 // refreshParts brings the quarantine of parts up to date; the caller holds mu.
 func (t *Tracker) refreshParts(v *mergedView, e Evidence) {
-	t.tellIfWanted()
 	previous := t.parts
 	t.parts = AttributePartsPartial(e, previous)
 	v.unexplained = v.unexplainedBy(t.parts)
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -44,7 +44,7 @@
 
 // answer has a request answered at a host for longer than endpoints take to crash.
 func (h *testHosts) answer(host int, r quarantine.Request) {
-	o := h.trackers[host].BeginResponse("sound", func() quarantine.Request { return r })
+	o := h.trackers[host].BeginResponse("sound", func() quarantine.Request { return r }, func() []quarantine.Part { return r.Parts })
 	time.Sleep(30 * time.Millisecond)
 	h.trackers[host].EndResponse(o, true)
 	time.Sleep(crashSpacing)
@@ -217,7 +217,7 @@
 	It("clears nothing by bytes that a host reads late after it was frozen", func() {
 		withHosts(3, func(h *testHosts) {
 			dead := h.prompt("w", "dead")
-			o := h.trackers[0].BeginResponse("e", func() quarantine.Request { return dead })
+			o := h.trackers[0].BeginResponse("e", func() quarantine.Request { return dead }, nil)
 			o.DataArrived(clock.Now())
 			h.crashParts(5, "w", "dead")
 			o.DataArrived(clock.Now())
@@ -228,7 +228,7 @@
 
 	It("clears the part while it goes on arriving", func() {
 		withHosts(3, func(h *testHosts) {
-			o := h.trackers[0].BeginResponse("e", func() quarantine.Request { return h.prompt("w", "sound") })
+			o := h.trackers[0].BeginResponse("e", func() quarantine.Request { return h.prompt("w", "sound") }, nil)
 			for range 8 {
 				time.Sleep(100 * time.Millisecond)
 				o.DataArrived(clock.Now())
@@ -246,7 +246,7 @@
 		withHosts(3, func(h *testHosts) {
 			for i := range 6 {
 				dead := h.prompt("w", "dead")
-				o := h.trackers[0].BeginResponse(fmt.Sprint("e", i), func() quarantine.Request { return dead })
+				o := h.trackers[0].BeginResponse(fmt.Sprint("e", i), func() quarantine.Request { return dead }, nil)
 				time.Sleep(20 * time.Millisecond)
 				h.trackers[0].EndResponse(o, true)
 				time.Sleep(50 * time.Millisecond)
@@ -261,3 +261,38 @@
 		})
 	})
 })
+
+var _ = Describe("a part that was answered in the minutes before", func() {
+	It("is not refused for crashes under several other parts that all came with it", func() {
+		withHosts(3, func(h *testHosts) {
+			h.answer(1, h.prompt("w", "common"))
+			h.crashParts(1, "w", "other")
+			for i := range 12 {
+				h.crashUnder(i%3, h.prompt("w", "common", fmt.Sprint("dead", i%3)))
+				time.Sleep(50 * time.Millisecond)
+			}
+			time.Sleep(crashSpacing)
+			Expect(h.refused("w", "common")).To(Equal(noHost))
+		})
+	})
+
+	It("is not refused with another that was not, also by a host that has just started", func() {
+		withHosts(3, func(h *testHosts) {
+			h.answer(1, h.prompt("w", "common"))
+			h.kill(2)
+			h.start(2)
+			time.Sleep(crashSpacing)
+			h.crashParts(5, "w", "common", "dead")
+			Expect(h.refused("w", "dead")).To(Equal(everyHost))
+			Expect(h.refused("w", "common")).To(Equal(noHost))
+		})
+	})
+
+	It("is refused after more crashes, one after the other", func() {
+		withHosts(3, func(h *testHosts) {
+			h.answer(1, h.prompt("w", "turned"))
+			h.crashParts(5, "w", "turned")
+			Expect(h.refused("w", "turned")).To(Equal(everyHost))
+		})
+	})
+})
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -23,15 +23,16 @@
 	crashes   map[string]Crash // by endpoint instance
 	completed map[Fingerprint]time.Duration
 	cleared   map[Fingerprint]time.Duration // when parts of prompts were last seen to be answered
+	answered  map[Fingerprint]time.Duration // when it was noted that suspect parts had been answered before
 }
 
 func newRecord() record {
-	return record{crashes: map[string]Crash{}, completed: map[Fingerprint]time.Duration{}, cleared: map[Fingerprint]time.Duration{}}
+	return record{crashes: map[string]Crash{}, completed: map[Fingerprint]time.Duration{}, cleared: map[Fingerprint]time.Duration{}, answered: map[Fingerprint]time.Duration{}}
 }
 
 // isEmpty reports whether the host has seen nothing.
 func (r record) isEmpty() bool {
-	return len(r.crashes) == 0 && len(r.completed) == 0 && len(r.cleared) == 0
+	return len(r.crashes) == 0 && len(r.completed) == 0 && len(r.cleared) == 0 && len(r.answered) == 0
 }
 
 // add adds a crash, or more of one that is known.
@@ -68,6 +69,9 @@
 	for key, at := range o.cleared {
 		r.noteCleared(key, at)
 	}
+	for key, at := range o.answered {
+		r.answered[key] = max(r.answered[key], at)
+	}
 }
 
 // trim drops entries older than a time, and entries beyond the limits: the oldest crashes first,
@@ -171,6 +175,7 @@
 		Crashes  []crashJSON     `json:"crashes,omitempty"`
 		Finished []completedJSON `json:"finished,omitempty"`
 		Cleared  []completedJSON `json:"cleared,omitempty"`
+		Answered []completedJSON `json:"answered,omitempty"`
 	}
 	crashJSON struct {
 		Endpoint string     `json:"endpoint"`
@@ -228,6 +233,9 @@
 	for _, key := range sortedFingerprints(r.cleared) {
 		w.Cleared = append(w.Cleared, completedJSON{Request: key, AtMs: at(r.cleared[key])})
 	}
+	for _, key := range sortedFingerprints(r.answered) {
+		w.Answered = append(w.Answered, completedJSON{Request: key, AtMs: at(r.answered[key])})
+	}
 	return w
 }
 
@@ -258,6 +266,9 @@
 	for _, f := range w.Cleared {
 		r.noteCleared(f.Request, at(f.AtMs))
 	}
+	for _, f := range w.Answered {
+		r.answered[f.Request] = at(f.AtMs)
+	}
 	return r
 }
 
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -68,6 +68,8 @@
 	// untold has the parts that this host has cleared without telling others.
 	untold map[Fingerprint]struct{}
 	ended  []endedAnswer
+	// answered has its own lock.
+	answered *answeredParts
 	// storedParts are the parts of which the stored row has crashes.
 	storedParts map[Fingerprint]struct{}
 	// lastKnown has, by endpoint instance, each crash as it was last known, and since when;
@@ -90,8 +92,9 @@
 // mergedView is all evidence that a host has.
 type mergedView struct {
 	Evidence
-	crashCounts map[Fingerprint]int // number of crashes by the requests that ran at them
-	partCounts  map[Fingerprint]int // number of crashes by part, since it was cleared
+	crashCounts map[Fingerprint]int           // number of crashes by the requests that ran at them
+	partCounts  map[Fingerprint]int           // number of crashes by part, since it was cleared
+	answered    map[Fingerprint]time.Duration // suspect parts that some host had seen answered before
 	// unexplained are the crashes that no part in quarantine explains.
 	unexplained []Crash
 }
@@ -103,7 +106,7 @@
 	}
 	return &Tracker{
 		options: options, detector: NewCrashDetector(options.Probe), clock: clock.NewSteady(),
-		evidenceChanged: wake.NewSignal(), sendDue: wake.NewSignal(), endedDue: wake.NewSignal(), untold: map[Fingerprint]struct{}{}, persistDue: wake.NewSignal(), relayQueue: newRelayQueue(),
+		evidenceChanged: wake.NewSignal(), sendDue: wake.NewSignal(), endedDue: wake.NewSignal(), untold: map[Fingerprint]struct{}{}, answered: newAnsweredParts(), persistDue: wake.NewSignal(), relayQueue: newRelayQueue(),
 		rows: map[string]row{options.Host: {record: newRecord()}}, unconfirmed: map[string][]BrokenAttempt{}, ongoing: map[*OngoingResponse]struct{}{},
 		quarantined: map[Fingerprint]Attribution{}, lastKnown: map[string]Crash{}, nextSettles: never, loaded: options.FreshStart,
 	}
@@ -227,7 +230,7 @@
 	t.stampUpdates(crashes)
 	t.merged = &mergedView{
 		Evidence: Evidence{Crashes: crashes, Completed: all.completed, Cleared: all.cleared, CountEndpoints: t.options.CountEndpoints}, crashCounts: countCrashes(crashes, 1),
-		partCounts: countParts(crashes, all.cleared), unexplained: crashes,
+		partCounts: countParts(crashes, all.cleared), answered: all.answered, unexplained: crashes,
 	}
 	t.partsWanted.Store(t.merged.hasPartAt(minStoredCrashes))
 	return t.merged
@@ -279,9 +282,15 @@
 	t.clearOutlasting()
 	t.evidenceChanged.Clear()
 	previous := t.quarantined
+	t.tellIfWanted()
+	t.tellAnswered()
 	v := t.view()
 	e := v.Evidence
 	e.Quarantined, e.Now = previous, t.clock.Now()
+	e.Answered = func(part Fingerprint) bool {
+		_, told := v.answered[part]
+		return told || t.answered.has(part, e.Now)
+	}
 	t.refreshParts(v, e)
 	e.Parts = t.parts
 	t.quarantined, t.upToDate, t.nextSettles = AttributePartial(e), true, e.nextSettles()
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -108,7 +108,7 @@
 
 	It("clear a request whose response is still arriving elsewhere after longer than endpoints took to crash", func() {
 		withHosts(3, func(h *testHosts) {
-			ongoing := h.trackers[1].BeginResponse("", func() quarantine.Request { return quarantine.Request{Fingerprint: harmless} })
+			ongoing := h.trackers[1].BeginResponse("", func() quarantine.Request { return quarantine.Request{Fingerprint: harmless} }, nil)
 			time.Sleep(crashSpacing)
 			ongoing.DataArrived(clock.Now())
 			h.crashThrice(harmless)
@@ -124,7 +124,7 @@
 	// all along, and the host released, for all hosts, a request that crashes endpoints.
 	It("do not count a response as ongoing if no more of it has arrived", func() {
 		withHosts(3, func(h *testHosts) {
-			ongoing := h.trackers[1].BeginResponse("", func() quarantine.Request { return quarantine.Request{Fingerprint: crashing} })
+			ongoing := h.trackers[1].BeginResponse("", func() quarantine.Request { return quarantine.Request{Fingerprint: crashing} }, nil)
 			ongoing.DataArrived(clock.Now())
 			time.Sleep(crashSpacing)
 			h.crashThrice(crashing)
--- a/internal/soak/brittle.go
+++ b/internal/soak/brittle.go
@@ -76,7 +76,7 @@
 	w.mu.Lock()
 	b := w.brittleNow[service]
 	w.mu.Unlock()
-	if b == nil || strings.Contains(r.RequestURI, crashMark) {
+	if b == nil || strings.Contains(r.RequestURI, crashMark) || standin.HasPartLike(r.Header, crashMark) {
 		return nil, false
 	}
 	room := standin.Room{Slots: brittleSlots, Waiting: usualWaiting, Work: brittleWork, Survives: b.survives, Body: bodyOf(standin.RequestID(r))}
--- a/internal/soak/crashes.go
+++ b/internal/soak/crashes.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"slices"
 	"strings"
 	"sync"
@@ -17,8 +18,12 @@
 
 // Parameters of requests under which endpoints crash.
 const (
-	// crashMark is in their paths.
+	// crashMark is in their paths, or begins the parts of their prompts.
 	crashMark = "crash-"
+	// crashesOfRequest and crashesOfPart are how many endpoints may crash under a request, and under
+	// requests with one part, until hosts have to know.
+	crashesOfRequest = 3
+	crashesOfPart    = 5
 	// crashStream sets their numbers apart from those of a seed's other faults.
 	crashStream = 43
 	// comesFor is how long one comes again and again: long enough for hosts to know it.
@@ -27,7 +32,7 @@
 	comesEvery = 400 * time.Millisecond
 	// crashTime is how long it takes at most to crash an endpoint.
 	crashTime = 100 * time.Millisecond
-	// knownWithin the third crash hosts that nothing has happened to may send it on, and later
+	// knownWithin the last of these hosts that nothing has happened to may send it on, and later
 	// lateMost times all together, as the users tell.
 	knownWithin = 3 * time.Second
 	lateMost    = 3
@@ -37,17 +42,19 @@
 	lapseTime   = 3600 * time.Millisecond
 )
 
-// crasher is a request under which endpoints crash, with where and when it was sent.
+// crasher is a request under which endpoints crash, or all requests with a part under which they do,
+// with where and when it was sent.
 type crasher struct {
 	path string
+	part string // "" for a request; then its path is its own
 
 	mu    sync.Mutex // guards hosts
 	hosts map[string]*process
 }
 
 // crashScript is how an endpoint crashes under a request; false if it does not.
-func (w *world) crashScript(service, target string) (standin.Script, bool) {
-	if !strings.Contains(target, crashMark) {
+func (w *world) crashScript(service string, r *http.Request) (standin.Script, bool) {
+	if !strings.Contains(r.RequestURI, crashMark) && !standin.HasPartLike(r.Header, crashMark) {
 		return nil, false
 	}
 	return standin.Crash{After: time.Duration(w.crashDice.number(int(crashTime))), Head: service == "model" && w.crashDice.number(2) == 0}, true
@@ -98,20 +105,24 @@
 func (w *world) sendCrashers(ctx context.Context, o Options) {
 	var under sync.WaitGroup
 	defer under.Wait()
-	for range o.Crashers {
+	for i := range o.Crashers + o.Parts {
 		after := time.Duration(w.crashDice.number(int(o.Length)))
 		under.Go(func() {
 			if sleep(ctx, after) {
-				w.sendCrasher(ctx)
+				w.sendCrasher(ctx, i >= o.Crashers)
 			}
 		})
 	}
 }
 
-// sendCrasher sends such a request again and again, at any host and at several at once.
-func (w *world) sendCrasher(ctx context.Context) {
+// sendCrasher sends such a request again and again, or requests with such a part, at any host and at
+// several at once.
+func (w *world) sendCrasher(ctx context.Context, part bool) {
 	paths := []string{pathOnce, pathAgain, pathStream}
 	r := &crasher{path: fmt.Sprint(paths[w.crashDice.number(len(paths))], crashMark, serial.Add(1)), hosts: map[string]*process{}}
+	if part {
+		r.path, r.part = pathStream, fmt.Sprint(crashMark, serial.Add(1))
+	}
 	w.mu.Lock()
 	w.crashers = append(w.crashers, r)
 	w.mu.Unlock()
@@ -139,7 +150,11 @@
 	r.hosts[id] = p
 	r.mu.Unlock()
 	q := standin.NewRequest("POST", r.path, "body").WithID(id)
-	if strings.HasPrefix(r.path, pathStream) {
+	switch {
+	case r.part != "":
+		q.Path += id
+		q = q.WithParts(standin.CommonPart, r.part, id)
+	case strings.HasPrefix(r.path, pathStream):
 		q = q.WithPrompt()
 	}
 	_ = c.SetDeadline(time.Now().Add(callerPatient))
@@ -156,17 +171,34 @@
 	defer w.mu.Unlock()
 	var found []string
 	for _, r := range w.crashers {
-		if late, third := r.late(w.all); late > lateMost {
-			found = append(found, fmt.Sprintf("%s was sent %d times more by hosts that nothing had happened to, %s after the third endpoint had crashed under it at %s",
-				r.path, late, knownWithin, third.Format(time.StampMilli)))
+		if late, last := r.late(w.all); late > lateMost {
+			found = append(found, fmt.Sprintf("%s%s was sent %d times more by hosts that nothing had happened to, %s after endpoint %d had crashed under it at %s",
+				r.path, r.part, late, knownWithin, r.allowed(), last.Format(time.StampMilli)))
 		}
 	}
 	return found
 }
 
-// late counts sends after the third crash by hosts that had time to know of it.
-func (r *crasher) late(endpoints []*endpoint) (late int, third time.Time) {
-	return lateOf(r.arrivals(endpoints))
+// late counts sends after the last crash that is allowed by hosts that had time to know of it.
+func (r *crasher) late(endpoints []*endpoint) (late int, last time.Time) {
+	sends, crashes := r.arrivals(endpoints)
+	return lateOf(sends, crashes, r.allowed())
+}
+
+// allowed is how many endpoints may crash under it until hosts have to know.
+func (r *crasher) allowed() int {
+	if r.part != "" {
+		return crashesOfPart
+	}
+	return crashesOfRequest
+}
+
+// sent reports whether what an endpoint received is the request, or has the part.
+func (r *crasher) sent(s standin.ReceivedRequest) bool {
+	if r.part != "" {
+		return standin.HasPart(s.Head, r.part)
+	}
+	return s.Target == r.path
 }
 
 // arrivals lists the sends of the request, and when endpoints crashed under it.
@@ -176,7 +208,7 @@
 	for _, e := range endpoints {
 		under := false
 		for _, s := range e.Requests() {
-			if s.Target == r.path {
+			if r.sent(s) {
 				sends = append(sends, send{at: s.At, well: r.hosts[s.ID()].wasWell(s.At.Add(-knownWithin), s.At)})
 				under = under || !s.NotRun // one that it turned away is not what it crashed under
 			}
@@ -194,20 +226,20 @@
 	well bool
 }
 
-// lateOf counts the sends of a request by hosts that have had time to know that three endpoints
-// had crashed under it, and tells when the third one did.
-func lateOf(sends []send, crashes []time.Time) (late int, third time.Time) {
-	if len(crashes) < 3 {
+// lateOf counts the sends of a request by hosts that have had time to know that as many endpoints as
+// allowed had crashed under it, and tells when the last of these did.
+func lateOf(sends []send, crashes []time.Time, allowed int) (late int, last time.Time) {
+	if len(crashes) < allowed {
 		return 0, time.Time{}
 	}
 	slices.SortFunc(crashes, time.Time.Compare)
-	third = crashes[2]
+	last = crashes[allowed-1]
 	for _, s := range sends {
-		if s.well && s.at.After(third.Add(knownWithin)) {
+		if s.well && s.at.After(last.Add(knownWithin)) {
 			late++
 		}
 	}
-	return late, third
+	return late, last
 }
 
 // trouble is a time in which something happened to a host.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -52,6 +52,8 @@
 	LogDir string // where hosts' logs are kept, made if it is not there; empty keeps those of a broken run
 	// Crashers is how many requests come, each again and again, under which endpoints crash.
 	Crashers int
+	// Parts is how many parts of prompts there are under which endpoints crash, in requests no two alike.
+	Parts int
 	// Limits is how many times endpoints name limits of what they take.
 	Limits int
 	// Notices is how many times endpoints leave, or turn requests away, by their answers alone.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -121,6 +121,7 @@
 	daemon, err := buildDaemon(t.TempDir())
 	Expect(err).NotTo(HaveOccurred())
 	keepsPromises(Options{Seed: 1, Length: 10 * time.Second, Hosts: 4, Crashers: 2, Daemon: daemon})
+	keepsPromises(Options{Seed: 6, Length: 10 * time.Second, Hosts: 4, Parts: 2, Daemon: daemon})
 }
 
 // keepsPromises plays a run and expects that no promise is broken, and that enough went on in it.
@@ -243,7 +244,7 @@
 			for _, s := range c.crashes {
 				crashes = append(crashes, secondsOn(s))
 			}
-			late, _ := lateOf(c.sends, crashes)
+			late, _ := lateOf(c.sends, crashes, crashesOfRequest)
 			Expect(late).To(Equal(c.late))
 		})
 	}
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"quaybarrow/platform/standin"
@@ -103,7 +104,7 @@
 func newWorld(o Options, dir string) (*world, error) {
 	w := &world{
 		store: standin.NewStore(), history: newHistory(), random: rand.New(rand.NewPCG(o.Seed, o.Seed)),
-		endpoints: map[string]*endpoint{}, crashing: o.Crashers > 0,
+		endpoints: map[string]*endpoint{}, crashing: o.Crashers+o.Parts > 0,
 		crashDice:   dice{random: rand.New(rand.NewPCG(o.Seed, crashStream))},
 		limitDice:   dice{random: rand.New(rand.NewPCG(o.Seed, limitStream))},
 		noticeDice:  dice{random: rand.New(rand.NewPCG(o.Seed, noticeStream))},
@@ -122,7 +123,7 @@
 	go func() { _ = w.server.Serve(l) }()
 	w.configure()
 	services := slices.Concat(slices.Repeat([]string{"plain"}, plainEndpoints), slices.Repeat([]string{"model"}, modelEndpoints))
-	if o.Crashers > 0 {
+	if o.Crashers+o.Parts > 0 {
 		services = append(services, slices.Repeat([]string{"plain", "model"}, spareEndpoints)...)
 	}
 	for _, service := range services {
@@ -182,32 +183,40 @@
 	return nil
 }
 
+// unsizedEvery is how many responses there are to one that states no length.
+const unsizedEvery = 8
+
+// isUnsized reports whether the response to a request has neither a length nor chunks.
+func isUnsized(r *http.Request) bool {
+	return xxhash.Sum64String(standin.RequestID(r))%unsizedEvery == 0
+}
+
 // script makes an endpoint's answers: most are good, some go wrong.
 func (w *world) script(service string) func(int, *http.Request) standin.Script {
 	seed := w.random.Uint64()
 	random := rand.New(rand.NewPCG(seed, seed))
 	return func(_ int, r *http.Request) standin.Script {
-		if s, ok := w.crashScript(service, r.RequestURI); ok {
+		if s, ok := w.crashScript(service, r); ok {
 			return s
 		}
 		dice := random.Float64()
 		if service == "model" {
-			s := standin.Stream{Events: streamEvents, Confidence: random.IntN(100), Gap: 10 * time.Millisecond}
+			s := standin.Stream{Events: streamEvents, Confidence: random.IntN(100), Gap: 10 * time.Millisecond, Unsized: isUnsized(r)}
 			if dice < 0.05 {
 				s.BreakAfter = 1 + random.IntN(streamEvents-1)
 			}
 			return s
 		}
-		good := standin.Reply{Status: 200, Body: bodyOf(standin.RequestID(r)), Delay: time.Duration(random.IntN(40)) * time.Millisecond}
+		good := standin.Reply{Status: 200, Body: bodyOf(standin.RequestID(r)), Delay: time.Duration(random.IntN(40)) * time.Millisecond, Unsized: isUnsized(r)}
 		switch {
 		case dice < 0.02:
 			return standin.Reset{}
 		case dice < 0.04:
 			return standin.Reply{Status: 500, Body: "failed"}
 		case dice < 0.05:
-			good.Cut = 3
+			good.Cut, good.Unsized = 3, false
 		case dice < 0.06:
-			good.Extra = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad"
+			good.Unsized, good.Extra = false, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad"
 		case dice < 0.07:
 			good.Stray = true
 		case dice < 0.08:
