--- a/internal/cli/quarantine.go
+++ b/internal/cli/quarantine.go
@@ -26,14 +26,15 @@
 
 // Synopsis implements subcommands.Command.
 func (*quarantineCommand) Synopsis() string {
-	return "show requests under which endpoints crash, or let one out"
+	return "show requests and parts of prompts under which endpoints crash, or let one out"
 }
 
 // Usage implements subcommands.Command.
 func (*quarantineCommand) Usage() string {
 	return `quarantine [-release FINGERPRINT] CONTROL
-  Asks a host at its control address, ip:port, and prints the requests that it keeps from
-  endpoints, since they crash under them, and those that one crash more may bring there.
+  Asks a host at its control address, ip:port, and prints the requests, and the parts of
+  prompts, that it keeps from endpoints, since they crash under them, and those that one crash more may
+  bring there.
   With -release it lets one out, on all hosts.
 `
 }
