Quarantine: the stored row stays within what the store takes

By reckoning while reading the diff: 256 requests and 256 parts with long names are more than the 64 KB of a row, and a host would try to store it for ever. Spec with the longest names: 72,887 bytes before, within 65,536 now (160 parts, 12 bytes of a part's ID).

--- a/internal/quarantine/part.go
+++ b/internal/quarantine/part.go
@@ -8,7 +8,7 @@
 )
 
 // maxPartLabel is the number of bytes of a part's ID that operators see.
-const maxPartLabel = 24
+const maxPartLabel = 12
 
 // Part identifies a part of a prompt that other requests may have too.
 type Part struct {
--- a/internal/quarantine/persistence_test.go
+++ b/internal/quarantine/persistence_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -209,3 +210,28 @@
 		})
 	})
 })
+
+// maxRowBytes is what the users' store takes of a row.
+const maxRowBytes = 65536
+
+var _ = Describe("the stored row of a host", func() {
+	It("stays within what the store takes, whatever callers send", func() {
+		withHosts(2, func(h *testHosts) {
+			id := strings.Repeat("<", 40)
+			for i := range 40 {
+				var requests []quarantine.Request
+				for n := range 20 {
+					requests = append(requests, h.prompt("a workspace of some length", fmt.Sprint(n, id), fmt.Sprint("x", n, id)))
+				}
+				h.crashUnder(0, requests...)
+				if i%10 == 9 {
+					time.Sleep(3 * time.Second)
+				}
+			}
+			stored := h.store.Value(quarantine.Table, "host-0")
+			Expect(stored).NotTo(BeNil())
+			Expect(len(stored)).To(BeNumerically("<=", maxRowBytes))
+			Expect(h.log.contents()).NotTo(ContainSubstring("can't be stored"))
+		})
+	})
+})
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -9,13 +9,13 @@
 	"quaybarrow/internal/codec"
 )
 
-// Limits on what a host sends. A row is about 20 KB at most, which also bounds what callers can make
-// a host store.
+// Limits on what a host sends. The stored part of a row stays under 64 KB, which also bounds what
+// callers can make a host store.
 const (
 	maxCrashes   = 64
 	maxRuns      = 256 // of all crashes together
 	maxCompleted = 128
-	maxParts     = 256 // of all crashes together
+	maxParts     = 160 // of all crashes together
 )
 
 // record is what a host has seen, with times on its own steady clock.
