--- a/internal/gatewayd/crashparts_test.go
+++ b/internal/gatewayd/crashparts_test.go
@@ -27,8 +27,8 @@
 	partServedAfter   = 2 * partKnownWithin
 	minPartsServed    = 0.5
 	partScenarioLasts = 24 * time.Second
-	// partHallOut is how long hosts that are cut off, or stopped, are away.
-	partHallOut = 4 * time.Second
+	// partHostsAway is how long hosts that are cut off, or stopped, are away.
+	partHostsAway = 4 * time.Second
 )
 
 // partScenario describes a run in which requests with one part in their prompts, no two alike, crash
@@ -226,7 +226,7 @@
 		}
 	}
 	set(memnet.LinkSilent)
-	sleepFor(ctx, partHallOut)
+	sleepFor(ctx, partHostsAway)
 	set(memnet.LinkUp)
 }
 
@@ -239,7 +239,7 @@
 	for _, h := range half {
 		h.kill()
 	}
-	time.Sleep(partHallOut)
+	time.Sleep(partHostsAway)
 	for _, h := range half {
 		h.start()
 	}
