Fleet: a late request that nothing takes any more at the second look ended its host

Callers of that host lost what ran through it.

Cause: a request that isn't likely to be in time is placed a second time, behind all others; the second choice may find nothing, since an upgrade allows versions by chance and time goes on, and was taken to find what the first did. Now it is answered as a request that nothing takes.

--- a/internal/fleet/await_test.go
+++ b/internal/fleet/await_test.go
@@ -97,6 +97,21 @@
 		})
 	})
 
+	// A host ended by itself while it advised another.
+	It("are no endpoint for a late request if nothing takes it any more as it goes behind others", func() {
+		suite.Paused(func() {
+			f := fleet.New(fleet.Options{Hall: "ikeja"})
+			f.Put(fleet.Endpoint{ID: "only", Service: "s", Hall: "ikeja", Version: "v2", Slots: 8})
+			for looks := range 20 {
+				req := shortPrompt(2)
+				req.Slack, req.Remaining = time.Nanosecond, 3*time.Second
+				seen := 0
+				req.Allowed = func(string) bool { seen++; return seen <= looks }
+				Expect(func() { f.Advise(req) }).NotTo(Panic(), "allowed at the first %d looks", looks)
+			}
+		})
+	})
+
 	It("are recognized by requests that other hosts were advised to send there", func() {
 		suite.Paused(func() {
 			f := newFleet()
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -93,6 +93,10 @@
 	p.decision = admission.Behind{}
 	p.req.Urgency = UrgencyLeast
 	p.choice = f.choose(p.req)
+	if p.member == nil {
+		// An upgrade allows versions by chance, and time has gone on, so the second look may find none.
+		return f.orPaused(placement{choice: p.choice, req: req, urgency: p.urgency, decision: admission.Send{}})
+	}
 	p.expected = f.expect(p.choice, p.req)
 	if !req.MayHaveStarted {
 		p.decision = f.decideLate(p, o)
