--- a/internal/gatewayd/crashparts_test.go
+++ b/internal/gatewayd/crashparts_test.go
@@ -1,10 +1,8 @@
 package gatewayd_test
 
 import (
-	"bufio"
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"slices"
 	"strings"
@@ -190,20 +188,8 @@
 
 // sendPrompt sends a request with a prompt and returns the status, or 0 if no complete response arrived.
 func (r *partRig) sendPrompt(ctx context.Context, host int, parts []string) int {
-	c, err := r.net.Dial(ctx, "tcp", r.hosts[host].address(80))
-	if err != nil {
-		return 0
-	}
-	defer func() { _ = c.Close() }()
-	r.mu.Lock()
-	r.lastID++
-	id := fmt.Sprint("p", r.lastID)
-	r.mu.Unlock()
-	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
-	defer stop()
-	q := standin.NewRequest(http.MethodPost, "/stream/x", "prompt "+parts[len(parts)-1]).WithID(id).WithParts(parts...)
-	go func() { _, _ = io.WriteString(c, q.Text()) }()
-	a := standin.ReadResponse(bufio.NewReader(c))
+	id := r.nextID()
+	a := r.exchange(ctx, host, standin.NewRequest(http.MethodPost, "/stream/x", "prompt "+parts[len(parts)-1]).WithID(id).WithParts(parts...))
 	if a.Err != nil {
 		return 0
 	}
--- a/internal/gatewayd/crashrig_test.go
+++ b/internal/gatewayd/crashrig_test.go
@@ -330,26 +330,36 @@
 
 // send sends a request to a host and returns the status, or 0 if no complete response arrived.
 func (r *crashRig) send(ctx context.Context, host int, path, body string) int {
-	c, err := r.net.Dial(ctx, "tcp", r.hosts[host].address(80))
-	if err != nil {
+	q := standin.NewRequest(http.MethodPost, path, body).WithID(r.nextID()).With("X-Body: " + body)
+	if path == "/stream/x" {
+		q = q.WithPrompt()
+	}
+	a := r.exchange(ctx, host, q)
+	if a.Err != nil {
 		return 0
 	}
-	defer func() { _ = c.Close() }()
+	return a.Status
+}
+
+// nextID returns the ID of a new request.
+func (r *crashRig) nextID() string {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.lastID++
-	q := standin.NewRequest(http.MethodPost, path, body).WithID(fmt.Sprint("r", r.lastID)).With("X-Body: " + body)
-	r.mu.Unlock()
-	if path == "/stream/x" {
-		q = q.WithPrompt()
+	return fmt.Sprint("r", r.lastID)
+}
+
+// exchange sends a request to a host on a new connection and returns the response.
+func (r *crashRig) exchange(ctx context.Context, host int, q standin.Request) standin.Response {
+	c, err := r.net.Dial(ctx, "tcp", r.hosts[host].address(80))
+	if err != nil {
+		return standin.Response{Err: err}
 	}
+	defer func() { _ = c.Close() }()
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	defer stop()
 	go func() { _, _ = io.WriteString(c, q.Text()) }()
-	a := standin.ReadResponse(bufio.NewReader(c))
-	if a.Err != nil {
-		return 0
-	}
-	return a.Status
+	return standin.ReadResponse(bufio.NewReader(c))
 }
 
 func (r *crashRig) record(began time.Time, path string, status int, secondHalf bool) {
--- a/internal/gatewayd/cuthosts_test.go
+++ b/internal/gatewayd/cuthosts_test.go
@@ -1,10 +1,8 @@
 package gatewayd_test
 
 import (
-	"bufio"
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -136,23 +134,12 @@
 func (r *crashRig) callHost(ctx context.Context, host int, path string) cutCall {
 	call := cutCall{host: host, path: path, began: time.Now()}
 	defer func() { call.took = time.Since(call.began) }()
-	r.mu.Lock()
-	r.lastID++
-	call.id = fmt.Sprint("r", r.lastID)
-	r.mu.Unlock()
-	c, err := r.net.Dial(ctx, "tcp", r.hosts[call.host].address(80))
-	if err != nil {
-		return call
-	}
-	defer func() { _ = c.Close() }()
+	call.id = r.nextID()
 	q := standin.NewRequest(http.MethodPost, path, "of "+call.id).WithID(call.id)
 	if path == "/stream/x" {
 		q = q.WithPrompt()
 	}
-	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
-	defer stop()
-	go func() { _, _ = io.WriteString(c, q.Text()) }()
-	if a := standin.ReadResponse(bufio.NewReader(c)); a.Err == nil {
+	if a := r.exchange(ctx, call.host, q); a.Err == nil {
 		call.status, call.retryAfter = a.Status, a.Head.Get("Retry-After")
 	}
 	call.took = time.Since(call.began)
--- a/internal/gatewayd/unframed_test.go
+++ b/internal/gatewayd/unframed_test.go
@@ -1,10 +1,8 @@
 package gatewayd_test
 
 import (
-	"bufio"
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -87,7 +85,11 @@
 		if caller%4 == 0 {
 			path = "/again/x"
 		}
-		a := r.exchange(ctx, path)
+		q := standin.NewRequest(http.MethodPost, path, fmt.Sprint("of caller ", caller)).WithID(r.nextID())
+		if path == "/stream/x" {
+			q = q.WithPrompt()
+		}
+		a := r.exchange(ctx, r.randomInt(len(r.hosts)), q)
 		if ctx.Err() != nil {
 			return
 		}
@@ -105,26 +107,6 @@
 	}
 }
 
-// exchange sends a request to a random host and returns the response.
-func (r *crashRig) exchange(ctx context.Context, path string) standin.Response {
-	r.mu.Lock()
-	r.lastID++
-	q := standin.NewRequest(http.MethodPost, path, fmt.Sprint("of ", r.lastID)).WithID(fmt.Sprint("u", r.lastID))
-	r.mu.Unlock()
-	if path == "/stream/x" {
-		q = q.WithPrompt()
-	}
-	c, err := r.net.Dial(ctx, "tcp", r.hosts[r.randomInt(len(r.hosts))].address(80))
-	if err != nil {
-		return standin.Response{Err: err}
-	}
-	defer func() { _ = c.Close() }()
-	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
-	defer stop()
-	go func() { _, _ = io.WriteString(c, q.Text()) }()
-	return standin.ReadResponse(bufio.NewReader(c))
-}
-
 // hasAllEvents reports whether a body has the events of a stream, each once and in order.
 func hasAllEvents(body string) bool {
 	events := strings.Split(strings.TrimSuffix(body, "\n\n"), "\n\n")
