--- a/internal/gatewayd/crashparts_test.go
+++ b/internal/gatewayd/crashparts_test.go
@@ -1,6 +1,7 @@
 package gatewayd_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net/http"
@@ -40,6 +41,9 @@
 	repeat        int           // how often the caller of a crashing request sends it again, under another ID
 	cutAt         time.Duration // when every second host is cut off from all others; 0 for never
 	startAt       time.Duration // when half of the hosts are killed, to start later; 0 for never
+	kinds         int           // different parts under which endpoints crash, each in requests of its own; one if 0
+	killEvery     time.Duration // time between kills of single hosts, in turn, which start again at once; 0 for none
+	lasts         time.Duration // partScenarioLasts if 0
 }
 
 var partScenarios = map[string]partScenario{
@@ -60,6 +64,15 @@
 	"all hosts are killed and restarted": {parts: []string{"first", crashPart}, soundFirst: 0.5, crashScenario: crashScenario{interval: 150 * time.Millisecond, killAt: 10 * time.Second}},
 	"while the store does not answer":    {parts: []string{"first", crashPart}, soundFirst: 0.5, crashScenario: crashScenario{interval: 150 * time.Millisecond, storeSilent: true}},
 	"half of the hosts start late":       {parts: []string{"first", crashPart}, soundFirst: 0.5, startAt: time.Second, crashScenario: crashScenario{interval: 150 * time.Millisecond}},
+	"three parts at once":                {parts: []string{"first", crashPart}, soundFirst: 0.5, kinds: 3, crashScenario: crashScenario{interval: 150 * time.Millisecond}},
+	"three parts at once, often":         {parts: []string{"first", crashPart}, soundFirst: 1, kinds: 3, crashScenario: crashScenario{interval: 40 * time.Millisecond}},
+	"a second after arrival":             {parts: []string{"first", crashPart}, soundFirst: 0.5, crashScenario: crashScenario{interval: 150 * time.Millisecond, crashAfter: time.Second}},
+	"a second after arrival, often":      {parts: []string{"first", crashPart}, soundFirst: 1, crashScenario: crashScenario{interval: 40 * time.Millisecond, crashAfter: time.Second}},
+	"once in four seconds":               {parts: []string{"first", crashPart}, soundFirst: 0.5, lasts: time.Minute, crashScenario: crashScenario{interval: 4 * time.Second}},
+	"once in four, beside random ones":   {parts: []string{"first", crashPart}, soundFirst: 0.5, lasts: time.Minute, crashScenario: crashScenario{interval: 4 * time.Second, randomCrashInterval: 700 * time.Millisecond}},
+	"hosts killed in turn":               {parts: []string{"first", crashPart}, soundFirst: 0.5, killEvery: time.Second, crashScenario: crashScenario{interval: 150 * time.Millisecond}},
+	"three parts, hosts killed in turn":  {parts: []string{"first", crashPart}, soundFirst: 0.5, kinds: 3, killEvery: time.Second, crashScenario: crashScenario{interval: 150 * time.Millisecond}},
+	"bursts, all hosts killed":           {parts: []string{"first", crashPart}, soundFirst: 0.5, burst: 8, crashScenario: crashScenario{interval: 700 * time.Millisecond, killAt: 10 * time.Second}},
 	"half of the hosts are cut off":      {parts: []string{"first", crashPart}, soundFirst: 0.5, cutAt: 10 * time.Second, crashScenario: crashScenario{interval: 150 * time.Millisecond}},
 }
 
@@ -67,18 +80,27 @@
 	for name, d := range partScenarios {
 		t.Run(name, func(t *testing.T) {
 			runPartScenario(t, d, func(r *partRig) {
-				sends, crashes := r.crashTimes()
-				Expect(len(crashes)).To(BeNumerically(">=", partCrashes))
-				slices.SortFunc(crashes, time.Time.Compare)
-				fifth := crashes[partCrashes-1]
-				late := 0
-				for _, at := range sends {
-					if at.After(fifth.Add(partKnownWithin)) {
-						late++
+				late, fifth, times := 0, time.Time{}, ""
+				for kind := range max(d.kinds, 1) {
+					part := crashPart
+					if d.kinds > 1 {
+						part += fmt.Sprint(kind)
 					}
+					sends, crashes := r.crashTimes(part)
+					Expect(len(crashes)).To(BeNumerically(">=", partCrashes))
+					slices.SortFunc(crashes, time.Time.Compare)
+					fifth = crashes[partCrashes-1]
+					lateHere := 0
+					for _, at := range sends {
+						if at.After(fifth.Add(partKnownWithin)) {
+							lateHere++
+						}
+					}
+					late = max(late, lateHere)
+					times += fmt.Sprintf("%d sends, %d endpoints crashed, %d sends late; ", len(sends), len(crashes), lateHere)
 				}
 				served := r.servedFrom(fifth.Add(partServedAfter))
-				t.Logf("%d sends, %d endpoints crashed, %d sends late, %.3f of the sound requests served, %d of them refused", len(sends), len(crashes), late, served, r.refused())
+				t.Logf("%s%.3f of the sound requests served, %d of them refused, %d for a part", times, served, r.refused(), r.refusedFor("part"))
 				Expect(late).To(BeNumerically("<=", maxLatePartSends), "sends later than %s after the fifth crash", partKnownWithin)
 				Expect(served).To(BeNumerically(">=", minPartsServed))
 			})
@@ -118,7 +140,7 @@
 		RegisterTestingT(t)
 		r := &partRig{crashRig: newCrashRig(d.crashScenario), scenario: d}
 		defer r.stop()
-		ctx, cancel := context.WithTimeout(context.Background(), partScenarioLasts)
+		ctx, cancel := context.WithTimeout(context.Background(), cmp.Or(d.lasts, partScenarioLasts))
 		defer cancel()
 		for range crashCallers {
 			r.calling.Go(func() { r.callSound(ctx) })
@@ -137,6 +159,9 @@
 		}
 		r.calling.Go(func() { r.cutHalf(ctx) })
 		r.calling.Go(func() { r.startLate(ctx) })
+		if d.killEvery > 0 {
+			r.calling.Go(func() { r.killInTurn(ctx) })
+		}
 		if d.storeSilent {
 			r.store.SetFault(standin.Silent)
 		}
@@ -176,6 +201,9 @@
 			running.Go(func() {
 				for range 1 + r.scenario.repeat {
 					parts := append(slices.Clone(r.scenario.parts), fmt.Sprint("last", serial))
+					if r.scenario.kinds > 1 {
+						parts[slices.Index(parts, crashPart)] += fmt.Sprint(serial % r.scenario.kinds)
+					}
 					if r.sendPrompt(ctx, r.randomInt(len(r.hosts)), parts) == http.StatusOK || ctx.Err() != nil {
 						return
 					}
@@ -193,7 +221,7 @@
 	if a.Err != nil {
 		return 0
 	}
-	if a.Status >= http.StatusBadRequest && !slices.Contains(parts, crashPart) {
+	if a.Status >= http.StatusBadRequest && !slices.ContainsFunc(parts, func(p string) bool { return strings.HasPrefix(p, crashPart) }) {
 		r.refusals.Store(id, a.Body)
 	}
 	return a.Status
@@ -231,14 +259,23 @@
 	}
 }
 
-// crashTimes returns the times at which requests with the part under which endpoints crash reached
+// killInTurn kills one host after the other, each of which starts again at once.
+func (r *partRig) killInTurn(ctx context.Context) {
+	for i := 0; sleepFor(ctx, r.scenario.killEvery); i++ {
+		h := r.hosts[i%len(r.hosts)]
+		h.kill()
+		h.start()
+	}
+}
+
+// crashTimes returns the times at which requests with a part under which endpoints crash reached
 // endpoints, and at which endpoints that had received one crashed.
-func (r *partRig) crashTimes() (sends, crashes []time.Time) {
+func (r *partRig) crashTimes(part string) (sends, crashes []time.Time) {
 	for _, m := range r.machines {
 		for _, e := range m.Starts() {
 			under := false
 			for _, s := range e.Requests() {
-				if standin.HasPart(s.Head, crashPart) && !s.Rejected {
+				if standin.HasPart(s.Head, part) && !s.Rejected {
 					sends = append(sends, s.At)
 					under = true
 				}
--- a/internal/gatewayd/crashrig_test.go
+++ b/internal/gatewayd/crashrig_test.go
@@ -83,6 +83,7 @@
 	interval            time.Duration // between its copies
 	copies              int           // sent at the same moment, to different hosts
 	afterHead           bool          // endpoints crash after sending the response head
+	crashAfter          time.Duration // from a crashing request's arrival to the crash; crashDelay if 0
 	randomCrashInterval time.Duration // one endpoint crashes at random per interval; 0 for none
 	identical           bool          // half of the other callers' requests are identical
 	killAt              time.Duration // when all hosts are killed; 0 for never
@@ -176,8 +177,8 @@
 			}
 		}
 		switch {
-		case r.Header.Get("X-Body") == crashBody, standin.HasPart(r.Header, crashPart):
-			return standin.Crash{After: crashDelay, Head: d.afterHead && service == "model"}
+		case r.Header.Get("X-Body") == crashBody, standin.HasPartLike(r.Header, crashPart):
+			return standin.Crash{After: cmp.Or(d.crashAfter, crashDelay), Head: d.afterHead && service == "model"}
 		case r.Header.Get("X-Body") == unansweredBody:
 			return standin.Reply{Status: http.StatusOK, Delay: time.Minute}
 		case service == "model":
