Quarantine: a part whose answers end whole right before their endpoints crash was not answered before

A part counts as answered now only if an answer on it ended half a second or more before its first crash. Spec: eight crashes within 1.2 s; not refused before, refused now.

--- a/internal/quarantine/attribution.go
+++ b/internal/quarantine/attribution.go
@@ -71,8 +71,9 @@
 	// Cleared has the time at which an answer on each part of prompts last showed that its endpoint
 	// does not crash.
 	Cleared map[Fingerprint]time.Duration
-	// Answered reports whether answers on a part ended whole in the minutes before.
-	Answered       func(part Fingerprint) bool
+	// Answered returns a time at which an answer on a part ended whole, an early one; false if none did
+	// lately.
+	Answered       func(part Fingerprint) (time.Duration, bool)
 	CountEndpoints func(service string) int
 	Quarantined    map[Fingerprint]Attribution // the previous attributions
 	Parts          PartVerdict                 // crashes that it explains count against no request
--- a/internal/quarantine/partattribution.go
+++ b/internal/quarantine/partattribution.go
@@ -196,7 +196,7 @@
 			}
 			a := assessments[key]
 			if a == nil {
-				a = &partAssessment{part: Part{Key: key, Label: run.Label}, answered: e.answered(key)}
+				a = &partAssessment{part: Part{Key: key, Label: run.Label}, answered: e.answered(key, c.At)}
 				assessments[key] = a
 			}
 			a.add(c, run)
@@ -205,8 +205,15 @@
 	return assessments
 }
 
-// answered reports whether answers on a part ended whole in the minutes before.
-func (e Evidence) answered(key Fingerprint) bool { return e.Answered != nil && e.Answered(key) }
+// answered reports whether answers on a part ended whole in the minutes before its first crash, and so
+// long before that the crash was not theirs.
+func (e Evidence) answered(key Fingerprint, firstCrash time.Duration) bool {
+	if e.Answered == nil {
+		return false
+	}
+	at, known := e.Answered(key)
+	return known && at <= firstCrash-livedAfter
+}
 
 // AttributeParts finds the parts under which endpoints crash, those at most crashes first; the crashes
 // that they explain no longer count against any other part.
--- a/internal/quarantine/partclearing.go
+++ b/internal/quarantine/partclearing.go
@@ -82,8 +82,11 @@
 	v, now := t.view(), t.clock.Now()
 	told := false
 	for key, crashes := range v.partCounts {
-		if _, known := v.answered[key]; !known && crashes >= minToldCrashes && t.answered.has(key, now) {
-			t.ownRow().answered[key] = now
+		if _, known := v.answered[key]; known || crashes < minToldCrashes {
+			continue
+		}
+		if at, answered := t.answered.early(key, now); answered {
+			t.ownRow().answered[key] = at
 			told = true
 		}
 	}
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -288,6 +288,24 @@
 		})
 	})
 
+	It("is not one whose answers ended whole right before their endpoints crashed", func() {
+		withHosts(3, func(h *testHosts) {
+			for i := range 8 {
+				dead := h.prompt("w", "dead")
+				o := h.trackers[0].BeginResponse(fmt.Sprint("e", i), func() quarantine.Request { return dead }, func() []quarantine.Part { return dead.Parts })
+				time.Sleep(20 * time.Millisecond)
+				h.trackers[0].EndResponse(o, true)
+				time.Sleep(50 * time.Millisecond)
+				h.trackers[0].ConnectionBroke(context.Background(), quarantine.BrokenAttempt{
+					Endpoint: fmt.Sprint("e", i), Address: fmt.Sprint("e", i), Service: "s", Request: h.prompt("w"), Run: quarantine.Run{Lasted: time.Second},
+				})
+				time.Sleep(80 * time.Millisecond)
+			}
+			time.Sleep(200 * time.Millisecond)
+			Expect(h.refused("w", "dead")).To(Equal(everyHost))
+		})
+	})
+
 	It("is refused after more crashes, one after the other", func() {
 		withHosts(3, func(h *testHosts) {
 			h.answer(1, h.prompt("w", "turned"))
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -23,7 +23,7 @@
 	crashes   map[string]Crash // by endpoint instance
 	completed map[Fingerprint]time.Duration
 	cleared   map[Fingerprint]time.Duration // when parts of prompts were last seen to be answered
-	answered  map[Fingerprint]time.Duration // when it was noted that suspect parts had been answered before
+	answered  map[Fingerprint]time.Duration // when parts at crashes had been answered before
 }
 
 func newRecord() record {
@@ -70,7 +70,14 @@
 		r.noteCleared(key, at)
 	}
 	for key, at := range o.answered {
-		r.answered[key] = max(r.answered[key], at)
+		r.noteAnswered(key, at)
+	}
+}
+
+// noteAnswered notes that an answer on a part ended whole at a time; the earliest counts.
+func (r record) noteAnswered(key Fingerprint, at time.Duration) {
+	if old, ok := r.answered[key]; !ok || at < old {
+		r.answered[key] = at
 	}
 }
 
@@ -267,7 +274,7 @@
 		r.noteCleared(f.Request, at(f.AtMs))
 	}
 	for _, f := range w.Answered {
-		r.answered[f.Request] = at(f.AtMs)
+		r.noteAnswered(f.Request, at(f.AtMs))
 	}
 	return r
 }
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -287,9 +287,13 @@
 	v := t.view()
 	e := v.Evidence
 	e.Quarantined, e.Now = previous, t.clock.Now()
-	e.Answered = func(part Fingerprint) bool {
-		_, told := v.answered[part]
-		return told || t.answered.has(part, e.Now)
+	e.Answered = func(part Fingerprint) (time.Duration, bool) {
+		own, answered := t.answered.early(part, e.Now)
+		told, known := v.answered[part]
+		if known && (!answered || told < own) {
+			return told, true
+		}
+		return own, answered
 	}
 	t.refreshParts(v, e)
 	e.Parts = t.parts
