Quarantine: two parts under which endpoints crash, at the same endpoints, took each other out of quarantine

Callers saw: a part was sent to endpoints 6 times more (3 allowed), later than 3 s after the fifth crash.

Cause: a crash that one part explains counted against no other at all. Now a part that nobody has answered is refused on all of its crashes once two of them are not explained by others, and one in quarantine stays while its own evidence suffices. Parts form a set only if they came in the same requests: two that never did were refused to none but requests with both.

Specs: 'have two parts refused that come to the same endpoints in different requests' and 'keep a part refused though another that came beside it is at more of them'; both failed before.

--- a/internal/quarantine/partattribution.go
+++ b/internal/quarantine/partattribution.go
@@ -21,6 +21,9 @@
 	// minPartRequests is the number of different requests with the part among them: a request that
 	// hosts and its caller repeat is at several crashes by itself.
 	minPartRequests = 3
+	// minUnexplainedCrashes is the number of its crashes that no other part explains: each part that was
+	// beside the cause once more is at one by coincidence sooner than at two.
+	minUnexplainedCrashes = 2
 	// maxPartDifference is the number of crashes by which parts may differ that can't be told from each
 	// other: one crash may be a coincidence, or its report may be missing.
 	maxPartDifference = 1
@@ -215,37 +218,58 @@
 	return known && at <= firstCrash-livedAfter
 }
 
-// AttributeParts finds the parts under which endpoints crash, those at most crashes first; the crashes
-// that they explain no longer count against any other part.
-func AttributeParts(e Evidence) PartVerdict {
+// AttributeParts finds the parts under which endpoints crash, those at most crashes first. The crashes
+// that they explain hardly count against any other part; one that is in quarantine stays there while its
+// own evidence suffices, since two parts may come to the same endpoints.
+func AttributeParts(e Evidence, previous PartVerdict) PartVerdict {
 	v := PartVerdict{Suspects: map[Fingerprint]struct{}{}}
-	unexplained := slices.Clone(e.Crashes)
-	slices.SortFunc(unexplained, byTime)
+	all := slices.Clone(e.Crashes)
+	slices.SortFunc(all, byTime)
+	whole := e.assessParts(all, minPartCrashes-maxPartDifference)
+	unexplained, left := all, whole
 	for {
-		assessments := e.assessParts(unexplained, minPartCrashes-maxPartDifference)
-		guilty := e.strongestPart(assessments, unexplained)
+		guilty := e.strongestPart(whole, left, func(key Fingerprint, a *partAssessment) bool {
+			_, found := v.groupOf(key)
+			known, _ := previous.groupOf(key)
+			return !found && e.isGuilty(a, left[key], all, len(known.Parts) == 1)
+		})
 		if guilty == nil {
-			for key, a := range assessments {
-				if a.isSuspect() {
-					v.Suspects[key] = struct{}{}
-				}
-			}
-			return v
+			break
+		}
+		v.Groups = append(v.Groups, guilty.group(whole, v))
+		unexplained = slices.DeleteFunc(slices.Clone(unexplained), func(c Crash) bool { return slices.Contains(guilty.crashed, c.Endpoint) })
+		left = e.assessParts(unexplained, minUnexplainedCrashes)
+	}
+	for key, a := range left {
+		if _, found := v.groupOf(key); !found && a.isSuspect() {
+			v.Suspects[key] = struct{}{}
 		}
-		g := guilty.group(assessments)
-		v.Groups = append(v.Groups, g)
-		unexplained = slices.DeleteFunc(unexplained, func(c Crash) bool { return slices.Contains(guilty.crashed, c.Endpoint) })
 	}
+	return v
+}
+
+// isGuilty reports whether a part has to be refused, by all of its crashes and by those that no part
+// found before explains, which are nil if there are few. One request that ran at all of its crashes but
+// one, with the part or without it, is told first: if it was only beside, the crashes that go on without
+// it tell so.
+func (e Evidence) isGuilty(whole, left *partAssessment, crashes []Crash, known bool) bool {
+	if whole.answered {
+		return left != nil && left.isGuilty() && !e.requestAtAll(left, crashes)
+	}
+	return (known || left != nil) && whole.isGuilty() && !e.requestAtAll(whole, crashes)
 }
 
-// strongestPart returns the guilty part with the strongest evidence, or nil if there is none. One
-// request that ran at all of its crashes but one, with the part or without it, is told first: if it was
-// only beside, the crashes that go on without it tell so.
-func (e Evidence) strongestPart(assessments map[Fingerprint]*partAssessment, crashes []Crash) *partAssessment {
-	var strongest *partAssessment
-	for _, a := range assessments {
-		if a.isGuilty() && (strongest == nil || a.compare(strongest) < 0) && !e.requestAtAll(a, crashes) {
-			strongest = a
+// strongestPart returns the part with the strongest evidence left of those that are guilty, or nil if
+// there is none.
+func (e Evidence) strongestPart(whole, left map[Fingerprint]*partAssessment, guilty func(key Fingerprint, a *partAssessment) bool) *partAssessment {
+	var strongest, strongestLeft *partAssessment
+	for key, a := range whole {
+		l := left[key]
+		if l == nil {
+			l = &partAssessment{part: a.part}
+		}
+		if (strongest == nil || l.compare(strongestLeft) < 0) && guilty(key, a) {
+			strongest, strongestLeft = a, l
 		}
 	}
 	return strongest
@@ -291,34 +315,47 @@
 	return cmp.Or(compareBool(a.answered, o.answered), cmp.Compare(len(o.crashed), len(a.crashed)), cmp.Compare(o.moments, a.moments), slices.Compare(a.part.Key[:], o.part.Key[:]))
 }
 
-// group returns the part with those that can't be told from it. Those that were answered before can, if
-// it was not, and those that came in one request only.
-func (a *partAssessment) group(assessments map[Fingerprint]*partAssessment) PartGroup {
+// group returns the part with those that can't be told from it: they were at the same crashes, in the same
+// requests. Those that were answered before can, if it was not, and those that came in one request only.
+func (a *partAssessment) group(assessments map[Fingerprint]*partAssessment, found PartVerdict) PartGroup {
 	g := PartGroup{
 		Attribution: Attribution{Crashes: len(a.crashed), First: a.first, Last: a.last}, Parts: []Part{a.part}, Workspace: a.workspace, Several: a.several,
 	}
+	members := []*partAssessment{a}
 	for _, key := range sortedFingerprints(assessments) {
 		o := assessments[key]
-		if (o.answered && !a.answered) || o.explainedByOneRequest() {
+		if _, known := found.groupOf(key); known || o == a || (o.answered && !a.answered) || o.explainedByOneRequest() {
 			continue
 		}
-		if o != a && a.lacks(o) <= maxPartDifference && o.lacks(a) <= maxPartDifference {
-			g.Parts = append(g.Parts, o.part)
+		if a.lacks(o) <= maxPartDifference && o.lacks(a) <= maxPartDifference && o.sharesRequests(members) {
+			g.Parts, members = append(g.Parts, o.part), append(members, o)
 		}
 	}
 	return g
 }
 
+// sharesRequests reports whether the part is known to have come in one request with each of the others.
+func (a *partAssessment) sharesRequests(others []*partAssessment) bool {
+	return !slices.ContainsFunc(others, func(o *partAssessment) bool {
+		for tag := range a.requests {
+			if _, both := o.requests[tag]; both {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 // AttributePartsPartial attributes crashes whose evidence arrives in parts: a group is new only if a
 // part of it is guilty both by all crashes and by the settled ones; one that was known stays if either
 // says so.
 func AttributePartsPartial(e Evidence, previous PartVerdict) PartVerdict {
-	all := AttributeParts(e)
+	all := AttributeParts(e, previous)
 	settled := e.settled()
 	if len(settled.Crashes) == len(e.Crashes) {
 		return all
 	}
-	settledOnly := AttributeParts(settled)
+	settledOnly := AttributeParts(settled, previous)
 	v := PartVerdict{Suspects: all.Suspects}
 	for _, g := range all.Groups {
 		if settledOnly.overlaps(g) || previous.overlaps(g) {
--- a/internal/quarantine/partcost_test.go
+++ b/internal/quarantine/partcost_test.go
@@ -32,6 +32,6 @@
 	}
 	b.ReportAllocs()
 	for b.Loop() {
-		AttributeParts(Evidence{Crashes: crashes})
+		AttributeParts(Evidence{Crashes: crashes}, PartVerdict{})
 	}
 }
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -136,6 +136,45 @@
 		})
 	})
 
+	It("have two parts refused that come to the same endpoints in different requests", func() {
+		withHosts(3, func(h *testHosts) {
+			for i := range 5 {
+				h.crashUnder(i%3, h.prompt("w", "dead"), h.prompt("w", "deadly"))
+				time.Sleep(crashSpacing)
+			}
+			for range 2 {
+				for _, id := range []string{"dead", "deadly"} {
+					if r := h.prompt("w", id); !h.trackers[0].Status(r).Quarantined {
+						h.crashUnder(0, r)
+					}
+					time.Sleep(crashSpacing)
+				}
+			}
+			Expect(h.refused("w", "dead")).To(Equal(everyHost))
+			Expect(h.refused("w", "deadly")).To(Equal(everyHost))
+		})
+	})
+
+	It("keep a part refused though another that came beside it is at more of them", func() {
+		withHosts(3, func(h *testHosts) {
+			for i := range 5 {
+				h.crashUnder(i%3, h.prompt("w", "dead"))
+				time.Sleep(crashSpacing / 4)
+			}
+			Expect(h.refused("w", "dead")).To(Equal(everyHost))
+			for i := range 3 {
+				h.crashUnder(i%3, h.prompt("w", "deadly"))
+				time.Sleep(crashSpacing / 4)
+			}
+			for i := range 5 {
+				h.crashUnder(i%3, h.prompt("w", "deadly"), h.prompt("w", "dead")) // of a host that had not heard
+				time.Sleep(crashSpacing / 4)
+			}
+			Expect(h.refused("w", "dead")).To(Equal(everyHost))
+			Expect(h.refused("w", "deadly")).To(Equal(everyHost))
+		})
+	})
+
 	It("tell parts apart by crashes under one without the other", func() {
 		withHosts(3, func(h *testHosts) {
 			h.crashParts(5, "w", "dead", "sound")
