Quarantine: crashes that follow each other closely are not all one moment

Cause: a crash was compared with the last one instead of with the first of its moment, as is done for requests. Spec: eight crashes 12 ms apart; not refused before, refused now.

--- a/internal/quarantine/partattribution.go
+++ b/internal/quarantine/partattribution.go
@@ -117,7 +117,9 @@
 	crashed   []string // the instances that crashed, in order of time
 	first     time.Duration
 	last      time.Duration
-	moments   int
+	// moments are those that are sameMoment apart, and lastMoment is the last of them.
+	moments    int
+	lastMoment time.Duration
 	// slowMoments are those that are answeredMoment apart, and lastSlow is the last of them.
 	slowMoments int
 	lastSlow    time.Duration
@@ -132,8 +134,9 @@
 	if run.Several || run.Workspace != a.workspace {
 		a.workspace, a.several = "", true
 	}
-	if len(a.crashed) == 0 || c.At-a.last >= sameMoment {
+	if len(a.crashed) == 0 || c.At-a.lastMoment >= sameMoment {
 		a.moments++
+		a.lastMoment = c.At
 	}
 	if len(a.crashed) == 0 || c.At-a.lastSlow >= answeredMoment {
 		a.slowMoments++
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -208,6 +208,17 @@
 		})
 	})
 
+	It("are at several moments if many of them follow each other closely", func() {
+		withHosts(3, func(h *testHosts) {
+			for i := range 8 {
+				h.crashUnder(i%3, h.prompt("w", "dead"))
+				time.Sleep(12 * time.Millisecond)
+			}
+			time.Sleep(crashSpacing / 4)
+			Expect(h.refused("w", "dead")).To(Equal(everyHost))
+		})
+	})
+
 	It("are known after the restart of all hosts, and forgotten there once the part was answered", func() {
 		withHosts(3, func(h *testHosts) {
 			h.crashParts(5, "w", "dead")
