Urgency at endpoints: the route's priority orders requests of workspaces with the same priority

Cause: a workspace's priority replaces the route's, and nearly all workspaces state the same one. Ruled out: the order in which engines let requests in (they go by urgency) and advice (followed by nearly all). Change: where the configuration calls for shared capacity, the urgency orders by the workspace's priority first and by the route's second; elsewhere it is as before.

--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -126,7 +126,8 @@
 
 // authenticate finds the request's workspace by its API key.
 func (x *exchange) authenticate() *refusal {
-	x.urgency, x.regions = x.route.Priority, route.RegionsFor(x.route, route.Workspace{})
+	none := route.Workspace{Priority: route.NoPriority}
+	x.urgency, x.regions = x.table.Urgency(x.route, none), route.RegionsFor(x.route, none)
 	if x.route.Public || !x.table.KeysRequired() {
 		return nil
 	}
@@ -135,9 +136,7 @@
 		return &refusal{status: http.StatusUnauthorized, reason: "unknown key"}
 	}
 	x.workspace, x.regions = w.Name, route.RegionsFor(x.route, w)
-	if w.Priority >= 0 {
-		x.urgency = w.Priority
-	}
+	x.urgency = x.table.Urgency(x.route, w)
 	return nil
 }
 
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -108,10 +108,13 @@
 	Scaling capacity.Scaling
 }
 
+// NoPriority is the Priority of a workspace that states none.
+const NoPriority = -1
+
 // Workspace is a group of callers, identified by its API keys.
 type Workspace struct {
 	Name     string
-	Priority int // takes precedence over the route's priority; -1 if not set
+	Priority int // takes precedence over the route's priority; NoPriority if not set
 	Keys     []string
 	Regions  []string // regions whose endpoints may run its requests; empty means all
 }
@@ -141,6 +144,8 @@
 	byKey      map[string]Workspace
 	workspaces int
 	limits     Limits
+	shares     bool      // see SharesCapacity
+	urgencies  urgencies // used where capacity is shared
 }
 
 // NewTable indexes a declaration for lookups.
@@ -148,6 +153,7 @@
 	t := &Table{
 		version: d.Version, limits: d.Limits, workspaces: len(d.Workspaces),
 		byHost: map[string][]Route{}, services: map[string]Service{}, byKey: map[string]Workspace{},
+		shares: sharesCapacity(d), urgencies: newUrgencies(d),
 	}
 	for _, r := range d.Routes {
 		r.TotalWeight = 0
@@ -187,6 +193,10 @@
 	return Route{}, false
 }
 
+// SharesCapacity reports whether the configuration calls for the capacity of endpoints to be shared among
+// workspaces and kinds of requests.
+func (t *Table) SharesCapacity() bool { return t.shares }
+
 // KeysRequired reports whether requests on routes that aren't public need a key.
 func (t *Table) KeysRequired() bool { return t.workspaces > 0 }
 
