Long prompts wait at the host for room at engines; larger models get the room that first answers leave

Cause: engines take in whatever hosts send, up to 12 running and 25 waiting; long prompts beyond what engines do filled slots and queues, and short requests were late, rejected by full engines or refused. Ruled out: distinct urgencies at engines. Change: a request whose objective leaves it time goes to an engine only if that reads what it holds within half of the shortest objective and has a slot to spare; else it waits at the host in the order of priorities, or is refused at once if its turn comes too late to be in time. A larger model is asked only where that leaves room.

--- a/internal/admission/decision.go
+++ b/internal/admission/decision.go
@@ -51,9 +51,21 @@
 	FreeSlots    int           // free slots of engines
 	Ahead        int           // waiting requests that are sent before it
 	TurnWait     time.Duration // until those are sent, at the current rate of waiting requests
+	Held         bool          // no engine has room for its prompt beside those that can't wait
+	Slack        time.Duration // remaining time in which its answer is in time; used if it is held
 	Left         time.Duration // remaining time in which an answer that begins is of use to its caller
 }
 
+// maxTurnWait returns the longest time until its turn with which a request may begin to wait. One that is
+// held while engines have slots waits only if it can still be in time: what waits longer would delay those that come
+// after it, also when the load has ended.
+func (f Forecast) maxTurnWait() time.Duration {
+	if f.Held {
+		return min(f.Slack-f.Head, f.Left/2)
+	}
+	return f.Left / 2
+}
+
 // Decision is the decision on a request to endpoints: Send, Behind, Wait, Refuse or Paused.
 type Decision interface{ decision() }
 
@@ -96,9 +108,9 @@
 		return Send{}
 	case f.Waiting && f.Left <= time.Duration(forcedSendFactor*float64(f.Head)):
 		return Send{}
-	case f.QueueWait <= maxEngineQueueWait && f.Ahead < max(f.FreeSlots, 1):
+	case !f.Held && f.QueueWait <= maxEngineQueueWait && f.Ahead < max(f.FreeSlots, 1):
 		return Behind{}
-	case !f.Waiting && (f.ServedBehind < minServedChance || f.TurnWait > f.Left/2):
+	case !f.Waiting && (f.ServedBehind < minServedChance || f.TurnWait > f.maxTurnWait()):
 		return Refuse{}
 	default:
 		return Wait{For: min(max(f.TurnWait/2, minPollInterval), maxPollInterval)}
--- a/internal/advice/advice.go
+++ b/internal/advice/advice.go
@@ -27,6 +27,7 @@
 	"quaybarrow/internal/advice/advicepb"
 	"quaybarrow/internal/clock"
 	"quaybarrow/internal/fleet"
+	"quaybarrow/internal/prefill"
 )
 
 // Timeouts and bounds of queries for advice.
@@ -110,25 +111,35 @@
 	}, true
 }
 
-// Expect returns the expectation of the first host that answers for an attempt. It returns false if
+// Forecast is another host's estimate of an attempt.
+type Forecast struct {
+	Expected  fleet.Expectation
+	Available bool // some endpoint takes the request
+}
+
+// Expect returns the estimate of the first host that answers for an attempt. It returns false if
 // none arrived in time or this host is the first.
-func (a *Advisor) Expect(ctx context.Context, req fleet.Request, versionKey uint64) (fleet.Expectation, bool) {
+func (a *Advisor) Expect(ctx context.Context, req fleet.Request, versionKey uint64) (Forecast, bool) {
 	request := a.newRequest(req, versionKey)
 	request.Weigh = true
 	reply, ok := a.query(ctx, request)
-	if !ok || reply.GetExpected() == nil {
-		return fleet.Expectation{}, false
+	switch {
+	case !ok:
+		return Forecast{}, false
+	case reply.GetExpected() == nil:
+		return Forecast{}, true
+	default:
+		return Forecast{Expected: expectationFromWire(reply.GetExpected()), Available: true}, true
 	}
-	return expectationFromWire(reply.GetExpected()), true
 }
 
 func (a *Advisor) newRequest(req fleet.Request, versionKey uint64) *advicepb.ChooseRequest {
 	return &advicepb.ChooseRequest{
 		Service: req.Service, Model: req.Model, Key: req.Key, VersionKey: versionKey, Tokens: int32(req.Tokens), //nolint:gosec // prompts are far shorter
 		Shared: int32(req.SharedTokens), ObjectiveMicros: req.Objective.Microseconds(), SlackMicros: req.Slack.Microseconds(), LeftMicros: req.Remaining.Microseconds(), Begun: req.MayHaveStarted,
-		WaitedMicros: req.Waited.Microseconds(), Turn: req.Turn, Urgency: int32(req.Urgency), Avoid: req.Avoid, //nolint:gosec // as above
+		WaitedMicros: req.Waited.Microseconds(), Turn: req.Turn, Urgency: int32(req.Urgency), Order: int32(req.Order), Avoid: req.Avoid, //nolint:gosec // as above
 		Parts: partsToWire(req.Parts), Memory: int32(req.CacheTokens), Hall: a.options.Hall, Regions: req.Regions, //nolint:gosec // as above
-		WithinMicros: req.MaxLimitWait.Microseconds(),
+		WithinMicros: req.MaxLimitWait.Microseconds(), MaxUnreadMicros: req.Budget.Unread().Microseconds(),
 	}
 }
 
@@ -306,9 +317,9 @@
 	req := fleet.Request{
 		Service: r.GetService(), Model: r.GetModel(), Key: r.GetKey(), Tokens: int(r.GetTokens()), SharedTokens: int(r.GetShared()),
 		Objective: clock.Micros(r.GetObjectiveMicros()), Slack: clock.Micros(r.GetSlackMicros()), Remaining: clock.Micros(r.GetLeftMicros()), MayHaveStarted: r.GetBegun(),
-		Waited: clock.Micros(r.GetWaitedMicros()), Turn: r.GetTurn(), Urgency: int(r.GetUrgency()), Avoid: r.GetAvoid(),
+		Waited: clock.Micros(r.GetWaitedMicros()), Turn: r.GetTurn(), Urgency: int(r.GetUrgency()), Order: int(r.GetOrder()), Avoid: r.GetAvoid(),
 		Allowed: s.options.Allowed(r.GetService(), r.GetVersionKey()), Parts: partsFromWire(r.GetParts()), CacheTokens: int(r.GetMemory()), Hall: r.GetHall(),
-		Regions: r.GetRegions(), MaxLimitWait: clock.Micros(r.GetWithinMicros()), ForOther: true,
+		Regions: r.GetRegions(), MaxLimitWait: clock.Micros(r.GetWithinMicros()), Budget: prefill.BudgetOf(clock.Micros(r.GetMaxUnreadMicros())), ForOther: true,
 	}
 	// The reply is sent even if there is no endpoint to advise: it lists the ejected ones.
 	reply := &advicepb.ChooseReply{Ejected: f.Ejected(), Limits: limitsToWire(f.LimitUpdates(maxLimits), clock.Now())}
--- a/internal/advice/advice_test.go
+++ b/internal/advice/advice_test.go
@@ -239,7 +239,7 @@
 			for range 50 {
 				e, ok := p.next.Expect(ctx, ask(1), 0)
 				Expect(ok).To(BeTrue())
-				Expect(e.Head).To(BeNumerically(">", 0))
+				Expect(e.Expected.Head).To(BeNumerically(">", 0))
 			}
 			counts := map[string]int{}
 			for i := range 16 {
@@ -261,7 +261,7 @@
 			}
 			e, ok := p.next.Expect(ctx, ask(1), 0)
 			Expect(ok).To(BeTrue())
-			Expect(e.Price).To(BeNumerically(">", 0))
+			Expect(e.Expected.Price).To(BeNumerically(">", 0))
 		})
 	})
 
@@ -278,7 +278,7 @@
 			p.predecessors = []string{firstAddress}
 			e, ok := p.next.Expect(ctx, ask(1), 0)
 			Expect(ok).To(BeTrue())
-			Expect(e.Price).To(BeZero())
+			Expect(e.Expected.Price).To(BeZero())
 		})
 	})
 
--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"quaybarrow/internal/clock"
+	"quaybarrow/internal/prefill"
 )
 
 // Request describes what an attempt needs of an endpoint.
@@ -22,6 +23,9 @@
 	CacheTokens  int           // tokens in the prefix cache of an engine of the service; 0 if not known
 	Objective    time.Duration // time in which the response should begin
 	Urgency      int           // at endpoints, the lowest first; -1 if not stated
+	// Order is the order among requests that wait for endpoints, the lowest first; 0 if it follows the
+	// urgency.
+	Order int
 	// Slack is the time left until the response should begin, and Remaining the time left until the
 	// caller has no more use for it. If both are 0, the request is sent in any case.
 	Slack, Remaining time.Duration
@@ -32,6 +36,8 @@
 	// MaxLimitWait is how long the request may wait for endpoints whose limits are used up; 0 means
 	// no wait.
 	MaxLimitWait time.Duration
+	// Budget bounds the prompts that an endpoint holds unread when it gets the request.
+	Budget prefill.Budget
 	// ForOther means that another host asked for advice on the request.
 	ForOther bool
 	// Unadvised means that other hosts choose at the same time without knowing of this request.
@@ -244,6 +250,8 @@
 	score         float64       // of member
 	limits        limitScan     // of the endpoints that were scored
 	anyFull       bool          // some endpoint has no place for the request now, and is not ejected
+	withRoom      int           // endpoints that the request's budget admits; counted only if it is bounded
+	overBudget    bool          // some endpoint is passed over for what it holds unread
 	anyUnpaused   bool          // some endpoint that suits the request wants no pause
 	pauseEnd      clock.Instant // earliest end of the pauses of those that do; zero if there are none
 	now           clock.Instant
@@ -269,7 +277,8 @@
 		f.scoreAll(&c, p.all, t)
 		return c
 	}
-	c.freeSlots = int(float64(c.freeSlots) * float64(len(p.all)) / float64(n.count))
+	scale := float64(len(p.all)) / float64(n.count)
+	c.freeSlots, c.withRoom = int(float64(c.freeSlots)*scale), int(float64(c.withRoom)*scale)
 	return c
 }
 
@@ -286,6 +295,9 @@
 			continue
 		}
 		load, prefillTokens := m.load(c.now, t.sendingHosts), t.prefillTokens(m)
+		if !c.admits(m, t, load, prefillTokens) {
+			continue
+		}
 		s := f.score(m, t, load, prefillTokens, c.now)
 		if !f.enforcesLimit(m) {
 			c.limits.anyUnlimited = c.limits.anyUnlimited || !m.ejected(c.now)
@@ -330,12 +342,13 @@
 	return h, h != nil
 }
 
-// Expect estimates the attempt if it were sent now; false if no endpoint takes it.
+// Expect estimates the attempt if it were sent now; false if no endpoint takes it. For a request with a budget
+// it also returns false while others wait for the room that there is.
 func (f *Fleet) Expect(req Request) (Expectation, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	c := f.choose(req)
-	if c.member == nil {
+	if c.member == nil || f.roomTaken(c, req) {
 		return Expectation{}, false
 	}
 	return f.expect(c, req), true
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -73,6 +73,9 @@
 	}
 	p := f.decideLimited(placement{choice: f.choose(req), req: req, urgency: req.Urgency, decision: admission.Send{}})
 	f.borrowForSkipped(p.choice)
+	if f.heldBack(p) {
+		return f.holdBack(p)
+	}
 	if p.member == nil {
 		return f.orPaused(p)
 	}
@@ -85,7 +88,10 @@
 	}
 	o := admission.Forecast{InTime: p.expected.InTime(req.Slack), Head: p.expected.Head, Waiting: req.Turn != 0, Left: req.Remaining}
 	if _, ok := admission.Decide(o).(admission.Send); ok {
-		if req.Turn != 0 {
+		switch {
+		case req.Budget.Bounded():
+			f.waitingListOf(req.Service).Granted(req.Turn, p.now)
+		case req.Turn != 0:
 			f.waitingListOf(req.Service).Remove(req.Turn)
 		}
 		return p
@@ -107,12 +113,12 @@
 // decideLate decides on a request that is not likely to be in time.
 func (f *Fleet) decideLate(p placement, o admission.Forecast) admission.Decision {
 	waiting := f.waitingListOf(p.req.Service)
-	sentAt, urgency := p.now.Add(-p.req.Waited), rank(p.urgency)
+	sentAt, order := p.now.Add(-p.req.Waited), p.order()
 	o.ServedBehind, o.QueueWait, o.FreeSlots = p.expected.InTime(o.Left), p.expected.Queue, p.freeSlots
-	o.Ahead, o.TurnWait = waiting.Ahead(p.req.Turn, urgency, sentAt, p.now)
+	o.Ahead, o.TurnWait = waiting.Ahead(p.req.Turn, order, sentAt, p.now)
 	switch d := admission.Decide(o).(type) {
 	case admission.Wait:
-		d.Turn = waiting.Wait(p.req.Turn, urgency, sentAt, p.now, d.For)
+		d.Turn = waiting.Wait(p.req.Turn, order, sentAt, p.now, d.For)
 		if d.Turn == 0 {
 			return admission.Refuse{}
 		}
@@ -126,6 +132,22 @@
 	}
 }
 
+// order returns the order of a request with an urgency among those that wait.
+func (p placement) order() int {
+	if p.req.Order > 0 {
+		return p.req.Order
+	}
+	return rank(p.urgency)
+}
+
+// order returns the order of a request among those that wait.
+func (r Request) order() int {
+	if r.Order > 0 {
+		return r.Order
+	}
+	return rank(r.Urgency)
+}
+
 // waitingListOf returns the list of the requests that wait for a service.
 func (f *Fleet) waitingListOf(service string) *admission.WaitingList {
 	list, ok := f.waitingLists[service]
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -127,7 +127,7 @@
 // authenticate finds the request's workspace by its API key.
 func (x *exchange) authenticate() *refusal {
 	none := route.Workspace{Priority: route.NoPriority}
-	x.urgency, x.regions = x.table.Urgency(x.route, none), route.RegionsFor(x.route, none)
+	x.urgency, x.order, x.regions = x.route.Priority, x.table.Order(x.route, none), route.RegionsFor(x.route, none)
 	if x.route.Public || !x.table.KeysRequired() {
 		return nil
 	}
@@ -136,7 +136,10 @@
 		return &refusal{status: http.StatusUnauthorized, reason: "unknown key"}
 	}
 	x.workspace, x.regions = w.Name, route.RegionsFor(x.route, w)
-	x.urgency = x.table.Urgency(x.route, w)
+	x.order = x.table.Order(x.route, w)
+	if w.Priority >= 0 {
+		x.urgency = w.Priority
+	}
 	return nil
 }
 
--- a/internal/gateway/cascade.go
+++ b/internal/gateway/cascade.go
@@ -8,6 +8,7 @@
 	"quaybarrow/internal/cascade"
 	"quaybarrow/internal/clock"
 	"quaybarrow/internal/fleet"
+	"quaybarrow/internal/prefill"
 )
 
 // escalationBudgetFraction is the fraction of the retry budget that may be spent on larger models.
@@ -57,6 +58,7 @@
 func (x *exchange) compareWith(model string, confidence float64) modelComparison {
 	req := x.fleetRequest(model)
 	req.Avoid = nil // the endpoint that ran the small model may also run the larger one
+	req.Budget = x.largerModelBudget()
 	c := modelComparison{model: model, confidence: confidence, elapsed: clock.Since(x.start)}
 	c.expected, c.available = x.expect(req)
 	c.kept.Correct = cascade.CorrectProbability(confidence)
@@ -70,6 +72,16 @@
 	return c
 }
 
+// largerModelBudget returns the budget for an attempt at a larger model. Where capacity is shared, that gets only the room
+// that the first answers of all requests leave: it takes many times the work of a smaller model's
+// answer, and a request that is refused or late gets none.
+func (x *exchange) largerModelBudget() prefill.Budget {
+	if !x.table.SharesCapacity() {
+		return prefill.Budget{}
+	}
+	return prefill.NewSpareBudget(x.table.ShortestObjective(x.service))
+}
+
 // delayCost returns how long other requests wait for an attempt's work, as a fraction of the
 // objective. It is 0 where operators declare no objective.
 func (x *exchange) delayCost(e fleet.Expectation) float64 {
@@ -89,6 +101,7 @@
 // recordLargestFirstGain records how much better the request would have done if it had started with
 // the larger model.
 func (x *exchange) recordLargestFirstGain(c modelComparison) {
+	x.g.firstModels.recordRoom(x.route.Name, c.available)
 	if !c.available || x.sends > 1 {
 		return
 	}
@@ -102,8 +115,11 @@
 // by this host. It returns false if no endpoint takes the request.
 func (x *exchange) expect(req fleet.Request) (fleet.Expectation, bool) {
 	if x.g.Advice != nil {
-		if e, ok := x.g.Advice.Expect(x.ctx, req, x.versionKey); ok {
-			return e, true
+		// The advising host's view of what is available counts only for a budget: it may lack endpoints
+		// that this host knows, but it knows better what they hold.
+		f, ok := x.g.Advice.Expect(x.ctx, req, x.versionKey)
+		if ok && (f.Available || req.Budget.Bounded()) {
+			return f.Expected, f.Available
 		}
 	}
 	return x.g.Fleet.Expect(req)
@@ -127,7 +143,7 @@
 	return fleet.Request{
 		Service: x.service, Allowed: x.g.Upgrades.Allowed(x.service, x.versionKey), Avoid: x.tried,
 		Key: x.affinityKey(model), Model: model, Tokens: x.header.TokensIn, SharedTokens: x.header.sharedTokens(),
-		Parts: x.promptParts(model), CacheTokens: x.cacheTokens(), Objective: x.route.Objective, Urgency: x.urgency,
+		Parts: x.promptParts(model), CacheTokens: x.cacheTokens(), Objective: x.route.Objective, Urgency: x.urgency, Order: x.order,
 		Regions: x.regions,
 	}
 }
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -8,6 +8,7 @@
 	"quaybarrow/internal/admission"
 	"quaybarrow/internal/clock"
 	"quaybarrow/internal/fleet"
+	"quaybarrow/internal/prefill"
 	"quaybarrow/internal/telemetry"
 )
 
@@ -45,6 +46,7 @@
 	// Once the caller has part of a response, the rest takes precedence over other requests.
 	if x.headerDelay == 0 {
 		req.Slack, req.Remaining, req.MayHaveStarted = x.slack(), x.usefulTime(), x.mayHaveRun
+		req.Budget = x.promptBudget()
 	}
 	if x.g.Advice == nil {
 		return x.g.Fleet.Place(req)
@@ -71,6 +73,15 @@
 	return hold, advised.Decision
 }
 
+// promptBudget returns the budget for the request's prompt. A request that may have run elsewhere is not
+// held back: its caller has waited for it already.
+func (x *exchange) promptBudget() prefill.Budget {
+	if x.mayHaveRun || !x.table.SharesCapacity() {
+		return prefill.Budget{}
+	}
+	return prefill.NewBudget(x.table.ShortestObjective(x.service), x.route.Objective)
+}
+
 // slack returns the time left until the response should begin.
 func (x *exchange) slack() time.Duration { return x.route.Objective - clock.Since(x.start) }
 
--- a/internal/gateway/first_model.go
+++ b/internal/gateway/first_model.go
@@ -33,6 +33,7 @@
 type routeGain struct {
 	gain    float64
 	samples int
+	noRoom  bool // the last time that the largest model was weighed, no endpoint had room for it
 }
 
 func newFirstModels() *firstModels { return &firstModels{routes: map[string]*routeGain{}} }
@@ -51,10 +52,19 @@
 	r.samples++
 }
 
+// recordRoom records whether some endpoint had room for the largest model.
+func (m *firstModels) recordRoom(route string, room bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if r, ok := m.routes[route]; ok {
+		r.noRoom = !room
+	}
+}
+
 // startWithLargest reports whether a request starts with the largest model.
 func (m *firstModels) startWithLargest(route string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	r, ok := m.routes[route]
-	return ok && r.samples >= minGainSamples && r.gain > minGain && rand.Float64() >= smallestProbeFraction
+	return ok && !r.noRoom && r.samples >= minGainSamples && r.gain > minGain && rand.Float64() >= smallestProbeFraction
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -129,7 +129,8 @@
 
 	workspace    string
 	regions      route.Regions // whose endpoints may run the request
-	urgency      int
+	urgency      int           // at endpoints
+	order        int           // among requests that wait or compete for capacity
 	body         []byte
 	relativeSize float64 // size of prompt and response, relative to its route's mean
 	prefixKey    uint64  // hash of the prompt prefix that it shares with others
--- /dev/null
+++ b/internal/prefill/prefill.go
@@ -0,0 +1,83 @@
+// Package prefill bounds the prompts that an engine holds unread, so that long prompts don't delay the
+// short ones that come after them.
+//
+// # Usage
+//
+//	b := prefill.NewBudget(shortestObjective, objective)
+//	if b.Admits(prefill.Engine{Unread: unread, Requests: 7, Slots: 12}, own) { ...the engine may get the prompt now... }
+//
+// An engine reads prompts in pieces, and a request that comes next waits for those that it has let in. The
+// load that the package answers is one of long prompts beyond what engines read: without a bound they fill
+// each engine's slots and queue, and short requests wait behind them or are rejected, though they need
+// a small part of what engines do. A request whose objective leaves it time waits at the host instead, where it goes
+// to the first engine that has room. No engine is set aside: each takes long prompts as far as its
+// budget goes, and one that has nothing to read takes any prompt.
+package prefill
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// minObjectiveRatio is how many times the shortest objective of its service a request's objective is at
+	// least if the request can wait for others.
+	minObjectiveRatio = 2
+	// unreadPart of the shortest objective is the longest time that an engine may need for the prompts
+	// that it holds unread. The rest of the objective is left for a slot, the request's own prompt and the
+	// way to the engine and back.
+	unreadPart = 0.5
+	// idleUnread is the time to read with which an engine counts as one that reads nothing: less than a piece
+	// of a prompt takes.
+	idleUnread = 20 * time.Millisecond
+	// reservedPart of an engine's slots, one at least, is left to requests that can't wait: one that finds
+	// all slots taken waits until a response ends, which takes long where responses are long.
+	reservedPart = 0.1
+)
+
+// Budget bounds what an engine may hold unread when it gets a request. The zero value bounds nothing. It is
+// immutable.
+type Budget struct{ unread time.Duration }
+
+// NewBudget returns the budget for requests with an objective, where shortest is the shortest objective of
+// the requests to their service. Requests whose objective leaves them no time are not bounded.
+func NewBudget(shortest, objective time.Duration) Budget {
+	if shortest <= 0 || objective < minObjectiveRatio*shortest {
+		return Budget{}
+	}
+	return Budget{unread: time.Duration(unreadPart * float64(shortest))}
+}
+
+// NewSpareBudget returns the budget for work that only uses what other requests leave, where shortest is the
+// shortest objective of the requests to its service.
+func NewSpareBudget(shortest time.Duration) Budget {
+	return Budget{unread: time.Duration(unreadPart * float64(max(shortest, 0)))}
+}
+
+// BudgetOf returns a budget of a time to read; 0 bounds nothing.
+func BudgetOf(unread time.Duration) Budget { return Budget{unread: max(unread, 0)} }
+
+// Unread returns the longest time to read that an engine may hold; 0 if it is not bounded.
+func (b Budget) Unread() time.Duration { return b.unread }
+
+// Bounded reports whether the budget bounds anything.
+func (b Budget) Bounded() bool { return b.unread > 0 }
+
+// Engine is what is known of an engine. It is immutable.
+type Engine struct {
+	Unread   time.Duration // that it needs for the prompts that it holds unread
+	Requests float64       // that it runs or that wait there
+	Slots    int
+}
+
+// Admits reports whether an engine may get a prompt that takes it a time to read.
+func (b Budget) Admits(e Engine, own time.Duration) bool {
+	if !b.Bounded() {
+		return true
+	}
+	reserved := max(math.Floor(reservedPart*float64(e.Slots)), 1)
+	if e.Requests+1 > max(float64(e.Slots)-reserved, 1) {
+		return false
+	}
+	return e.Unread <= idleUnread || e.Unread+own <= b.unread
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -144,8 +144,9 @@
 	byKey      map[string]Workspace
 	workspaces int
 	limits     Limits
-	shares     bool      // see SharesCapacity
-	urgencies  urgencies // used where capacity is shared
+	shares     bool                     // see SharesCapacity
+	shortest   map[string]time.Duration // the shortest objective of the routes to a service
+	orders     orders                   // used where capacity is shared
 }
 
 // NewTable indexes a declaration for lookups.
@@ -153,7 +154,7 @@
 	t := &Table{
 		version: d.Version, limits: d.Limits, workspaces: len(d.Workspaces),
 		byHost: map[string][]Route{}, services: map[string]Service{}, byKey: map[string]Workspace{},
-		shares: sharesCapacity(d), urgencies: newUrgencies(d),
+		shares: sharesCapacity(d), shortest: map[string]time.Duration{}, orders: newOrders(d),
 	}
 	for _, r := range d.Routes {
 		r.TotalWeight = 0
@@ -168,6 +169,7 @@
 	}
 	for _, s := range d.Services {
 		t.services[s.Name] = s
+		t.shortest[s.Name], _ = d.objectives(s.Name)
 	}
 	for _, w := range d.Workspaces {
 		for _, key := range w.Keys {
--- a/internal/route/sharing.go
+++ b/internal/route/sharing.go
@@ -20,6 +20,9 @@
 	return false
 }
 
+// ShortestObjective returns the shortest objective of the routes to a service; 0 if none states one.
+func (t *Table) ShortestObjective(service string) time.Duration { return t.shortest[service] }
+
 // unlikeObjectives reports whether the objectives of a service's routes differ by minObjectiveRatio.
 func unlikeObjectives(d Declaration, service string) bool {
 	shortest, longest := d.objectives(service)
--- a/internal/standin/engine/batch/call.go
+++ b/internal/standin/engine/batch/call.go
@@ -11,6 +11,7 @@
 
 	"quaybarrow/internal/admission"
 	"quaybarrow/internal/fleet"
+	"quaybarrow/internal/prefill"
 )
 
 // maxAttempts is the number of attempts at engines for one arrival at the host.
@@ -89,6 +90,9 @@
 	if !c.begun { // a response that has begun is resumed in any case
 		r.Slack, r.Remaining = k.Objective-(now-c.arrived), max(k.Deadline-(now-c.first), 1)
 		r.MayHaveStarted = c.mayHaveRun
+		if !c.mayHaveRun {
+			r.Budget = prefill.NewBudget(c.load.shortestObjective(), k.Objective)
+		}
 	}
 	return r
 }
--- a/internal/standin/engine/batch/load.go
+++ b/internal/standin/engine/batch/load.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -112,6 +113,11 @@
 	idle    time.Duration // of all engines when counting began
 }
 
+// shortestObjective returns the shortest objective of all kinds.
+func (l *Load) shortestObjective() time.Duration {
+	return slices.MinFunc(l.options.Kinds, func(a, b Kind) int { return cmp.Compare(a.Objective, b.Objective) }).Objective
+}
+
 // stream is the arrivals of a kind.
 type stream struct {
 	Kind
