Larger models: those of requests that can't wait may use an engine's last slots; a held request expects its turn late

Cause: long prompts that wait fill each engine up to the bound at once, so larger models of short requests found no room while any waited; turns come later than the rate of the last seconds says when engines are lost, so requests waited and were late.

--- a/internal/admission/decision.go
+++ b/internal/admission/decision.go
@@ -57,11 +57,11 @@
 }
 
 // maxTurnWait returns the longest time until its turn with which a request may begin to wait. One that is
-// held while engines have slots waits only if it can still be in time: what waits longer would delay those that come
-// after it, also when the load has ended.
+// held back waits only if it should be in time even if its turn comes half as soon as expected: what waits
+// longer would delay those that come after it, also when the load has ended.
 func (f Forecast) maxTurnWait() time.Duration {
 	if f.Held {
-		return min(f.Slack-f.Head, f.Left/2)
+		return min((f.Slack-f.Head)/2, f.Left/2)
 	}
 	return f.Left / 2
 }
--- a/internal/advice/advice.go
+++ b/internal/advice/advice.go
@@ -139,7 +139,7 @@
 		Shared: int32(req.SharedTokens), ObjectiveMicros: req.Objective.Microseconds(), SlackMicros: req.Slack.Microseconds(), LeftMicros: req.Remaining.Microseconds(), Begun: req.MayHaveStarted,
 		WaitedMicros: req.Waited.Microseconds(), Turn: req.Turn, Urgency: int32(req.Urgency), Order: int32(req.Order), Avoid: req.Avoid, //nolint:gosec // as above
 		Parts: partsToWire(req.Parts), Memory: int32(req.CacheTokens), Hall: a.options.Hall, Regions: req.Regions, //nolint:gosec // as above
-		WithinMicros: req.MaxLimitWait.Microseconds(), MaxUnreadMicros: req.Budget.Unread().Microseconds(),
+		WithinMicros: req.MaxLimitWait.Microseconds(), MaxUnreadMicros: req.Budget.Unread().Microseconds(), AllSlots: req.Budget.AllSlots(),
 	}
 }
 
@@ -319,7 +319,7 @@
 		Objective: clock.Micros(r.GetObjectiveMicros()), Slack: clock.Micros(r.GetSlackMicros()), Remaining: clock.Micros(r.GetLeftMicros()), MayHaveStarted: r.GetBegun(),
 		Waited: clock.Micros(r.GetWaitedMicros()), Turn: r.GetTurn(), Urgency: int(r.GetUrgency()), Order: int(r.GetOrder()), Avoid: r.GetAvoid(),
 		Allowed: s.options.Allowed(r.GetService(), r.GetVersionKey()), Parts: partsFromWire(r.GetParts()), CacheTokens: int(r.GetMemory()), Hall: r.GetHall(),
-		Regions: r.GetRegions(), MaxLimitWait: clock.Micros(r.GetWithinMicros()), Budget: prefill.BudgetOf(clock.Micros(r.GetMaxUnreadMicros())), ForOther: true,
+		Regions: r.GetRegions(), MaxLimitWait: clock.Micros(r.GetWithinMicros()), Budget: prefill.BudgetOf(clock.Micros(r.GetMaxUnreadMicros()), r.GetAllSlots()), ForOther: true,
 	}
 	// The reply is sent even if there is no endpoint to advise: it lists the ejected ones.
 	reply := &advicepb.ChooseReply{Ejected: f.Ejected(), Limits: limitsToWire(f.LimitUpdates(maxLimits), clock.Now())}
--- a/internal/gateway/cascade.go
+++ b/internal/gateway/cascade.go
@@ -79,7 +79,7 @@
 	if !x.table.SharesCapacity() {
 		return prefill.Budget{}
 	}
-	return prefill.NewSpareBudget(x.table.ShortestObjective(x.service))
+	return prefill.NewLargerBudget(x.table.ShortestObjective(x.service), x.route.Objective)
 }
 
 // delayCost returns how long other requests wait for an attempt's work, as a fraction of the
--- a/internal/prefill/prefill.go
+++ b/internal/prefill/prefill.go
@@ -27,6 +27,9 @@
 	// that it holds unread. The rest of the objective is left for a slot, the request's own prompt and the
 	// way to the engine and back.
 	unreadPart = 0.5
+	// largerUnreadPart is the same for larger models of requests that can't wait. It is more, so that
+	// these find room beside long prompts that wait to fill an engine up to unreadPart.
+	largerUnreadPart = 0.75
 	// idleUnread is the time to read with which an engine counts as one that reads nothing: less than a piece
 	// of a prompt takes.
 	idleUnread = 20 * time.Millisecond
@@ -37,7 +40,10 @@
 
 // Budget bounds what an engine may hold unread when it gets a request. The zero value bounds nothing. It is
 // immutable.
-type Budget struct{ unread time.Duration }
+type Budget struct {
+	unread   time.Duration
+	allSlots bool // the slots that are left to requests that can't wait may be used
+}
 
 // NewBudget returns the budget for requests with an objective, where shortest is the shortest objective of
 // the requests to their service. Requests whose objective leaves them no time are not bounded.
@@ -48,18 +54,25 @@
 	return Budget{unread: time.Duration(unreadPart * float64(shortest))}
 }
 
-// NewSpareBudget returns the budget for work that only uses what other requests leave, where shortest is the
-// shortest objective of the requests to its service.
-func NewSpareBudget(shortest time.Duration) Budget {
-	return Budget{unread: time.Duration(unreadPart * float64(max(shortest, 0)))}
+// NewLargerBudget returns the budget for an attempt at a larger model, for a request with an objective.
+func NewLargerBudget(shortest, objective time.Duration) Budget {
+	if b := NewBudget(shortest, objective); b.Bounded() {
+		return b
+	}
+	return Budget{unread: time.Duration(largerUnreadPart * float64(max(shortest, 0))), allSlots: true}
 }
 
-// BudgetOf returns a budget of a time to read; 0 bounds nothing.
-func BudgetOf(unread time.Duration) Budget { return Budget{unread: max(unread, 0)} }
+// BudgetOf returns the budget with the values of another; a time of 0 bounds nothing.
+func BudgetOf(unread time.Duration, allSlots bool) Budget {
+	return Budget{unread: max(unread, 0), allSlots: allSlots}
+}
 
 // Unread returns the longest time to read that an engine may hold; 0 if it is not bounded.
 func (b Budget) Unread() time.Duration { return b.unread }
 
+// AllSlots reports whether the slots that are left to requests that can't wait may be used.
+func (b Budget) AllSlots() bool { return b.allSlots }
+
 // Bounded reports whether the budget bounds anything.
 func (b Budget) Bounded() bool { return b.unread > 0 }
 
@@ -76,6 +89,9 @@
 		return true
 	}
 	reserved := max(math.Floor(reservedPart*float64(e.Slots)), 1)
+	if b.allSlots {
+		reserved = 0
+	}
 	if e.Requests+1 > max(float64(e.Slots)-reserved, 1) {
 		return false
 	}
