--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -141,6 +141,7 @@
 	byKey      map[string]Workspace
 	workspaces int
 	limits     Limits
+	shares     bool // result of SharesCapacity
 }
 
 // NewTable indexes a declaration for lookups.
@@ -168,6 +169,7 @@
 			t.byKey[key] = w
 		}
 	}
+	t.shares = sharesCapacity(d)
 	return t
 }
 
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"maps"
+	"math"
 	"net"
+	"slices"
 	"time"
 )
 
@@ -55,6 +58,12 @@
 	DutyTurns time.Duration `yaml:"duty_turns"`
 	// UsageWindow is the length of the windows for which usage is reported; 0 means no reports.
 	UsageWindow time.Duration `yaml:"usage_window"`
+	// Shares tells whether the capacity of endpoints is divided among workspaces while it is short:
+	// auto, on or off. Empty means auto: it is where the configuration lets one workspace fill an engine.
+	Shares string `yaml:"shares"`
+	// Weights maps names of workspaces to their weights, above 0, in the division of capacity; a
+	// workspace that is not listed has weight 1.
+	Weights map[string]float64 `yaml:"weights"`
 	// Grace is the time after the stop signal at which the platform kills the host.
 	Grace time.Duration `yaml:"grace"`
 }
@@ -134,5 +143,51 @@
 	if g.ColdSlack < 0 {
 		problems = append(problems, problem{"$.gateway.cold_slack", "must not be less than 0"})
 	}
+	return append(problems, g.checkShares()...)
+}
+
+// Values of Gateway.Shares.
+const (
+	SharesAuto = "auto"
+	SharesOn   = "on"
+	SharesOff  = "off"
+)
+
+// defaultWeight is the weight of a workspace that is not listed.
+const defaultWeight = 1
+
+// SharesCapacity reports whether capacity is shared, given whether the configuration calls for it.
+func (g Gateway) SharesCapacity(calledFor bool) bool {
+	switch g.Shares {
+	case SharesOn:
+		return true
+	case SharesOff:
+		return false
+	default:
+		return calledFor
+	}
+}
+
+// Weight returns a workspace's weight in the division of capacity.
+func (g Gateway) Weight(workspace string) float64 {
+	if w, ok := g.Weights[workspace]; ok {
+		return w
+	}
+	return defaultWeight
+}
+
+// checkShares returns the problems of the settings that concern the division of capacity.
+func (g Gateway) checkShares() []problem {
+	var problems []problem
+	switch g.Shares {
+	case "", SharesAuto, SharesOn, SharesOff:
+	default:
+		problems = append(problems, problem{"$.gateway.shares", fmt.Sprintf("%q is not known: use auto, on or off", g.Shares)})
+	}
+	for _, name := range slices.Sorted(maps.Keys(g.Weights)) {
+		if w := g.Weights[name]; !(w > 0) || math.IsInf(w, 0) { // also refuses NaN
+			problems = append(problems, problem{"$.gateway.weights." + name, "must be a number above 0"})
+		}
+	}
 	return problems
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -59,6 +59,37 @@
 		Expect(err).To(MatchError(ContainSubstring("$.gateway.memory_mb")))
 	})
 
+	It("of a gateway about shares are optional, and errors name the invalid ones", func() {
+		const gateway = "host: h\ndata_hall: d\nregion: r\ngateway: {callers: 10.0.0.1:1, ready: 10.0.0.1:2, control: 10.0.0.1:3, peers: 10.0.0.1:5, store: 10.9.0.1:4, memory_mb: 284, retry_ratio: 0.9, grace: 8s, in_force: 2s, leaving: 2s, cores: 0.4"
+		for text, calledFor := range map[string]map[bool]bool{
+			"":               {false: false, true: true},
+			", shares: auto": {false: false, true: true},
+			", shares: on":   {false: true, true: true},
+			", shares: off":  {false: false, true: false},
+		} {
+			s, err := settings.Parse("host.yaml", []byte(gateway+text+"}\n"))
+			Expect(err).NotTo(HaveOccurred(), text)
+			for called, want := range calledFor {
+				Expect(s.Gateway.SharesCapacity(called)).To(Equal(want), text)
+			}
+		}
+		s, err := settings.Parse("host.yaml", []byte(gateway+", weights: {weavers: 2.5}}\n"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.Gateway.Weight("weavers")).To(Equal(2.5))
+		Expect(s.Gateway.Weight("clerks")).To(Equal(1.0))
+		for text, field := range map[string]string{
+			", shares: maybe":             "$.gateway.shares",
+			", weights: {weavers: 0}":     "$.gateway.weights.weavers",
+			", weights: {weavers: -1}":    "$.gateway.weights.weavers",
+			", weights: {weavers: .nan}":  "$.gateway.weights.weavers",
+			", weights: {weavers: .inf}":  "$.gateway.weights.weavers",
+			", weights: {weavers: heavy}": "weights",
+		} {
+			_, err := settings.Parse("host.yaml", []byte(gateway+text+"}\n"))
+			Expect(err).To(MatchError(ContainSubstring(field)), text)
+		}
+	})
+
 	It("are rejected with all invalid fields in one error", func() {
 		_, err := settings.Parse("host.yaml", []byte("host: \"\"\nplatform: nowhere\n"))
 		for _, field := range []string{"$.host", "$.data_hall", "$.platform", "$.session_keys"} {
