Gateway: admission by the shares of workspaces, with an estimate of each request's work

A workspace that sends far more than usual took the endpoints' capacity from the others. The gateway now asks Shares before anything is sent, with the request's class and expected work, and refuses a request over its share with 503 and a retry time. Continued streams, later attempts and larger models are never refused. Work is observed when attempts end and estimated by route and size, within bounds, since callers state the sizes. Each response head and rejection is reported to Shares.

--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -45,7 +45,7 @@
 		}
 	}
 	x.planRouting()
-	return nil
+	return x.checkShare()
 }
 
 // baseStartupWait is how long after a host's start requests wait for state that the host does not
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -57,6 +57,8 @@
 	Logger    *log.Logger
 	// HostCount returns the number of all hosts that this host knows of; nil for this host alone.
 	HostCount func() int
+	// Shares admits requests by the shares of their workspaces; nil to admit all.
+	Shares Shares
 	// Usage counts the requests that start to run; nil to count none.
 	Usage *usage.Counter
 	// RetryRatio bounds retries to a fraction of the first sends.
@@ -69,6 +71,7 @@
 	retryBudgets       *retry.Budgets
 	sizes              *requestSizes
 	streamSpans        *routeMeans // seconds that responses take from their first event on
+	routeWork          *routeMeans // seconds of endpoint time of a request of mean size
 	firstModels        *firstModels
 	startedAt          clock.Instant // when the host started
 	draining           atomic.Bool
@@ -87,7 +90,7 @@
 
 // New returns a gateway.
 func New(options Options) *Gateway {
-	return &Gateway{Options: options, sizes: newRequestSizes(), streamSpans: newRouteMeans(), firstModels: newFirstModels(), running: newRunningCounter(), startedAt: clock.Now(), unreadableLimitLog: newLogSampler(), changedLimitLog: newLogSampler(), unreachedLog: &rate.Sometimes{Interval: unreachedLogInterval}, unreadablePauseLog: newLogSampler(), unknownFields: &unknownFields{},
+	return &Gateway{Options: options, sizes: newRequestSizes(), streamSpans: newRouteMeans(), routeWork: newRouteMeans(), firstModels: newFirstModels(), running: newRunningCounter(), startedAt: clock.Now(), unreadableLimitLog: newLogSampler(), changedLimitLog: newLogSampler(), unreachedLog: &rate.Sometimes{Interval: unreachedLogInterval}, unreadablePauseLog: newLogSampler(), unknownFields: &unknownFields{},
 		retryBudgets: retry.NewBudgets(retry.Limits{Ratio: options.RetryRatio, Reserve: retryReserve})}
 }
 
@@ -134,6 +137,9 @@
 	relativeSize float64 // size of prompt and response, relative to its route's mean
 	prefixKey    uint64  // hash of the prompt prefix that it shares with others
 	versionKey   uint64  // hash of what stays on one version
+	share        float64 // fraction of the requests of its class that are admitted
+
+	work time.Duration // endpoint time of the attempts that have ended, as far as it is known
 
 	adviceOutcome        string        // outcome of the last advice
 	rejections           int           // sends that endpoints have not run
@@ -175,7 +181,7 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
-	x := &exchange{g: g, w: w, r: r, ctx: r.Context(), start: clock.Now(), table: g.Holder.Table(), urgency: noUrgency}
+	x := &exchange{g: g, w: w, r: r, ctx: r.Context(), start: clock.Now(), table: g.Holder.Table(), urgency: noUrgency, share: 1}
 	x.fingerprint, x.identity = sync.OnceValue(x.computeFingerprint), sync.OnceValue(x.computeIdentity)
 	x.sharedParts = sync.OnceValue(x.computeParts)
 	defer x.logRequest()
@@ -200,6 +206,7 @@
 	x.g.retryBudgets.RecordFirst(x.service)
 	x.g.running.add(x.service, 1)
 	defer x.g.running.add(x.service, -1)
+	defer x.recordWork()
 	if x.route.Kind == route.KindStream {
 		x.serveStream()
 		return
@@ -225,7 +232,7 @@
 	x.g.Logger.Info("request",
 		"id", x.header.ID, "route", x.route.Name, "service", x.service, "workspace", x.workspace,
 		"config", version, "config_age_ms", age.Milliseconds(),
-		"endpoint", x.endpoint, "relayed_by", x.relayedBy, "version", x.version, "upgrade", x.g.Upgrades.State(x.service).String(), "model", x.model, "larger", x.escalated, "urgency", x.urgency,
+		"endpoint", x.endpoint, "relayed_by", x.relayedBy, "version", x.version, "upgrade", x.g.Upgrades.State(x.service).String(), "model", x.model, "larger", x.escalated, "urgency", x.urgency, "share", x.share,
 		"sends", x.sends, "rejections", x.rejections, "places_denied", x.placesDenied, "crashes", x.crashes, "fingerprint", x.loggedFingerprint(), "quarantine_rule", x.quarantineRule, "waits", x.waits, "room_in_ms", x.roomIn.Milliseconds(), "advice", x.adviceOutcome,
 		"tokens", x.header.TokensIn, "read", x.expected.PrefillTokens, "work_ms", x.expected.PrefillTime.Milliseconds(), "price", x.expected.Price,
 		"first_ms", x.headerDelay.Milliseconds(), "objective_ms", x.route.Objective.Milliseconds(),
--- a/internal/gateway/pauses.go
+++ b/internal/gateway/pauses.go
@@ -14,7 +14,8 @@
 // eventPauses measures the times between the events of an attempt.
 type eventPauses struct {
 	lastEventAt       clock.Instant
-	count             int
+	count             int // of pauses
+	events            int
 	shortest, longest time.Duration
 	reported          bool
 }
@@ -24,6 +25,7 @@
 func (p *eventPauses) add(now clock.Instant, events int) {
 	last := p.lastEventAt
 	p.lastEventAt = now
+	p.events += events
 	if last.IsZero() || events == 0 {
 		return
 	}
@@ -36,6 +38,15 @@
 	}
 }
 
+// outputTime returns how long an engine that reads no prompts meanwhile takes to make the events; 0 if
+// none came or their pace is not known.
+func (p *eventPauses) outputTime() time.Duration {
+	if p == nil {
+		return 0
+	}
+	return time.Duration(p.events) * p.shortest
+}
+
 // reportPaceOnce reports the pace of a stream once, as soon as it is known or the stream has ended.
 func (a *attempt) reportPaceOnce(p *eventPauses, ended bool) {
 	if p.reported || p.count == 0 || (p.count < minPacePauses && !ended) {
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -60,6 +60,7 @@
 	header        ResponseHeader
 	receivedAt    clock.Instant // when response had been received
 	headerAt      clock.Instant // when the response header had been read; zero before
+	pauses        *eventPauses  // between the events that are relayed; nil before
 	ongoingRun    *quarantine.OngoingResponse
 	stopInterrupt func() bool // stops interrupting conn at the end of the context
 	ended         bool
@@ -310,6 +311,7 @@
 		return
 	}
 	a.ended = true
+	a.addWork(outcome)
 	a.returnPlace(complete)
 	if a.ongoingRun != nil {
 		x := a.x
--- a/internal/gateway/statement.go
+++ b/internal/gateway/statement.go
@@ -17,6 +17,7 @@
 	if response.StatusCode == http.StatusMisdirectedRequest {
 		return
 	}
+	a.x.reportLoad(response.StatusCode, header)
 	if !turnsAway(response.StatusCode) {
 		s.Pause = fleet.Pause{}
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -113,6 +113,7 @@
 	out := http.NewResponseController(x.w)
 	events := newEventReader(a.response.Body, s.lastEventID)
 	pauses := &eventPauses{}
+	a.pauses = pauses
 	defer func() {
 		x.longestPause, x.shortestPause = max(x.longestPause, pauses.longest), pauses.shortest
 		a.reportPaceOnce(pauses, true)
