--- a/internal/gatewayd/host.go
+++ b/internal/gatewayd/host.go
@@ -26,6 +26,7 @@
 	"quaybarrow/internal/reach"
 	"quaybarrow/internal/route"
 	"quaybarrow/internal/settings"
+	"quaybarrow/internal/share"
 	"quaybarrow/internal/spread"
 	"quaybarrow/internal/store"
 	"quaybarrow/internal/telemetry"
@@ -65,6 +66,8 @@
 	Upgrades   *upgrade.Tracker
 	Advice     *advice.Advisor
 	Limits     *ratelimit.Limiter
+	Policy     *sharePolicy
+	Shares     *share.Shares
 	Quarantine *quarantine.Tracker
 	Duties     *duty.Coordinator
 	Gateway    *gateway.Gateway
@@ -207,7 +210,7 @@
 	return []func(context.Context){
 		table(platform.TableOperator, &operatorTable{holder: h.Holder, fleet: h.Fleet, upgrades: h.Upgrades, logger: h.Logger}),
 		table(platform.TableEndpoints, &endpointTable{fleet: h.Fleet, pool: h.Pool, quarantine: h.Quarantine, upgrades: h.Upgrades, halls: h.Settings.Gateway.Halls, logger: h.Logger}),
-		h.Spread.Run, h.Upgrades.Run, h.Quarantine.Run, h.Limits.Run, h.Duties.Run, h.sweep, h.watchSettings,
+		h.Spread.Run, h.Upgrades.Run, h.Quarantine.Run, h.Limits.Run, h.Shares.Run, h.Duties.Run, h.sweep, h.watchSettings,
 		func(ctx context.Context) { telemetry.WatchSuspensions(ctx, h.Deadlines, h.Telemetry, h.Logger) },
 	}
 }
--- a/internal/gatewayd/module.go
+++ b/internal/gatewayd/module.go
@@ -34,6 +34,7 @@
 	"quaybarrow/internal/reach"
 	"quaybarrow/internal/route"
 	"quaybarrow/internal/settings"
+	"quaybarrow/internal/share"
 	"quaybarrow/internal/spread"
 	"quaybarrow/internal/store"
 	"quaybarrow/internal/telemetry"
@@ -73,7 +74,7 @@
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.Supply(s, ports),
 		fx.Provide(
-			newLines, newLogger, newTelemetry, newTLS, newStore, newWatcher, clock.NewDeadlines, route.NewHolder, newFleet, newReach, newPool, newUpgradeTracker, newAdvisor, newLimits, newQuarantine, newIncarnation, newUsage, newDuties, newGateway, newHost,
+			newLines, newLogger, newTelemetry, newTLS, newStore, newWatcher, clock.NewDeadlines, route.NewHolder, newFleet, newReach, newPool, newUpgradeTracker, newAdvisor, newLimits, newSharePolicy, newShares, newQuarantine, newIncarnation, newUsage, newDuties, newGateway, newHost,
 		),
 		fx.Invoke(heedNotices),
 		fx.Invoke(func(lc fx.Lifecycle, h *Host) {
@@ -219,7 +220,7 @@
 }
 
 // members returns the other hosts, converted to the member type of a package.
-func members[M quarantine.Member | ratelimit.Member](w *spread.Watcher) []M {
+func members[M quarantine.Member | ratelimit.Member | share.Member](w *spread.Watcher) []M {
 	var list []M
 	for _, m := range w.Members() {
 		list = append(list, M(m))
@@ -236,10 +237,10 @@
 }
 
 func newGateway(s settings.Settings, h *route.Holder, f *fleet.Fleet, p *conn.Pool, u *upgrade.Tracker, a *advice.Advisor,
-	q *quarantine.Tracker, limits *ratelimit.Limiter, relays *reach.Tracker, counter *usage.Counter, w *spread.Watcher, d *clock.Deadlines, t *telemetry.Telemetry, l *log.Logger,
+	q *quarantine.Tracker, limits *ratelimit.Limiter, shares *share.Shares, relays *reach.Tracker, counter *usage.Counter, w *spread.Watcher, d *clock.Deadlines, t *telemetry.Telemetry, l *log.Logger,
 ) *gateway.Gateway {
 	return gateway.New(gateway.Options{
-		Holder: h, Fleet: f, Pool: p, Upgrades: u, Codec: platform.HeaderCodec{}, Advice: a, Quarantine: q, RateLimits: limits, Relays: relays, Deadlines: d, Telemetry: t, Logger: l, Usage: counter, HostCount: w.Hosts,
+		Holder: h, Fleet: f, Pool: p, Upgrades: u, Codec: platform.HeaderCodec{}, Advice: a, Quarantine: q, RateLimits: limits, Shares: shares, Relays: relays, Deadlines: d, Telemetry: t, Logger: l, Usage: counter, HostCount: w.Hosts,
 		RetryRatio: retryFraction * s.Gateway.RetryRatio,
 	})
 }
--- a/internal/gatewayd/reload.go
+++ b/internal/gatewayd/reload.go
@@ -51,6 +51,7 @@
 	}
 	h.current.Store(&next)
 	limitMemory(next.Gateway.MemoryMB)
+	h.Policy.apply(next.Gateway)
 	h.Gateway.SetRetryRatio(retryFraction * next.Gateway.RetryRatio)
 	// The check of the settings has already refused invalid levels.
 	if level, err := log.ParseLevel(next.Telemetry.LogLevel); err == nil {
@@ -63,6 +64,7 @@
 func needsRestart(a, b settings.Settings) bool {
 	for _, s := range []*settings.Settings{&a, &b} {
 		s.Gateway.MemoryMB, s.Gateway.RetryRatio, s.Gateway.Grace = 0, 0, 0
+		s.Gateway.Shares, s.Gateway.Weights = "", nil
 		s.Telemetry.LogLevel = ""
 	}
 	return !reflect.DeepEqual(a, b)
