--- a/internal/gateway/cascade.go
+++ b/internal/gateway/cascade.go
@@ -76,7 +76,7 @@
 // that the first answers of all requests leave: it takes many times the work of a smaller model's
 // answer, and a request that is refused or late gets none.
 func (x *exchange) largerModelBudget() prefill.Budget {
-	if !x.table.SharesCapacity() {
+	if !x.sharesCapacity() {
 		return prefill.Budget{}
 	}
 	return prefill.NewLargerBudget(x.table.ShortestObjective(x.service), x.route.Objective)
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -76,7 +76,7 @@
 // promptBudget returns the budget for the request's prompt. A request that may have run elsewhere is not
 // held back: its caller has waited for it already.
 func (x *exchange) promptBudget() prefill.Budget {
-	if x.mayHaveRun || !x.table.SharesCapacity() {
+	if x.mayHaveRun || !x.sharesCapacity() {
 		return prefill.Budget{}
 	}
 	return prefill.NewBudget(x.table.ShortestObjective(x.service), x.route.Objective)
--- a/internal/route/order.go
+++ b/internal/route/order.go
@@ -37,14 +37,10 @@
 }
 
 // Order returns the order of a workspace's requests on a route among requests that wait or compete for
-// capacity, the lowest first; 0 where capacity is not shared, and the urgency alone counts. The workspace's
-// priority, if it states one, takes precedence over the route's, which orders requests of workspaces with the same
-// priority. Endpoints get only the urgency: they would interrupt a response for a more urgent request and
-// read its prompt again.
+// capacity, from 1 up, the lowest first. The workspace's priority, if it states one, takes precedence over the
+// route's, which orders requests of workspaces with the same priority. Endpoints get only the urgency: they
+// would interrupt a response for a more urgent request and read its prompt again.
 func (t *Table) Order(r Route, w Workspace) int {
-	if !t.SharesCapacity() {
-		return 0
-	}
 	priority := r.Priority
 	if w.Priority >= 0 {
 		priority = w.Priority
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -144,9 +144,9 @@
 	byKey      map[string]Workspace
 	workspaces int
 	limits     Limits
-	shares     bool                     // see SharesCapacity
-	shortest   map[string]time.Duration // the shortest objective of the routes to a service
-	orders     orders                   // used where capacity is shared
+	shares     bool                      // result of SharesCapacity
+	objectives map[string]objectiveRange // by service
+	orders     orders                    // used where capacity is shared
 }
 
 // NewTable indexes a declaration for lookups.
@@ -154,7 +154,7 @@
 	t := &Table{
 		version: d.Version, limits: d.Limits, workspaces: len(d.Workspaces),
 		byHost: map[string][]Route{}, services: map[string]Service{}, byKey: map[string]Workspace{},
-		shares: sharesCapacity(d), shortest: map[string]time.Duration{}, orders: newOrders(d),
+		objectives: objectivesByService(d.Routes), orders: newOrders(d),
 	}
 	for _, r := range d.Routes {
 		r.TotalWeight = 0
@@ -169,13 +169,13 @@
 	}
 	for _, s := range d.Services {
 		t.services[s.Name] = s
-		t.shortest[s.Name], _ = d.objectives(s.Name)
 	}
 	for _, w := range d.Workspaces {
 		for _, key := range w.Keys {
 			t.byKey[key] = w
 		}
 	}
+	t.shares = sharesCapacity(d)
 	return t
 }
 
@@ -195,10 +195,6 @@
 	return Route{}, false
 }
 
-// SharesCapacity reports whether the configuration calls for the capacity of endpoints to be shared among
-// workspaces and kinds of requests.
-func (t *Table) SharesCapacity() bool { return t.shares }
-
 // KeysRequired reports whether requests on routes that aren't public need a key.
 func (t *Table) KeysRequired() bool { return t.workspaces > 0 }
 
