Fleet: report of where a request would go

Operators could not see why a request goes to an endpoint. Fleet.Where runs the decision of Place on all endpoints of a service and returns the decision, the best ten endpoints by the terms of their scores, and how many each rule passed over. It takes no slot, draws no random number, borrows no loan and undoes what the decision changes in the waiting list and in counts of requests that have not ended.

score returns its terms as a value whose sum is the score.

--- a/internal/admission/waitinglist.go
+++ b/internal/admission/waitinglist.go
@@ -42,6 +42,14 @@
 	grants  []clock.Instant // times within grantRateWindow at which requests were sent, oldest first
 }
 
+// Clone returns a list with the same requests. The clone of nil is empty.
+func (l *WaitingList) Clone() *WaitingList {
+	if l == nil {
+		return &WaitingList{}
+	}
+	return &WaitingList{waiting: slices.Clone(l.waiting), lastID: l.lastID, grants: slices.Clone(l.grants)}
+}
+
 // Ahead returns the number of waiting requests that are sent before a request, and how long that
 // takes at the current rate. An id of 0 stands for a request that is not in the list.
 func (l *WaitingList) Ahead(id int64, urgency int, asked, now clock.Instant) (int, time.Duration) {
--- a/internal/fleet/candidates_test.go
+++ b/internal/fleet/candidates_test.go
@@ -48,7 +48,7 @@
 		if !f.usable(m, req) {
 			continue
 		}
-		s := f.score(m, t, m.load(now, t.sendingHosts), t.prefillTokens(m), now)
+		s := f.score(m, t, m.load(now, t.sendingHosts), t.prefillTokens(m), now).Sum()
 		best = min(best, s)
 		if m == chosen {
 			got = s
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -66,6 +66,7 @@
 	interned      map[string]string        // strings that many endpoints have in common
 	evacuated     map[string]clock.Instant // data halls that get no new requests, and since when
 	listRead      bool                     // the list was read in full; endpoints added later have just started
+	listConfirmed clock.Instant            // when the list was last known to be current; zero before it was read
 	byService     map[string]*pool
 	ejected       map[string]*member // by ID, recently ejected endpoints; may hold some that are no longer ejected
 	prefillModels map[modelKey]*prefillModel
@@ -259,7 +260,7 @@
 		listed[e.name()] = true
 		f.put(e)
 	}
-	f.listRead = true
+	f.listRead, f.listConfirmed = true, f.options.Now()
 	for instance := range f.instances {
 		switch {
 		case listed[instance]:
--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -286,13 +286,17 @@
 			continue
 		}
 		load, prefillTokens := m.load(c.now, t.sendingHosts), t.prefillTokens(m)
-		s := f.score(m, t, load, prefillTokens, c.now)
+		terms := f.score(m, t, load, prefillTokens, c.now)
+		s := terms.Sum()
 		if !f.enforcesLimit(m) {
 			c.limits.anyUnlimited = c.limits.anyUnlimited || !m.ejected(c.now)
 		} else if !c.limits.consider(m, s, c.now) {
 			continue
 		}
 		c.freeSlots += m.free(load)
+		if t.observe != nil {
+			t.observe(m, terms, load, prefillTokens)
+		}
 		if s < best {
 			c.member, c.prefillTokens, best = m, prefillTokens, s
 		}
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -73,6 +73,13 @@
 	}
 	p := f.decideLimited(placement{choice: f.choose(req), req: req, urgency: req.Urgency, decision: admission.Send{}})
 	f.borrowForSkipped(p.choice)
+	return f.decide(p, f.choose)
+}
+
+// decide decides on a request for which the best endpoint is known; choose finds the best one to place it
+// behind all others. The caller holds mu.
+func (f *Fleet) decide(p placement, choose func(Request) choice) placement {
+	req := p.req
 	if p.member == nil {
 		return f.orPaused(p)
 	}
@@ -92,7 +99,7 @@
 	}
 	p.decision = admission.Behind{}
 	p.req.Urgency = UrgencyLeast
-	p.choice = f.choose(p.req)
+	p.choice = choose(p.req)
 	if p.member == nil {
 		// An upgrade allows versions by chance, and time has gone on, so the second look may find none.
 		return f.orPaused(placement{choice: p.choice, req: req, urgency: p.urgency, decision: admission.Send{}})
--- a/internal/fleet/score.go
+++ b/internal/fleet/score.go
@@ -44,10 +44,12 @@
 	rereadCost   float64    // of prefilling a token of the shared part again
 	coldLimits   coldLimits // limits of cold endpoints
 	now          clock.Instant
+	random       func() float64 // breaks ties
+	observe      scoreObserver  // nil if nobody asks for the scores
 }
 
 func (f *Fleet) terms(req Request, now clock.Instant) scoreTerms {
-	t := scoreTerms{req: req, prefixes: &f.prefixes, sendingHosts: f.sendingHosts(req.Service), hallCost: plainHallCost, coldLimits: f.coldLimits(req.Service), now: now}
+	t := scoreTerms{req: req, prefixes: &f.prefixes, sendingHosts: f.sendingHosts(req.Service), hallCost: plainHallCost, coldLimits: f.coldLimits(req.Service), now: now, random: f.options.Random}
 	if req.Unadvised || !f.singleAdvisor() {
 		t.home = f.home(req, now)
 	}
@@ -78,24 +80,46 @@
 	return max(t.req.Tokens-known, 0)
 }
 
-// score ranks an endpoint with a load for an attempt; the lowest score is chosen.
-func (f *Fleet) score(m *member, t scoreTerms, load float64, prefillTokens int, now clock.Instant) float64 {
-	score := float64(m.tierFor(t.req, now))*tierSeconds + tieBreak*f.options.Random()
+// Score is the score of an endpoint for an attempt by its terms; the lowest sum is chosen. Of requests
+// with a prompt it is in seconds, of others in loads: 1 is the cost of full slots. It is immutable.
+type Score struct {
+	Tier     float64 // the endpoint may not respond
+	Busy     float64 // it already gets what one that might be cold may get
+	Hall     float64 // bytes between data halls
+	Queue    float64 // expected wait for other requests
+	Prefill  float64 // prefill of the prompt, with what it takes from other requests
+	Load     float64 // slots in use
+	Reread   float64 // prefill of parts of the prompt that other endpoints have kept
+	Pace     float64 // slowness of the endpoint's machine, of requests without a prompt
+	TieBreak float64 // random
+}
+
+// Sum returns the score.
+func (s Score) Sum() float64 {
+	return s.Tier + s.TieBreak + s.Busy + s.Hall + s.Load + (s.Queue + s.Prefill) + s.Reread + s.Pace
+}
+
+// score ranks an endpoint with a load for an attempt.
+func (f *Fleet) score(m *member, t scoreTerms, load float64, prefillTokens int, now clock.Instant) Score {
+	s := Score{Tier: float64(m.tierFor(t.req, now)) * tierSeconds, TieBreak: tieBreak * t.random()}
 	if m.warmUp.busy(t.coldLimits, t.req, now) {
-		score += busySeconds
+		s.Busy = busySeconds
 	}
 	if m.Hall != t.localHall {
-		score += t.hallCost
+		s.Hall = t.hallCost
 	}
 	if t.req.Key != 0 {
-		reread := t.rereadCost * float64(max(prefillTokens-(t.req.Tokens-t.req.SharedTokens), 0))
-		delay := f.queueWait(m, t.req.Urgency, load, now).Seconds() + t.workCost*t.prefill.prefillTime(prefillTokens).Seconds()
-		return score + fullLoadSeconds*load + delay*m.pace() + reread
+		s.Queue = f.queueWait(m, t.req.Urgency, load, now).Seconds() * m.pace()
+		s.Prefill = t.workCost * t.prefill.prefillTime(prefillTokens).Seconds() * m.pace()
+		s.Load = fullLoadSeconds * load
+		s.Reread = t.rereadCost * float64(max(prefillTokens-(t.req.Tokens-t.req.SharedTokens), 0))
+		return s
 	}
 	if load >= fullLoad {
 		load *= 2
 	}
-	return score + load + plainPaceCost*(m.pace()-1)
+	s.Load, s.Pace = load, plainPaceCost*(m.pace()-1)
+	return s
 }
 
 // RendezvousWeight returns the rendezvous weight of an endpoint, or a host, for a key, from 0 to 1;
