quaybarrow where: asks a host where a request would go now, and why

A host answers GET /where at its control address with the decision, the best ten endpoints by the terms of their scores, the endpoints that each rule passes over, the host that would decide, and the ages of the configuration and of the list of endpoints. The command prints it as a table or as JSON. The request is made from the query by the same functions as a caller's. A bad query is a 400 that names the field.

The endpoint list now records when it was last confirmed, and the table finds workspaces by name.

--- a/internal/advice/advice.go
+++ b/internal/advice/advice.go
@@ -134,7 +134,7 @@
 
 // query sends a request, with all unreported data, to the first host that answers.
 func (a *Advisor) query(ctx context.Context, request *advicepb.ChooseRequest) (*advicepb.ChooseReply, bool) {
-	address, ok := a.hostToAsk()
+	address, ok := a.HostToAsk()
 	if !ok {
 		a.takeHeads() // would be outdated by the time that another host is first
 		return nil, false
@@ -228,9 +228,9 @@
 	return ended
 }
 
-// hostToAsk returns the address of the host to query; false if this host is the first one that
+// HostToAsk returns the address of the host to query; false if this host is the first one that
 // answers.
-func (a *Advisor) hostToAsk() (string, bool) {
+func (a *Advisor) HostToAsk() (string, bool) {
 	predecessors := a.options.PrecedingHosts()
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -75,7 +75,7 @@
 }
 
 // switches are the flags that take no value.
-var switches = map[string]bool{"serve": true, "full": true, "new": true, "h": true, "help": true}
+var switches = map[string]bool{"serve": true, "full": true, "new": true, "json": true, "h": true, "help": true}
 
 // takesValue reports whether the argument after a flag is its value.
 func takesValue(flag string) bool {
@@ -104,6 +104,7 @@
 	c.Register(&traceCommand{env: env}, groupInspect)
 	c.Register(&explainCommand{env: env}, groupInspect)
 	c.Register(&endpointsCommand{env: env}, groupInspect)
+	c.Register(&whereCommand{env: env}, groupInspect)
 	c.Register(&quarantineCommand{env: env}, groupInspect)
 	c.Register(&dutiesCommand{env: env}, groupInspect)
 	c.Register(&lostCommand{env: env}, groupInspect)
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -36,17 +36,8 @@
 // chooseEndpoint picks an endpoint for the request, or decides that it waits or is refused. Hosts
 // coordinate their choices for requests with a prompt.
 func (x *exchange) chooseEndpoint(ctx context.Context, model string, turn int64) (*fleet.Hold, admission.Decision) {
-	req := x.fleetRequest(model)
-	req.Waited, req.Turn, req.MaxLimitWait = clock.Since(x.start), turn, x.maxLimitWait()
-	if req.Key == 0 {
-		return x.g.Fleet.Place(req)
-	}
-	req.Unadvised = x.g.Advice != nil && !x.g.Advice.Leads()
-	// Once the caller has part of a response, the rest takes precedence over other requests.
-	if x.headerDelay == 0 {
-		req.Slack, req.Remaining, req.MayHaveStarted = x.slack(), x.usefulTime(), x.mayHaveRun
-	}
-	if x.g.Advice == nil {
+	req := x.placeRequest(model, turn)
+	if req.Key == 0 || x.g.Advice == nil {
 		return x.g.Fleet.Place(req)
 	}
 	asked := req
@@ -71,6 +62,22 @@
 	return hold, advised.Decision
 }
 
+// placeRequest returns the criteria for choosing an endpoint for a model, with the time that the request
+// has left.
+func (x *exchange) placeRequest(model string, turn int64) fleet.Request {
+	req := x.fleetRequest(model)
+	req.Waited, req.Turn, req.MaxLimitWait = clock.Since(x.start), turn, x.maxLimitWait()
+	if req.Key == 0 {
+		return req
+	}
+	req.Unadvised = x.g.Advice != nil && !x.g.Advice.Leads()
+	// Once the caller has part of a response, the rest takes precedence over other requests.
+	if x.headerDelay == 0 {
+		req.Slack, req.Remaining, req.MayHaveStarted = x.slack(), x.usefulTime(), x.mayHaveRun
+	}
+	return req
+}
+
 // slack returns the time left until the response should begin.
 func (x *exchange) slack() time.Duration { return x.route.Objective - clock.Since(x.start) }
 
--- a/internal/gatewayd/endpoints.go
+++ b/internal/gatewayd/endpoints.go
@@ -55,7 +55,7 @@
 }
 
 // Confirm implements follow.Replica.
-func (e *endpointTable) Confirm() {}
+func (e *endpointTable) Confirm() { e.fleet.ConfirmList() }
 
 func (e *endpointTable) applyChange(c store.Change, storeWasAway bool, services map[string]bool) {
 	if c.Deleted {
--- a/internal/gatewayd/host.go
+++ b/internal/gatewayd/host.go
@@ -111,7 +111,7 @@
 	return router
 }
 
-// controlHandler serves the host's metrics, the operators' views of endpoints, quarantine and duties,
+// controlHandler serves the host's metrics, the operators' views of endpoints, quarantine, duties and placements,
 // and the release of requests from quarantine.
 func (h *Host) controlHandler() http.Handler {
 	router := mux.NewRouter()
@@ -125,6 +125,7 @@
 	router.HandleFunc(PathEndpoints, h.serveEndpoints).Methods(http.MethodGet)
 	router.HandleFunc(PathQuarantine, h.serveQuarantine).Methods(http.MethodGet)
 	router.HandleFunc(PathDuties, h.serveDuties).Methods(http.MethodGet)
+	router.HandleFunc(PathWhere, h.serveWhere).Methods(http.MethodGet)
 	router.HandleFunc(PathRelease, h.release).Methods(http.MethodPost)
 	return router
 }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -139,6 +139,7 @@
 	byHost     map[string][]Route // longest prefix first
 	services   map[string]Service
 	byKey      map[string]Workspace
+	byName     map[string]Workspace
 	workspaces int
 	limits     Limits
 }
@@ -147,7 +148,7 @@
 func NewTable(d Declaration) *Table {
 	t := &Table{
 		version: d.Version, limits: d.Limits, workspaces: len(d.Workspaces),
-		byHost: map[string][]Route{}, services: map[string]Service{}, byKey: map[string]Workspace{},
+		byHost: map[string][]Route{}, services: map[string]Service{}, byKey: map[string]Workspace{}, byName: map[string]Workspace{},
 	}
 	for _, r := range d.Routes {
 		r.TotalWeight = 0
@@ -164,6 +165,7 @@
 		t.services[s.Name] = s
 	}
 	for _, w := range d.Workspaces {
+		t.byName[w.Name] = w
 		for _, key := range w.Keys {
 			t.byKey[key] = w
 		}
@@ -196,6 +198,12 @@
 	return w, ok
 }
 
+// WorkspaceNamed returns the workspace with a name.
+func (t *Table) WorkspaceNamed(name string) (Workspace, bool) {
+	w, ok := t.byName[name]
+	return w, ok
+}
+
 // Services returns all services, sorted by name.
 func (t *Table) Services() []Service {
 	return slices.SortedFunc(maps.Values(t.services), func(a, b Service) int { return cmp.Compare(a.Name, b.Name) })
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -59,6 +59,11 @@
 		Expect(w.Name).To(Equal("w"))
 		_, ok = table.Workspace("")
 		Expect(ok).To(BeFalse())
+		w, ok = table.WorkspaceNamed("w")
+		Expect(ok).To(BeTrue())
+		Expect(w.Keys).To(HaveLen(2))
+		_, ok = table.WorkspaceNamed("k1")
+		Expect(ok).To(BeFalse())
 	})
 })
 
