Where: page for operators; keeps only the best ten scores while the fleet is locked

Endpoints that no known rule passes over, and that can't be chosen, count as other; a property test fails if there are any, so a new rule has to be added to the report.

--- a/internal/cli/where.go
+++ b/internal/cli/where.go
@@ -126,8 +126,8 @@
 	}
 	lines := []string{
 		fmt.Sprintf("host %s, service %s: %s", view.Host, view.Service, whereDecision(view)),
-		"decided by " + decider,
-		"shown is " + view.Note,
+		"who would decide: " + decider,
+		"note: " + view.Note,
 		fmt.Sprintf("configuration %d, %d ms old; list of endpoints %s", view.ConfigVersion, view.ConfigAgeMs, list),
 	}
 	if e := view.Expected; e != nil {
--- a/internal/cli/where_test.go
+++ b/internal/cli/where_test.go
@@ -50,7 +50,7 @@
 		code, out, _, query := ask(http.StatusOK, sent, "-service", "model", "-parts", "a:100,b:300", "-objective", "2s", "-urgency", "0", "-tokens", "500")
 		Expect(code).To(BeZero())
 		Expect(query).To(Equal(url.Values{"service": {"model"}, "parts": {"a:100,b:300"}, "objective": {"2s"}, "urgency": {"0"}, "tokens": {"500"}}))
-		Expect(out).To(ContainSubstring("host front-1, service model: send to e1\ndecided by 10.0.0.1:83, which advises this host\n"))
+		Expect(out).To(ContainSubstring("host front-1, service model: send to e1\nwho would decide: 10.0.0.1:83, which advises this host\nnote: a note\n"))
 		Expect(out).To(ContainSubstring("configuration 7, 0 ms old; list of endpoints 40 ms old"))
 		Expect(out).To(ContainSubstring("after 120 ms, of these 20 ms in the queue; in time with probability 0.93"))
 		Expect(out).To(MatchRegexp(`(?m)^e1 +lekki +v1 +0\.250 +0\.020 +0\.230 .* 400 +8 +30 ms$`))
@@ -80,7 +80,7 @@
 		It("says "+text, func() {
 			_, out, _, _ := ask(http.StatusOK, view, "-service", "model")
 			Expect(out).To(MatchRegexp(`(?m): ` + text + "$"))
-			Expect(out).To(ContainSubstring("decided by this host alone"))
+			Expect(out).To(ContainSubstring("who would decide: this host alone"))
 			Expect(out).To(HaveSuffix("passed over of 0: none\n"))
 		})
 	}
--- a/internal/fleet/where.go
+++ b/internal/fleet/where.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -25,7 +24,7 @@
 	RuleCold      Rule = "cold"
 	RuleLimit     Rule = "limit"
 	RuleEjected   Rule = "ejected" // chosen only if no other endpoint can be
-	RuleOther     Rule = "other"
+	RuleOther     Rule = "other"   // the rest of those that may not be chosen
 )
 
 // Rules returns all rules in order.
@@ -129,17 +128,18 @@
 	}
 }
 
-// whereScan chooses among all endpoints of a service and keeps the scores of the last choice.
+// whereScan chooses among all endpoints of a service and keeps the best scores of the last choice.
 type whereScan struct {
 	fleet  *Fleet
 	terms  scoreTerms
-	scored []ScoredEndpoint
+	scored int              // endpoints that may be chosen
+	best   []ScoredEndpoint // the best of them, the best first
 }
 
 // choose returns the best of all endpoints for a request. Unlike Fleet.choose it draws no random numbers.
 func (w *whereScan) choose(req Request) choice {
 	c := choice{now: w.fleet.options.Now()}
-	w.scored = nil
+	w.scored, w.best = 0, nil
 	p, ok := w.fleet.byService[req.Service]
 	if !ok {
 		return c
@@ -151,37 +151,63 @@
 	return c
 }
 
-// observe records the score of an endpoint.
+// observe records the score of an endpoint. Of equal ones the first is the better one.
 func (w *whereScan) observe(m *member, s Score, load float64, prefillTokens int) {
+	w.scored++
+	at := len(w.best)
+	for at > 0 && s.Sum() < w.best[at-1].Score.Sum() {
+		at--
+	}
+	if at == maxScored {
+		return
+	}
 	e := ScoredEndpoint{Endpoint: m.Endpoint, Score: s, KeptTokens: max(w.terms.req.Tokens-prefillTokens, 0), PrefillTokens: prefillTokens, Load: load}
 	e.Slots = m.slots()
 	if !m.loadAt.IsZero() {
 		e.Reported, e.ReportAge = true, w.terms.now.Sub(m.loadAt)
 	}
-	w.scored = append(w.scored, e)
+	w.best = slices.Insert(w.best, at, e)
+	w.best = w.best[:min(len(w.best), maxScored)]
 }
 
 // report returns the report of a placement.
 func (w *whereScan) report(p placement) Placement {
-	f, now := w.fleet, p.now
-	slices.SortStableFunc(w.scored, func(a, b ScoredEndpoint) int { return cmp.Compare(a.Score.Sum(), b.Score.Sum()) })
-	list := f.endpointsOf(p.req.Service)
+	f := w.fleet
+	listed := len(f.endpointsOf(p.req.Service))
 	r := Placement{
-		Decision: withoutTurn(p.decision), Expected: p.expected, Urgency: p.req.Urgency, Best: w.scored[:min(len(w.scored), maxScored)], PassedOver: map[Rule]int{},
-		Listed: len(list), Sampled: len(list) > scoreAllUpTo, ListKnown: f.listRead,
+		Decision: withoutTurn(p.decision), Expected: p.expected, Urgency: p.req.Urgency, Best: w.best,
+		Listed: listed, Sampled: listed > scoreAllUpTo, ListKnown: f.listRead,
 	}
 	if p.sent() {
 		r.Endpoint = p.member.ID
 	}
 	if f.listRead {
-		r.ListAge = now.Sub(f.listConfirmed)
+		r.ListAge = p.now.Sub(f.listConfirmed)
 	}
+	r.PassedOver = w.passedOver(p.req.Service, r.Endpoint, p.now)
+	return r
+}
+
+// passedOver counts the endpoints of a service, but for the chosen one, by the rule that passes over them.
+func (w *whereScan) passedOver(service, chosen string, now clock.Instant) map[Rule]int {
+	counts := map[Rule]int{}
+	list := w.fleet.endpointsOf(service)
+	others := len(list) - w.scored
 	for _, m := range list {
-		if rule := f.ruleAgainst(m, w.terms, now); rule != "" && m.ID != r.Endpoint {
-			r.PassedOver[rule]++
+		rule := w.fleet.ruleExcluding(m, w.terms, now)
+		if rule != "" {
+			others--
+		} else if m.ID != chosen {
+			rule = m.rulePostponing(now)
+		}
+		if rule != "" {
+			counts[rule]++
 		}
 	}
-	return r
+	if others > 0 {
+		counts[RuleOther] = others
+	}
+	return counts
 }
 
 // withoutTurn returns a decision without the turn of a request that waits.
@@ -193,8 +219,8 @@
 	return d
 }
 
-// ruleAgainst returns the first rule by which an endpoint is passed over; empty if there is none.
-func (f *Fleet) ruleAgainst(m *member, t scoreTerms, now clock.Instant) Rule {
+// ruleExcluding returns the first rule by which an endpoint may not be chosen; empty if it may.
+func (f *Fleet) ruleExcluding(m *member, t scoreTerms, now clock.Instant) Rule {
 	if rule := f.ruleUnsuited(m, t.req); rule != "" {
 		return rule
 	}
@@ -205,23 +231,17 @@
 		return RulePaused
 	case f.crowded(m, t.req, now):
 		return RuleFull
-	case !f.usable(m, t.req):
-		return RuleOther
 	case !m.warmUp.admits(t.coldLimits, t.req, now):
 		return RuleCold
 	case f.enforcesLimit(m) && m.limit.active() && m.limit.available(now) == 0:
 		return RuleLimit
-	case m.ejected(now):
-		return RuleEjected
-	case now.Before(m.health.fullUntil):
-		return RuleFull
 	default:
 		return ""
 	}
 }
 
 // ruleUnsuited returns the first rule by which an endpoint does not suit a request at any attempt; empty
-// if it suits.
+// if it does.
 func (f *Fleet) ruleUnsuited(m *member, req Request) Rule {
 	switch {
 	case m.draining():
@@ -234,8 +254,19 @@
 		return RuleRegion
 	case m.models != nil && req.Model != "" && !slices.Contains(m.models, req.Model):
 		return RuleModel
-	case !f.suits(m, req):
-		return RuleOther
+	default:
+		return ""
+	}
+}
+
+// rulePostponing returns the rule by which an endpoint is chosen only if no other can be; empty if there
+// is none.
+func (m *member) rulePostponing(now clock.Instant) Rule {
+	switch {
+	case m.ejected(now):
+		return RuleEjected
+	case now.Before(m.health.fullUntil):
+		return RuleFull
 	default:
 		return ""
 	}
--- a/internal/fleet/where_test.go
+++ b/internal/fleet/where_test.go
@@ -129,6 +129,9 @@
 				if again := asked.fleet.Where(req); !reflect.DeepEqual(first, again) {
 					t.Fatalf("two answers: %+v and %+v", first, again)
 				}
+				if n := first.PassedOver[fleet.RuleOther]; n > 0 {
+					t.Fatalf("%d endpoints are passed over by a rule that the report does not know", n)
+				}
 				switch rapid.IntRange(0, 5).Draw(t, "step") {
 				case 0:
 					kind := rapid.IntRange(0, 5).Draw(t, "kind")
--- a/internal/gatewayd/whereview.go
+++ b/internal/gatewayd/whereview.go
@@ -24,7 +24,7 @@
 )
 
 // whereNote is the note of each WhereView.
-const whereNote = "this host's own knowledge; another host, and this one a moment later, may decide otherwise"
+const whereNote = "this answer is based on this host's own knowledge; another host, or this one a moment later, may decide otherwise"
 
 // WhereView is the operators' view of where a request would go now, as one host knows it.
 type WhereView struct {
