--- a/internal/fleet/budget.go
+++ b/internal/fleet/budget.go
@@ -4,24 +4,19 @@
 	"time"
 
 	"quaybarrow/internal/admission"
+	"quaybarrow/internal/clock"
 	"quaybarrow/internal/prefill"
 )
 
 // unbounded is the budget of requests that don't wait for others' prompts.
 var unbounded prefill.Budget
 
-// admits reports whether the request's budget admits an endpoint with a load.
+// admits reports whether the request's budget admits an endpoint, and counts those that it does.
 func (c *choice) admits(m *member, t scoreTerms, load float64, prefillTokens int) bool {
-	b := t.req.Budget
-	if !b.Bounded() {
+	if !t.req.Budget.Bounded() {
 		return true
 	}
-	slots := m.slots()
-	engine := prefill.Engine{
-		Unread:   scale(m.prefillWait(UrgencyLeast, c.now), m.pace()),
-		Requests: load * float64(slots), Slots: slots,
-	}
-	if !b.Admits(engine, scale(t.prefill.prefillTime(prefillTokens), m.pace())) {
+	if !m.hasRoom(t, load, prefillTokens, c.now) {
 		c.overBudget = true
 		return false
 	}
@@ -29,6 +24,19 @@
 	return true
 }
 
+// hasRoom reports whether a request's budget admits an endpoint with a load.
+func (m *member) hasRoom(t scoreTerms, load float64, prefillTokens int, now clock.Instant) bool {
+	if !t.req.Budget.Bounded() {
+		return true
+	}
+	slots := m.slots()
+	engine := prefill.Engine{
+		Unread:   scale(m.prefillWait(UrgencyLeast, now), m.pace()),
+		Requests: load * float64(slots), Slots: slots,
+	}
+	return t.req.Budget.Admits(engine, scale(t.prefill.prefillTime(prefillTokens), m.pace()))
+}
+
 func scale(d time.Duration, factor float64) time.Duration { return time.Duration(factor * float64(d)) }
 
 // heldBack reports whether a request waits because no endpoint has room within its budget, or because
@@ -52,10 +60,10 @@
 
 // holdBack decides on a request for which no endpoint has room within its budget: it waits, is refused, or
 // is sent in any case before its time is over.
-func (f *Fleet) holdBack(p placement) placement {
+func (f *Fleet) holdBack(p placement, choose func(Request) choice) placement {
 	req := p.req
 	req.Budget = unbounded
-	p.choice = f.choose(req)
+	p.choice = choose(req)
 	if p.member == nil {
 		return f.orPaused(p)
 	}
