Gateway: heads, skipped responses and events of endpoints are bounded

A faulty endpoint that sent a header line, header lines, informational responses or a skipped body without end was read until the memory or the request's deadline was spent. Heads are now bounded by 64 KB and 100 lines, skipped bodies by 64 KB, and all incomplete events by an eighth of the memory limit, where the largest holder is ended first. A head that is still arriving at the deadline, and a body that is still passed on then, count as failures of the endpoint unless the caller was slow. Also mended: the rest of a rejection longer than 16 KB was left on a connection that was reused, a non-stream answer over 256 KB to a stream was sent short with a matching length, a 5xx answer over 256 KB kept its connection when another attempt succeeded, and a write to a caller that reads nothing outlived the deadline.

--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -29,6 +29,7 @@
 
 	"github.com/pkg/errors"
 
+	"quaybarrow/internal/bound"
 	"quaybarrow/internal/clock"
 )
 
@@ -41,6 +42,8 @@
 	ErrConnLimit = errors.New("no connection is free")
 	// ErrUnexpectedData means that the endpoint sent data that belongs to no pending request.
 	ErrUnexpectedData = errors.New("unexpected data from the endpoint")
+	// ErrHeadIncomplete means that the time for a response ended while its head was arriving.
+	ErrHeadIncomplete = errors.New("the head of the response is incomplete")
 )
 
 // Timeouts and limits of connections.
@@ -53,10 +56,7 @@
 	idleTimeoutMargin = 800 * time.Millisecond
 	// defaultIdleTimeout is the idle timeout of a connection whose endpoint states none.
 	defaultIdleTimeout = 4 * time.Second
-	// maxUnexpectedResponses is the number of informational responses and responses to
-	// earlier requests after which a connection is abandoned.
-	maxUnexpectedResponses = 3
-	// readBuffer is large enough for the head of a response.
+	// readBuffer is large enough for the heads of most responses.
 	readBuffer = 4 << 10
 )
 
@@ -218,9 +218,10 @@
 	pool      *Pool
 	address   string
 	netConn   net.Conn
-	watch     watched // nil if the way to the endpoint is not watched
-	reader    *bufio.Reader
-	idleUntil clock.Instant // when its idle timeout passes
+	watch     watched           // nil if the way to the endpoint is not watched
+	head      *bound.HeadReader // reads from netConn
+	reader    *bufio.Reader     // reads from head
+	idleUntil clock.Instant     // when its idle timeout passes
 	closeOnce sync.Once
 	response  *http.Response
 }
@@ -289,26 +290,6 @@
 	return response, nil
 }
 
-// readHead reads response heads until one is accepted.
-func (c *Conn) readHead(request *http.Request, accept Accept) (*http.Response, error) {
-	for range maxUnexpectedResponses {
-		response, err := http.ReadResponse(c.reader, request)
-		if err != nil {
-			return nil, err
-		}
-		if response.StatusCode >= http.StatusContinue && response.StatusCode < http.StatusOK {
-			continue
-		}
-		if accept(response) {
-			return response, nil
-		}
-		if _, err := io.Copy(io.Discard, response.Body); err != nil || response.Close {
-			return nil, ErrUnexpectedData
-		}
-	}
-	return nil, ErrUnexpectedData
-}
-
 // Interrupt makes pending and later reads and writes fail, until the deadline is changed.
 func (c *Conn) Interrupt() { _ = c.netConn.SetDeadline(time.Unix(1, 0)) }
 
--- a/internal/conn/watched.go
+++ b/internal/conn/watched.go
@@ -4,6 +4,8 @@
 	"bufio"
 	"context"
 	"net"
+
+	"quaybarrow/internal/bound"
 )
 
 // watched is a connection whose way to the endpoint is watched; see package reach.
@@ -45,7 +47,8 @@
 
 // newConn returns a connection of the pool.
 func (p *Pool) newConn(address string, raw net.Conn) *Conn {
-	c := &Conn{pool: p, address: address, netConn: raw, reader: bufio.NewReaderSize(raw, readBuffer)}
+	head := bound.NewHeadReader(raw)
+	c := &Conn{pool: p, address: address, netConn: raw, head: head, reader: bufio.NewReaderSize(head, readBuffer)}
 	c.watch, _ = raw.(watched)
 	return c
 }
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"quaybarrow/internal/bound"
 	"quaybarrow/internal/clock"
 	"quaybarrow/internal/conn"
 	"quaybarrow/internal/fleet"
@@ -132,7 +133,7 @@
 // wayLost reports whether the response could not be read because the way to the endpoint was lost,
 // and not because of the endpoint.
 func (a *attempt) wayLost(err error) bool {
-	if a.x.ctx.Err() != nil {
+	if a.x.ctx.Err() != nil || bound.IsExceeded(err) {
 		return false
 	}
 	return errors.Is(err, reach.ErrWayLost) || a.conn.WayLost(a.x.ctx, conn.IsDisconnect(err))
@@ -154,7 +155,8 @@
 			"relayed_by", a.conn.RelayedBy(), "ran_ms", run.Lasted.Milliseconds(), "error", err)
 		return
 	}
-	a.endFailed()
+	bound.Report(err, x.g.Telemetry, x.g.Logger, x.header.ID, a.hold.Endpoint.ID)
+	a.endFailed(err)
 	e := a.hold.Endpoint
 	if !conn.IsDisconnect(err) || x.ctx.Err() != nil || !x.g.Fleet.Serves(e.ID) {
 		return
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -2,40 +2,42 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
-	"net/http"
 	"strconv"
 
 	"github.com/pkg/errors"
-)
 
-// Errors of event streams.
-var (
-	errStreamEnd    = errors.New("the stream has ended")
-	errEventTooLong = errors.New("an event is too long")
+	"quaybarrow/internal/bound"
 )
 
-// Bounds of events.
-const (
-	initialEventBuffer = 4 << 10
-	maxEventBytes      = 1 << 20
-)
+// errStreamEnd means that a stream ended after a complete event.
+var errStreamEnd = errors.New("the stream has ended")
+
+// initialEventBuffer is large enough for most events. Larger buffers count as memory that the request
+// holds, and are given up after the event.
+const initialEventBuffer = 4 << 10
 
 // eventReader splits a stream into complete events. It drops the incomplete event at the end of a
 // stream that breaks off, and events that the caller already has.
 type eventReader struct {
-	source io.Reader
-	buffer []byte
-	lastID string // ID of the last event returned
-	endErr error
+	source   io.Reader
+	memory   *bound.Holder
+	buffer   []byte
+	searched int    // bytes of buffer that hold no end of an event
+	lastID   string // ID of the last event returned
+	endErr   error
 }
 
 // newEventReader returns a reader of the events that follow the one with ID lastID; "" for all
-// events.
-func newEventReader(source io.Reader, lastID string) *eventReader {
-	return &eventReader{source: source, buffer: make([]byte, 0, initialEventBuffer), lastID: lastID}
+// events. It holds the memory of long events until release.
+func newEventReader(source io.Reader, lastID string, memory *bound.Holder) *eventReader {
+	return &eventReader{source: source, memory: memory, buffer: make([]byte, 0, initialEventBuffer), lastID: lastID}
 }
 
+// release gives back the memory of a long event.
+func (e *eventReader) release() { e.memory.Release() }
+
 // chunk is a sequence of complete events.
 type chunk struct {
 	data   []byte
@@ -59,13 +61,10 @@
 
 // fill reads the available bytes.
 func (e *eventReader) fill() {
-	if len(e.buffer) >= maxEventBytes {
-		e.endErr = errEventTooLong
+	if err := e.grow(); err != nil {
+		e.endErr = err
 		return
 	}
-	if len(e.buffer) == cap(e.buffer) {
-		e.buffer = append(make([]byte, 0, 2*cap(e.buffer)), e.buffer...)
-	}
 	n, err := e.source.Read(e.buffer[len(e.buffer):cap(e.buffer)])
 	e.buffer = e.buffer[:len(e.buffer)+n]
 	switch {
@@ -75,10 +74,44 @@
 			e.endErr = errors.WithMessage(io.ErrUnexpectedEOF, "the stream ended inside an event")
 		}
 	case err != nil:
-		e.endErr = errors.WithMessage(err, "the stream broke off")
+		e.endErr = e.brokeOff(err)
 	}
 }
 
+// grow makes room for more bytes of an incomplete event, within the bounds of one and of all events.
+func (e *eventReader) grow() error {
+	if len(e.buffer) >= bound.EventBytes {
+		return &bound.Error{Place: bound.PlaceEvent, Bytes: int64(len(e.buffer))}
+	}
+	if len(e.buffer) < cap(e.buffer) {
+		return nil
+	}
+	size := 2 * cap(e.buffer)
+	if err := e.memory.Resize(int64(size)); err != nil {
+		return fmt.Errorf("hold an event: %w", err)
+	}
+	e.buffer = append(make([]byte, 0, size), e.buffer...)
+	return nil
+}
+
+// shrink gives up the memory of a long event.
+func (e *eventReader) shrink() {
+	if cap(e.buffer) == initialEventBuffer || len(e.buffer) > initialEventBuffer {
+		return
+	}
+	e.buffer = append(make([]byte, 0, initialEventBuffer), e.buffer...)
+	e.memory.Release()
+}
+
+// brokeOff returns the error for a stream that can't be read further, which another request may have
+// caused that needed the memory.
+func (e *eventReader) brokeOff(err error) error {
+	if ended := e.memory.Err(); ended != nil {
+		err = ended
+	}
+	return errors.WithMessage(err, "the stream broke off")
+}
+
 // eventEnd is the empty line after an event.
 var eventEnd = []byte("\n\n")
 
@@ -87,12 +120,13 @@
 	c := chunk{lastID: e.lastID}
 	consumed := 0
 	for {
-		end := bytes.Index(e.buffer[consumed:], eventEnd)
+		end := bytes.Index(e.buffer[e.searched:], eventEnd)
 		if end < 0 {
 			break
 		}
-		event := e.buffer[consumed : consumed+end+len(eventEnd)]
-		consumed += len(event)
+		end += e.searched + len(eventEnd)
+		event := e.buffer[consumed:end]
+		consumed, e.searched = end, end
 		id, ok := eventID(event)
 		if ok && !idAfter(id, e.lastID) {
 			continue
@@ -104,7 +138,11 @@
 		c.events++
 	}
 	c.lastID = e.lastID
-	e.buffer = append(e.buffer[:0], e.buffer[consumed:]...)
+	if consumed > 0 {
+		e.buffer = append(e.buffer[:0], e.buffer[consumed:]...)
+		e.shrink()
+	}
+	e.searched = max(0, len(e.buffer)-len(eventEnd)+1)
 	return c
 }
 
@@ -128,12 +166,3 @@
 	b, errB := strconv.ParseInt(lastID, 10, 64)
 	return errA != nil || errB != nil || a > b
 }
-
-// readNonStream reads the body of a response that is not a stream, up to maxBufferedBytes.
-func readNonStream(resp *http.Response) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes))
-	if err != nil {
-		return nil, errors.WithMessage(err, "the answer broke off")
-	}
-	return body, nil
-}
--- a/internal/gateway/events_test.go
+++ b/internal/gateway/events_test.go
@@ -1,11 +1,19 @@
 package gateway
 
 import (
+	"math"
 	"strings"
 	"testing"
 	"testing/iotest"
+
+	"quaybarrow/internal/bound"
 )
 
+// unbounded returns a holder of memory without a bound on all events.
+func unbounded() *bound.Holder {
+	return bound.NewMemory(func() int64 { return math.MaxInt64 }).NewHolder(func() {})
+}
+
 // FuzzEvents checks that a stream yields its complete events in order, once each, and nothing
 // else, however its bytes are split between reads.
 func FuzzEvents(f *testing.F) {
@@ -17,9 +25,9 @@
 			from := strings.NewReader(text)
 			var e *eventReader
 			if oneByOne {
-				e = newEventReader(iotest.OneByteReader(from), last)
+				e = newEventReader(iotest.OneByteReader(from), last, unbounded())
 			} else {
-				e = newEventReader(from, last)
+				e = newEventReader(from, last, unbounded())
 			}
 			var out strings.Builder
 			for {
@@ -45,7 +53,7 @@
 }
 
 func TestEventsAreNotRepeated(t *testing.T) {
-	e := newEventReader(strings.NewReader("id: 3\ndata: old\n\nid: 4\ndata: new\n\n"), "3")
+	e := newEventReader(strings.NewReader("id: 3\ndata: old\n\nid: 4\ndata: new\n\n"), "3", unbounded())
 	c, err := e.next()
 	if err != nil || string(c.data) != "id: 4\ndata: new\n\n" || c.events != 1 || c.lastID != "4" {
 		t.Fatalf("got %q, %d events, last %s: %v", c.data, c.events, c.lastID, err)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"golang.org/x/time/rate"
 
 	"quaybarrow/internal/advice"
+	"quaybarrow/internal/bound"
 	"quaybarrow/internal/clock"
 	"quaybarrow/internal/conn"
 	"quaybarrow/internal/fleet"
@@ -59,6 +60,9 @@
 	HostCount func() int
 	// Usage counts the requests that start to run; nil to count none.
 	Usage *usage.Counter
+	// EventMemory bounds the incomplete events that the host holds; nil bounds them by the process's
+	// memory limit.
+	EventMemory *bound.Memory
 	// RetryRatio bounds retries to a fraction of the first sends.
 	RetryRatio float64
 }
@@ -87,6 +91,9 @@
 
 // New returns a gateway.
 func New(options Options) *Gateway {
+	if options.EventMemory == nil {
+		options.EventMemory = bound.NewMemory(bound.ProcessLimit)
+	}
 	return &Gateway{Options: options, sizes: newRequestSizes(), streamSpans: newRouteMeans(), firstModels: newFirstModels(), running: newRunningCounter(), startedAt: clock.Now(), unreadableLimitLog: newLogSampler(), changedLimitLog: newLogSampler(), unreachedLog: &rate.Sometimes{Interval: unreachedLogInterval}, unreadablePauseLog: newLogSampler(), unknownFields: &unknownFields{},
 		retryBudgets: retry.NewBudgets(retry.Limits{Ratio: options.RetryRatio, Reserve: retryReserve})}
 }
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -283,26 +283,14 @@
 	if a.response.StatusCode == http.StatusMisdirectedRequest {
 		outcome = fleet.OutcomeLost // another endpoint has the address now
 	}
-	_, err := io.Copy(io.Discard, io.LimitReader(a.response.Body, maxDrainBytes))
+	drained := a.conn.Drain()
 	a.returnRejected(outcome)
-	a.end(outcome, err == nil)
+	a.end(outcome, drained)
 	a.x.g.Logger.Info("endpoint rejected", "id", a.x.header.ID, "endpoint", a.hold.Endpoint.ID, "status", a.response.StatusCode,
 		"running", a.header.Load.Running, "waiting", a.header.Load.Waiting, "pause_ms", a.header.Pause.For.Milliseconds(), "sent_ms_ago", clock.Since(a.sentAt).Milliseconds(),
 		"counted", a.place.Counted(), "count_owner", a.place.Owner(), "count_age_ms", a.place.CountAge().Milliseconds(), "occupied", a.place.Occupied())
 }
 
-// maxDrainBytes bounds how much of an unneeded response is read.
-const maxDrainBytes = 16 << 10
-
-// endFailed ends an attempt that broke off or whose response is unusable.
-func (a *attempt) endFailed() {
-	outcome := fleet.OutcomeFailed
-	if a.x.ctx.Err() != nil {
-		outcome = fleet.OutcomeNeutral
-	}
-	a.end(outcome, false)
-}
-
 // end releases the connection and the slot at the endpoint. The connection is reused only if the
 // response is complete.
 func (a *attempt) end(outcome fleet.Outcome, complete bool) {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -55,7 +55,7 @@
 		return s.handleNonStream(a)
 	}
 	if !a.fromEndpoint() {
-		a.endFailed()
+		a.endFailed(errNotFromEndpoint)
 		return errNotFromEndpoint
 	}
 	a.reportFinding(upgrade.Answered{})
@@ -69,28 +69,32 @@
 
 // handleNonStream handles a response that is not a stream.
 func (s *stream) handleNonStream(a *attempt) error {
-	body, err := readNonStream(a.response)
+	resp, err := a.readHeldBack()
+	if err == nil {
+		err = a.checkEnd()
+	}
 	if err != nil {
 		a.endBroken(err)
 		return err
 	}
 	if !a.fromEndpoint() {
-		a.endFailed()
+		a.endFailed(errNotFromEndpoint)
 		return errNotFromEndpoint
 	}
 	outcome := a.outcome()
 	a.reportAnswer(outcome)
-	resp := &bufferedResponse{attempt: a, body: body}
-	a.end(outcome, true)
-	if a.response.StatusCode >= http.StatusInternalServerError {
-		s.failure = resp
-		return errors.Errorf("the endpoint answered %d", a.response.StatusCode)
+	if !resp.truncated {
+		a.end(outcome, true)
 	}
-	if s.headerSent {
-		return errors.Errorf("the endpoint answered %d", a.response.StatusCode)
+	if a.response.StatusCode < http.StatusInternalServerError && !s.headerSent {
+		s.x.relayBuffered(resp)
+		return nil
 	}
-	s.x.relayBuffered(resp)
-	return nil
+	resp.drop()
+	if a.response.StatusCode >= http.StatusInternalServerError && !resp.truncated {
+		s.failure = resp
+	}
+	return errors.Errorf("the endpoint answered %d", a.response.StatusCode)
 }
 
 // sendHeader sends the caller the header of the first response.
@@ -111,7 +115,10 @@
 func (s *stream) relay(a *attempt) error {
 	x := s.x
 	out := http.NewResponseController(x.w)
-	events := newEventReader(a.response.Body, s.lastEventID)
+	memory := x.g.EventMemory.NewHolder(a.conn.Interrupt)
+	events := newEventReader(a.response.Body, s.lastEventID, memory)
+	defer events.release()
+	removeBound := x.boundWrites()
 	pauses := &eventPauses{}
 	defer func() {
 		x.longestPause, x.shortestPause = max(x.longestPause, pauses.longest), pauses.shortest
@@ -119,6 +126,9 @@
 	}()
 	for {
 		a.boundSilence()
+		if memory.Ended() {
+			a.conn.Interrupt() // boundSilence may have set another deadline
+		}
 		chunk, err := events.next()
 		if len(chunk.data) > 0 {
 			now := clock.Now()
@@ -143,6 +153,7 @@
 				return err
 			}
 			a.end(fleet.OutcomeGood, true)
+			removeBound()
 			return nil
 		case err != nil:
 			a.endBroken(err)
--- a/internal/gateway/unary.go
+++ b/internal/gateway/unary.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -68,6 +67,11 @@
 			x.giveUp(failure, err)
 			return
 		}
+		if failure != nil && failure.truncated {
+			// Its rest would keep the connection until the next attempt has ended.
+			failure.drop()
+			failure = nil
+		}
 	}
 }
 
@@ -77,19 +81,18 @@
 	if err != nil {
 		return nil, err
 	}
-	body, err := io.ReadAll(io.LimitReader(a.response.Body, maxBufferedBytes))
+	resp, err := a.readHeldBack()
 	if err == nil {
 		err = a.checkEnd()
 	}
 	if err != nil {
 		a.endBroken(err)
-		return nil, errors.WithMessage(err, "the answer broke off")
+		return nil, err
 	}
 	if !a.fromEndpoint() {
-		a.endFailed()
+		a.endFailed(errNotFromEndpoint)
 		return nil, errNotFromEndpoint
 	}
-	resp := &bufferedResponse{attempt: a, body: body, truncated: len(body) == maxBufferedBytes}
 	outcome := a.outcome()
 	a.reportAnswer(outcome)
 	if outcome == fleet.OutcomeGood {
@@ -180,19 +183,13 @@
 	}
 	x.w.WriteHeader(a.response.StatusCode)
 	x.outcome = "answered " + strconv.Itoa(a.response.StatusCode)
-	if _, err := x.w.Write(resp.body); err != nil {
-		x.outcome = "caller left during the answer"
-		a.end(fleet.OutcomeNeutral, false)
+	if resp.truncated {
+		x.passOn(resp)
 		return
 	}
-	if !resp.truncated {
-		return
-	}
-	if _, err := io.Copy(x.w, a.response.Body); err != nil {
-		a.endBroken(err)
-		x.abortPartial("the answer broke off")
+	if _, err := x.w.Write(resp.body); err != nil {
+		x.outcome = "caller left during the answer"
 	}
-	a.end(fleet.OutcomeGood, true)
 }
 
 // abortPartial closes the caller's connection, so that a partial response does not look complete.
@@ -210,6 +207,9 @@
 func (x *exchange) giveUp(failure *bufferedResponse, err error) {
 	switch {
 	case x.callerGone():
+		if failure != nil {
+			failure.drop()
+		}
 		x.abort("caller left")
 	case failure != nil:
 		x.relayBuffered(failure)
