OpenAI interface: events, bodies and heads of endpoints are bounded

An event of many lines without an empty line was collected without a bound, a body of more than 32 MB was returned cut as if it were whole, and an end of a long line that the reader's buffer had split was taken for an empty line or an id line. Events are bounded by 1 MB (4 MB for one line before) and count towards the memory of all events, longer bodies fail, and the transport of load reports and orders bounds heads by 64 KB. What is left of an unneeded response is awaited for 50 ms at most.

--- a/internal/daemon/module.go
+++ b/internal/daemon/module.go
@@ -26,6 +26,7 @@
 
 	"quaybarrow/internal/admission"
 	"quaybarrow/internal/billing"
+	"quaybarrow/internal/bound"
 	"quaybarrow/internal/clock"
 	"quaybarrow/internal/config"
 	"quaybarrow/internal/conn"
@@ -150,6 +151,7 @@
 	}
 	return &http.Transport{
 		MaxIdleConnsPerHost: idlePerEndpoint, IdleConnTimeout: time.Minute, DisableCompression: true,
+		MaxResponseHeaderBytes: bound.HeadBytes,
 		DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext,
 	}
 }
@@ -214,8 +216,8 @@
 	return len(ranked) > 0 && ranked[0].Host == v.Self
 }
 
-func newDispatcher(s settings.Settings, f *fleet.Fleet, conns *conn.Pool, q *quarantine.Tracker, tel *telemetry.Telemetry) *dispatch.Dispatcher {
-	return dispatch.New(dispatch.Options{Fleet: f, Conns: conns, FirstTokenTimeout: s.Times.FirstToken, Telemetry: tel, Quarantine: q})
+func newDispatcher(s settings.Settings, f *fleet.Fleet, conns *conn.Pool, q *quarantine.Tracker, tel *telemetry.Telemetry, l *log.Logger) *dispatch.Dispatcher {
+	return dispatch.New(dispatch.Options{Fleet: f, Conns: conns, FirstTokenTimeout: s.Times.FirstToken, Telemetry: tel, Quarantine: q, Logger: l})
 }
 
 // modelReady returns a function that reports whether an endpoint serves a version and accepts new work.
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -9,6 +9,7 @@
 
 	"github.com/google/uuid"
 
+	"quaybarrow/internal/bound"
 	"quaybarrow/internal/clock"
 	"quaybarrow/internal/fleet"
 	"quaybarrow/internal/problem"
@@ -32,8 +33,9 @@
 		return
 	}
 	stop := context.AfterFunc(ctx, c.Interrupt)
-	response, err := c.Send(request, func(*http.Response) bool { return true }) //nolint:bodyclose // a closed connection ends its body
-	c.Release(stop() && err == nil && drain(response))
+	_, err = c.Send(request, func(*http.Response) bool { return true }) //nolint:bodyclose // a closed connection ends its body
+	drained := err == nil && c.Drain()
+	c.Release(stop() && drained)
 }
 
 // Call is a request to a plain service.
@@ -132,10 +134,23 @@
 	if err != nil {
 		return Response{}, err
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
-	response.release(err == nil && len(body) < maxResponseBytes)
+	body, err := readWhole(response.Body)
+	response.release(err == nil)
 	if err != nil {
 		return Response{}, &attemptError{run: problem.Unknown, outcome: fleet.OutcomeFailed, cause: fmt.Errorf("read response body: %w", err)}
 	}
 	return Response{Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: body}, nil
 }
+
+// readWhole reads a body that is passed on only if it is whole. It returns a *bound.Error if the body is
+// longer than maxResponseBytes.
+func readWhole(source io.Reader) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(source, maxResponseBytes+1))
+	if err != nil {
+		return nil, fmt.Errorf("read body: %w", err)
+	}
+	if len(body) > maxResponseBytes {
+		return nil, &bound.Error{Place: bound.PlaceBody, Bytes: int64(len(body))}
+	}
+	return body, nil
+}
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 
+	"quaybarrow/internal/bound"
 	"quaybarrow/internal/conn"
 	"quaybarrow/internal/fleet"
 	"quaybarrow/internal/problem"
@@ -27,18 +28,20 @@
 
 // requestInfo identifies a request to the quarantine tracker.
 type requestInfo struct {
+	id       string
 	identity func() quarantine.Request
 	label    string // workspace and requested name, shown to operators
 }
 
-func (r Request) info() requestInfo { return requestInfo{r.Identity, r.Label} }
-func (c Call) info() requestInfo    { return requestInfo{c.Identity, c.Label} }
+func (r Request) info() requestInfo { return requestInfo{r.ID, r.Identity, r.Label} }
+func (c Call) info() requestInfo    { return requestInfo{c.ID, c.Identity, c.Label} }
 
-// recordFailure tells the quarantine tracker about a failed attempt whose connection broke, and
-// reports whether the endpoint has crashed. It ignores attempts whose context ended and endpoints
-// that have left the fleet.
+// recordFailure reports a failed attempt whose response exceeds its bound, tells the quarantine tracker
+// about one whose connection broke, and reports whether the endpoint has crashed. The tracker is not told
+// of attempts whose context ended and endpoints that have left the fleet.
 func (d *Dispatcher) recordFailure(ctx context.Context, hold *fleet.Hold, request requestInfo, broken quarantine.BrokenAttempt, err error) bool {
 	e := hold.Endpoint
+	bound.Report(err, d.options.Telemetry, d.options.Logger, request.id, e.ID)
 	if !conn.IsDisconnect(err) || ctx.Err() != nil || !d.options.Fleet.Serves(e.ID) {
 		return false
 	}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -18,13 +18,14 @@
 	"bytes"
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
+	"quaybarrow/internal/bound"
 	"quaybarrow/internal/chat"
 	"quaybarrow/internal/clock"
 	"quaybarrow/internal/conn"
@@ -59,6 +60,10 @@
 	Telemetry         *telemetry.Telemetry
 	// Quarantine tracks requests that crash endpoints.
 	Quarantine *quarantine.Tracker
+	// EventMemory bounds the incomplete events that the host holds; nil bounds them by the process's
+	// memory limit.
+	EventMemory *bound.Memory
+	Logger      *log.Logger // nil for none
 }
 
 // Dispatcher sends requests to endpoints.
@@ -69,6 +74,9 @@
 
 // New returns a dispatcher.
 func New(options Options) *Dispatcher {
+	if options.EventMemory == nil {
+		options.EventMemory = bound.NewMemory(bound.ProcessLimit)
+	}
 	return &Dispatcher{options: options, budgets: retry.NewBudgets(DefaultRetries)}
 }
 
@@ -196,14 +204,16 @@
 }
 
 // outcomeOf returns the outcome that a failed attempt counts as for its endpoint. An attempt whose
-// context ended is neutral unless the endpoint refused it: the caller disconnected or the deadline
-// passed.
+// context ended is neutral unless the endpoint refused it, or its response exceeded a bound or had a head
+// that still arrived when the time was over: the caller disconnected or the deadline passed.
 func outcomeOf(ctx context.Context, err error) fleet.Outcome {
 	var e *attemptError
 	known := errors.As(err, &e)
 	switch {
 	case known && e.outcome == fleet.OutcomeRefused:
 		return fleet.OutcomeRefused
+	case bound.IsExceeded(err), clock.Expired(ctx) && errors.Is(err, conn.ErrHeadIncomplete):
+		return fleet.OutcomeFailed
 	case ctx.Err() != nil:
 		return fleet.OutcomeNeutral
 	case known:
@@ -305,7 +315,7 @@
 		if err == nil {
 			return received, nil
 		}
-		received.release(drain(response))
+		received.release(c.Drain())
 		return nil, err
 	}
 	received.release(false)
@@ -371,10 +381,3 @@
 	got := h.Get(name)
 	return got == "" || got == value
 }
-
-// drain discards up to 4 KiB of a response body and reports whether that reached its end.
-func drain(response *http.Response) bool {
-	const limit = 4 << 10
-	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, limit))
-	return err == nil && n < limit
-}
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -13,6 +13,7 @@
 
 	"github.com/pkg/errors"
 
+	"quaybarrow/internal/bound"
 	"quaybarrow/internal/chat"
 	"quaybarrow/internal/clock"
 	"quaybarrow/internal/fleet"
@@ -23,7 +24,6 @@
 // Limits of streams.
 const (
 	readBuffer = 16 << 10
-	maxEvent   = 4 << 20
 	maxResumes = 3
 	// endTimeout bounds the wait for the end of a response body after the end marker of its stream.
 	// It arrives in the same packet as the marker, or the connection is closed.
@@ -44,8 +44,9 @@
 	ongoing         *quarantine.OngoingResponse
 	response        *endpointResponse
 	reader          *bufio.Reader
-	event           []byte // the last event; reused
-	events          int    // data events read so far
+	event           eventLines    // the last event
+	memory          *bound.Holder // of an event that is longer than readBuffer
+	events          int           // data events read so far
 	resumes         int
 	usage           *chat.Usage
 	ended           bool // the response was read to its end or end marker
@@ -55,6 +56,10 @@
 
 // setResponse makes the stream read from a response.
 func (s *Stream) setResponse(a *endpointResponse) {
+	if s.memory != nil {
+		s.memory.Release()
+	}
+	s.event, s.memory = eventLines{}, s.dispatcher.options.EventMemory.NewHolder(a.conn.Interrupt)
 	s.response = a
 	s.reader = bufio.NewReaderSize(a.Body, readBuffer)
 }
@@ -125,34 +130,6 @@
 // errTruncated means that a stream ended without its end marker.
 var errTruncated = errors.New("stream ended early")
 
-// readEvent returns the next complete event of the current response, without its id lines.
-func (s *Stream) readEvent() (Event, error) {
-	s.event = s.event[:0]
-	var data []byte
-	for {
-		line, err := s.reader.ReadSlice('\n')
-		for errors.Is(err, bufio.ErrBufferFull) && len(s.event)+len(line) < maxEvent {
-			s.event = append(s.event, line...)
-			line, err = s.reader.ReadSlice('\n')
-		}
-		if err != nil {
-			return Event{}, fmt.Errorf("%w: %w", errTruncated, err)
-		}
-		blank := len(bytes.TrimRight(line, "\r\n")) == 0
-		if !blank && !bytes.HasPrefix(line, []byte("id:")) || blank && len(s.event) > 0 {
-			s.event = append(s.event, line...)
-		}
-		if blank && len(s.event) > 0 {
-			data = s.event
-			break
-		}
-	}
-	s.ongoing.DataArrived(clock.Now())
-	event := s.parseEvent(data)
-	event.NextBuffered = s.hasBufferedEvent()
-	return event, nil
-}
-
 // hasBufferedEvent reports whether the buffer holds another complete event.
 func (s *Stream) hasBufferedEvent() bool {
 	buffered, err := s.reader.Peek(s.reader.Buffered())
@@ -181,7 +158,7 @@
 // resume requests the rest of the stream from the engine, after the events read so far. It returns
 // cause if the stream can't be resumed.
 func (s *Stream) resume(cause error) error {
-	if s.context.Err() != nil || s.resumes >= maxResumes {
+	if s.context.Err() != nil || s.resumes >= maxResumes || bound.IsExceeded(cause) {
 		return cause
 	}
 	s.resumes++
@@ -194,7 +171,7 @@
 		return err
 	}
 	if a.StatusCode != http.StatusOK {
-		a.release(drain(a.Response))
+		a.release(a.conn.Drain())
 		return cause
 	}
 	s.setResponse(a)
@@ -203,7 +180,7 @@
 
 // ReadAll reads the whole body of a response that is not streamed.
 func (s *Stream) ReadAll() ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(s.reader, maxResponseBytes))
+	body, err := readWhole(s.reader)
 	if err != nil {
 		s.failed = true
 		s.recordBroken(err)
@@ -264,6 +241,7 @@
 		s.dispatcher.options.Quarantine.EndResponse(s.ongoing, s.ended && s.Status() == http.StatusOK)
 	}
 	if s.response != nil {
+		s.memory.Release()
 		s.response.release(readToEnd)
 	}
 	s.cancel()
