--- a/internal/gateway/endless.go
+++ b/internal/gateway/endless.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"net/http"
@@ -70,7 +71,7 @@
 func (x *exchange) passOn(resp *bufferedResponse) {
 	a := resp.attempt
 	removeBound := x.boundWrites()
-	u := unfinished{passedOn: true, timeout: x.route.Timeout}
+	u := unfinished{passedOn: true, timeout: cmp.Or(x.route.Timeout, defaultTimeout)}
 	buffer := make([]byte, passOnBuffer)
 	piece, readErr := resp.body, error(nil)
 	for {
--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"quaybarrow/internal/bound"
 	"quaybarrow/internal/standin/suite"
 	"quaybarrow/platform/standin"
 )
@@ -93,6 +94,7 @@
 				if c.place != "" {
 					Expect(r.log.text()).To(ContainSubstring("response exceeds its bound"))
 					Expect(r.log.text()).To(ContainSubstring("place=" + c.place))
+					Expect(r.metrics()).To(ContainSubstring(`quaybarrow_endless_responses_total{place="` + c.place + `"} 1`))
 				}
 			})
 		})
@@ -221,6 +223,60 @@
 		})
 	})
 
+	// Guards against a host that keeps a connection on which bytes come that belong to no request.
+	It("that follows a whole one is not read, and its connection is closed", func() {
+		suite.Paused(func() {
+			r := newRig(scripts{"plain-1": standin.Always(standin.Endless{Status: 200, Start: "Content-Length: 4\r\n\r\ndone" + many("x"), Repeat: many("x"), Pause: burstPause})})
+			defer r.stop()
+			for range 2 {
+				a := r.ask(request("POST", "/once/1", "x"))
+				Expect(a.Status).To(Equal(http.StatusOK))
+				Expect(a.Body).To(Equal("done"))
+			}
+			time.Sleep(time.Second)
+			Expect(r.endpoints["plain-1"].Connections()).To(Equal(2))
+			Expect(r.endlessRequest().Sent).To(BeNumerically("<=", surplus))
+		})
+	})
+
+	const firstEvent = "\r\nid: 1\ndata: a\n\n"
+	for name, largest := range map[string]standin.Endless{
+		"its own":     {Status: 200, Start: firstEvent, Repeat: many("x"), Pause: burstPause},
+		"another one": {Status: 200, Start: firstEvent + strings.Repeat("x", 70<<10), Repeat: "x", Pause: 15 * time.Second},
+	} {
+		// Guards against streams that together hold more than their part of the host's memory, and against
+		// a small one that ends for a large one, also while the large one awaits data.
+		It("ends first where it holds the most, once the bytes of a stream exceed all events' memory: "+name, func() {
+			suite.Paused(func() {
+				slow := standin.Endless{Status: 200, Start: firstEvent, Repeat: strings.Repeat("x", 256), Pause: 10 * burstPause}
+				r := newRig(scripts{"model-1": func(_ int, q *http.Request) standin.Script {
+					if strings.HasSuffix(q.URL.Path, "/largest") {
+						return largest
+					}
+					return slow
+				}})
+				defer r.stop()
+				r.gateway.EventMemory = bound.NewMemory(func() int64 { return 130 << 10 })
+				start := time.Now()
+				ended := make(chan string, 2)
+				for _, name := range []string{"slow", "largest"} {
+					go func() {
+						defer GinkgoRecover()
+						a := r.ask(prompt("/fixed/" + name))
+						Expect(a.Err).To(HaveOccurred())
+						ended <- name
+					}()
+				}
+				Expect(<-ended).To(Equal("largest"))
+				Expect(time.Since(start)).To(BeNumerically("<", 200*time.Millisecond))
+				Expect(r.log.text()).To(ContainSubstring("place=event"))
+				Expect(<-ended).To(Equal("slow"))
+				Expect(time.Since(start)).To(BeNumerically(">", time.Second))
+				Expect(r.gateway.EventMemory.Total()).To(BeZero())
+			})
+		})
+	}
+
 	// Guards against reuse of a connection on which a rejection goes on, and against a wait for its end.
 	It("that rejects a request is not read on, and its connection is closed", func() {
 		suite.Paused(func() {
@@ -258,3 +314,10 @@
 	}
 	return standin.ReceivedRequest{}
 }
+
+// metrics returns the gateway's metrics as operators read them.
+func (r *rig) metrics() string {
+	var b strings.Builder
+	Expect(r.gateway.Telemetry.WriteText(&b)).To(Succeed())
+	return b.String()
+}
