--- a/internal/daemon/module.go
+++ b/internal/daemon/module.go
@@ -152,7 +152,7 @@
 	return &http.Transport{
 		MaxIdleConnsPerHost: idlePerEndpoint, IdleConnTimeout: time.Minute, DisableCompression: true,
 		MaxResponseHeaderBytes: bound.HeadBytes,
-		DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
 	}
 }
 
