--- a/internal/gateway/endless.go
+++ b/internal/gateway/endless.go
@@ -18,7 +18,7 @@
 // unfinished is what is known of a response that did not end before its request's time was over.
 type unfinished struct {
 	headBegun     bool          // its head was arriving
-	passedOn      bool          // its body was being passed on to the caller
+	bodyBegun     bool          // its body was arriving, and is not a stream of events
 	lasted        time.Duration // since the request was sent to the endpoint
 	awaitedCaller time.Duration // of which the host waited for the caller to read
 	timeout       time.Duration // of the route
@@ -31,7 +31,7 @@
 	switch {
 	case u.headBegun:
 		return fleet.OutcomeFailed
-	case u.passedOn && 2*u.awaitedCaller < u.lasted && 2*u.lasted >= u.timeout:
+	case u.bodyBegun && 2*u.awaitedCaller < u.lasted && 2*u.lasted >= u.timeout:
 		return fleet.OutcomeFailed
 	default:
 		return fleet.OutcomeNeutral
@@ -50,10 +50,19 @@
 	case x.callerGone():
 		return fleet.OutcomeNeutral
 	default:
-		return unfinished{headBegun: errors.Is(err, conn.ErrHeadIncomplete)}.outcome()
+		return unfinished{
+			headBegun: errors.Is(err, conn.ErrHeadIncomplete), bodyBegun: errors.Is(err, errBodyIncomplete),
+			lasted: clock.Since(a.sentAt), timeout: x.routeTimeout(),
+		}.outcome()
 	}
 }
 
+// routeTimeout returns the timeout of requests whose caller states none.
+func (x *exchange) routeTimeout() time.Duration { return cmp.Or(x.route.Timeout, defaultTimeout) }
+
+// errBodyIncomplete means that a response could not be read to its end after a part of its body.
+var errBodyIncomplete = errors.New("the answer broke off")
+
 // boundWrites makes writes to the caller fail once the request's time is over. The function that it
 // returns removes the bound after a whole response: one that is cut closes the connection, and what is
 // written before must not block.
@@ -71,7 +80,7 @@
 func (x *exchange) passOn(resp *bufferedResponse) {
 	a := resp.attempt
 	removeBound := x.boundWrites()
-	u := unfinished{passedOn: true, timeout: cmp.Or(x.route.Timeout, defaultTimeout)}
+	u := unfinished{bodyBegun: true, timeout: x.routeTimeout()}
 	buffer := make([]byte, passOnBuffer)
 	piece, readErr := resp.body, error(nil)
 	for {
@@ -123,7 +132,10 @@
 // readHeldBack reads the part of a response that is held back until the response is known to be whole.
 func (a *attempt) readHeldBack() (*bufferedResponse, error) {
 	body, err := io.ReadAll(io.LimitReader(a.response.Body, maxBufferedBytes))
-	if err != nil {
+	switch {
+	case err != nil && len(body) > 0:
+		return nil, fmt.Errorf("%w: %w", errBodyIncomplete, err)
+	case err != nil:
 		return nil, errors.WithMessage(err, "the answer broke off")
 	}
 	return &bufferedResponse{attempt: a, body: body, truncated: len(body) == maxBufferedBytes}, nil
--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -151,6 +151,20 @@
 		})
 	})
 
+	// Guards against an endpoint that is taken for well while its answers never arrive whole.
+	It("fails at the deadline if its body keeps coming a little at a time, and counts as a failure", func() {
+		suite.Paused(func() {
+			r := newRig(scripts{"plain-1": standin.Always(standin.Endless{Status: 200, Start: "\r\n", Repeat: "x", Pause: 10 * time.Millisecond})})
+			defer r.stop()
+			for range 5 {
+				start := time.Now()
+				Expect(r.ask(request("POST", "/once/1", "x")).Status).To(Equal(http.StatusGatewayTimeout))
+				Expect(time.Since(start)).To(BeNumerically("<=", 2*time.Second))
+			}
+			Expect(r.fleet.View()[0].Ready).To(BeFalse())
+		})
+	})
+
 	for name, start := range map[string]string{"sized": "Content-Length: 99999999999\r\n\r\n", "unsized": "\r\n", "in chunks": chunkedField} {
 		repeat := many("x")
 		if start == chunkedField {
--- a/internal/gateway/unfinished_test.go
+++ b/internal/gateway/unfinished_test.go
@@ -16,10 +16,10 @@
 	}{
 		"nothing has arrived":              {unfinished{lasted: 10 * time.Second, timeout: 10 * time.Second}, fleet.OutcomeNeutral},
 		"its head was arriving":            {unfinished{headBegun: true}, fleet.OutcomeFailed},
-		"its body took the whole time":     {unfinished{passedOn: true, lasted: 10 * time.Second, timeout: 10 * time.Second}, fleet.OutcomeFailed},
-		"its body had half of the time":    {unfinished{passedOn: true, lasted: 5 * time.Second, timeout: 10 * time.Second}, fleet.OutcomeFailed},
-		"its body had less":                {unfinished{passedOn: true, lasted: 4 * time.Second, timeout: 10 * time.Second}, fleet.OutcomeNeutral},
-		"its caller took half of the time": {unfinished{passedOn: true, lasted: 10 * time.Second, awaitedCaller: 5 * time.Second, timeout: 10 * time.Second}, fleet.OutcomeNeutral},
+		"its body took the whole time":     {unfinished{bodyBegun: true, lasted: 10 * time.Second, timeout: 10 * time.Second}, fleet.OutcomeFailed},
+		"its body had half of the time":    {unfinished{bodyBegun: true, lasted: 5 * time.Second, timeout: 10 * time.Second}, fleet.OutcomeFailed},
+		"its body had less":                {unfinished{bodyBegun: true, lasted: 4 * time.Second, timeout: 10 * time.Second}, fleet.OutcomeNeutral},
+		"its caller took half of the time": {unfinished{bodyBegun: true, lasted: 10 * time.Second, awaitedCaller: 5 * time.Second, timeout: 10 * time.Second}, fleet.OutcomeNeutral},
 	} {
 		if got := c.response.outcome(); got != c.want {
 			t.Errorf("%s: %v, want %v", name, got, c.want)
