--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"golang.org/x/time/rate"
 
 	"quaybarrow/internal/advice"
+	"quaybarrow/internal/bound"
 	"quaybarrow/internal/clock"
 	"quaybarrow/internal/conn"
 	"quaybarrow/internal/fleet"
@@ -64,6 +65,9 @@
 	// SharesCapacity reports whether capacity is shared among workspaces and kinds of requests; nil if
 	// the configuration alone says so.
 	SharesCapacity func() bool
+	// EventMemory bounds the incomplete events that the host holds; nil bounds them by the process's
+	// memory limit.
+	EventMemory *bound.Memory
 	// RetryRatio bounds retries to a fraction of the first sends.
 	RetryRatio float64
 }
@@ -93,6 +97,9 @@
 
 // New returns a gateway.
 func New(options Options) *Gateway {
+	if options.EventMemory == nil {
+		options.EventMemory = bound.NewMemory(bound.ProcessLimit)
+	}
 	return &Gateway{Options: options, sizes: newRequestSizes(), streamSpans: newRouteMeans(), routeWork: newRouteMeans(), firstModels: newFirstModels(), running: newRunningCounter(), startedAt: clock.Now(), unreadableLimitLog: newLogSampler(), changedLimitLog: newLogSampler(), unreachedLog: &rate.Sometimes{Interval: unreachedLogInterval}, unreadablePauseLog: newLogSampler(), unknownFields: &unknownFields{},
 		retryBudgets: retry.NewBudgets(retry.Limits{Ratio: options.RetryRatio, Reserve: retryReserve})}
 }
