Shares: division of capacity, reports to owners, messages

A workspace that sends 25 times its usual load fills the queues of endpoints of a service for all. Each service's owner now divides their capacity by what all hosts report, and hosts refuse what is over a share. Not tested yet.

--- /dev/null
+++ b/internal/share/message.go
@@ -0,0 +1,115 @@
+package share
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// maxClasses bounds the classes in one message.
+	maxClasses = 1024
+	// maxCount bounds the counters in one message.
+	maxCount = math.MaxInt32
+)
+
+// Report is what a host tells an owner of a service.
+type Report struct {
+	Host       string
+	Service    string
+	Demand     map[Class]float64 // seconds of work per second that are asked for
+	Admitted   float64           // seconds of work per second that were admitted since the last report
+	Arrivals   int               // at endpoints since the last report
+	Rejections int               // of these, by endpoints
+	Occupancy  float64           // mean of what responses reported since the last report; negative if none did
+	Responses  int               // that reported an occupancy
+	PressedFor time.Duration     // for how long the service is pressed for the host at least
+}
+
+// Reply is the answer of an owner.
+type Reply struct {
+	Fractions map[Class]float64 // admitted of each class; an absent one is admitted whole
+}
+
+// Check returns an error if the report can't be right.
+func (r Report) Check() error {
+	switch {
+	case r.Host == "" || r.Service == "":
+		return errors.New("report without host or service")
+	case len(r.Demand) > maxClasses:
+		return tooManyClasses(len(r.Demand))
+	case !finite(r.Admitted) || r.Admitted < 0:
+		return errors.Errorf("admitted work of %v", r.Admitted)
+	case !finite(r.Occupancy):
+		return errors.Errorf("occupancy of %v", r.Occupancy)
+	case r.Arrivals < 0 || r.Rejections < 0 || r.Responses < 0 || r.Rejections > r.Arrivals:
+		return errors.Errorf("%d arrivals, %d rejections, %d responses", r.Arrivals, r.Rejections, r.Responses)
+	case r.PressedFor < 0 || r.PressedFor > maxPressedFor:
+		return errors.Errorf("pressed for %s", r.PressedFor)
+	}
+	for c, d := range r.Demand {
+		if !finite(d) || d < 0 {
+			return errors.Errorf("demand of %v for workspace %q", d, c.Workspace)
+		}
+	}
+	return nil
+}
+
+// maxPressedFor bounds the time that a report is taken to announce more reports.
+const maxPressedFor = 10 * time.Second
+
+// Check returns an error if the reply can't be right.
+func (r Reply) Check() error {
+	if len(r.Fractions) > maxClasses {
+		return tooManyClasses(len(r.Fractions))
+	}
+	for c, f := range r.Fractions {
+		if !(f >= 0 && f <= 1) {
+			return errors.Errorf("fraction of %v for workspace %q", f, c.Workspace)
+		}
+	}
+	return nil
+}
+
+func tooManyClasses(n int) error {
+	return errors.Errorf("message with %d classes, at most %d are allowed", n, maxClasses)
+}
+
+func finite(v float64) bool { return !math.IsNaN(v) && !math.IsInf(v, 0) }
+
+// bounded returns a report with the classes of the highest demand, as many as one message may carry.
+func (r Report) bounded() Report {
+	r.Arrivals = min(r.Arrivals, maxCount)
+	r.Rejections = min(r.Rejections, maxCount)
+	r.Responses = min(r.Responses, maxCount)
+	if len(r.Demand) <= maxClasses {
+		return r
+	}
+	classes := slices.SortedFunc(maps.Keys(r.Demand), func(a, b Class) int {
+		return cmp.Or(cmp.Compare(r.Demand[b], r.Demand[a]), compareClasses(a, b))
+	})
+	kept := make(map[Class]float64, maxClasses)
+	for _, c := range classes[:maxClasses] {
+		kept[c] = r.Demand[c]
+	}
+	r.Demand = kept
+	return r
+}
+
+// replyOf returns the reply for an allotment, with the classes of the lowest fractions if there are more
+// than one message may carry.
+func replyOf(a Allotment) Reply {
+	cut := a.Cut()
+	if len(cut) > maxClasses {
+		cut = slices.SortedStableFunc(slices.Values(cut), func(x, y Class) int { return cmp.Compare(a.Fraction(x), a.Fraction(y)) })[:maxClasses]
+	}
+	reply := Reply{Fractions: make(map[Class]float64, len(cut))}
+	for _, c := range cut {
+		reply.Fractions[c] = a.Fraction(c)
+	}
+	return reply
+}
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -14,15 +14,23 @@
 // For each service one host, the owner, divides the capacity by what all hosts report that is asked of
 // them; every host applies the result to its own callers' requests. All state is soft: it is lost with
 // its host and rebuilt from the next reports.
+//
+// A host reports only while a service is pressed for it, that is, while its endpoints are nearly full or
+// reject requests. While the owner does not answer, the next host in the service's rendezvous order
+// divides; while nobody answers, each host divides its own part of the capacity among its own requests.
 package share
 
 import (
 	"context"
+	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/charmbracelet/log"
 
+	"quaybarrow/internal/clock"
 	"quaybarrow/internal/telemetry"
+	"quaybarrow/internal/wake"
 )
 
 // Class identifies requests that have a claim in common: those of one workspace with one urgency.
@@ -68,22 +76,117 @@
 }
 
 // PeerClient calls other hosts.
-type PeerClient interface{}
+type PeerClient interface {
+	// Report sends a report to the owner of its service.
+	Report(ctx context.Context, address string, r Report) (Reply, error)
+}
 
 // Shares admits requests by the shares of their workspaces. It is safe for concurrent use.
-type Shares struct{ options Options }
+type Shares struct {
+	options Options
+	wake    wake.Signal // some service has become pressed
 
-// New returns shares that admit all requests until some service is pressed.
-func New(o Options) *Shares { return &Shares{options: o} }
+	mu           sync.Mutex // guards all below
+	services     map[string]*service
+	hosts        []host // includes this host; replaced when it changes
+	hostsReadAt  clock.Instant
+	skippedUntil map[string]clock.Instant // by name: hosts that did not answer, and until when they are skipped
+	logged       map[string]bool          // hosts whose failure to answer has been logged
+	badLoggedAt  clock.Instant            // when a bad message was last logged
+}
+
+// service is the state of one service.
+type service struct {
+	name       string
+	demand     *demand
+	exchanging bool              // whether a goroutine exchanges reports
+	fractions  map[Class]float64 // below 1
+	receivedAt clock.Instant     // of fractions
+	owner      *owner            // divides for all hosts that report to this one; nil if none did
+	alone      *owner            // divides for this host while nobody answers; nil if somebody does
+}
 
-// Run exchanges reports with owners until the context ends.
-func (s *Shares) Run(ctx context.Context) { <-ctx.Done() }
+// New returns shares that admit all requests until some service is pressed.
+func New(o Options) *Shares {
+	if o.Random == nil {
+		o.Random = rand.Float64
+	}
+	return &Shares{
+		options: o, wake: wake.NewSignal(), services: map[string]*service{},
+		skippedUntil: map[string]clock.Instant{}, logged: map[string]bool{},
+	}
+}
 
 // Admit counts a request with the work that it is expected to cost as offered, and decides whether it is
 // admitted.
 func (s *Shares) Admit(service string, c Class, work time.Duration) Verdict {
-	return Verdict{Admitted: true, Fraction: 1}
+	if !s.options.Enabled() {
+		return Verdict{Admitted: true, Fraction: 1}
+	}
+	v := s.admit(service, c, max(work, 0).Seconds())
+	if !v.Admitted {
+		s.options.Telemetry.Count("share_refusals", 1, telemetry.Label("service", service))
+	}
+	return v
+}
+
+func (s *Shares) admit(name string, c Class, work float64) Verdict {
+	now := clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state := s.service(name)
+	state.demand.offer(c, work, now)
+	f := state.fraction(c, now)
+	v := Verdict{Admitted: f >= 1 || s.options.Random() < f, Fraction: f}
+	if v.Admitted {
+		state.demand.admitted += work
+	}
+	return v
 }
 
 // Responded records what a response shows of its endpoint's load.
-func (s *Shares) Responded(service string, r Response) {}
+func (s *Shares) Responded(service string, r Response) {
+	if !s.options.Enabled() {
+		return
+	}
+	now := clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state := s.service(service)
+	if state.demand.respond(r, now) && !state.exchanging {
+		s.wake.Notify()
+	}
+}
+
+// service returns the state of a service; the caller holds mu.
+func (s *Shares) service(name string) *service {
+	state := s.services[name]
+	if state == nil {
+		state = &service{name: name, demand: newDemand()}
+		s.services[name] = state
+	}
+	return state
+}
+
+// inForce reports whether the latest fractions are valid.
+func (s *service) inForce(now clock.Instant) bool {
+	return !s.receivedAt.IsZero() && now.Sub(s.receivedAt) <= replyValidity
+}
+
+// fraction returns the fraction of a class that is admitted.
+func (s *service) fraction(c Class, now clock.Instant) float64 {
+	if f, ok := s.fractions[c]; ok && s.inForce(now) {
+		return f
+	}
+	return 1
+}
+
+// apply puts fractions into force. While something is cut, this host goes on reporting, also if it sees
+// no response of an endpoint, since its requests would be admitted whole without a reply.
+func (s *service) apply(r Reply, now clock.Instant) {
+	s.fractions = r.Fractions
+	s.receivedAt = now
+	if len(r.Fractions) > 0 {
+		s.demand.pressUntil(now.Add(replyValidity))
+	}
+}
