--- a/internal/share/exchange.go
+++ b/internal/share/exchange.go
@@ -185,11 +185,11 @@
 // takes only the part of the hosts that report to it. If this host is the first, it does the same once
 // hosts have left it that should report.
 func sharedPart(service string, hosts []host) func(reporting, missing int) float64 {
-	least := 1
-	if !first(service, hosts).self {
-		least = len(hosts)
-	}
 	return func(reporting, missing int) float64 {
+		least := 1
+		if !first(service, hosts).self {
+			least = len(hosts)
+		}
 		return float64(reporting) / float64(max(reporting+missing, least))
 	}
 }
