--- a/internal/share/capacity.go
+++ b/internal/share/capacity.go
@@ -8,10 +8,6 @@
 	maxFactor = 10
 	// freeOccupancy is the mean occupancy below which endpoints have room for sure.
 	freeOccupancy = 0.75
-	// growOccupancy is the mean occupancy below which the factor grows.
-	growOccupancy = 0.8
-	// fullOccupancy is the mean occupancy above which the factor shrinks.
-	fullOccupancy = 0.9
 	// tolerableRejections is the fraction of arrivals that may be rejected without consequence.
 	tolerableRejections = 0.02
 	growth              = 1.05
@@ -29,6 +25,28 @@
 	occupancySmoothing = 0.5
 )
 
+// bounds are the mean occupancies between which the factor stays.
+type bounds struct {
+	grow float64 // below it, the factor grows
+	full float64 // above it, the factor shrinks
+}
+
+var (
+	engineBounds = bounds{grow: 0.8, full: 0.9}
+	// plainBounds allow some waiting requests: with few slots, random arrivals make some wait long
+	// before all slots are busy, for less than the time of one request. With the bounds of engines, a
+	// service at 0.75 of its capacity would refuse requests that could all begin in time.
+	plainBounds = bounds{grow: 1.5, full: 2}
+)
+
+// boundsOf returns the bounds for the endpoints of a service.
+func boundsOf(s Supply) bounds {
+	if s.Parallel > 1 {
+		return plainBounds
+	}
+	return engineBounds
+}
+
 // Observation is what hosts have reported in one step.
 type Observation struct {
 	Supply     float64 // seconds of work per second at a factor of 1
@@ -51,12 +69,19 @@
 // promise. It is immutable.
 type Capacity struct {
 	factor    float64
+	bounds    bounds
 	occupancy float64 // smoothed; negative if unknown
 	cutting   bool    // whether work beyond the capacity is refused
 }
 
 // NewCapacity returns the estimate before any observation.
-func NewCapacity() Capacity { return Capacity{factor: 1, occupancy: -1} }
+func NewCapacity() Capacity { return Capacity{factor: 1, bounds: engineBounds, occupancy: -1} }
+
+// WithSupply returns the estimate for other endpoints.
+func (c Capacity) WithSupply(s Supply) Capacity {
+	c.bounds = boundsOf(s)
+	return c
+}
 
 // Factor returns the ratio of the capacity to the supply.
 func (c Capacity) Factor() float64 { return c.factor }
@@ -86,7 +111,7 @@
 // WithoutObservations returns the estimate for a service that was not observed for a while: only the factor
 // stays.
 func (c Capacity) WithoutObservations() Capacity {
-	return Capacity{factor: c.factor, occupancy: -1}
+	return Capacity{factor: c.factor, bounds: c.bounds, occupancy: -1}
 }
 
 // free reports whether endpoints have room for sure.
@@ -103,12 +128,12 @@
 		// admitted by older fractions does not count against the estimate.
 		served := o.Admitted * (1 - o.rejected()) * servedMargin / o.Supply
 		return max(min(c.factor, served), c.factor*maxShrinkage)
-	case c.occupancy > fullOccupancy:
+	case c.occupancy > c.bounds.full:
 		if o.Admitted > capacity*effectiveMargin {
 			return c.factor
 		}
 		return c.factor * shrinkage
-	case o.Rejections > 0 || c.occupancy >= growOccupancy:
+	case o.Rejections > 0 || c.occupancy >= c.bounds.grow:
 		return c.factor
 	case o.Demand <= capacity:
 		return c.withGrowthTo1(o).factor
@@ -121,7 +146,7 @@
 
 // withGrowthTo1 returns an estimate whose factor returns to 1 while it does not matter.
 func (c Capacity) withGrowthTo1(o Observation) Capacity {
-	if c.factor >= 1 || o.Rejections > 0 || c.occupancy >= growOccupancy {
+	if c.factor >= 1 || o.Rejections > 0 || c.occupancy >= c.bounds.grow {
 		return c
 	}
 	return c.withFactor(min(c.factor*growth, 1))
--- a/internal/share/demand.go
+++ b/internal/share/demand.go
@@ -16,7 +16,7 @@
 	pressedOccupancy = 0.7
 	// maxCountedOccupancy bounds what one response counts in the mean, so that one endpoint with a long
 	// queue does not hide that others have room.
-	maxCountedOccupancy = 1.5
+	maxCountedOccupancy = 3
 	// negligibleRate is the work per second below which a class is forgotten. Some 20 time constants
 	// pass before a request that took a second decays to it.
 	negligibleRate = 1e-9
--- a/internal/share/exchange.go
+++ b/internal/share/exchange.go
@@ -197,8 +197,7 @@
 // divide divides capacity and publishes the result.
 func (s *Shares) divide(state *service, o *owner, now clock.Instant, part func(reporting, missing int) float64) Allotment {
 	// The options' functions may take locks of their own, so they are not called under mu.
-	supply := s.options.Supply(state.name)
-	current := setting{supply: supply.work(), weight: s.options.Weight, share: part}
+	current := setting{supply: s.options.Supply(state.name), weight: s.options.Weight, share: part}
 	s.mu.Lock()
 	a, made := o.divide(now, current)
 	factor, log := o.capacity.Factor(), made && o.logDue(now)
@@ -214,18 +213,6 @@
 	return a
 }
 
-// work returns the seconds of work per second that the endpoints do if the estimates of work are right.
-func (s Supply) work() float64 {
-	w := float64(s.Endpoints) * s.Parallel
-	if s.Pace > 0 {
-		w /= s.Pace
-	}
-	if !finite(w) {
-		return 0
-	}
-	return w
-}
-
 // ownerOf returns the current owner of a service: the first host in its order that is not skipped.
 func (s *Shares) ownerOf(service string) host {
 	hosts, now := s.currentHosts(), clock.Now()
--- a/internal/share/owner.go
+++ b/internal/share/owner.go
@@ -35,7 +35,7 @@
 
 // setting is what a division depends on apart from the reports.
 type setting struct {
-	supply float64 // seconds of work per second that all endpoints of the service promise
+	supply Supply
 	weight func(workspace string) float64
 	// share returns the part of the supply that is divided, given how many hosts report and how many
 	// should but do not.
@@ -79,6 +79,7 @@
 		return o.allotment, false
 	}
 	o.dividedAt = now
+	o.capacity = o.capacity.WithSupply(current.supply)
 	demand, observation := o.observe(now, current)
 	o.step(now, observation)
 	o.allotment = Allotment{demand: observation.Demand, capacity: o.capacity.Of(observation.Supply)}
@@ -107,7 +108,7 @@
 			}
 		}
 	}
-	observation.Supply = s.supply * s.share(reporting, missing)
+	observation.Supply = s.supply.work() * s.share(reporting, missing)
 	if o.responses > 0 {
 		observation.Occupancy = o.occupancy / float64(o.responses)
 	}
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -46,6 +46,18 @@
 	Pace      float64 // mean time of work at the endpoints relative to the usual time (1)
 }
 
+// work returns the seconds of work per second that the endpoints do if the estimates of work are right.
+func (s Supply) work() float64 {
+	w := float64(s.Endpoints) * s.Parallel
+	if s.Pace > 0 {
+		w /= s.Pace
+	}
+	if !finite(w) {
+		return 0
+	}
+	return w
+}
+
 // Response is what the response of an endpoint shows of its load.
 type Response struct {
 	Rejected  bool    // the endpoint did not run the request
