Shares: a new owner keeps fractions in force until it has observed a step

When the owner died, its successor replied that nothing is cut before it had seen one step, so for about 0.4 s endpoints got the whole load.

--- a/internal/share/exchange.go
+++ b/internal/share/exchange.go
@@ -154,7 +154,7 @@
 	shared := state.owner
 	shared.record(r, now)
 	s.mu.Unlock()
-	return replyOf(s.divide(state, shared, now, sharedPart(r.Service, s.currentHosts()))), nil
+	return s.divide(state, shared, now, sharedPart(r.Service, s.currentHosts())), nil
 }
 
 // divideAlone divides this host's part of the capacity among its own requests, once the fractions that an
@@ -174,10 +174,10 @@
 	own.record(r, now)
 	s.mu.Unlock()
 	part := 1 / float64(len(s.currentHosts()))
-	a := s.divide(state, own, now, func(int, int) float64 { return part })
+	reply := s.divide(state, own, now, func(int, int) float64 { return part })
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	state.apply(replyOf(a), now)
+	state.apply(reply, now)
 }
 
 // sharedPart returns the part of a service's supply that this host divides as its owner. If another host
@@ -195,12 +195,12 @@
 }
 
 // divide divides capacity and publishes the result.
-func (s *Shares) divide(state *service, o *owner, now clock.Instant, part func(reporting, missing int) float64) Allotment {
+func (s *Shares) divide(state *service, o *owner, now clock.Instant, part func(reporting, missing int) float64) Reply {
 	// The options' functions may take locks of their own, so they are not called under mu.
 	current := setting{supply: s.options.Supply(state.name), weight: s.options.Weight, share: part}
 	s.mu.Lock()
-	a, made := o.divide(now, current)
-	factor, log := o.capacity.Factor(), made && o.logDue(now)
+	reply, made := o.divide(now, current)
+	a, factor, log := o.allotment, o.capacity.Factor(), made && o.logDue(now)
 	s.mu.Unlock()
 	if made {
 		label := telemetry.Label("service", state.name)
@@ -210,7 +210,7 @@
 	if log {
 		s.options.Logger.Info("shares changed", "service", state.name, "demand", a.Demand(), "capacity", a.Capacity(), "level", a.Level(), "cut", a.Cut())
 	}
-	return a
+	return reply
 }
 
 // ownerOf returns the current owner of a service: the first host in its order that is not skipped.
--- a/internal/share/failure_test.go
+++ b/internal/share/failure_test.go
@@ -1,6 +1,7 @@
 package share_test
 
 import (
+	"fmt"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -33,6 +34,11 @@
 				l.at = map[time.Duration]func(){time.Duration(f.at) * time.Second: func() { f.apply(r) }}
 			})
 			expectFair(r, loadBegins+1, loadEnds)
+			// A new owner must not let everything in until it has seen enough.
+			const begins = failsAt
+			soon := r.tally(begins, begins+2)
+			AddReportEntry("soon", fmt.Sprintf("%+v", soon))
+			Expect(float64(soon.rejections)).To(BeNumerically("<", 0.05*float64(soon.arrivals)))
 			after := r.tally(loadEnds+2, playEnds)
 			Expect(after.othersRefused + after.heavyRefused).To(BeZero())
 		})
--- a/internal/share/grpc.go
+++ b/internal/share/grpc.go
@@ -99,7 +99,7 @@
 }
 
 func replyToWire(r Reply) *sharepb.ReportReply {
-	w := &sharepb.ReportReply{}
+	w := &sharepb.ReportReply{Undecided: r.Undecided}
 	for c, f := range r.Fractions {
 		w.Fractions = append(w.Fractions, &sharepb.Fraction{Workspace: c.Workspace, Urgency: int32(c.Urgency), Fraction: f}) //nolint:gosec // 0 to 9
 	}
@@ -111,7 +111,7 @@
 	if n := len(w.GetFractions()); n > maxClasses {
 		return Reply{}, tooManyClasses(n)
 	}
-	r := Reply{Fractions: make(map[Class]float64, len(w.GetFractions()))}
+	r := Reply{Fractions: make(map[Class]float64, len(w.GetFractions())), Undecided: w.GetUndecided()}
 	for _, f := range w.GetFractions() {
 		c := Class{Workspace: f.GetWorkspace(), Urgency: int(f.GetUrgency())}
 		if _, ok := r.Fractions[c]; ok {
--- a/internal/share/message.go
+++ b/internal/share/message.go
@@ -33,6 +33,9 @@
 // Reply is the answer of an owner.
 type Reply struct {
 	Fractions map[Class]float64 // admitted of each class; an absent one is admitted whole
+	// Undecided means that the owner has too few reports yet; the latest fractions stay in force until
+	// they expire. Otherwise a new owner would let everything in at first.
+	Undecided bool
 }
 
 // Check returns an error if the report can't be right.
--- a/internal/share/owner.go
+++ b/internal/share/owner.go
@@ -48,6 +48,7 @@
 	capacity  Capacity
 	allotment Allotment
 	dividedAt clock.Instant
+	undecided bool // nothing has been observed for the time of a step yet
 
 	// Counters since the last step of the capacity.
 	steppedAt  clock.Instant
@@ -60,7 +61,7 @@
 	loggedCut []Class
 }
 
-func newOwner() *owner { return &owner{reports: map[string]heldReport{}, capacity: NewCapacity()} }
+func newOwner() *owner { return &owner{reports: map[string]heldReport{}, capacity: NewCapacity(), undecided: true} }
 
 // record takes a report in.
 func (o *owner) record(r Report, now clock.Instant) {
@@ -73,10 +74,10 @@
 	}
 }
 
-// divide returns the allotment, and whether it was made anew.
-func (o *owner) divide(now clock.Instant, current setting) (Allotment, bool) {
+// divide returns the reply to hosts, and whether the allotment was made anew.
+func (o *owner) divide(now clock.Instant, current setting) (Reply, bool) {
 	if !o.dividedAt.IsZero() && now.Sub(o.dividedAt) < divisionInterval {
-		return o.allotment, false
+		return o.reply(), false
 	}
 	o.dividedAt = now
 	o.capacity = o.capacity.WithSupply(current.supply)
@@ -86,7 +87,14 @@
 	if o.capacity.Cutting() {
 		o.allotment = Allot(o.capacity.Of(observation.Supply), demand, current.weight)
 	}
-	return o.allotment, true
+	return o.reply(), true
+}
+
+// reply returns the reply to hosts.
+func (o *owner) reply() Reply {
+	r := replyOf(o.allotment)
+	r.Undecided = o.undecided
+	return r
 }
 
 // observe returns the demand of all hosts and what the reports say of endpoints. It forgets old reports.
@@ -122,10 +130,12 @@
 	case o.steppedAt.IsZero() || pause > reportValidity:
 		// What was observed before a pause says nothing of now; the factor stays a good guess.
 		o.capacity = o.capacity.WithoutObservations()
+		o.undecided = true
 	case pause < exchangeInterval:
 		return
 	default:
 		o.capacity = o.capacity.WithObservation(observation)
+		o.undecided = false
 	}
 	o.steppedAt = now
 	o.arrivals, o.rejections, o.occupancy, o.responses = 0, 0, 0, 0
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -196,6 +196,9 @@
 // apply puts fractions into force. While something is cut, this host goes on reporting, also if it sees
 // no response of an endpoint, since its requests would be admitted whole without a reply.
 func (s *service) apply(r Reply, now clock.Instant) {
+	if r.Undecided {
+		return
+	}
 	s.fractions = r.Fractions
 	s.receivedAt = now
 	if len(r.Fractions) > 0 {
