--- a/internal/share/allot.go
+++ b/internal/share/allot.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"math"
 	"slices"
@@ -71,6 +72,18 @@
 // not change it.
 func (a Allotment) Cut() []Class { return a.cut }
 
+// maxDescribed bounds the classes that one log line names.
+const maxDescribed = 20
+
+// describeCut returns the classes cut for a log line, with their fractions.
+func (a Allotment) describeCut() []string {
+	var names []string
+	for _, c := range a.cut[:min(len(a.cut), maxDescribed)] {
+		names = append(names, fmt.Sprintf("%s/%d=%.2f", c.Workspace, c.Urgency, a.Fraction(c)))
+	}
+	return names
+}
+
 // claim is what one workspace asks for.
 type claim struct {
 	weight  float64
--- a/internal/share/exchange.go
+++ b/internal/share/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"sync"
@@ -112,7 +113,7 @@
 		if err == nil {
 			s.mu.Lock()
 			state.apply(reply, clock.Now())
-			state.alone = nil
+			state.alone, state.appliedAlone = nil, false
 			s.mu.Unlock()
 			return
 		}
@@ -130,6 +131,7 @@
 	reply, err := s.options.Peers.Report(callCtx, h.Address, r)
 	if err == nil {
 		if err = reply.Check(); err != nil {
+			err = fmt.Errorf("check reply: %w", err)
 			s.logBad("bad reply on shares of capacity; it is ignored", h.Name, r.Service, err)
 		}
 	}
@@ -142,6 +144,7 @@
 // Handle handles a report from a host: it divides the capacity of the service by all reports.
 func (s *Shares) Handle(r Report) (Reply, error) {
 	if err := r.Check(); err != nil {
+		err = fmt.Errorf("check report: %w", err)
 		s.logBad("bad report on demand; it is ignored", r.Host, r.Service, err)
 		return Reply{}, err
 	}
@@ -157,27 +160,25 @@
 	return s.divide(state, shared, now, sharedPart(r.Service, s.currentHosts())), nil
 }
 
-// divideAlone divides this host's part of the capacity among its own requests, once the fractions that an
-// owner has sent are no longer in force.
+// divideAlone divides this host's part of the capacity among its own requests. The result is in force once
+// the fractions that an owner has sent no longer are.
 func (s *Shares) divideAlone(state *service, r Report) {
 	now := clock.Now()
 	s.mu.Lock()
-	own := state.alone
-	if own == nil {
-		if state.inForce(now) {
-			s.mu.Unlock()
-			return
-		}
-		own = newOwner()
-		state.alone = own
+	if state.alone == nil {
+		state.alone = newOwner()
 	}
+	own := state.alone
 	own.record(r, now)
 	s.mu.Unlock()
 	part := 1 / float64(len(s.currentHosts()))
 	reply := s.divide(state, own, now, func(int, int) float64 { return part })
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	state.apply(reply, now)
+	if state.appliedAlone || !state.inForce(now) {
+		state.appliedAlone = true
+		state.apply(reply, now)
+	}
 }
 
 // sharedPart returns the part of a service's supply that this host divides as its owner. If another host
@@ -208,7 +209,7 @@
 		s.options.Telemetry.Gauge("share_capacity_factor", factor, label)
 	}
 	if log {
-		s.options.Logger.Info("shares changed", "service", state.name, "demand", a.Demand(), "capacity", a.Capacity(), "level", a.Level(), "cut", a.Cut())
+		s.options.Logger.Info("shares changed", "service", state.name, "demand", a.Demand(), "capacity", a.Capacity(), "level", a.Level(), "classes", len(a.Cut()), "cut", a.describeCut())
 	}
 	return reply
 }
--- a/internal/share/grpc.go
+++ b/internal/share/grpc.go
@@ -28,6 +28,7 @@
 func (s *server) Report(_ context.Context, w *sharepb.ReportRequest) (*sharepb.ReportReply, error) {
 	r, err := reportFromWire(w)
 	if err != nil {
+		err = fmt.Errorf("decode report: %w", err)
 		s.shares.logBad("bad report on demand; it is ignored", w.GetHost(), w.GetService(), err)
 		return nil, status.Error(codes.InvalidArgument, err.Error())
 	}
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -109,13 +109,14 @@
 
 // service is the state of one service.
 type service struct {
-	name       string
-	demand     *demand
-	exchanging bool              // whether a goroutine exchanges reports
-	fractions  map[Class]float64 // below 1
-	receivedAt clock.Instant     // of fractions
-	owner      *owner            // divides for all hosts that report to this one; nil if none did
-	alone      *owner            // divides for this host while nobody answers; nil if somebody does
+	name         string
+	demand       *demand
+	exchanging   bool              // whether a goroutine exchanges reports
+	fractions    map[Class]float64 // below 1
+	receivedAt   clock.Instant     // of fractions
+	owner        *owner            // divides for all hosts that report to this one; nil if none did
+	alone        *owner            // divides for this host while nobody answers; nil if somebody does
+	appliedAlone bool              // whether fractions are those of alone
 }
 
 // New returns shares that admit all requests until some service is pressed.
