Shares: the estimate follows endpoints with long requests slowly, and queues are drained

Trial with 3 engines of 32 slots, requests of 2 s and 6 and 86 hosts in virtual time: with steps of 0.9 and 1.05 each 200 ms the estimate swung between full queues and idle slots. Plain endpoints fare as before.

--- a/internal/share/capacity.go
+++ b/internal/share/capacity.go
@@ -1,7 +1,7 @@
 package share
 
-// Bounds and steps of the capacity estimate. Each applies to one step, which is taken every
-// exchangeInterval.
+// Bounds of the capacity estimate. Each applies to one step, which is taken every exchangeInterval, and
+// less often where few requests arrive.
 const (
 	// A factor outside of these bounds would rather be a fault of the estimates of work.
 	minFactor = 0.1
@@ -10,33 +10,38 @@
 	freeOccupancy = 0.75
 	// tolerableRejections is the fraction of arrivals that may be rejected without consequence.
 	tolerableRejections = 0.02
-	growth              = 1.05
-	shrinkage           = 0.9
-	// fastGrowth applies while endpoints have room for sure.
-	fastGrowth = 1.25
 	// servedMargin is the part of the served work that is taken as capacity after rejections.
 	servedMargin = 0.95
-	// maxShrinkage bounds one step, since the measured work of one step may be wrong.
-	maxShrinkage = 0.5
 	// effectiveMargin is by how much the admitted work may exceed the capacity if hosts have applied
 	// the latest fractions.
 	effectiveMargin = 1.1
+	// minAvailable is the part of the capacity that is available at least.
+	minAvailable = 0.6
 	// occupancySmoothing is the weight of the latest observation of the occupancy.
 	occupancySmoothing = 0.5
 )
 
-// bounds are the mean occupancies between which the factor stays.
+// bounds are the mean occupancies between which the factor stays, and how much it changes beyond them.
 type bounds struct {
 	grow float64 // below it, the factor grows
 	full float64 // above it, the factor shrinks
+
+	// Changes of the factor in one step.
+	growth     float64
+	fastGrowth float64 // while endpoints have room for sure
+	shrinkage  float64
+	// maxShrinkage bounds one step, since the measured work of one step may be wrong.
+	maxShrinkage float64
 }
 
 var (
-	engineBounds = bounds{grow: 0.8, full: 0.9}
+	// engineBounds change the factor little, since engines show the effect of a step only as their long
+	// requests end.
+	engineBounds = bounds{grow: 0.9, full: 1, growth: 1.02, fastGrowth: 1.05, shrinkage: 0.97, maxShrinkage: 0.95}
 	// plainBounds allow some waiting requests: with few slots, random arrivals make some wait long
 	// before all slots are busy, for less than the time of one request. With the bounds of engines, a
 	// service at 0.75 of its capacity would refuse requests that could all begin in time.
-	plainBounds = bounds{grow: 1.5, full: 2}
+	plainBounds = bounds{grow: 1.5, full: 2, growth: 1.05, fastGrowth: 1.25, shrinkage: 0.9, maxShrinkage: 0.5}
 )
 
 // boundsOf returns the bounds for the endpoints of a service.
@@ -92,6 +97,16 @@
 // Of returns the capacity for a supply.
 func (c Capacity) Of(supply float64) float64 { return c.factor * supply }
 
+// Available returns the capacity that is left for new requests: less than Of while more requests wait than
+// should, so that the queues become shorter. Without it, queues that filled before hosts knew of the load
+// would stay full, since the capacity itself is estimated rightly.
+func (c Capacity) Available(supply float64) float64 {
+	if c.occupancy <= c.bounds.full {
+		return c.Of(supply)
+	}
+	return c.Of(supply) * max(c.bounds.full/c.occupancy, minAvailable)
+}
+
 // WithObservation returns the estimate after one more step. Refusals begin only when endpoints have no
 // room for sure: they reject requests, or their mean occupancy is at least freeOccupancy. Until then a
 // higher demand is taken as proof of a higher capacity. Once there are refusals, free room raises the
@@ -102,7 +117,7 @@
 	}
 	c = c.withOccupancy(o.Occupancy)
 	if !c.cutting && c.free(o) {
-		return c.withFactor(max(c.factor, o.Demand/o.Supply)).withGrowthTo1(o)
+		return c.withFactor(max(c.factor, min(o.Demand/o.Supply, c.factor*c.bounds.fastGrowth))).withGrowthTo1(o)
 	}
 	c = c.withFactor(c.factorAfter(o))
 	return c.withCutting(o.Demand > c.Of(o.Supply))
@@ -127,20 +142,20 @@
 		// Endpoints that reject requests are full: what they served is their capacity. What was
 		// admitted by older fractions does not count against the estimate.
 		served := o.Admitted * (1 - o.rejected()) * servedMargin / o.Supply
-		return max(min(c.factor, served), c.factor*maxShrinkage)
+		return max(min(c.factor, served), c.factor*c.bounds.maxShrinkage)
 	case c.occupancy > c.bounds.full:
 		if o.Admitted > capacity*effectiveMargin {
 			return c.factor
 		}
-		return c.factor * shrinkage
+		return c.factor * c.bounds.shrinkage
 	case o.Rejections > 0 || c.occupancy >= c.bounds.grow:
 		return c.factor
 	case o.Demand <= capacity:
 		return c.withGrowthTo1(o).factor
 	case c.occupancy < freeOccupancy:
-		return c.factor * fastGrowth
+		return c.factor * c.bounds.fastGrowth
 	default:
-		return c.factor * growth
+		return c.factor * c.bounds.growth
 	}
 }
 
@@ -149,7 +164,7 @@
 	if c.factor >= 1 || o.Rejections > 0 || c.occupancy >= c.bounds.grow {
 		return c
 	}
-	return c.withFactor(min(c.factor*growth, 1))
+	return c.withFactor(min(c.factor*c.bounds.growth, 1))
 }
 
 func (c Capacity) withFactor(f float64) Capacity {
--- a/internal/share/owner.go
+++ b/internal/share/owner.go
@@ -12,9 +12,16 @@
 	reportValidity = time.Second
 	// divisionInterval is how long a division is used for further reports.
 	divisionInterval = 50 * time.Millisecond
+	// observationValidity is how long observations count in the capacity. It is longer than maxStep and
+	// the pause that a lost report makes.
+	observationValidity = 2 * time.Second
 	// absenceTime is how long a host whose reports stopped although it had announced more counts as
 	// one that reports to another owner, or has died.
 	absenceTime = 10 * time.Second
+	// minArrivals and maxStep bound the steps of the capacity while work is refused: the fewer requests
+	// arrive, the longer it takes until endpoints show the effect of a step.
+	minArrivals = 100
+	maxStep     = 800 * time.Millisecond
 	// logInterval is the least time between two log lines on a service.
 	logInterval = time.Second
 )
@@ -61,7 +68,9 @@
 	loggedCut []Class
 }
 
-func newOwner() *owner { return &owner{reports: map[string]heldReport{}, capacity: NewCapacity(), undecided: true} }
+func newOwner() *owner {
+	return &owner{reports: map[string]heldReport{}, capacity: NewCapacity(), undecided: true}
+}
 
 // record takes a report in.
 func (o *owner) record(r Report, now clock.Instant) {
@@ -85,7 +94,7 @@
 	o.step(now, observation)
 	o.allotment = Allotment{demand: observation.Demand, capacity: o.capacity.Of(observation.Supply)}
 	if o.capacity.Cutting() {
-		o.allotment = Allot(o.capacity.Of(observation.Supply), demand, current.weight)
+		o.allotment = Allot(o.capacity.Available(observation.Supply), demand, current.weight)
 	}
 	return o.reply(), true
 }
@@ -127,11 +136,11 @@
 func (o *owner) step(now clock.Instant, observation Observation) {
 	pause := now.Sub(o.steppedAt)
 	switch {
-	case o.steppedAt.IsZero() || pause > reportValidity:
+	case o.steppedAt.IsZero() || pause > observationValidity:
 		// What was observed before a pause says nothing of now; the factor stays a good guess.
 		o.capacity = o.capacity.WithoutObservations()
 		o.undecided = true
-	case pause < exchangeInterval:
+	case pause < exchangeInterval, o.capacity.Cutting() && o.arrivals < minArrivals && pause < maxStep:
 		return
 	default:
 		o.capacity = o.capacity.WithObservation(observation)
