--- a/internal/share/capacity.go
+++ b/internal/share/capacity.go
@@ -117,9 +117,9 @@
 	}
 	c = c.withOccupancy(o.Occupancy)
 	if !c.cutting && c.free(o) {
-		return c.withFactor(max(c.factor, min(o.Demand/o.Supply, c.factor*c.bounds.fastGrowth))).withGrowthTo1(o)
+		return c.WithFactor(max(c.factor, min(o.Demand/o.Supply, c.factor*c.bounds.fastGrowth))).withGrowthTo1(o)
 	}
-	c = c.withFactor(c.factorAfter(o))
+	c = c.WithFactor(c.factorAfter(o))
 	return c.withCutting(o.Demand > c.Of(o.Supply))
 }
 
@@ -164,10 +164,11 @@
 	if c.factor >= 1 || o.Rejections > 0 || c.occupancy >= c.bounds.grow {
 		return c
 	}
-	return c.withFactor(min(c.factor*c.bounds.growth, 1))
+	return c.WithFactor(min(c.factor*c.bounds.growth, 1))
 }
 
-func (c Capacity) withFactor(f float64) Capacity {
+// WithFactor returns the estimate with another factor, kept within its bounds.
+func (c Capacity) WithFactor(f float64) Capacity {
 	c.factor = min(max(f, minFactor), maxFactor)
 	return c
 }
--- a/internal/share/exchange.go
+++ b/internal/share/exchange.go
@@ -103,6 +103,7 @@
 	now := clock.Now()
 	s.mu.Lock()
 	report := state.demand.take(now)
+	report.Factor = state.factor
 	s.mu.Unlock()
 	report.Host, report.Service = s.options.Host, state.name
 	for range maxTries {
--- a/internal/share/grpc.go
+++ b/internal/share/grpc.go
@@ -70,7 +70,7 @@
 
 func reportToWire(r Report) *sharepb.ReportRequest {
 	w := &sharepb.ReportRequest{
-		Host: r.Host, Service: r.Service, Admitted: r.Admitted, Occupancy: r.Occupancy, PressedForMicros: r.PressedFor.Microseconds(),
+		Host: r.Host, Service: r.Service, Admitted: r.Admitted, Occupancy: r.Occupancy, PressedForMicros: r.PressedFor.Microseconds(), Factor: r.Factor,
 		Arrivals: int32(r.Arrivals), Rejections: int32(r.Rejections), Responses: int32(r.Responses), //nolint:gosec // bounded
 	}
 	for c, d := range r.Demand {
@@ -84,7 +84,7 @@
 	r := Report{
 		Host: w.GetHost(), Service: w.GetService(), Demand: make(map[Class]float64, min(len(w.GetDemand()), maxClasses)), Admitted: w.GetAdmitted(),
 		Arrivals: int(w.GetArrivals()), Rejections: int(w.GetRejections()),
-		Occupancy: w.GetOccupancy(), Responses: int(w.GetResponses()), PressedFor: clock.Micros(w.GetPressedForMicros()),
+		Occupancy: w.GetOccupancy(), Responses: int(w.GetResponses()), PressedFor: clock.Micros(w.GetPressedForMicros()), Factor: w.GetFactor(),
 	}
 	if n := len(w.GetDemand()); n > maxClasses {
 		return r, tooManyClasses(n)
@@ -100,7 +100,7 @@
 }
 
 func replyToWire(r Reply) *sharepb.ReportReply {
-	w := &sharepb.ReportReply{Undecided: r.Undecided}
+	w := &sharepb.ReportReply{Undecided: r.Undecided, Factor: r.Factor}
 	for c, f := range r.Fractions {
 		w.Fractions = append(w.Fractions, &sharepb.Fraction{Workspace: c.Workspace, Urgency: int32(c.Urgency), Fraction: f}) //nolint:gosec // 0 to 9
 	}
@@ -112,7 +112,7 @@
 	if n := len(w.GetFractions()); n > maxClasses {
 		return Reply{}, tooManyClasses(n)
 	}
-	r := Reply{Fractions: make(map[Class]float64, len(w.GetFractions())), Undecided: w.GetUndecided()}
+	r := Reply{Fractions: make(map[Class]float64, len(w.GetFractions())), Undecided: w.GetUndecided(), Factor: w.GetFactor()}
 	for _, f := range w.GetFractions() {
 		c := Class{Workspace: f.GetWorkspace(), Urgency: int(f.GetUrgency())}
 		if _, ok := r.Fractions[c]; ok {
--- a/internal/share/message.go
+++ b/internal/share/message.go
@@ -28,6 +28,9 @@
 	Occupancy  float64           // mean of what responses reported since the last report; negative if none did
 	Responses  int               // that reported an occupancy
 	PressedFor time.Duration     // for how long the service is pressed for the host at least
+	// Factor is the capacity factor of the last reply, so that a new owner need not learn it again; 0 if
+	// there was none.
+	Factor float64
 }
 
 // Reply is the answer of an owner.
@@ -36,6 +39,7 @@
 	// Undecided means that the owner has too few reports yet; the latest fractions stay in force until
 	// they expire. Otherwise a new owner would let everything in at first.
 	Undecided bool
+	Factor    float64 // of the capacity
 }
 
 // Check returns an error if the report can't be right.
@@ -47,6 +51,8 @@
 		return tooManyClasses(len(r.Demand))
 	case !finite(r.Admitted) || r.Admitted < 0:
 		return errors.Errorf("admitted work of %v", r.Admitted)
+	case !finite(r.Factor) || r.Factor < 0:
+		return errors.Errorf("factor of %v", r.Factor)
 	case !finite(r.Occupancy):
 		return errors.Errorf("occupancy of %v", r.Occupancy)
 	case r.Arrivals < 0 || r.Rejections < 0 || r.Responses < 0 || r.Rejections > r.Arrivals:
@@ -70,6 +76,9 @@
 	if len(r.Fractions) > maxClasses {
 		return tooManyClasses(len(r.Fractions))
 	}
+	if !finite(r.Factor) || r.Factor < 0 {
+		return errors.Errorf("factor of %v", r.Factor)
+	}
 	for c, f := range r.Fractions {
 		if !(f >= 0 && f <= 1) {
 			return errors.Errorf("fraction of %v for workspace %q", f, c.Workspace)
--- a/internal/share/message_test.go
+++ b/internal/share/message_test.go
@@ -97,6 +97,7 @@
 		"infinite demand":                func(r *share.Report) { r.Demand[class("w2", 1)] = math.Inf(1) },
 		"demand that is no number":       func(r *share.Report) { r.Demand[class("w2", 1)] = math.NaN() },
 		"negative work":                  func(r *share.Report) { r.Admitted = -1 },
+		"a factor that is no number":     func(r *share.Report) { r.Factor = math.NaN() },
 		"infinite occupancy":             func(r *share.Report) { r.Occupancy = math.Inf(1) },
 		"negative arrivals":              func(r *share.Report) { r.Arrivals = -200 },
 		"more rejections than arrivals":  func(r *share.Report) { r.Rejections = 101 },
@@ -138,6 +139,7 @@
 			got, err := client.Report(context.Background(), "", other)
 			Expect(err).NotTo(HaveOccurred())
 			Expect(got.Undecided).To(BeFalse())
+			Expect(got.Factor).To(BeNumerically(">", 0))
 			Expect(got.Fractions).To(HaveLen(len(want.Fractions)))
 			other.Admitted = math.NaN()
 			_, err = client.Report(context.Background(), "", other)
@@ -145,6 +147,19 @@
 		})
 	})
 
+	// Where estimates of work are wrong, a new owner would otherwise cut to a wrong capacity for some seconds.
+	It("begins with the capacity factor that the owner before it had", func() {
+		suite.Paused(func() {
+			r := newRig(2, plain)
+			report := overloadReport("host-0", "w0", 100)
+			report.Factor = 3
+			reply, err := r.hosts[0].Handle(report)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(reply.Undecided).To(BeTrue())
+			Expect(reply.Factor).To(BeNumerically("==", 3))
+		})
+	})
+
 	It("logs changes of shares at most once a second", func() {
 		r := playOf(6, func(*rig, *load) {})
 		lines := strings.Count(r.log.String(), "shares changed")
--- a/internal/share/owner.go
+++ b/internal/share/owner.go
@@ -75,6 +75,9 @@
 // record takes a report in.
 func (o *owner) record(r Report, now clock.Instant) {
 	o.reports[r.Host] = heldReport{r, now}
+	if o.undecided && r.Factor > 0 {
+		o.capacity = o.capacity.WithFactor(r.Factor)
+	}
 	o.arrivals += r.Arrivals
 	o.rejections += r.Rejections
 	if r.Occupancy >= 0 {
@@ -103,6 +106,7 @@
 func (o *owner) reply() Reply {
 	r := replyOf(o.allotment)
 	r.Undecided = o.undecided
+	r.Factor = o.capacity.Factor()
 	return r
 }
 
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -114,6 +114,7 @@
 	exchanging   bool              // whether a goroutine exchanges reports
 	fractions    map[Class]float64 // below 1
 	receivedAt   clock.Instant     // of fractions
+	factor       float64           // of the last reply; 0 if there was none
 	owner        *owner            // divides for all hosts that report to this one; nil if none did
 	alone        *owner            // divides for this host while nobody answers; nil if somebody does
 	appliedAlone bool              // whether fractions are those of alone
@@ -201,6 +202,7 @@
 		return
 	}
 	s.fractions = r.Fractions
+	s.factor = r.Factor
 	s.receivedAt = now
 	if len(r.Fractions) > 0 {
 		s.demand.pressUntil(now.Add(replyValidity))
