--- a/internal/share/message.go
+++ b/internal/share/message.go
@@ -49,10 +49,8 @@
 		return errors.New("report without host or service")
 	case len(r.Demand) > maxClasses:
 		return tooManyClasses(len(r.Demand))
-	case !finite(r.Admitted) || r.Admitted < 0:
-		return errors.Errorf("admitted work of %v", r.Admitted)
-	case !finite(r.Factor) || r.Factor < 0:
-		return errors.Errorf("factor of %v", r.Factor)
+	case !amount(r.Admitted) || !amount(r.Factor):
+		return errors.Errorf("admitted work of %v, factor of %v", r.Admitted, r.Factor)
 	case !finite(r.Occupancy):
 		return errors.Errorf("occupancy of %v", r.Occupancy)
 	case r.Arrivals < 0 || r.Rejections < 0 || r.Responses < 0 || r.Rejections > r.Arrivals:
@@ -61,7 +59,7 @@
 		return errors.Errorf("pressed for %s", r.PressedFor)
 	}
 	for c, d := range r.Demand {
-		if !finite(d) || d < 0 {
+		if !amount(d) {
 			return errors.Errorf("demand of %v for workspace %q", d, c.Workspace)
 		}
 	}
@@ -76,7 +74,7 @@
 	if len(r.Fractions) > maxClasses {
 		return tooManyClasses(len(r.Fractions))
 	}
-	if !finite(r.Factor) || r.Factor < 0 {
+	if !amount(r.Factor) {
 		return errors.Errorf("factor of %v", r.Factor)
 	}
 	for c, f := range r.Fractions {
@@ -91,6 +89,9 @@
 	return errors.Errorf("message with %d classes, at most %d are allowed", n, maxClasses)
 }
 
+// amount reports whether v is finite and not negative.
+func amount(v float64) bool { return finite(v) && v >= 0 }
+
 func finite(v float64) bool { return !math.IsNaN(v) && !math.IsInf(v, 0) }
 
 // bounded returns a report with the classes of the highest demand, as many as one message may carry.
