--- a/internal/gatewayd/host.go
+++ b/internal/gatewayd/host.go
@@ -95,6 +95,7 @@
 	quarantine.Register(h.peers, p.Quarantine.HandleUpdate)
 	ratelimit.Register(h.peers, p.Limits)
 	reach.Register(h.peers, p.Reach)
+	share.Register(h.peers, p.Shares)
 	p.Duties.Register(h.peers)
 	h.control = &http.Server{Handler: h.controlHandler(), ReadHeaderTimeout: headerTimeout}
 	return h
--- a/internal/gatewayd/shares.go
+++ b/internal/gatewayd/shares.go
@@ -41,6 +41,7 @@
 func newShares(s settings.Settings, p *sharePolicy, w *spread.Watcher, f *fleet.Fleet, t *telemetry.Telemetry, l *log.Logger) *share.Shares {
 	return share.New(share.Options{
 		Host: s.Host, Members: func() []share.Member { return members[share.Member](w) },
+		Peers:        share.NewPeerClient(w.Conn),
 		MembersKnown: func() bool { return w.Choosers().Hosts > 0 },
 		Enabled:      p.enabled, Weight: p.weight,
 		Supply:    func(service string) share.Supply { return supplyOf(f, p.holder.Table(), service) },
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -137,11 +137,7 @@
 	if !s.options.Enabled() {
 		return Verdict{Admitted: true, Fraction: 1}
 	}
-	v := s.admit(service, c, max(work, 0).Seconds())
-	if !v.Admitted {
-		s.options.Telemetry.Count("share_refusals", 1, telemetry.Label("service", service))
-	}
-	return v
+	return s.admit(service, c, max(work, 0).Seconds())
 }
 
 func (s *Shares) admit(name string, c Class, work float64) Verdict {
