Requests of a class over its share get first answers only, after the requests of others

Cause: one workspace's admitted requests asked larger models, ten times the work, while requests of workspaces within their share waited and were refused.

--- a/internal/gateway/cascade.go
+++ b/internal/gateway/cascade.go
@@ -20,6 +20,9 @@
 func (s *stream) tryEscalate(a *attempt) bool {
 	x := s.x
 	n := len(x.route.Models)
+	if x.overShare {
+		return false // as in checkShare
+	}
 	if s.headerSent || n == 0 || x.model == x.route.Models[n-1] || a.header.Confidence == NoConfidence || x.sends >= x.route.Attempts {
 		return false
 	}
@@ -143,7 +146,7 @@
 	return fleet.Request{
 		Service: x.service, Allowed: x.g.Upgrades.Allowed(x.service, x.versionKey), Avoid: x.tried,
 		Key: x.affinityKey(model), Model: model, Tokens: x.header.TokensIn, SharedTokens: x.header.sharedTokens(),
-		Parts: x.promptParts(model), CacheTokens: x.cacheTokens(), Objective: x.route.Objective, Urgency: x.urgency, Order: x.order,
+		Parts: x.promptParts(model), CacheTokens: x.cacheTokens(), Objective: x.route.Objective, Urgency: x.urgency, Order: x.placeOrder(),
 		Regions: x.regions,
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -144,6 +144,7 @@
 	regions      route.Regions // whose endpoints may run the request
 	urgency      int           // at endpoints
 	order        int           // among requests that wait or compete for capacity
+	overShare    bool          // some requests of its class are refused for the share of its workspace
 	body         []byte
 	relativeSize float64 // size of prompt and response, relative to its route's mean
 	prefixKey    uint64  // hash of the prompt prefix that it shares with others
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -37,6 +37,18 @@
 	return x.table.Order(x.route, w)
 }
 
+// overShareOrder is added to the order of requests of a class that is over its workspace's share, so that
+// other requests come first.
+const overShareOrder = 1 << 16
+
+// placeOrder returns the order of the request among those that wait for endpoints.
+func (x *exchange) placeOrder() int {
+	if x.overShare {
+		return x.order + overShareOrder
+	}
+	return x.order
+}
+
 // checkShare refuses a request that is over the share of its workspace. A stream that its caller
 // continues counts as offered too, but is never refused: its caller has a part of the response.
 func (x *exchange) checkShare() *refusal {
@@ -45,7 +57,10 @@
 	}
 	class := share.Class{Workspace: x.workspace, Urgency: x.order}
 	verdict := x.g.Shares.Admit(x.service, class, x.expectedWork())
-	x.share = verdict.Fraction
+	x.share, x.overShare = verdict.Fraction, verdict.Fraction < 1
+	if x.overShare && len(x.route.Models) > 0 {
+		x.model = x.route.Models[0] // the smallest: its workspace gets more answers for its share
+	}
 	if verdict.Admitted || x.continuesStream() {
 		return nil
 	}
