--- a/internal/advice/advice_test.go
+++ b/internal/advice/advice_test.go
@@ -17,6 +17,7 @@
 	"quaybarrow/internal/admission"
 	"quaybarrow/internal/advice"
 	"quaybarrow/internal/fleet"
+	"quaybarrow/internal/prefill"
 	"quaybarrow/internal/standin/memnet"
 	"quaybarrow/internal/standin/suite"
 )
@@ -252,6 +253,26 @@
 		})
 	})
 
+	// A host that fell back on its own view would find room everywhere, since it knows only its own requests.
+	It("learn that no endpoint has room for a request that only uses what others leave", func() {
+		suite.Paused(func() {
+			p := newHostPair()
+			defer p.stop()
+			larger := ask(1 << 20)
+			larger.Tokens, larger.Budget = 100, prefill.NewLargerBudget(time.Second, 4*time.Second)
+			f, ok := p.next.Expect(ctx, larger, 0)
+			Expect(ok).To(BeTrue())
+			Expect(f.Available).To(BeTrue())
+			for i := range uint64(64) {
+				_, ok := p.next.Choose(ctx, ask(i<<8|1), 0)
+				Expect(ok).To(BeTrue())
+			}
+			f, ok = p.next.Expect(ctx, larger, 0)
+			Expect(ok).To(BeTrue(), "the first host answered")
+			Expect(f.Available).To(BeFalse())
+		})
+	})
+
 	It("report the heads of answers to the first host", func() {
 		suite.Paused(func() {
 			p := newHostPair()
--- a/internal/gateway/share_test.go
+++ b/internal/gateway/share_test.go
@@ -114,6 +114,14 @@
 		})
 	})
 
+	// One larger model takes the work of several first answers, which others of the workspace are refused.
+	It("gets the smallest model if it is admitted beside others that are refused", func() {
+		unsure := scripts{"model-1": standin.Always(standin.Stream{Events: 5, Confidence: 5})}
+		withShares(share.Verdict{Admitted: true, Fraction: 0.5}, unsure, func(r *rig, _ *scriptedShares) {
+			Expect(r.ask(prompt("/stream/1")).Body).To(Equal(events(1, 5, "small")))
+		})
+	})
+
 	It("is refused if it states a last event but has no stream", func() {
 		withShares(overIt, both, func(r *rig, _ *scriptedShares) {
 			Expect(r.ask(request("POST", "/once/1", "x").WithLastEvent("2")).Status).To(Equal(503))
