Held requests: up to 2,048 of them, if their turn comes within 0.75 of the time in which they would be in time

Cause: with 300 engines 512 are a third of a second of long prompts, and half of the time refused requests that would have been in time.

--- a/internal/admission/decision.go
+++ b/internal/admission/decision.go
@@ -19,6 +19,9 @@
 	// times the expected time to the head of its answer: it is served late rather than held in
 	// vain.
 	forcedSendFactor = 1.5
+	// maxHeldPart of the time in which it would be in time is the longest time until its turn with which a
+	// request is held back: turns come later than expected when engines are lost meanwhile.
+	maxHeldPart = 0.75
 	// minPollInterval and maxPollInterval bound the time until a waiting request asks again.
 	minPollInterval = 50 * time.Millisecond
 	maxPollInterval = 500 * time.Millisecond
@@ -57,11 +60,11 @@
 }
 
 // maxTurnWait returns the longest time until its turn with which a request may begin to wait. One that is
-// held back waits only if it should be in time even if its turn comes half as soon as expected: what waits
-// longer would delay those that come after it, also when the load has ended.
+// held back waits only if it should be in time: what waits longer would delay those that come after it, also
+// when the load has ended.
 func (f Forecast) maxTurnWait() time.Duration {
 	if f.Held {
-		return min((f.Slack-f.Head)/2, f.Left/2)
+		return min(time.Duration(maxHeldPart*float64(f.Slack-f.Head)), f.Left/2)
 	}
 	return f.Left / 2
 }
--- a/internal/admission/waitinglist.go
+++ b/internal/admission/waitinglist.go
@@ -15,6 +15,9 @@
 	// maxWaiting bounds the requests in a list, since each of them asks again at least every
 	// maxPollInterval.
 	maxWaiting = 512
+	// maxHeld is the bound for requests that are held back while endpoints have slots. Their turns come
+	// soon, and hundreds of engines take a few hundred of them within a second.
+	maxHeld = 2048
 	// pollGrace is how much later than told a request may ask again and still keep its
 	// position. Requests whose callers have left don't ask again and are dropped after it.
 	pollGrace = 300 * time.Millisecond
@@ -64,8 +67,17 @@
 // Wait adds a request that asks again after d, or updates it if it has an id already. It returns
 // the request's id, or 0 if the list is full.
 func (l *WaitingList) Wait(id int64, urgency int, asked, now clock.Instant, d time.Duration) int64 {
+	return l.wait(id, urgency, asked, now, d, maxWaiting)
+}
+
+// WaitHeld is Wait for a request that is held back while endpoints have slots.
+func (l *WaitingList) WaitHeld(id int64, urgency int, asked, now clock.Instant, d time.Duration) int64 {
+	return l.wait(id, urgency, asked, now, d, maxHeld)
+}
+
+func (l *WaitingList) wait(id int64, urgency int, asked, now clock.Instant, d time.Duration, limit int) int64 {
 	l.remove(id)
-	if len(l.waiting) >= maxWaiting {
+	if len(l.waiting) >= limit {
 		return 0
 	}
 	if id == 0 {
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -125,7 +125,11 @@
 	o.Ahead, o.TurnWait = waiting.Ahead(p.req.Turn, order, sentAt, p.now)
 	switch d := admission.Decide(o).(type) {
 	case admission.Wait:
-		d.Turn = waiting.Wait(p.req.Turn, order, sentAt, p.now, d.For)
+		enter := waiting.Wait
+		if o.Held {
+			enter = waiting.WaitHeld
+		}
+		d.Turn = enter(p.req.Turn, order, sentAt, p.now, d.For)
 		if d.Turn == 0 {
 			return admission.Refuse{}
 		}
