--- a/internal/gateway/cascade.go
+++ b/internal/gateway/cascade.go
@@ -98,7 +98,7 @@
 func (x *exchange) logComparison(c modelComparison, granted bool) {
 	x.g.Logger.Info("larger model weighed", "id", x.header.ID, "model", c.model, "confidence", c.confidence, "kept", c.kept.Value(),
 		"larger", c.larger.Value(), "use", c.larger.Cost, "delay", c.larger.Delay, "in_time", c.larger.InTime, "took_ms", c.elapsed.Milliseconds(),
-		"expected_ms", c.expected.Head.Milliseconds(), "read", c.expected.PrefillTokens, "price", c.expected.Price, "better", c.largerIsBetter(), "asked", granted)
+		"expected_ms", c.expected.Head.Milliseconds(), "read", c.expected.PrefillTokens, "price", c.expected.Price, "room", c.available, "better", c.largerIsBetter(), "asked", granted)
 }
 
 // recordLargestFirstGain records how much better the request would have done if it had started with
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -27,6 +27,9 @@
 			return nil, admission.Refuse{}
 		}
 		x.waits++
+		if x.waits == 1 && x.promptBudget().Bounded() {
+			x.g.Telemetry.Count("requests_held", 1, telemetry.Label("service", x.service))
+		}
 		if !clock.Sleep(ctx, wait.For) {
 			return nil, nil
 		}
