--- a/internal/fleet/budget.go
+++ b/internal/fleet/budget.go
@@ -54,7 +54,7 @@
 	if !req.Budget.Bounded() {
 		return false
 	}
-	ahead, _ := f.waitingListOf(req.Service).Ahead(0, req.order(), c.now, c.now)
+	ahead, _ := f.waitingListOf(req.Service).Ahead(0, req.orderFor(req.Urgency), c.now, c.now)
 	return ahead > 0 && ahead >= c.withRoom
 }
 
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -143,20 +143,15 @@
 	}
 }
 
-// order returns the order of a request with an urgency among those that wait.
-func (p placement) order() int {
-	if p.req.Order > 0 {
-		return p.req.Order
-	}
-	return rank(p.urgency)
-}
+// order returns the order of the request among those that wait. Its urgency may have been lowered since.
+func (p placement) order() int { return p.req.orderFor(p.urgency) }
 
-// order returns the order of a request among those that wait.
-func (r Request) order() int {
+// orderFor returns the order of a request that has an urgency of its own among those that wait.
+func (r Request) orderFor(urgency int) int {
 	if r.Order > 0 {
 		return r.Order
 	}
-	return rank(r.Urgency)
+	return rank(urgency)
 }
 
 // waitingListOf returns the list of the requests that wait for a service.
--- a/internal/gateway/cascade.go
+++ b/internal/gateway/cascade.go
@@ -21,7 +21,7 @@
 	x := s.x
 	n := len(x.route.Models)
 	if x.overShare {
-		return false // as in checkShare
+		return false // a class over its share gets first answers only
 	}
 	if s.headerSent || n == 0 || x.model == x.route.Models[n-1] || a.header.Confidence == NoConfidence || x.sends >= x.route.Attempts {
 		return false
@@ -104,7 +104,9 @@
 // recordLargestFirstGain records how much better the request would have done if it had started with
 // the larger model.
 func (x *exchange) recordLargestFirstGain(c modelComparison) {
-	x.g.firstModels.recordRoom(x.route.Name, c.available)
+	if x.sharesCapacity() {
+		x.g.firstModels.recordRoom(x.route.Name, c.available)
+	}
 	if !c.available || x.sends > 1 {
 		return
 	}
--- a/internal/prefill/prefill.go
+++ b/internal/prefill/prefill.go
@@ -6,12 +6,12 @@
 //	b := prefill.NewBudget(shortestObjective, objective)
 //	if b.Admits(prefill.Engine{Unread: unread, Requests: 7, Slots: 12}, own) { ...the engine may get the prompt now... }
 //
-// An engine reads prompts in pieces, and a request that comes next waits for those that it has let in. The
-// load that the package answers is one of long prompts beyond what engines read: without a bound they fill
-// each engine's slots and queue, and short requests wait behind them or are rejected, though they need
-// a small part of what engines do. A request whose objective leaves it time waits at the host instead, where it goes
-// to the first engine that has room. No engine is set aside: each takes long prompts as far as its
-// budget goes, and one that has nothing to read takes any prompt.
+// An engine reads prompts in pieces, and the next request waits for those that the engine has admitted. The
+// load that the package answers is more long prompts than engines can read: without a bound they fill each
+// engine's slots and queue, and short requests wait behind them or are rejected, though they need a small
+// part of the engines' capacity. A request whose objective leaves it time waits at the host instead, and is
+// sent to the first engine that has room. No engine is reserved: each takes long prompts within its
+// budget, and one that has nothing to read takes any prompt.
 package prefill
 
 import (
