Mends from the read-through: waiting list, limits, budgets, memory of events, the command where

Found by reading, each without a play that showed it: sent requests with a budget were recorded without end under light load; held requests took the places of all others in the waiting list, also of those that asked again; requests at rate limits were ordered by urgency in a list that goes by order, and recorded twice; endpoints whose limits are used up counted as room; a connection whose holder had been ended for its memory could be reused; a route never began with its largest model again after shares were switched off without room; where compared orders of two kinds. Tests: the waiting list's bounds.

--- a/internal/admission/decision.go
+++ b/internal/admission/decision.go
@@ -19,8 +19,8 @@
 	// times the expected time to the head of its answer: it is served late rather than held in
 	// vain.
 	forcedSendFactor = 1.5
-	// maxHeldPart of the time in which it would be in time is the longest time until its turn with which a
-	// request is held back: turns come later than expected when engines are lost meanwhile.
+	// maxHeldPart is the part of the time left for an answer in time that the expected wait for a turn may
+	// take. The rest allows for turns that come late, for instance when engines fail.
 	maxHeldPart = 0.75
 	// minPollInterval and maxPollInterval bound the time until a waiting request asks again.
 	minPollInterval = 50 * time.Millisecond
--- a/internal/admission/decision_test.go
+++ b/internal/admission/decision_test.go
@@ -95,6 +95,20 @@
 		Expect(later).To(Equal(alone))
 	})
 
+	// Held requests would otherwise take the places of those that wait for other reasons.
+	It("bounds held requests apart from others, and keeps the place of one that asks again", func() {
+		var list admission.WaitingList
+		now := clock.Now()
+		for range 600 {
+			Expect(list.WaitHeld(0, 2, now, now, time.Second)).NotTo(BeZero())
+		}
+		id := list.Wait(0, 1, now, now, time.Second)
+		Expect(id).NotTo(BeZero())
+		for list.Wait(0, 1, now, now, time.Second) != 0 {
+		}
+		Expect(list.Wait(id, 1, now, now, time.Second)).To(Equal(id))
+	})
+
 	It("gives out ids that differ from those of another host", func() {
 		a, b := &admission.WaitingList{}, &admission.WaitingList{}
 		Expect(a.Wait(0, 0, now, now, time.Second)).NotTo(Equal(b.Wait(0, 0, now, now, time.Second)))
--- a/internal/admission/waitinglist.go
+++ b/internal/admission/waitinglist.go
@@ -15,8 +15,8 @@
 	// maxWaiting bounds the requests in a list, since each of them asks again at least every
 	// maxPollInterval.
 	maxWaiting = 512
-	// maxHeld is the bound for requests that are held back while endpoints have slots. Their turns come
-	// soon, and hundreds of engines take a few hundred of them within a second.
+	// maxHeld bounds the requests that are held back while endpoints have slots. It is higher than
+	// maxWaiting because these leave the list quickly.
 	maxHeld = 2048
 	// pollGrace is how much later than told a request may ask again and still keep its
 	// position. Requests whose callers have left don't ask again and are dropped after it.
@@ -35,6 +35,7 @@
 	urgency int
 	asked   clock.Instant // when its caller sent it
 	expires clock.Instant
+	held    bool // it is held back while endpoints have slots
 }
 
 // WaitingList holds the requests that wait for the endpoints of a service, ordered by urgency and
@@ -67,26 +68,37 @@
 // Wait adds a request that asks again after d, or updates it if it has an id already. It returns
 // the request's id, or 0 if the list is full.
 func (l *WaitingList) Wait(id int64, urgency int, asked, now clock.Instant, d time.Duration) int64 {
-	return l.wait(id, urgency, asked, now, d, maxWaiting)
+	return l.wait(waitingRequest{id: id, urgency: urgency, asked: asked, expires: now.Add(d + pollGrace)}, maxWaiting)
 }
 
 // WaitHeld is Wait for a request that is held back while endpoints have slots.
 func (l *WaitingList) WaitHeld(id int64, urgency int, asked, now clock.Instant, d time.Duration) int64 {
-	return l.wait(id, urgency, asked, now, d, maxHeld)
+	return l.wait(waitingRequest{id: id, urgency: urgency, asked: asked, expires: now.Add(d + pollGrace), held: true}, maxHeld)
 }
 
-func (l *WaitingList) wait(id int64, urgency int, asked, now clock.Instant, d time.Duration, limit int) int64 {
-	l.remove(id)
-	if len(l.waiting) >= limit {
+// wait adds or updates a request. The limit bounds those that wait for the same reason; one that is in the list
+// keeps its place there.
+func (l *WaitingList) wait(entry waitingRequest, limit int) int64 {
+	if !l.remove(entry.id) && l.count(entry.held) >= limit {
 		return 0
 	}
-	if id == 0 {
-		id = l.nextID()
+	if entry.id == 0 {
+		entry.id = l.nextID()
 	}
-	entry := waitingRequest{id: id, urgency: urgency, asked: asked, expires: now.Add(d + pollGrace)}
 	position, _ := l.position(entry)
 	l.waiting = slices.Insert(l.waiting, position, entry)
-	return id
+	return entry.id
+}
+
+// count returns the number of requests that are held back, or of those that are not.
+func (l *WaitingList) count(held bool) int {
+	n := 0
+	for _, w := range l.waiting {
+		if w.held == held {
+			n++
+		}
+	}
+	return n
 }
 
 // maxFirstID bounds the random first id and leaves as many ids again to be given out.
@@ -104,14 +116,18 @@
 // in time, and removes it from the list.
 func (l *WaitingList) Granted(id int64, now clock.Instant) {
 	l.remove(id)
+	l.dropOldGrants(now)
 	l.grants = append(l.grants, now)
 }
 
 // Remove removes a request that no longer waits.
 func (l *WaitingList) Remove(id int64) { l.remove(id) }
 
-func (l *WaitingList) remove(id int64) {
+// remove reports whether the request was in the list.
+func (l *WaitingList) remove(id int64) bool {
+	before := len(l.waiting)
 	l.waiting = slices.DeleteFunc(l.waiting, func(w waitingRequest) bool { return w.id == id })
+	return len(l.waiting) < before
 }
 
 // position returns the position of a request in the list and whether it is there.
@@ -124,6 +140,10 @@
 // expire drops requests that have not asked again in time, and grants outside the window.
 func (l *WaitingList) expire(now clock.Instant) {
 	l.waiting = slices.DeleteFunc(l.waiting, func(w waitingRequest) bool { return now.After(w.expires) })
+	l.dropOldGrants(now)
+}
+
+func (l *WaitingList) dropOldGrants(now clock.Instant) {
 	for len(l.grants) > 0 && now.Sub(l.grants[0]) > grantRateWindow {
 		l.grants = l.grants[1:]
 	}
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -242,7 +242,7 @@
 	}
 	if s.response != nil {
 		s.memory.Release()
-		s.response.release(readToEnd)
+		s.response.release(readToEnd && !s.memory.Ended())
 	}
 	s.cancel()
 	s.hold.Done(fleet.Result{Outcome: outcome})
--- a/internal/fleet/budget.go
+++ b/internal/fleet/budget.go
@@ -11,17 +11,13 @@
 // unbounded is the budget of requests that don't wait for others' prompts.
 var unbounded prefill.Budget
 
-// admits reports whether the request's budget admits an endpoint, and counts those that it does.
+// admits reports whether the request's budget admits an endpoint.
 func (c *choice) admits(m *member, t scoreTerms, load float64, prefillTokens int) bool {
-	if !t.req.Budget.Bounded() {
+	if m.hasRoom(t, load, prefillTokens, c.now) {
 		return true
 	}
-	if !m.hasRoom(t, load, prefillTokens, c.now) {
-		c.overBudget = true
-		return false
-	}
-	c.withRoom++
-	return true
+	c.overBudget = true
+	return false
 }
 
 // hasRoom reports whether a request's budget admits an endpoint with a load.
@@ -68,7 +64,6 @@
 		return f.orPaused(p)
 	}
 	p.expected = f.expect(p.choice, req)
-	p.freeSlots = 0 // those that are free are left to requests that can't wait
 	p.decision = f.decideLate(p, admission.Forecast{Head: p.expected.Head, Waiting: req.Turn != 0, Slack: req.Slack, Left: req.Remaining, Held: true})
 	return p
 }
--- a/internal/fleet/limitchoice.go
+++ b/internal/fleet/limitchoice.go
@@ -59,10 +59,11 @@
 		return p
 	}
 	waiting := f.waitingListOf(p.req.Service)
-	sentAt, urgency := p.now.Add(-p.req.Waited), rank(p.urgency)
-	ahead, aheadWait := waiting.Ahead(p.req.Turn, urgency, sentAt, p.now)
+	sentAt, order := p.now.Add(-p.req.Waited), p.order()
+	ahead, aheadWait := waiting.Ahead(p.req.Turn, order, sentAt, p.now)
 	if p.member != nil && ahead < p.limits.available {
 		waiting.Granted(p.req.Turn, p.now)
+		p.granted = true
 		return p
 	}
 	p.member = nil
@@ -72,7 +73,7 @@
 	turn := max(aheadWait, p.limits.nextLoan.Sub(p.now))
 	switch d := admission.DecideRateLimited(turn, p.req.MaxLimitWait, p.req.Turn != 0).(type) {
 	case admission.Wait:
-		d.Turn = waiting.Wait(p.req.Turn, urgency, sentAt, p.now, d.For)
+		d.Turn = waiting.Wait(p.req.Turn, order, sentAt, p.now, d.For)
 		p.decision = d
 		if d.Turn == 0 {
 			p.decision = admission.Refuse{After: turn}
--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -250,8 +250,8 @@
 	score         float64       // of member
 	limits        limitScan     // of the endpoints that were scored
 	anyFull       bool          // some endpoint has no place for the request now, and is not ejected
-	withRoom      int           // endpoints that the request's budget admits; counted only if it is bounded
-	overBudget    bool          // some endpoint is passed over for what it holds unread
+	withRoom      int           // endpoints that may be chosen
+	overBudget    bool          // the request's budget excluded some endpoint
 	anyUnpaused   bool          // some endpoint that suits the request wants no pause
 	pauseEnd      clock.Instant // earliest end of the pauses of those that do; zero if there are none
 	now           clock.Instant
@@ -306,6 +306,7 @@
 			continue
 		}
 		c.freeSlots += m.free(load)
+		c.withRoom++
 		if t.observe != nil {
 			t.observe(m, terms, load, prefillTokens)
 		}
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -28,6 +28,7 @@
 	urgency  int     // of the request itself
 	expected Expectation
 	decision admission.Decision
+	granted  bool // it has been recorded as sent in the order of the waiting list
 }
 
 // sent reports whether the request is sent.
@@ -96,7 +97,7 @@
 	o := admission.Forecast{InTime: p.expected.InTime(req.Slack), Head: p.expected.Head, Waiting: req.Turn != 0, Left: req.Remaining}
 	if _, ok := admission.Decide(o).(admission.Send); ok {
 		switch {
-		case req.Budget.Bounded():
+		case req.Budget.Bounded() && !p.granted:
 			f.waitingListOf(req.Service).Granted(req.Turn, p.now)
 		case req.Turn != 0:
 			f.waitingListOf(req.Service).Remove(req.Turn)
--- a/internal/gateway/cascade.go
+++ b/internal/gateway/cascade.go
@@ -104,9 +104,8 @@
 // recordLargestFirstGain records how much better the request would have done if it had started with
 // the larger model.
 func (x *exchange) recordLargestFirstGain(c modelComparison) {
-	if x.sharesCapacity() {
-		x.g.firstModels.recordRoom(x.route.Name, c.available)
-	}
+	// Without shares larger models have no budget, so room never keeps a request from starting with one.
+	x.g.firstModels.recordRoom(x.route.Name, c.available || !x.sharesCapacity())
 	if !c.available || x.sends > 1 {
 		return
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -153,7 +153,8 @@
 				a.endBroken(err)
 				return err
 			}
-			a.end(fleet.OutcomeGood, true)
+			events.release()
+			a.end(fleet.OutcomeGood, !memory.Ended())
 			removeBound()
 			return nil
 		case err != nil:
--- a/internal/prefill/prefill.go
+++ b/internal/prefill/prefill.go
@@ -20,9 +20,9 @@
 )
 
 const (
-	// minObjectiveRatio is how many times the shortest objective of its service a request's objective is at
-	// least if the request can wait for others.
-	minObjectiveRatio = 2
+	// MinObjectiveRatio is the least ratio of a request's objective to the shortest one of its service at
+	// which the request can wait for others.
+	MinObjectiveRatio = 2
 	// unreadPart of the shortest objective is the longest time that an engine may need for the prompts
 	// that it holds unread. The rest of the objective is left for a slot, the request's own prompt and the
 	// way to the engine and back.
@@ -48,7 +48,7 @@
 // NewBudget returns the budget for requests with an objective, where shortest is the shortest objective of
 // the requests to their service. Requests whose objective leaves them no time are not bounded.
 func NewBudget(shortest, objective time.Duration) Budget {
-	if shortest <= 0 || objective < minObjectiveRatio*shortest {
+	if shortest <= 0 || objective < MinObjectiveRatio*shortest {
 		return Budget{}
 	}
 	return Budget{unread: time.Duration(unreadPart * float64(shortest))}
--- a/internal/route/shares.go
+++ b/internal/route/shares.go
@@ -3,11 +3,10 @@
 import (
 	"slices"
 	"time"
+
+	"quaybarrow/internal/prefill"
 )
 
-// minObjectiveRatio is the least ratio of the longest to the shortest objective of a service's routes at
-// which some of its requests can wait for others.
-const minObjectiveRatio = 2
 
 // SharesCapacity reports whether one workspace can fill an engine that others need: some engine service
 // has fewer slots per engine than there are workspaces, and runs requests that can wait beside requests
@@ -19,7 +18,7 @@
 	objectives := objectivesByService(d.Routes)
 	return slices.ContainsFunc(d.Services, func(s Service) bool {
 		o, ok := objectives[s.Name]
-		return ok && s.Slots > 0 && s.Slots < len(d.Workspaces) && o.longest >= minObjectiveRatio*o.shortest
+		return ok && s.Slots > 0 && s.Slots < len(d.Workspaces) && o.longest >= prefill.MinObjectiveRatio*o.shortest
 	})
 }
 
--- a/internal/share/capacity.go
+++ b/internal/share/capacity.go
@@ -3,7 +3,7 @@
 // Bounds of the capacity estimate. Each applies to one step, which is taken every exchangeInterval, and
 // less often where few requests arrive.
 const (
-	// A factor outside of these bounds would rather be a fault of the estimates of work.
+	// minFactor and maxFactor bound the factor: a value beyond them points to wrong estimates of work.
 	minFactor = 0.1
 	maxFactor = 10
 	// freeOccupancy is the mean occupancy below which endpoints have room for sure.
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -36,7 +36,7 @@
 // Class identifies requests that have a claim in common: those of one workspace with one urgency.
 type Class struct {
 	Workspace string
-	Urgency   int // 0 is the most urgent
+	Urgency   int // its order among the workspace's classes, the lowest first
 }
 
 // Supply is what the endpoints of a service offer. It is immutable.
