--- a/internal/route/shares.go
+++ b/internal/route/shares.go
@@ -7,7 +7,6 @@
 	"quaybarrow/internal/prefill"
 )
 
-
 // SharesCapacity reports whether one workspace can fill an engine that others need: some engine service
 // has fewer slots per engine than there are workspaces, and runs requests that can wait beside requests
 // that can't.
