--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -147,14 +147,6 @@
 // order returns the order of the request among those that wait. Its urgency may have been lowered since.
 func (p placement) order() int { return p.req.orderFor(p.urgency) }
 
-// orderFor returns the order of a request that has an urgency of its own among those that wait.
-func (r Request) orderFor(urgency int) int {
-	if r.Order > 0 {
-		return r.Order
-	}
-	return rank(urgency)
-}
-
 // waitingListOf returns the list of the requests that wait for a service.
 func (f *Fleet) waitingListOf(service string) *admission.WaitingList {
 	list, ok := f.waitingLists[service]
--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -19,7 +19,6 @@
 	burst        = 4 << 10 // bytes between two pauses of an endpoint
 	burstPause   = time.Millisecond
 	chunkedField = "Transfer-Encoding: chunked\r\n\r\n"
-	strayHead    = "HTTP/1.1 200 OK\r\nAttempt-Id: of-another\r\nServer-Seal: stray\r\n"
 	infoHead     = "HTTP/1.1 103 Early Hints\r\n\r\n"
 	// surplus covers the bytes that a host reads into its buffers beyond a bound.
 	surplus = 16 << 10
@@ -47,10 +46,10 @@
 	"continued header lines":      {standin.Endless{Status: 200, Start: "X-More: y\r\n", Repeat: many(" y\r\n")}, false, 8 << 10, "head"},
 	"informational responses":     {standin.Endless{Repeat: many(infoHead)}, false, 8 << 10, "skipped"},
 	"an informational header":     {standin.Endless{Start: "HTTP/1.1 103 Early Hints\r\nX: ", Repeat: many("y")}, false, 64 << 10, "head"},
-	"a skipped sized body":        {standin.Endless{Start: strayHead + "Content-Length: 99999999999\r\n\r\n", Repeat: many("z")}, false, 64 << 10, "skipped"},
-	"a skipped body of chunks":    {standin.Endless{Start: strayHead + chunkedField, Repeat: chunked(many("z"))}, false, 64 << 10, "skipped"},
-	"a skipped body":              {standin.Endless{Start: strayHead + "\r\n", Repeat: many("z")}, false, 64 << 10, "skipped"},
-	"skipped responses":           {standin.Endless{Repeat: many(strayHead + "Content-Length: 1\r\n\r\nz")}, false, 8 << 10, "skipped"},
+	"a skipped sized body":        {standin.Endless{Start: standin.StrayHead + "Content-Length: 99999999999\r\n\r\n", Repeat: many("z")}, false, 64 << 10, "skipped"},
+	"a skipped body of chunks":    {standin.Endless{Start: standin.StrayHead + chunkedField, Repeat: chunked(many("z"))}, false, 64 << 10, "skipped"},
+	"a skipped body":              {standin.Endless{Start: standin.StrayHead + "\r\n", Repeat: many("z")}, false, 64 << 10, "skipped"},
+	"skipped responses":           {standin.Endless{Repeat: many(standin.StrayHead + "Content-Length: 1\r\n\r\nz")}, false, 8 << 10, "skipped"},
 	"an extension of a chunk":     {standin.Endless{Status: 200, Start: chunkedField + "5;x=", Repeat: many("y")}, false, 8 << 10, ""},
 	"extensions of chunks":        {standin.Endless{Status: 200, Start: chunkedField, Repeat: many("1;x=" + strings.Repeat("y", 1000) + "\r\nz\r\n")}, false, 64 << 10, ""},
 	"a trailer":                   {standin.Endless{Status: 200, Start: chunkedField + "1\r\nx\r\n0\r\nX: ", Repeat: many("y")}, false, 8 << 10, ""},
@@ -294,7 +293,7 @@
 	// Guards against reuse of a connection on which a rejection goes on, and against a wait for its end.
 	It("that rejects a request is not read on, and its connection is closed", func() {
 		suite.Paused(func() {
-			both := between(standin.Endless{Status: 503, Start: "Not-Executed: 1\r\nContent-Length: 99999999\r\n\r\n", Repeat: "x", Pause: burstPause}, good)
+			both := between(standin.Endless{Status: 503, Start: standin.NotRunField + "Content-Length: 99999999\r\n\r\n", Repeat: "x", Pause: burstPause}, good)
 			r := newRig(scripts{"plain-1": both, "plain-2": both})
 			defer r.stop()
 			start := time.Now()
--- a/internal/gateway/share_test.go
+++ b/internal/gateway/share_test.go
@@ -171,9 +171,7 @@
 	const promptPrior, promptWork = 5 * time.Millisecond, 2 * time.Millisecond
 	// 5 events at 40 ms in 8 slots.
 	const outputWork = 25 * time.Millisecond
-	sized := func(tokens string) standin.Request {
-		return request("POST", "/once/1", "x").With("Token-Counts: " + tokens)
-	}
+	sized := func(tokens int) standin.Request { return request("POST", "/once/1", "x").WithTokens(tokens, 0) }
 
 	for name, c := range map[string]struct {
 		id            string
@@ -220,19 +218,19 @@
 
 	It("is scaled to the size that the caller states, within bounds", func() {
 		withShares(admitted, scripts{"plain-1": standin.Always(slow)}, func(r *rig, s *scriptedShares) {
-			r.ask(sized("100,0"))
-			r.ask(sized("200,0"))
+			r.ask(sized(100))
+			r.ask(sized(200))
 			Expect(s.lastWork()).To(BeNumerically("~", 198*time.Millisecond, time.Millisecond))
-			r.ask(sized("100000000,0"))
+			r.ask(sized(100000000))
 			Expect(s.lastWork()).To(BeNumerically("~", 400*time.Millisecond, 5*time.Millisecond))
-			r.ask(sized("0,0"))
+			r.ask(sized(0))
 			Expect(s.lastWork()).To(BeNumerically("~", 25*time.Millisecond, 5*time.Millisecond))
 		})
 	})
 
 	It("is bounded before the first observation", func() {
 		withShares(admitted, scripts{"model-1": standin.Always(confident)}, func(r *rig, s *scriptedShares) {
-			r.ask(request("POST", "/fixed/1", "x").With("Token-Counts: 1000000000,1"))
+			r.ask(request("POST", "/fixed/1", "x").WithTokens(1_000_000_000, 1))
 			Expect(s.lastWork()).To(BeNumerically("<=", 2*time.Second))
 		})
 	})
--- a/internal/gatewayd/crashrig_test.go
+++ b/internal/gatewayd/crashrig_test.go
@@ -384,23 +384,3 @@
 	}
 	return float64(good) / float64(max(all, 1))
 }
-
-// crashTimes returns the times at which the crashing request reached endpoints, and the times at which
-// endpoints that had received it crashed.
-func (r *crashRig) crashTimes() (sends, crashes []time.Time) {
-	for _, m := range r.machines {
-		for _, e := range m.Starts() {
-			under := false
-			for _, s := range e.Requests() {
-				if s.Body == crashBody {
-					sends = append(sends, s.At)
-					under = true
-				}
-			}
-			if at := e.CrashedAt(); under && !at.IsZero() {
-				crashes = append(crashes, at)
-			}
-		}
-	}
-	return sends, crashes
-}
