--- a/review/rig/surplus.go
+++ b/review/rig/surplus.go
@@ -12,11 +12,14 @@
 	"time"
 )
 
-// The disruption of surplus, within the figures of the site file for garble with "extra late": one worker
-// of three sends a second copy of one answer in twenty, late, for 6.5 s.
+// The disruption of surplus and stray, within the figures of the site file for garble with "extra late"
+// (share 0.6, x 0.03, for_s 5.0): one worker of a service sends more after fewer than three answers in a
+// hundred, late, for 5 s, several times.
 const (
-	garbleFor   = 6500 * time.Millisecond
-	garbleEvery = 20
+	garbleFor   = 5 * time.Second
+	garbleTimes = 6
+	garblePause = 2 * time.Second
+	garbleEvery = 34
 	// lateBy is how much later the copy comes.
 	lateBy = 40 * time.Millisecond
 )
@@ -26,12 +29,12 @@
 
 func init() { cases["surplus"] = surplus }
 
-// surplus sends calls that may not be repeated to three workers. One call in six meets workers that are full
+// surplus sends calls that may not be repeated to two workers. One call in six meets workers that are full
 // for a moment: each turns it away at its first arrival, and runs it when it comes again. One worker also
 // sends some of its rejections twice, unless TROUBLE=0.
 func surplus(r *rig) (bool, error) {
 	var workers []*worker
-	for i, zone := range zones {
+	for i, zone := range zones[:2] {
 		w := &worker{id: fmt.Sprintf("i-%d", i), service: "oja-app", zone: zone, slots: 6, behave: orderWorker(r, i == 0)}
 		if err := r.startWorker(w); err != nil {
 			return false, err
@@ -49,20 +52,13 @@
 	if err := r.startHosts(134); err != nil {
 		return false, err
 	}
-	go func() { // the disruption strikes twice
-		for range 2 {
-			r.setTroubled(true)
-			time.Sleep(garbleFor)
-			r.setTroubled(false)
-			time.Sleep(2 * time.Second)
-		}
-	}()
+	go r.garble()
 	outcomes := map[string]outcome{}
 	var mu sync.Mutex
 	var consumers sync.WaitGroup
 	for n := range 60 { // consumers, each with one call at a time
 		consumers.Go(func() {
-			for i := range 45 {
+			for i := range 140 {
 				id := fmt.Sprintf("%02x%06x", n, i)
 				h := r.hosts[n%len(r.hosts)]
 				r.note("consumer: sends %s to %s", id, h.name)
@@ -81,6 +77,16 @@
 	return r.judgeRefused(workers, outcomes), nil
 }
 
+// garble turns the disruption on and off.
+func (r *rig) garble() {
+	for range garbleTimes {
+		r.setTroubled(true)
+		time.Sleep(garbleFor)
+		r.setTroubled(false)
+		time.Sleep(garblePause)
+	}
+}
+
 // orderWorker returns the behavior of a worker that runs a call for 60 ms, or is full when it first arrives. A
 // faulty one sends some of its rejections a second time while there is trouble, at most one answer in
 // twenty.
