--- a/review/rig/surplus.go
+++ b/review/rig/surplus.go
@@ -12,7 +12,7 @@
 	"time"
 )
 
-// The disruption of surplus and stray, within the figures of the site file for garble with "extra late"
+// The disruption of surplus, stray and foreign, within the figures of the site file for garble with "extra late"
 // (share 0.6, x 0.03, for_s 5.0): one worker of a service sends more after fewer than three answers in a
 // hundred, late, for 5 s, several times.
 const (
@@ -88,8 +88,8 @@
 }
 
 // orderWorker returns the behavior of a worker that runs a call for 60 ms, or is full when it first arrives. A
-// faulty one sends some of its rejections a second time while there is trouble, at most one answer in
-// twenty.
+// faulty one sends some of its rejections a second time while there is trouble, fewer than three answers in a
+// hundred.
 func orderWorker(r *rig, faulty bool) func(*worker, *call) {
 	var answers, copies atomic.Int64
 	return func(w *worker, c *call) {
