--- a/review/rig/consumer.go
+++ b/review/rig/consumer.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -33,13 +34,14 @@
 	id, method, host, path string
 	fields                 []string
 	body                   string
+	key                    string // of the tenant; that of the cases with one tenant if empty
 	deadline               time.Duration
 }
 
 // head returns the bytes of the request's head.
 func (q request) head() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\nCredential: key-of-one\r\n", q.method, q.path, q.host, q.id, q.deadline.Milliseconds())
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\nCredential: %s\r\n", q.method, q.path, q.host, q.id, q.deadline.Milliseconds(), cmp.Or(q.key, "key-of-one"))
 	for _, f := range q.fields {
 		b.WriteString(f + "\r\n")
 	}
