--- a/review/rig/labels.go
+++ b/review/rig/labels.go
@@ -20,7 +20,8 @@
 // hundred, for 5 s, several times.
 const (
 	garbledWorkers = 6 // of labelWorkers
-	garbledTimes   = 14
+	garbledTimes   = 16
+	garbledPause   = time.Second
 	garbledBytes   = 60_000
 	// The load: labelCallers consumers a host, each with a kept channel and one call at a time.
 	labelWorkers = 10
@@ -33,16 +34,17 @@
 func init() { cases["labels"] = labels }
 
 // labels sends calls that may not be repeated on kept channels. Workers spoil some of the answers, unless TROUBLE=0.
+// It ends soon after more calls than keptLost were lost.
 func labels(r *rig) (bool, error) {
 	var workers []*worker
-	byID := map[string]int{}
+	sound := map[string]bool{} // workers that never fail
 	for i := range labelWorkers {
 		w := &worker{id: fmt.Sprintf("i-%d", i), service: "oja-app", zone: zones[i%len(zones)], slots: 32, behave: garbledWorker(r, i < garbledWorkers)}
 		if err := r.startWorker(w); err != nil {
 			return false, err
 		}
 		workers = append(workers, w)
-		byID[w.id] = i
+		sound[w.id] = i >= garbledWorkers
 	}
 	r.configure(map[string]any{
 		"version": 7, "limits": limits, "tenants": tenants,
@@ -60,16 +62,16 @@
 		watching.Go(h.boundMemory)
 	}
 	done := make(chan struct{})
+	var lost, calls, failed atomic.Int64
 	go func() {
 		defer close(done)
-		for range garbledTimes {
+		for n := 0; n < garbledTimes && lost.Load() <= keptLost; n++ {
 			r.setTroubled(true)
 			time.Sleep(garbleFor)
 			r.setTroubled(false)
-			time.Sleep(garblePause)
+			time.Sleep(garbledPause)
 		}
 	}()
-	var lost, calls, failed atomic.Int64
 	var consumers sync.WaitGroup
 	for n := range labelCallers * len(r.hosts) {
 		consumers.Go(func() {
@@ -88,7 +90,9 @@
 				if status != http.StatusOK {
 					failed.Add(1)
 				}
-				if err != nil && kept && ranSound(workers, id) {
+				ranAt := placeOf(workers, id)
+				r.note("consumer: %s to %s, kept channel %t: status %d, error %v; ran at %q", id, k.host.name, kept, status, err, ranAt)
+				if err != nil && kept && sound[ranAt] {
 					r.note("LOST: %s, sent on a kept channel to %s and handed to a sound worker, was not answered: %v", id, k.host.name, err)
 					lost.Add(1)
 				}
@@ -118,9 +122,6 @@
 		time.Sleep(orderWork)
 		if faulty && r.troubled() && answers.Add(1)%garbleEvery == 0 {
 			r.note("worker %s: sends bytes that are not an answer to %s", w.id, c.id)
-			w.mu.Lock()
-			w.arrived[c.id] = true // its answer is spoiled
-			w.mu.Unlock()
 			_, _ = c.conn.Write(noAnswer())
 			c.closed = true
 			return
@@ -139,17 +140,17 @@
 	return b
 }
 
-// ranSound reports whether a call ran at a worker that did not spoil its answer.
-func ranSound(workers []*worker, id string) bool {
+// placeOf returns the worker at which a call ran; empty if it ran at none.
+func placeOf(workers []*worker, id string) string {
 	for _, w := range workers {
 		w.mu.Lock()
-		ran, lostAnswer := w.runs[id] > 0, w.arrived[id]
+		ran := w.runs[id] > 0
 		w.mu.Unlock()
 		if ran {
-			return !lostAnswer
+			return w.id
 		}
 	}
-	return false
+	return ""
 }
 
 // keptChannel is a consumer's channel for many requests.
