--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -35,6 +35,7 @@
 	"grace":    runGrace,
 	"memory":   runMemory,
 	"noop":     runNoop,
+	"silence":  runSilence,
 }
 
 // longestRun bounds a case.
--- a/review/rig2/worker.go
+++ b/review/rig2/worker.go
@@ -9,9 +9,11 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -20,7 +22,7 @@
 	At      int64  `json:"at"` // Unix time in ms
 	Worker  string `json:"worker"`
 	Request string `json:"request"`
-	What    string `json:"what"` // "runs", "event", "breaks off", "done", "rejected" or "dropped"
+	What    string `json:"what"` // "runs", "event", "breaks off", "done", "full", "rejected" or "dropped"
 	Event   int    `json:"event,omitempty"`
 	Framed  bool   `json:"framed"`
 	From    string `json:"from"` // address of the sender's end of the connection
@@ -37,10 +39,14 @@
 	breakOff int           // every nth stream states no length and breaks off inside an event; 0 for none
 	body     int           // bytes of a single body
 
-	mu      sync.Mutex // guards the fields below
-	log     *os.File
-	streams int
-	running int
+	peak     time.Duration // from a signal on, it is full for so long
+	preempts bool          // streams that run stand still while it is full
+
+	mu        sync.Mutex // guards the fields below
+	log       *os.File
+	streams   int
+	running   int
+	fullUntil time.Time
 }
 
 // runWorker runs a worker until its process is killed.
@@ -56,6 +62,8 @@
 	flags.IntVar(&w.unframed, "unframed", 0, "every nth stream states no length")
 	flags.IntVar(&w.breakOff, "break-off", 0, "every nth stream states no length and breaks off inside an event")
 	flags.IntVar(&w.body, "body", 800, "bytes of a single body")
+	flags.DurationVar(&w.peak, "peak", 0, "for how long it is full from SIGUSR1 on")
+	flags.BoolVar(&w.preempts, "preempts", false, "streams that run stand still while it is full")
 	_ = flags.Parse(args)
 	var err error
 	if w.log, err = os.OpenFile(*logFile, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600); err != nil {
@@ -65,6 +73,7 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
+	go w.awaitPeaks()
 	for {
 		c, err := listener.Accept()
 		if err != nil {
@@ -74,6 +83,24 @@
 	}
 }
 
+// awaitPeaks makes the worker full at each SIGUSR1.
+func (w *worker) awaitPeaks() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGUSR1)
+	for range signals {
+		w.mu.Lock()
+		w.fullUntil = time.Now().Add(w.peak)
+		w.mu.Unlock()
+	}
+}
+
+// fullFor returns for how long the worker is still full.
+func (w *worker) fullFor() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return max(0, time.Until(w.fullUntil))
+}
+
 func (w *worker) record(e workerEvent) {
 	e.At, e.Worker = time.Now().UnixMilli(), w.id
 	data, _ := json.Marshal(e)
@@ -118,6 +145,12 @@
 		_, err := fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\n%sInstance-Id: %s\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", head, w.id)
 		return err == nil
 	}
+	if w.fullFor() > 0 {
+		e.What = "full"
+		w.record(e)
+		_, err := fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\n%sNot-Executed: 1\r\nServer-Load: 128,0,128\r\nContent-Length: 0\r\n\r\n", head)
+		return err == nil
+	}
 	cut := 0 // bytes of an event after which the stream breaks off
 	w.mu.Lock()
 	w.running++
@@ -166,6 +199,9 @@
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	for n := last + 1; n <= w.events; n++ {
 		time.Sleep(w.gap)
+		if w.preempts {
+			time.Sleep(w.fullFor())
+		}
 		text := fmt.Sprintf("id: %d\ndata: piece %d\n\n", n, n)
 		if cut > 0 && n == w.events/2+1 {
 			_, _ = io.WriteString(c, text[:min(cut, len(text)-1)])
