gateway: streams that break off one byte into an event are broken off

Cause: the reader took one byte behind the last "\n\n" of its buffer for that end's second newline, whatever it was. Evidence: of cuts at every byte of a stream only those of one byte differ; where the end of the event before is still in the buffer the cut is seen. Ruled out: the end of the connection (checkEnd asks only whether the endpoint crashed), relays (bytes pass unread).

Change: internal/sse finds events line by line, for LF, CR LF and CR, and knows whether one has begun; only line ends may follow the last whole event, and they are passed on. A stream without a length that ends before its first event is broken off too, unless it is resumed. The OpenAI interface, which sees every cut since it needs an end marker, uses it where it looks for a buffered event.

--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -19,6 +19,7 @@
 	"quaybarrow/internal/fleet"
 	"quaybarrow/internal/problem"
 	"quaybarrow/internal/quarantine"
+	"quaybarrow/internal/sse"
 )
 
 // Limits of streams.
@@ -103,7 +104,6 @@
 	usageMarker = []byte(`"usage":{`)
 	noChoices   = []byte(`"choices":[]`)
 	doneMarker  = []byte(chat.Done)
-	blankLine   = []byte("\n\n")
 )
 
 // Next returns the next event. A broken stream is resumed at the same endpoint and attempt, and so
@@ -133,7 +133,12 @@
 // hasBufferedEvent reports whether the buffer holds another complete event.
 func (s *Stream) hasBufferedEvent() bool {
 	buffered, err := s.reader.Peek(s.reader.Buffered())
-	return err == nil && bytes.Contains(buffered, blankLine)
+	if err != nil {
+		return false
+	}
+	var splitter sse.Splitter
+	_, ended := splitter.Next(buffered)
+	return ended
 }
 
 // parseEvent extracts the parts of an event that the router uses: the end marker and the usage.
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"fmt"
 	"io"
 	"strconv"
@@ -9,10 +8,18 @@
 	"github.com/pkg/errors"
 
 	"quaybarrow/internal/bound"
+	"quaybarrow/internal/sse"
 )
 
-// errStreamEnd means that a stream ended after a complete event.
-var errStreamEnd = errors.New("the stream has ended")
+// Errors that end a stream.
+var (
+	// errStreamEnd means that a stream ended after a complete event.
+	errStreamEnd = errors.New("the stream has ended")
+	// errInsideEvent means that a stream broke off inside an event.
+	errInsideEvent = fmt.Errorf("the stream ended inside an event: %w", io.ErrUnexpectedEOF)
+	// errNoEvent means that a stream that states no end ended before its first event.
+	errNoEvent = fmt.Errorf("the stream ended before its first event: %w", io.ErrUnexpectedEOF)
+)
 
 // initialEventBuffer is large enough for most events. Larger buffers count as memory that the request
 // holds, and are given up after the event.
@@ -24,7 +31,8 @@
 	source   io.Reader
 	memory   *bound.Holder
 	buffer   []byte
-	searched int    // bytes of buffer that hold no end of an event
+	splitter sse.Splitter
+	searched int    // bytes of buffer that the splitter has seen; they hold no end of an event
 	lastID   string // ID of the last event returned
 	endErr   error
 }
@@ -53,12 +61,26 @@
 			return c, nil
 		}
 		if e.endErr != nil {
-			return chunk{lastID: e.lastID}, e.endErr
+			return e.end()
 		}
 		e.fill()
 	}
 }
 
+// end returns how the stream ended, and the empty lines after the last event of a whole stream.
+func (e *eventReader) end() (chunk, error) {
+	c := chunk{lastID: e.lastID}
+	switch {
+	case !errors.Is(e.endErr, io.EOF):
+		return c, e.endErr
+	case !e.splitter.BetweenEvents():
+		return c, errInsideEvent
+	default:
+		c.data, e.buffer = e.buffer, nil
+		return c, errStreamEnd
+	}
+}
+
 // fill reads the available bytes.
 func (e *eventReader) fill() {
 	if err := e.grow(); err != nil {
@@ -69,10 +91,7 @@
 	e.buffer = e.buffer[:len(e.buffer)+n]
 	switch {
 	case errors.Is(err, io.EOF):
-		e.endErr = errStreamEnd
-		if tail := e.buffer[bytes.LastIndex(e.buffer, eventEnd)+1:]; len(tail) > 1 {
-			e.endErr = errors.WithMessage(io.ErrUnexpectedEOF, "the stream ended inside an event")
-		}
+		e.endErr = io.EOF
 	case err != nil:
 		e.endErr = e.brokeOff(err)
 	}
@@ -112,22 +131,19 @@
 	return errors.WithMessage(err, "the stream broke off")
 }
 
-// eventEnd is the empty line after an event.
-var eventEnd = []byte("\n\n")
-
 // takeEvents removes the complete events from the buffer and returns those that the caller lacks.
 func (e *eventReader) takeEvents() chunk {
 	c := chunk{lastID: e.lastID}
 	consumed := 0
-	for {
-		end := bytes.Index(e.buffer[e.searched:], eventEnd)
-		if end < 0 {
+	for e.searched < len(e.buffer) {
+		n, ended := e.splitter.Next(e.buffer[e.searched:])
+		e.searched += n
+		if !ended {
 			break
 		}
-		end += e.searched + len(eventEnd)
-		event := e.buffer[consumed:end]
-		consumed, e.searched = end, end
-		id, ok := eventID(event)
+		event := e.buffer[consumed:e.searched]
+		consumed = e.searched
+		id, ok := sse.ID(event)
 		if ok && !idAfter(id, e.lastID) {
 			continue
 		}
@@ -140,22 +156,12 @@
 	c.lastID = e.lastID
 	if consumed > 0 {
 		e.buffer = append(e.buffer[:0], e.buffer[consumed:]...)
+		e.searched -= consumed
 		e.shrink()
 	}
-	e.searched = max(0, len(e.buffer)-len(eventEnd)+1)
 	return c
 }
 
-// eventID returns an event's ID.
-func eventID(event []byte) (string, bool) {
-	for line := range bytes.SplitSeq(event, []byte("\n")) {
-		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			return string(bytes.TrimSpace(value)), true
-		}
-	}
-	return "", false
-}
-
 // idAfter reports whether an ID comes after another. IDs that are not numbers are assumed to be in
 // rising order.
 func idAfter(id, lastID string) bool {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -150,7 +150,7 @@
 		}
 		switch {
 		case errors.Is(err, errStreamEnd):
-			if err := a.checkEnd(); err != nil {
+			if err := s.checkEnd(a); err != nil {
 				a.endBroken(err)
 				return err
 			}
@@ -165,6 +165,15 @@
 	}
 }
 
+// checkEnd returns an error if a stream that ended between two events may have ended before its time. One
+// that is resumed may have no more events.
+func (s *stream) checkEnd(a *attempt) error {
+	if !a.endsItself() && s.x.events == 0 && s.lastEventID == "" {
+		return errNoEvent
+	}
+	return a.checkEnd()
+}
+
 // silenceFraction of the time after which callers disconnect from a silent stream is how long to
 // wait for an event of a stream that may continue at another endpoint: engines lose responses and
 // leave the connection open. Engines that process long prompts at the same time pause for seconds.
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -54,6 +54,26 @@
 		})
 	})
 
+	// cuts are streams without a length that end where their endpoint has made more.
+	cuts := map[string]standin.Stream{
+		"one byte into an event": {Events: 5, Confidence: 90, BreakAfter: 2, BreakBytes: 1, Unsized: true},
+		"inside an event":        {Events: 5, Confidence: 90, BreakAfter: 2, Unsized: true},
+		"before the first event": {Confidence: 90, Unsized: true},
+	}
+	for name, cut := range cuts {
+		It("without a length do not end as complete when they break off "+name, func() {
+			suite.Paused(func() {
+				both := between(cut, confident)
+				r := newRig(scripts{"model-1": both, "model-2": both})
+				defer r.stop()
+				a := r.ask(prompt("/stream/1"))
+				Expect(a.Err).NotTo(HaveOccurred())
+				Expect(a.Body).To(Equal(events(1, 5, "small")))
+				Expect(r.runs()).To(Equal(2))
+			})
+		})
+	}
+
 	It("continue at another endpoint if no event arrives and the connection stays open", func() {
 		suite.Paused(func() {
 			both := between(standin.Stream{Events: 5, Confidence: 90, StallAfter: 2}, confident)
