upgrade: an order for the version in use is done at once and stops nothing

Cause: a host took the version in use for unknown if the order named it, and let an unknown version in use mean "any but the target", also where there is no other. No answers, so no judgement, so no step; the row kept the unknown version over restarts. Ruled out: the fleet (its endpoints take requests), the quarantine, the judge (never asked).

Change: a host that knew all orders when one comes knows the version it has used; an order for it is completed by the write that would begin it, and running rows with an unknown base likewise. What versions serve is one pure decision over the order's state: nobody serves only if the sole version was found bad or the version in use may come back within the order's time. So keys of a target without endpoints, a version in use that is gone, and services without an order are served too. Counts of versions are renewed when entries lapse.

--- a/internal/fleet/queries.go
+++ b/internal/fleet/queries.go
@@ -25,6 +25,17 @@
 	return len(f.endpointsOf(service))
 }
 
+// Services returns the names of the services that have endpoints.
+func (f *Fleet) Services() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	names := make([]string, 0, len(f.byService))
+	for name := range f.byService {
+		names = append(names, name)
+	}
+	return names
+}
+
 // Versions counts the endpoints of a service that take requests, by version.
 func (f *Fleet) Versions(service string) map[string]int {
 	f.mu.Lock()
--- a/internal/gatewayd/endpoints.go
+++ b/internal/gatewayd/endpoints.go
@@ -31,6 +31,9 @@
 func (e *endpointTable) Reset(rows []store.Row, storeWasAway bool) {
 	var list []fleet.Endpoint
 	services := map[string]bool{}
+	for _, name := range e.fleet.Services() {
+		services[name] = true
+	}
 	for _, row := range rows {
 		decoded, err := e.decode(row)
 		if err != nil {
--- a/internal/gatewayd/host.go
+++ b/internal/gatewayd/host.go
@@ -224,9 +224,22 @@
 	for clock.Sleep(ctx, sweepInterval) {
 		tuner.tune()
 		h.Pool.CloseExpired()
-		for _, id := range h.Fleet.Sweep() {
-			h.Logger.Info("endpoint gone", "endpoint", id, "reason", "not listed again after the store was unavailable")
-		}
+		h.dropLapsed()
+	}
+}
+
+// dropLapsed drops the endpoints that were not listed again after a store outage.
+func (h *Host) dropLapsed() {
+	services := h.Fleet.Services()
+	lapsed := h.Fleet.Sweep()
+	for _, id := range lapsed {
+		h.Logger.Info("endpoint gone", "endpoint", id, "reason", "not listed again after the store was unavailable")
+	}
+	if len(lapsed) == 0 {
+		return
+	}
+	for _, name := range services {
+		h.Upgrades.SetVersions(name, h.Fleet.Versions(name))
 	}
 }
 
--- a/internal/gatewayd/operators.go
+++ b/internal/gatewayd/operators.go
@@ -33,6 +33,7 @@
 		o.apply(row)
 	}
 	o.setEvacuated(halls)
+	o.upgrades.OrdersRead()
 }
 
 // Change implements follow.Replica.
--- a/internal/upgrade/allowed.go
+++ b/internal/upgrade/allowed.go
@@ -1,30 +1,14 @@
 package upgrade
 
-// SetVersions records how many endpoints a service has of each version. Endpoints of a new version
-// get no requests until an order names it.
-func (t *Tracker) SetVersions(service string, versions map[string]int) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.endpointCounts[service] = versions
-	if len(versions) == 1 {
-		for v := range versions {
-			t.initialVersions[service] = v
-		}
-		return
-	}
-	if _, ok := t.initialVersions[service]; ok {
-		return
-	}
-	most := ""
-	for v, n := range versions {
-		if most == "" || n > versions[most] || (n == versions[most] && v < most) {
-			most = v
-		}
-	}
-	if most != "" {
-		t.initialVersions[service] = most
-	}
-}
+import (
+	"time"
+
+	"quaybarrow/internal/clock"
+)
+
+// versionGoneAfter is how long the version in use has to be without an endpoint before others serve that no
+// order has named: endpoints that crash or restart are listed again sooner.
+const versionGoneAfter = 10 * time.Second
 
 // Allowed returns a predicate for the versions that a request with the given key may run on; nil
 // allows any version.
@@ -33,27 +17,91 @@
 	defer t.mu.Unlock()
 	s, ok := t.services[name]
 	if !ok {
-		initial := t.initialVersions[name]
+		initial := t.initialVersion(name)
 		if initial == "" {
 			return nil
 		}
-		return func(v string) bool { return v == initial }
+		return only(initial)
+	}
+	return t.choice(name, s, key).allowed()
+}
+
+// choice returns the state of a service's newest order for a request with the given key.
+func (t *Tracker) choice(name string, s *serviceUpgrade, key uint64) choice {
+	c := choice{
+		target: s.order.Target, base: t.baseVersion(name, s), keyOnTarget: t.useTarget(s, key),
+		withdrawn: s.rejectReason != "", rowsKnown: t.rowsKnown(s), timeOver: t.timeOver(s),
 	}
-	target := s.order.Target
-	if t.useTarget(s, key) {
-		return func(v string) bool { return v == target }
+	versions := t.versions[name]
+	if versions != nil {
+		c.counts = versions.counts
+	}
+	if s.hasBegun() {
+		c.withdrawn = c.withdrawn || s.progress.Outcome == OutcomeRolledBack
+		if s.progress.Outcome == OutcomeCompleted {
+			c.base, c.baseGone = c.target, versions.goneFor(c.target) >= versionGoneAfter
+		}
+	}
+	return c
+}
+
+// choice is what decides on which versions a request runs while an order is known.
+type choice struct {
+	target      string
+	base        string         // version in use; "" if unknown
+	baseGone    bool           // it has had no endpoint for long
+	keyOnTarget bool           // the request's key is in the target's share
+	withdrawn   bool           // the target was found bad
+	rowsKnown   bool           // the progress of the order is known, or known not to have begun
+	timeOver    bool           // the order's time is over
+	counts      map[string]int // endpoints that take requests, by version; nil if unknown
+}
+
+// allowed returns the versions that the request may run on. The version in use is exactly one because
+// endpoints of a version that was rolled back are still present while the next order runs, and must get no
+// requests. Where it has no endpoint, others serve. The target serves beyond its share only if there are no
+// others: at once if the version in use is unknown, since the order may name it, and otherwise after the
+// order's time, as the version in use may come back. A version that was found bad never does.
+func (c choice) allowed() func(version string) bool {
+	switch {
+	case c.keyOnTarget && c.has(c.target):
+		return only(c.target)
+	case c.base == c.target && !c.baseGone:
+		return only(c.target)
+	case c.base != "" && c.base != c.target && c.has(c.base):
+		return only(c.base)
+	case c.othersPresent(), c.withdrawn, c.counts == nil, !c.rowsKnown:
+		return exceptFor(c.target)
+	case c.base == "", c.base == c.target, c.timeOver:
+		return only(c.target)
+	default:
+		return exceptFor(c.target)
 	}
-	base := t.baseVersion(name, s)
-	if base == "" || (t.endpointCounts[name][base] == 0 && base != target) {
-		return func(v string) bool { return v != target }
+}
+
+// has reports whether a version has endpoints, or may have.
+func (c choice) has(version string) bool { return c.counts == nil || c.counts[version] > 0 }
+
+// othersPresent reports whether versions besides the target have endpoints.
+func (c choice) othersPresent() bool {
+	for version, n := range c.counts {
+		if version != c.target && n > 0 {
+			return true
+		}
 	}
-	return func(v string) bool { return v == base }
+	return false
 }
 
-// baseVersion returns the version that serves the requests that do not go to the target, or "" if
-// it is unknown. It names exactly one version because endpoints of a version that was rolled back
-// are still present while the next order runs, and must get no requests.
+// only returns a predicate for a single version.
+func only(version string) func(string) bool { return func(v string) bool { return v == version } }
+
+// exceptFor returns a predicate for all versions but one.
+func exceptFor(version string) func(string) bool { return func(v string) bool { return v != version } }
+
+// baseVersion returns the version in use, which serves the requests that do not go to the target, or ""
+// if it is unknown. It is the target if the order names the version in use.
 func (t *Tracker) baseVersion(name string, s *serviceUpgrade) string {
+	initial := t.initialVersion(name)
 	switch {
 	case s.hasBegun():
 		return s.progress.Base
@@ -61,11 +109,39 @@
 		return s.progress.Target
 	case s.row.Version != 0 && s.progress.Base != "":
 		return s.progress.Base
-	case t.initialVersions[name] != s.order.Target:
-		return t.initialVersions[name]
+	case s.inUse != "":
+		return s.inUse
+	case initial != s.order.Target:
+		return initial
+	case t.rowsKnown(s) && t.versions[name].sole:
+		return initial
 	default:
-		return ""
+		return "" // the target's endpoints may be there for the order, and those in use fewer
+	}
+}
+
+// rowsKnown reports whether this host knows the progress of an order, or that the order has not begun.
+func (t *Tracker) rowsKnown(s *serviceUpgrade) bool { return t.tableRead || s.row.Version != 0 }
+
+// timeOver reports whether an order's time is over.
+func (t *Tracker) timeOver(s *serviceUpgrade) bool {
+	if !s.hasBegun() {
+		return clock.Since(s.orderedAt) >= s.order.Within
+	}
+	now, known := t.options.Watch.Now()
+	return known && s.progress.overtime(now)
+}
+
+// namesVersionInUse reports whether an order names the version that the service has. Then nothing is to be
+// moved and there is nothing to judge the version by or to go back to, so the order is done.
+func (t *Tracker) namesVersionInUse(s *serviceUpgrade) bool {
+	target, base := s.order.Target, t.baseVersion(s.order.Service, s)
+	if base != "" {
+		return base == target
 	}
+	// Hosts of an earlier version leave the base of such an order unknown.
+	v, ok := t.versions[s.order.Service]
+	return ok && s.hasBegun() && v.sole && v.initial == target && v.counts[target] > 0
 }
 
 // keyScale maps the upper 53 bits of a key to [0, 1).
--- a/internal/upgrade/rig_test.go
+++ b/internal/upgrade/rig_test.go
@@ -33,6 +33,8 @@
 	trackers []*upgrade.Tracker
 	watches  []*stalledWatcher
 	cancels  []context.CancelFunc
+
+	lastRevision int64 // of the orders
 }
 
 func newHosts(n int) *hosts { return newLaggedHosts(n, 0) }
@@ -84,6 +86,7 @@
 func (h *hosts) order(revision int64) { h.orderOf("v2", revision) }
 
 func (h *hosts) orderOf(target string, revision int64) {
+	h.lastRevision = revision
 	for _, t := range h.trackers {
 		t.Order(upgrade.Order{Service: "s", Target: target, Within: 24 * time.Second, Revision: revision})
 	}
--- a/internal/upgrade/rows.go
+++ b/internal/upgrade/rows.go
@@ -24,6 +24,7 @@
 	if !caughtUp {
 		return
 	}
+	t.tableRead = true
 	for _, s := range t.services {
 		s.restored = true
 	}
--- a/internal/upgrade/tracker.go
+++ b/internal/upgrade/tracker.go
@@ -37,13 +37,14 @@
 	options Options
 	wake    wake.Signal
 
-	mu              sync.Mutex // guards the fields below
-	services        map[string]*serviceUpgrade
-	initialVersions map[string]string          // by service: its only version, or the most common one when it was first seen
-	endpointCounts  map[string]map[string]int  // by service and version
-	rows            map[string]store.Change    // latest rows of the shared table, by key
-	caughtUp        bool                       // rows include all that the table held when it was read
-	paceReferences  map[paceKey]*paceReference // of versions not on trial
+	mu             sync.Mutex // guards the fields below
+	services       map[string]*serviceUpgrade
+	versions       map[string]*serviceVersions // by service
+	ordersRead     bool                        // all orders that there were when this host started are known
+	rows           map[string]store.Change     // latest rows of the shared table, by key
+	caughtUp       bool                        // rows include all that the table held when it was read
+	tableRead      bool                        // the shared table has been read since this host started
+	paceReferences map[paceKey]*paceReference  // of versions not on trial
 }
 
 // serviceUpgrade is the newest upgrade of a service.
@@ -51,6 +52,7 @@
 	order            Order
 	schedule         Schedule
 	orderedAt        clock.Instant // when this host received the order
+	inUse            string        // version that this host used when the order came; "" if it can't tell
 	progress         Progress
 	row              store.Row                 // of the progress; version 0 if there is none
 	rejectReason     string                    // why this host has stopped using the target; "" if it has not
@@ -85,7 +87,7 @@
 func NewTracker(options Options) *Tracker {
 	return &Tracker{
 		options: options, wake: wake.NewSignal(),
-		services: map[string]*serviceUpgrade{}, initialVersions: map[string]string{}, endpointCounts: map[string]map[string]int{}, rows: map[string]store.Change{}, paceReferences: map[paceKey]*paceReference{},
+		services: map[string]*serviceUpgrade{}, versions: map[string]*serviceVersions{}, rows: map[string]store.Change{}, paceReferences: map[paceKey]*paceReference{},
 	}
 }
 
@@ -101,8 +103,11 @@
 		order: o, schedule: NewSchedule(t.options.Exposure, o.Within), orderedAt: clock.Now(),
 		own: Evidence{Revision: o.Revision, Routes: map[string]VersionCounts{}, Levels: map[string]VersionCounts{}}, others: map[string]remoteEvidence{},
 	}
-	if known {
-		s.progress, s.row = old.progress, old.row
+	switch {
+	case known:
+		s.progress, s.row, s.inUse = old.progress, old.row, old.inUse
+	case t.ordersRead:
+		s.inUse = t.initialVersion(o.Service)
 	}
 	t.services[o.Service] = s
 	t.replayRows(s)
--- a/internal/upgrade/writes.go
+++ b/internal/upgrade/writes.go
@@ -133,6 +133,8 @@
 			return write{}, nil
 		}
 		return t.begin(s)
+	case t.namesVersionInUse(s):
+		return t.closeInUse(s, s.progress)
 	case s.rejectReason != "":
 		return t.finish(s, OutcomeRolledBack, s.rejectReason)
 	}
@@ -237,9 +239,22 @@
 		Revision: s.order.Revision, Target: s.order.Target, Base: t.baseVersion(s.order.Service, s),
 		StartMs: ceilMs(now.Latest), EndMs: ends.Milliseconds(), Outcome: OutcomeRunning,
 	}
+	if t.namesVersionInUse(s) {
+		return t.closeInUse(s, p)
+	}
 	return t.progressWrite(s, p, "begun")
 }
 
+// reasonInUse is the reason for completing an order without a trial.
+const reasonInUse = "the service has the version already"
+
+// closeInUse returns the write that completes an order for the version in use.
+func (t *Tracker) closeInUse(s *serviceUpgrade, p Progress) (write, error) {
+	p.Base, p.Stage, p.Outcome, p.Reason = p.Target, lastStage, OutcomeCompleted, reasonInUse
+	t.options.Logger.Info("order names the version in use", "service", s.order.Service, "target", p.Target, "revision", p.Revision)
+	return t.progressWrite(s, p, "completed, in use already")
+}
+
 // ceilMs converts a duration to milliseconds, rounding up.
 func ceilMs(d time.Duration) int64 { return (d + time.Millisecond - 1).Milliseconds() }
 
