conn: a body that ends with its connection is not whole after a failed write

Cause: a socket tells its error once. The write returned the reset, Send dropped it because a response could be read, and the reads after it returned what had come and a plain end of file. Evidence: a socket test with an upload larger than all buffers reads "part of the body" and no error; with the same bytes and the write done, the read returns the reset.

Change: after a failed write such a body ends with an error; one that states its end is believed as before, and the connection is not used again. Related paths: a host that relays a connection tells a reset if a write to the endpoint failed or is under way as the reads end, after what has come, and its other end lets the user out of its write, in which it hung until its time was over.

--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -305,7 +305,7 @@
 		return nil, fmt.Errorf("read response of %s: %w", c.address, readErr)
 	}
 	if err != nil {
-		response.Close = true
+		response = afterFailedWrite(response, err)
 	}
 	c.response = response
 	return response, nil
@@ -341,10 +341,7 @@
 
 // reusable reports whether the peer keeps the connection open, and sets its idle timeout.
 func (c *Conn) reusable() bool {
-	if c.response == nil || c.response.Close || c.reader.Buffered() > 0 {
-		return false
-	}
-	if c.response.ContentLength < 0 && len(c.response.TransferEncoding) == 0 {
+	if c.response == nil || c.response.Close || c.reader.Buffered() > 0 || !StatesEnd(c.response) {
 		return false
 	}
 	timeout := defaultIdleTimeout
--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -46,7 +46,8 @@
 	entries   map[string]fleet.Endpoint
 	listeners []net.Listener
 	log       *logBuffer
-	dialDelay atomic.Int64 // how long connecting to an endpoint takes, in ns
+	dialDelay atomic.Int64                     // how long connecting to an endpoint takes, in ns
+	next      atomic.Pointer[memnet.ResetConn] // the next connection to an endpoint; nil for a usual one
 }
 
 // logBuffer records the log. It is safe for concurrent use.
@@ -113,6 +114,9 @@
 	logger := log.New(r.log)
 	r.pool = conn.NewPool(conn.Options{Dial: func(ctx context.Context, address string) (net.Conn, error) {
 		time.Sleep(time.Duration(r.dialDelay.Load()))
+		if c := r.next.Swap(nil); c != nil {
+			return c, nil
+		}
 		return r.net.Dial(ctx, "tcp", address)
 	}})
 	r.gateway = gateway.New(gateway.Options{
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -320,9 +320,7 @@
 
 // endsItself reports whether the response states where it ends. One that does not ends with its
 // connection, which a crash closes too.
-func (a *attempt) endsItself() bool {
-	return a.response.ContentLength >= 0 || len(a.response.TransferEncoding) > 0
-}
+func (a *attempt) endsItself() bool { return conn.StatesEnd(a.response) }
 
 // errEndedByCrash means that a response that states no end ended as its endpoint crashed.
 var errEndedByCrash = fmt.Errorf("the endpoint crashed as the answer ended: %w", io.ErrUnexpectedEOF)
--- a/internal/reach/rig_test.go
+++ b/internal/reach/rig_test.go
@@ -30,7 +30,8 @@
 	server  *grpc.Server
 	link    *memnet.Link
 
-	unwanted atomic.Bool // the endpoint wants nothing from the host
+	unwanted atomic.Bool                      // the endpoint wants nothing from the host
+	next     atomic.Pointer[memnet.ResetConn] // its next connection to the endpoint; nil for a usual one
 
 	mu    sync.Mutex // guards the fields below
 	conns map[string]*grpc.ClientConn
@@ -78,7 +79,12 @@
 	h := &host{address: address, server: grpc.NewServer(), link: &memnet.Link{Network: r.net}, conns: map[string]*grpc.ClientConn{}}
 	h.Tracker = reach.NewTracker(reach.Options{
 		Hall: "ikeja", MaxRelayed: r.maxRelay, Telemetry: telemetry.MetricsOnly(), Logger: log.New(io.Discard),
-		Dial: func(ctx context.Context, address string) (net.Conn, error) { return h.link.Dial(ctx, "tcp", address) },
+		Dial: func(ctx context.Context, address string) (net.Conn, error) {
+			if c := h.next.Swap(nil); c != nil {
+				return c, nil
+			}
+			return h.link.Dial(ctx, "tcp", address)
+		},
 		Endpoint: func(address string) (service, hall string) {
 			if address == endpointAddress {
 				return "plain", "ikeja"
--- a/internal/reach/server.go
+++ b/internal/reach/server.go
@@ -41,6 +41,10 @@
 	stream grpc.BidiStreamingServer[reachpb.Frame, reachpb.Frame]
 	conn   *Conn
 
+	// unwritten is set while data is written to the endpoint, and stays set if that fails: a socket tells
+	// its error once, so that a read which follows a failed write ends as if the endpoint had closed.
+	unwritten atomic.Bool
+
 	mu    sync.Mutex // guards ended; a stream takes one frame at a time
 	ended bool       // the call has ended
 }
@@ -117,18 +121,21 @@
 	return nil, reachpb.Result_SILENT
 }
 
-// pumpUp passes what the other host sends to the endpoint, until the other host ends the call.
+// pumpUp passes what the other host sends to the endpoint, until the other host ends the call or the
+// endpoint takes no more. What it has sent before is still to be read then.
 func (r *relayed) pumpUp() {
-	defer func() { _ = r.conn.Close() }()
 	for {
 		frame, err := r.stream.Recv()
 		if err != nil {
+			_ = r.conn.Close()
 			return
 		}
 		r.conn.Expect(true)
+		r.unwritten.Store(true)
 		if _, err := r.conn.Write(frame.GetData()); err != nil {
 			return
 		}
+		r.unwritten.Store(false)
 	}
 }
 
@@ -154,7 +161,7 @@
 	if !conn.IsDisconnect(err) || r.stream.Context().Err() != nil || r.conn.WayLost(r.stream.Context(), true) {
 		return reachpb.End_LOST
 	}
-	if errors.Is(err, syscall.ECONNRESET) {
+	if r.unwritten.Load() || errors.Is(err, syscall.ECONNRESET) {
 		return reachpb.End_RESET
 	}
 	return reachpb.End_CLOSED
--- a/internal/reach/tunnel.go
+++ b/internal/reach/tunnel.go
@@ -41,6 +41,7 @@
 	cancel   context.CancelFunc
 	pending  atomic.Bool // data has arrived that the user has not read
 	draining atomic.Bool // the host stops soon
+	unsent   atomic.Bool // data of the user could not be sent
 	once     sync.Once
 
 	mu    sync.Mutex // guards cause
@@ -108,6 +109,9 @@
 			if errors.Is(err, io.EOF) || errors.Is(err, io.ErrClosedPipe) {
 				_ = n.stream.CloseSend()
 			}
+			n.unsent.Store(read > 0)
+			// The user reads what has arrived only once it has written its request.
+			_, _ = io.Copy(io.Discard, n.inner)
 			return
 		}
 	}
@@ -145,6 +149,9 @@
 		switch frame.GetEnd() {
 		case reachpb.End_END_UNSPECIFIED:
 		case reachpb.End_CLOSED:
+			if n.unsent.Load() {
+				return os.NewSyscallError("read", syscall.ECONNRESET)
+			}
 			return io.EOF
 		case reachpb.End_RESET:
 			return os.NewSyscallError("read", syscall.ECONNRESET)
