conn: responses whose status or version HTTP does not allow are refused

Here the caller's channel was closed without an answer, for kinds that may be repeated too, and no log line told of an error; 600 and 999 were passed on as the endpoint's answer.

Cause: net/http parses any three characters that make a number, and its server panics on a status below 100. The server's log is off, so nobody learned of it, and the attempt kept its place at the endpoint. Ruled out by the log: a send that fails, and a caller that left (the request's line had an empty outcome).

Change: one check right after each head is read: status 100 to 599, major version 1, no switch of protocols that nobody asked for. What fails it is a failure of the endpoint. A panic of a handler is logged with its request, counted, and releases what its attempt holds.

--- a/internal/conn/head.go
+++ b/internal/conn/head.go
@@ -52,7 +52,7 @@
 	return nil, &bound.Error{Place: bound.PlaceSkipped, Bytes: skipped}
 }
 
-// readOneHead reads the head of one response.
+// readOneHead reads the head of one response. It returns ErrInvalidHead if HTTP does not allow it.
 func (c *Conn) readOneHead(request *http.Request) (*http.Response, error) {
 	buffered, _ := c.reader.Peek(c.reader.Buffered())
 	c.head.Begin(buffered)
@@ -64,7 +64,10 @@
 	if errors.Is(err, os.ErrDeadlineExceeded) && c.head.Begun() {
 		return nil, fmt.Errorf("%w: %w", ErrHeadIncomplete, err)
 	}
-	return response, err
+	if err != nil {
+		return nil, err
+	}
+	return response, checkHead(response)
 }
 
 // Drain reads what is left of a response that is not needed, and reports whether the connection can be
--- a/internal/daemon/module.go
+++ b/internal/daemon/module.go
@@ -125,7 +125,7 @@
 	if p.Tables != nil {
 		return platformPorts{Tables: p.Tables, Hosts: p.Hosts, Ratings: p.Ratings}
 	}
-	client := httpapi.NewClient(s.Platform, &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute})
+	client := httpapi.NewClient(s.Platform, conn.CheckedTransport{Base: &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}})
 	return platformPorts{Tables: client, Hosts: client, Ratings: client}
 }
 
@@ -149,11 +149,11 @@
 	if p.Transport != nil {
 		return p.Transport
 	}
-	return &http.Transport{
+	return conn.CheckedTransport{Base: &http.Transport{
 		MaxIdleConnsPerHost: idlePerEndpoint, IdleConnTimeout: time.Minute, DisableCompression: true,
 		MaxResponseHeaderBytes: bound.HeadBytes,
 		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
-	}
+	}}
 }
 
 // newConns returns the pool of connections on which requests are sent to endpoints.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -163,6 +163,7 @@
 	conns                []conn.ID // over which it was sent
 	mayHaveRun           bool      // some endpoint may have run it, or may still do so
 	outcome              string
+	attempt              *attempt // the last one; nil before the first
 	endpoint             string
 	relayedBy            string // host that relayed the last attempt; empty if none did
 	model                string
@@ -198,6 +199,7 @@
 	x.fingerprint, x.identity = sync.OnceValue(x.computeFingerprint), sync.OnceValue(x.computeIdentity)
 	x.sharedParts = sync.OnceValue(x.computeParts)
 	defer x.logRequest()
+	defer x.endPanic()
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -171,6 +171,7 @@
 // sendOnConn sends the request on a connection and reads the response header.
 func (x *exchange) sendOnConn(ctx context.Context, hold *fleet.Hold, place *ratelimit.Place, c *conn.Conn, model, lastEventID string) (*attempt, error) {
 	a := &attempt{x: x, hold: hold, place: place, conn: c, model: model, sentAt: clock.Now()}
+	x.attempt = a
 	x.sends++
 	x.maySendSuspect = false
 	x.tried, x.conns = append(x.tried, hold.Endpoint.ID), append(x.conns, c.ID())
