conn: responses with a field name that is no token are refused

What callers saw (MIXED): an answer with "X Odd: 1" in its head was passed on with that line; one with "Content-Length : 5" or "Transfer-Encoding : chunked" with a body that was not the endpoint's, up to the end of the channel.

Cause: net/http keeps a name with a blank as it is, so the field that frames the body was not seen. Evidence: of eleven other bad lines (tab, control bytes, no name, no colon, a folded first line) it refuses all, by the specs, before the change too.

--- a/internal/conn/valid_test.go
+++ b/internal/conn/valid_test.go
@@ -21,10 +21,29 @@
 	"status 600":                  "HTTP/1.1 600 Odd\r\nContent-Length: 1\r\n\r\nx",
 	"status 999":                  "HTTP/1.1 999 Odd\r\nContent-Length: 1\r\n\r\nx",
 	"status 000 after a continue": "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 None\r\nContent-Length: 1\r\n\r\nx",
+	"a blank in a name":           "HTTP/1.1 200 OK\r\nX Odd: 1\r\nContent-Length: 1\r\n\r\nx",
+	"a blank after a length":      "HTTP/1.1 200 OK\r\nContent-Length : 1\r\n\r\nx",
+	"a blank after an encoding":   "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n",
+	"a blank in a skipped head":   "HTTP/1.1 103 Early Hints\r\nLink : </a>\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx",
 	"another major version":       "HTTP/2.0 200 OK\r\nContent-Length: 1\r\n\r\nx",
 	"a switch of protocols":       "HTTP/1.1 101 Switching Protocols\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx",
 }
 
+// unreadableHeads are heads with names that can't be parsed either.
+var unreadableHeads = map[string]string{
+	"a tab in a name":       "X\tOdd: 1",
+	"a control byte":        "X\x01Odd: 1",
+	"a zero byte":           "X\x00Odd: 1",
+	"a delete byte":         "X\x7fOdd: 1",
+	"a carriage return":     "X\rOdd: 1",
+	"a byte above ASCII":    "X\xe9Odd: 1",
+	"a separator":           "X(Odd): 1",
+	"no name":               ": 1",
+	"no colon":              "X Odd",
+	"a folded first line":   " X: 1",
+	"a control byte behind": "X: 1\x01",
+}
+
 // validHeads are odd heads that HTTP allows.
 var validHeads = map[string]string{
 	"status 599":              "HTTP/1.1 599 Odd\r\nContent-Length: 1\r\n\r\nx",
@@ -83,6 +102,13 @@
 				})
 			})
 		}
+		for name, line := range unreadableHeads {
+			It("is refused "+reader+" if a line of it can't be read: "+name, func() {
+				answering("HTTP/1.1 200 OK\r\n"+line+"\r\nContent-Length: 1\r\n\r\nx", func(network *memnet.Network) {
+					Expect(read(network)).NotTo(Succeed())
+				})
+			})
+		}
 		for name, text := range validHeads {
 			It("is accepted "+reader+" if HTTP allows it: "+name, func() {
 				answering(text, func(network *memnet.Network) {
--- a/internal/gateway/invalidhead_test.go
+++ b/internal/gateway/invalidhead_test.go
@@ -14,8 +14,12 @@
 
 // invalidReplies are responses whose heads HTTP does not allow.
 var invalidReplies = map[string]standin.Reply{
-	"status 000": {Status: 0, Body: "other"},
-	"status 600": {Status: 600, Body: "other"},
+	"status 000":                {Status: 0, Body: "other"},
+	"status 600":                {Status: 600, Body: "other"},
+	"a blank in a name":         {Status: 200, Body: "other", Field: "X Odd: 1"},
+	"a blank after a length":    {Status: 200, Body: "other and more", Field: "Content-Length : 5", Unsized: true},
+	"a blank after an encoding": {Status: 200, Body: "5\r\nother\r\n0\r\n\r\n", Field: "Transfer-Encoding : chunked", Unsized: true},
+	"a control byte in a name":  {Status: 200, Body: "other", Field: "X\x01Odd: 1"},
 }
 
 // Each guards against a caller who gets what is no answer in HTTP, or no answer at all.
