bound: bodies that are held until they are whole share one bound with events

What was found here: heads, skipped responses and events are bounded, and one body is too, by 256 KiB of a routed answer and 32 MiB of one of the OpenAI interface. But nothing bounded the bodies together: 100 endless answers whose callers read nothing hold 100 times 256 KiB, 20 of plain services any 32 MiB each.

Change: held bodies count in the memory of incomplete events (an eighth of the process's limit). A routed body that gets no more is passed on from there, as long ones are; of bodies that are needed whole the largest ends. Heads from the store and duties are bounded as those of endpoints are, and texts of errors quote 300 bytes at most of what can't be parsed.

--- a/internal/bound/bound.go
+++ b/internal/bound/bound.go
@@ -1,5 +1,5 @@
 // Package bound limits what a host reads of an endpoint's response. A faulty endpoint may send bytes
-// without end, in the head of a response, in one that is to be skipped, or in an event.
+// without end, in the head of a response, in one that is to be skipped, in an event, or in a body.
 //
 // # Usage
 //
@@ -10,7 +10,7 @@
 //	head.End()
 //	if err := head.Err(); err != nil { ... } // the parser may return another error for it
 //
-//	holder := memory.NewHolder(connection.Interrupt)
+//	holder := memory.NewHolder(bound.PlaceEvent, connection.Interrupt)
 //	defer holder.Release()
 //	if err := holder.Resize(len(event)); err != nil { ... }
 //
--- a/internal/bound/bound_test.go
+++ b/internal/bound/bound_test.go
@@ -90,7 +90,7 @@
 	It("ends the largest holder when the limit is exceeded", func() {
 		m := bound.NewMemory(func() int64 { return 100 })
 		ended := map[string]int{}
-		holder := func(name string) *bound.Holder { return m.NewHolder(func() { ended[name]++ }) }
+		holder := func(name string) *bound.Holder { return m.NewHolder(bound.PlaceEvent, func() { ended[name]++ }) }
 		small, large, last := holder("small"), holder("large"), holder("last")
 		Expect(small.Resize(20)).To(Succeed())
 		Expect(large.Resize(70)).To(Succeed())
@@ -106,7 +106,7 @@
 
 	It("tells a holder that is itself the largest by the error alone", func() {
 		m := bound.NewMemory(func() int64 { return 100 })
-		h := m.NewHolder(func() { Fail("ended from its own call") })
+		h := m.NewHolder(bound.PlaceEvent, func() { Fail("ended from its own call") })
 		Expect(bound.IsExceeded(h.Resize(101))).To(BeTrue())
 		Expect(m.Total()).To(BeZero())
 	})
@@ -119,7 +119,7 @@
 			holders := make([]*bound.Holder, 5)
 			held := make([]int64, len(holders))
 			for i := range holders {
-				holders[i] = m.NewHolder(func() {})
+				holders[i] = m.NewHolder(bound.PlaceEvent, func() {})
 			}
 			for range rapid.IntRange(1, 50).Draw(t, "calls") {
 				i := rapid.IntRange(0, len(holders)-1).Draw(t, "holder")
--- a/internal/bound/memory.go
+++ b/internal/bound/memory.go
@@ -6,10 +6,11 @@
 	"sync/atomic"
 )
 
-// memoryShare is the part of the host's memory limit that incomplete events may take: 1/memoryShare.
+// memoryShare is the part of the host's memory limit that parts of responses may take: 1/memoryShare.
 const memoryShare = 8
 
-// ProcessLimit returns how many bytes of incomplete events the process may hold, by its memory limit.
+// ProcessLimit returns how many bytes of incomplete events, and of bodies that are held until they are
+// whole, the process may hold, by its memory limit.
 func ProcessLimit() int64 { return debug.SetMemoryLimit(-1) / memoryShare }
 
 // Memory bounds the bytes that all holders hold at once. It is safe for concurrent use.
@@ -36,14 +37,17 @@
 // Holder is one request that holds bytes.
 type Holder struct {
 	memory *Memory
+	place  Place
 	end    func()
 	bytes  int64
 	ended  atomic.Bool
 }
 
-// NewHolder returns a holder of no bytes. If it is the largest when the limit is exceeded, end is called
-// once, from another holder's call; it must not block.
-func (m *Memory) NewHolder(end func()) *Holder { return &Holder{memory: m, end: end} }
+// NewHolder returns a holder of no bytes, of a part of a response. If it is the largest when the limit is
+// exceeded, end is called once, from another holder's call; it must not block.
+func (m *Memory) NewHolder(p Place, end func()) *Holder {
+	return &Holder{memory: m, place: p, end: end}
+}
 
 // Resize sets the number of bytes that the holder holds. It returns an *Error if the holder was ended.
 func (h *Holder) Resize(bytes int64) error {
@@ -60,6 +64,19 @@
 	return err
 }
 
+// TryResize sets the number of bytes that the holder holds, unless the limit would be exceeded; then it
+// returns false. It ends no holder.
+func (h *Holder) TryResize(bytes int64) bool {
+	m := h.memory
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if h.Ended() || m.total+bytes-h.bytes > m.limit() {
+		return false
+	}
+	m.resize(h, bytes)
+	return true
+}
+
 // Ended reports whether the holder was ended.
 func (h *Holder) Ended() bool { return h.ended.Load() }
 
@@ -81,7 +98,7 @@
 	if !h.Ended() {
 		return nil
 	}
-	return &Error{Place: PlaceEvent, Bytes: bytes}
+	return &Error{Place: h.place, Bytes: bytes}
 }
 
 // resize sets the bytes of a holder and returns the holders that it ended for that; the caller holds mu.
--- a/internal/conn/head.go
+++ b/internal/conn/head.go
@@ -65,11 +65,22 @@
 		return nil, fmt.Errorf("%w: %w", ErrHeadIncomplete, err)
 	}
 	if err != nil {
-		return nil, err
+		return nil, shortened(err)
 	}
 	return response, checkHead(response)
 }
 
+// maxErrorText is the largest length of the text of an error of the parser, in bytes.
+const maxErrorText = 300
+
+// shortened returns an error with a short text: the parser quotes a line that it can't parse whole.
+func shortened(err error) error {
+	if text := err.Error(); len(text) > maxErrorText {
+		return errors.New(text[:maxErrorText])
+	}
+	return err
+}
+
 // Drain reads what is left of a response that is not needed, and reports whether the connection can be
 // reused: the rest is short and arrives at once.
 func (c *Conn) Drain() bool {
--- a/internal/daemon/module.go
+++ b/internal/daemon/module.go
@@ -125,7 +125,7 @@
 	if p.Tables != nil {
 		return platformPorts{Tables: p.Tables, Hosts: p.Hosts, Ratings: p.Ratings}
 	}
-	client := httpapi.NewClient(s.Platform, conn.CheckedTransport{Base: &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}})
+	client := httpapi.NewClient(s.Platform, conn.CheckedTransport{Base: &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: bound.HeadBytes}})
 	return platformPorts{Tables: client, Hosts: client, Ratings: client}
 }
 
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -8,9 +8,11 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/pkg/errors"
 
 	"quaybarrow/internal/bound"
 	"quaybarrow/internal/clock"
+	"quaybarrow/internal/conn"
 	"quaybarrow/internal/fleet"
 	"quaybarrow/internal/problem"
 	"quaybarrow/internal/quarantine"
@@ -134,7 +136,7 @@
 	if err != nil {
 		return Response{}, err
 	}
-	body, err := readWhole(response.Body)
+	body, err := d.readWhole(response.Body, response.conn)
 	response.release(err == nil)
 	if err != nil {
 		return Response{}, &attemptError{run: problem.Unknown, outcome: fleet.OutcomeFailed, cause: fmt.Errorf("read response body: %w", err)}
@@ -143,14 +145,20 @@
 }
 
 // readWhole reads a body that is passed on only if it is whole. It returns a *bound.Error if the body is
-// longer than maxResponseBytes.
-func readWhole(source io.Reader) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(source, maxResponseBytes+1))
-	if err != nil {
-		return nil, fmt.Errorf("read body: %w", err)
-	}
-	if len(body) > maxResponseBytes {
+// longer than maxResponseBytes, or holds the most when all responses hold more than they may.
+func (d *Dispatcher) readWhole(source io.Reader, c *conn.Conn) ([]byte, error) {
+	memory := d.options.ResponseMemory.NewHolder(bound.PlaceBody, c.Interrupt)
+	body, err := bound.ReadBody(source, maxResponseBytes, func(size int) error { return memory.Resize(int64(size)) })
+	ended := memory.Err()
+	memory.Release()
+	switch {
+	case ended != nil:
+		return nil, fmt.Errorf("hold a body: %w", ended)
+	case errors.Is(err, io.EOF):
+		return body, nil
+	case errors.Is(err, bound.ErrFull):
 		return nil, &bound.Error{Place: bound.PlaceBody, Bytes: int64(len(body))}
+	default:
+		return nil, fmt.Errorf("read body: %w", err)
 	}
-	return body, nil
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -60,10 +60,10 @@
 	Telemetry         *telemetry.Telemetry
 	// Quarantine tracks requests that crash endpoints.
 	Quarantine *quarantine.Tracker
-	// EventMemory bounds the incomplete events that the host holds; nil bounds them by the process's
+	// ResponseMemory bounds the incomplete events and bodies that the host holds; nil bounds them by the process's
 	// memory limit.
-	EventMemory *bound.Memory
-	Logger      *log.Logger // nil for none
+	ResponseMemory *bound.Memory
+	Logger         *log.Logger // nil for none
 }
 
 // Dispatcher sends requests to endpoints.
@@ -74,8 +74,8 @@
 
 // New returns a dispatcher.
 func New(options Options) *Dispatcher {
-	if options.EventMemory == nil {
-		options.EventMemory = bound.NewMemory(bound.ProcessLimit)
+	if options.ResponseMemory == nil {
+		options.ResponseMemory = bound.NewMemory(bound.ProcessLimit)
 	}
 	return &Dispatcher{options: options, budgets: retry.NewBudgets(DefaultRetries)}
 }
--- a/internal/dispatch/endless_test.go
+++ b/internal/dispatch/endless_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -50,7 +51,28 @@
 	listeners  []net.Listener
 	conns      *conn.Pool
 	memory     *bound.Memory
-	log        strings.Builder
+	limit      atomic.Int64 // of memory, in bytes
+	log        syncBuilder
+}
+
+// syncBuilder collects a log. It is safe for concurrent use.
+type syncBuilder struct {
+	mu sync.Mutex // guards b
+	b  strings.Builder
+}
+
+// Write implements io.Writer.
+func (s *syncBuilder) Write(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.Write(p)
+}
+
+// String returns what was written.
+func (s *syncBuilder) String() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.String()
 }
 
 // firstThen returns a script for all endpoints: the first request to any of them gets one response, and
@@ -67,7 +89,9 @@
 
 func newPair(service string, script func(int, *http.Request) standin.Script) *pair {
 	network := memnet.New()
-	p := &pair{fleet: fleet.New(fleet.Options{}), memory: bound.NewMemory(func() int64 { return 64 << 20 })}
+	p := &pair{fleet: fleet.New(fleet.Options{})}
+	p.limit.Store(64 << 20)
+	p.memory = bound.NewMemory(p.limit.Load)
 	p.conns = conn.NewPool(conn.Options{Dial: func(ctx context.Context, address string) (net.Conn, error) { return network.Dial(ctx, "tcp", address) }})
 	for i := range 2 {
 		e, at := standin.NewEndpoint(fmt.Sprint("e", i), script), fmt.Sprintf("10.0.0.%d:80", i+1)
@@ -80,7 +104,7 @@
 	t, err := telemetry.New(context.Background(), telemetry.Options{Traces: 1})
 	Expect(err).NotTo(HaveOccurred())
 	p.dispatcher = dispatch.New(dispatch.Options{
-		Fleet: p.fleet, Conns: p.conns, FirstTokenTimeout: time.Second, Telemetry: t, EventMemory: p.memory, Logger: log.New(&p.log),
+		Fleet: p.fleet, Conns: p.conns, FirstTokenTimeout: time.Second, Telemetry: t, ResponseMemory: p.memory, Logger: log.New(&p.log),
 		Quarantine: quarantine.NewTracker(quarantine.Options{Host: "h", Probe: p.conns.Probe, CountEndpoints: p.fleet.Count, Logger: log.New(io.Discard)}),
 	})
 	return p
@@ -199,6 +223,39 @@
 		})
 	})
 
+	// Guards against bodies that are each within their bound and take a host's memory together.
+	It("ends where it holds the most, once bodies exceed all responses' memory", func() {
+		suite.Paused(func() {
+			const calls = 20
+			p := newPair("payouts", standin.Always(standin.Endless{Start: okHead + "\r\n", Repeat: many("x"), Pause: burstPause}))
+			defer p.close()
+			p.limit.Store(1 << 20)
+			errs := make(chan error, calls)
+			most := int64(0)
+			for range calls {
+				go func() {
+					_, err := p.call(false)
+					errs <- err
+				}()
+			}
+			for len(errs) < calls {
+				time.Sleep(burstPause)
+				most = max(most, p.memory.Total())
+			}
+			Expect(most).To(BeNumerically("<=", 1<<20))
+			Expect(p.log.String()).To(ContainSubstring("place=body"))
+			for range calls {
+				Expect(problem.Of(<-errs).Run).To(Equal(problem.Unknown))
+			}
+			read := 0
+			for _, q := range p.runs() {
+				read += q.Sent
+			}
+			Expect(read).To(BeNumerically("<=", calls*(1<<20+surplus)), "none is read on by itself")
+			Expect(p.memory.Total()).To(BeZero())
+		})
+	})
+
 	// Guards against a drip of bytes that holds a call beyond its deadline and leaves the endpoint well.
 	It("ends at the deadline if its head keeps coming, and counts as a failure", func() {
 		suite.Paused(func() {
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -60,7 +60,7 @@
 	if s.memory != nil {
 		s.memory.Release()
 	}
-	s.event, s.memory = eventLines{}, s.dispatcher.options.EventMemory.NewHolder(a.conn.Interrupt)
+	s.event, s.memory = eventLines{}, s.dispatcher.options.ResponseMemory.NewHolder(bound.PlaceEvent, a.conn.Interrupt)
 	s.response = a
 	s.reader = bufio.NewReaderSize(a.Body, readBuffer)
 }
@@ -185,7 +185,7 @@
 
 // ReadAll reads the whole body of a response that is not streamed.
 func (s *Stream) ReadAll() ([]byte, error) {
-	body, err := readWhole(s.reader)
+	body, err := s.dispatcher.readWhole(s.reader, s.response.conn)
 	if err != nil {
 		s.failed = true
 		s.recordBroken(err)
--- a/internal/gateway/endless.go
+++ b/internal/gateway/endless.go
@@ -81,7 +81,8 @@
 	a := resp.attempt
 	removeBound := x.boundWrites()
 	u := unfinished{bodyBegun: true, timeout: x.routeTimeout()}
-	buffer := make([]byte, passOnBuffer)
+	defer resp.release()
+	var buffer []byte
 	piece, readErr := resp.body, error(nil)
 	for {
 		if err := x.writeTimed(piece, &u); err != nil {
@@ -91,6 +92,11 @@
 		if readErr != nil {
 			break
 		}
+		if buffer == nil {
+			piece = nil
+			resp.release()
+			buffer = make([]byte, passOnBuffer)
+		}
 		var n int
 		n, readErr = a.response.Body.Read(buffer)
 		piece = buffer[:n]
@@ -129,21 +135,43 @@
 	return errors.WithMessage(err, "write to the caller")
 }
 
-// readHeldBack reads the part of a response that is held back until the response is known to be whole.
+// readHeldBack reads the part of a response that is held back until the response is known to be whole: less
+// than maxBufferedBytes if all responses hold as much as they may.
 func (a *attempt) readHeldBack() (*bufferedResponse, error) {
-	body, err := io.ReadAll(io.LimitReader(a.response.Body, maxBufferedBytes))
+	memory := a.x.g.ResponseMemory.NewHolder(bound.PlaceBody, a.conn.Interrupt)
+	body, err := bound.ReadBody(a.response.Body, maxBufferedBytes, func(size int) error {
+		if !memory.TryResize(int64(size)) {
+			return bound.ErrFull
+		}
+		return nil
+	})
+	if errors.Is(err, bound.ErrFull) {
+		return &bufferedResponse{attempt: a, body: body, memory: memory, truncated: true}, nil
+	}
+	ended := memory.Err()
+	memory.Release()
 	switch {
-	case err != nil && len(body) > 0:
+	case ended != nil:
+		return nil, fmt.Errorf("hold a body back: %w", ended)
+	case errors.Is(err, io.EOF):
+		return &bufferedResponse{attempt: a, body: body, memory: memory}, nil
+	case len(body) > 0:
 		return nil, fmt.Errorf("%w: %w", errBodyIncomplete, err)
-	case err != nil:
+	default:
 		return nil, errors.WithMessage(err, "the answer broke off")
 	}
-	return &bufferedResponse{attempt: a, body: body, truncated: len(body) == maxBufferedBytes}, nil
+}
+
+// release gives up the part of the body that was held back.
+func (r *bufferedResponse) release() {
+	r.body = nil
+	r.memory.Release()
 }
 
 // drop ends the attempt of a response that is not forwarded though the rest of it is still to be read.
 func (r *bufferedResponse) drop() {
 	if r.truncated {
+		r.release()
 		r.attempt.end(r.attempt.outcome(), false)
 	}
 }
--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -269,7 +269,7 @@
 					return slow
 				}})
 				defer r.stop()
-				r.gateway.EventMemory = bound.NewMemory(func() int64 { return 130 << 10 })
+				r.gateway.ResponseMemory = bound.NewMemory(func() int64 { return 130 << 10 })
 				start := time.Now()
 				ended := make(chan string, 2)
 				for _, name := range []string{"slow", "largest"} {
@@ -285,11 +285,47 @@
 				Expect(r.log.text()).To(ContainSubstring("place=event"))
 				Expect(<-ended).To(Equal("slow"))
 				Expect(time.Since(start)).To(BeNumerically(">", time.Second))
-				Expect(r.gateway.EventMemory.Total()).To(BeZero())
+				Expect(r.gateway.ResponseMemory.Total()).To(BeZero())
 			})
 		})
 	}
 
+	// Guards against bodies that are each within their bound and take a host's memory together.
+	It("is held back only as far as all bodies' memory goes, and short answers are served beside", func() {
+		suite.Paused(func() {
+			const requests, memory = 100, 512 << 10
+			r := newRig(scripts{
+				"plain-1": func(_ int, q *http.Request) standin.Script {
+					if strings.HasSuffix(q.URL.Path, "/short") {
+						return good
+					}
+					return standin.Endless{Status: 200, Start: "\r\n", Repeat: many("x"), Pause: burstPause}
+				},
+			})
+			defer r.stop()
+			r.gateway.ResponseMemory = bound.NewMemory(func() int64 { return memory })
+			for range requests {
+				c := r.call() // its caller reads nothing
+				defer func() { _ = c.Close() }()
+				c.send(request("POST", "/open/long", "x").Text())
+			}
+			time.Sleep(time.Second)
+			read := 0
+			for _, e := range r.endpoints["plain-1"].Requests() {
+				read += e.Sent
+			}
+			Expect(r.gateway.ResponseMemory.Total()).To(BeNumerically("<=", memory))
+			Expect(r.ask(request("POST", "/open/short", "x")).Body).To(Equal("done"))
+			time.Sleep(5 * time.Second) // all requests have ended
+			for _, e := range r.endpoints["plain-1"].Requests() {
+				read += e.Sent
+			}
+			Expect(read).To(BeNumerically(">", requests*(4<<10)))
+			Expect(read).To(BeNumerically("<=", memory+requests*2*surplus))
+			Expect(r.gateway.ResponseMemory.Total()).To(BeZero())
+		})
+	})
+
 	// Guards against reuse of a connection on which a rejection goes on, and against a wait for its end.
 	It("that rejects a request is not read on, and its connection is closed", func() {
 		suite.Paused(func() {
--- a/internal/gateway/events_test.go
+++ b/internal/gateway/events_test.go
@@ -14,7 +14,7 @@
 
 // unbounded returns a holder of memory without a bound on all events.
 func unbounded() *bound.Holder {
-	return bound.NewMemory(func() int64 { return math.MaxInt64 }).NewHolder(func() {})
+	return bound.NewMemory(func() int64 { return math.MaxInt64 }).NewHolder(bound.PlaceEvent, func() {})
 }
 
 // FuzzEvents checks that a stream yields its complete events in order, once each, and nothing
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -65,9 +65,9 @@
 	// SharesCapacity reports whether capacity is shared among workspaces and kinds of requests; nil if
 	// the configuration alone says so.
 	SharesCapacity func() bool
-	// EventMemory bounds the incomplete events that the host holds; nil bounds them by the process's
+	// ResponseMemory bounds the incomplete events and bodies that the host holds; nil bounds them by the process's
 	// memory limit.
-	EventMemory *bound.Memory
+	ResponseMemory *bound.Memory
 	// RetryRatio bounds retries to a fraction of the first sends.
 	RetryRatio float64
 }
@@ -97,8 +97,8 @@
 
 // New returns a gateway.
 func New(options Options) *Gateway {
-	if options.EventMemory == nil {
-		options.EventMemory = bound.NewMemory(bound.ProcessLimit)
+	if options.ResponseMemory == nil {
+		options.ResponseMemory = bound.NewMemory(bound.ProcessLimit)
 	}
 	return &Gateway{Options: options, sizes: newRequestSizes(), streamSpans: newRouteMeans(), routeWork: newRouteMeans(), firstModels: newFirstModels(), running: newRunningCounter(), startedAt: clock.Now(), unreadableLimitLog: newLogSampler(), changedLimitLog: newLogSampler(), unreachedLog: &rate.Sometimes{Interval: unreachedLogInterval}, unreadablePauseLog: newLogSampler(), unknownFields: &unknownFields{},
 		retryBudgets: retry.NewBudgets(retry.Limits{Ratio: options.RetryRatio, Reserve: retryReserve})}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"quaybarrow/internal/bound"
 	"quaybarrow/internal/clock"
 	"quaybarrow/internal/fleet"
 	"quaybarrow/internal/upgrade"
@@ -116,7 +117,7 @@
 func (s *stream) relay(a *attempt) error {
 	x := s.x
 	out := http.NewResponseController(x.w)
-	memory := x.g.EventMemory.NewHolder(a.conn.Interrupt)
+	memory := x.g.ResponseMemory.NewHolder(bound.PlaceEvent, a.conn.Interrupt)
 	events := newEventReader(a.response.Body, s.lastEventID, memory)
 	defer events.release()
 	removeBound := x.boundWrites()
--- a/internal/gateway/unary.go
+++ b/internal/gateway/unary.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"quaybarrow/internal/admission"
+	"quaybarrow/internal/bound"
 	"quaybarrow/internal/clock"
 	"quaybarrow/internal/fleet"
 	"quaybarrow/internal/route"
@@ -47,7 +48,8 @@
 type bufferedResponse struct {
 	attempt   *attempt
 	body      []byte
-	truncated bool // the rest is still to be read
+	memory    *bound.Holder // of the body while the rest is still to be read
+	truncated bool          // the rest is still to be read
 }
 
 // serveUnary serves a request whose response is a single body.
