gateway: a body that does not come before the deadline is refused with 408

Cause: net/http ends the context of a request whose body it can't read, also after a read deadline, and that passed for a caller who had left. The read deadline was removed at once, so that the server waited for the rest of the body before it closed the connection.

Change: the passed deadline stays, and the request is refused with 408, "not run"; 400, which was meant for it, tells callers not to come back.

--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -166,11 +167,17 @@
 	// Stop waiting at the deadline for a caller that sends no more.
 	_ = http.NewResponseController(x.w).SetReadDeadline(x.deadline.Time())
 	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
-	_ = http.NewResponseController(x.w).SetReadDeadline(time.Time{})
+	if err == nil {
+		// Otherwise the deadline stays, for the server tries to read the rest before it closes the connection.
+		_ = http.NewResponseController(x.w).SetReadDeadline(time.Time{})
+	}
 	var tooLong *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLong):
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body is too long", closeConn: true}
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		x.bodyLate = true
+		return &refusal{status: http.StatusRequestTimeout, reason: "body did not come in time", closeConn: true}
 	case err != nil:
 		return &refusal{status: http.StatusBadRequest, reason: "body can't be read", closeConn: true}
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -146,6 +146,7 @@
 	order        int           // among requests that wait or compete for capacity
 	overShare    bool          // some requests of its class are refused for the share of its workspace
 	body         []byte
+	bodyLate     bool    // the body did not come before the deadline
 	relativeSize float64 // size of prompt and response, relative to its route's mean
 	prefixKey    uint64  // hash of the prompt prefix that it shares with others
 	versionKey   uint64  // hash of what stays on one version
@@ -232,8 +233,9 @@
 // timeLeft returns the time left until the request's deadline.
 func (x *exchange) timeLeft() time.Duration { return clock.Until(x.deadline) }
 
-// callerGone reports whether the caller has disconnected.
-func (x *exchange) callerGone() bool { return x.r.Context().Err() != nil }
+// callerGone reports whether the caller has disconnected. The server ends the context of a request whose body
+// it can't read, also if that has only come too late.
+func (x *exchange) callerGone() bool { return x.r.Context().Err() != nil && !x.bodyLate }
 
 // logRequest writes the log line about a request.
 func (x *exchange) logRequest() {
