daemon: the grace in force bounds a stop, not that of the start

Cause: fx bounds the context of a stop, by the grace of the start; the host's own wait, which goes by the grace in force, ended with that context.

Change: the stop of a gateway host is bounded by the host alone, which looks at the grace in force while it waits.

--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -73,10 +73,18 @@
 	}
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
-	ports := gatewayd.Ports{
+	return newGatewayApp(s, gatewayd.Ports{
 		Hangup: hangup, Reload: func() (settings.Settings, error) { return settings.Load(file) },
-	}
-	return fx.New(gatewayd.Module(s, ports), fx.StartTimeout(startTimeout), fx.StopTimeout(s.Gateway.Grace))
+	})
+}
+
+// gatewayStopTimeout is longer than any grace: a gateway host itself bounds its stop, by the grace in force,
+// which may have changed since the start.
+const gatewayStopTimeout = 24 * time.Hour
+
+// newGatewayApp wires a gateway host.
+func newGatewayApp(s settings.Settings, ports gatewayd.Ports) *fx.App {
+	return fx.New(gatewayd.Module(s, ports), fx.StartTimeout(startTimeout), fx.StopTimeout(gatewayStopTimeout))
 }
 
 // serve runs an app until ctx is done.
--- a/internal/gatewayd/host.go
+++ b/internal/gatewayd/host.go
@@ -11,6 +11,7 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/gorilla/mux"
+	"github.com/pkg/errors"
 	"go.uber.org/fx"
 	"google.golang.org/grpc"
 
@@ -44,7 +45,9 @@
 	// stopMargin is the part of the grace period, at its end, that is reserved for closing down.
 	stopMargin = 500 * time.Millisecond
 	// cutOffTime is the part of stopMargin in which requests that are cut are answered.
-	cutOffTime      = 200 * time.Millisecond
+	cutOffTime = 200 * time.Millisecond
+	// graceInterval is the time between looks at the grace in force during a stop.
+	graceInterval   = 500 * time.Millisecond
 	sweepInterval   = 500 * time.Millisecond
 	logFlushTimeout = 200 * time.Millisecond
 	headerTimeout   = 2 * time.Second
@@ -256,10 +259,8 @@
 	h.Reach.Drain()
 	h.background.Go(func() { h.Duties.Resign(ctx) })
 	clock.Sleep(ctx, drainDelay-clock.Since(started))
-	end := started.Add(h.current.Load().Gateway.Grace - stopMargin)
-	h.Gateway.StopTaking(end)
-	h.shutdownCallers(ctx, end)
-	h.awaitRelayed(ctx, end)
+	h.shutdownCallers(ctx, started)
+	h.awaitRelayed(ctx, h.cutOffAt(started))
 	h.cancel()
 	h.peers.Stop()
 	h.Spread.Close()
@@ -279,10 +280,23 @@
 	h.Reach.AwaitRelayed(ctx)
 }
 
-// shutdownCallers closes idle connections and waits for requests in flight, until end at the latest. Then it
-// cuts them, and waits until callers that have got nothing yet are told so.
-func (h *Host) shutdownCallers(ctx context.Context, end clock.Instant) {
-	err := h.awaitCallers(ctx, end)
+// cutOffAt returns when a stop that started at an instant cuts requests, by the grace in force.
+func (h *Host) cutOffAt(started clock.Instant) clock.Instant {
+	return started.Add(h.current.Load().Gateway.Grace - stopMargin)
+}
+
+// shutdownCallers closes idle connections and waits for requests in flight until the end of the grace, which
+// may change meanwhile. Then it cuts them, and waits until callers that have got nothing yet are told so.
+func (h *Host) shutdownCallers(ctx context.Context, started clock.Instant) {
+	err := errStillServing
+	for end := h.cutOffAt(started); err != nil && ctx.Err() == nil && clock.Now().Before(end); end = h.cutOffAt(started) {
+		h.Gateway.StopTaking(end)
+		next := clock.Now().Add(graceInterval)
+		if next.After(end) {
+			next = end
+		}
+		err = h.awaitCallers(ctx, next)
+	}
 	if err == nil {
 		return
 	}
@@ -293,6 +307,9 @@
 	}
 }
 
+// errStillServing means that the grace is over before requests in flight were awaited.
+var errStillServing = errors.New("the grace is over")
+
 // awaitCallers closes idle connections and waits for requests in flight, until end at the latest.
 func (h *Host) awaitCallers(ctx context.Context, end clock.Instant) error {
 	ctx, cancel := h.Deadlines.WithDeadline(ctx, end)
