gateway: what ended without a length while the host stood still is not believed

Cause: whether such an end is a crash is asked by connecting when the end is read. After a freeze the endpoint may have started again and listens.

Change: the host notices that it has not run for half a second, which is less than a crash and a start take. Responses that state no end, were sent before and end within 2 s after are given up: resumed or repeated where that is allowed, unknown otherwise, neutral for the endpoint.

--- a/internal/gateway/cause.go
+++ b/internal/gateway/cause.go
@@ -24,7 +24,7 @@
 // namedCauses are the errors whose own text tells a caller the cause.
 var namedCauses = []error{
 	errNoEndpoint, errNoCapacity, errAtLimits, errAllEvacuated, errRejected, errNotFromEndpoint, errFailedAnswer, errTakesNothing, errAllLeaving,
-	errAllPaused, errNoPlace, errQuarantined, errStopping, conn.ErrUnexpectedData,
+	errAllPaused, errNoPlace, errQuarantined, errStopping, errEndUnknown, conn.ErrUnexpectedData,
 }
 
 // causeOf returns the cause of a failed attempt, one of a fixed set of texts. It is shown to callers and labels
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -147,6 +147,10 @@
 		run.ResponseLasted = clock.Since(a.headerAt)
 	}
 	x := a.x
+	if errors.Is(err, errEndUnknown) {
+		a.end(fleet.OutcomeNeutral, false) // it is no fault of the endpoint
+		return
+	}
 	if a.wayLost(err) {
 		a.end(fleet.OutcomeWayLost, false)
 		// The endpoint itself may be the best one to try again: it has the prompt cached.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -54,6 +54,8 @@
 	// Relays tells hosts that relay connections what they must heed; nil if none do.
 	Relays    *reach.Tracker
 	Deadlines *clock.Deadlines // watched by the host
+	// Stalls notices when the host does not run for a while; nil if it always does.
+	Stalls    *clock.Stalls
 	Telemetry *telemetry.Telemetry
 	Logger    *log.Logger
 	// HostCount returns the number of all hosts that this host knows of; nil for this host alone.
--- a/internal/gateway/suspended_test.go
+++ b/internal/gateway/suspended_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"context"
 	"net/http"
 	"strconv"
 	"time"
@@ -71,3 +72,53 @@
 	Expect(err).NotTo(HaveOccurred())
 	return time.Duration(ms) * time.Millisecond
 }
+
+// Each guards against a response that states no length, was cut by a crash while the host stood still, and
+// passes for whole since its endpoint listens again.
+var _ = Describe("a response that states no length and ends while the host stands still", func() {
+	withStalls := func(r *rig) (stop context.CancelFunc) {
+		ctx, cancel := context.WithCancel(context.Background())
+		r.gateway.Stalls = clock.NewStalls()
+		go r.gateway.Stalls.Run(ctx)
+		return cancel
+	}
+	cut := standin.Stream{Events: 3, Confidence: 90, Unsized: true, Gap: 100 * time.Millisecond}
+
+	It("is continued elsewhere if it is a stream, and not held against its endpoint", func() {
+		suite.Paused(func() {
+			both := between(cut, confident)
+			r := newRig(scripts{"model-1": both, "model-2": both})
+			defer r.stop()
+			defer withStalls(r)()
+			time.AfterFunc(250*time.Millisecond, func() { clock.SimulateSuspension(time.Second) })
+			a := r.ask(prompt("/stream/1"))
+			Expect(a.Err).NotTo(HaveOccurred())
+			Expect(a.Body).To(Equal(events(1, 5, "small")))
+			for _, e := range r.fleet.View() {
+				Expect(e.Ready).To(BeTrue())
+			}
+		})
+	})
+
+	for name, c := range map[string]struct {
+		script  standin.Reply
+		stall   time.Duration
+		status  int
+		stalled time.Duration // from the request on
+	}{
+		"no stall":               {standin.Reply{Status: 200, Body: "done", Unsized: true, Delay: 100 * time.Millisecond}, 0, 200, 50 * time.Millisecond},
+		"shorter than a restart": {standin.Reply{Status: 200, Body: "done", Unsized: true, Delay: 100 * time.Millisecond}, 100 * time.Millisecond, 200, 50 * time.Millisecond},
+		"a stall":                {standin.Reply{Status: 200, Body: "done", Unsized: true, Delay: 100 * time.Millisecond}, time.Second, 502, 50 * time.Millisecond},
+		"a stall, with a length": {standin.Reply{Status: 200, Body: "done", Delay: 100 * time.Millisecond}, time.Second, 200, 50 * time.Millisecond},
+	} {
+		It("is not passed on as whole: "+name, func() {
+			suite.Paused(func() {
+				r := newRig(scripts{"plain-1": standin.Always(c.script)})
+				defer r.stop()
+				defer withStalls(r)()
+				time.AfterFunc(c.stalled, func() { clock.SimulateSuspension(c.stall) })
+				Expect(r.ask(withDeadline(request("POST", "/once/1", "x"), 15000)).Status).To(Equal(c.status))
+			})
+		})
+	}
+})
--- a/internal/gatewayd/host.go
+++ b/internal/gatewayd/host.go
@@ -77,6 +77,7 @@
 	Duties     *duty.Coordinator
 	Gateway    *gateway.Gateway
 	Deadlines  *clock.Deadlines
+	Stalls     *clock.Stalls
 }
 
 // Host is a running host.
@@ -217,7 +218,7 @@
 	return []func(context.Context){
 		table(platform.TableOperator, &operatorTable{holder: h.Holder, fleet: h.Fleet, upgrades: h.Upgrades, logger: h.Logger}),
 		table(platform.TableEndpoints, &endpointTable{fleet: h.Fleet, pool: h.Pool, quarantine: h.Quarantine, upgrades: h.Upgrades, halls: h.Settings.Gateway.Halls, logger: h.Logger}),
-		h.Spread.Run, h.Upgrades.Run, h.Quarantine.Run, h.Limits.Run, h.Shares.Run, h.Duties.Run, h.sweep, h.watchSettings,
+		h.Spread.Run, h.Upgrades.Run, h.Quarantine.Run, h.Limits.Run, h.Shares.Run, h.Duties.Run, h.Stalls.Run, h.sweep, h.watchSettings,
 		func(ctx context.Context) { telemetry.WatchSuspensions(ctx, h.Deadlines, h.Telemetry, h.Logger) },
 	}
 }
--- a/internal/gatewayd/module.go
+++ b/internal/gatewayd/module.go
@@ -74,7 +74,7 @@
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.Supply(s, ports),
 		fx.Provide(
-			newLines, newLogger, newTelemetry, newTLS, newStore, newWatcher, clock.NewDeadlines, route.NewHolder, newFleet, newReach, newPool, newUpgradeTracker, newAdvisor, newLimits, newSharePolicy, newShares, newQuarantine, newIncarnation, newUsage, newDuties, newGateway, newHost,
+			newLines, newLogger, newTelemetry, newTLS, newStore, newWatcher, clock.NewDeadlines, clock.NewStalls, route.NewHolder, newFleet, newReach, newPool, newUpgradeTracker, newAdvisor, newLimits, newSharePolicy, newShares, newQuarantine, newIncarnation, newUsage, newDuties, newGateway, newHost,
 		),
 		fx.Invoke(heedNotices),
 		fx.Invoke(func(lc fx.Lifecycle, h *Host) {
@@ -237,10 +237,10 @@
 }
 
 func newGateway(s settings.Settings, sharing *sharePolicy, h *route.Holder, f *fleet.Fleet, p *conn.Pool, u *upgrade.Tracker, a *advice.Advisor,
-	q *quarantine.Tracker, limits *ratelimit.Limiter, shares *share.Shares, relays *reach.Tracker, counter *usage.Counter, w *spread.Watcher, d *clock.Deadlines, t *telemetry.Telemetry, l *log.Logger,
+	q *quarantine.Tracker, limits *ratelimit.Limiter, shares *share.Shares, relays *reach.Tracker, counter *usage.Counter, w *spread.Watcher, d *clock.Deadlines, stalls *clock.Stalls, t *telemetry.Telemetry, l *log.Logger,
 ) *gateway.Gateway {
 	return gateway.New(gateway.Options{
-		Holder: h, Fleet: f, Pool: p, Upgrades: u, Codec: platform.HeaderCodec{}, Advice: a, Quarantine: q, RateLimits: limits, Shares: shares, Relays: relays, Deadlines: d, Telemetry: t, Logger: l, Usage: counter, HostCount: w.Hosts,
+		Holder: h, Fleet: f, Pool: p, Upgrades: u, Codec: platform.HeaderCodec{}, Advice: a, Quarantine: q, RateLimits: limits, Shares: shares, Relays: relays, Deadlines: d, Stalls: stalls, Telemetry: t, Logger: l, Usage: counter, HostCount: w.Hosts,
 		SharesCapacity: sharing.enabled, RetryRatio: retryFraction * s.Gateway.RetryRatio,
 	})
 }
