gateway: a draining host waits for silent streams

Cause: a silent stream that may be resumed is given up before another endpoint has taken it.

Change: a host that drains sets no bound on the silence, and goes on reading where one was set before; the connection does that, since a body can't be read on after an error. What is silent to the end is cut as before, and continues at another host.

--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -237,11 +237,12 @@
 	address   string
 	netConn   net.Conn
 	watch     watched           // nil if the way to the endpoint is not watched
-	head      *bound.HeadReader // reads from netConn
+	head      *bound.HeadReader // reads from netConn, by a patientReader
 	reader    *bufio.Reader     // reads from head
 	idleUntil clock.Instant     // when its idle timeout passes
 	closeOnce sync.Once
 	response  *http.Response
+	onSilence func() bool // see SetOnSilence; nil for none
 }
 
 // ID returns the connection's ID.
@@ -328,7 +329,7 @@
 		c.watch.SetAbandonable(false)
 	}
 	if readToEnd && c.reusable() {
-		c.response = nil
+		c.response, c.onSilence = nil, nil
 		c.SetDeadline(time.Time{})
 		c.pool.putIdle(c)
 		return
--- a/internal/conn/watched.go
+++ b/internal/conn/watched.go
@@ -4,6 +4,9 @@
 	"bufio"
 	"context"
 	"net"
+	"os"
+
+	"github.com/pkg/errors"
 
 	"quaybarrow/internal/bound"
 )
@@ -47,8 +50,27 @@
 
 // newConn returns a connection of the pool.
 func (p *Pool) newConn(address string, raw net.Conn) *Conn {
-	head := bound.NewHeadReader(raw)
-	c := &Conn{pool: p, id: ID(p.lastID.Add(1)), address: address, netConn: raw, head: head, reader: bufio.NewReaderSize(head, readBuffer)}
+	c := &Conn{pool: p, id: ID(p.lastID.Add(1)), address: address, netConn: raw}
+	c.head = bound.NewHeadReader(patientReader{c})
+	c.reader = bufio.NewReaderSize(c.head, readBuffer)
 	c.watch, _ = raw.(watched)
 	return c
 }
+
+// SetOnSilence sets a function that is called when a read deadline passes before data arrives. If it returns
+// true, having set another deadline, the read goes on. It is called by reads of the response's body.
+func (c *Conn) SetOnSilence(goOn func() bool) { c.onSilence = goOn }
+
+// patientReader reads from a connection, and goes on after a read deadline where SetOnSilence says so. A body
+// could not be read on after an error.
+type patientReader struct{ conn *Conn }
+
+// Read implements io.Reader.
+func (r patientReader) Read(p []byte) (int, error) {
+	for {
+		n, err := r.conn.netConn.Read(p)
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || r.conn.onSilence == nil || !r.conn.onSilence() {
+			return n, err
+		}
+	}
+}
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -114,3 +114,26 @@
 		})
 	}
 })
+
+var _ = Describe("a silent stream", func() {
+	for name, drainAt := range map[string]time.Duration{"before the silence": 0, "during the silence": 2 * time.Second} {
+		// Guards against a stream that is taken from its endpoint in a stop, and cut since no other takes it.
+		It("is waited for while the host drains: "+name, func() {
+			suite.Paused(func() {
+				script := func(_ int, q *http.Request) standin.Script {
+					if q.Header.Get("Last-Event-Id") != "" {
+						return standin.Reply{Status: 503, NotRun: true}
+					}
+					return standin.Stream{Events: 3, Confidence: 90, Gap: 3500 * time.Millisecond}
+				}
+				r := newRig(scripts{"model-1": script, "model-2": script})
+				defer r.stop()
+				time.AfterFunc(drainAt, r.gateway.Drain)
+				a := r.ask(prompt("/stream/1"))
+				Expect(a.Err).NotTo(HaveOccurred())
+				Expect(a.Body).To(Equal(events(1, 3, "small")))
+				Expect(r.runs()).To(Equal(1))
+			})
+		})
+	}
+})
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -120,6 +120,7 @@
 	memory := x.g.ResponseMemory.NewHolder(bound.PlaceEvent, a.conn.Interrupt)
 	events := newEventReader(a.response.Body, s.lastEventID, memory)
 	defer events.release()
+	a.conn.SetOnSilence(func() bool { return !memory.Ended() && a.awaitLonger() })
 	removeBound := x.boundWrites()
 	pauses := &eventPauses{}
 	a.pauses = pauses
@@ -184,7 +185,7 @@
 // endpoint.
 func (a *attempt) boundSilence() {
 	x := a.x
-	if !x.route.Resumable || x.sends >= x.route.Attempts {
+	if !x.route.Resumable || x.sends >= x.route.Attempts || x.g.draining.Load() {
 		return
 	}
 	a.conn.SetReadDeadline(clock.Now().Add(time.Duration(silenceFraction * float64(x.callerSilenceLimit()))).Time())
@@ -193,6 +194,17 @@
 	}
 }
 
+// awaitLonger reports whether a silent stream is waited for after all, and removes the bound on the wait. A
+// draining host gains nothing by giving it up: if no other endpoint takes it, it is cut, though its own may go
+// on; and a stream that is cut at the end of the grace continues at another host.
+func (a *attempt) awaitLonger() bool {
+	if !a.x.g.draining.Load() || a.x.ctx.Err() != nil {
+		return false
+	}
+	a.clearReadDeadline(a.x.ctx)
+	return true
+}
+
 // giveUp ends a stream that can't continue.
 func (s *stream) giveUp(err error) {
 	x := s.x
