upgrade: at a load level no fewer slow streams are expected than of all the others' answers

Cause: the whole check failed once at "of a good version among many hosts completes, though some see many slow streams by chance".

Change: withOtherAtLeast keeps the slow rate of all the others' answers where it is the higher one, as it does for failures.

--- a/internal/upgrade/judge_test.go
+++ b/internal/upgrade/judge_test.go
@@ -95,6 +95,31 @@
 	})
 })
 
+// pacedAtLevel returns evidence of a service of which a third of all streams are slow, with some paced
+// streams of the target and of the others under load.
+func pacedAtLevel(target, other upgrade.Count) upgrade.Evidence {
+	all := upgrade.Count{Good: 600, Paced: 600, Slow: 200}
+	return upgrade.Evidence{
+		Routes:    map[string]upgrade.VersionCounts{"r": {Target: all, Other: all}},
+		Levels:    map[string]upgrade.VersionCounts{"0.5": {Target: target, Other: other}},
+		Endpoints: []string{"a", "b"},
+	}
+}
+
+// Guards against good versions that are rolled back since the first few streams of the others under some
+// load happen to be fast.
+var _ = Describe("the judgement of streams at a load level", func() {
+	few := upgrade.Count{Good: 5, Paced: 5, Slow: 4}
+	It("expects no fewer slow streams than all those of the others show", func() {
+		Expect(isBad(pacedAtLevel(few, upgrade.Count{Good: 5, Paced: 5}), nil, 0)).To(BeFalse())
+	})
+
+	It("finds a version that is slow only under a load under which the others are not", func() {
+		many := upgrade.Count{Good: 60, Paced: 60, Slow: 55}
+		Expect(isBad(pacedAtLevel(many, upgrade.Count{Good: 60, Paced: 60, Slow: 2}), nil, 0)).To(BeTrue())
+	})
+})
+
 // likelyBadCases are versions beside endpoints that fail 0.4 of their answers.
 var likelyBadCases = map[string]struct {
 	good, bad int
--- a/internal/upgrade/level.go
+++ b/internal/upgrade/level.go
@@ -37,12 +37,15 @@
 // load level. Otherwise a version would be called bad for failures that the load causes at any version.
 func (p VersionCounts) comparable() bool { return p.Other.answers() >= p.Target.answers() }
 
-// withOtherAtLeast returns p with the other versions' counts of all answers if they fail more often there:
-// the answers at a load level are fewer, and may come out too well by chance.
+// withOtherAtLeast returns p with the other versions' counts of all answers if they fail more often there,
+// or are slow more often: the answers at a load level are fewer, and may come out too well by chance.
 func (p VersionCounts) withOtherAtLeast(all VersionCounts) VersionCounts {
 	if all.Other.badRate() > p.Other.badRate() {
 		p.Other.Good, p.Other.Bad = all.Other.Good, all.Other.Bad
 	}
+	if all.Other.slowRate() > p.Other.slowRate() {
+		p.Other.Paced, p.Other.Slow = all.Other.Paced, all.Other.Slow
+	}
 	if all.OtherByEndpoint.badRate() > p.OtherByEndpoint.badRate() {
 		p.OtherByEndpoint = all.OtherByEndpoint
 		p = p.withFit()
