dispatch: a body without a length that a crash cuts is not whole

Cause: what callers of the OpenAI interface saw is a part of an answer, with status 200, as the whole: a body that states no end ends with its connection, and dispatch took each such end for the body's, also that of an endpoint that crashed. Package gateway asks the crash detector there; dispatch did not.

Change: readWhole asks the detector where a response states no end. A repeatable call runs again, of others it is unknown whether they ran, and a completion is cut.

Result: of three new specs two fail before (a call, a completion), and the third, a whole body without a length, passes with both.

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -12,7 +12,6 @@
 
 	"quaybarrow/internal/bound"
 	"quaybarrow/internal/clock"
-	"quaybarrow/internal/conn"
 	"quaybarrow/internal/fleet"
 	"quaybarrow/internal/problem"
 	"quaybarrow/internal/quarantine"
@@ -136,7 +135,7 @@
 	if err != nil {
 		return Response{}, err
 	}
-	body, err := d.readWhole(response.Body, response.conn)
+	body, err := d.readWhole(ctx, response, response.Body, hold)
 	response.release(err == nil)
 	if err != nil {
 		return Response{}, &attemptError{run: problem.Unknown, outcome: fleet.OutcomeFailed, cause: fmt.Errorf("read response body: %w", err)}
@@ -144,10 +143,10 @@
 	return Response{Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: body}, nil
 }
 
-// readWhole reads a body that is passed on only if it is whole. It returns a *bound.Error if the body is
-// longer than maxResponseBytes, or holds the most when all responses hold more than they may.
-func (d *Dispatcher) readWhole(source io.Reader, c *conn.Conn) ([]byte, error) {
-	memory := d.options.ResponseMemory.NewHolder(bound.PlaceBody, c.Interrupt)
+// readWhole reads a response's body, from source, that is passed on only if it is whole. It returns a *bound.Error
+// if the body is longer than maxResponseBytes, or holds the most when all responses hold more than they may.
+func (d *Dispatcher) readWhole(ctx context.Context, response *endpointResponse, source io.Reader, hold *fleet.Hold) ([]byte, error) {
+	memory := d.options.ResponseMemory.NewHolder(bound.PlaceBody, response.conn.Interrupt)
 	body, err := bound.ReadBody(source, maxResponseBytes, func(size int) error { return memory.Resize(int64(size)) })
 	ended := memory.Err()
 	memory.Release()
@@ -155,7 +154,7 @@
 	case ended != nil:
 		return nil, fmt.Errorf("hold a body: %w", ended)
 	case errors.Is(err, io.EOF):
-		return body, nil
+		return body, d.checkEnd(ctx, response, hold)
 	case errors.Is(err, bound.ErrFull):
 		return nil, &bound.Error{Place: bound.PlaceBody, Bytes: int64(len(body))}
 	default:
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"net/http"
 
 	"quaybarrow/internal/bound"
@@ -50,6 +52,19 @@
 	return d.options.Quarantine.ConnectionBroke(ctx, broken)
 }
 
+// errEndedByCrash means that a body ended as its endpoint crashed.
+var errEndedByCrash = fmt.Errorf("the endpoint crashed as the answer ended: %w", io.ErrUnexpectedEOF)
+
+// checkEnd returns an error if a body that was read to its end may have been cut: one that states no end ends
+// with its connection, which a crash of its endpoint closes too.
+func (d *Dispatcher) checkEnd(ctx context.Context, response *endpointResponse, hold *fleet.Hold) error {
+	e := hold.Endpoint
+	if conn.StatesEnd(response.Response) || !d.options.Quarantine.EndpointCrashed(ctx, e.ID, e.Address) {
+		return nil
+	}
+	return errEndedByCrash
+}
+
 // recordCompleted tells the quarantine tracker that a request completed.
 func (d *Dispatcher) recordCompleted(identity func() quarantine.Request) {
 	if d.options.Quarantine.HasEvidence() {
--- a/internal/dispatch/cutstream_test.go
+++ b/internal/dispatch/cutstream_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"context"
 	"io"
 	"net/http"
 
@@ -8,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"quaybarrow/internal/endpoint"
+	"quaybarrow/internal/problem"
 	"quaybarrow/internal/standin/suite"
 	"quaybarrow/platform/standin"
 )
@@ -29,3 +31,46 @@
 		}
 	})
 })
+
+// Each guards against a body that states no end, was cut by a crash of its endpoint, and passes for whole.
+var _ = Describe("a body without a length that a crash cuts", func() {
+	cut := standin.Stream{Events: 3, CrashAfter: 1, Unsized: true}
+
+	It("is no answer to a call, and a repeatable one runs again", func() {
+		suite.Paused(func() {
+			for _, repeatable := range []bool{true, false} {
+				p := newPair("payouts", firstThen(cut, standin.Reply{Status: http.StatusOK, Body: "done"}))
+				response, err := p.call(repeatable)
+				if repeatable {
+					Expect(err).NotTo(HaveOccurred())
+					Expect(string(response.Body)).To(Equal("done"))
+				} else {
+					Expect(problem.Of(err).Run).To(Equal(problem.Unknown))
+				}
+				p.close()
+			}
+		})
+	})
+
+	It("is told from one that its endpoint has ended", func() {
+		suite.Paused(func() {
+			p := newPair("payouts", standin.Always(standin.Reply{Status: http.StatusOK, Body: "done", Unsized: true}))
+			defer p.close()
+			response, err := p.call(false)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(string(response.Body)).To(Equal("done"))
+		})
+	})
+
+	It("is no completion", func() {
+		suite.Paused(func() {
+			p := newPair(endpoint.EngineService, standin.Always(cut))
+			defer p.close()
+			s, err := p.open(context.Background())
+			Expect(err).NotTo(HaveOccurred())
+			defer s.Close()
+			_, err = s.ReadAll()
+			Expect(problem.Of(err).Code).To(Equal(problem.CodeCut))
+		})
+	})
+})
--- a/internal/dispatch/endless_test.go
+++ b/internal/dispatch/endless_test.go
@@ -151,13 +151,18 @@
 	})
 }
 
+// open sends a completion request.
+func (p *pair) open(ctx context.Context) (*dispatch.Stream, error) {
+	return p.dispatcher.Open(ctx, dispatch.Request{
+		ID: "r1", Version: declare.Ref{Model: "m", Version: "1"}, Body: []byte("{}"), Identity: noIdentity, CheckAllowed: func() error { return nil }, OnAttempt: func() {},
+	})
+}
+
 // stream opens a stream and reads its events; it returns their number.
 func (p *pair) stream() (int, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
-	s, err := p.dispatcher.Open(ctx, dispatch.Request{
-		ID: "r1", Version: declare.Ref{Model: "m", Version: "1"}, Body: []byte("{}"), Identity: noIdentity, CheckAllowed: func() error { return nil }, OnAttempt: func() {},
-	})
+	s, err := p.open(ctx)
 	if err != nil {
 		return 0, err
 	}
@@ -305,9 +310,7 @@
 				line := "data: " + strings.Repeat("x", 16<<10*2-6-extra)
 				p := newPair(endpoint.EngineService, standin.Always(standin.Reply{Status: 200, Unsized: true, Body: line + "\nid: " + strings.Repeat("7", 40<<10) + "\nid: 1\n\ndata: [DONE]\n\n"}))
 				defer p.close()
-				s, err := p.dispatcher.Open(context.Background(), dispatch.Request{
-					ID: "r1", Version: declare.Ref{Model: "m", Version: "1"}, Body: []byte("{}"), Identity: noIdentity, CheckAllowed: func() error { return nil }, OnAttempt: func() {},
-				})
+				s, err := p.open(context.Background())
 				Expect(err).NotTo(HaveOccurred())
 				defer s.Close()
 				event, err := s.Next()
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -185,7 +185,7 @@
 
 // ReadAll reads the whole body of a response that is not streamed.
 func (s *Stream) ReadAll() ([]byte, error) {
-	body, err := s.dispatcher.readWhole(s.reader, s.response.conn)
+	body, err := s.dispatcher.readWhole(s.context, s.response, s.reader, s.hold)
 	if err != nil {
 		s.failed = true
 		s.recordBroken(err)
