--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -85,8 +85,8 @@
 	startedAt          clock.Instant // when the host started
 	draining           atomic.Bool
 	stopsAt            atomic.Pointer[clock.Instant] // when requests in flight are cut; nil until StopTaking
-	all                context.Context               // ends with CutOff
-	endAll             context.CancelFunc            // ends all
+	serving            context.Context               // ends with CutOff
+	endServing         context.CancelFunc
 	inFlight           atomic.Int64
 	running            *runningCounter
 	unreadableLimitLog *rate.Sometimes // limits logging of limits that can't be parsed
@@ -105,9 +105,24 @@
 	if options.ResponseMemory == nil {
 		options.ResponseMemory = bound.NewMemory(bound.ProcessLimit)
 	}
-	all, endAll := context.WithCancel(context.Background())
-	return &Gateway{Options: options, all: all, endAll: endAll, sizes: newRequestSizes(), streamSpans: newRouteMeans(), routeWork: newRouteMeans(), firstModels: newFirstModels(), running: newRunningCounter(), startedAt: clock.Now(), unreadableLimitLog: newLogSampler(), changedLimitLog: newLogSampler(), unreachedLog: &rate.Sometimes{Interval: unreachedLogInterval}, unreadablePauseLog: newLogSampler(), unknownFields: &unknownFields{},
-		retryBudgets: retry.NewBudgets(retry.Limits{Ratio: options.RetryRatio, Reserve: retryReserve})}
+	serving, endServing := context.WithCancel(context.Background())
+	return &Gateway{
+		Options:            options,
+		serving:            serving,
+		endServing:         endServing,
+		sizes:              newRequestSizes(),
+		streamSpans:        newRouteMeans(),
+		routeWork:          newRouteMeans(),
+		firstModels:        newFirstModels(),
+		running:            newRunningCounter(),
+		startedAt:          clock.Now(),
+		unreadableLimitLog: newLogSampler(),
+		changedLimitLog:    newLogSampler(),
+		unreachedLog:       &rate.Sometimes{Interval: unreachedLogInterval},
+		unreadablePauseLog: newLogSampler(),
+		unknownFields:      &unknownFields{},
+		retryBudgets:       retry.NewBudgets(retry.Limits{Ratio: options.RetryRatio, Reserve: retryReserve}),
+	}
 }
 
 // Ready reports whether the gateway can serve, and if not, why.
@@ -213,7 +228,7 @@
 	}
 	ctx, cancel := x.g.Deadlines.WithDeadline(x.ctx, x.deadline)
 	defer cancel()
-	defer context.AfterFunc(g.all, cancel)()
+	defer context.AfterFunc(g.serving, cancel)()
 	x.ctx = ctx
 	x.serve()
 }
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -19,7 +19,7 @@
 func (g *Gateway) StopTaking(end clock.Instant) { g.stopsAt.Store(&end) }
 
 // CutOff ends the requests in flight. Callers that have got nothing yet are told so.
-func (g *Gateway) CutOff() { g.endAll() }
+func (g *Gateway) CutOff() { g.endServing() }
 
 // checkStop refuses a request that was read too late in a stop: when its deadline passes, the host has
 // ended, and nobody would answer it.
--- a/internal/gateway/unary.go
+++ b/internal/gateway/unary.go
@@ -122,7 +122,7 @@
 // retryDecision decides whether the request is sent again, and returns the reason.
 func (x *exchange) retryDecision(err error) (may bool, reason string) {
 	switch {
-	case x.g.all.Err() != nil, errors.Is(err, errStopping):
+	case x.g.serving.Err() != nil, errors.Is(err, errStopping):
 		return false, "the host stops"
 	case clock.Expired(x.ctx):
 		return false, "time is over"
@@ -255,7 +255,7 @@
 func (x *exchange) finalRefusal(err error) refusal {
 	late := clock.Expired(x.ctx)
 	reason := causeOf(x.ctx, err)
-	if x.g.all.Err() != nil {
+	if x.g.serving.Err() != nil {
 		late, reason = false, errStopping.Error()
 	}
 	switch {
