clock: the test of suspensions reads their sum once the goroutine that adds it has ended

Cause: TestDeadlinesAfterSuspension read the sum of the reported suspensions while the goroutine of Watch could still write it, with nothing that orders the two; the race detector reported that now and then (known to fail, a fault of the test). It is the test that is wrong: what it reads last is not yet final.

Change: it stops Watch and waits for it before it reads the sum.

--- a/internal/clock/deadlines_test.go
+++ b/internal/clock/deadlines_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,8 +17,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		deadlines := clock.NewDeadlines()
 		watchCtx, stop := context.WithCancel(t.Context())
-		var reported time.Duration
-		go deadlines.Watch(watchCtx, func(lasted time.Duration) { reported += lasted })
+		var reported time.Duration // to be read once watching has ended
+		var watching sync.WaitGroup
+		watching.Go(func() { deadlines.Watch(watchCtx, func(lasted time.Duration) { reported += lasted }) })
 		short, endShort := deadlines.WithDeadline(t.Context(), clock.Now().Add(5*time.Second))
 		defer endShort()
 		long, endLong := deadlines.WithDeadline(t.Context(), clock.Now().Add(10*time.Second))
@@ -36,9 +38,10 @@
 		if after := time.Since(resumed); after < 3900*time.Millisecond || after > 4*time.Second {
 			t.Errorf("second context ended %v after the suspension", after)
 		}
+		stop()
+		watching.Wait()
 		if reported != 6*time.Second {
 			t.Errorf("reported suspensions of %v in total", reported)
 		}
-		stop()
 	})
 }
