platform/standin: heads that specs write take the platform's field names from here

Cause: specs of conn and gateway wrote heads with the names of the platform's fields, which only platform/ is to know. One of them, "runs again elsewhere if it may", had the seal of the resetting endpoint wrong, so that its check that this endpoint did not answer could not fail.

Change: standin has the lines (IDField, SealField, ConfidenceField, NotRunField) and TimeLeft, and uses them itself; specs of conn, which know no platform, have names of their own. That check is replaced by a stricter one: the answer has the seal of one of the sound endpoints.

--- a/internal/conn/cuthead_test.go
+++ b/internal/conn/cuthead_test.go
@@ -17,12 +17,12 @@
 
 // cutHeads are heads of responses that an endpoint begins to send.
 var cutHeads = map[string]string{
-	"without a length": "HTTP/1.1 200 OK\r\nAttempt-Id: 1\r\nServer-Seal: s\r\n\r\n",
-	"with a length":    "HTTP/1.1 200 OK\r\nAttempt-Id: 1\r\nContent-Length: 12\r\nServer-Seal: s\r\n\r\n",
-	"with a length 0":  "HTTP/1.1 200 OK\r\nAttempt-Id: 1\r\nContent-Length: 0\r\n\r\n",
-	"with chunks":      "HTTP/1.1 200 OK\r\nAttempt-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
-	"of bare newlines": "HTTP/1.1 200 OK\nAttempt-Id: 1\nServer-Seal: s\n\n",
-	"after a continue": "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nAttempt-Id: 1\r\n\r\n",
+	"without a length": "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Seal: s\r\n\r\n",
+	"with a length":    "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 12\r\nX-Seal: s\r\n\r\n",
+	"with a length 0":  "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 0\r\n\r\n",
+	"with chunks":      "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+	"of bare newlines": "HTTP/1.1 200 OK\nX-Id: 1\nX-Seal: s\n\n",
+	"after a continue": "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\n",
 }
 
 var _ = Describe("a head that is cut off", func() {
--- a/internal/gateway/resetupload_test.go
+++ b/internal/gateway/resetupload_test.go
@@ -11,15 +11,15 @@
 	"quaybarrow/platform/standin"
 )
 
-// earlyHead begins a response of an endpoint that states no length.
-const earlyHead = "\r\nAttempt-Id: id-1\r\nServer-Seal: seal of e\r\n\r\n"
+// earlyHead ends the head of a response that states no length, of the endpoint that resets the connection.
+var earlyHead = standin.IDField("id-1") + standin.SealField("e") + "\r\n"
 
 // Each guards against a part of a body that a caller gets as a whole answer.
 var _ = Describe("an upload whose connection is reset while it is written, after a part of an answer without a length", func() {
 	bodies := map[string]string{"200 OK": "part of the body", "404 Not Found": "part of the body"}
 	upload := strings.Repeat("x", 900)
 	for status, body := range bodies {
-		answer := "HTTP/1.1 " + status + earlyHead + body
+		answer := "HTTP/1.1 " + status + "\r\n" + earlyHead + body
 
 		It("is answered with 502 if it may run once only: "+status, func() {
 			suite.Paused(func() {
@@ -40,7 +40,7 @@
 				r.next.Store(memnet.NewResetConn(300, answer))
 				a := r.ask(request("POST", "/again/1", upload))
 				Expect(a.Status).To(Equal(200))
-				Expect(a.SealedBy()).NotTo(Equal("e"))
+				Expect(a.SealedBy()).To(HavePrefix("plain-"))
 				Expect(r.runs()).To(Equal(1))
 			})
 		})
@@ -50,7 +50,7 @@
 		suite.Paused(func() {
 			r := newRig(scripts{"model-1": standin.Always(confident), "model-2": standin.Always(confident)})
 			defer r.stop()
-			r.next.Store(memnet.NewResetConn(300, "HTTP/1.1 200 OK\r\nConfidence: 90"+earlyHead+events(1, 3, "small")))
+			r.next.Store(memnet.NewResetConn(300, "HTTP/1.1 200 OK\r\n"+standin.ConfidenceField(90)+earlyHead+events(1, 3, "small")))
 			q := prompt("/stream/1")
 			q.Body = upload
 			a := r.ask(q)
--- a/internal/gateway/suspended_test.go
+++ b/internal/gateway/suspended_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"strconv"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -68,9 +67,9 @@
 			}
 		}
 	}
-	ms, err := strconv.Atoi(last.Head.Get("Deadline-Ms"))
+	left, err := last.TimeLeft()
 	Expect(err).NotTo(HaveOccurred())
-	return time.Duration(ms) * time.Millisecond
+	return left
 }
 
 // Each guards against a response that states no length, was cut by a crash while the host stood still, and
--- a/internal/gateway/unary_test.go
+++ b/internal/gateway/unary_test.go
@@ -90,8 +90,8 @@
 	})
 
 	strays := map[string]string{
-		"that says a request did not run": "HTTP/1.1 400 Bad Request\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
-		"that looks good":                 "HTTP/1.1 200 OK\r\nServer-Seal: stray\r\nContent-Length: 5\r\n\r\nother",
+		"that says a request did not run": "HTTP/1.1 400 Bad Request\r\n" + standin.NotRunField + "Content-Length: 0\r\n\r\n",
+		"that looks good":                 "HTTP/1.1 200 OK\r\n" + standin.SealField("stray") + "Content-Length: 5\r\n\r\nother",
 		"to a request sent elsewhere":     "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n",
 	}
 	for name, stray := range strays {
