quarantine, gateway: log each send of a request under which endpoints have crashed, and why verdicts end

The hosts' lines could not tell whether a request went out by a turn, as nobody's suspect, or while a verdict was pending, nor why a verdict was taken back.

Change: a line and a metric for each send of a request with crashes against it (rule, crashes known, turn, whether it had waited for an endpoint); lines for parts of prompts that become suspects or are so no more; the evidence that is left when a part leaves quarantine. No decision is changed.

--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -15,6 +15,7 @@
 	"quaybarrow/internal/fleet"
 	"quaybarrow/internal/quarantine"
 	"quaybarrow/internal/reach"
+	"quaybarrow/internal/telemetry"
 )
 
 // errQuarantined means that the request makes endpoints crash.
@@ -57,6 +58,17 @@
 	return nil
 }
 
+// logSuspectSend logs that a request under which endpoints have crashed is sent to one.
+func (x *exchange) logSuspectSend(endpoint string) {
+	s := x.quarantineStatus()
+	if s.Rule() == quarantine.RuleNone {
+		return
+	}
+	x.g.Telemetry.Count("suspect_sends", 1, telemetry.Label("rule", string(s.Rule())))
+	x.g.Logger.Info("request sent under which endpoints have crashed", "id", x.header.ID, "fingerprint", x.fingerprint(), "endpoint", endpoint,
+		"rule", s.Rule(), "crashed", s.Crashed, "beside", s.Beside, "had_turn", x.maySendSuspect, "found_no_endpoint", x.foundNoEndpoint)
+}
+
 // suspectPollInterval is how often a waiting suspect request checks what is known of it.
 const suspectPollInterval = 100 * time.Millisecond
 
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -177,6 +177,7 @@
 	a := &attempt{x: x, hold: hold, place: place, conn: c, model: model, sentAt: clock.Now()}
 	x.attempt = a
 	x.sends++
+	x.logSuspectSend(hold.Endpoint.ID)
 	x.maySendSuspect = false
 	x.tried, x.conns = append(x.tried, hold.Endpoint.ID), append(x.conns, c.ID())
 	x.endpoint, x.version, x.model = hold.Endpoint.ID, hold.Endpoint.Version, model
--- a/internal/quarantine/partquarantine.go
+++ b/internal/quarantine/partquarantine.go
@@ -30,14 +30,42 @@
 	}
 	for _, g := range previous.Groups {
 		if !t.parts.overlaps(g) {
-			t.options.Logger.Info("part of prompts released from quarantine", "fingerprint", g.Parts[0].Key, "of", g.label())
+			t.logReleased(g, e)
 		}
 	}
+	t.logSuspects(previous)
 	if t.storesResolved(v) {
 		t.persistDue.Notify()
 	}
 }
 
+// logReleased logs that a group is in quarantine no more, with the evidence that is left against it.
+func (t *Tracker) logReleased(g PartGroup, e Evidence) {
+	key := g.Parts[0].Key
+	a := e.assessParts(e.Crashes, 1)[key]
+	if a == nil {
+		a = &partAssessment{}
+	}
+	_, suspect := t.parts.Suspects[key]
+	t.options.Logger.Info("part of prompts released from quarantine", "fingerprint", key, "of", g.label(), "crashes", len(a.crashed), "moments", a.moments,
+		"slow_moments", a.slowMoments, "requests", len(a.requests), "answered", a.answered, "suspect", suspect)
+}
+
+// logSuspects logs which parts have become suspects, and which are so no more without being in quarantine.
+func (t *Tracker) logSuspects(previous PartVerdict) {
+	for key := range t.parts.Suspects {
+		if _, known := previous.Suspects[key]; !known {
+			t.options.Logger.Info("part of prompts is suspect", "fingerprint", key)
+		}
+	}
+	for key := range previous.Suspects {
+		_, suspect := t.parts.Suspects[key]
+		if _, quarantined := t.parts.groupOf(key); !suspect && !quarantined {
+			t.options.Logger.Info("part of prompts is suspect no more", "fingerprint", key)
+		}
+	}
+}
+
 // unexplainedBy returns the crashes that no part in quarantine explains.
 func (v *mergedView) unexplainedBy(parts PartVerdict) []Crash {
 	if len(parts.Groups) == 0 {
