--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"fmt"
 	"net/http"
 	"time"
 
@@ -21,6 +22,16 @@
 	}
 }
 
+// crashOnPart returns a script that crashes on requests with a part in their prompts.
+func crashOnPart(part string) func(int, *http.Request) standin.Script {
+	return func(_ int, r *http.Request) standin.Script {
+		if standin.HasPartLike(r.Header, part) {
+			return standin.Crash{After: 80 * time.Millisecond}
+		}
+		return standin.Stream{Events: 3, Confidence: 100}
+	}
+}
+
 // askWithBody sends a request that carries its body in a header field too, where endpoint scripts can read it.
 func (r *rig) askWithBody(path, body, id string) standin.Response {
 	q := request("POST", path, body).WithID(id).With("X-Body: " + body)
@@ -143,6 +154,49 @@
 		})
 	})
 
+	// Guards against sending all that waited by turns together, while a verdict on their part settles.
+	It("has others with its part wait by turns until a verdict on the part has settled", func() {
+		suite.Paused(func() {
+			s := scripts{}
+			for n := range 12 {
+				s[fmt.Sprint("model-", n)] = crashOnPart("dead")
+			}
+			r := newRig(s)
+			defer r.stop()
+			r.grantTurns()
+			asked := make(chan standin.Response, 16)
+			ask := func(ids ...string) {
+				for _, id := range ids {
+					go func() { asked <- r.ask(request("POST", "/stream/1", id).WithID(id).WithParts("first", "dead", id)) }()
+				}
+			}
+			list := func(from, until int) {
+				for n := range 12 {
+					r.fleet.Remove(fmt.Sprint("model-", n))
+				}
+				for n := from; n < until; n++ {
+					r.relist(fmt.Sprint("model-", n))
+				}
+			}
+			list(0, 3)
+			ask("a")
+			<-asked
+			list(3, 6)
+			ask("b")
+			<-asked
+			list(0, 0)
+			before := r.runs()
+			Expect(before).To(BeNumerically(">=", 5), "endpoints crashed under two requests")
+			ask("c", "d", "e", "f", "g", "h", "i", "j", "k", "l")
+			time.Sleep(500 * time.Millisecond)
+			list(6, 12)
+			for range 10 {
+				Expect((<-asked).Status).NotTo(Equal(http.StatusOK))
+			}
+			Expect(r.runs()-before).To(BeNumerically("<=", 2), "one had a turn, and may be sent once more")
+		})
+	})
+
 	It("is released when one of its own responses completes", func() {
 		suite.Paused(func() {
 			r := newCrashRig()
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -71,6 +71,26 @@
 		})
 	})
 
+	// Guards against sending all requests that waited by turns together while a verdict on their part settles.
+	It("have requests with it go by turns or be refused at any moment from the fifth on", func() {
+		withHosts(3, func(h *testHosts) {
+			two := []quarantine.Request{h.prompt("w", "dead"), h.prompt("w", "dead")}
+			for i := range 6 {
+				h.crashUnder(i%3, two[i%2])
+				time.Sleep(crashSpacing)
+			}
+			h.crashUnder(0, h.prompt("w", "dead"))
+			for range 100 {
+				time.Sleep(time.Millisecond)
+				for _, t := range h.trackers {
+					s := t.Status(h.prompt("w", "dead"))
+					Expect(s.Quarantined || s.IsSuspect()).To(BeTrue())
+				}
+			}
+			Expect(h.refused("w", "dead")).To(Equal(everyHost))
+		})
+	})
+
 	It("count against no part that was answered between them", func() {
 		withHosts(3, func(h *testHosts) {
 			for range 4 {
