quarantine: a part stays suspect until a verdict on it has settled

What callers saw: requests with one part, which had waited for their turns while a service had no endpoint, were sent together as endpoints came back, and crashed them again (BUDGET, and all that ran there was lost).

Cause: a part under which five endpoints have crashed goes by turns. Once the evidence makes it guilty it is no suspect any more; it is refused only when that evidence has settled, 40 ms later (0.4 s for a late report). In between it was neither, so every host let all its waiting requests go.

Ruled out: requests that had never waited (they had, up to 40 times), and a verdict too late by itself.

Change: what all evidence or the settled evidence names, guilty or suspect, and is not in quarantine is a suspect.

--- a/internal/quarantine/partattribution.go
+++ b/internal/quarantine/partattribution.go
@@ -351,7 +351,7 @@
 
 // AttributePartsPartial attributes crashes whose evidence arrives in parts: a group is new only if a
 // part of it is guilty both by all crashes and by the settled ones; one that was known stays if either
-// says so.
+// says so. Until a group is new its parts are suspects, as are those that only the settled crashes tell.
 func AttributePartsPartial(e Evidence, previous PartVerdict) PartVerdict {
 	all := AttributeParts(e, previous)
 	settled := e.settled()
@@ -359,7 +359,7 @@
 		return all
 	}
 	settledOnly := AttributeParts(settled, previous)
-	v := PartVerdict{Suspects: all.Suspects}
+	v := PartVerdict{Suspects: map[Fingerprint]struct{}{}}
 	for _, g := range all.Groups {
 		if settledOnly.overlaps(g) || previous.overlaps(g) {
 			v.Groups = append(v.Groups, g)
@@ -370,9 +370,28 @@
 			v.Groups = append(v.Groups, g)
 		}
 	}
+	v.suspectAll(all)
+	v.suspectAll(settledOnly)
 	return v
 }
 
+// suspectAll makes suspects of the parts that another verdict names and this one does not have in quarantine.
+func (v PartVerdict) suspectAll(o PartVerdict) {
+	suspect := func(key Fingerprint) {
+		if _, quarantined := v.groupOf(key); !quarantined {
+			v.Suspects[key] = struct{}{}
+		}
+	}
+	for key := range o.Suspects {
+		suspect(key)
+	}
+	for _, g := range o.Groups {
+		for _, p := range g.Parts {
+			suspect(p.Key)
+		}
+	}
+}
+
 // overlaps reports whether a part of a group is in a group of the verdict.
 func (v PartVerdict) overlaps(g PartGroup) bool {
 	return slices.ContainsFunc(g.Parts, func(p Part) bool { _, known := v.groupOf(p.Key); return known })
