quarantine: a crash keeps its time when a host tells it again

Cause: times are told as ages, so each message shifts them by its own delay. A verdict needs crashes at moments 30 ms apart; eight crashes within 82 ms were three moments or two, by a millisecond or two, and any new row of a host told all of its crashes again.

The test tells the same row again 4 ms later: released before, in quarantine now. Ruled out: a clearing or a told answer (no line, and the part had none).

Change: a host keeps the time of a crash as it first knew it, unless it hears of one earlier by more than the difference that reports of one crash have.

--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -237,11 +237,16 @@
 }
 
 // stampUpdates sets the UpdatedAt of each crash: the time since which its set of requests is known.
-// Crashes that a host learns of while it starts are taken to be complete.
+// Crashes that a host learns of while it starts are taken to be complete. A crash keeps the time at which it
+// was known, unless one is told that is earlier by more than what two hosts' times differ: told again, it
+// comes with the delay of another message.
 func (t *Tracker) stampUpdates(crashes []Crash) {
 	now, stamped := t.clock.Now(), make(map[string]Crash, len(crashes))
 	for i, c := range crashes {
 		known, ok := t.lastKnown[c.Endpoint]
+		if ok && known.At-c.At <= crashSkew {
+			c.At = known.At
+		}
 		switch {
 		case !t.loaded:
 			c.UpdatedAt = c.At
@@ -252,6 +257,7 @@
 		}
 		crashes[i], stamped[c.Endpoint] = c, c
 	}
+	slices.SortFunc(crashes, byTime)
 	t.lastKnown = stamped
 }
 
