quarantine, gateway: what may have emptied a service goes by turns until it is answered

What callers saw: copies of a request, or requests with one part, that had waited for a service without endpoints were sent together to the first endpoints that came back, and crashed those too, though three endpoints (five for a part) had crashed under them before.

Cause: hosts knew of fewer crashes than there were (their witnesses were gone, or links in doubt), or counted them against another request or part that ran beside; so nobody was suspect by name. A rule against just that held for requests alone, only for those that had waited themselves, and only if few endpoints had crashed beside. Class: the absence of a verdict was taken for innocence.

Change: a host notes when a request finds no endpoint of a service. What was at a crash there before, and has had no answer since, goes by turns, one a second over all hosts: parts at two crashes or more that were not answered before, and requests, each by turns of its own; those at half or more of the crashes by the service's. An answer ends it; hosts tell answers from two crashes on. Sound requests whose endpoints lost power have turns of their own, so the first goes at once.

Ruled out: turns saved up while there is no endpoint (a request holds one for 0.4 s at most).

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -140,7 +140,7 @@
 	case x.g.Fleet.AllLeaving(x.service):
 		return errAllLeaving
 	default:
-		x.foundNoEndpoint = true
+		x.g.Quarantine.ServiceEmptied(x.service)
 		return errNoEndpoint
 	}
 }
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -24,27 +24,28 @@
 // errBecameSuspect means that the request became suspect after its turn to be sent was checked.
 var errBecameSuspect = errors.New("endpoints may crash under this request, and it is not its turn")
 
-// suspectSendsPerSecond is how many requests that may make endpoints crash all hosts together send
-// to a service per second.
+// suspectSendsPerSecond is how many requests that may make endpoints crash all hosts together send by the
+// turns of one key per second.
 const suspectSendsPerSecond = 1
 
-// isSuspect reports whether the request may make endpoints crash, so that it has to wait for its
-// turn.
-func (x *exchange) isSuspect() bool {
-	s := x.quarantineStatus()
-	return s.IsSuspect() || (x.foundNoEndpoint && s.MayHaveEmptiedService())
-}
+// turnKey returns the key of the turns by which a request is sent that may make endpoints crash; false if it needs
+// none.
+func (x *exchange) turnKey() (key string, needed bool) { return x.quarantineStatus().Turn(x.service) }
 
 // awaitSuspectTurn waits until a request that may make endpoints crash may be sent. Copies that
 // wait while a service has no endpoint would otherwise all be sent as soon as the first endpoint is
 // back, and crash it together. Only one suspect request runs at a time, so that a crash of its
 // endpoint is not attributed to another request.
 func (x *exchange) awaitSuspectTurn(ctx context.Context) error {
-	for x.g.RateLimits != nil && !x.maySendSuspect && x.isSuspect() {
-		wait, granted := x.g.RateLimits.TryAcquire(ctx, "suspect/"+x.service, suspectSendsPerSecond)
+	for x.g.RateLimits != nil && !x.maySendSuspect {
+		key, needed := x.turnKey()
+		if !needed {
+			break
+		}
+		wait, granted := x.g.RateLimits.TryAcquire(ctx, "suspect/"+key, suspectSendsPerSecond)
 		if granted {
 			x.maySendSuspect = true
-			x.g.Logger.Info("suspect request may be sent", "id", x.header.ID, "fingerprint", x.fingerprint(), "crashed", x.quarantineStatus().Crashed)
+			x.g.Logger.Info("suspect request may be sent", "id", x.header.ID, "fingerprint", x.fingerprint(), "crashed", x.quarantineStatus().Crashed, "turn", key)
 			break
 		}
 		x.waits++
@@ -66,7 +67,7 @@
 	}
 	x.g.Telemetry.Count("suspect_sends", 1, telemetry.Label("rule", string(s.Rule())))
 	x.g.Logger.Info("request sent under which endpoints have crashed", "id", x.header.ID, "fingerprint", x.fingerprint(), "endpoint", endpoint,
-		"rule", s.Rule(), "crashed", s.Crashed, "beside", s.Beside, "had_turn", x.maySendSuspect, "found_no_endpoint", x.foundNoEndpoint)
+		"rule", s.Rule(), "crashed", s.Crashed, "beside", s.Beside, "had_turn", x.maySendSuspect, "emptied", s.Emptied)
 }
 
 // suspectPollInterval is how often a waiting suspect request checks what is known of it.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -198,7 +198,6 @@
 	crashes              int               // number of endpoints that crashed while they ran it
 	refusedAsQuarantined bool              // it was refused because it makes endpoints crash
 	quarantineRule       quarantine.Rule   // by which it was last let through or refused
-	foundNoEndpoint      bool              // no endpoint took it
 	// maySendSuspect permits one send of the request, though it may make endpoints crash.
 	maySendSuspect bool
 	// fingerprint identifies the request when it comes again. It is computed when it is first
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -128,6 +128,7 @@
 // checkBeforeSend repeats, right before a request is sent, the checks whose results may be out of
 // date: waiting and connecting take time, and the machine may have been suspended in between.
 func (x *exchange) checkBeforeSend(ctx context.Context, hold *fleet.Hold) error {
+	_, needsTurn := x.turnKey()
 	switch {
 	case clock.Expired(ctx):
 		return context.DeadlineExceeded
@@ -135,7 +136,7 @@
 		return errStopping
 	case x.quarantineStatus().Quarantined:
 		return quarantineError(x.quarantineStatus())
-	case x.isSuspect() && !x.maySendSuspect:
+	case needsTurn && !x.maySendSuspect:
 		return errBecameSuspect
 	case !hold.StillTakes():
 		x.g.Telemetry.Count("holds_given_back", 1)
--- a/internal/quarantine/attribution.go
+++ b/internal/quarantine/attribution.go
@@ -77,6 +77,7 @@
 	CountEndpoints func(service string) int
 	Quarantined    map[Fingerprint]Attribution // the previous attributions
 	Parts          PartVerdict                 // crashes that it explains count against no request
+	Emptied        map[string]time.Duration    // when each service was last found without endpoints
 	Now            time.Duration
 }
 
@@ -193,6 +194,7 @@
 	moments      int      // number of separate moments at which endpoints crashed
 	crashed      []string // the instances that crashed
 	otherCrashes int      // endpoints of the same services that crashed in that time without the request
+	emptied      bool     // its service has been found without endpoints since the first of them
 }
 
 // strongestSuspect returns the request with the strongest evidence against it, if that is
@@ -271,7 +273,12 @@
 		s.moments++
 	}
 	s.Chance *= momentChance
-	s.otherCrashes = countOtherCrashes(f, crashes, relevant)
+	services := make([]string, len(relevant))
+	for i, c := range relevant {
+		services[i] = c.Service
+	}
+	s.emptied = e.emptiedSince(relevant[0].Service, relevant[0].At)
+	s.otherCrashes = countOtherCrashes(crashes, relevant[0].At, last, services, func(c Crash) bool { _, under := c.Runs[f]; return under })
 	return s
 }
 
@@ -285,14 +292,12 @@
 	return longest
 }
 
-// countOtherCrashes counts the endpoints that crashed without the request in the time in which other
-// endpoints of their services crashed under it.
-func countOtherCrashes(f Fingerprint, crashes, relevant []Crash) int {
-	from, to := relevant[0].At-sameMoment, relevant[len(relevant)-1].At+sameMoment
+// countOtherCrashes returns the number of endpoints of some services that crashed in a time, and at the moments
+// at its ends, other than at the crashes of which own is true.
+func countOtherCrashes(crashes []Crash, first, last time.Duration, services []string, own func(c Crash) bool) int {
 	n := 0
 	for _, c := range crashes {
-		_, under := c.Runs[f]
-		if !under && !c.Trimmed && c.At >= from && c.At <= to && slices.ContainsFunc(relevant, func(o Crash) bool { return o.Service == c.Service }) {
+		if c.At >= first-sameMoment && c.At <= last+sameMoment && !c.Trimmed && slices.Contains(services, c.Service) && !own(c) {
 			n++
 		}
 	}
--- a/internal/quarantine/partattribution.go
+++ b/internal/quarantine/partattribution.go
@@ -63,6 +63,14 @@
 	// Suspects are parts under which as many endpoints have crashed, at too few moments or under too
 	// few requests to tell them from others.
 	Suspects map[Fingerprint]struct{}
+	// Doubtful are parts at crashes of services that were without endpoints since, of which no answer has
+	// ended.
+	Doubtful map[Fingerprint]struct{}
+}
+
+// newPartVerdict returns a verdict that names no part.
+func newPartVerdict() PartVerdict {
+	return PartVerdict{Suspects: map[Fingerprint]struct{}{}, Doubtful: map[Fingerprint]struct{}{}}
 }
 
 // refusing returns the group for which a request is refused; false if there is none.
@@ -85,6 +93,17 @@
 	return slices.ContainsFunc(v.Groups, func(g PartGroup) bool { return g.has(r, 1) })
 }
 
+// doubtful returns the last part of a request that is doubtful; false if there is none. What parts have in
+// common is in front, so the last one is in the fewest requests.
+func (v PartVerdict) doubtful(r Request) (Fingerprint, bool) {
+	for _, p := range slices.Backward(r.Parts) {
+		if _, ok := v.Doubtful[p.Key]; ok {
+			return p.Key, true
+		}
+	}
+	return Fingerprint{}, false
+}
+
 // groupOf returns the group that contains a part.
 func (v PartVerdict) groupOf(key Fingerprint) (PartGroup, bool) {
 	i := slices.IndexFunc(v.Groups, func(g PartGroup) bool { return g.contains(key) })
@@ -114,6 +133,7 @@
 	answered  bool // answers on it ended whole in the minutes before
 	workspace string
 	several   bool
+	service   string
 	crashed   []string // the instances that crashed, in order of time
 	first     time.Duration
 	last      time.Duration
@@ -130,6 +150,7 @@
 func (a *partAssessment) add(c Crash, run PartRun) {
 	if len(a.crashed) == 0 {
 		a.workspace, a.several, a.first, a.requests = run.Workspace, run.Several, c.At, map[uint32]int{}
+		a.service = c.Service
 	}
 	if run.Several || run.Workspace != a.workspace {
 		a.workspace, a.several = "", true
@@ -148,6 +169,12 @@
 	}
 }
 
+// countBeside returns the number of endpoints of the service that crashed without the part in the time in which
+// others crashed under it.
+func (a *partAssessment) countBeside(crashes []Crash) int {
+	return countOtherCrashes(crashes, a.first, a.last, []string{a.service}, func(c Crash) bool { _, under := c.Parts[a.part.Key]; return under })
+}
+
 // explainedByOneRequest reports whether one request was at all crashes but one: then it is the cause,
 // or it was beside the cause each time that it was repeated.
 func (a *partAssessment) explainedByOneRequest() bool {
@@ -225,7 +252,7 @@
 // that they explain hardly count against any other part; one that is in quarantine stays there while its
 // own evidence suffices, since two parts may come to the same endpoints.
 func AttributeParts(e Evidence, previous PartVerdict) PartVerdict {
-	v := PartVerdict{Suspects: map[Fingerprint]struct{}{}}
+	v := newPartVerdict()
 	all := slices.Clone(e.Crashes)
 	slices.SortFunc(all, byTime)
 	whole := e.assessParts(all, minPartCrashes-maxPartDifference)
@@ -248,9 +275,40 @@
 			v.Suspects[key] = struct{}{}
 		}
 	}
+	e.suspectEmptying(v, all, unexplained)
 	return v
 }
 
+// suspectEmptying makes suspects of the parts that may be why a service was without endpoints, and lists all
+// others that were at crashes there as doubtful: what waited there, and what comes later, would otherwise be
+// sent together to the first endpoints that return. Some of their crashes may be known to no host any more,
+// and others may count against another part that ran beside them.
+func (e Evidence) suspectEmptying(v PartVerdict, crashes, unexplained []Crash) {
+	if len(e.Emptied) == 0 {
+		return
+	}
+	mayBeDoubted := func(key Fingerprint, a *partAssessment) bool {
+		_, quarantined := v.groupOf(key)
+		return !quarantined && !a.answered && e.emptiedSince(a.service, a.first)
+	}
+	for key, a := range e.assessParts(crashes, minEmptyingCrashes) {
+		if mayBeDoubted(key, a) {
+			v.Doubtful[key] = struct{}{}
+		}
+	}
+	for key, a := range e.assessParts(unexplained, minEmptyingCrashes) {
+		if mayBeDoubted(key, a) && len(a.requests) > 1 && a.countBeside(unexplained) <= len(a.crashed) {
+			v.Suspects[key] = struct{}{}
+		}
+	}
+}
+
+// emptiedSince reports whether a service was found without endpoints at or after a time.
+func (e Evidence) emptiedSince(service string, at time.Duration) bool {
+	emptied, ok := e.Emptied[service]
+	return ok && emptied >= at
+}
+
 // isGuilty reports whether a part has to be refused, by all of its crashes and by those that no part
 // found before explains, which are nil if there are few. One request that ran at all of its crashes but
 // one, with the part or without it, is told first: if it was only beside, the crashes that go on without
@@ -359,7 +417,7 @@
 		return all
 	}
 	settledOnly := AttributeParts(settled, previous)
-	v := PartVerdict{Suspects: map[Fingerprint]struct{}{}}
+	v := newPartVerdict()
 	for _, g := range all.Groups {
 		if settledOnly.overlaps(g) || previous.overlaps(g) {
 			v.Groups = append(v.Groups, g)
@@ -370,6 +428,7 @@
 			v.Groups = append(v.Groups, g)
 		}
 	}
+	maps.Copy(v.Doubtful, all.Doubtful)
 	v.suspectAll(all)
 	v.suspectAll(settledOnly)
 	return v
--- a/internal/quarantine/partclearing.go
+++ b/internal/quarantine/partclearing.go
@@ -20,8 +20,8 @@
 	// clearInterval is the shortest time between two checks of the parts of one answer.
 	clearInterval = 200 * time.Millisecond
 	// minToldCrashes is the number of crashes of a part from which on hosts tell each other that it was
-	// answered, and store it; two more may put it into quarantine.
-	minToldCrashes = 3
+	// answered, and store it: it may be suspected to have emptied its service.
+	minToldCrashes = minEmptyingCrashes
 	// minStoredCrashes is the number of crashes from which on a part is stored.
 	minStoredCrashes = 2
 	// maxCleared bounds the clearings that a host keeps, and the parts that were answered before, the
--- a/internal/quarantine/status.go
+++ b/internal/quarantine/status.go
@@ -26,24 +26,43 @@
 	// Beside is the number of endpoints of the same services that crashed in that time without
 	// running it.
 	Beside int
+	// Emptied means that its service has been found without endpoints since the first of its crashes.
+	Emptied bool
+	// Doubt names the request, or a part of its prompt, of which no answer has ended since an endpoint crashed
+	// under it and the service was found without endpoints; empty if there is none.
+	Doubt string
 	// Part names the parts of its prompt for which it is quarantined; empty if it is so by itself.
 	Part string
 	// PartSuspect means that it has a part under which endpoints may crash.
 	PartSuspect bool
 }
 
-// MayHaveEmptiedService reports whether the request, which has waited for a service without
-// endpoints, may be why there were none: it ran at most of the crashes, of which one more may not be
-// known to any host yet. A request whose endpoints lost power ran at few of them.
+// MayHaveEmptiedService reports whether the request may be why its service was without endpoints: it ran at
+// most of the crashes, of which one more may not be known to any host. A request whose endpoints lost power
+// ran at few of them.
 func (s Status) MayHaveEmptiedService() bool {
-	return !s.Quarantined && s.Crashed >= minEmptyingCrashes && s.Beside <= s.Crashed
+	return !s.Quarantined && s.Emptied && s.Crashed >= minEmptyingCrashes && s.Beside <= s.Crashed
 }
 
 // IsSuspect reports whether as many endpoints have crashed under the request as attribution needs,
 // though it can't be told from other requests yet, or under a part of its prompt that can't be told from
-// others.
+// others, or whether it may have emptied its service.
 func (s Status) IsSuspect() bool {
-	return !s.Quarantined && (s.Crashed >= minMoments || s.PartSuspect)
+	return !s.Quarantined && (s.Crashed >= minMoments || s.PartSuspect || s.MayHaveEmptiedService())
+}
+
+// Turn returns the key of the turns by which the request is sent, one a second over all hosts for each key; false
+// if it needs none. Suspects of a service share one key, so that a crash is not taken for another's. One that is
+// only doubtful shares its turns with those that come with the same doubt.
+func (s Status) Turn(service string) (key string, needed bool) {
+	switch {
+	case s.IsSuspect():
+		return service, true
+	case s.Doubt != "" && !s.Quarantined:
+		return service + "/" + s.Doubt, true
+	default:
+		return "", false
+	}
 }
 
 // HostMayRetry reports whether a host may retry the request itself, given the number of endpoints
@@ -63,6 +82,7 @@
 	RuleQuarantined Rule = "quarantined"  // it is refused
 	RulePart        Rule = "part"         // it is refused for parts of its prompt
 	RuleSuspectPart Rule = "suspect part" // it waits for its turn, for a part
+	RuleDoubtful    Rule = "doubtful"     // it waits for its turn among those with the same doubt
 )
 
 // Rule returns the rule by which the request is sent to endpoints or not.
@@ -76,6 +96,8 @@
 		return RuleSuspectPart
 	case s.IsSuspect():
 		return RuleSuspect
+	case s.Doubt != "":
+		return RuleDoubtful
 	case s.Crashed > 0:
 		return RuleBelow
 	default:
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -70,6 +70,8 @@
 	ended  []endedAnswer
 	// answered has its own lock.
 	answered *answeredParts
+	// emptied is when each service was last found without endpoints, since the host has evidence of crashes.
+	emptied map[string]time.Duration
 	// storedParts are the parts of which the stored row has crashes.
 	storedParts map[Fingerprint]struct{}
 	// lastKnown has, by endpoint instance, each crash as it was last known, and since when;
@@ -107,7 +109,7 @@
 	return &Tracker{
 		options: options, detector: NewCrashDetector(options.Probe), clock: clock.NewSteady(),
 		evidenceChanged: wake.NewSignal(), sendDue: wake.NewSignal(), endedDue: wake.NewSignal(), untold: map[Fingerprint]struct{}{}, answered: newAnsweredParts(), persistDue: wake.NewSignal(), relayQueue: newRelayQueue(),
-		rows: map[string]row{options.Host: {record: newRecord()}}, unconfirmed: map[string][]BrokenAttempt{}, ongoing: map[*OngoingResponse]struct{}{},
+		rows: map[string]row{options.Host: {record: newRecord()}}, emptied: map[string]time.Duration{}, unconfirmed: map[string][]BrokenAttempt{}, ongoing: map[*OngoingResponse]struct{}{},
 		quarantined: map[Fingerprint]Attribution{}, lastKnown: map[string]Crash{}, nextSettles: never, loaded: options.FreshStart,
 	}
 }
@@ -182,20 +184,39 @@
 }
 
 // clearRequest discards the earlier crashes of a request as evidence against it. Other hosts are
-// told only if it matters, which is when one more crash would put the request into quarantine.
+// told only if it matters, which is when one more crash would put the request into quarantine, or the request is
+// doubtful.
 func (t *Tracker) clearRequest(f Fingerprint, at time.Duration, reason string) {
-	moments := t.view().assessRequest(f).moments
+	v := t.view()
+	if v.crashCounts[f] == 0 {
+		return
+	}
+	s := v.assess(f, v.Crashes)
+	moments := s.moments
 	if moments == 0 {
 		return
 	}
 	t.ownRow().complete(f, at)
 	t.invalidate()
-	if moments >= minMoments-1 {
+	if moments >= minMoments-1 || s.emptied {
 		t.options.Logger.Info("request cleared", "fingerprint", f, "crashes", moments, "reason", reason)
 		t.publish()
 	}
 }
 
+// ServiceEmptied notes that a request has found no endpoint of a service.
+func (t *Tracker) ServiceEmptied(service string) {
+	if !t.HasEvidence() {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.emptied[service] <= t.view().lastCrash() {
+		t.upToDate = false
+	}
+	t.emptied[service] = t.clock.Now()
+}
+
 // Status returns what is known of a request.
 func (t *Tracker) Status(r Request) Status {
 	if !t.HasEvidence() {
@@ -206,14 +227,27 @@
 	t.refresh()
 	_, quarantined := t.quarantined[r.Fingerprint]
 	s := t.view().assessRequest(r.Fingerprint)
-	status := Status{Quarantined: quarantined, Moments: s.moments, Chance: s.Chance, Crashed: len(s.crashed), Beside: s.otherCrashes}
+	status := Status{Quarantined: quarantined, Moments: s.moments, Chance: s.Chance, Crashed: len(s.crashed), Beside: s.otherCrashes, Emptied: s.emptied}
 	if g, refused := t.parts.refusing(r); refused {
 		status.Quarantined, status.Part = true, g.label()
 	}
 	status.PartSuspect = t.parts.suspects(r)
+	status.Doubt = t.doubt(r)
 	return status
 }
 
+// doubt names what of a request is doubtful; empty if nothing is. The caller holds mu.
+func (t *Tracker) doubt(r Request) string {
+	if key, doubtful := t.parts.doubtful(r); doubtful {
+		return key.String()
+	}
+	v := t.view()
+	if v.crashCounts[r.Fingerprint] > 0 && v.assess(r.Fingerprint, v.Crashes).emptied {
+		return r.Fingerprint.String()
+	}
+	return ""
+}
+
 // since returns the time since a reading of the tracker's clock.
 func (t *Tracker) since(at time.Duration) time.Duration { return t.clock.Now() - at }
 
@@ -229,7 +263,7 @@
 	crashes := sortedCrashes(all)
 	t.stampUpdates(crashes)
 	t.merged = &mergedView{
-		Evidence: Evidence{Crashes: crashes, Completed: all.completed, Cleared: all.cleared, CountEndpoints: t.options.CountEndpoints}, crashCounts: countCrashes(crashes, 1),
+		Evidence: Evidence{Crashes: crashes, Completed: all.completed, Cleared: all.cleared, CountEndpoints: t.options.CountEndpoints, Emptied: t.emptied}, crashCounts: countCrashes(crashes, 1),
 		partCounts: countParts(crashes, all.cleared), answered: all.answered, unexplained: crashes,
 	}
 	t.partsWanted.Store(t.merged.hasPartAt(minStoredCrashes))
@@ -269,6 +303,14 @@
 	return v.assess(f, v.unexplained)
 }
 
+// lastCrash returns the time of the last crash; 0 if there is none.
+func (v *mergedView) lastCrash() time.Duration {
+	if len(v.Crashes) == 0 {
+		return 0
+	}
+	return v.Crashes[len(v.Crashes)-1].At
+}
+
 // hasPartAt reports whether a part is at n crashes or more.
 func (v *mergedView) hasPartAt(n int) bool {
 	for _, crashes := range v.partCounts {
