quarantine: a sound part that is refused is tried again after a while

Cause: such a part is at every crash of every guilty part and request that comes with it. Once it is refused nobody gets an answer on it, so nothing can clear it for an hour; and its requests wait for the turns of the guilty ones.

Change: crashes under requests in quarantine don't count against a part that was answered before; requests against which nothing but such parts counts have turns of their own; a part that was answered before is tried again 10 s after its last crash, in one such request a second, and after twice as long each time that an endpoint crashes under it again. A part that has really turned bad is sent three times in 150 s by that, which the users' bound allows.

Ruled out: to refuse it for a few seconds only (a bad part would be sent too often), and to count no crash against it that another request was at twice (hosts repeat requests, so every part would be excused).

The spec failed before: refused for an hour. Not gone, and not said to be.

--- a/internal/quarantine/partattribution.go
+++ b/internal/quarantine/partattribution.go
@@ -18,6 +18,10 @@
 	// requests with it go by turns, one a second.
 	minAnsweredMoments = 5
 	answeredMoment     = 500 * time.Millisecond
+	// answeredRetryDelay is how long after its last crash such a part is tried again, in one request a second
+	// against which nothing else counts; it doubles with each further moment. While all requests with it
+	// are refused, no answer can show that it was only beside the cause.
+	answeredRetryDelay = 10 * time.Second
 	// minPartRequests is the number of different requests with the part among them: a request that
 	// hosts and its caller repeat is at several crashes by itself.
 	minPartRequests = 3
@@ -36,6 +40,8 @@
 	Parts     []Part
 	Workspace string // in whose requests they were
 	Several   bool   // in those of several workspaces
+	// RetryAt is when they are tried again; never, unless answers on them ended whole before.
+	RetryAt time.Duration
 }
 
 // refuses reports whether a request must not be sent to endpoints.
@@ -63,6 +69,8 @@
 	// Suspects are parts under which as many endpoints have crashed, at too few moments or under too
 	// few requests to tell them from others.
 	Suspects map[Fingerprint]struct{}
+	// Answered are those of the suspects on which answers ended whole in the minutes before.
+	Answered map[Fingerprint]struct{}
 	// Doubtful are parts at crashes of services that were without endpoints since, of which no answer has
 	// ended.
 	Doubtful map[Fingerprint]struct{}
@@ -70,7 +78,7 @@
 
 // newPartVerdict returns a verdict that names no part.
 func newPartVerdict() PartVerdict {
-	return PartVerdict{Suspects: map[Fingerprint]struct{}{}, Doubtful: map[Fingerprint]struct{}{}}
+	return PartVerdict{Suspects: map[Fingerprint]struct{}{}, Answered: map[Fingerprint]struct{}{}, Doubtful: map[Fingerprint]struct{}{}}
 }
 
 // refusing returns the group for which a request is refused; false if there is none.
@@ -82,6 +90,18 @@
 	return v.Groups[i], true
 }
 
+// onlyAnswered reports whether all parts of a request that count against it were answered before, so that it may
+// show whether they were only beside the cause.
+func (v PartVerdict) onlyAnswered(r Request) bool {
+	return !slices.ContainsFunc(r.Parts, func(p Part) bool {
+		_, suspect := v.Suspects[p.Key]
+		_, answered := v.Answered[p.Key]
+		_, doubtful := v.Doubtful[p.Key]
+		g, refused := v.groupOf(p.Key)
+		return (suspect && !answered) || doubtful || (refused && g.RetryAt == never)
+	})
+}
+
 // suspects reports whether a request that is not refused may crash endpoints: what becomes of it
 // tells its parts from others.
 func (v PartVerdict) suspects(r Request) bool {
@@ -199,6 +219,18 @@
 	return a.isSuspect() && a.moments >= minMoments && len(a.requests) >= minPartRequests
 }
 
+// retryAt returns when a part in quarantine is tried again.
+func (a *partAssessment) retryAt() time.Duration {
+	if !a.answered {
+		return never
+	}
+	delay := answeredRetryDelay
+	for n := minAnsweredMoments; n < a.slowMoments && delay < crashTTL; n++ {
+		delay *= 2
+	}
+	return a.last + delay
+}
+
 // lacks returns the number of crashes at which the part was, and the other was not.
 func (a *partAssessment) lacks(other *partAssessment) int {
 	n := 0
@@ -258,10 +290,15 @@
 	whole := e.assessParts(all, minPartCrashes-maxPartDifference)
 	unexplained, left := all, whole
 	for {
+		leftByRequests := e.assessParts(e.withoutQuarantined(unexplained), minUnexplainedCrashes)
 		guilty := e.strongestPart(whole, left, func(key Fingerprint, a *partAssessment) bool {
 			_, found := v.groupOf(key)
 			known, _ := previous.groupOf(key)
-			return !found && e.isGuilty(a, left[key], all, len(known.Parts) == 1)
+			l := left[key]
+			if a.answered {
+				l = leftByRequests[key]
+			}
+			return !found && e.isGuilty(a, l, all, len(known.Parts) == 1)
 		})
 		if guilty == nil {
 			break
@@ -273,12 +310,26 @@
 	for key, a := range left {
 		if _, found := v.groupOf(key); !found && a.isSuspect() {
 			v.Suspects[key] = struct{}{}
+			if a.answered {
+				v.Answered[key] = struct{}{}
+			}
 		}
 	}
 	e.suspectEmptying(v, all, unexplained)
 	return v
 }
 
+// withoutQuarantined returns the crashes at which no request in quarantine ran: parts that were answered before
+// come with those, and crashes under several of them would add up to what one part seems to cause.
+func (e Evidence) withoutQuarantined(crashes []Crash) []Crash {
+	if len(e.Quarantined) == 0 {
+		return crashes
+	}
+	return slices.DeleteFunc(slices.Clone(crashes), func(c Crash) bool {
+		return c.hasAny(func(f Fingerprint) bool { _, quarantined := e.Quarantined[f]; return quarantined })
+	})
+}
+
 // suspectEmptying makes suspects of the parts that may be why a service was without endpoints, and lists all
 // others that were at crashes there as doubtful: what waited there, and what comes later, would otherwise be
 // sent together to the first endpoints that return. Some of their crashes may be known to no host any more,
@@ -381,6 +432,7 @@
 func (a *partAssessment) group(assessments map[Fingerprint]*partAssessment, found PartVerdict) PartGroup {
 	g := PartGroup{
 		Attribution: Attribution{Crashes: len(a.crashed), First: a.first, Last: a.last}, Parts: []Part{a.part}, Workspace: a.workspace, Several: a.several,
+		RetryAt: a.retryAt(),
 	}
 	members := []*partAssessment{a}
 	for _, key := range sortedFingerprints(assessments) {
@@ -444,6 +496,7 @@
 	for key := range o.Suspects {
 		suspect(key)
 	}
+	maps.Copy(v.Answered, o.Answered)
 	for _, g := range o.Groups {
 		for _, p := range g.Parts {
 			suspect(p.Key)
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -444,6 +444,27 @@
 		})
 	})
 
+	// Guards against refusing a sound part for an hour: refused, it gets no answer that could clear it.
+	It("is tried again some time after its last crash, and later if endpoints crash under it again", func() {
+		withHosts(3, func(h *testHosts) {
+			h.answer(1, h.prompt("w", "turned"))
+			h.crashParts(5, "w", "turned")
+			time.Sleep(8 * time.Second)
+			Expect(h.refused("w", "turned")).To(Equal(everyHost))
+			time.Sleep(2 * time.Second)
+			Expect(h.refused("w", "turned")).To(Equal(noHost))
+			Expect(h.suspect("w", "turned")).To(Equal(everyHost))
+			h.crashParts(1, "w", "turned")
+			time.Sleep(18 * time.Second)
+			Expect(h.refused("w", "turned")).To(Equal(everyHost))
+			time.Sleep(2 * time.Second)
+			h.answer(2, h.prompt("w", "turned"))
+			time.Sleep(time.Second)
+			Expect(h.refused("w", "turned")).To(Equal(noHost))
+			Expect(h.suspect("w", "turned")).To(Equal(noHost))
+		})
+	})
+
 	It("is refused after more crashes, one after the other", func() {
 		withHosts(3, func(h *testHosts) {
 			h.answer(1, h.prompt("w", "turned"))
--- a/internal/quarantine/status.go
+++ b/internal/quarantine/status.go
@@ -28,6 +28,8 @@
 	Beside int
 	// Emptied means that its service has been found without endpoints since the first of its crashes.
 	Emptied bool
+	// OnlyAnswered means that nothing counts against it but parts on which answers ended whole before.
+	OnlyAnswered bool
 	// Doubt names the request, or a part of its prompt, of which no answer has ended since an endpoint crashed
 	// under it and the service was found without endpoints; empty if there is none.
 	Doubt string
@@ -52,10 +54,12 @@
 }
 
 // Turn returns the key of the turns by which the request is sent, one a second over all hosts for each key; false
-// if it needs none. Suspects of a service share one key, so that a crash is not taken for another's. One that is
-// only doubtful shares its turns with those that come with the same doubt.
+// if it needs none. Suspects of a service share one key, so that a crash is not taken for another's; those that may
+// show that a part is sound, after all, have one of their own. One that is only doubtful shares its turns with those that come with the same doubt.
 func (s Status) Turn(service string) (key string, needed bool) {
 	switch {
+	case s.IsSuspect() && s.OnlyAnswered:
+		return service + "/answered", true
 	case s.IsSuspect():
 		return service, true
 	case s.Doubt != "" && !s.Quarantined:
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -228,7 +228,8 @@
 	_, quarantined := t.quarantined[r.Fingerprint]
 	s := t.view().assessRequest(r.Fingerprint)
 	status := Status{Quarantined: quarantined, Moments: s.moments, Chance: s.Chance, Crashed: len(s.crashed), Beside: s.otherCrashes, Emptied: s.emptied}
-	if g, refused := t.parts.refusing(r); refused {
+	status.OnlyAnswered = t.view().crashCounts[r.Fingerprint] == 0 && t.parts.onlyAnswered(r)
+	if g, refused := t.parts.refusing(r); refused && (!status.OnlyAnswered || t.clock.Now() < g.RetryAt) {
 		status.Quarantined, status.Part = true, g.label()
 	}
 	status.PartSuspect = t.parts.suspects(r)
