quarantine: what leaves quarantine as others explain its crashes goes by turns until it is answered

Cause: a part came into quarantine, which explained one of the request's three crashes; the request was released with two against it, and went freely.

Evidence: hosts' lines: in quarantine at 35.44 s, released at 39.38 s, 0.1 s after the part's verdict, six sends with rule 'below' from 39.50 s to 41.35 s, then in quarantine again.

Change: a request or part that leaves quarantine without an answer keeps a doubt, so it goes by turns of its own until one is answered. The line of its release says how many crashes are left.

The spec failed without it (no turn), and passes.

--- a/internal/quarantine/partquarantine.go
+++ b/internal/quarantine/partquarantine.go
@@ -31,6 +31,9 @@
 	for _, g := range previous.Groups {
 		if !t.parts.overlaps(g) {
 			t.logReleased(g, e)
+			for _, p := range g.Parts {
+				t.released[p.Key] = struct{}{}
+			}
 		}
 	}
 	t.logSuspects(previous)
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -146,6 +146,33 @@
 		})
 	})
 
+	// Guards against sending a request freely that has crashed endpoints, as another's verdict explains its crashes.
+	It("have a request go by turns that leaves quarantine because the part explains its crashes", func() {
+		withHosts(3, func(h *testHosts) {
+			released := h.prompt("w", "first")
+			for range 2 {
+				h.crashUnder(0, released, h.prompt("w", "dead"))
+				time.Sleep(crashSpacing)
+			}
+			h.crashUnder(1, released)
+			time.Sleep(crashSpacing)
+			Expect(h.quarantined(released.Fingerprint)).To(Equal(everyHost))
+			h.crashParts(3, "w", "dead")
+			Expect(h.refused("w", "dead")).To(Equal(everyHost))
+			Expect(h.quarantined(released.Fingerprint)).To(Equal(noHost))
+			for _, t := range h.trackers {
+				_, needed := t.Status(released).Turn("s")
+				Expect(needed).To(BeTrue())
+			}
+			h.trackers[1].RequestCompleted(released.Fingerprint)
+			time.Sleep(crashSpacing)
+			for _, t := range h.trackers {
+				_, needed := t.Status(released).Turn("s")
+				Expect(needed).To(BeFalse())
+			}
+		})
+	})
+
 	It("have no request go by turns if most endpoints crashed without the part, as when a data hall loses power", func() {
 		withHosts(3, func(h *testHosts) {
 			for i := range 6 {
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -72,6 +72,8 @@
 	answered *answeredParts
 	// emptied is when each service was last found without endpoints, since the host has evidence of crashes.
 	emptied map[string]time.Duration
+	// released are the requests and parts that were in quarantine until others were found to explain their crashes.
+	released map[Fingerprint]struct{}
 	// storedParts are the parts of which the stored row has crashes.
 	storedParts map[Fingerprint]struct{}
 	// lastKnown has, by endpoint instance, each crash as it was last known, and since when;
@@ -109,7 +111,7 @@
 	return &Tracker{
 		options: options, detector: NewCrashDetector(options.Probe), clock: clock.NewSteady(),
 		evidenceChanged: wake.NewSignal(), sendDue: wake.NewSignal(), endedDue: wake.NewSignal(), untold: map[Fingerprint]struct{}{}, answered: newAnsweredParts(), persistDue: wake.NewSignal(), relayQueue: newRelayQueue(),
-		rows: map[string]row{options.Host: {record: newRecord()}}, emptied: map[string]time.Duration{}, unconfirmed: map[string][]BrokenAttempt{}, ongoing: map[*OngoingResponse]struct{}{},
+		rows: map[string]row{options.Host: {record: newRecord()}}, emptied: map[string]time.Duration{}, released: map[Fingerprint]struct{}{}, unconfirmed: map[string][]BrokenAttempt{}, ongoing: map[*OngoingResponse]struct{}{},
 		quarantined: map[Fingerprint]Attribution{}, lastKnown: map[string]Crash{}, nextSettles: never, loaded: options.FreshStart,
 	}
 }
@@ -243,7 +245,16 @@
 		return key.String()
 	}
 	v := t.view()
-	if v.crashCounts[r.Fingerprint] > 0 && v.assess(r.Fingerprint, v.Crashes).emptied {
+	for _, p := range r.Parts {
+		if _, released := t.released[p.Key]; released && v.partCounts[p.Key] > 0 {
+			return p.Key.String()
+		}
+	}
+	if v.crashCounts[r.Fingerprint] == 0 {
+		return ""
+	}
+	s := v.assess(r.Fingerprint, v.Crashes)
+	if _, released := t.released[r.Fingerprint]; s.emptied || (released && s.moments > 0) {
 		return r.Fingerprint.String()
 	}
 	return ""
@@ -355,7 +366,8 @@
 	}
 	for f := range previous {
 		if _, quarantined := t.quarantined[f]; !quarantined {
-			t.options.Logger.Info("request released from quarantine", "fingerprint", f)
+			t.options.Logger.Info("request released from quarantine", "fingerprint", f, "crashes", v.crashCounts[f], "unexplained", len(v.assessRequest(f).crashed))
+			t.released[f] = struct{}{}
 		}
 	}
 }
@@ -363,6 +375,7 @@
 // dropExpired drops evidence that is too old to count.
 func (t *Tracker) dropExpired() {
 	oldest := t.clock.Now() - crashTTL
+	maps.DeleteFunc(t.released, func(f Fingerprint, _ struct{}) bool { return t.view().crashCounts[f]+t.view().partCounts[f] == 0 })
 	isQuarantined := func(f Fingerprint) bool {
 		_, request := t.quarantined[f]
 		_, part := t.parts.groupOf(f)
