gatewayd: plays in which all hosts and endpoints lose power at one moment

Played right after a verdict on a request or a part, before one, and with nobody guilty; and all endpoints alone.

--- a/internal/gatewayd/crashes_test.go
+++ b/internal/gatewayd/crashes_test.go
@@ -25,6 +25,7 @@
 
 // crashScenarios are runs in which a request crashes the endpoints that run it.
 var crashScenarios = map[string]crashScenario{
+	"all lose power after the third crash":          {path: "/stream/", interval: 250 * time.Millisecond, killAt: 1500 * time.Millisecond, endpointsLostAt: 1500 * time.Millisecond},
 	"a stream, repeatedly":                          {path: "/stream/", interval: 250 * time.Millisecond},
 	"a stream that crashes after the response head": {path: "/stream/", interval: 250 * time.Millisecond, afterHead: true},
 	"at several hosts at once":                      {path: "/stream/", interval: 700 * time.Millisecond, copies: 3},
--- a/internal/gatewayd/crashparts_test.go
+++ b/internal/gatewayd/crashparts_test.go
@@ -72,6 +72,8 @@
 	"once in four, beside random ones":   {parts: []string{"first", crashPart}, soundFirst: 0.5, lasts: time.Minute, crashScenario: crashScenario{interval: 4 * time.Second, randomCrashInterval: 700 * time.Millisecond}},
 	"hosts killed in turn":               {parts: []string{"first", crashPart}, soundFirst: 0.5, killEvery: time.Second, crashScenario: crashScenario{interval: 150 * time.Millisecond}},
 	"three parts, hosts killed in turn":  {parts: []string{"first", crashPart}, soundFirst: 0.5, kinds: 3, killEvery: time.Second, crashScenario: crashScenario{interval: 150 * time.Millisecond}},
+	"all lose power after a verdict":     {parts: []string{"first", crashPart}, soundFirst: 0.5, crashScenario: crashScenario{interval: 150 * time.Millisecond, killAt: 1500 * time.Millisecond, endpointsLostAt: 1500 * time.Millisecond}},
+	"all lose power before a verdict":    {parts: []string{"first", crashPart}, soundFirst: 0.5, crashScenario: crashScenario{interval: 150 * time.Millisecond, killAt: 300 * time.Millisecond, endpointsLostAt: 300 * time.Millisecond}},
 	"bursts, all hosts killed":           {parts: []string{"first", crashPart}, soundFirst: 0.5, burst: 8, crashScenario: crashScenario{interval: 700 * time.Millisecond, killAt: 10 * time.Second}},
 	"half of the hosts are cut off":      {parts: []string{"first", crashPart}, soundFirst: 0.5, cutAt: 10 * time.Second, crashScenario: crashScenario{interval: 150 * time.Millisecond}},
 }
@@ -112,6 +114,8 @@
 var soundScenarios = map[string]partScenario{
 	"endpoints crash at random":              {soundFirst: 0.5, crashScenario: crashScenario{randomCrashInterval: 700 * time.Millisecond}},
 	"endpoints crash at random, fast":        {soundFirst: 1, crashScenario: crashScenario{randomCrashInterval: 300 * time.Millisecond}},
+	"all lose power":                         {soundFirst: 1, crashScenario: crashScenario{killAt: 10 * time.Second, endpointsLostAt: 10 * time.Second}},
+	"all endpoints lose power":               {soundFirst: 1, crashScenario: crashScenario{endpointsLostAt: 10 * time.Second}},
 	"one request crashes them, sent often":   {soundFirst: 1, crashScenario: crashScenario{path: "/stream/", interval: 250 * time.Millisecond}},
 	"one request crashes them, many at once": {soundFirst: 1, crashScenario: crashScenario{path: "/stream/", interval: 400 * time.Millisecond, copies: 24}},
 }
@@ -157,6 +161,7 @@
 		if d.killAt > 0 {
 			r.calling.Go(func() { r.killAll(ctx, d.killAt) })
 		}
+		r.calling.Go(func() { r.loseEndpoints(ctx, d.endpointsLostAt) })
 		r.calling.Go(func() { r.cutHalf(ctx) })
 		r.calling.Go(func() { r.startLate(ctx) })
 		if d.killEvery > 0 {
--- a/internal/gatewayd/crashrig_test.go
+++ b/internal/gatewayd/crashrig_test.go
@@ -87,6 +87,7 @@
 	randomCrashInterval time.Duration // one endpoint crashes at random per interval; 0 for none
 	identical           bool          // half of the other callers' requests are identical
 	killAt              time.Duration // when all hosts are killed; 0 for never
+	endpointsLostAt     time.Duration // when all endpoints lose power; 0 for never
 	storeSilent         bool          // the store does not answer from shortly after the start on
 	duties              bool          // the platform has duties for one host to perform
 	// killHolderAt is when the host that holds the duties is killed; 0 for never.
@@ -119,6 +120,7 @@
 		if d.killAt > 0 {
 			r.calling.Go(func() { r.killAll(ctx, d.killAt) })
 		}
+		r.calling.Go(func() { r.loseEndpoints(ctx, d.endpointsLostAt) })
 		if d.killHolderAt > 0 {
 			r.calling.Go(func() { r.killHolder(ctx, d.killHolderAt) })
 		}
@@ -222,6 +224,16 @@
 	h.rig.running.Go(func() { _ = app.Stop(context.Background()) })
 }
 
+// loseEndpoints has all endpoints crash at a moment under no request.
+func (r *crashRig) loseEndpoints(ctx context.Context, at time.Duration) {
+	if at == 0 || !sleepFor(ctx, at) {
+		return
+	}
+	for _, m := range r.machines {
+		m.Crash()
+	}
+}
+
 func (r *crashRig) killAll(ctx context.Context, at time.Duration) {
 	if !sleepFor(ctx, at) {
 		return
