quarantine: the files of parts split by what they do

Verdicts, assessments and what concerns services without endpoints have files of their own; no logic is changed. A comment of Evidence stood at the wrong field.

--- a/internal/quarantine/attribution.go
+++ b/internal/quarantine/attribution.go
@@ -67,13 +67,13 @@
 	// Completed has the time at which each request last completed; the request did not cause crashes
 	// before that.
 	Completed map[Fingerprint]time.Duration
-	// CountEndpoints returns the number of endpoints of a service.
 	// Cleared has the time at which an answer on each part of prompts last showed that its endpoint
 	// does not crash.
 	Cleared map[Fingerprint]time.Duration
 	// Answered returns a time at which an answer on a part ended whole, an early one; false if none did
 	// lately.
-	Answered       func(part Fingerprint) (time.Duration, bool)
+	Answered func(part Fingerprint) (time.Duration, bool)
+	// CountEndpoints returns the number of endpoints of a service.
 	CountEndpoints func(service string) int
 	Quarantined    map[Fingerprint]Attribution // the previous attributions
 	Parts          PartVerdict                 // crashes that it explains count against no request
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -206,19 +206,6 @@
 	}
 }
 
-// ServiceEmptied notes that a request has found no endpoint of a service.
-func (t *Tracker) ServiceEmptied(service string) {
-	if !t.HasEvidence() {
-		return
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.emptied[service] <= t.view().lastCrash() {
-		t.upToDate = false
-	}
-	t.emptied[service] = t.clock.Now()
-}
-
 // Status returns what is known of a request.
 func (t *Tracker) Status(r Request) Status {
 	if !t.HasEvidence() {
@@ -239,27 +226,6 @@
 	return status
 }
 
-// doubt names what of a request is doubtful; empty if nothing is. The caller holds mu.
-func (t *Tracker) doubt(r Request) string {
-	if key, doubtful := t.parts.doubtful(r); doubtful {
-		return key.String()
-	}
-	v := t.view()
-	for _, p := range r.Parts {
-		if _, released := t.released[p.Key]; released && v.partCounts[p.Key] > 0 {
-			return p.Key.String()
-		}
-	}
-	if v.crashCounts[r.Fingerprint] == 0 {
-		return ""
-	}
-	s := v.assess(r.Fingerprint, v.Crashes)
-	if _, released := t.released[r.Fingerprint]; s.emptied || (released && s.moments > 0) {
-		return r.Fingerprint.String()
-	}
-	return ""
-}
-
 // since returns the time since a reading of the tracker's clock.
 func (t *Tracker) since(at time.Duration) time.Duration { return t.clock.Now() - at }
 
@@ -315,14 +281,6 @@
 	return v.assess(f, v.unexplained)
 }
 
-// lastCrash returns the time of the last crash; 0 if there is none.
-func (v *mergedView) lastCrash() time.Duration {
-	if len(v.Crashes) == 0 {
-		return 0
-	}
-	return v.Crashes[len(v.Crashes)-1].At
-}
-
 // hasPartAt reports whether a part is at n crashes or more.
 func (v *mergedView) hasPartAt(n int) bool {
 	for _, crashes := range v.partCounts {
