--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -365,7 +365,7 @@
 			Expect(h.refused("w", "turned")).To(Equal(everyHost))
 			time.Sleep(2 * time.Second)
 			Expect(h.refused("w", "turned")).To(Equal(noHost))
-			Expect(h.suspect("w", "turned")).To(Equal(everyHost))
+			Expect(h.suspect("turned")).To(Equal(everyHost))
 			h.crashParts(1, "w", "turned")
 			time.Sleep(18 * time.Second)
 			Expect(h.refused("w", "turned")).To(Equal(everyHost))
@@ -373,7 +373,7 @@
 			h.answer(2, h.prompt("w", "turned"))
 			time.Sleep(time.Second)
 			Expect(h.refused("w", "turned")).To(Equal(noHost))
-			Expect(h.suspect("w", "turned")).To(Equal(noHost))
+			Expect(h.suspect("turned")).To(Equal(noHost))
 		})
 	})
 
--- a/internal/quarantine/suspects_test.go
+++ b/internal/quarantine/suspects_test.go
@@ -10,11 +10,11 @@
 	"quaybarrow/internal/quarantine"
 )
 
-// suspect returns for each host whether requests of a workspace with these parts go by turns there.
-func (h *testHosts) suspect(workspace string, parts ...string) []bool {
+// suspect returns for each host whether requests with these parts go by turns there.
+func (h *testHosts) suspect(parts ...string) []bool {
 	var suspect []bool
 	for _, t := range h.trackers {
-		suspect = append(suspect, t.Status(h.prompt(workspace, parts...)).IsSuspect())
+		suspect = append(suspect, t.Status(h.prompt("w", parts...)).IsSuspect())
 	}
 	return suspect
 }
@@ -45,15 +45,15 @@
 		withHosts(3, func(h *testHosts) {
 			h.answer(1, h.prompt("w", "first"))
 			h.crashParts(2, "w", "first", "dead")
-			Expect(h.suspect("w", "first", "dead")).To(Equal(noHost))
+			Expect(h.suspect("first", "dead")).To(Equal(noHost))
 			for _, t := range h.trackers {
 				t.ServiceEmptied("s")
 			}
-			Expect(h.suspect("w", "first", "dead")).To(Equal(everyHost))
-			Expect(h.suspect("w", "first")).To(Equal(noHost), "it was answered before")
+			Expect(h.suspect("first", "dead")).To(Equal(everyHost))
+			Expect(h.suspect("first")).To(Equal(noHost), "it was answered before")
 			h.answer(1, h.prompt("w", "dead"))
 			time.Sleep(time.Second)
-			Expect(h.suspect("w", "first", "dead")).To(Equal(noHost))
+			Expect(h.suspect("first", "dead")).To(Equal(noHost))
 		})
 	})
 
@@ -122,7 +122,7 @@
 			for _, t := range h.trackers {
 				t.ServiceEmptied("s")
 			}
-			Expect(h.suspect("w", "own0")).To(Equal(noHost))
+			Expect(h.suspect("own0")).To(Equal(noHost))
 		})
 	})
 })
