quarantine, gateway: a part that was answered before is tested, and not tried again and again

What callers saw: requests with one part in their prompts, which had been answered for a while and then crashed endpoints, were sent four and seven times later than 3 s after the fifth crash, where three are allowed.

Cause: a part that was answered before came into quarantine only after crashes at five moments half a second apart, so that a sound part which all prompts share is not taken for the cause. Meanwhile its requests went by turns, and each turn crashed one more endpoint, among others that had turns of another key; with fewer than five crashes known none needed a turn. Trying it again after 10 s, 20 s and so on made it up to 13.

Change: once five crashes are known, or two and half or more of those of a service that had no endpoint since, such a part is tested: requests against which nothing else counts go, one a second, first those all of whose parts were answered before; all others with it wait for the outcome as for an endpoint, and are told to come back. An answer clears it; two failed tests are enough for a verdict, and it is tried again after 10 s, then 100 s. So a bad part is sent at most three times late in a minute and a half.

Ruled out: to let all its requests go by the service's turns (above); to test only with requests all of whose parts were answered (a part that always comes with new ones would never be cleared): these go once in 5 s.

--- a/internal/gateway/cause.go
+++ b/internal/gateway/cause.go
@@ -23,7 +23,7 @@
 
 // namedCauses are the errors whose own text tells a caller the cause.
 var namedCauses = []error{
-	errNoEndpoint, errNoCapacity, errAtLimits, errAllEvacuated, errRejected, errNotFromEndpoint, errFailedAnswer, errTakesNothing, errAllLeaving,
+	errNoEndpoint, errHeld, errNoCapacity, errAtLimits, errAllEvacuated, errRejected, errNotFromEndpoint, errFailedAnswer, errTakesNothing, errAllLeaving,
 	errAllPaused, errNoPlace, errQuarantined, errStopping, errEndUnknown, conn.ErrUnexpectedData,
 }
 
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -24,13 +24,8 @@
 // errBecameSuspect means that the request became suspect after its turn to be sent was checked.
 var errBecameSuspect = errors.New("endpoints may crash under this request, and it is not its turn")
 
-// suspectSendsPerSecond is how many requests that may make endpoints crash all hosts together send by the
-// turns of one key per second.
-const suspectSendsPerSecond = 1
-
-// turnKey returns the key of the turns by which a request is sent that may make endpoints crash; false if it needs
-// none.
-func (x *exchange) turnKey() (key string, needed bool) { return x.quarantineStatus().Turn(x.service) }
+// errHeld means that the request has to wait until it is known whether endpoints crash under a part of it.
+var errHeld = errors.New("endpoints may crash under a part of the prompt, which is being tested")
 
 // awaitSuspectTurn waits until a request that may make endpoints crash may be sent. Copies that
 // wait while a service has no endpoint would otherwise all be sent as soon as the first endpoint is
@@ -38,14 +33,18 @@
 // endpoint is not attributed to another request.
 func (x *exchange) awaitSuspectTurn(ctx context.Context) error {
 	for x.g.RateLimits != nil && !x.maySendSuspect {
-		key, needed := x.turnKey()
-		if !needed {
+		status := x.quarantineStatus()
+		if status.IsHeld() {
+			return errHeld
+		}
+		turns := status.Turns(x.service)
+		if turns == (quarantine.Turns{}) {
 			break
 		}
-		wait, granted := x.g.RateLimits.TryAcquire(ctx, "suspect/"+key, suspectSendsPerSecond)
+		wait, granted := x.g.RateLimits.TryAcquire(ctx, "suspect/"+turns.Key, turns.PerSecond)
 		if granted {
 			x.maySendSuspect = true
-			x.g.Logger.Info("suspect request may be sent", "id", x.header.ID, "fingerprint", x.fingerprint(), "crashed", x.quarantineStatus().Crashed, "turn", key)
+			x.g.Logger.Info("suspect request may be sent", "id", x.header.ID, "fingerprint", x.fingerprint(), "crashed", status.Crashed, "turn", turns.Key)
 			break
 		}
 		x.waits++
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -128,15 +128,17 @@
 // checkBeforeSend repeats, right before a request is sent, the checks whose results may be out of
 // date: waiting and connecting take time, and the machine may have been suspended in between.
 func (x *exchange) checkBeforeSend(ctx context.Context, hold *fleet.Hold) error {
-	_, needsTurn := x.turnKey()
+	status := x.quarantineStatus()
 	switch {
 	case clock.Expired(ctx):
 		return context.DeadlineExceeded
 	case !x.endsBeforeStop():
 		return errStopping
-	case x.quarantineStatus().Quarantined:
-		return quarantineError(x.quarantineStatus())
-	case needsTurn && !x.maySendSuspect:
+	case status.Quarantined:
+		return quarantineError(status)
+	case status.IsHeld() && x.g.RateLimits != nil:
+		return errHeld
+	case status.Turns(x.service) != (quarantine.Turns{}) && !x.maySendSuspect:
 		return errBecameSuspect
 	case !hold.StillTakes():
 		x.g.Telemetry.Count("holds_given_back", 1)
--- a/internal/gateway/unary.go
+++ b/internal/gateway/unary.go
@@ -136,6 +136,8 @@
 		return false, "endpoints crash under it"
 	case errors.Is(err, errNoEndpoint):
 		return x.waitForEndpoint(), "no endpoint took it"
+	case errors.Is(err, errHeld):
+		return x.waitForEndpoint(), "a part of it is tested"
 	case x.mayHaveRun && !x.route.Repeatable():
 		return false, "it may have run, and may run once only"
 	case x.sends >= max(x.route.Attempts, 1):
--- a/internal/quarantine/emptied.go
+++ b/internal/quarantine/emptied.go
@@ -1,6 +1,9 @@
 package quarantine
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // suspectEmptying makes suspects of the parts that may be why a service was without endpoints, and lists all
 // others that were at crashes there as doubtful: what waited there, and what comes later, would otherwise be
@@ -12,20 +15,26 @@
 	}
 	mayBeDoubted := func(key Fingerprint, a *partAssessment) bool {
 		_, quarantined := v.groupOf(key)
-		return !quarantined && !a.answered && e.emptiedSince(a.service, a.first)
+		return !quarantined && e.emptiedSince(a.service, a.first)
 	}
 	for key, a := range e.assessParts(crashes, minEmptyingCrashes) {
-		if mayBeDoubted(key, a) {
+		if mayBeDoubted(key, a) && !a.answered {
 			v.Doubtful[key] = struct{}{}
 		}
 	}
 	for key, a := range e.assessParts(unexplained, minEmptyingCrashes) {
 		if mayBeDoubted(key, a) && len(a.requests) > 1 && a.countBeside(unexplained) <= len(a.crashed) {
-			v.Suspects[key] = struct{}{}
+			v.suspect(key, a)
 		}
 	}
 }
 
+// failedSinceEmptied reports whether endpoints have crashed under a part that was answered before at so many
+// moments since it may have emptied its service.
+func (e Evidence) failedSinceEmptied(a *partAssessment) bool {
+	return a.slowMoments >= minEmptiedMoments && len(a.requests) >= minPartRequests && e.emptiedSince(a.service, a.first)
+}
+
 // emptiedSince reports whether a service was found without endpoints at or after a time.
 func (e Evidence) emptiedSince(service string, at time.Duration) bool {
 	emptied, ok := e.Emptied[service]
@@ -66,6 +75,17 @@
 	return ""
 }
 
+// allAnswered reports whether answers on all parts of a request ended whole in the minutes before; the caller
+// holds mu.
+func (t *Tracker) allAnswered(r Request) bool {
+	now := t.clock.Now()
+	return !slices.ContainsFunc(r.Parts, func(p Part) bool {
+		_, answered := t.answered.early(p.Key, now)
+		_, told := t.view().answered[p.Key]
+		return !answered && !told
+	})
+}
+
 // lastCrash returns the time of the last crash; 0 if there is none.
 func (v *mergedView) lastCrash() time.Duration {
 	if len(v.Crashes) == 0 {
--- a/internal/quarantine/partassessment.go
+++ b/internal/quarantine/partassessment.go
@@ -23,6 +23,10 @@
 	// slowMoments are those that are answeredMoment apart, and lastSlow is the last of them.
 	slowMoments int
 	lastSlow    time.Duration
+	// failedTests are the moments, answeredMoment apart, after the crash from which on the part goes by turns.
+	failedTests int
+	lastTest    time.Duration
+	retries     int            // crashes that came when it was tried again
 	requests    map[uint32]int // crashes by request
 }
 
@@ -43,7 +47,17 @@
 		a.slowMoments++
 		a.lastSlow = c.At
 	}
+	if len(a.crashed) > 0 && c.At-a.last >= answeredRetryDelay/2 {
+		a.retries++
+	}
 	a.crashed, a.last = append(a.crashed, c.Endpoint), c.At
+	switch n := len(a.crashed); {
+	case n == minPartCrashes:
+		a.lastTest = c.At
+	case n > minPartCrashes && c.At-a.lastTest >= answeredMoment:
+		a.failedTests++
+		a.lastTest = c.At
+	}
 	for _, tag := range run.Requests {
 		a.requests[tag]++
 	}
@@ -73,7 +87,7 @@
 
 // isGuilty reports whether the evidence suffices.
 func (a *partAssessment) isGuilty() bool {
-	if a.answered && a.slowMoments < minAnsweredMoments {
+	if a.answered && a.slowMoments < minAnsweredMoments && a.failedTests < minFailedTests {
 		return false
 	}
 	return a.isSuspect() && a.moments >= minMoments && len(a.requests) >= minPartRequests
@@ -85,8 +99,8 @@
 		return never
 	}
 	delay := answeredRetryDelay
-	for n := minAnsweredMoments; n < a.slowMoments && delay < crashTTL; n++ {
-		delay *= 2
+	for range a.retries {
+		delay = min(delay*answeredRetryFactor, crashTTL)
 	}
 	return a.last + delay
 }
--- a/internal/quarantine/partattribution.go
+++ b/internal/quarantine/partattribution.go
@@ -17,10 +17,18 @@
 	// requests with it go by turns, one a second.
 	minAnsweredMoments = 5
 	answeredMoment     = 500 * time.Millisecond
-	// answeredRetryDelay is how long after its last crash such a part is tried again, in one request a second
-	// against which nothing else counts; it doubles with each further moment. While all requests with it
-	// are refused, no answer can show that it was only beside the cause.
-	answeredRetryDelay = 10 * time.Second
+	// minFailedTests is the number of tests that are enough too: requests with the part, against which
+	// nothing else counts, one at a time, under which endpoints crashed.
+	minFailedTests = 2
+	// minEmptiedMoments is the same, with the crashes before, where those had left the service without
+	// endpoints, so that not all of them may be known.
+	minEmptiedMoments = 1 + minFailedTests
+	// answeredRetryDelay is how long after its last crash such a part is tried again, and
+	// answeredRetryFactor times as long after each crash by that: with the tests before, endpoints crash
+	// three times in a minute and a half. While all requests with it are refused, no answer can show that
+	// it was only beside the cause.
+	answeredRetryDelay  = 10 * time.Second
+	answeredRetryFactor = 10
 	// minPartRequests is the number of different requests with the part among them: a request that
 	// hosts and its caller repeat is at several crashes by itself.
 	minPartRequests = 3
@@ -64,10 +72,7 @@
 	}
 	for key, a := range left {
 		if _, found := v.groupOf(key); !found && a.isSuspect() {
-			v.Suspects[key] = struct{}{}
-			if a.answered {
-				v.Answered[key] = struct{}{}
-			}
+			v.suspect(key, a)
 		}
 	}
 	e.suspectEmptying(v, all, unexplained)
@@ -88,7 +93,7 @@
 // it tell so.
 func (e Evidence) isGuilty(whole, left *partAssessment, crashes []Crash, known bool) bool {
 	if whole.answered {
-		return left != nil && left.isGuilty() && !e.requestAtAll(left, crashes)
+		return left != nil && (left.isGuilty() || e.failedSinceEmptied(left)) && !e.requestAtAll(left, crashes)
 	}
 	return (known || left != nil) && whole.isGuilty() && !e.requestAtAll(whole, crashes)
 }
--- a/internal/quarantine/partverdict.go
+++ b/internal/quarantine/partverdict.go
@@ -75,6 +75,11 @@
 	})
 }
 
+// underTest reports whether a part of a request is tested by others, against which nothing else counts.
+func (v PartVerdict) underTest(r Request) bool {
+	return slices.ContainsFunc(r.Parts, func(p Part) bool { _, answered := v.Answered[p.Key]; return answered })
+}
+
 // suspects reports whether a request that is not refused may crash endpoints: what becomes of it
 // tells its parts from others.
 func (v PartVerdict) suspects(r Request) bool {
@@ -120,6 +125,14 @@
 	return true
 }
 
+// suspect makes a part a suspect.
+func (v PartVerdict) suspect(key Fingerprint, a *partAssessment) {
+	v.Suspects[key] = struct{}{}
+	if a.answered {
+		v.Answered[key] = struct{}{}
+	}
+}
+
 // suspectAll makes suspects of the parts that another verdict names and this one does not have in quarantine.
 func (v PartVerdict) suspectAll(o PartVerdict) {
 	suspect := func(key Fingerprint) {
@@ -134,6 +147,9 @@
 	for _, g := range o.Groups {
 		for _, p := range g.Parts {
 			suspect(p.Key)
+			if g.RetryAt != never {
+				v.Answered[p.Key] = struct{}{}
+			}
 		}
 	}
 }
--- a/internal/quarantine/status.go
+++ b/internal/quarantine/status.go
@@ -30,6 +30,11 @@
 	Emptied bool
 	// OnlyAnswered means that nothing counts against it but parts on which answers ended whole before.
 	OnlyAnswered bool
+	// AllAnswered means that answers on all of its parts ended whole before.
+	AllAnswered bool
+	// UnderTest means that one of its parts, on which answers ended whole before, is tested by requests against
+	// which nothing else counts.
+	UnderTest bool
 	// Doubt names the request, or a part of its prompt, of which no answer has ended since an endpoint crashed
 	// under it and the service was found without endpoints; empty if there is none.
 	Doubt string
@@ -53,20 +58,39 @@
 	return !s.Quarantined && (s.Crashed >= minMoments || s.PartSuspect || s.MayHaveEmptiedService())
 }
 
-// Turn returns the key of the turns by which the request is sent, one a second over all hosts for each key;
-// false if it needs none. Suspects of a service share one key, so that a crash is not taken for another's;
-// those that may show that a part is sound, after all, have one of their own. One that is only doubtful
-// shares its turns with those that come with the same doubt.
-func (s Status) Turn(service string) (key string, needed bool) {
+// IsHeld reports whether the request has to wait for the tests of a part: sent beside them it would crash one
+// more endpoint, and a crash under it would tell nothing of the part.
+func (s Status) IsHeld() bool { return !s.Quarantined && s.UnderTest && !s.OnlyAnswered }
+
+// Turns are the turns by which requests are sent that may make endpoints crash: one request at a time over all
+// hosts for each key. An immutable value; the zero value stands for none.
+type Turns struct {
+	Key       string
+	PerSecond float64
+}
+
+// Rates of turns.
+const (
+	turnsPerSecond = 1
+	// otherTestsPerSecond are few: a part of which no answer has ended may be what endpoints crash under.
+	otherTestsPerSecond = 0.2
+)
+
+// Turns returns the turns by which the request is sent. Suspects of a service share one key, so that a crash is not
+// taken for another's; those that may show that a part is sound, after all, have keys of their own. One that
+// is only doubtful shares its turns with those that come with the same doubt.
+func (s Status) Turns(service string) Turns {
 	switch {
+	case s.IsSuspect() && s.OnlyAnswered && s.AllAnswered:
+		return Turns{service + "/answered", turnsPerSecond}
 	case s.IsSuspect() && s.OnlyAnswered:
-		return service + "/answered", true
+		return Turns{service + "/other", otherTestsPerSecond}
 	case s.IsSuspect():
-		return service, true
+		return Turns{service, turnsPerSecond}
 	case s.Doubt != "" && !s.Quarantined:
-		return service + "/" + s.Doubt, true
+		return Turns{service + "/" + s.Doubt, turnsPerSecond}
 	default:
-		return "", false
+		return Turns{}
 	}
 }
 
--- a/internal/quarantine/suspects_test.go
+++ b/internal/quarantine/suspects_test.go
@@ -50,7 +50,15 @@
 				t.ServiceEmptied("s")
 			}
 			Expect(h.suspect("first", "dead")).To(Equal(everyHost))
-			Expect(h.suspect("first")).To(Equal(noHost), "it was answered before")
+			for _, t := range h.trackers {
+				Expect(t.Status(h.prompt("w", "first", "dead")).IsHeld()).To(BeTrue())
+				Expect(t.Status(h.prompt("w", "first")).Turns("s").Key).To(Equal("s/answered"), "it shows whether the part that was answered before is sound")
+				Expect(t.Status(h.prompt("w", "first", "other")).Turns("s").Key).To(Equal("s/other"), "it shows it too, if it has to")
+			}
+			h.answer(2, h.prompt("w", "first", "other"))
+			time.Sleep(time.Second)
+			Expect(h.suspect("first")).To(Equal(noHost))
+			Expect(h.suspect("first", "dead")).To(Equal(everyHost))
 			h.answer(1, h.prompt("w", "dead"))
 			time.Sleep(time.Second)
 			Expect(h.suspect("first", "dead")).To(Equal(noHost))
@@ -68,8 +76,7 @@
 			turn := func() (keys []string) {
 				time.Sleep(crashSpacing)
 				for _, t := range h.trackers {
-					key, _ := t.Status(beside).Turn("s")
-					keys = append(keys, key)
+					keys = append(keys, t.Status(beside).Turns("s").Key)
 				}
 				return keys
 			}
@@ -101,15 +108,13 @@
 			Expect(h.refused("w", "dead")).To(Equal(everyHost))
 			Expect(h.quarantined(released.Fingerprint)).To(Equal(noHost))
 			for _, t := range h.trackers {
-				_, needed := t.Status(released).Turn("s")
-				Expect(needed).To(BeTrue())
+				Expect(t.Status(released).Turns("s")).NotTo(BeZero())
 			}
 			h.trackers[1].RequestCompleted(released.Fingerprint)
 			time.Sleep(crashSpacing)
 			h.crashUnder(2, released)
 			for _, t := range h.trackers {
-				_, needed := t.Status(released).Turn("s")
-				Expect(needed).To(BeFalse(), "one crash after an answer is no doubt")
+				Expect(t.Status(released).Turns("s")).To(BeZero(), "one crash after an answer is no doubt")
 			}
 		})
 	})
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -222,6 +222,8 @@
 		status.Quarantined, status.Part = true, g.label()
 	}
 	status.PartSuspect = t.parts.suspects(r)
+	status.UnderTest = t.parts.underTest(r)
+	status.AllAnswered = t.allAnswered(r)
 	status.Doubt = t.doubt(r)
 	return status
 }
