--- a/internal/quarantine/partassessment.go
+++ b/internal/quarantine/partassessment.go
@@ -23,10 +23,11 @@
 	// slowMoments are those that are answeredMoment apart, and lastSlow is the last of them.
 	slowMoments int
 	lastSlow    time.Duration
-	// failedTests are the moments, answeredMoment apart, after the crash from which on the part goes by turns.
+	// failedTests are the moments, answeredMoment apart, after the crash from which on the part goes by
+	// turns, and lastTest is that crash or the last of them.
 	failedTests int
 	lastTest    time.Duration
-	retries     int            // crashes that came when it was tried again
+	retries     int            // crashes so long after the one before that the part was tried again
 	requests    map[uint32]int // crashes by request
 }
 
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -8,8 +8,16 @@
 //	quarantine.Register(server, t.HandleUpdate)
 //
 //	request := quarantine.Request{Fingerprint: fingerprint, Workspace: "w", Parts: []quarantine.Part{quarantine.NewPart("s", "5c1e07a2")}}
-//	if t.HasEvidence() && t.Status(request).Quarantined {
-//		...refuse the request: it has not run and will not...
+//	if t.HasEvidence() {
+//		status := t.Status(request)
+//		switch {
+//		case status.Quarantined:
+//			...refuse the request: it has not run and will not...
+//		case status.IsHeld():
+//			...wait for the tests of a part...
+//		case status.Turns("s") != quarantine.Turns{}:
+//			...wait for a turn of this key...
+//		}
 //	}
 //	crashed := t.ConnectionBroke(ctx, quarantine.BrokenAttempt{Endpoint: id, Address: address, Request: request, ...})
 //	t.RequestCompleted(request.Fingerprint)
@@ -27,6 +35,11 @@
 // beginning anywhere clears the parts of its prompt: AttributeParts. Parts that are always together can't
 // be told apart; requests with all of them are refused, those with some go by turns.
 //
+// Until there is a verdict, requests that may crash endpoints go by turns over all hosts (Status.Turns),
+// since all copies that wait for a service that they have emptied would else be sent to the first
+// endpoints that return. Turns end with an answer. A part that was answered before may be sound and come with
+// the guilty ones, so it is tested, while other requests with it wait (Status.IsHeld).
+//
 // While nothing has crashed lately, no request is hashed. A host that starts reads the rows of all
 // hosts, including its own row from before the restart.
 package quarantine
