--- a/internal/gatewayd/turnedpart_test.go
+++ b/internal/gatewayd/turnedpart_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -33,12 +34,9 @@
 	for name, d := range turnedScenarios {
 		t.Run(name, func(t *testing.T) {
 			d.parts, d.soundFirst, d.lasts = []string{"first", crashPart}, 0.5, turnedLasts
-			var began time.Time
+			began := sync.OnceValue(time.Now) // the first request's arrival
 			d.script = func(service string, r *http.Request) standin.Script {
-				if began.IsZero() {
-					began = time.Now()
-				}
-				if service == "model" && standin.HasPartLike(r.Header, crashPart) && time.Since(began) < turnsAfter {
+				if time.Since(began()) < turnsAfter && service == "model" && standin.HasPartLike(r.Header, crashPart) {
 					return standin.Stream{Events: 8, Gap: 80 * time.Millisecond, Confidence: 100}
 				}
 				return nil
