quarantine, soak: one copy of two functions, and sentences that were read twice

Two lookups of groups of parts had the same shape; the soak counted times between two moments in two ways. The comments of failed tests, of tries of a part that was answered before, of explained crashes and of told times say what they mean. No decision is changed; the specs of quarantine and of the soak's counts pass.

--- a/internal/quarantine/partattribution.go
+++ b/internal/quarantine/partattribution.go
@@ -17,16 +17,15 @@
 	// requests with it go by turns, one a second.
 	minAnsweredMoments = 5
 	answeredMoment     = 500 * time.Millisecond
-	// minFailedTests is the number of tests that are enough too: requests with the part, against which
-	// nothing else counts, one at a time, under which endpoints crashed.
+	// minFailedTests is the number of failed tests that are enough too. A test is a request with the part,
+	// against which nothing else counts, sent alone; it fails if its endpoint crashes.
 	minFailedTests = 2
-	// minEmptiedMoments is the same, with the crashes before, where those had left the service without
-	// endpoints, so that not all of them may be known.
+	// minEmptiedMoments is the number of moments that are enough where the service was without endpoints
+	// since the first crash, so that some crashes may not be known: the first moment, and failed tests.
 	minEmptiedMoments = 1 + minFailedTests
-	// answeredRetryDelay is how long after its last crash such a part is tried again, and
-	// answeredRetryFactor times as long after each crash by that: with the tests before, endpoints crash
-	// three times in a minute and a half. While all requests with it are refused, no answer can show that
-	// it was only beside the cause.
+	// answeredRetryDelay is how long after its last crash a part that was answered before is tested again; the
+	// time grows by answeredRetryFactor with each such test that fails. Refused for good, a sound part could
+	// get no answer that clears it.
 	answeredRetryDelay  = 10 * time.Second
 	answeredRetryFactor = 10
 	// minPartRequests is the number of different requests with the part among them: a request that
@@ -79,8 +78,8 @@
 	return v
 }
 
-// withoutQuarantined returns the crashes at which no request in quarantine ran: parts that were answered before
-// come with those, and crashes under several of them would add up to what one part seems to cause.
+// withoutQuarantined returns the crashes at which no request in quarantine ran. A sound part may be in several of
+// those requests, so that their crashes together would count against it.
 func (e Evidence) withoutQuarantined(crashes []Crash) []Crash {
 	return slices.DeleteFunc(slices.Clone(crashes), func(c Crash) bool {
 		return c.hasAny(func(f Fingerprint) bool { _, quarantined := e.Quarantined[f]; return quarantined })
--- a/internal/quarantine/partverdict.go
+++ b/internal/quarantine/partverdict.go
@@ -56,7 +56,12 @@
 
 // refusing returns the group for which a request is refused; false if there is none.
 func (v PartVerdict) refusing(r Request) (PartGroup, bool) {
-	i := slices.IndexFunc(v.Groups, func(g PartGroup) bool { return g.refuses(r) })
+	return v.firstGroup(func(g PartGroup) bool { return g.refuses(r) })
+}
+
+// firstGroup returns the first group for which match returns true; false if there is none.
+func (v PartVerdict) firstGroup(match func(g PartGroup) bool) (PartGroup, bool) {
+	i := slices.IndexFunc(v.Groups, match)
 	if i < 0 {
 		return PartGroup{}, false
 	}
@@ -104,11 +109,7 @@
 
 // groupOf returns the group that contains a part.
 func (v PartVerdict) groupOf(key Fingerprint) (PartGroup, bool) {
-	i := slices.IndexFunc(v.Groups, func(g PartGroup) bool { return g.contains(key) })
-	if i < 0 {
-		return PartGroup{}, false
-	}
-	return v.Groups[i], true
+	return v.firstGroup(func(g PartGroup) bool { return g.contains(key) })
 }
 
 // explains reports whether a crash is explained by the parts in quarantine.
@@ -125,7 +126,7 @@
 	return true
 }
 
-// suspect makes a part a suspect.
+// suspect makes a part a suspect, while the verdict is being made.
 func (v PartVerdict) suspect(key Fingerprint, a *partAssessment) {
 	v.Suspects[key] = struct{}{}
 	if a.answered {
@@ -133,7 +134,8 @@
 	}
 }
 
-// suspectAll makes suspects of the parts that another verdict names and this one does not have in quarantine.
+// suspectAll makes suspects of the parts that another verdict names and this one does not have in quarantine, while
+// this one is being made.
 func (v PartVerdict) suspectAll(o PartVerdict) {
 	suspect := func(key Fingerprint) {
 		if _, quarantined := v.groupOf(key); !quarantined {
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -251,9 +251,9 @@
 }
 
 // stampUpdates sets the UpdatedAt of each crash: the time since which its set of requests is known.
-// Crashes that a host learns of while it starts are taken to be complete. A crash keeps the time at which it
-// was known, unless one is told that is earlier by more than what two hosts' times differ: told again, it
-// comes with the delay of another message.
+// Crashes that a host learns of while it starts are taken to be complete. A crash keeps the time by which it was
+// first known, since each message that tells it again shifts the time by its own delay; one that is earlier by
+// more than crashSkew replaces it.
 func (t *Tracker) stampUpdates(crashes []Crash) {
 	now, stamped := t.clock.Now(), make(map[string]Crash, len(crashes))
 	for i, c := range crashes {
--- a/internal/soak/endpoints.go
+++ b/internal/soak/endpoints.go
@@ -96,7 +96,7 @@
 		}
 	}
 	for _, e := range w.all {
-		if n := countBetween(e.Requests(), from, time.Now()); e.hall == evacuated && n > 0 {
+		if n := countBetween(arrivalTimes(e.Requests()), from, time.Now()); e.hall == evacuated && n > 0 {
 			found = append(found, fmt.Sprintf("%d requests at %s, whose data hall is evacuated", n, e.ID))
 		}
 	}
@@ -121,13 +121,14 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	var found []string
+	times := arrivalTimes(seen)
 	for _, start := range e.starts {
 		for _, s := range seen {
 			until := s.At.Add(time.Second)
 			if s.At.Before(start) || until.After(start.Add(standin.ColdFor)) {
 				continue
 			}
-			if n := countBetween(seen, s.At, until); n > int(coldMost) {
+			if n := countBetween(times, s.At, until); n > int(coldMost) {
 				found = append(found, fmt.Sprintf("%d requests within a second at %s, which is cold", n, e.ID))
 			}
 		}
@@ -135,11 +136,20 @@
 	return found
 }
 
-// countBetween counts requests that arrived from a moment on and before another.
-func countBetween(seen []standin.ReceivedRequest, from, until time.Time) int {
+// arrivalTimes are the times at which requests arrived.
+func arrivalTimes(seen []standin.ReceivedRequest) []time.Time {
+	times := make([]time.Time, len(seen))
+	for i, s := range seen {
+		times[i] = s.At
+	}
+	return times
+}
+
+// countBetween counts the times from a moment on and before another.
+func countBetween(times []time.Time, from, until time.Time) int {
 	n := 0
-	for _, s := range seen {
-		if !s.At.Before(from) && s.At.Before(until) {
+	for _, t := range times {
+		if !t.Before(from) && t.Before(until) {
 			n++
 		}
 	}
--- a/internal/soak/repeats.go
+++ b/internal/soak/repeats.go
@@ -56,22 +56,15 @@
 	}
 	margin := 0
 	for i, from := range again {
-		requests := max(countWithin(firsts, from), countWithin(firsts, from.Add(-repeatWindow/2)), countWithin(firsts, from.Add(-repeatWindow)))
-		n, most := countWithin(again, from), int(repeatsPerRequest*float64(requests))+repeatReserve
+		requests := 0
+		for _, before := range []time.Duration{0, repeatWindow / 2, repeatWindow} {
+			began := from.Add(-before)
+			requests = max(requests, countBetween(firsts, began, began.Add(repeatWindow)))
+		}
+		n, most := countBetween(again, from, from.Add(repeatWindow)), int(repeatsPerRequest*float64(requests))+repeatReserve
 		if i == 0 || most-n < margin {
 			repeats, allowed, at, margin = n, most, from, most-n
 		}
 	}
 	return repeats, allowed, at
 }
-
-// countWithin counts the moments in the window that begins at a moment.
-func countWithin(moments []time.Time, from time.Time) int {
-	n := 0
-	for _, t := range moments {
-		if !t.Before(from) && t.Before(from.Add(repeatWindow)) {
-			n++
-		}
-	}
-	return n
-}
