--- a/internal/faults/crash_test.go
+++ b/internal/faults/crash_test.go
@@ -67,6 +67,7 @@
 	"a message of streams":         {stream: true, shared: true},
 	"a message of completions":     {shared: true},
 	"few engines and a completion": {few: true},
+	"few engines and a job":        {job: true, few: true},
 	"few engines and a message":    {shared: true, few: true},
 }
 
