--- a/internal/soak/repeats_test.go
+++ b/internal/soak/repeats_test.go
@@ -37,3 +37,26 @@
 		})
 	}
 })
+
+// timeCases are the time that an endpoint got, how long after its caller had sent the request, and whether that is
+// too much.
+var timeCases = map[string]struct {
+	left, after time.Duration
+	over        bool
+}{
+	"what is left":                        {10 * time.Second, 5 * time.Second, false},
+	"less":                                {time.Second, time.Second, false},
+	"half a second more":                  {15500 * time.Millisecond, 0, false},
+	"all of it, a second later":           {15 * time.Second, time.Second, true},
+	"more than the caller had":            {16 * time.Second, 0, true},
+	"what was left when it went at first": {14 * time.Second, 3 * time.Second, true},
+}
+
+var _ = Describe("the time that endpoints get", func() {
+	for name, c := range timeCases {
+		It("is compared with what the caller has left: "+name, func() {
+			sent := time.Now()
+			Expect(exceedsTime(c.left, sent, sent.Add(c.after))).To(Equal(c.over))
+		})
+	}
+})
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -151,6 +151,8 @@
 	report.Violations = append(report.Violations, w.lateAfterLeaving()...)
 	report.Violations = append(report.Violations, w.overPauses()...)
 	report.Violations = append(report.Violations, w.overRepeats()...)
+	report.Violations = append(report.Violations, w.overAttempts()...)
+	report.Violations = append(report.Violations, w.overTime()...)
 	report.Violations = append(report.Violations, w.overFalls()...)
 	for _, p := range w.hosts {
 		report.Violations = append(report.Violations, p.ownEnds()...)
